--- /dev/null
+++ b/internal/core/group/group.go
@@ -0,0 +1,64 @@
+// Package group starts goroutines that somebody waits for. Nothing in the
+// module uses a bare go statement: a goroutine that nobody waits for outlives
+// its owner's Close, and a test only notices when the next test fails.
+package group
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Group runs duties until it is closed. The zero value is ready to use.
+//
+//	var g group.Group
+//	g.Go(func(ctx context.Context) error { return serve(ctx) })
+//	...
+//	err := g.Close() // cancels ctx, waits, returns the first error
+type Group struct {
+	once   sync.Once
+	cancel context.CancelFunc
+	ctx    context.Context
+	eg     *errgroup.Group
+}
+
+func (g *Group) init() {
+	g.once.Do(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.cancel = cancel
+		g.eg, g.ctx = errgroup.WithContext(ctx)
+	})
+}
+
+// Go starts a duty. Its context ends when the group is closed, or when another
+// duty returns an error.
+func (g *Group) Go(duty func(ctx context.Context) error) {
+	g.init()
+	g.eg.Go(func() error { return duty(g.ctx) })
+}
+
+// Context returns the context that the duties run under.
+func (g *Group) Context() context.Context {
+	g.init()
+	return g.ctx
+}
+
+// Wait waits for all duties to end by themselves and returns the first error.
+func (g *Group) Wait() error {
+	g.init()
+	return g.eg.Wait()
+}
+
+// Close cancels the duties and waits for them. It may be called more than once.
+// A duty that ends because of this cancellation is not reported as an error.
+func (g *Group) Close() error {
+	g.init()
+	g.cancel()
+	err := g.eg.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/core/kinds/kinds_test.go
@@ -0,0 +1,34 @@
+package kinds
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestEveryKindHasItsRow(t *testing.T) {
+	seen := map[string]Kind{}
+	for _, k := range All() {
+		a := k.Answer()
+		assert.Assert(t, a.Status >= 200, "kind %d has no status", k)
+		assert.Assert(t, a.Ran != "", "kind %d makes no promise", k)
+		_, twice := seen[k.String()]
+		assert.Assert(t, !twice, "name %q stands twice", k)
+		seen[k.String()] = k
+	}
+}
+
+func TestOfFindsTheKindThroughWrapping(t *testing.T) {
+	err := fmt.Errorf("outer: %w", Wrap(Conflict, errors.New("inner"), "put seat"))
+	assert.Equal(t, Of(err), Conflict)
+	assert.Equal(t, Of(nil), None)
+	assert.Equal(t, Of(errors.New("plain")), Internal)
+	assert.Assert(t, errors.Is(err, New(Conflict, "")))
+	assert.Assert(t, Wrap(Down, nil, "nothing") == nil)
+}
+
+func TestInvalidKindNeverLooksLikeSuccess(t *testing.T) {
+	assert.Equal(t, Kind(200).Answer(), Internal.Answer())
+}
