--- /dev/null
+++ b/internal/load/gate/gate_test.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+func oneServer() []ServerInfo {
+	return []ServerInfo{{Name: "a", Slots: 1, Conns: 10}}
+}
+
+// A caller hangs up while its request waits behind a long one. If its place
+// were kept, the server would sit idle for a request nobody wants and the next
+// caller would wait for nothing.
+func TestCallerWhoLeavesFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{Seed: 1})
+		defer g.Close()
+		g.SetServers(oneServer())
+		first, err := g.Enter(t.Context(), Job{Caller: "first"})
+		assert.NilError(t, err)
+		for g.Stats().Running < g.Stats().Servers[0].Limit {
+			_, err = g.Enter(t.Context(), Job{Caller: "fill"})
+			assert.NilError(t, err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err = g.Enter(ctx, Job{Caller: "leaver"})
+		assert.Equal(t, kinds.Of(err), kinds.Late)
+		assert.Equal(t, g.Stats().Waiting, 0)
+		first.Done(Outcome{})
+		next, err := g.Enter(t.Context(), Job{Caller: "next"})
+		assert.NilError(t, err)
+		next.Done(Outcome{})
+		next.Done(Outcome{})
+		assert.Equal(t, g.Stats().Running, g.Stats().Servers[0].Limit-1)
+	})
+}
+
+// A key moves from one owner to another. Requests that come in between must
+// reach the new owner, and only it; a caller would otherwise see its request
+// refused, or two owners serve the key.
+func TestMovingKeyWaitsForItsNewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{Seed: 1})
+		defer g.Close()
+		g.SetServers([]ServerInfo{{Name: "a", Slots: 4, Conns: 10}, {Name: "b", Slots: 4, Conns: 10}})
+		m := Move{Keys: []ident.Key{"scale-7"}}
+		g.Hold(m)
+		time.AfterFunc(50*time.Millisecond, func() {
+			m.To = "b"
+			g.Settle(m)
+		})
+		start := time.Now()
+		p, err := g.Enter(t.Context(), Job{Key: "scale-7", Slice: 1, Server: "a"})
+		assert.NilError(t, err)
+		assert.Equal(t, p.Server(), ident.Server("b"))
+		assert.Equal(t, time.Since(start), 50*time.Millisecond)
+		p.Done(Outcome{})
+	})
+}
