Stand-ins for the platform and the backend servers, and the adapters to them

Cause: nothing could run end to end without an object API, a VM list and backend servers, and the adapters must tell a write that certainly did not happen from one whose answer was lost.

Ruled out: inferring 'not written' from the error text of net/http; a call counts as possibly obeyed from the moment a connection was handed to it.

--- /dev/null
+++ b/internal/fake/origin/control.go
@@ -0,0 +1,158 @@
+package origin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/srvcli"
+)
+
+// Handler serves both sides: the control side under /control/, data elsewhere.
+func (o *Origin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+srvcli.PathGrant, o.order(o.Grant))
+	mux.HandleFunc("POST "+srvcli.PathRevoke, o.order(o.Revoke))
+	mux.HandleFunc("GET "+srvcli.PathRead, func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, o.Read())
+	})
+	mux.HandleFunc("GET "+srvcli.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, o.health())
+	})
+	mux.HandleFunc("GET "+srvcli.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, o.load())
+	})
+	mux.HandleFunc("POST "+srvcli.PathDrain, func(w http.ResponseWriter, _ *http.Request) {
+		o.Drain()
+		answer(w, struct{}{})
+	})
+	mux.HandleFunc("POST "+srvcli.PathCancel, o.cancelCall)
+	mux.HandleFunc("/", o.data)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o.pass(r.Context())
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (o *Origin) order(obey func(server.Order) server.Reply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var order server.Order
+		if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answer(w, obey(order))
+	}
+}
+
+// Grant obeys a grant or a renewal, or says why not.
+func (o *Origin) Grant(order server.Order) server.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	why := o.admit(order)
+	if why == "" {
+		why = o.seat(order.Seat).grant(order, o.mark().At)
+	}
+	return o.conclude(order, why)
+}
+
+// Revoke ends the lease of what is not in the order's set, or says why not.
+func (o *Origin) Revoke(order server.Order) server.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	why := o.admit(order)
+	if why == "" {
+		o.seat(order.Seat).revoke(order)
+	}
+	return o.conclude(order, why)
+}
+
+// Read says what the server holds under its own seat.
+func (o *Origin) Read() server.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reply := o.reply(o.Server)
+	reply.Done = true
+	return reply
+}
+
+// admit checks the sender's fence, if this server checks, and the deadline.
+func (o *Origin) admit(order server.Order) string {
+	now := o.mark()
+	if o.Checks && order.Fence.Less(o.top[order.Seat]) {
+		return server.WhyFence
+	}
+	if order.Mark.Boot != now.Boot || order.Mark.At+order.TTL <= now.At {
+		return server.WhyLate
+	}
+	return ""
+}
+
+func (o *Origin) conclude(order server.Order, why string) server.Reply {
+	if why == "" {
+		if o.top[order.Seat].Less(order.Fence) {
+			o.top[order.Seat] = order.Fence
+		}
+		o.seat(order.Seat).fence = order.Fence
+	}
+	reply := o.reply(order.Seat)
+	reply.Done, reply.Why = why == "", why
+	return reply
+}
+
+func (o *Origin) reply(seat ident.Server) server.Reply {
+	now := o.mark()
+	l := o.seat(seat)
+	return server.Reply{Fence: o.top[seat], Rev: l.rev, Left: max(l.end-now.At, 0), Mark: now}
+}
+
+func (o *Origin) seat(name ident.Server) *lease {
+	l, ok := o.leases[name]
+	if !ok {
+		l = &lease{}
+		o.leases[name] = l
+	}
+	return l
+}
+
+func (o *Origin) health() server.Health {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return server.Health{Ready: !o.drain, Drain: o.drain}
+}
+
+func (o *Origin) load() server.Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return server.Load{Slots: o.Slots, Busy: len(o.slots), Queue: o.waiting}
+}
+
+// Drain makes the server say that it is leaving. It still serves what it owns.
+func (o *Origin) Drain() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drain = true
+}
+
+func (o *Origin) cancelCall(w http.ResponseWriter, r *http.Request) {
+	var body srvcli.CancelBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o.mu.Lock()
+	cancel := o.running[body.ID]
+	o.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	answer(w, struct{}{})
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/plat/call/call.go
@@ -0,0 +1,108 @@
+// Package call makes one HTTP call with JSON to the platform or to a backend
+// server's control side, and tells the failures apart that matter for safety.
+//
+// When a call fails, the caller must know whether it may have taken effect. A
+// connection that could not be opened proves that it did not; once a connection
+// was handed the request, nothing proves it. The net/http client would by
+// itself repeat some requests on another connection, which hides exactly this;
+// a call therefore never offers its body a second time.
+package call
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// MaxAnswer bounds an answer's bytes. A list of objects is the largest.
+const MaxAnswer = 64 << 20
+
+// Client makes calls. The zero value works.
+type Client struct {
+	// HTTP carries the calls; nil means a client of its own defaults.
+	HTTP *http.Client
+}
+
+// defaultClient keeps few connections: control calls are small and rare.
+var defaultClient = &http.Client{Transport: &http.Transport{
+	MaxIdleConnsPerHost: 4,
+	IdleConnTimeout:     30 * time.Second,
+}}
+
+// once hides a reader's further abilities, so that net/http cannot rewind it.
+type once struct{ io.Reader }
+
+// Do sends body, decodes a 200 answer into out, and returns an error with kind
+// Down when the call certainly had no effect, Ambiguous when it may have had
+// one, or the kind that the status stands for.
+func (c *Client) Do(ctx context.Context, method, url string, body []byte, out any) error {
+	var handed atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { handed.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
+	if err != nil {
+		return kinds.Wrap(kinds.Internal, err, "make call")
+	}
+	if body != nil {
+		r.Body, r.ContentLength = io.NopCloser(once{bytes.NewReader(body)}), int64(len(body))
+	}
+	resp, err := c.client().Do(r)
+	if err != nil {
+		return kinds.Wrap(failure(method, handed.Load()), err, method+" "+r.URL.Path)
+	}
+	defer resp.Body.Close()
+	return read(resp, method, out)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return defaultClient
+}
+
+// failure picks the kind of a call without an answer. A read has no effect.
+func failure(method string, handed bool) kinds.Kind {
+	if handed && method != http.MethodGet {
+		return kinds.Ambiguous
+	}
+	return kinds.Down
+}
+
+func read(resp *http.Response, method string, out any) error {
+	if resp.StatusCode != http.StatusOK {
+		return kinds.New(kindOf(resp.StatusCode, method), method+" answered "+resp.Status)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer))
+	if err != nil {
+		return kinds.Wrap(failure(method, true), err, "read answer")
+	}
+	if out == nil {
+		return nil
+	}
+	return kinds.Wrap(kinds.Malformed, json.Unmarshal(b, out), "decode answer")
+}
+
+// kindOf turns a status into a kind. A 5xx other than 503 may hide an effect.
+func kindOf(status int, method string) kinds.Kind {
+	switch status {
+	case http.StatusNotFound, http.StatusGone:
+		return kinds.Absent
+	case http.StatusConflict:
+		return kinds.Conflict
+	case http.StatusRequestEntityTooLarge:
+		return kinds.TooLarge
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return kinds.Down
+	}
+	if status >= http.StatusInternalServerError {
+		return failure(method, true)
+	}
+	return kinds.Malformed
+}
--- /dev/null
+++ b/internal/plat/objcli/objcli.go
@@ -0,0 +1,81 @@
+// Package objcli is the adapter from the object API's interface to its HTTP and
+// JSON protocol, as served by fake/objapi.
+package objcli
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+
+	"hawthornfield.org/hawthornfield/internal/plat/call"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Client is an object.Store over HTTP.
+type Client struct {
+	call.Client
+	base string
+}
+
+var _ object.Store = (*Client)(nil)
+
+// New makes a client of the object API at an address.
+func New(at netip.AddrPort) *Client { return &Client{base: "http://" + at.String()} }
+
+// Get reads an object.
+func (c *Client) Get(ctx context.Context, name string) (object.Object, error) {
+	var o object.Object
+	err := c.Do(ctx, http.MethodGet, c.object(name, nil), nil, &o)
+	return o, err
+}
+
+// Put writes an object if its version is still old. Kind Ambiguous means that
+// the write may have taken effect: read back and look for your own mark.
+func (c *Client) Put(ctx context.Context, name string, value []byte, old object.Version) (object.Version, error) {
+	var reply struct {
+		Version object.Version `json:"version"`
+	}
+	if value == nil {
+		value = []byte{}
+	}
+	err := c.Do(ctx, http.MethodPut, c.object(name, &old), value, &reply)
+	return reply.Version, err
+}
+
+// Delete removes an object if its version is still old.
+func (c *Client) Delete(ctx context.Context, name string, old object.Version) error {
+	return c.Do(ctx, http.MethodDelete, c.object(name, &old), nil, nil)
+}
+
+type listReply struct {
+	Objects []object.Object `json:"objects"`
+	Changes []object.Change `json:"changes"`
+	At      object.Cursor   `json:"at"`
+}
+
+// List returns the objects under a prefix and the cursor to watch from.
+func (c *Client) List(ctx context.Context, prefix string) ([]object.Object, object.Cursor, error) {
+	var reply listReply
+	q := url.Values{"prefix": {prefix}}
+	err := c.Do(ctx, http.MethodGet, c.base+"/list?"+q.Encode(), nil, &reply)
+	return reply.Objects, reply.At, err
+}
+
+// Watch waits for changes after a cursor. It returns no change when the
+// platform ended the wait.
+func (c *Client) Watch(ctx context.Context, prefix string, after object.Cursor) ([]object.Change, object.Cursor, error) {
+	var reply listReply
+	q := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}}
+	err := c.Do(ctx, http.MethodGet, c.base+"/watch?"+q.Encode(), nil, &reply)
+	return reply.Changes, reply.At, err
+}
+
+func (c *Client) object(name string, old *object.Version) string {
+	u := c.base + "/o/" + (&url.URL{Path: name}).EscapedPath()
+	if old != nil {
+		u += "?old=" + strconv.FormatUint(uint64(*old), 10)
+	}
+	return u
+}
