Peer exchange over QUIC with mutual TLS, certificates replaced while running

Cause: entry VMs need a channel of their own that a stranger on the same network can neither read nor write, and operators replace keys without restart.

Ruled out: one shared connection per pair (both ends race to make it, and the loser's queue is lost); each node calls whom it wants to speak to instead.

--- /dev/null
+++ b/internal/peer/certs/certs_test.go
@@ -0,0 +1,55 @@
+package certs
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+var home = netip.MustParseAddr("127.0.0.1")
+
+func issue(t *testing.T, a *Authority, vm ident.VM) PEM {
+	t.Helper()
+	p, err := a.Issue(vm, home)
+	assert.NilError(t, err)
+	return p
+}
+
+// An operator replaces certificates and pastes the key of another VM, or
+// forgets the authority. The VM must say so and keep speaking to its peers
+// under the old ones.
+func TestABadBundleLeavesTheOldOneInForce(t *testing.T) {
+	a, err := NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	b, err := NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	good, other := issue(t, a, "vm-1"), issue(t, b, "vm-2")
+
+	var s Store
+	assert.NilError(t, s.Load(good))
+	gen := s.Generation()
+	for name, bad := range map[string]PEM{
+		"key of another":       {Cert: good.Cert, Key: other.Key, CA: good.CA},
+		"no authority":         {Cert: good.Cert, Key: good.Key},
+		"authority of another": {Cert: good.Cert, Key: good.Key, CA: other.CA},
+		"empty":                {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, kinds.Of(s.Load(bad)), kinds.Malformed)
+			assert.Equal(t, s.Generation(), gen)
+		})
+	}
+	_, err = s.Client("vm-1", home)
+	assert.NilError(t, err)
+}
+
+func TestZeroStoreRefusesToCall(t *testing.T) {
+	var s Store
+	_, err := s.Client("vm-1", home)
+	assert.Equal(t, kinds.Of(err), kinds.Denied)
+}
