--- /dev/null
+++ b/internal/audit/record/record.go
@@ -0,0 +1,98 @@
+// Package record takes down every routing and placement decision: what was
+// decided, for whom, under whose rule and revision, and why.
+//
+// The load pattern it answers is a decision for every request, several thousand
+// a second on one entry VM, each of which must end as a log line and, later, as
+// an answer to an auditor. Writing the line on the request path would make every
+// caller wait for the slowest reader of the log. Instead the request path puts a
+// value of fixed size into a bounded ring (BenchmarkRecord: no allocation) and
+// one duty renders and hands it on. When the ring is full the decision is
+// dropped and counted, and the count itself becomes a line and a record as soon
+// as there is room: a gap in the log that does not say that it is a gap would be
+// worse than the gap.
+package record
+
+import (
+	"log/slog"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// Sort tells what was decided.
+type Sort string
+
+// The sorts of decisions.
+const (
+	Route  Sort = "route"  // a request was answered or refused
+	Accept Sort = "accept" // a request is about to be forwarded, under a durable rule
+	Place  Sort = "place"  // a slice or a key got an owner
+	Claim  Sort = "claim"  // a request id was claimed, so that it runs at most once
+	Rules  Sort = "rules"  // a revision of the rules was accepted or came into force
+	Lost   Sort = "lost"   // Count decisions were not recorded
+)
+
+// Decision is one decision. Fields that do not apply stay zero. The names in
+// the log and in the journal are one word each.
+type Decision struct {
+	At      time.Time      `cbor:"at" json:"at"`
+	Sort    Sort           `cbor:"sort" json:"sort"`
+	ID      ident.Request  `cbor:"id,omitempty" json:"id,omitempty"`
+	VM      ident.VM       `cbor:"vm,omitempty" json:"vm,omitempty"`
+	Caller  ident.Caller   `cbor:"caller,omitempty" json:"caller,omitempty"`
+	Service ident.Service  `cbor:"service,omitempty" json:"service,omitempty"`
+	Key     ident.Key      `cbor:"key,omitempty" json:"key,omitempty"`
+	Slice   ident.Slice    `cbor:"slice,omitempty" json:"slice,omitempty"`
+	Rule    string         `cbor:"rule,omitempty" json:"rule,omitempty"`
+	Rev     ident.Revision `cbor:"rev,omitempty" json:"rev,omitempty"` // of the rules; of the table for Place
+	Server  ident.Server   `cbor:"server,omitempty" json:"server,omitempty"`
+	Former  ident.Server   `cbor:"former,omitempty" json:"former,omitempty"` // owner before, for Place
+	Epoch   ident.Epoch    `cbor:"epoch,omitempty" json:"epoch,omitempty"`
+	Kind    string         `cbor:"kind,omitempty" json:"kind,omitempty"` // name of a kinds.Kind; the number may differ between versions
+	Ran     kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`   // what the caller was promised
+	Status  int            `cbor:"code,omitempty" json:"code,omitempty"` // HTTP status that the caller got
+	Why     string         `cbor:"why,omitempty" json:"why,omitempty"`   // one sentence
+	Took    time.Duration  `cbor:"took,omitempty" json:"took,omitempty"` // arrival to answer
+	Tries   int            `cbor:"tries,omitempty" json:"tries,omitempty"`
+	Count   uint64         `cbor:"count,omitempty" json:"count,omitempty"` // for Lost
+}
+
+// LogValue groups the fields that are set, so that a line stays short.
+func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
+
+func (d *Decision) attrs() []slog.Attr {
+	all := make([]slog.Attr, 0, 20)
+	text := func(name, v string) {
+		if v != "" {
+			all = append(all, slog.String(name, v))
+		}
+	}
+	number := func(name string, v uint64) {
+		if v != 0 {
+			all = append(all, slog.Uint64(name, v))
+		}
+	}
+	text("sort", string(d.Sort))
+	text("id", string(d.ID))
+	text("vm", string(d.VM))
+	text("caller", string(d.Caller))
+	text("service", string(d.Service))
+	text("key", string(d.Key))
+	number("slice", uint64(d.Slice))
+	text("rule", d.Rule)
+	number("rev", uint64(d.Rev))
+	text("server", string(d.Server))
+	text("former", string(d.Former))
+	number("epoch", uint64(d.Epoch))
+	text("kind", d.Kind)
+	text("ran", string(d.Ran))
+	number("code", uint64(max(d.Status, 0)))
+	text("why", d.Why)
+	if d.Took != 0 {
+		all = append(all, slog.Duration("took", d.Took))
+	}
+	number("tries", uint64(max(d.Tries, 0)))
+	number("count", d.Count)
+	return all
+}
--- /dev/null
+++ b/internal/audit/record/record_test.go
@@ -0,0 +1,106 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+func TestOneJSONLineForEachDecision(t *testing.T) {
+	var out bytes.Buffer
+	w := New("vm-1", slog.New(slog.NewJSONHandler(&out, nil)))
+	at := time.Date(2026, 10, 1, 6, 0, 0, 0, time.UTC)
+	assert.Assert(t, w.Record(Decision{
+		At: at, Sort: Route, ID: "r-1", Key: "scale-7", Rule: "receipts", Rev: 12, Server: "ledger-3", Epoch: 4,
+		Caller: "hauler-9", Kind: kinds.Busy.String(), Ran: kinds.RanNo, Why: "all slots taken",
+	}))
+	assert.Assert(t, w.Record(Decision{Sort: Place, Slice: 17, Server: "lookup-1", Former: "lookup-2"}))
+	assert.NilError(t, w.Close())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2)
+	var got map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(lines[0]), &got))
+	for name, want := range map[string]any{
+		"id": "r-1", "key": "scale-7", "rule": "receipts", "rev": 12.0, "server": "ledger-3", "epoch": 4.0,
+		"caller": "hauler-9", "kind": "busy", "ran": "no", "why": "all slots taken", "vm": "vm-1", "sort": "route",
+		"at": "2026-10-01T06:00:00Z",
+	} {
+		assert.Equal(t, got[name], want, name)
+	}
+	assert.Equal(t, w.Written(), uint64(2))
+}
+
+// The reader of the log stands still for a moment while requests go on, and the
+// ring fills. An auditor who counts lines later must be told how many are
+// missing, and that they are missing.
+func TestOverflowIsCountedLoggedAndHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		var kept []Decision
+		gate := make(chan struct{})
+		stuck := SinkFunc(func(d Decision) {
+			<-gate
+			kept = append(kept, d)
+		})
+		w := New("vm-1", slog.New(slog.NewJSONHandler(&out, nil)), WithRing(4), WithSink(stuck))
+		taken := 0
+		for range 20 {
+			if w.Record(Decision{Sort: Route}) {
+				taken++
+			}
+			synctest.Wait()
+		}
+		assert.Equal(t, taken, 5) // four in the ring, one in the stuck sink
+		assert.Equal(t, w.Lost(), uint64(15))
+		assert.Equal(t, w.Waiting(), 4)
+		close(gate)
+		time.Sleep(2 * time.Second)
+		w.Record(Decision{Sort: Route})
+		assert.NilError(t, w.Close())
+		var said uint64
+		for _, d := range kept {
+			said += d.Count
+		}
+		assert.Equal(t, said, uint64(15))
+		assert.Equal(t, len(kept), 6+1)
+		assert.Assert(t, strings.Contains(out.String(), `"msg":"decisions not recorded","count":15`))
+	})
+}
+
+func TestNilWriterDoesNothing(t *testing.T) {
+	var w *Writer
+	assert.Assert(t, w.Record(Decision{}))
+	assert.Equal(t, w.Lost()+w.Written()+uint64(w.Waiting()), uint64(0))
+	assert.NilError(t, w.Close())
+}
+
+// BenchmarkRecord is what the request path pays.
+func BenchmarkRecord(b *testing.B) {
+	w := New("vm-1", slog.New(slog.NewJSONHandler(io.Discard, nil)), WithRing(1<<16))
+	defer w.Close()
+	d := Decision{Sort: Route, ID: "r-1", Key: "scale-7", Rule: "receipts", Rev: 12, Server: "ledger-3", Epoch: 4, Caller: "c"}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Record(d)
+	}
+	b.ReportMetric(float64(w.Lost())/float64(b.N), "lost/op")
+}
+
+// BenchmarkLine is what the writing duty pays for each decision.
+func BenchmarkLine(b *testing.B) {
+	w := &Writer{log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
+	d := Decision{At: time.Now(), Sort: Route, ID: "r-1", Key: "scale-7", Rule: "receipts", Rev: 12, Server: "ledger-3", Epoch: 4, Caller: "c"}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.write(d)
+	}
+}
