Ownership table: revisions, bars, hot keys, lock-free view, deltas

Cause: every area needs to name the owner of a key, and the seats need one agreed value that a replaced holder cannot change.

Ruled out: a row per slice in CBOR (a 64k table would pass half a megabyte); a map per slice in the view (allocates and locks).

--- /dev/null
+++ b/internal/owner/table/table_test.go
@@ -0,0 +1,234 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+func small(t testing.TB) Table {
+	tab, err := New("lookup", 8, "b", "a")
+	assert.NilError(t, err)
+	tab, err = tab.Assigned(Move{Slice: 0, To: "a"}, Move{Slice: 1, To: "a"}, Move{Slice: 2, To: "b"})
+	assert.NilError(t, err)
+	tab, err = tab.Barred("a", 3)
+	assert.NilError(t, err)
+	return tab
+}
+
+// A holder that was paused for long still believes in its epoch and gives away
+// keys that its successor grants. Two servers would then own one key.
+func TestMoveUnderAnotherEpochIsFenced(t *testing.T) {
+	tab := small(t)
+	for _, e := range []ident.Epoch{2, 4} {
+		_, err := tab.Moved("a", e, Move{Slice: 0, To: "b"})
+		assert.Equal(t, kinds.Of(err), kinds.Fenced)
+	}
+	_, err := tab.Barred("a", 2)
+	assert.Equal(t, kinds.Of(err), kinds.Fenced)
+	next, err := tab.Moved("a", 3, Move{Slice: 0, To: "b"})
+	assert.NilError(t, err)
+	assert.Equal(t, next.OwnerOf(0), ident.Server("b"))
+	assert.Equal(t, tab.OwnerOf(0), ident.Server("a"), "the old table changed")
+}
+
+func TestEditsRefuseWhatWouldLoseAnOwner(t *testing.T) {
+	tab := small(t)
+	_, err := tab.Moved("a", 3, Move{Slice: 2, To: "b"})
+	assert.Equal(t, kinds.Of(err), kinds.Conflict)
+	_, err = tab.Moved("a", 3, Move{Slice: 0, To: "nobody"})
+	assert.Equal(t, kinds.Of(err), kinds.Conflict)
+	_, err = tab.Assigned(Move{Slice: 0, To: "b"})
+	assert.Equal(t, kinds.Of(err), kinds.Conflict)
+	_, err = tab.Removed("a")
+	assert.Equal(t, kinds.Of(err), kinds.Conflict)
+	more, err := tab.Added("aa")
+	assert.NilError(t, err)
+	assert.Equal(t, more.OwnerOf(2), ident.Server("b"))
+	less, err := more.Removed("aa")
+	assert.NilError(t, err)
+	assert.Equal(t, less.OwnerOf(2), ident.Server("b"))
+}
+
+func TestHotKeyLeavesItsSliceAndReturns(t *testing.T) {
+	tab := small(t)
+	var k ident.Key
+	for i := 0; tab.From(Move{Key: k}) != "a" || k == ""; i++ {
+		k = ident.Key(fmt.Sprint("scale-", i))
+	}
+	hot, err := tab.Moved("a", 3, Move{Key: k, To: "b"})
+	assert.NilError(t, err)
+	o, ok := NewView(hot).Owner(k)
+	assert.Assert(t, ok && o.Hot && o.Server == "b" && o.Rev == hot.Rev)
+	assert.DeepEqual(t, hot.SetOf("a").Except, []ident.Key{k})
+	assert.DeepEqual(t, hot.SetOf("b").Keys, []ident.Key{k})
+	back, err := hot.Moved("b", 0, Move{Key: k})
+	assert.NilError(t, err)
+	o, ok = NewView(back).Owner(k)
+	assert.Assert(t, ok && !o.Hot && o.Server == "a" && o.Epoch == 3)
+	row, _ := back.Row("a")
+	assert.Equal(t, row.Rev, back.Rev, "the slice's owner must be granted the key again")
+}
+
+// An older program meets a table written by a newer one during a rolling
+// update. Guessing at it could give a key two owners.
+func TestDecodeNamesANewerFormat(t *testing.T) {
+	b, err := wire.Encode(map[string]any{"v": Format + 1, "own": "something else"})
+	assert.NilError(t, err)
+	_, err = Decode(b)
+	assert.Equal(t, kinds.Of(err), kinds.Newer)
+}
+
+// Any series of edits survives encoding, and the difference between any two
+// revisions applied to the older gives the newer.
+func TestCodecAndDeltaFollowEveryEdit(t *testing.T) {
+	seeds.Check(t, func(rt *rapid.T) {
+		tab := small(t)
+		all := []Table{tab}
+		for range rapid.IntRange(0, 12).Draw(rt, "edits") {
+			if next, err := randomEdit(rt, tab); err == nil {
+				assert.Assert(rt, next.Rev == tab.Rev+1)
+				tab = next
+				all = append(all, tab)
+			}
+		}
+		b, err := tab.Encode()
+		assert.NilError(rt, err)
+		got, err := Decode(b)
+		assert.NilError(rt, err)
+		assert.Equal(rt, got.Digest(), tab.Digest())
+		for _, old := range all[:len(all)-1] {
+			b, err := Diff(old, tab).Encode()
+			assert.NilError(rt, err)
+			d, err := DecodeDelta(b)
+			assert.NilError(rt, err)
+			got, err := old.Apply(d)
+			assert.NilError(rt, err)
+			assert.Equal(rt, got.Digest(), tab.Digest())
+			_, err = tab.Apply(d)
+			assert.Equal(rt, kinds.Of(err), kinds.Conflict)
+		}
+	})
+}
+
+func randomEdit(rt *rapid.T, t Table) (Table, error) {
+	name := func() ident.Server { return rapid.SampledFrom([]ident.Server{"a", "b", "c", "aa"}).Draw(rt, "server") }
+	m := Move{Slice: ident.Slice(rapid.IntRange(0, 7).Draw(rt, "slice")), To: name()}
+	switch rapid.IntRange(0, 5).Draw(rt, "edit") {
+	case 0:
+		return t.Added(name())
+	case 1:
+		return t.Removed(name())
+	case 2:
+		return t.Barred(name(), ident.Epoch(rapid.IntRange(0, 9).Draw(rt, "epoch")))
+	case 3:
+		m.Key = rapid.SampledFrom([]ident.Key{"k1", "k2", "k3"}).Draw(rt, "key")
+		if rapid.Bool().Draw(rt, "back") {
+			m.To = ""
+		}
+	case 4:
+		return t.Assigned(m)
+	}
+	from := t.From(m)
+	row, _ := t.Row(from)
+	return t.Moved(from, row.Bar, m)
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := small(f).Encode()
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Add(b[:len(b)/2])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		tab, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := tab.Encode()
+		assert.NilError(t, err)
+		same, err := Decode(again)
+		assert.NilError(t, err)
+		assert.Equal(t, same.Digest(), tab.Digest())
+		NewView(tab).Owner("k")
+	})
+}
+
+func FuzzDelta(f *testing.F) {
+	a := small(f)
+	c, err := a.Moved("a", 3, Move{Slice: 0, To: "b"})
+	assert.NilError(f, err)
+	b, err := Diff(a, c).Encode()
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := DecodeDelta(b)
+		if err != nil {
+			return
+		}
+		d.Base = a.Digest()
+		if got, err := a.Apply(d); err == nil {
+			assert.Equal(t, got.Digest(), d.Sum)
+		}
+	})
+}
+
+func large(b testing.TB) Table {
+	names := make([]ident.Server, 500)
+	for i := range names {
+		names[i] = ident.Server(fmt.Sprintf("viewer-%03d", i))
+	}
+	t, err := New("viewer", 1<<16, names...)
+	assert.NilError(b, err)
+	for x := range t.owners {
+		t.owners[x] = uint16(x%500 + 1)
+	}
+	for i := range 44 {
+		t.Hot = append(t.Hot, Hot{Key: ident.Key(fmt.Sprintf("ward-%02d", i)), Server: names[i]})
+	}
+	return t
+}
+
+func TestOwnerDoesNotAllocate(t *testing.T) {
+	v := NewView(large(t))
+	assert.Equal(t, testing.AllocsPerRun(100, func() { v.Owner("ward-17") }), 0.0)
+}
+
+func BenchmarkOwner(b *testing.B) {
+	v := NewView(large(b))
+	keys := make([]ident.Key, 1024)
+	for i := range keys {
+		keys[i] = ident.Key(fmt.Sprintf("ward-%d", i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		v.Owner(keys[i%len(keys)])
+	}
+}
+
+func BenchmarkMoveEncodeDecode(b *testing.B) {
+	t := large(b)
+	for b.Loop() {
+		next, _ := t.Moved("viewer-000", 0, Move{Slice: 0, To: "viewer-001"})
+		raw, _ := next.Encode()
+		b.ReportMetric(float64(len(raw)), "bytes")
+		if _, err := Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDelta(b *testing.B) {
+	t := large(b)
+	next, _ := t.Moved("viewer-000", 0, Move{Slice: 0, To: "viewer-001"})
+	for b.Loop() {
+		raw, _ := Diff(t, next).Encode()
+		b.ReportMetric(float64(len(raw)), "bytes")
+	}
+}
