edge/relay: one attempt, the whole answer or a visible failure

Cause: net/http's Transport repeats a GET, or a request with an idempotency key, on another connection when a reused one breaks after the request was written, and cannot say after an error whether bytes were or still will be written.

Ruled out: hiding GetBody alone (a request without a body needs none), cancelling from the trace alone (the write goes on in another goroutine), reading error texts. Each connection now writes only under a permit that is revoked before 'not run' is claimed.

--- /dev/null
+++ b/internal/edge/relay/copy.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// copySize is the most that one request holds of a body at a time, in each
+// direction. Larger buffers gain nothing measurable on a local network.
+const copySize = 32 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// Copy passes the answer on to the caller and returns the bytes of its body.
+// The error's kind is Truncated when the server's side broke off, Canceled when
+// the caller's did. After an error the caller's connection must be aborted by
+// panicking with http.ErrAbortHandler: a normal return would end a chunked
+// answer properly, and a part would look like the whole.
+func (a *Answer) Copy(w http.ResponseWriter) (int64, error) {
+	defer a.Close()
+	h := w.Header()
+	copyAnswer(h, a.resp.Header)
+	for name := range a.resp.Trailer {
+		h.Add("Trailer", name)
+	}
+	announced := len(a.resp.Trailer)
+	w.WriteHeader(a.resp.StatusCode)
+	n, err := a.copyBody(w)
+	if err != nil {
+		return n, err
+	}
+	a.copyTrailer(h, announced)
+	return n, nil
+}
+
+// copyTrailer sets what the server sent after the body. Names that were not
+// announced need net/http's prefix to be sent at all.
+func (a *Answer) copyTrailer(h http.Header, announced int) {
+	prefix := ""
+	if len(a.resp.Trailer) != announced {
+		prefix = http.TrailerPrefix
+	}
+	for name, values := range a.resp.Trailer {
+		h[prefix+name] = values
+	}
+}
+
+func (a *Answer) copyBody(w http.ResponseWriter) (int64, error) {
+	if a.resp.Body == http.NoBody {
+		return 0, nil
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	var flush http.Flusher
+	if a.resp.ContentLength < 0 {
+		flush, _ = w.(http.Flusher)
+	}
+	return pump(w, a.resp.Body, *buf, flush)
+}
+
+// pump copies until the end, and says whose side failed.
+func pump(w io.Writer, r io.Reader, buf []byte, flush http.Flusher) (int64, error) {
+	var total int64
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return total, kinds.Wrap(kinds.Canceled, werr, "write answer")
+			}
+			total += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, kinds.Wrap(kinds.Truncated, err, "read answer")
+		}
+		if flush != nil {
+			flush.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/relay/relay.go
@@ -0,0 +1,301 @@
+// Package relay sends one request to one backend server and brings the answer
+// back: exactly one attempt, the whole answer or a visible failure.
+//
+// It is built on net/http's Transport, whose habits suit a browser rather than
+// a router: it repeats requests that it deems harmless, follows an answer that
+// ends with its connection, and cannot say whether a failed request was sent.
+// Each habit is disarmed here; docs/design/request.md lists them. What remains
+// is what net/http does well: parsing, framing and the reuse of connections.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// Defaults of Config.
+const (
+	DefaultDial   = 500 * time.Millisecond
+	DefaultIdle   = 90 * time.Second
+	DefaultHeader = 64 << 10
+)
+
+// Config bounds a relay. The zero value works.
+type Config struct {
+	Dial   time.Duration // longest wait for a new connection to open
+	Idle   time.Duration // idle connections are closed after this
+	Header int64         // largest header of an answer, in bytes
+	// Open opens connections; nil means TCP. Tests hand in connections in memory.
+	Open func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+}
+
+// Relay sends requests. Make one with New; all methods may be called from any
+// goroutine.
+type Relay struct {
+	cfg Config
+
+	mu    sync.RWMutex
+	lines map[netip.AddrPort]*line
+}
+
+// line is what leads to one backend server: its connections and their cap.
+type line struct {
+	seats     seats
+	transport *http.Transport
+}
+
+// New makes a relay without connections.
+func New(cfg Config) *Relay {
+	if cfg.Dial <= 0 {
+		cfg.Dial = DefaultDial
+	}
+	if cfg.Idle <= 0 {
+		cfg.Idle = DefaultIdle
+	}
+	if cfg.Header <= 0 {
+		cfg.Header = DefaultHeader
+	}
+	if cfg.Open == nil {
+		var d net.Dialer
+		cfg.Open = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", to.String())
+		}
+	}
+	return &Relay{cfg: cfg, lines: map[netip.AddrPort]*line{}}
+}
+
+// Close closes idle connections. Requests in flight are not touched.
+func (r *Relay) Close() error {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, l := range r.lines {
+		l.transport.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Limit caps the connections to a server; zero lifts the cap. When the cap
+// shrinks, idle connections are closed at once and busy ones as they end.
+func (r *Relay) Limit(to netip.AddrPort, most int) {
+	l := r.line(to)
+	if l.seats.resize(most) {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+// Open counts the open connections to a server.
+func (r *Relay) Open(to netip.AddrPort) int { return r.line(to).seats.count() }
+
+func (r *Relay) line(to netip.AddrPort) *line {
+	r.mu.RLock()
+	l := r.lines[to]
+	r.mu.RUnlock()
+	if l != nil {
+		return l
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l = r.lines[to]; l == nil {
+		l = r.newLine(to)
+		r.lines[to] = l
+	}
+	return l
+}
+
+// maxIdle is above any cap: the cap alone decides how many connections stay.
+const maxIdle = 1 << 16
+
+func (r *Relay) newLine(to netip.AddrPort) *line {
+	l := &line{}
+	l.transport = &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return r.dial(ctx, l, to)
+		},
+		DisableCompression:     true, // the answer is the server's, byte for byte
+		MaxIdleConns:           maxIdle,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        r.cfg.Idle,
+		MaxResponseHeaderBytes: r.cfg.Header,
+		ReadBufferSize:         copySize / 4,
+		WriteBufferSize:        copySize / 4,
+	}
+	return l
+}
+
+func (r *Relay) dial(ctx context.Context, l *line, to netip.AddrPort) (net.Conn, error) {
+	if err := l.seats.acquire(ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Dial)
+	defer cancel()
+	c, err := r.cfg.Open(ctx, to)
+	if err != nil {
+		l.seats.release()
+		return nil, err
+	}
+	return &conn{Conn: c, seats: &l.seats}, nil
+}
+
+// Meta is what the system adds to a request.
+type Meta struct {
+	ID       ident.Request
+	Caller   ident.Caller
+	Service  ident.Service
+	Key      ident.Key
+	Slice    ident.Slice
+	Epoch    ident.Epoch
+	Deadline time.Time
+}
+
+func (m *Meta) set(h http.Header) {
+	h[HeaderID] = []string{string(m.ID)}
+	h[HeaderCaller] = []string{string(m.Caller)}
+	h[HeaderService] = []string{string(m.Service)}
+	if m.Key != "" {
+		h[HeaderKey] = []string{string(m.Key)}
+		h[HeaderSlice] = []string{strconv.FormatUint(uint64(m.Slice), 10)}
+		h[HeaderFence] = []string{ident.Fence{Epoch: m.Epoch}.String()}
+	}
+	if !m.Deadline.IsZero() {
+		left := max(time.Until(m.Deadline).Milliseconds(), 0)
+		h[HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
+	}
+}
+
+// Answer is a backend server's answer whose header has arrived. Hand it to
+// Copy, or Close it; a connection whose answer was not read to its end is
+// closed, never used again.
+type Answer struct {
+	resp   *http.Response
+	cancel context.CancelFunc
+	First  time.Duration // from sending to the header's arrival
+}
+
+// Status is the answer's HTTP status.
+func (a *Answer) Status() int { return a.resp.StatusCode }
+
+// Close abandons what was not read.
+func (a *Answer) Close() error {
+	a.cancel()
+	return a.resp.Body.Close()
+}
+
+// Send makes one attempt. The error carries one of these kinds:
+//
+//   - NoServer, Late, Canceled before anything was written: nothing ran;
+//   - Misrouted or Busy: the server said that it ran nothing;
+//   - Unknown: the request may have run;
+//   - Canceled after it was written: the caller went away.
+//
+// Use Ran on the error to tell the two cases of Canceled apart. The body is
+// read once, by the attempt alone.
+func (r *Relay) Send(ctx context.Context, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta) (*Answer, error) {
+	caller := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{cancel: cancel}
+	out := outgoing(httptrace.WithClientTrace(ctx, a.trace()), in, body, to, meta)
+	start := time.Now()
+	resp, err := r.line(to).transport.RoundTrip(out) //nolint:bodyclose // Answer.Close does
+	if err != nil {
+		sent := a.end()
+		cancel()
+		return nil, failure(caller, err, sent)
+	}
+	answer := &Answer{resp: resp, cancel: cancel, First: time.Since(start)}
+	if err := check(resp, in.Method, meta.ID); err != nil {
+		answer.Close()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// outgoing makes the request for the backend server.
+func outgoing(ctx context.Context, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta) *http.Request {
+	u := &url.URL{
+		Scheme: "http", Host: to.String(),
+		Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery,
+	}
+	out := &http.Request{
+		Method: in.Method, URL: u, Host: in.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: outHeader(in.Header, meta),
+	}
+	if body != nil && in.ContentLength != 0 {
+		out.Body, out.ContentLength, out.Trailer = io.NopCloser(body), in.ContentLength, in.Trailer
+	}
+	return out.WithContext(ctx)
+}
+
+// failure gives an attempt without an answer its kind.
+func failure(caller context.Context, err error, sent bool) error {
+	switch {
+	case errors.Is(caller.Err(), context.Canceled):
+		return &Failure{Kind: kinds.Canceled, Sent: sent, err: err}
+	case sent:
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: err}
+	case caller.Err() != nil:
+		return &Failure{Kind: kinds.Late, err: err}
+	default:
+		return &Failure{Kind: kinds.NoServer, err: err}
+	}
+}
+
+// Failure is an attempt without a usable answer.
+type Failure struct {
+	Kind    kinds.Kind
+	Sent    bool // some byte of the request may have reached the server
+	Refused bool // the server said that it ran nothing
+	err     error
+}
+
+// Error renders the kind and the cause.
+func (f *Failure) Error() string { return f.Kind.String() + ": " + f.err.Error() }
+
+// Unwrap returns an error of the failure's kind.
+func (f *Failure) Unwrap() error { return kinds.Wrap(f.Kind, f.err, "relay") }
+
+var (
+	errRefused = errors.New("the server refused the request")
+	errOther   = errors.New("the answer belongs to another request")
+	errEndless = errors.New("the end of the answer could not be recognized")
+)
+
+// check refuses an answer that must not reach the caller.
+//
+// A server that answers late, on a connection that has since been given to
+// another request, would hand one caller another's answer; servers that name
+// the request in the answer let us see it. An answer whose end is the end of
+// its connection looks the same whole and cut off, so it cannot be passed on as
+// whole.
+func check(resp *http.Response, method string, id ident.Request) error {
+	if kinds.Ran(resp.Header.Get(kinds.HeaderRan)) == kinds.RanNo && resp.StatusCode >= http.StatusBadRequest {
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused}
+	}
+	if got := resp.Header.Get(HeaderID); got != "" && got != string(id) {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errOther}
+	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if unframed && method != http.MethodHead {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errEndless}
+	}
+	return nil
+}
+
+func refusedKind(status int) kinds.Kind {
+	if status == http.StatusMisdirectedRequest {
+		return kinds.Misrouted
+	}
+	return kinds.Busy
+}
