load: limit, queue, fair, pick, retry, health, sizes, conns behind the gate

The stand-in core knew only slots and arrival order. The core now composes the eight pure modules; each states in its package comment the load pattern it answers, what happens without it and the grounds of its figures.

--- /dev/null
+++ b/internal/load/gate/admit.go
@@ -0,0 +1,219 @@
+package gate
+
+import (
+	"hash/maphash"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/fair"
+	"hawthornfield.org/hawthornfield/internal/load/queue"
+	"hawthornfield.org/hawthornfield/internal/load/sizes"
+)
+
+// Settings of admission.
+const (
+	// Early bounds how long a request may have waited and still be displaced
+	// by one whose flow has had less: a refusal within 10 ms costs its caller
+	// nothing, a later one has wasted its time.
+	Early = 8 * time.Millisecond
+	// standingWaits is how many targets long the wait in a standing queue may
+	// be. Two keep the slots busy through the gaps between arrivals.
+	standingWaits = 2
+	// margin is how many typical answers must fit before the deadline when a
+	// request is started: service times vary as much as their mean.
+	margin = 2
+	// pressFollow spans about fifty requests, half a second of one VM's part.
+	pressFollow = 0.02
+	minHint     = 100 * time.Millisecond
+	maxHint     = 10 * time.Second
+	typicalPace = 5e-3 // seconds, before any answer was seen
+	// cost is what one request adds to its caller's and key's tags.
+	cost = 1
+)
+
+// lane is one queue with what fairness and estimates need.
+type lane struct {
+	q    queue.Queue[*Ticket]
+	book fair.Book
+}
+
+// lanes is a pair of queues, short and long, that share servers.
+type lanes struct {
+	by    [sizes.Kinds]lane
+	spent [sizes.Kinds]float64 // slot time given to each, in seconds
+}
+
+func (ls *lanes) init(limit int) {
+	for k := range ls.by {
+		ls.by[k].q.Cap = limit
+	}
+}
+
+func (ls *lanes) len() int { return ls.by[sizes.Short].q.Len() + ls.by[sizes.Long].q.Len() }
+
+// turn picks the kind that has had less slot time, among those that wait and
+// may start. Without it, whichever kind is always waiting would starve the
+// other.
+func (ls *lanes) turn(long bool) (sizes.Kind, bool) {
+	short := ls.by[sizes.Short].q.Len() > 0
+	long = long && ls.by[sizes.Long].q.Len() > 0
+	switch {
+	case short && long && ls.spent[sizes.Long] < ls.spent[sizes.Short]:
+		return sizes.Long, true
+	case short:
+		return sizes.Short, true
+	default:
+		return sizes.Long, long
+	}
+}
+
+// spend charges slot time to a kind. A kind with nothing waiting earns no
+// credit meanwhile.
+func (ls *lanes) spend(k sizes.Kind, seconds float64) {
+	ls.spent[k] += seconds
+	other := sizes.Long - k
+	if ls.by[other].q.Len() == 0 {
+		ls.spent[other] = max(ls.spent[other], ls.spent[k])
+	}
+}
+
+// typical is how long an answer of this kind takes, the server's own queue
+// included.
+func (c *Core) typical(k sizes.Kind) time.Duration {
+	if c.pace[k] == 0 {
+		return time.Duration(typicalPace * float64(time.Second))
+	}
+	return time.Duration(c.pace[k] * float64(time.Second))
+}
+
+// admit queues the request if it can be served in time, and refuses it now if
+// not.
+func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket) Verdict {
+	typical := c.typical(t.long)
+	l.q.Target = max(queue.DefaultTarget, typical)
+	t.item.By = t.Job.Deadline.Add(-margin * typical)
+	t.caller = c.flow(string(t.Job.Caller), 'c')
+	t.key = c.flow(string(t.Job.Key), 'k')
+	tag := max(l.book.Start(t.caller), l.book.Start(t.key))
+	wait := c.wait(now, owner, t, l.q.Ahead(uint8(t.Job.Class), tag))
+	slack := t.item.By.Sub(now)
+	if wait > slack {
+		l.q.Full(now)
+		return c.refuse(t, kinds.Late, c.hint(wait-max(slack, 0)))
+	}
+	if l.q.Standing() && wait > standingWaits*l.q.Target {
+		l.q.Full(now)
+		return c.refuse(t, kinds.Busy, c.hint(wait))
+	}
+	if !l.q.Room() && !c.displace(now, l, tag) {
+		return c.refuse(t, kinds.Busy, c.hint(wait))
+	}
+	c.enqueue(now, l, t)
+	c.trim(now, l, owner, t)
+	return Wait
+}
+
+// wait estimates how long a request with so many ahead of it waits, by Little's
+// law: places over the time each is held.
+func (c *Core) wait(now time.Time, owner *server, t *Ticket, ahead float64) time.Duration {
+	width := c.width[t.long]
+	var stalled time.Duration
+	if owner != nil {
+		width = float64(owner.most(now))
+		stalled = owner.health.Stalled(now)
+	}
+	each := c.typical(t.long).Seconds() / max(width, 1)
+	if owner != nil && owner.load.Latency() > c.typical(t.long) && t.long == sizes.Short {
+		each = owner.load.Latency().Seconds() / max(width, 1)
+	}
+	return stalled + time.Duration((ahead+1)*each*float64(time.Second))
+}
+
+func (c *Core) enqueue(now time.Time, l *lane, t *Ticket) {
+	t.item.Value = t
+	t.item.Class = uint8(t.Job.Class)
+	t.item.Tag = max(l.book.Charge(t.caller, cost), l.book.Charge(t.key, cost))
+	l.q.Push(now, &t.item)
+	t.state = waiting
+	c.waiting++
+	c.stats.Queued++
+	if c.soonest.IsZero() || t.item.By.Before(c.soonest) {
+		c.soonest = t.item.By
+	}
+}
+
+// displace makes room in a full queue for a request with an earlier tag than
+// the worst one there, if that one has not waited long.
+func (c *Core) displace(now time.Time, l *lane, tag fair.Tag) bool {
+	l.q.Full(now)
+	worst := l.q.Worst()
+	if worst == nil || worst.Tag <= tag || now.Sub(worst.Since()) > Early {
+		return false
+	}
+	c.drop(l, worst.Value, kinds.Busy, c.hint(0))
+	return true
+}
+
+// trim keeps a standing queue short after a request went in ahead of others:
+// those who would now wait too long are told so while it is still early.
+func (c *Core) trim(now time.Time, l *lane, owner *server, t *Ticket) {
+	for l.q.Standing() {
+		wait := c.wait(now, owner, t, float64(l.q.Len()-1))
+		worst := l.q.Worst()
+		if wait <= standingWaits*l.q.Target || worst == &t.item || now.Sub(worst.Since()) > Early {
+			return
+		}
+		l.q.Full(now)
+		c.drop(l, worst.Value, kinds.Busy, c.hint(wait))
+	}
+}
+
+// drop refuses a request that waits.
+func (c *Core) drop(l *lane, t *Ticket, k kinds.Kind, after time.Duration) {
+	l.q.Remove(&t.item)
+	l.book.Refund(t.caller, cost)
+	l.book.Refund(t.key, cost)
+	c.waiting--
+	c.decide(t, k, after)
+}
+
+// unqueue takes a waiting request out without an answer.
+func (c *Core) unqueue(t *Ticket) {
+	l := &t.in.by[t.long]
+	l.q.Remove(&t.item)
+	l.book.Refund(t.caller, cost)
+	l.book.Refund(t.key, cost)
+	c.waiting--
+}
+
+// decide refuses a request that was told to wait.
+func (c *Core) decide(t *Ticket, k kinds.Kind, after time.Duration) {
+	c.refuse(t, k, after)
+	c.ready = append(c.ready, t)
+}
+
+func (c *Core) refuse(t *Ticket, k kinds.Kind, after time.Duration) Verdict {
+	t.state, t.kind, t.after = refused, k, after
+	c.stats.Refused[k]++
+	c.press += (1 - c.press) * pressFollow
+	return Refuse
+}
+
+// hint computes when a refused caller should come back: after the wait that was
+// too long, and the longer the more requests are refused now, so that those who
+// come back do not add to the overload. It varies by a quarter either way,
+// because callers refused together would otherwise return together.
+func (c *Core) hint(wait time.Duration) time.Duration {
+	spread := time.Duration(float64(time.Second) * c.press / (1.1 - c.press))
+	jitter := 0.75 + c.rng.Float64()/2
+	after := time.Duration(float64(wait+spread) * jitter)
+	return min(max(after, minHint), maxHint)
+}
+
+// flow hashes a name. The kind keeps a caller and a key of the same name apart.
+func (c *Core) flow(name string, kind uint64) fair.Flow {
+	if name == "" {
+		return 0
+	}
+	return fair.Flow(maphash.String(c.seed, name) ^ kind<<56 | 1)
+}
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -1,25 +1,35 @@
 package gate
 
 import (
-	"slices"
+	"hash/maphash"
+	"math/rand/v2"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/health"
+	"hawthornfield.org/hawthornfield/internal/load/pick"
+	"hawthornfield.org/hawthornfield/internal/load/retry"
+	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
 // Config holds a gate's settings. The zero value works.
 type Config struct {
 	Service  ident.Service
 	Deadline time.Duration // for jobs without one; zero is DefaultDeadline
-	Queue    int           // most waiting requests; zero is DefaultQueue
+	Queue    int           // most requests waiting in one queue; zero is the queue's default
+	Held     int           // most requests waiting for moves; zero is DefaultHeld
 	Seed     uint64        // of the random choices; zero takes a fresh one
 }
 
 // Defaults of Config.
 const (
+	// DefaultDeadline is for callers that name none: as long as a driver at the
+	// scale waits before trying again.
 	DefaultDeadline = 2 * time.Second
-	DefaultQueue    = 256
+	// DefaultHeld bounds the requests of keys between owners: 1 s of one
+	// server's throughput in lookups, the time a move may take.
+	DefaultHeld = 800
 )
 
 // Verdict is the answer to an offered request.
@@ -33,62 +43,37 @@
 	Refuse
 )
 
-type state uint8
-
-const (
-	idle state = iota
-	waiting
-	held
-	started
-	refused
-)
-
-// Ticket is one request inside the core.
-type Ticket struct {
-	Job Job
-
-	wake  chan struct{}
-	gen   uint64
-	state state
-	srv   *server
-	at    time.Time
-	kind  kinds.Kind
-	after time.Duration
-}
-
-// Server returns where the request was started.
-func (t *Ticket) Server() ident.Server {
-	if t.srv == nil {
-		return ""
-	}
-	return t.srv.info.Name
-}
-
-// Refusal returns why it was refused, and when to come back.
-func (t *Ticket) Refusal() (kinds.Kind, time.Duration) { return t.kind, t.after }
-
-func (t *Ticket) reset() {
-	*t = Ticket{wake: t.wake, gen: t.gen + 1}
-}
-
-type server struct {
-	info    ServerInfo
-	running int
-	latency time.Duration
-}
-
 // Core decides for one service. It is not safe for concurrent use and never
-// looks at a clock.
+// looks at a clock: every method is told the time, which must not go back.
 type Core struct {
-	cfg     Config
+	cfg    Config
+	rng    *rand.Rand
+	seed   maphash.Seed
+	closed bool
+
 	servers []*server
-	next    int
-	queue   []*Ticket
-	ready   []*Ticket
-	holds   []Move
-	share   int
-	closed  bool
-	stats   Stats
+	byName  map[ident.Server]*server
+	open    pick.Set
+	panel   health.Panel
+	checked []*health.Server // argument of panel.Judge, kept for reuse
+	score   func(int) float64
+	scoreAt time.Time
+
+	any     lanes // requests that may go to any server
+	pace    [sizes.Kinds]float64
+	width   [sizes.Kinds]float64
+	holds   holds
+	mix     sizes.Mix
+	share   sizes.Share
+	budget  retry.Budget
+	press   float64 // recent share of requests refused
+	soonest time.Time
+	judgeAt time.Time
+	running int
+	waiting int
+
+	ready []*Ticket
+	stats Stats
 }
 
 // NewCore makes a core without servers.
@@ -96,135 +81,229 @@
 	if cfg.Deadline <= 0 {
 		cfg.Deadline = DefaultDeadline
 	}
-	if cfg.Queue <= 0 {
-		cfg.Queue = DefaultQueue
+	if cfg.Held <= 0 {
+		cfg.Held = DefaultHeld
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	c := &Core{
+		cfg:    cfg,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		seed:   maphash.MakeSeed(),
+		byName: map[ident.Server]*server{},
+		share:  sizes.Share{VMs: 1},
+		budget: retry.New(),
+		stats:  Stats{Refused: map[kinds.Kind]uint64{}},
 	}
-	return &Core{cfg: cfg, share: 1, stats: Stats{Refused: map[kinds.Kind]uint64{}}}
+	c.score = func(i int) float64 {
+		return c.servers[i].load.Score(c.scoreAt, c.pace[sizes.Short])
+	}
+	c.any.init(cfg.Queue)
+	return c
 }
 
-// Offer takes in a request.
+// Offer takes in a request and decides at once whether it starts, waits or is
+// refused.
 func (c *Core) Offer(now time.Time, t *Ticket) Verdict {
+	c.earn(t)
 	if t.Job.Deadline.IsZero() {
 		t.Job.Deadline = now.Add(c.cfg.Deadline)
 	}
 	switch {
 	case c.closed:
 		return c.refuse(t, kinds.Closing, time.Second)
-	case !t.Job.Deadline.After(now):
-		return c.refuse(t, kinds.Late, 0)
 	case len(c.servers) == 0:
-		return c.refuse(t, kinds.NoServer, time.Second)
-	case len(c.queue) >= c.cfg.Queue:
-		return c.refuse(t, kinds.Busy, time.Second)
+		return c.refuse(t, kinds.NoServer, c.hint(0))
 	}
-	t.state = waiting
-	if c.held(t) {
-		t.state = held
+	t.long = c.mix.Kind(t.Job.Size, uint8(t.Job.Class))
+	c.mix.Seen(now, t.long)
+	if h := c.holds.find(t.Job); h != nil {
+		return c.keep(now, h, t)
 	}
-	c.queue = append(c.queue, t)
-	c.dispatch(now)
-	if t.state == started {
-		c.ready = slices.DeleteFunc(c.ready, func(o *Ticket) bool { return o == t })
-		return Start
+	return c.route(now, t)
+}
+
+func (c *Core) earn(t *Ticket) {
+	switch {
+	case t.Job.again:
+	case t.Job.Repeat:
+		c.budget.Repeat()
+	default:
+		c.budget.First()
 	}
-	c.stats.Queued++
-	return Wait
 }
 
-func (c *Core) refuse(t *Ticket, k kinds.Kind, after time.Duration) Verdict {
-	t.state = refused
-	t.kind = k
-	t.after = after
-	c.stats.Refused[k]++
-	return Refuse
+// route sends a request to the lane of its owner, or to the common one.
+func (c *Core) route(now time.Time, t *Ticket) Verdict {
+	if t.Job.Server == "" && c.width[sizes.Short] == 0 {
+		return c.refuse(t, kinds.NoServer, c.hint(0))
+	}
+	if t.Job.Server == "" {
+		return c.enter(now, &c.any, nil, t)
+	}
+	s := c.byName[t.Job.Server]
+	if s == nil {
+		return c.refuse(t, kinds.NoOwner, c.hint(0))
+	}
+	return c.enter(now, s.lanes(c.cfg.Queue), s, t)
 }
 
-func (c *Core) held(t *Ticket) bool {
-	for _, m := range c.holds {
-		if slices.Contains(m.Keys, t.Job.Key) || slices.Contains(m.Slices, t.Job.Slice) {
-			return true
+// enter starts the request if there is room and nobody waits before it, and
+// else admits it to the queue or refuses it.
+func (c *Core) enter(now time.Time, ls *lanes, owner *server, t *Ticket) Verdict {
+	t.in = ls
+	l := &ls.by[t.long]
+	if l.q.Len() == 0 && t.Job.Deadline.After(now) {
+		if s := c.place(now, owner, t); s != nil {
+			c.start(now, t, s)
+			return Start
 		}
 	}
-	return false
+	c.tight(owner)
+	return c.admit(now, l, owner, t)
 }
 
-// dispatch starts whoever can be started, in order.
-func (c *Core) dispatch(now time.Time) {
-	c.queue = slices.DeleteFunc(c.queue, func(t *Ticket) bool {
-		if t.state != waiting {
-			return false
-		}
-		s := c.choose(t)
-		if s == nil {
-			return false
-		}
-		t.state, t.srv, t.at = started, s, now
-		s.running++
-		c.stats.Started++
-		c.ready = append(c.ready, t)
-		return true
-	})
+// place returns a server with room for the request, nil if there is none.
+func (c *Core) place(now time.Time, owner *server, t *Ticket) *server {
+	switch {
+	case owner != nil && owner.roomKeyed(now) && c.longRoom(now, owner, t):
+		return owner
+	case owner != nil:
+		return nil
+	case t.long == sizes.Long:
+		return c.placeLong(now)
+	}
+	skip := -1
+	if s := c.byName[t.Job.avoid]; s != nil {
+		skip = s.idx
+	}
+	c.scoreAt = now
+	i := c.open.Two(c.rng, skip, c.score)
+	if i < 0 {
+		return nil
+	}
+	return c.servers[i]
 }
 
-func (c *Core) choose(t *Ticket) *server {
-	for i := range c.servers {
-		s := c.servers[(c.next+i)%len(c.servers)]
-		if s.info.Drain || s.running >= max(s.info.Slots, 1) {
+// placeLong looks for a server where this VM owns a free long slot, from a
+// random one on.
+func (c *Core) placeLong(now time.Time) *server {
+	n := len(c.servers)
+	from := c.rng.IntN(n)
+	var best *server
+	for k := range n {
+		s := c.servers[(from+k)%n]
+		if !s.room(now) || !c.ownsLong(now, s) {
 			continue
 		}
-		if t.Job.Server != "" && t.Job.Server != s.info.Name {
-			continue
-		}
-		if t.Job.Server == "" && t.Job.avoid == s.info.Name && len(c.servers) > 1 {
-			continue
+		if best == nil || s.running < best.running {
+			best = s
 		}
-		c.next++
-		return s
 	}
-	return nil
+	return best
+}
+
+// ownsLong reports whether another long request may run on the server.
+func (c *Core) ownsLong(now time.Time, s *server) bool {
+	return !c.mix.Mixed(now) || s.long < c.share.Long(s.idx, len(c.servers), s.info.Slots)
+}
+
+// longRoom is ownsLong for the owner of a key: the request has no other place
+// to go, so half the slots are open to each VM.
+func (c *Core) longRoom(now time.Time, s *server, t *Ticket) bool {
+	if t.long == sizes.Short || !c.mix.Mixed(now) {
+		return true
+	}
+	return s.long < max(s.info.Slots/2, 1)
+}
+
+// tight tells the limits that held a request back.
+func (c *Core) tight(owner *server) {
+	if owner != nil {
+		owner.tight()
+		return
+	}
+	for _, s := range c.servers {
+		s.tight()
+	}
 }
 
-// Done gives a started request's place back.
-func (c *Core) Done(now time.Time, t *Ticket, _ Outcome) {
+func (c *Core) start(now time.Time, t *Ticket, s *server) {
+	t.state, t.srv, t.at = started, s, now
+	s.start(now, t.long, c.typical(t.long))
+	c.running++
+	c.stats.Started++
+	c.press -= c.press * pressFollow
+	c.open.Put(s.idx, s.room(now))
+	if c.judgeAt.IsZero() {
+		c.judgeAt = now.Add(health.Every)
+	}
+}
+
+// Done gives a started request's place back and starts whoever can follow.
+func (c *Core) Done(now time.Time, t *Ticket, o Outcome) {
 	if t.state != started {
 		return
 	}
+	s := t.srv
 	t.state = idle
-	t.srv.running--
-	t.srv.latency = now.Sub(t.at)
-	c.dispatch(now)
+	c.running--
+	c.learn(now, t, o)
+	if s.gone {
+		return
+	}
+	c.open.Put(s.idx, s.room(now))
+	c.dispatch(now, s)
 }
 
 // Abandon takes back a request whose caller went away, whatever its state.
 func (c *Core) Abandon(now time.Time, t *Ticket) {
 	c.stats.Canceled++
-	if t.state == started {
+	switch t.state {
+	case started:
 		c.Done(now, t, Cancel())
+	case waiting:
+		c.unqueue(t)
+	case held:
+		c.holds.remove(t)
+	default:
 	}
-	drop := func(o *Ticket) bool { return o == t }
-	c.queue = slices.DeleteFunc(c.queue, drop)
-	c.ready = slices.DeleteFunc(c.ready, drop)
+	t.state = idle
 }
 
-// MayRetry reports whether the request may be tried again after o, and takes
-// the retry from the budget.
-func (c *Core) MayRetry(now time.Time, t *Ticket, o Outcome) bool {
-	safe := o.Refused || o.Kind.Answer().Ran == kinds.RanNo || t.Job.Idempotent
-	return safe && !t.Job.again && t.Job.Deadline.After(now)
+// dispatch starts the requests that may follow on a server that has room: the
+// keys it owns first, then those that may go anywhere.
+func (c *Core) dispatch(now time.Time, s *server) {
+	for s.own != nil && s.roomKeyed(now) {
+		if !c.next(now, s.own, s, c.longRoomFor(now, s)) {
+			break
+		}
+	}
+	for c.any.len() > 0 && s.room(now) {
+		if !c.next(now, &c.any, s, c.ownsLong(now, s)) {
+			return
+		}
+	}
 }
 
-// Hedge starts a second attempt if a place is free now.
-func (c *Core) Hedge(now time.Time, t *Ticket) bool {
-	if !t.Job.Idempotent || t.Job.Server != "" {
-		return false
-	}
-	s := c.choose(t)
-	if s == nil {
+func (c *Core) longRoomFor(now time.Time, s *server) bool {
+	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
+}
+
+// next starts one waiting request of the lanes on the server.
+func (c *Core) next(now time.Time, ls *lanes, s *server, long bool) bool {
+	kind, ok := ls.turn(long)
+	if !ok {
 		return false
 	}
-	t.state, t.srv, t.at = started, s, now
-	s.running++
-	c.stats.Hedges++
+	l := &ls.by[kind]
+	t := l.q.Pop(now).Value
+	c.waiting--
+	l.book.Serve(t.item.Tag)
+	ls.spend(kind, c.typical(kind).Seconds())
+	c.start(now, t, s)
+	c.ready = append(c.ready, t)
 	return true
 }
 
@@ -236,104 +315,41 @@
 	return done
 }
 
-// Tick refuses those whose deadline has passed.
-func (c *Core) Tick(now time.Time) {
-	c.queue = slices.DeleteFunc(c.queue, func(t *Ticket) bool {
-		if t.Job.Deadline.After(now) {
-			return false
-		}
-		k := kinds.Late
-		if t.state == held {
-			k = kinds.Moving
-		}
-		c.refuse(t, k, time.Second)
-		c.ready = append(c.ready, t)
-		return true
-	})
-}
-
 // Next is when Tick has something to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
-	var next time.Time
-	for _, t := range c.queue {
-		if next.IsZero() || t.Job.Deadline.Before(next) {
-			next = t.Job.Deadline
-		}
+	switch {
+	case c.soonest.IsZero():
+		return c.judgeAt
+	case c.judgeAt.IsZero() || c.soonest.Before(c.judgeAt):
+		return c.soonest
+	default:
+		return c.judgeAt
 	}
-	return next
 }
 
 // Close refuses all who wait, and all who come later.
-func (c *Core) Close(time.Time) {
+func (c *Core) Close(now time.Time) {
 	c.closed = true
-	for _, t := range c.queue {
-		c.refuse(t, kinds.Closing, time.Second)
-		c.ready = append(c.ready, t)
-	}
-	c.queue = nil
-}
-
-// SetServers replaces the list of servers.
-func (c *Core) SetServers(now time.Time, list []ServerInfo) {
-	old := c.servers
-	c.servers = nil
-	for _, info := range list {
-		i := slices.IndexFunc(old, func(s *server) bool { return s.info.Name == info.Name })
-		s := &server{}
-		if i >= 0 {
-			s = old[i]
+	c.eachLanes(func(ls *lanes) {
+		for k := range ls.by {
+			l := &ls.by[k]
+			for it := l.q.Pop(now); it != nil; it = l.q.Pop(now) {
+				c.waiting--
+				c.decide(it.Value, kinds.Closing, time.Second)
+			}
 		}
-		s.info = info
-		c.servers = append(c.servers, s)
-	}
-	c.dispatch(now)
-}
-
-// SetShare says how many entry VMs share the servers.
-func (c *Core) SetShare(_ time.Time, n, _ int) { c.share = max(n, 1) }
-
-// Report notes a server's own word on its load.
-func (c *Core) Report(time.Time, ident.Server, int, time.Duration) {}
-
-// Hold makes the requests of a move wait.
-func (c *Core) Hold(_ time.Time, m Move) { c.holds = append(c.holds, m) }
-
-// Settle ends a move.
-func (c *Core) Settle(now time.Time, m Move) {
-	c.holds = slices.DeleteFunc(c.holds, func(h Move) bool {
-		return slices.Equal(h.Keys, m.Keys) && slices.Equal(h.Slices, m.Slices)
 	})
-	for _, t := range c.queue {
-		if t.state == held && !c.held(t) {
-			t.state = waiting
-			t.Job.Server = m.To
-		}
+	for _, t := range c.holds.all() {
+		c.holds.remove(t)
+		c.decide(t, kinds.Closing, time.Second)
 	}
-	c.dispatch(now)
 }
 
-// Conns returns this entry VM's share of a server's connections.
-func (c *Core) Conns(_ time.Time, s ident.Server) (most, warm int) {
-	for _, srv := range c.servers {
-		if srv.info.Name == s {
-			most = max(srv.info.Conns/c.share, 1)
+func (c *Core) eachLanes(do func(*lanes)) {
+	do(&c.any)
+	for _, s := range c.servers {
+		if s.own != nil {
+			do(s.own)
 		}
 	}
-	return most, most
-}
-
-// HedgeAfter is how long to wait before hedging.
-func (c *Core) HedgeAfter() time.Duration { return 0 }
-
-// Stats returns counters and gauges.
-func (c *Core) Stats(time.Time) Stats {
-	s := c.stats
-	s.Waiting = len(c.queue)
-	for _, srv := range c.servers {
-		s.Running += srv.running
-		s.Servers = append(s.Servers, ServerStats{
-			Name: srv.info.Name, Running: srv.running, Limit: srv.info.Slots, Latency: srv.latency, State: "ok",
-		})
-	}
-	return s
 }
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -78,10 +78,10 @@
 	gen := t.gen
 	verdict := g.core.Offer(time.Now(), t)
 	g.wake()
+	g.arm()
 	if verdict != Wait {
 		return g.settle(t, gen)
 	}
-	g.arm()
 	g.mu.Unlock()
 	return g.await(ctx, t, gen)
 }
--- /dev/null
+++ b/internal/load/gate/servers.go
@@ -0,0 +1,305 @@
+package gate
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/conns"
+	"hawthornfield.org/hawthornfield/internal/load/health"
+	"hawthornfield.org/hawthornfield/internal/load/limit"
+	"hawthornfield.org/hawthornfield/internal/load/pick"
+	"hawthornfield.org/hawthornfield/internal/load/sizes"
+)
+
+// paceFollow averages about ten answers, as the health judgement does.
+const paceFollow = 0.1
+
+// server is what the gate knows of one backend server.
+type server struct {
+	info    ServerInfo
+	idx     int
+	gone    bool // no longer listed
+	running int
+	long    int
+	kind    sizes.Kind // which kind's latency the limit follows now
+
+	limit  [sizes.Kinds]limit.Limit
+	load   pick.Load
+	health health.Server
+	pool   conns.Pool
+	own    *lanes // requests for the keys it owns
+}
+
+// lanes returns the queues for the server's keys, made at the first use.
+func (s *server) lanes(limit int) *lanes {
+	if s.own == nil {
+		s.own = &lanes{}
+		s.own.init(limit)
+	}
+	return s.own
+}
+
+// most is how many requests this VM may have there now, for keys it owns. An
+// ejected owner still gets one at a time: nobody else can answer for its keys.
+func (s *server) most(now time.Time) int {
+	allowed := min(s.limit[s.kind].Max(), s.pool.Most(now))
+	return max(s.health.Most(allowed), 1)
+}
+
+func (s *server) roomKeyed(now time.Time) bool { return !s.gone && s.running < s.most(now) }
+
+// room reports whether a request that may go anywhere may go here.
+func (s *server) room(now time.Time) bool {
+	if s.gone || s.info.Drain {
+		return false
+	}
+	allowed := min(s.limit[s.kind].Max(), s.pool.Most(now))
+	return s.running < s.health.Most(allowed)
+}
+
+func (s *server) tight() {
+	if s.running >= s.limit[s.kind].Max() {
+		s.limit[s.kind].Tight()
+	}
+}
+
+func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
+	s.running++
+	s.load.Running = s.running
+	if k == sizes.Long {
+		s.long++
+	}
+	s.health.Sent(now, expect)
+	s.pool.Use(now)
+}
+
+// learn takes in what became of an attempt.
+func (c *Core) learn(now time.Time, t *Ticket, o Outcome) {
+	s := t.srv
+	s.running--
+	s.load.Running = s.running
+	if t.long == sizes.Long {
+		s.long--
+	}
+	s.pool.Free(now)
+	took := o.Latency
+	if took <= 0 {
+		took = now.Sub(t.at)
+	}
+	switch {
+	case o.Kind == kinds.Canceled:
+		s.health.Gone()
+	case o.Refused:
+		c.learnRefused(now, s, t, took)
+	case o.Kind == kinds.None:
+		c.learnAnswer(now, s, t, took)
+	default:
+		s.load.Observe(now, took, true)
+		s.health.Done(now, 0, true)
+	}
+}
+
+// learnRefused lowers the limit. A server that refuses even a single request of
+// this VM is counted as failing, so that others are preferred.
+func (c *Core) learnRefused(now time.Time, s *server, t *Ticket, took time.Duration) {
+	least := s.limit[s.kind].Max() == 1
+	s.limit[s.kind].Refused()
+	s.load.Observe(now, took, true)
+	if least {
+		s.health.Done(now, 0, true)
+		return
+	}
+	s.health.Done(now, took.Seconds()/c.typical(t.long).Seconds(), false)
+}
+
+func (c *Core) learnAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
+	typical := c.typical(t.long).Seconds()
+	c.mix.Observe(t.Job.Size, uint8(t.Job.Class), took)
+	s.limit[t.long].Observe(took)
+	s.health.Done(now, took.Seconds()/typical, false)
+	if t.long == sizes.Short {
+		s.load.Observe(now, took, false)
+		c.budget.Observe(took)
+	}
+	if c.pace[t.long] == 0 {
+		c.pace[t.long] = took.Seconds()
+		return
+	}
+	c.pace[t.long] += (took.Seconds() - c.pace[t.long]) * paceFollow
+}
+
+// SetServers replaces the list of servers. Requests waiting for a server that
+// is gone are refused: their key has no owner now.
+func (c *Core) SetServers(now time.Time, list []ServerInfo) {
+	old := c.byName
+	c.byName = make(map[ident.Server]*server, len(list))
+	c.servers = c.servers[:0:0]
+	for _, info := range list {
+		s := old[info.Name]
+		delete(old, info.Name)
+		if s == nil {
+			s = &server{}
+		}
+		c.adopt(now, s, info)
+	}
+	for _, s := range old {
+		c.retire(now, s)
+	}
+	c.refresh(now)
+}
+
+func (c *Core) adopt(now time.Time, s *server, info ServerInfo) {
+	if info.Cold && !s.info.Cold {
+		s.health.Cold(now)
+	}
+	s.info = info
+	s.idx = len(c.servers)
+	s.load.Slots = info.Slots
+	s.pool.Share(now, info.Conns, c.share.VMs)
+	c.byName[info.Name] = s
+	c.servers = append(c.servers, s)
+}
+
+func (c *Core) retire(now time.Time, s *server) {
+	s.gone = true
+	if s.own == nil {
+		return
+	}
+	for k := range s.own.by {
+		l := &s.own.by[k]
+		for it := l.q.Pop(now); it != nil; it = l.q.Pop(now) {
+			c.waiting--
+			c.decide(it.Value, kinds.NoOwner, c.hint(0))
+		}
+	}
+}
+
+// SetShare says how many entry VMs share the servers, and which this one is.
+func (c *Core) SetShare(now time.Time, n, index int) {
+	c.share = sizes.Share{VMs: max(n, 1), Index: max(index, 0)}
+	for _, s := range c.servers {
+		s.pool.Share(now, s.info.Conns, c.share.VMs)
+	}
+	c.refresh(now)
+}
+
+// Report notes a server's own word on its load.
+func (c *Core) Report(now time.Time, name ident.Server, load int, age time.Duration) {
+	if s := c.byName[name]; s != nil {
+		s.load.Report(now, load, age, c.typical(sizes.Short))
+	}
+}
+
+// Conns returns this VM's share of a server's connections, and how many of
+// them to keep warm.
+func (c *Core) Conns(now time.Time, name ident.Server) (most, warm int) {
+	s := c.byName[name]
+	if s == nil {
+		return 0, 0
+	}
+	return s.pool.Most(now), s.pool.Warm(now)
+}
+
+// refresh recomputes what follows from the servers' states: bounds, room and
+// width; then it starts whoever can start.
+func (c *Core) refresh(now time.Time) {
+	c.open.Clear()
+	c.width = [sizes.Kinds]float64{}
+	kind := sizes.Short
+	if c.mix.Only(now, sizes.Long) {
+		kind = sizes.Long
+	}
+	mixed := c.mix.Mixed(now)
+	for _, s := range c.servers {
+		s.kind = kind
+		for k := range s.limit {
+			s.limit[k].Bound(s.info.Slots, s.pool.Most(now))
+		}
+		s.load.Weight = s.health.Weight(now)
+		c.open.Put(s.idx, s.room(now))
+		c.widen(now, s, mixed)
+	}
+	for _, s := range c.servers {
+		if c.waiting == 0 {
+			return
+		}
+		c.dispatch(now, s)
+	}
+}
+
+func (c *Core) widen(now time.Time, s *server, mixed bool) {
+	if s.info.Drain {
+		return
+	}
+	most := s.health.Most(min(s.limit[s.kind].Max(), s.pool.Most(now)))
+	c.width[sizes.Short] += float64(most)
+	if mixed {
+		most = min(most, c.share.Long(s.idx, len(c.servers), s.info.Slots))
+	}
+	c.width[sizes.Long] += float64(most)
+}
+
+// Tick refuses those whose deadline can no longer be met and, about every
+// [health.Every], judges the servers.
+func (c *Core) Tick(now time.Time) {
+	c.expire(now)
+	if c.judgeAt.IsZero() || now.Before(c.judgeAt) {
+		return
+	}
+	c.judge(now)
+	c.refresh(now)
+	c.eachLanes(func(ls *lanes) {
+		for k := range ls.by {
+			ls.by[k].q.Calm(now)
+		}
+	})
+	c.judgeAt = time.Time{}
+	if c.running > 0 || c.waiting > 0 || c.unsettled() {
+		c.judgeAt = now.Add(health.Every)
+	}
+}
+
+func (c *Core) judge(now time.Time) {
+	c.checked = c.checked[:0]
+	for _, s := range c.servers {
+		c.checked = append(c.checked, &s.health)
+	}
+	c.panel.Judge(now, c.checked)
+}
+
+// unsettled reports whether some server is on its way back, or a queue is
+// still called standing.
+func (c *Core) unsettled() bool {
+	for _, s := range c.servers {
+		if s.health.State() != health.OK {
+			return true
+		}
+	}
+	return c.Overload()
+}
+
+func (c *Core) expire(now time.Time) {
+	if c.soonest.IsZero() || now.Before(c.soonest) {
+		return
+	}
+	c.soonest = c.holds.expire(now, c.expireHeld)
+	c.eachLanes(func(ls *lanes) {
+		for k := range ls.by {
+			c.expireLane(now, &ls.by[k])
+		}
+	})
+}
+
+func (c *Core) expireLane(now time.Time, l *lane) {
+	l.q.Expire(now, func(t *Ticket) {
+		l.q.Full(now)
+		l.book.Refund(t.caller, cost)
+		l.book.Refund(t.key, cost)
+		c.waiting--
+		c.decide(t, kinds.Late, c.hint(0))
+	})
+	if at := l.q.Soonest(); !at.IsZero() && (c.soonest.IsZero() || at.Before(c.soonest)) {
+		c.soonest = at
+	}
+}
--- /dev/null
+++ b/internal/load/sizes/sizes.go
@@ -0,0 +1,127 @@
+// Package sizes keeps long requests (uploads, batches) and short ones (lookups)
+// from blocking each other on servers with few slots.
+//
+// The load pattern: uploads of seconds among lookups of milliseconds. With 2 or
+// 4 slots it takes very few uploads to fill a server, and every lookup behind
+// them waits for seconds; nobody did anything wrong and no limit was exceeded.
+//
+// While both kinds are around, long requests may use only part of each server's
+// slots. That part is divided between the entry VMs by number: each VM owns
+// whole long slots on some of the servers, so ten VMs that do not talk about it
+// still keep the total. When no short request has been seen for Linger, long
+// ones may use everything: reserving for nobody would waste half the service.
+//
+// Grounds: Long is 256 KiB, which takes about 2.5 ms at 100 MB/s, as long as a
+// lookup. One slot in two is kept for short requests (at least one): on 2 slots
+// nothing else is possible, on 4 it halves the damage of an unlucky mix. Linger
+// of 10 s is longer than the gaps between lookups in the quietest hour that is
+// worth protecting.
+package sizes
+
+import "time"
+
+// Kind is short or long.
+type Kind uint8
+
+// The kinds. The zero value is short.
+const (
+	Short Kind = iota
+	Long
+	Kinds
+)
+
+// Settings, with their grounds in the package comment.
+const (
+	LongBytes = 256 << 10
+	Linger    = 10 * time.Second
+	// Slower is how many times longer than the short ones a request of unknown
+	// size must take, on average, for its class to be treated as long.
+	Slower = 8
+	follow = 0.1
+)
+
+// Mix learns which requests are long and whether short ones are around. The
+// zero value is ready to use.
+type Mix struct {
+	short   float64          // average seconds of short requests
+	unknown [256]float64     // average seconds of requests of unknown size, by class
+	last    [Kinds]time.Time // when each kind was last seen
+}
+
+// Kind tells a request's kind from its size in bytes, or from what others of
+// its class took when the size is unknown (below zero).
+func (m *Mix) Kind(size int64, class uint8) Kind {
+	switch {
+	case size >= LongBytes:
+		return Long
+	case size < 0 && m.short > 0 && m.unknown[class] > Slower*m.short:
+		return Long
+	default:
+		return Short
+	}
+}
+
+// Seen notes that a request of this kind arrived.
+func (m *Mix) Seen(now time.Time, k Kind) { m.last[k] = now }
+
+// Observe takes in how long a request took.
+func (m *Mix) Observe(size int64, class uint8, took time.Duration) {
+	s := took.Seconds()
+	switch {
+	case size < 0:
+		blend(&m.unknown[class], s)
+	case size < LongBytes:
+		blend(&m.short, s)
+	}
+}
+
+func blend(avg *float64, s float64) {
+	if *avg == 0 {
+		*avg = s
+		return
+	}
+	*avg += (s - *avg) * follow
+}
+
+// Mixed reports whether both kinds are around.
+func (m *Mix) Mixed(now time.Time) bool {
+	return m.around(now, Short) && m.around(now, Long)
+}
+
+// Only reports whether this kind is around and the other is not.
+func (m *Mix) Only(now time.Time, k Kind) bool {
+	return m.around(now, k) && !m.around(now, Long-k)
+}
+
+func (m *Mix) around(now time.Time, k Kind) bool {
+	return !m.last[k].IsZero() && now.Sub(m.last[k]) < Linger
+}
+
+// Share is one entry VM's part of the long slots of a service.
+type Share struct {
+	VMs   int // entry VMs; at least one
+	Index int // this one, from zero
+}
+
+// Long returns how many long requests this VM may have on server i of n, each
+// with the given slots, while both kinds are around. Over all VMs the sum is
+// half the slots of each server, except that a VM always owns one long slot
+// somewhere: when there are more VMs than long slots, some are owned twice.
+func (s Share) Long(i, n, slots int) int {
+	if n <= 0 || i < 0 || i >= n {
+		return 0
+	}
+	vms := max(s.VMs, 1)
+	each := max(slots/2, 1)
+	total := each * n
+	owned := 0
+	for j := range each {
+		if (j*n+i)%vms == s.Index {
+			owned++
+		}
+	}
+	if s.Index >= total && s.Index%total%n == i {
+		owned++
+	}
+	return owned
+}
