--- /dev/null
+++ b/internal/rules/match/key.go
@@ -0,0 +1,118 @@
+package match
+
+import (
+	"net/textproto"
+	"net/url"
+	"strings"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// Places where a key can stand, as written before the colon in Then.Key.
+const (
+	fromPath   = "path"
+	fromHeader = "header"
+	fromQuery  = "query"
+)
+
+// KeyOf returns the key that a request carries under its rule, and an empty key
+// when the rule's service is not divided by key.
+//
+// It fails with kind BadRequest when the key is missing, too long or given
+// twice. A key that stands twice would let this side and the backend server
+// read different ones, and a request would run at a server that does not own
+// the key it changes. Escapes are resolved, so that two spellings of one key
+// never have two owners.
+func KeyOf(r *Rule, req *Request) (ident.Key, error) {
+	place, name, _ := strings.Cut(r.Then.Key, ":")
+	var (
+		raw string
+		err error
+	)
+	switch place {
+	case "":
+		return "", nil
+	case fromPath:
+		raw, err = pathKey(r, req, name)
+	case fromHeader:
+		raw, err = headerKey(req, name)
+	case fromQuery:
+		raw, err = queryKey(req.Query, name)
+	default:
+		return "", kinds.New(kinds.Internal, "rule "+r.Name+" has a bad key source")
+	}
+	if err != nil {
+		return "", err
+	}
+	if raw == "" || len(raw) > MaxKey {
+		return "", kinds.New(kinds.BadRequest, "the key is missing or too long")
+	}
+	return ident.Key(raw), nil
+}
+
+func pathKey(r *Rule, req *Request, name string) (string, error) {
+	p := r.path
+	if !p.set {
+		var err error
+		if p, err = parsePath(r.When.Path); err != nil {
+			return "", err
+		}
+	}
+	i := p.index(name)
+	if i < 0 {
+		return "", kinds.New(kinds.Internal, "rule "+r.Name+" has no path variable "+name)
+	}
+	raw := p.value(req.Path, i)
+	if strings.IndexByte(raw, '%') < 0 {
+		return raw, nil
+	}
+	key, err := url.PathUnescape(raw)
+	return key, kinds.Wrap(kinds.BadRequest, err, "key in the path")
+}
+
+func headerKey(req *Request, name string) (string, error) {
+	values := req.Header[name]
+	if values == nil {
+		values = req.Header[textproto.CanonicalMIMEHeaderKey(name)]
+	}
+	if len(values) > 1 {
+		return "", kinds.New(kinds.BadRequest, "the key's header stands twice")
+	}
+	if len(values) == 0 {
+		return "", nil
+	}
+	return strings.TrimSpace(values[0]), nil
+}
+
+func queryKey(query, name string) (string, error) {
+	found, seen := "", false
+	for query != "" {
+		var pair string
+		pair, query, _ = strings.Cut(query, "&")
+		k, v, _ := strings.Cut(pair, "=")
+		k, err := unescapeQuery(k)
+		if err != nil {
+			return "", err
+		}
+		if k != name {
+			continue
+		}
+		if seen {
+			return "", kinds.New(kinds.BadRequest, "the key's query parameter stands twice")
+		}
+		if found, err = unescapeQuery(v); err != nil {
+			return "", err
+		}
+		seen = true
+	}
+	return found, nil
+}
+
+func unescapeQuery(s string) (string, error) {
+	if !strings.ContainsAny(s, "%+") {
+		return s, nil
+	}
+	out, err := url.QueryUnescape(s)
+	return out, kinds.Wrap(kinds.BadRequest, err, "key in the query")
+}
