Seat and lease: the model of one authority, not yet proved

Cause: the daemon's runner needs the commands and messages of a seat to be written beside it.

The properties over fakes come next; until they have run, nothing is claimed of its safety.

--- /dev/null
+++ b/internal/owner/lease/lease.go
@@ -0,0 +1,131 @@
+// Package lease is the arithmetic of time behind ownership: how long a lease
+// that we gave can last, as seen on our own clock, and when a process must stop
+// acting under its authority.
+//
+// The fault it answers is a process or a message that comes late. A holder is
+// paused for a minute and then sends what it had decided; a backend server is
+// frozen and on waking reads a queue of old orders; a clock runs a little fast.
+// If a lease counted from when an order is sent or read, each of these would
+// stretch it, and two servers would serve one key for a moment that nobody
+// notices until a receipt is credited twice.
+//
+// So a lease counts from a [Mark]: a reading of the server's own clock that the
+// sender got in an earlier answer. The reading was taken before the answer
+// arrived here, so on our clock the lease ends at most TTL after that arrival,
+// plus what the two clocks may drift apart meanwhile. No delay of the order
+// changes this, nor does sending it twice.
+//
+// One thing is assumed: a clock that went on running while its process did not.
+// The monotonic clocks of the platform's machines do so when a process is
+// stopped; a virtual machine whose clock stands still while it is suspended
+// would break any lease.
+package lease
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// Times are the periods of a service. Start from [Default].
+type Times struct {
+	// TTL is how long a lease lasts from its mark.
+	TTL time.Duration
+	// Renew is the period of renewals.
+	Renew time.Duration
+	// Beat is how often a holder tells its deputy that it is there.
+	Beat time.Duration
+	// Silent is how long a holder or a server may be silent before others act.
+	Silent time.Duration
+	// Margin covers timers and the moment between reading a clock and acting.
+	Margin time.Duration
+	// Term is how long an authority lasts from the request that won it.
+	Term time.Duration
+	// Store is how long a call to the store may take before it counts as lost.
+	Store time.Duration
+	// Call is the same for a call to a backend server or a peer.
+	Call time.Duration
+	// Drift is how far apart two clocks may run, in parts of a thousand.
+	Drift int
+}
+
+// Default returns the periods that the design note gives grounds for.
+//
+// A key must be served again within one second of a loss. Of that second the
+// wait for the old lease takes TTL, 1 % and the margin: 727 ms; the rest is one
+// update of the table and one grant, with room for a lost message. Renewing
+// four times in a TTL lets two renewals in a row be lost. A deputy acts after
+// 300 ms, three lost beats, when the lease it must save still has at least
+// 700-175-300 = 225 ms to run: enough for a take-over of two writes to the
+// store, or for noticing that the store is down. 1 % of drift is twenty times
+// what a disciplined clock shows; the margin is twice a scheduler's worst slice.
+// A term of 30 min, renewed at a third, outlasts a store outage of 20 min.
+func Default() Times {
+	return Times{
+		TTL:    700 * time.Millisecond,
+		Renew:  175 * time.Millisecond,
+		Beat:   100 * time.Millisecond,
+		Silent: 300 * time.Millisecond,
+		Margin: 20 * time.Millisecond,
+		Term:   30 * time.Minute,
+		Store:  100 * time.Millisecond,
+		Call:   50 * time.Millisecond,
+		Drift:  10,
+	}
+}
+
+// Check refuses periods that contradict each other, with kind BadRequest.
+func (t Times) Check() error {
+	ok := t.Margin > 0 && t.Drift >= 0 && t.Drift < 500 && t.Beat > 0 && t.Call > 0 && t.Store > 0 &&
+		t.Renew >= t.Call && 3*t.Renew <= t.TTL && t.Silent >= 2*t.Beat &&
+		t.Silent+t.Renew < t.TTL && t.Term >= 10*t.TTL
+	if !ok {
+		return kinds.New(kinds.BadRequest, "lease times contradict each other")
+	}
+	return nil
+}
+
+// Long returns how long d on another clock can last on ours.
+func (t Times) Long(d time.Duration) time.Duration { return d + d*time.Duration(t.Drift)/1000 }
+
+// Short returns how much of d on another clock we may use for certain.
+func (t Times) Short(d time.Duration) time.Duration { return d - d*time.Duration(t.Drift)/1000 }
+
+// Span returns the longest time that a lease can still run on the server after
+// the mark that it counts from arrived here.
+func (t Times) Span() time.Duration { return t.Long(t.TTL) + t.Margin }
+
+// Until returns when an authority ends that was asked for at a time. The holder
+// counts from before it asked and takes off drift and margin; whoever waits for
+// its end counts from after it saw the record and adds both: see [Times.Ended].
+func (t Times) Until(asked time.Time, term time.Duration) time.Time {
+	return asked.Add(t.Short(term) - t.Margin)
+}
+
+// Ended returns from when on no authority can last that was in force, or less,
+// when we read the record at a time.
+func (t Times) Ended(read time.Time, term time.Duration) time.Time {
+	return read.Add(t.Long(term) + t.Margin)
+}
+
+// Mark is a server's clock reading and when it arrived here.
+type Mark struct {
+	server.Mark
+	Read time.Time
+}
+
+// Usable reports whether an order that counts from m has time left when it
+// arrives. An older mark only makes the server refuse.
+func (m Mark) Usable(now time.Time, t Times) bool {
+	return !m.Read.IsZero() && now.Sub(m.Read) < t.TTL-t.Call
+}
+
+// Out returns from when on no lease can run that counts from m or an older
+// mark.
+func (m Mark) Out(t Times) time.Time {
+	if m.Read.IsZero() {
+		return time.Time{}
+	}
+	return m.Read.Add(t.Span())
+}
--- /dev/null
+++ b/internal/owner/seat/bar.go
@@ -0,0 +1,108 @@
+package seat
+
+import (
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+)
+
+// raise brings the server's bar in the table up to our epoch (rule 4). From
+// then on no update of an earlier holder can take a key from this server, and
+// every full grant we give is from a revision that none of them can change.
+func (t *turn) raise() {
+	row, known := t.tab.Row(t.cfg.Server)
+	switch {
+	case t.tabVer == 0:
+		t.readTable()
+	case !known:
+		t.storeAt = t.now.Add(storePause) // the server has not joined yet
+	case t.cfg.flaw == flawBar || row.Bar == t.epoch:
+		t.fire(authorityChart, &t.auth, "barred")
+		t.want = false
+		t.do(HeldCmd{Epoch: t.epoch})
+	case row.Bar > t.epoch:
+		t.step("fenced", "the table names a later epoch")
+	default:
+		next, err := t.tab.Barred(t.cfg.Server, t.epoch)
+		if err != nil {
+			t.readTable()
+			return
+		}
+		t.putTable(next)
+	}
+}
+
+func (t *turn) readTable() {
+	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+	t.do(ReadTableCmd{})
+}
+
+func (t *turn) putTable(next table.Table) {
+	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+	t.do(PutTableCmd{Guard: t.guard(), Table: next, Old: t.tabVer})
+}
+
+func (t *turn) onTable(m TableMsg) {
+	if m.Kind != kinds.None {
+		t.down = t.down || m.Kind == kinds.Down
+		t.storeAt = t.now.Add(storePause)
+		return
+	}
+	if m.Table.Rev < t.tab.Rev {
+		return // overtaken
+	}
+	if m.Table.Rev > t.tab.Rev || m.Version != 0 {
+		t.tab, t.tabVer = m.Table, m.Version
+	}
+	t.afterTable()
+}
+
+func (t *turn) afterTable() {
+	if row, _ := t.tab.Row(t.cfg.Server); t.epoch != 0 && row.Bar > t.epoch && t.cfg.flaw != flawBar {
+		if t.auth == holding || t.auth == barring {
+			t.step("fenced", "the table names a later epoch")
+			return
+		}
+	}
+	switch {
+	case t.auth == barring:
+		t.raise()
+	case t.move == writing:
+		t.writeBatch()
+	}
+}
+
+func (t *turn) onTablePut(m TablePutMsg) {
+	switch m.Kind {
+	case kinds.None:
+		t.down = false
+		t.onTable(TableMsg{Table: m.Cmd.Table, Version: m.Version})
+	case kinds.Down:
+		t.down = true
+		t.storeAt = t.now.Add(storePause)
+		if m.Cmd.Table.Rev == t.b.rev && !t.b.hung {
+			t.b.doubt = false
+		}
+	default:
+		t.tabVer = 0
+		t.b.hung = t.b.hung || m.Kind == kinds.Ambiguous
+		if t.auth == barring || t.move == writing {
+			t.readTable()
+		}
+	}
+}
+
+// row is what the table says of this seat's server.
+func (t *turn) row() table.Row {
+	r, _ := t.tab.Row(t.cfg.Server)
+	return r
+}
+
+// mayGrant reports whether a full grant is allowed now: only the holder, and
+// only from a revision whose bar is its own epoch (rule 4).
+func (t *turn) mayGrant() bool {
+	return t.auth == holding && t.epoch >= t.floor && (t.row().Bar == t.epoch || t.cfg.flaw == flawBar)
+}
+
+// mayRenew reports whether a renewal is allowed now. It adds nothing, so any
+// epoch that we hold will do, also while we replace it by a later one.
+func (t *turn) mayRenew() bool { return t.epoch != 0 && t.epoch >= t.floor }
--- /dev/null
+++ b/internal/owner/seat/deputy.go
@@ -0,0 +1,175 @@
+package seat
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/chart"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// deputy is what a VM knows as deputy of a seat. Without one, a holder lost
+// during a store outage would take its servers' keys down until the store is
+// back: nobody could prove that it may renew their leases. The deputy may,
+// because the holder told it so while it lived, and because a renewal changes
+// nobody's ownership (rule 10).
+type deputy struct {
+	state  chart.State
+	epoch  ident.Epoch
+	holder ident.VM
+	until  time.Time // as the holder told, counted from before we asked
+	heard  time.Time
+	rev    ident.Revision
+	seq    uint64
+	next   time.Time
+	probe  time.Time // when we asked the server for a holder that cannot reach it
+	called bool      // the holder left, or we reach a server that it does not
+}
+
+// beat tells the deputy that its holder is there, until it is asked to stop.
+func (t *turn) beat() {
+	if t.auth != holding || t.rec.Deputy == "" || t.deputyEnded() || t.lease == silent || t.lease == out {
+		return
+	}
+	if !t.due(t.beatAt) {
+		return
+	}
+	t.beatAt = t.now.Add(t.cfg.Times.Beat)
+	m := BeatMsg{From: t.cfg.Self, Epoch: t.epoch, Mark: t.srv.mark.Mark, Rev: t.srv.want}
+	if t.echo > 0 {
+		m.Left, m.Echo, m.Born = t.until.Sub(t.now), t.echo, t.echoBorn
+		t.told = t.until
+	}
+	t.do(SendCmd{To: t.rec.Deputy, Msg: m})
+}
+
+// onAsk notes the deputy's clock, for the next beat to echo.
+func (t *turn) onAsk(m AskMsg) {
+	if t.auth != holding || m.Epoch != t.epoch || m.From != t.rec.Deputy {
+		return
+	}
+	if m.Born != t.echoBorn {
+		t.echo, t.echoBorn = 0, m.Born
+	}
+	t.echo = max(t.echo, m.At)
+}
+
+func (t *turn) onBeat(m BeatMsg) {
+	switch {
+	case t.epoch > m.Epoch:
+		t.do(SendCmd{To: m.From, Msg: YieldMsg{From: t.cfg.Self, Below: t.epoch}})
+		return
+	case t.epoch != 0 && t.epoch < m.Epoch:
+		t.step("fenced", "a beat came under a later epoch")
+	case m.Epoch < t.floor || m.Epoch < t.d.epoch:
+		return
+	}
+	if t.leaving {
+		t.promise(YieldMsg{From: m.From, Below: m.Epoch + 1})
+		return
+	}
+	if m.Epoch > t.d.epoch {
+		t.endDeputy()
+		t.d.epoch, t.d.holder = m.Epoch, m.From
+	}
+	if t.d.state != watching {
+		t.fire(deputyChart, &t.d.state, "beat")
+	}
+	t.d.heard, t.d.rev = t.now, m.Rev
+	if m.Mark.Boot != 0 || m.Mark.At != 0 {
+		t.srv.fromBeat(m.Mark, t.now)
+	}
+	if m.Echo > 0 && m.Born == t.born.UnixNano() {
+		told := t.cfg.Times.Until(t.born.Add(m.Echo), m.Left)
+		t.d.until = later(t.d.until, told)
+	}
+	at := max(t.now.Sub(t.born), 1)
+	t.do(SendCmd{To: m.From, Msg: AskMsg{From: t.cfg.Self, Epoch: m.Epoch, At: at, Born: t.born.UnixNano()}})
+}
+
+// runDeputy goes from watching a silent holder to trying to take over, and to
+// renewing alone while the store cannot be reached.
+func (t *turn) runDeputy() {
+	t.runProbe()
+	switch t.d.state {
+	case watching:
+		if t.due(t.d.heard.Add(t.cfg.Times.Silent)) {
+			t.fire(deputyChart, &t.d.state, "silent")
+			t.down = false // the store gets a fresh chance
+			t.storeAt = t.now
+		}
+	case alone:
+		if t.down {
+			t.fire(deputyChart, &t.d.state, "down")
+			t.d.next = t.now
+			t.do(AloneCmd{Epoch: t.d.epoch})
+		}
+	case renewing:
+		t.renewAlone()
+	}
+}
+
+// renewAlone extends what the server still holds, and nothing else. At a server
+// that checks fences, the first such order ends the silent holder.
+func (t *turn) renewAlone() {
+	if t.epoch != 0 || !t.now.Before(t.d.until) || !t.due(t.d.next) {
+		return
+	}
+	t.d.next = t.now.Add(t.cfg.Times.Call)
+	if !t.srv.mark.Usable(t.now, t.cfg.Times) {
+		t.readServer()
+		return
+	}
+	t.d.seq++
+	o := server.Order{
+		Service: t.cfg.Service, Server: t.cfg.Server, Seat: t.cfg.Server, Sender: t.cfg.Self,
+		Fence: ident.Fence{Epoch: t.d.epoch, Seq: deputySeq + t.d.seq},
+		Mark:  t.srv.mark.Mark, TTL: t.cfg.Times.TTL, Rev: t.d.rev,
+	}
+	if t.cfg.flaw == flawDeputy {
+		set := t.owned()
+		o.Full, o.Rev, o.Slices, o.Keys, o.Except = true, t.row().Rev, set.Slices, set.Keys, set.Except
+	}
+	t.srv.use(false)
+	t.do(OrderCmd{Guard: Guard{Until: t.d.until}, Order: o, At: t.now, Read: t.srv.mark.Read})
+}
+
+// onReply takes the answer to a deputy's order or question.
+func (d *deputy) onReply(t *turn, m ReplyMsg) {
+	if d.state == off {
+		return
+	}
+	if m.Order.At.IsZero() {
+		d.next = t.now
+		if !d.probe.IsZero() && !m.Read.At.Before(d.probe) {
+			d.probe, d.called = time.Time{}, true
+			t.storeAt = t.now
+		}
+		return
+	}
+	r := m.Reply
+	switch {
+	case r.Done || r.Why == server.WhyRev:
+		d.next = m.Order.At.Add(t.cfg.Times.Renew)
+	case r.Why == server.WhyFence && r.Fence.Epoch > d.epoch:
+		t.endDeputy()
+	default:
+		d.next = t.now.Add(lateGap)
+	}
+}
+
+// runProbe promises to stop when the server did not answer us either.
+func (t *turn) runProbe() {
+	if t.d.probe.IsZero() || !t.due(t.d.probe.Add(2*t.cfg.Times.Call)) {
+		return
+	}
+	t.d.probe = time.Time{}
+	t.promise(YieldMsg{From: t.d.holder, Below: t.d.epoch + 1})
+}
+
+func (t *turn) endDeputy() {
+	if t.d.state != off {
+		t.fire(deputyChart, &t.d.state, "end")
+	}
+	t.d = deputy{state: t.d.state}
+}
--- /dev/null
+++ b/internal/owner/seat/move.go
@@ -0,0 +1,250 @@
+package seat
+
+import (
+	"slices"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/owner/lease"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// maxBatch bounds how many keys are on their way at once: requests for them
+// wait, and one update of the table should end the wait for all of them. The
+// keys of a lost server wait anyway and go all together.
+const maxBatch = 512
+
+// maxQueue bounds the moves that wait for their batch. The planner asks again.
+const maxQueue = 1 << 17
+
+// batch is a set of keys on its way from this server to others.
+type batch struct {
+	moves []table.Move
+	lost  bool           // the server is silent; nothing can be revoked
+	keep  table.Set      // what the server keeps
+	cut   ident.Revision // names keep while the table does not give it yet
+	from  ident.Revision // row revision at the start
+	full  lease.Mark     // newest full grant that can include the keys
+
+	confirmed bool
+	clearAt   time.Time // no grant of before can add the keys again from here on
+	asked     time.Time // when the read-back was sent
+
+	rev   ident.Revision // table revision that the pending write would make
+	doubt bool           // a write may have taken effect
+	hung  bool           // an earlier write may still do so
+}
+
+func (t *turn) onMove(m MoveMsg) {
+	if m.Lost {
+		t.lostPlan = m.Moves
+		return
+	}
+	if t.auth == holding && len(t.queue)+len(m.Moves) <= maxQueue {
+		t.queue = append(slices.Clip(t.queue), m.Moves...)
+	}
+}
+
+// startBatch takes the next moves that still make sense.
+func (t *turn) startBatch() {
+	if !t.mayGrant() || t.move != rest || t.leaving {
+		return
+	}
+	lost := t.lease == out || t.gone
+	if !lost && (t.lease != held || len(t.queue) == 0) {
+		return
+	}
+	plan, limit := t.queue, maxBatch
+	if lost {
+		plan, limit = t.lostPlan, len(t.lostPlan)
+	}
+	n := min(len(plan), limit)
+	moves := t.sensible(plan[:n])
+	if lost {
+		t.lostPlan = nil
+	} else {
+		t.queue = plan[n:]
+	}
+	if len(moves) == 0 {
+		t.acted = t.acted || n > 0
+		return
+	}
+	t.open(moves, lost)
+}
+
+// sensible keeps the moves whose subject is still this server's and whose next
+// owner is known, each subject once.
+func (t *turn) sensible(moves []table.Move) []table.Move {
+	type subject struct {
+		x ident.Slice
+		k ident.Key
+	}
+	seen := map[subject]bool{}
+	var out []table.Move
+	for _, m := range moves {
+		at := subject{m.Slice, m.Key}
+		if m.Key != "" {
+			at.x = 0
+		}
+		_, known := t.tab.Row(m.To)
+		back := m.Key != "" && m.To == ""
+		if seen[at] || t.tab.From(m) != t.cfg.Server || m.To == t.cfg.Server || !known && !back {
+			continue
+		}
+		seen[at] = true
+		out = append(out, m)
+	}
+	return out
+}
+
+func (t *turn) open(moves []table.Move, lost bool) {
+	next, err := t.tab.Moved(t.cfg.Server, t.row().Bar, moves...)
+	if err != nil {
+		return
+	}
+	t.fire(moveChart, &t.move, "begin")
+	t.b = batch{
+		moves: moves, lost: lost, keep: next.SetOf(t.cfg.Server),
+		cut:  cutRev | ident.Revision(t.epoch&(1<<23-1))<<40 | ident.Revision(t.srv.seq&(1<<40-1)),
+		from: t.row().Rev, full: t.srv.full,
+	}
+	t.srv.want, t.srv.next = t.b.cut, t.now
+}
+
+// revoked takes the server's word that it serves no more than the rest.
+func (t *turn) revoked(o server.Order) {
+	t.srv.rev = o.Rev
+	t.srv.next = t.now
+	if t.move != revoking || o.Rev != t.b.cut {
+		return
+	}
+	t.fire(moveChart, &t.move, "confirm")
+	t.b.confirmed, t.b.asked = true, time.Time{}
+}
+
+// runBatch drives the batch on when a rule allows it.
+func (t *turn) runBatch() {
+	switch t.move {
+	case revoking:
+		if t.runOut() {
+			t.fire(moveChart, &t.move, "out")
+			t.writeBatch()
+		}
+	case settling:
+		t.settle()
+	case writing:
+		if t.due(t.storeAt) {
+			t.b.hung = t.b.hung || !t.down // the call was not answered at all
+			t.readTable()
+		}
+	}
+}
+
+// settle waits until nothing can give the revoked keys back to the server, and
+// in the careful mode asks the server once more after that.
+func (t *turn) settle() {
+	if t.runOut() {
+		t.fire(moveChart, &t.move, "out")
+		t.writeBatch()
+		return
+	}
+	at, known := t.clearAt()
+	if !known || !t.due(at) {
+		return
+	}
+	if t.cfg.Checks || t.cfg.flaw == flawReadback {
+		t.fire(moveChart, &t.move, "clear")
+		t.writeBatch()
+		return
+	}
+	if t.b.asked.IsZero() || t.due(t.b.asked.Add(2*t.cfg.Times.Call)) {
+		t.b.clearAt, t.b.asked = at, t.now
+		t.readServer()
+	}
+}
+
+// readBack takes the careful mode's second look: a delayed full grant, obeyed
+// after the revocation, shows as another set, and the revocation is repeated.
+func (t *turn) readBack(m ReplyMsg) {
+	if t.move != settling || t.b.asked.IsZero() || m.Read.At.Before(t.b.clearAt) || m.Read.At.Before(t.b.asked) {
+		return
+	}
+	if m.Reply.Rev == t.b.cut || m.Reply.Left <= 0 {
+		t.fire(moveChart, &t.move, "clear")
+		t.writeBatch()
+		return
+	}
+	t.fire(moveChart, &t.move, "stale")
+	t.srv.next = t.now
+}
+
+// writeBatch updates the table, and goes on from whatever it reads: only this
+// seat can take a key from this server, so a key that is no longer the server's
+// is one whose move took effect.
+func (t *turn) writeBatch() {
+	left := t.sensible(t.b.moves)
+	if len(left) == 0 {
+		t.written()
+		return
+	}
+	if t.tabVer == 0 {
+		t.readTable()
+		return
+	}
+	next, err := t.tab.Moved(t.cfg.Server, t.epoch, left...)
+	if t.cfg.flaw == flawBar && err != nil {
+		next, err = t.tab.Moved(t.cfg.Server, t.row().Bar, left...)
+	}
+	if err != nil {
+		t.readTable()
+		return
+	}
+	t.b.rev, t.b.doubt = next.Rev, true
+	t.putTable(next)
+}
+
+// written ends the batch. The reduced set is now what the table gives, unless
+// somebody gave the server more meanwhile.
+func (t *turn) written() {
+	row := t.row()
+	t.fire(moveChart, &t.move, "written")
+	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.tab.Rev})
+	if sameSet(t.owned(), t.b.keep) {
+		t.srv.from = row.Rev
+	}
+	t.b = batch{}
+	t.srv.next = t.now
+}
+
+func sameSet(a, b table.Set) bool {
+	return slices.Equal(a.Slices, b.Slices) && slices.Equal(a.Keys, b.Keys) && slices.Equal(a.Except, b.Except)
+}
+
+// endBatch forgets a batch that was not written, or whose fate a successor will
+// see in the table.
+func (t *turn) endBatch() {
+	if t.move != rest {
+		t.fire(moveChart, &t.move, "drop")
+	}
+	t.b = batch{}
+	t.queue, t.lostPlan = nil, nil
+	t.srv.from = 0
+	if t.lease != none {
+		t.fire(leaseChart, &t.lease, "forget")
+	}
+}
+
+// cancelLost keeps the keys where they are when a silent server answers before
+// its keys were written to others. A write that may have taken effect is never
+// taken back.
+func (t *turn) cancelLost() {
+	t.lostPlan = nil
+	if t.move == rest || !t.b.lost || t.move == writing && t.b.doubt {
+		return
+	}
+	t.fire(moveChart, &t.move, "drop")
+	t.b = batch{}
+	t.srv.from = 0
+	t.srv.next = t.now
+}
--- /dev/null
+++ b/internal/owner/seat/take.go
@@ -0,0 +1,369 @@
+package seat
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/chart"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// Periods of trying again. They are short beside a lease, so that a take-over
+// survives a lost message, and long beside a healthy answer.
+const (
+	storePause = 250 * time.Millisecond // after the store failed
+	suspected  = 5 * time.Second        // how long a suspicion counts
+)
+
+type suspect struct {
+	vm    ident.VM
+	until time.Time
+}
+
+func (t *turn) onPlan(m PlanMsg) {
+	if m.Lead && !t.plan.Lead {
+		t.want = true
+	}
+	t.plan = m
+}
+
+func (t *turn) onSuspect(m SuspectMsg) {
+	kept := make([]suspect, 0, len(t.suspects)+1)
+	for _, s := range t.suspects {
+		if s.vm != m.VM && t.now.Before(s.until) {
+			kept = append(kept, s)
+		}
+	}
+	t.suspects = append(kept, suspect{vm: m.VM, until: t.now.Add(suspected)})
+	t.want = t.want || t.plan.Lead
+}
+
+// wants reports whether the record, as just read, should be replaced by one
+// that names us.
+func (t *turn) wants() bool {
+	if t.leaving {
+		return false
+	}
+	if t.d.state == alone || t.d.state == renewing || t.d.called {
+		return t.d.epoch >= t.rec.Epoch
+	}
+	if !t.plan.Lead {
+		return false
+	}
+	h := t.rec.Holder
+	return h == "" || h == t.cfg.Self || t.isGone(h) || t.isSuspect(h)
+}
+
+func (t *turn) isSuspect(vm ident.VM) bool {
+	for _, s := range t.suspects {
+		if s.vm == vm && t.now.Before(s.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// seekIfWanted starts a take-over.
+func (t *turn) seekIfWanted() {
+	if t.auth != idle || t.leaving {
+		return
+	}
+	wanted := t.want && t.plan.Lead || t.d.state == alone || t.d.state == renewing || t.d.called
+	if wanted && t.due(t.storeAt) {
+		t.fire(authorityChart, &t.auth, "seek")
+		t.readRecord()
+	}
+}
+
+func (t *turn) readRecord() {
+	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+	t.do(ReadRecordCmd{At: t.now})
+}
+
+func (t *turn) onRecord(m RecordMsg) {
+	if m.Kind != kinds.None && m.Kind != kinds.Absent {
+		t.storeFailed()
+		return
+	}
+	if m.Version < t.ver || m.Version == 0 && m.Cmd.At.IsZero() {
+		return // an answer that was overtaken
+	}
+	t.rec, t.ver, t.recAt = m.Record, m.Version, t.now
+	t.down = false
+	ours := t.putting && t.rec.Token == t.put.Record.Token
+	if t.epoch != 0 && t.rec.Epoch > t.epoch && !ours {
+		t.step("fenced", "another VM took the seat over")
+		return
+	}
+	t.afterRead()
+}
+
+func (t *turn) afterRead() {
+	switch t.auth {
+	case reading:
+		if !t.wants() {
+			t.want, t.d.called = false, false
+			t.fire(authorityChart, &t.auth, "absent")
+			return
+		}
+		t.fire(authorityChart, &t.auth, "write")
+		t.write(t.nextRecord())
+	case doubting:
+		t.judge()
+	case holding:
+		t.judgeRefresh()
+	}
+}
+
+// storeFailed notes that a call to the store certainly did nothing.
+func (t *turn) storeFailed() {
+	t.down = true
+	t.storeAt = t.now.Add(storePause)
+	if t.auth == reading {
+		t.fire(authorityChart, &t.auth, "absent")
+	}
+}
+
+// nextRecord is the record that makes this VM the holder, over the one that was
+// read. Every member of an earlier epoch that may still act stays listed: in
+// the careful mode nothing else holds them back.
+func (t *turn) nextRecord() Record {
+	old := t.rec
+	t.pastEnd = t.cfg.Times.Ended(t.recAt, max(old.Term, t.cfg.Times.Term))
+	r := Record{
+		V: Format, Epoch: max(old.Epoch+1, t.floor), Holder: t.cfg.Self,
+		Deputy: t.plan.Deputy, Term: t.cfg.Times.Term, Token: t.newToken(),
+	}
+	if r.Deputy == t.cfg.Self || t.isGone(r.Deputy) {
+		r.Deputy = ""
+	}
+	for _, m := range append(old.members(), old.Past...) {
+		if !t.longEnded(m) {
+			r.Past = append(r.Past, m)
+		}
+	}
+	return r
+}
+
+// members lists who may act under the record's own epoch.
+func (r Record) members() []Member {
+	var out []Member
+	if r.Holder != "" {
+		out = append(out, Member{VM: r.Holder, Epoch: r.Epoch})
+	}
+	if r.Deputy != "" {
+		out = append(out, Member{VM: r.Deputy, Epoch: r.Epoch, Deputy: true})
+	}
+	return out
+}
+
+func (t *turn) write(r Record) {
+	t.put = PutRecordCmd{Record: r, Old: t.ver, At: t.now}
+	t.putting, t.hung = true, false
+	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+	t.do(t.put)
+}
+
+func (t *turn) onRecordPut(m RecordPutMsg) {
+	if !t.putting || m.Cmd.Record.Token != t.put.Record.Token {
+		return
+	}
+	if t.cfg.flaw == flawDoubt && m.Kind == kinds.Ambiguous {
+		m.Kind, m.Version = kinds.None, t.put.Old+1
+	}
+	switch {
+	case m.Kind == kinds.None:
+		t.rec, t.ver = t.put.Record, max(t.ver, m.Version)
+		t.settlePut()
+	case m.Kind == kinds.Down && !t.hung:
+		t.putFailed()
+	default:
+		t.down = t.down || m.Kind == kinds.Ambiguous
+		// Also a conflict needs a look: the write that came first can be our
+		// own, sent before with its answer lost.
+		t.doubt()
+	}
+}
+
+func (t *turn) settlePut() {
+	t.putting = false
+	t.storeAt = t.now
+	if t.auth == taking || t.auth == doubting {
+		t.won()
+		return
+	}
+	if t.auth == holding {
+		t.extend()
+	}
+}
+
+// putFailed is for a write that certainly did not happen.
+func (t *turn) putFailed() {
+	t.putting = false
+	t.storeFailed()
+	if t.auth != taking {
+		return
+	}
+	if t.epoch != 0 {
+		t.fire(authorityChart, &t.auth, "keep")
+		return
+	}
+	t.fire(authorityChart, &t.auth, "refused")
+}
+
+// doubt reads back after a write whose fate is not known. Until the record
+// shows it, the write can still take effect, so a later attempt that certainly
+// failed does not end the doubt.
+func (t *turn) doubt() {
+	t.hung = true
+	if t.auth == taking {
+		t.fire(authorityChart, &t.auth, "doubt")
+	}
+	t.readRecord()
+}
+
+// judge decides a doubtful take-over from the record that was read back.
+func (t *turn) judge() {
+	switch {
+	case t.rec.Token == t.put.Record.Token:
+		t.settlePut()
+	case t.ver == t.put.Old:
+		// Not written yet. The same write again is safe: it and a late first one
+		// name the same version, so one of them at most takes effect.
+		t.fire(authorityChart, &t.auth, "again")
+		t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+		t.do(t.put)
+	default:
+		t.putting = false
+		t.drop("lost", "another VM took the seat first")
+	}
+}
+
+// won begins the epoch that the store has confirmed.
+func (t *turn) won() {
+	t.fire(authorityChart, &t.auth, "won")
+	t.want, t.d.called = false, false
+	t.epoch = t.put.Record.Epoch
+	t.until = t.cfg.Times.Until(t.put.At, t.put.Record.Term)
+	t.wonAt = t.now
+	t.freshAt = t.now.Add(t.cfg.Times.Term / 3)
+	t.told, t.echo, t.beatAt = time.Time{}, 0, t.now
+	t.srv.begin(t.now)
+	t.endBatch()
+	t.beginOthers()
+	t.endDeputy()
+	if t.epoch < t.floor {
+		t.step("fenced", "promised never to act under this epoch")
+		return
+	}
+	t.raise()
+}
+
+// refresh renews the term at a third of it, so that a store outage of two
+// thirds of the term ends no authority.
+func (t *turn) refresh() {
+	if t.auth != holding || t.putting || t.leaving || !t.due(t.freshAt) || !t.due(t.storeAt) {
+		return
+	}
+	r := t.rec
+	r.Token, r.Term, r.Past = t.newToken(), t.cfg.Times.Term, nil
+	for _, o := range t.others {
+		if !t.longEnded(o.Member) && o.Epoch < t.epoch {
+			r.Past = append(r.Past, o.Member)
+		}
+	}
+	t.write(r)
+}
+
+func (t *turn) extend() {
+	t.until = t.cfg.Times.Until(t.put.At, t.put.Record.Term)
+	t.freshAt = t.put.At.Add(t.cfg.Times.Term / 3)
+}
+
+func (t *turn) judgeRefresh() {
+	if !t.putting {
+		return
+	}
+	if t.rec.Token == t.put.Record.Token {
+		t.settlePut()
+		return
+	}
+	if t.ver != t.put.Old {
+		t.putting = false // overtaken; a later duty tries afresh
+		return
+	}
+	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
+	t.do(t.put)
+}
+
+// retake starts a new epoch over our own, to name another deputy or to have one
+// again after ours has yielded. Renewals go on meanwhile.
+func (t *turn) retake() {
+	if t.auth != holding || t.putting || t.leaving || t.move != rest || t.lease == silent || t.lease == out {
+		return
+	}
+	want := t.plan.Deputy
+	if want == t.cfg.Self || t.isGone(want) {
+		want = ""
+	}
+	if want == t.rec.Deputy && !t.deputyEnded() || want == "" && t.rec.Deputy == "" {
+		return
+	}
+	if t.down || !t.due(t.storeAt) || !t.due(t.wonAt.Add(storePause)) {
+		return
+	}
+	t.fire(authorityChart, &t.auth, "retake")
+	t.write(t.nextRecord())
+}
+
+// retryStore goes on after a call that nobody answered.
+func (t *turn) retryStore() {
+	switch t.auth {
+	case reading:
+		if t.due(t.storeAt) {
+			t.storeFailed()
+		}
+	case taking, doubting:
+		if t.due(t.storeAt) {
+			t.doubt()
+		}
+	case barring:
+		if t.due(t.storeAt) {
+			t.readTable()
+		}
+	case holding:
+		if t.putting && t.due(t.storeAt) {
+			t.readRecord()
+		}
+	}
+}
+
+// expire stops acting once the term is over (rule 9).
+func (t *turn) expire() {
+	if t.epoch == 0 || t.cfg.flaw == flawTerm {
+		return
+	}
+	if t.due(t.until) {
+		t.step("expired", "the term ended without a renewal")
+	}
+}
+
+// step gives the authority up, from whatever state.
+func (t *turn) step(on chart.Trigger, why string) {
+	if t.auth == reading {
+		on = "fenced"
+	}
+	t.drop(on, why)
+}
+
+func (t *turn) drop(on chart.Trigger, why string) {
+	t.fire(authorityChart, &t.auth, on)
+	if t.epoch != 0 {
+		t.do(StoodCmd{Epoch: t.epoch, Why: why})
+	}
+	t.epoch, t.until, t.putting = 0, time.Time{}, false
+	t.storeAt = t.now.Add(storePause)
+	t.endBatch()
+	t.others = nil
+	t.want = t.plan.Lead
+}
