--- /dev/null
+++ b/internal/audit/ledger/compare_test.go
@@ -0,0 +1,124 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/fake/objmem"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// appender is the way that was not taken: one object that is extended by a
+// conditional update. It is written with the same care: after an answer that
+// was lost it reads back and looks for its own mark.
+type appender struct {
+	store  *objmem.Store
+	rolled int
+	value  appended
+	ver    object.Version
+}
+
+type appended struct {
+	Marks []string `cbor:"marks"`
+	Data  [][]byte `cbor:"data"`
+	bytes int
+}
+
+func (a *appender) append(ctx context.Context, mark string, data []byte) {
+	if a.value.bytes+len(data) > DefaultBatch {
+		a.rolled++
+		a.value, a.ver = appended{}, 0
+	}
+	name := fmt.Sprint("naive/", a.rolled)
+	a.value.Marks = append(a.value.Marks, mark)
+	a.value.Data = append(a.value.Data, data)
+	a.value.bytes += len(data)
+	for {
+		b, _ := wire.Encode(a.value)
+		v, err := a.store.Put(ctx, name, b, a.ver)
+		if err == nil {
+			a.ver = v
+			return
+		}
+		o, err := a.store.Get(ctx, name)
+		var seen appended
+		if err == nil && wire.Decode(o.Value, &seen) == nil && len(seen.Marks) > 0 && seen.Marks[len(seen.Marks)-1] == mark {
+			a.ver = o.Version
+			return
+		}
+		time.Sleep(retryMin)
+	}
+}
+
+type cost struct {
+	usage objmem.Usage
+	took  time.Duration
+}
+
+const (
+	compareBatches = 200
+	compareBytes   = 20_000 // about 100 decisions
+)
+
+func faulty(every int) func(objmem.Op, string) objmem.Fault {
+	n := 0
+	return func(op objmem.Op, _ string) objmem.Fault {
+		f := objmem.Fault{Delay: 3 * time.Millisecond}
+		if op == objmem.Put {
+			n++
+			f.Lose = every > 0 && n%every == 0
+		}
+		return f
+	}
+}
+
+func costOfAppending(t *testing.T, every int) (c cost) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		store.SetFault(faulty(every))
+		start := time.Now()
+		a := &appender{store: store}
+		for i := range compareBatches {
+			a.append(t.Context(), fmt.Sprint(i), make([]byte, compareBytes))
+		}
+		c = cost{store.Usage(), time.Since(start)}
+	})
+	return c
+}
+
+func costOfRegisters(t *testing.T, every int) (c cost) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		store.SetFault(faulty(every))
+		start := time.Now()
+		j := Open(store, "log/x", WithLog(quiet), WithLimits(Limits{Batch: compareBytes + 100, Rate: 1e6, Budget: 1e9}))
+		item, err := wire.Encode(make([]byte, compareBytes))
+		assert.NilError(t, err)
+		for range compareBatches {
+			j.loop.Send(AddMsg{Data: item, At: time.Now()})
+		}
+		assert.NilError(t, j.Close())
+		c = cost{store.Usage(), time.Since(start)}
+	})
+	return c
+}
+
+// Registers against appending, same batches, same faults. The log of this test
+// is the table in docs/design/audit.md.
+func TestRegistersCostLessThanAppending(t *testing.T) {
+	for _, every := range []int{0, 20, 3} {
+		a, r := costOfAppending(t, every), costOfRegisters(t, every)
+		for name, c := range map[string]cost{"appending": a, "registers": r} {
+			t.Logf("answers lost: 1 of %d; %s: %d writes, %d reads, %.1f MB in, %.1f MB out, %v",
+				every, name, c.usage.Writes, c.usage.Reads, float64(c.usage.In)/1e6, float64(c.usage.Out)/1e6, c.took)
+		}
+		assert.Assert(t, r.usage.In < a.usage.In)
+		assert.Assert(t, r.took < a.took)
+	}
+}
--- /dev/null
+++ b/internal/audit/ledger/journal_test.go
@@ -0,0 +1,260 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/fake/objmem"
+)
+
+var quiet = slog.New(slog.NewJSONHandler(io.Discard, nil))
+
+func open(store *objmem.Store, vm string, opts ...Option) *Journal {
+	return Open(store, LogPath(ident.VM(vm)), append([]Option{WithLog(quiet)}, opts...)...)
+}
+
+// readAll returns the ids of all decisions in all journals, and the errors.
+func readAll(t *testing.T, store *objmem.Store, since time.Time) (ids map[string]int, errs []error) {
+	t.Helper()
+	ids = map[string]int{}
+	paths, err := Paths(t.Context(), store)
+	assert.NilError(t, err)
+	for _, x := range paths {
+		assert.NilError(t, Scan(t.Context(), store, x, since, time.Time{}, func(s Segment, err error) {
+			if err != nil {
+				errs = append(errs, err)
+			}
+			all, bad := s.Decisions()
+			assert.Equal(t, bad, 0)
+			for _, d := range all {
+				ids[string(d.ID)]++
+			}
+		}))
+	}
+	return ids, errs
+}
+
+func decision(id string) record.Decision {
+	return record.Decision{At: time.Now(), Sort: record.Route, ID: ident.Request(id), Key: "scale-7"}
+}
+
+// The store's answers are lost after the write took effect, one time in two. A
+// hauler's receipt that was confirmed must be in the journal once, not missing
+// and not twice.
+func TestCommitSurvivesLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		n := 0
+		store.SetFault(func(op objmem.Op, _ string) objmem.Fault {
+			n++
+			return objmem.Fault{Delay: 3 * time.Millisecond, Lose: op == objmem.Put && n%2 == 0, Blank: op == objmem.Put && n%5 == 0}
+		})
+		j := open(store, "vm-1")
+		for i := range 40 {
+			assert.NilError(t, j.Commit(t.Context(), decision(fmt.Sprint(i))))
+		}
+		assert.NilError(t, j.Close())
+		store.SetFault(nil)
+		ids, errs := readAll(t, store, time.Time{})
+		assert.Equal(t, len(errs), 0)
+		assert.Equal(t, len(ids), 40)
+		for id, n := range ids {
+			assert.Equal(t, n, 1, id)
+		}
+	})
+}
+
+// An entry VM is lost in the middle of its work and its replacement starts
+// under a new name. Every receipt that was confirmed is still found; what was
+// not confirmed is at most what waited at that moment.
+func TestLostVMLosesOnlyWhatWasNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		first := open(store, "vm-1")
+		for i := range 10 {
+			assert.NilError(t, first.Commit(t.Context(), decision(fmt.Sprint("kept-", i))))
+		}
+		for i := range 5 {
+			first.Take(decision(fmt.Sprint("waiting-", i)))
+		}
+		synctest.Wait()
+		waiting := first.Status().Waiting
+		store.SetDown(true) // nothing of the lost VM arrives any more
+		assert.Equal(t, kinds.Of(first.Close()), kinds.Undurable)
+		store.SetDown(false)
+		second := open(store, "vm-2")
+		assert.NilError(t, second.Commit(t.Context(), decision("after")))
+		assert.NilError(t, second.Close())
+		ids, _ := readAll(t, store, time.Time{})
+		assert.Equal(t, ids["after"], 1)
+		for i := range 10 {
+			assert.Equal(t, ids[fmt.Sprint("kept-", i)], 1)
+		}
+		assert.Equal(t, len(ids), 1+10+5-waiting)
+	})
+}
+
+// A process ends with writes in flight, so holes stay at its journal's tail,
+// and another one goes on under the same name. A reader that stopped at the
+// first hole would show an auditor nothing of what came later.
+func TestRestartClosesTheHolesItsPredecessorLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		path := LogPath("vm-1")
+		for _, n := range []uint64{0, 1, 3, 4} { // 2 was never written
+			s := Segment{Head: Head{V: Version, Path: path, N: n, Tok: "old", From: time.Now(), To: time.Now()}}
+			value, err := wire.Encode(s)
+			assert.NilError(t, err)
+			_, err = store.Put(t.Context(), nameOf(path, n), value, 0)
+			assert.NilError(t, err)
+		}
+		j := open(store, "vm-1")
+		for i := range 20 {
+			assert.NilError(t, j.Commit(t.Context(), decision(fmt.Sprint(i))))
+		}
+		assert.NilError(t, j.Close())
+		_, err := Read(t.Context(), store, path, 2)
+		assert.NilError(t, err)
+		end, err := Tail(t.Context(), store, path, 0, DefaultWindow)
+		assert.NilError(t, err)
+		assert.Equal(t, end, uint64(25))
+		ids, _ := readAll(t, store, time.Now().Add(-time.Hour))
+		assert.Equal(t, len(ids), 20)
+	})
+}
+
+// A newer version of the program ran here before, and its segments mean
+// something else. The older one must say so, write behind them, and still show
+// everything that it can read.
+func TestNewerSegmentsAreLeftAloneAndReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		path := LogPath("vm-1")
+		value, err := wire.Encode(struct {
+			Head
+			Items string `cbor:"items"`
+		}{Head{V: Version + 1, Path: path, From: time.Now(), To: time.Now()}, "of another shape"})
+		assert.NilError(t, err)
+		_, err = store.Put(t.Context(), nameOf(path, 0), value, 0)
+		assert.NilError(t, err)
+		j := open(store, "vm-1")
+		assert.NilError(t, j.Commit(t.Context(), decision("mine")))
+		assert.NilError(t, j.Close())
+		ids, errs := readAll(t, store, time.Time{})
+		assert.Equal(t, ids["mine"], 1)
+		assert.Equal(t, len(errs), 1)
+		assert.Equal(t, kinds.Of(errs[0]), kinds.Newer)
+	})
+}
+
+// The VMs that hold the seats of one service write one ownership history. They
+// race for each address, and every move must be in it once.
+func TestSharedHistoryKeepsEveryWritersMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		store.SetFault(func(objmem.Op, string) objmem.Fault { return objmem.Fault{Delay: time.Millisecond} })
+		var g group.Group
+		for vm := range 3 {
+			g.Go(func(context.Context) error {
+				j := Open(store, OwnPath("lookup"), WithLog(quiet))
+				for i := range 10 {
+					if err := j.Commit(t.Context(), decision(fmt.Sprint(vm, "/", i))); err != nil {
+						return err
+					}
+				}
+				return j.Close()
+			})
+		}
+		assert.NilError(t, g.Wait())
+		store.SetFault(nil)
+		ids, _ := readAll(t, store, time.Time{})
+		assert.Equal(t, len(ids), 30)
+		for id, n := range ids {
+			assert.Equal(t, n, 1, id)
+		}
+	})
+}
+
+func TestCommitGivesUpWithItsCallerAndAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		store.SetDown(true)
+		j := open(store, "vm-1")
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		assert.Equal(t, kinds.Of(j.Commit(ctx, decision("a"))), kinds.Undurable)
+		start := time.Now()
+		assert.Equal(t, kinds.Of(j.Commit(t.Context(), decision("b"))), kinds.Undurable)
+		assert.Assert(t, time.Since(start) < time.Second)
+		assert.Equal(t, kinds.Of(j.Close()), kinds.Undurable)
+		assert.Equal(t, kinds.Of(j.Commit(t.Context(), decision("c"))), kinds.Undurable)
+	})
+}
+
+// A question about the last minute must not read a month.
+func TestScanFindsItsPlaceByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		j := open(store, "vm-1")
+		const segments = 3000
+		for i := range segments {
+			assert.NilError(t, j.Commit(t.Context(), decision(fmt.Sprint(i))))
+			time.Sleep(time.Minute)
+		}
+		assert.NilError(t, j.Close())
+		before := store.Usage().Reads
+		ids, _ := readAll(t, store, time.Now().Add(-5*time.Minute))
+		assert.Equal(t, len(ids), 5)
+		reads := store.Usage().Reads - before
+		assert.Assert(t, reads < 50, "%d reads", reads)
+	})
+}
+
+// FuzzSegment decodes anything at all as a segment and as an index.
+func FuzzSegment(f *testing.F) {
+	good, _ := wire.Encode(Segment{Head: Head{V: Version, Path: "log/x", N: 3}})
+	f.Add(good)
+	f.Add([]byte(strings.Repeat("\x81", 64)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := decodeSegment(b)
+		if k := kinds.Of(err); k != kinds.None && k != kinds.Newer && k != kinds.Malformed {
+			t.Fatalf("kind %v", k)
+		}
+		s.Decisions()
+	})
+}
+
+// A VM was lost with writes in flight, so its journal ends in holes, wherever
+// they fall. The last written segment must be found all the same.
+func TestTailSeesPastEveryPatternOfHoles(t *testing.T) {
+	const window = 4
+	for length := range 24 {
+		for holes := range 1 << (window - 1) { // the last address is written
+			store := objmem.New()
+			for n := range length {
+				back := length - 1 - n
+				if back >= 1 && back < window && holes>>(back-1)&1 == 1 {
+					continue
+				}
+				_, err := store.Put(t.Context(), nameOf("log/x", uint64(n)), []byte("x"), 0)
+				assert.NilError(t, err)
+			}
+			end, err := Tail(t.Context(), store, "log/x", 0, window)
+			assert.NilError(t, err)
+			assert.Equal(t, end, uint64(length), "holes %b", holes)
+		}
+	}
+}
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -119,7 +119,8 @@
 type Journal struct {
 	Batch  int     `toml:"batch" validate:"min=0,max=1000000"`    // bytes of one object
 	Rate   float64 `toml:"rate" validate:"min=0,max=100"`         // objects a second
-	Window int     `toml:"window" validate:"min=0,max=64"`        // writes in flight
+	Budget float64 `toml:"budget" validate:"min=0,max=100000"`    // objects a second of all VMs together
+	Window int     `toml:"window" validate:"min=0,max=16"`        // writes in flight
 	Buffer int     `toml:"buffer" validate:"min=0,max=268435456"` // bytes held while the store is down
 	Ring   int     `toml:"ring" validate:"min=0,max=1048576"`     // decisions waiting to be logged
 }
--- a/internal/core/config/fill.go
+++ b/internal/core/config/fill.go
@@ -36,7 +36,8 @@
 	DefaultWatch   = 30 * time.Second
 
 	DefaultBatch  = 256 << 10 // a quarter of the largest value, so that a batch never grows too large
-	DefaultRate   = 2.0       // objects a second and VM: 20 writes a second for ten VMs
+	DefaultRate   = 4.0       // objects a second that one VM writes
+	DefaultBudget = 40.0      // objects a second of all VMs, out of the store's several hundred
 	DefaultWindow = 4
 	DefaultBuffer = 8 << 20 // about 50,000 decisions
 	DefaultRing   = 8192
@@ -125,6 +126,7 @@
 func (j Journal) fill() Journal {
 	j.Batch = cmp.Or(j.Batch, DefaultBatch)
 	j.Rate = cmp.Or(j.Rate, DefaultRate)
+	j.Budget = cmp.Or(j.Budget, DefaultBudget)
 	j.Window = cmp.Or(j.Window, DefaultWindow)
 	j.Buffer = cmp.Or(j.Buffer, DefaultBuffer)
 	j.Ring = cmp.Or(j.Ring, DefaultRing)
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -21,7 +21,7 @@
 )
 
 var (
-	enc = must(cbor.CoreDetEncOptions().EncMode())
+	enc = must(encOptions().EncMode())
 	dec = must(cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxArrayElements: MaxItems,
@@ -31,6 +31,15 @@
 	}.DecMode())
 )
 
+// encOptions keeps times to the nanosecond, in UTC. The library's own default
+// cuts them to whole seconds, and journal entries of one second would lose
+// their order.
+func encOptions() cbor.EncOptions {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339NanoUTC
+	return opts
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
--- a/internal/core/wire/wire_test.go
+++ b/internal/core/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -45,3 +46,16 @@
 		})
 	}
 }
+
+func TestTimesKeepTheirNanoseconds(t *testing.T) {
+	type stamped struct {
+		At time.Time `cbor:"at"`
+	}
+	at := time.Date(2026, 10, 1, 8, 0, 0, 123456789, time.FixedZone("", 7200))
+	b, err := Encode(stamped{At: at})
+	assert.NilError(t, err)
+	var got stamped
+	assert.NilError(t, Decode(b, &got))
+	assert.Assert(t, got.At.Equal(at))
+	assert.Equal(t, got.At.Location(), time.UTC)
+}
