edge/front: from a caller's request to the owner and back

Cause: nothing joined rules, owners, gate and relay.

Ruled out: gin's own writer, which puts a text of its own into an empty 404 answer; reading small bodies after admission, where a slow caller holds one of a server's few slots.

--- /dev/null
+++ b/internal/edge/front/body.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// smallBody is up to where a body is read whole before the request asks for a
+// place. A caller that sends a few bytes a second would otherwise hold one of a
+// backend server's two or four slots while it does; and only a body that is
+// held can be sent again after a refusal. Larger bodies are streamed.
+const smallBody = 16 << 10
+
+// body is a request's body, held or streamed.
+type body struct {
+	held    []byte
+	stream  io.Reader
+	started bool
+}
+
+// takeBody reads a small body and prepares to stream a large one.
+func (x *exchange) takeBody() error {
+	size := x.r.ContentLength
+	if size == 0 || x.r.Body == nil || x.r.Body == http.NoBody {
+		return nil
+	}
+	if limit := x.f.Limit.Body; limit > 0 {
+		if size > limit {
+			return errTooLarge
+		}
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	}
+	in := &paced{Reader: x.r.Body, rc: http.NewResponseController(x.w), pace: x.f.Limit.Slow.Duration}
+	if size < 0 || size > smallBody {
+		x.body.stream = in
+		return nil
+	}
+	x.body.held = make([]byte, size)
+	if _, err := io.ReadFull(in, x.body.held); err != nil {
+		return kinds.Wrap(whyUnread(err), err, "read body")
+	}
+	return nil
+}
+
+// whyUnread tells a caller that went away from one that was too slow.
+func whyUnread(err error) kinds.Kind {
+	var slow interface{ Timeout() bool }
+	if errors.As(err, &slow) && slow.Timeout() {
+		return kinds.Late
+	}
+	return kinds.Canceled
+}
+
+// reader returns the body for one attempt, and false when it was already used.
+func (b *body) reader() (io.Reader, bool) {
+	if b.stream == nil {
+		if b.held == nil {
+			return nil, true
+		}
+		return bytes.NewReader(b.held), true
+	}
+	return onFirst{b}, !b.started
+}
+
+// onFirst notes that a streamed body was begun, after which no other attempt
+// can have the whole of it.
+type onFirst struct{ b *body }
+
+// Read reads the streamed body.
+func (o onFirst) Read(p []byte) (int, error) {
+	o.b.started = true
+	return o.b.stream.Read(p)
+}
+
+// paced ends a read that brings nothing for too long. Without it a caller that
+// stops in the middle of an upload holds a slot for as long as it likes.
+type paced struct {
+	io.Reader
+	rc   *http.ResponseController
+	pace time.Duration
+}
+
+// Read reads within the pace. At the end the deadline is lifted: net/http goes
+// on reading to notice a caller that hangs up, and would take the deadline for
+// that.
+func (p *paced) Read(b []byte) (int, error) {
+	if p.pace <= 0 {
+		return p.Reader.Read(b)
+	}
+	_ = p.rc.SetReadDeadline(time.Now().Add(p.pace))
+	n, err := p.Reader.Read(b)
+	if errors.Is(err, io.EOF) || err == nil {
+		_ = p.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// refusal is the body of an answer that the system makes itself.
+type refusal struct {
+	Kind string        `json:"kind"`
+	Text string        `json:"text"`
+	Ran  kinds.Ran     `json:"ran"`
+	ID   ident.Request `json:"id"`
+}
+
+func (r refusal) json() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil // cannot happen: all fields are plain text
+	}
+	return append(b, '\n')
+}
--- /dev/null
+++ b/internal/edge/front/exchange.go
@@ -0,0 +1,232 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// Bounds on what a caller may send in our own headers.
+const (
+	maxName     = 128
+	maxDeadline = 24 * time.Hour
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	f    *Front
+	w    http.ResponseWriter
+	r    *http.Request
+	body body
+
+	note record.Decision
+	rule *match.Rule
+	svc  *state.Service
+	key  ident.Key
+	by   time.Time
+	sent bool // the header of an answer has been written to the caller
+}
+
+// serve takes one request along the line.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
+	f.flying.Add(1)
+	defer f.flying.Add(-1)
+	x := &exchange{f: f, w: w, r: r}
+	x.note = record.Decision{Sort: record.Route, At: time.Now(), VM: f.VM}
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := x.run()
+	x.finish(err)
+	if err != nil && x.sent {
+		// A normal return would end a chunked answer properly, and the caller
+		// would take the part that arrived for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) run() error {
+	if err := x.identify(); err != nil {
+		return err
+	}
+	if err := x.route(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.by)
+	defer cancel()
+	if err := x.takeBody(); err != nil {
+		return err
+	}
+	if err := x.promise(ctx); err != nil {
+		return err
+	}
+	return x.forward(ctx)
+}
+
+// identify names the request and its caller.
+func (x *exchange) identify() error {
+	id := x.r.Header.Get(relay.HeaderID)
+	if id == "" {
+		id = x.f.prefix + strconv.FormatUint(x.f.serial.Add(1), 36)
+	}
+	if !plain(id) {
+		return kinds.New(kinds.BadRequest, "the request id is malformed")
+	}
+	x.note.ID = ident.Request(id)
+	x.note.Caller = x.f.Identify(x.r)
+	if !plain(string(x.note.Caller)) {
+		return kinds.New(kinds.Denied, "the caller's name is malformed")
+	}
+	return nil
+}
+
+// plain accepts short printable ASCII without spaces, the only names that are
+// safe in a header, a log line and the name of an object.
+func plain(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+var (
+	errNoRules  = kinds.New(kinds.Down, "no rules are loaded yet")
+	errNoRule   = kinds.New(kinds.NoRule, "no rule matches")
+	errDenied   = kinds.New(kinds.Denied, "a rule denies the request")
+	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
+	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
+)
+
+// route matches the rule and reads the key.
+func (x *exchange) route() error {
+	rules, ok := x.f.State.Rules()
+	if !ok {
+		return errNoRules
+	}
+	x.note.Rev = rules.Rev
+	req := match.Request{
+		Service: ident.Service(x.r.Header.Get(relay.HeaderService)),
+		Method:  x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery,
+		Header: x.r.Header, Caller: x.note.Caller, Centre: x.f.Centre,
+	}
+	if x.rule, ok = rules.Set.Match(&req); !ok {
+		return errNoRule
+	}
+	x.note.Rule, x.note.Service = x.rule.Name, x.rule.Then.Service
+	if x.rule.Then.Deny {
+		return errDenied
+	}
+	if x.svc, ok = x.f.State.Service(x.rule.Then.Service); !ok {
+		return errService
+	}
+	var err error
+	if x.key, err = match.KeyOf(x.rule, &req); err != nil {
+		return err
+	}
+	x.note.Key = x.key
+	if x.svc.Divided && x.key == "" {
+		return kinds.New(kinds.Internal, "rule "+x.rule.Name+" reads no key for a divided service")
+	}
+	return x.deadline()
+}
+
+// deadline takes the earliest of the caller's, the rule's and the default.
+func (x *exchange) deadline() error {
+	left := x.f.Limit.Request.Duration
+	if x.rule.Then.Deadline > 0 {
+		left = x.rule.Then.Deadline
+	}
+	if text := x.r.Header.Get(relay.HeaderDeadline); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return kinds.Wrap(kinds.BadRequest, err, "the deadline is malformed")
+		}
+		asked := min(time.Duration(ms)*time.Millisecond, maxDeadline)
+		if left <= 0 || asked < left {
+			left = asked
+		}
+	}
+	if left <= 0 {
+		left = maxDeadline
+	}
+	x.by = x.note.At.Add(left)
+	return nil
+}
+
+// promise does what the rule demands before anything may run: a claim on the
+// request id, and a durable record.
+func (x *exchange) promise(ctx context.Context) error {
+	then := &x.rule.Then
+	if then.Once == match.OnceStore && x.f.Claims != nil {
+		if err := x.f.Claims.Claim(ctx, &x.note); err != nil {
+			return err
+		}
+	}
+	if then.Durable == match.DurableJournal && x.f.Keep != nil {
+		return x.f.Keep.Keep(ctx, &x.note)
+	}
+	return nil
+}
+
+// finish answers what was not answered yet, and records the decision.
+func (x *exchange) finish(err error) {
+	k := kinds.Of(err)
+	x.note.Kind, x.note.Took = k.String(), time.Since(x.note.At)
+	x.note.Ran = kinds.RanYes
+	if err != nil {
+		x.note.Ran, x.note.Why = k.Answer().Ran, err.Error()
+		if notSent(err) {
+			x.note.Ran = kinds.RanNo
+		}
+		if !x.sent {
+			x.note.Status = x.refuse(err)
+		}
+	}
+	if x.f.Record != nil {
+		x.f.Record.Record(x.note)
+	}
+	if x.f.Meter != nil {
+		x.f.Meter.Answered(&x.note)
+	}
+}
+
+func notSent(err error) bool {
+	var fail *relay.Failure
+	return errors.As(err, &fail) && (!fail.Sent || fail.Refused)
+}
+
+// refuse answers with the kind's row and returns the status.
+func (x *exchange) refuse(err error) int {
+	k := kinds.Of(err)
+	a := k.Answer()
+	after := a.Retry
+	if hint := gate.RetryAfter(err); hint > 0 {
+		after = hint
+	}
+	h := x.w.Header()
+	h.Set(kinds.HeaderRan, string(x.note.Ran))
+	h.Set(relay.HeaderID, string(x.note.ID))
+	h.Set("Content-Type", "application/json")
+	if after > 0 {
+		seconds := int64((after + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write(refusal{Kind: k.String(), Text: a.Text, Ran: x.note.Ran, ID: x.note.ID}.json())
+	return a.Status
+}
--- /dev/null
+++ b/internal/edge/front/forward.go
@@ -0,0 +1,270 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// How long a request waits for its key to get another owner, when the rule does
+// not say, and how often it asks again without news. A lost owner is replaced
+// within a second when one thing fails, so waiting that long turns a lost
+// server into a slow answer; waiting longer only holds back an answer that the
+// caller can use.
+const (
+	defaultPatience = time.Second
+	firstPause      = 20 * time.Millisecond
+	lastPause       = 160 * time.Millisecond
+)
+
+var (
+	errNoOwner = kinds.New(kinds.NoOwner, "the key has no owner")
+	errCrowded = kinds.New(kinds.Busy, "too many requests wait for an owner")
+	errNoAddr  = kinds.New(kinds.NoServer, "the server's address is not known here")
+	errSpent   = kinds.New(kinds.Unknown, "the body was already streamed once")
+)
+
+// forward makes attempts until one is answered, or none may follow.
+func (x *exchange) forward(ctx context.Context) error {
+	if x.svc.Divided {
+		return x.toOwner(ctx)
+	}
+	pass, err := x.svc.Gate.Enter(ctx, x.job(""))
+	if err != nil {
+		return err
+	}
+	for {
+		outcome, err := x.attempt(ctx, pass, table.Owner{Server: pass.Server()})
+		if err == nil || !x.mayRepeat(err) || x.note.Tries > x.rule.Then.Retry {
+			pass.Done(outcome)
+			return err
+		}
+		next, ok := pass.Retry(ctx, outcome)
+		if !ok {
+			return err
+		}
+		pass = next
+	}
+}
+
+// toOwner sends the request to the key's owner. While the key is between owners
+// nothing can run, so asking again costs no server any work; it goes on until
+// the key has an owner that takes it or the request's patience ends.
+func (x *exchange) toOwner(ctx context.Context) error {
+	var spell spell
+	defer spell.end(x.f)
+	for {
+		changed := x.svc.Changed()
+		err := x.askOwner(ctx)
+		if err == nil || !reroutable(err) || !x.mayRepeat(err) {
+			return err
+		}
+		if !spell.begin(x) {
+			return errCrowded
+		}
+		if !spell.wait(ctx, changed) {
+			return err
+		}
+	}
+}
+
+// askOwner makes one attempt at the present owner.
+func (x *exchange) askOwner(ctx context.Context) error {
+	owner, ok := x.svc.Owner(x.key)
+	x.note.Slice, x.note.Epoch = owner.Slice, owner.Epoch
+	if !ok {
+		return errNoOwner
+	}
+	pass, err := x.svc.Gate.Enter(ctx, x.job(owner.Server))
+	if err != nil {
+		return err
+	}
+	outcome, err := x.attempt(ctx, pass, owner)
+	pass.Done(outcome)
+	return err
+}
+
+// reroutable reports whether another owner would help.
+func reroutable(err error) bool {
+	switch kinds.Of(err) {
+	case kinds.NoOwner, kinds.Misrouted, kinds.NoServer:
+		return true
+	}
+	return false
+}
+
+// mayRepeat reports whether the request certainly did not run, or may run
+// twice, and its body can be sent again.
+func (x *exchange) mayRepeat(err error) bool {
+	if x.sent {
+		return false
+	}
+	if _, again := x.body.reader(); !again {
+		return false
+	}
+	var fail *relay.Failure
+	if !errors.As(err, &fail) {
+		return true
+	}
+	return !fail.Sent || fail.Refused || x.rule.Then.Idempotent
+}
+
+// job describes the request to the gate.
+func (x *exchange) job(owner ident.Server) gate.Job {
+	return gate.Job{
+		Service: x.svc.Name, Caller: x.note.Caller, Key: x.key, Slice: x.note.Slice,
+		Class: class(x.rule.Then.Class), Server: owner, Deadline: x.by, Size: x.size(),
+		Idempotent: x.rule.Then.Idempotent,
+	}
+}
+
+// size is the body's length; a rule that calls its requests long makes the
+// length of a short body meaningless.
+func (x *exchange) size() int64 {
+	if x.rule.Then.Size == match.Long {
+		return -1
+	}
+	return x.r.ContentLength
+}
+
+func class(c match.Class) gate.Class {
+	switch c {
+	case match.Urgent:
+		return gate.High
+	case match.Bulk:
+		return gate.Low
+	default:
+		return gate.Normal
+	}
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, pass gate.Pass, owner table.Owner) (out gate.Outcome, err error) {
+	x.note.Tries++
+	x.note.Server = pass.Server()
+	to, ok := x.svc.Addr(pass.Server())
+	if !ok {
+		return gate.Outcome{Kind: kinds.NoServer}, errNoAddr
+	}
+	// A panic between here and Done would keep the place for ever.
+	defer func() {
+		if v := recover(); v != nil {
+			pass.Done(gate.Outcome{Kind: kinds.Internal})
+			panic(v)
+		}
+	}()
+	answer, err := x.ask(ctx, to, owner)
+	if err != nil {
+		return x.failed(pass, err), err
+	}
+	return x.passOn(pass, answer)
+}
+
+func (x *exchange) ask(ctx context.Context, to netip.AddrPort, owner table.Owner) (*relay.Answer, error) {
+	body, ok := x.body.reader()
+	if !ok {
+		return nil, errSpent
+	}
+	return x.f.Relay.Send(ctx, x.r, body, to, &relay.Meta{
+		ID: x.note.ID, Caller: x.note.Caller, Service: x.svc.Name,
+		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.by,
+	})
+}
+
+// failed tells the gate how an attempt without an answer ended, and the server
+// that nobody waits for its work any more.
+func (x *exchange) failed(pass gate.Pass, err error) gate.Outcome {
+	var fail *relay.Failure
+	if !errors.As(err, &fail) {
+		return gate.Outcome{Kind: kinds.Of(err)}
+	}
+	if fail.Sent && !fail.Refused {
+		x.cancel(pass.Server())
+	}
+	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused}
+}
+
+func (x *exchange) cancel(s ident.Server) {
+	if x.f.Cancel != nil {
+		x.f.Cancel.Cancel(x.svc.Name, s, x.note.ID)
+	}
+}
+
+// passOn copies the answer to the caller. A server that answers with its own
+// fault counts as failing, however quickly it does so.
+func (x *exchange) passOn(pass gate.Pass, answer *relay.Answer) (gate.Outcome, error) {
+	x.sent = true
+	x.note.Status = answer.Status()
+	x.w.Header()[relay.HeaderID] = []string{string(x.note.ID)}
+	n, err := answer.Copy(x.w)
+	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.First, Bytes: n + max(x.r.ContentLength, 0)}
+	if err != nil {
+		x.cancel(pass.Server())
+	}
+	if err == nil && answer.Status() >= http.StatusInternalServerError {
+		out.Kind = kinds.Internal
+	}
+	return out, err
+}
+
+// spell is one request's time of waiting for an owner. The zero value has not
+// begun.
+type spell struct {
+	on    bool
+	pause time.Duration
+	until time.Time
+}
+
+// begin counts the request among those that wait, and refuses it when they are
+// too many: they hold memory and connections of callers.
+func (s *spell) begin(x *exchange) bool {
+	if s.on {
+		return true
+	}
+	limit := int64(x.f.Limit.Queue)
+	if n := x.f.waiting.Add(1); limit > 0 && n > limit {
+		x.f.waiting.Add(-1)
+		return false
+	}
+	patience := x.rule.Then.Wait
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	s.on, s.pause, s.until = true, firstPause, time.Now().Add(patience)
+	return true
+}
+
+// wait waits for news of the owners, or a growing pause. It returns false when
+// the request's patience has ended.
+func (s *spell) wait(ctx context.Context, changed <-chan struct{}) bool {
+	left := time.Until(s.until)
+	if left <= 0 {
+		return false
+	}
+	t := time.NewTimer(min(s.pause, left))
+	defer t.Stop()
+	s.pause = min(2*s.pause, lastPause)
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *spell) end(f *Front) {
+	if s.on {
+		f.waiting.Add(-1)
+	}
+}
--- /dev/null
+++ b/internal/edge/front/front.go
@@ -0,0 +1,126 @@
+// Package front is the callers' side of an entry VM. Each request goes along
+// one line: identify the caller, match the rule, find the owner of its key or
+// let the gate pick a server, be admitted, be forwarded, be answered, be
+// recorded. Every way off that line is one kind of core/kinds, whose table
+// alone decides what the caller is told.
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+)
+
+// Recorder takes decisions off the request path, as *record.Writer does.
+type Recorder interface {
+	Record(d record.Decision) bool
+}
+
+// Meter counts what callers received. Its methods must not block.
+type Meter interface {
+	Answered(d *record.Decision)
+}
+
+// Claimer keeps a request id from running twice, as audit/once does. It fails
+// with kind Repeated when the id was claimed before, and with kind Undurable
+// when that cannot be found out now.
+type Claimer interface {
+	Claim(ctx context.Context, d *record.Decision) error
+}
+
+// Keeper makes a decision durable before the request is forwarded. It fails
+// with kind Undurable when it cannot.
+type Keeper interface {
+	Keep(ctx context.Context, d *record.Decision) error
+}
+
+// Canceler asks a backend server to stop working on a request whose caller went
+// away. It must not block.
+type Canceler interface {
+	Cancel(svc ident.Service, s ident.Server, id ident.Request)
+}
+
+// Front serves callers. Fill in the exported fields and call Handler; State and
+// Relay are required, a nil for the others leaves that step out.
+type Front struct {
+	VM     ident.VM
+	Centre ident.Centre
+	Limit  config.Limit
+	State  *state.State
+	Relay  *relay.Relay
+
+	Record Recorder
+	Meter  Meter
+	Claims Claimer
+	Keep   Keeper
+	Cancel Canceler
+
+	// Identify names the caller; nil takes IdentifyHeader.
+	Identify func(*http.Request) ident.Caller
+
+	closing atomic.Bool
+	flying  atomic.Int64
+	waiting atomic.Int64 // requests that wait for an owner
+	serial  atomic.Uint64
+	prefix  string
+}
+
+// Handler returns the front end as a gin engine.
+func (f *Front) Handler() http.Handler {
+	if f.Identify == nil {
+		f.Identify = IdentifyHeader
+	}
+	// Two starts of one VM name never give the same request id.
+	f.prefix = string(f.VM) + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-"
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.RedirectTrailingSlash = false
+	// Rules route, not paths: every path and method lands here.
+	engine.NoRoute(func(c *gin.Context) { f.serve(writer{c.Writer}, c.Request) })
+	return engine
+}
+
+// writer sends the status at once. gin otherwise keeps it back, and puts its
+// own text into an answer with status 404 and no body.
+type writer struct{ gin.ResponseWriter }
+
+// WriteHeader sends the status and the headers.
+func (w writer) WriteHeader(code int) {
+	w.ResponseWriter.WriteHeader(code)
+	w.WriteHeaderNow()
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Closing makes every further answer ask its caller to open no more requests
+// on the connection. Requests are still served: the balancer needs time to
+// notice, and whoever it sends until then must not be turned away.
+func (f *Front) Closing() { f.closing.Store(true) }
+
+// Flying counts the requests in flight.
+func (f *Front) Flying() int { return int(f.flying.Load()) }
+
+// IdentifyHeader takes the caller's name from the header that the balancer
+// sets, and falls back to the address that the request came from. The balancer
+// must drop the header from what callers send.
+func IdentifyHeader(r *http.Request) ident.Caller {
+	if name := r.Header.Get(relay.HeaderCaller); name != "" {
+		return ident.Caller(name)
+	}
+	if at, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		return ident.Caller(at.Addr().Unmap().String())
+	}
+	return ident.Caller(r.RemoteAddr)
+}
--- /dev/null
+++ b/internal/edge/front/front_test.go
@@ -0,0 +1,396 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/fake/origin"
+	"hawthornfield.org/hawthornfield/internal/fake/pipes"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+const rules = `
+[[rule]]
+name = "lookups"
+when = { path = "/scales/{scale}" }
+then = { service = "lookup", key = "path:scale", idempotent = true, deadline = "10s" }
+[[rule]]
+name = "closed"
+when = { path = "/closed" }
+then = { deny = true }
+[[rule]]
+name = "uploads"
+when = { path = "/lab/{rest...}" }
+then = { service = "upload", size = "long" }
+`
+
+var (
+	entry  = netip.MustParseAddrPort("10.0.0.1:80")
+	first  = netip.MustParseAddrPort("10.0.0.2:80")
+	second = netip.MustParseAddrPort("10.0.0.3:80")
+	third  = netip.MustParseAddrPort("10.0.0.4:80")
+)
+
+// world is one entry VM between callers and three backend servers, in memory.
+type world struct {
+	t       *testing.T
+	net     pipes.Net
+	group   group.Group
+	front   *Front
+	web     *http.Server
+	state   *state.State
+	table   table.Table
+	origins map[ident.Server]*origin.Origin
+	client  *http.Client
+	log     notes
+}
+
+type notes struct {
+	mu  sync.Mutex
+	all []record.Decision
+}
+
+func (n *notes) Record(d record.Decision) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.all = append(n.all, d)
+	return true
+}
+
+func (n *notes) last() record.Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.all[len(n.all)-1]
+}
+
+func build(t *testing.T) *world {
+	w := &world{t: t, origins: map[ident.Server]*origin.Origin{}}
+	w.state = state.New([]config.Service{
+		{Name: "lookup", Divided: true, Slices: 8, Servers: []config.Server{{Name: "l1", Data: first}, {Name: "l2", Data: second}}},
+		{Name: "upload", Servers: []config.Server{{Name: "u1", Data: third}}},
+	})
+	for _, svc := range w.state.Services() {
+		svc.Gate = gate.New(gate.Config{Service: svc.Name})
+		infos := []gate.ServerInfo{}
+		for _, s := range svc.Servers {
+			infos = append(infos, gate.ServerInfo{Name: s.Name, Slots: 2, Conns: 10})
+			o := origin.New(origin.Config{Service: svc.Name, Server: s.Name, Keyed: svc.Divided, Slices: 8, Slots: 2, Queue: 2})
+			o.Serve(w.net.Listen(s.Data))
+			w.origins[s.Name] = o
+		}
+		svc.Gate.SetServers(infos)
+	}
+	w.compile(rules)
+	w.owner("l1")
+	w.front = &Front{
+		VM: "vm-1", State: w.state, Record: &w.log, Relay: relay.New(relay.Config{Open: w.net.Dial}),
+		Limit: config.Limit{Request: config.SpanOf(30 * time.Second), Slow: config.SpanOf(5 * time.Second), Body: 1 << 20, Queue: 100},
+	}
+	w.web = &http.Server{Handler: w.front.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10}
+	l := w.net.Listen(entry)
+	w.group.Go(func(context.Context) error {
+		_ = w.web.Serve(l)
+		return nil
+	})
+	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.DialText}}
+	return w
+}
+
+func (w *world) close() {
+	w.client.CloseIdleConnections()
+	assert.NilError(w.t, w.web.Close())
+	assert.NilError(w.t, w.group.Close())
+	assert.NilError(w.t, w.front.Relay.Close())
+	for _, o := range w.origins {
+		assert.NilError(w.t, o.Close())
+	}
+	for _, svc := range w.state.Services() {
+		assert.NilError(w.t, svc.Gate.Close())
+	}
+	time.Sleep(time.Minute) // net/http lingers on a connection that it ended itself
+}
+
+func (w *world) compile(text string) {
+	f, err := match.Parse([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	set, err := f.Compile()
+	if err != nil {
+		panic(err)
+	}
+	w.state.SetRules(&state.Rules{Rev: 7, Set: set})
+}
+
+// owner gives every slice of the divided service to one server, which gets a
+// lease for all of it; the other's lease ends.
+func (w *world) owner(to ident.Server) {
+	all := make([]ident.Slice, 8)
+	for i := range all {
+		all[i] = ident.Slice(i)
+	}
+	for _, name := range []ident.Server{"l1", "l2"} {
+		o := w.origins[name]
+		order := server.Order{Seat: name, Mark: o.Read().Mark, TTL: time.Hour, Full: true, Rev: 1}
+		if name == to {
+			order.Slices = all
+			assert.Assert(w.t, o.Grant(order).Done)
+			continue
+		}
+		assert.Assert(w.t, o.Revoke(order).Done)
+	}
+	w.see(to)
+}
+
+// see makes the entry VM believe that one server owns every slice.
+func (w *world) see(to ident.Server) {
+	rev := w.table.Rev
+	tab, err := table.New("lookup", 8, "l1", "l2")
+	assert.NilError(w.t, err)
+	for s := range ident.Slice(8) {
+		tab, err = tab.Assigned(table.Move{Slice: s, To: to})
+		assert.NilError(w.t, err)
+	}
+	tab.Rev = rev + 20
+	w.table = tab
+	svc, _ := w.state.Service("lookup")
+	assert.Assert(w.t, svc.SetView(table.NewView(tab)))
+}
+
+func (w *world) do(r *http.Request) (*http.Response, string, error) {
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func (w *world) request(method, path string, body io.Reader) *http.Request {
+	r, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+entry.String()+path, body)
+	assert.NilError(w.t, err)
+	return r
+}
+
+func run(t *testing.T, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := build(t)
+		defer w.close()
+		test(t, w)
+	})
+}
+
+func TestARequestGoesAlongTheWholeLine(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		r := w.request("GET", "/scales/north", nil)
+		r.Header.Set(relay.HeaderID, "req-1")
+		r.Header.Set(relay.HeaderCaller, "hauler")
+		resp, body, err := w.do(r)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, body, "l1 served req-1 key=north\n")
+		assert.Assert(t, resp.Trailer.Get(origin.TrailerSum) != "")
+		d := w.log.last()
+		assert.Equal(t, d.Server, ident.Server("l1"))
+		assert.Equal(t, d.Rule, "lookups")
+		assert.Equal(t, d.Rev, ident.Revision(7))
+		assert.Equal(t, d.Caller, ident.Caller("hauler"))
+		assert.Equal(t, d.Status, http.StatusOK)
+
+		resp, body, err = w.do(w.request("PUT", "/lab/sugar", strings.NewReader("beets")))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Header.Get(origin.HeaderBytes), "5")
+		assert.Assert(t, strings.HasPrefix(body, "u1 served vm-1-"), body)
+		assert.Equal(t, w.front.Flying(), 0)
+	})
+}
+
+func TestRefusalsComeFromTheOneTable(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		bad := w.request("GET", "/scales/north", nil)
+		bad.Header.Set(relay.HeaderDeadline, "soon")
+		big := w.request("POST", "/lab/x", strings.NewReader(strings.Repeat("x", 1<<20+1)))
+		for _, tc := range []struct {
+			r    *http.Request
+			kind kinds.Kind
+		}{
+			{w.request("GET", "/nowhere", nil), kinds.NoRule},
+			{w.request("GET", "/closed", nil), kinds.Denied},
+			{bad, kinds.BadRequest},
+			{big, kinds.TooLarge},
+		} {
+			resp, body, err := w.do(tc.r)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, tc.kind.Answer().Status)
+			assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanNo))
+			var got refusal
+			assert.NilError(t, json.Unmarshal([]byte(body), &got))
+			assert.Equal(t, got.Kind, tc.kind.String())
+		}
+		for _, o := range w.origins {
+			assert.Equal(t, len(o.Record.All()), 0, "a refused request ran")
+		}
+	})
+}
+
+// A key moves while an entry VM still sends its requests to the former owner,
+// which refuses them. The caller must not see that: the request waits for the
+// news of the next owner, and runs there once.
+func TestARequestFollowsItsKeyToTheNextOwner(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.owner("l2")
+		w.see("l1")
+		w.group.Go(func(context.Context) error {
+			time.Sleep(50 * time.Millisecond)
+			w.see("l2")
+			return nil
+		})
+		_, body, err := w.do(w.request("POST", "/scales/north", strings.NewReader("load")))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(body, "l2 served"), body)
+		assert.Equal(t, len(w.origins["l1"].Record.All()), 0)
+		assert.Equal(t, len(w.origins["l2"].Record.All()), 1)
+		assert.Assert(t, w.origins["l1"].Stats().Misses > 0)
+		assert.Equal(t, w.front.waiting.Load(), int64(0))
+	})
+}
+
+// The key's new owner is not known for long. Holding the request back until its
+// deadline would only keep the caller from asking again, so it gets its answer
+// when the patience of its rule has ended, with the time to come back.
+func TestPatienceForAnOwnerEnds(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.owner("l2")
+		w.see("l1")
+		start := time.Now()
+		resp, _, err := w.do(w.request("GET", "/scales/north", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, kinds.Misrouted.Answer().Status)
+		assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanNo))
+		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		assert.Assert(t, time.Since(start) <= defaultPatience+lastPause)
+		assert.Equal(t, len(w.origins["l1"].Record.All()), 0)
+	})
+}
+
+// The backend server dies in the middle of an answer. The caller sees its
+// connection break; a grower who reads half a list as the whole list believes
+// that loads are missing.
+func TestATruncatedAnswerBreaksTheCallersConnection(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.origins["u1"].Truncate(1)
+		_, body, err := w.do(w.request("GET", "/lab/x?size=50000", nil))
+		assert.Assert(t, err != nil, "a part of %d bytes looked whole", len(body))
+		synctest.Wait()
+		assert.Equal(t, w.log.last().Kind, kinds.Truncated.String())
+		resp, body, err := w.do(w.request("GET", "/lab/x?size=50000", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 50000)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
+
+// The connection to the server breaks after a truckload was sent on it. Nobody
+// knows whether it was credited, so the answer says so and nothing is repeated.
+func TestALostAnswerIsUnknownAndNotRepeated(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.origins["u1"].Break(1)
+		r := w.request("POST", "/lab/receipt", strings.NewReader("load"))
+		r.Header.Set(relay.HeaderID, "load-7")
+		resp, _, err := w.do(r)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, kinds.Unknown.Answer().Status)
+		assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanUnknown))
+		assert.Equal(t, w.origins["u1"].Record.Count("load-7"), 1)
+	})
+}
+
+// A driver gives up and the phone closes its connection while the server still
+// works. The place must be free for the next driver at once, not when the work
+// is done.
+func TestACallerThatHangsUpFreesItsPlaceAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		svc, _ := w.state.Service("upload")
+		ctx, cancel := context.WithCancel(t.Context())
+		var g group.Group
+		g.Go(func(context.Context) error {
+			_, _, err := w.do(w.request("GET", "/lab/x?work=1h", nil).WithContext(ctx))
+			assert.ErrorIs(t, err, context.Canceled)
+			return nil
+		})
+		synctest.Wait()
+		assert.Equal(t, svc.Gate.Stats().Running, 1)
+		before := time.Now()
+		cancel()
+		assert.NilError(t, g.Wait())
+		synctest.Wait()
+		assert.Equal(t, svc.Gate.Stats().Running, 0)
+		assert.Equal(t, w.front.Relay.Open(third), 0, "an abandoned connection was kept")
+		assert.Equal(t, time.Since(before), time.Duration(0))
+	})
+}
+
+// A caller sends the first bytes of a small body and then nothing. If it were
+// given a slot first, a few such callers would keep a server idle.
+func TestASlowCallerHoldsNoSlot(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		c, err := w.net.Dial(t.Context(), entry)
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /lab/x HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+		assert.NilError(t, err)
+		synctest.Wait()
+		svc, _ := w.state.Service("upload")
+		assert.Equal(t, svc.Gate.Stats().Running, 0)
+		answer, err := io.ReadAll(c)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 503"), "%q", answer)
+		assert.Equal(t, len(w.origins["u1"].Record.All()), 0)
+	})
+}
+
+// A caller trickles its headers, or sends far too many of them. The entry VM
+// ends both by itself within bounded time and memory, and goes on serving.
+func TestHeadersAreBoundedInTimeAndSize(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		slow, err := w.net.Dial(t.Context(), entry)
+		assert.NilError(t, err)
+		_, err = io.WriteString(slow, "GET /lab/x HTTP/1.1\r\nHost:")
+		assert.NilError(t, err)
+		start := time.Now()
+		_, err = io.ReadAll(slow)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 5*time.Second)
+		slow.Close()
+
+		big := w.request("GET", "/lab/x", nil)
+		big.Header.Set("X-Big", strings.Repeat("x", 20<<10))
+		resp, _, err := w.do(big)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+		resp, _, err = w.do(w.request("GET", "/lab/x", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
--- /dev/null
+++ b/internal/edge/state/state.go
@@ -0,0 +1,151 @@
+// Package state holds what the request path reads for every request, as
+// snapshots behind atomic pointers: the rules in force, the owner of each key,
+// and where each backend server listens.
+//
+// Whoever learns something new (a watch, a peer, a holder of authority) puts a
+// whole new snapshot in place. A request never waits for such a change and
+// never sees half of it.
+package state
+
+import (
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// Rules are the rules in force and their revision.
+type Rules struct {
+	Rev ident.Revision
+	Set *match.Set
+}
+
+// State is one entry VM's view of the system. Make one with New.
+type State struct {
+	rules    atomic.Pointer[Rules]
+	services map[ident.Service]*Service
+}
+
+// New makes the state for the services of the settings.
+func New(list []config.Service) *State {
+	s := &State{services: make(map[ident.Service]*Service, len(list))}
+	for _, svc := range list {
+		s.services[svc.Name] = newService(svc)
+	}
+	return s
+}
+
+// Rules returns the rules in force, and false before the first.
+func (s *State) Rules() (*Rules, bool) {
+	r := s.rules.Load()
+	return r, r != nil
+}
+
+// SetRules puts rules in force. An older revision than the present one is
+// refused: rules that were in force once must never come back.
+func (s *State) SetRules(r *Rules) bool {
+	for {
+		old := s.rules.Load()
+		if old != nil && old.Rev >= r.Rev {
+			return false
+		}
+		if s.rules.CompareAndSwap(old, r) {
+			return true
+		}
+	}
+}
+
+// Service finds a service by its name.
+func (s *State) Service(name ident.Service) (*Service, bool) {
+	svc, ok := s.services[name]
+	return svc, ok
+}
+
+// Services lists all services. Treat the map as read-only.
+func (s *State) Services() map[ident.Service]*Service { return s.services }
+
+// Service is one group of backend servers, as the request path sees it.
+type Service struct {
+	config.Service
+	Gate *gate.Gate
+	Owners
+
+	addrs atomic.Pointer[map[ident.Server]netip.AddrPort]
+}
+
+func newService(cfg config.Service) *Service {
+	s := &Service{Service: cfg}
+	addrs := make(map[ident.Server]netip.AddrPort, len(cfg.Servers))
+	for _, srv := range cfg.Servers {
+		addrs[srv.Name] = srv.Data
+	}
+	s.addrs.Store(&addrs)
+	return s
+}
+
+// Addr returns where a backend server takes requests.
+func (s *Service) Addr(name ident.Server) (netip.AddrPort, bool) {
+	a, ok := (*s.addrs.Load())[name]
+	return a, ok
+}
+
+// SetAddr changes where a backend server takes requests.
+func (s *Service) SetAddr(name ident.Server, at netip.AddrPort) {
+	addrs := maps.Clone(*s.addrs.Load())
+	addrs[name] = at
+	s.addrs.Store(&addrs)
+}
+
+// Owners says which backend server owns which key, and tells who waits for a
+// change. The zero value knows no owner.
+type Owners struct {
+	view atomic.Pointer[table.View]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// View returns the present table, nil before the first.
+func (o *Owners) View() *table.View { return o.view.Load() }
+
+// Owner finds the owner of a key.
+func (o *Owners) Owner(k ident.Key) (table.Owner, bool) {
+	v := o.view.Load()
+	if v == nil {
+		return table.Owner{}, false
+	}
+	return v.Owner(k)
+}
+
+// SetView puts a newer table in place and wakes those who wait for a change.
+// An older one than the present is refused.
+func (o *Owners) SetView(v *table.View) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if old := o.view.Load(); old != nil && old.Rev() >= v.Rev() {
+		return false
+	}
+	o.view.Store(v)
+	if o.changed != nil {
+		close(o.changed)
+		o.changed = nil
+	}
+	return true
+}
+
+// Changed returns a channel that closes at the next change. Ask for it before
+// looking, or a change in between is missed.
+func (o *Owners) Changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.changed == nil {
+		o.changed = make(chan struct{})
+	}
+	return o.changed
+}
