--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -41,7 +41,7 @@
 [[rule]]
 name = "uploads"
 when = { path = "/lab/{rest...}" }
-then = { service = "upload", size = "long" }
+then = { service = "upload", size = "long", retry = 2 }
 `
 
 var (
@@ -254,6 +254,15 @@
 	})
 }
 
+func TestAnEmptyAnswerStaysEmpty(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		resp, body, err := w.do(w.request("GET", "/lab/x?status=404&size=0", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+		assert.Equal(t, body, "")
+	})
+}
+
 // A key moves while an entry VM still sends its requests to the former owner,
 // which refuses them. The caller must not see that: the request waits for the
 // news of the next owner, and runs there once.
--- a/internal/fake/origin/data.go
+++ b/internal/fake/origin/data.go
@@ -28,8 +28,9 @@
 
 // Query parameters by which a caller shapes a request.
 const (
-	ParamWork = "work" // extra time in the slot, as a Go duration
-	ParamSize = "size" // bytes of the answer
+	ParamWork   = "work"   // extra time in the slot, as a Go duration
+	ParamSize   = "size"   // bytes of the answer
+	ParamStatus = "status" // HTTP status of the answer
 )
 
 // data serves one request: own it, or answer 421; have a slot, or shed.
@@ -147,6 +148,9 @@
 	w.Header().Set(HeaderID, string(s.ID))
 	w.Header().Set(HeaderBytes, strconv.FormatInt(n, 10))
 	w.Header().Set("Trailer", TrailerSum)
+	if status, err := strconv.Atoi(r.URL.Query().Get(ParamStatus)); err == nil {
+		w.WriteHeader(status)
+	}
 	o.body(w, r, s)
 }
 
