--- /dev/null
+++ b/ownership.go
@@ -0,0 +1,98 @@
+package hawthornfield
+
+import (
+	"hawthornfield.org/hawthornfield/internal/owner/lease"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+)
+
+// Who owns which key. A [Table] is the agreed assignment, kept in the store; a
+// [Seat] is the authority over one server's leases, held by one VM at a time.
+type (
+	// Table is the agreed ownership of one service at one revision.
+	Table = table.Table
+	// View is a table made for lookups: immutable, without locks or allocation.
+	View = table.View
+	// Owner is what a View answers for a key.
+	Owner = table.Owner
+	// Move gives a slice, or a single hot key, to another server.
+	Move = table.Move
+
+	// Seat is the decision module of one seat on one VM.
+	Seat = seat.Seat
+	// SeatConfig says which seat it is and how its servers behave.
+	SeatConfig = seat.Config
+	// LeaseTimes are the periods of leases, heartbeats and terms.
+	LeaseTimes = lease.Times
+	// Guard limits until when an effect may be carried out.
+	Guard = seat.Guard
+)
+
+// Messages to a seat. The rest come back from its own commands.
+type (
+	// PlanMsg says what the roster of live VMs wants of this VM.
+	PlanMsg = seat.PlanMsg
+	// SuspectMsg says that a VM seems lost; it can be wrong.
+	SuspectMsg = seat.SuspectMsg
+	// GoneMsg says that the platform lists a VM as gone for good.
+	GoneMsg = seat.GoneMsg
+	// MoveMsg asks the holder to give keys away.
+	MoveMsg = seat.MoveMsg
+	// DrainMsg says that the backend server is leaving.
+	DrainMsg = seat.DrainMsg
+	// LeaveMsg says that this VM shuts down.
+	LeaveMsg = seat.LeaveMsg
+	// RecordMsg answers a ReadRecordCmd.
+	RecordMsg = seat.RecordMsg
+	// RecordPutMsg answers a PutRecordCmd.
+	RecordPutMsg = seat.RecordPutMsg
+	// TableMsg answers a ReadTableCmd, or brings a newer table.
+	TableMsg = seat.TableMsg
+	// TablePutMsg answers a PutTableCmd.
+	TablePutMsg = seat.TablePutMsg
+	// ReplyMsg answers an OrderCmd or a ReadServerCmd.
+	ReplyMsg = seat.ReplyMsg
+)
+
+// Commands of a seat, for the embedder's Runner.
+type (
+	// ReadRecordCmd reads the seat's record from the store.
+	ReadRecordCmd = seat.ReadRecordCmd
+	// PutRecordCmd writes it by conditional update.
+	PutRecordCmd = seat.PutRecordCmd
+	// ReadTableCmd reads the service's table.
+	ReadTableCmd = seat.ReadTableCmd
+	// PutTableCmd writes it by conditional update.
+	PutTableCmd = seat.PutTableCmd
+	// OrderCmd sends an order to the backend server.
+	OrderCmd = seat.OrderCmd
+	// ReadServerCmd asks the backend server what it holds.
+	ReadServerCmd = seat.ReadServerCmd
+	// SendCmd sends a message to the same seat on another VM.
+	SendCmd = seat.SendCmd
+	// SeatPlanCmd asks the planner where a server's keys should go.
+	SeatPlanCmd = seat.PlanCmd
+	// MovedCmd reports an acknowledged move.
+	MovedCmd = seat.MovedCmd
+	// HeldCmd reports that this VM took the seat.
+	HeldCmd = seat.HeldCmd
+	// StoodCmd reports that it no longer holds it.
+	StoodCmd = seat.StoodCmd
+	// LeftCmd answers LeaveMsg.
+	LeftCmd = seat.LeftCmd
+)
+
+// NewSeat makes the seat of cfg. It does nothing until its first message.
+func NewSeat(cfg SeatConfig) Seat { return seat.New(cfg) }
+
+// DefaultTimes are the periods that docs/design/ownership.md gives grounds for:
+// a lease of 700 ms, so that a key is served again within a second of a loss.
+func DefaultTimes() LeaseTimes { return lease.Default() }
+
+// NewTable divides a service's key space into n slices over its servers.
+func NewTable(svc Service, n uint32, servers ...Server) (Table, error) {
+	return table.New(svc, n, servers...)
+}
+
+// NewView prepares a table for lookups.
+func NewView(t Table) *View { return table.NewView(t) }
