--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,169 @@
+// Command standin plays the surroundings of the router on this machine, so that
+// `hawthorn serve` can be tried as separate processes: the platform's object API
+// and VM list, and every backend server that the settings files name.
+//
+//	standin vm-1.toml vm-2.toml
+//
+// It holds everything in memory and ends on SIGINT or SIGTERM. It is no part of
+// the product.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/fake/objapi"
+	"hawthornfield.org/hawthornfield/internal/fake/origin"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// Exit codes.
+const (
+	exitOK    = 0
+	exitUsage = 2
+	exitFault = 1
+)
+
+type options struct {
+	Work time.Duration `long:"work" default:"5ms" description:"how long a backend server works on a request"`
+	Args struct {
+		Files []string `positional-arg-name:"SETTINGS" required:"1" description:"settings files of the entry VMs"`
+	} `positional-args:"yes"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var shown *flags.Error
+		if errors.As(err, &shown) && shown.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := play(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		return exitFault
+	}
+	return exitOK
+}
+
+// stage is everything that is played.
+type stage struct {
+	group   group.Group
+	work    time.Duration
+	api     *objapi.API
+	opened  map[netip.AddrPort]bool
+	origins []*origin.Origin
+}
+
+func play(ctx context.Context, o options) error {
+	s := &stage{work: o.Work, api: objapi.New(), opened: map[netip.AddrPort]bool{}}
+	defer s.close()
+	for _, file := range o.Args.Files {
+		cfg, err := config.Load(file)
+		if err != nil {
+			return err
+		}
+		if err := s.add(cfg); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("standin: platform and %d backend servers are up\n", len(s.origins))
+	<-ctx.Done()
+	return nil
+}
+
+func (s *stage) close() {
+	for _, o := range s.origins {
+		if err := o.Close(); err != nil {
+			fmt.Fprintln(os.Stderr, "standin:", err)
+		}
+	}
+	if err := s.group.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+	}
+}
+
+func (s *stage) add(cfg config.Config) error {
+	s.api.SetVM(vmlist.VM{ID: cfg.VM, Addr: cfg.Listen.Peers, Centre: cfg.Centre, State: vmlist.Live})
+	if err := s.platform(cfg.Platform.Objects); err != nil {
+		return err
+	}
+	if err := s.platform(cfg.Platform.VMs); err != nil {
+		return err
+	}
+	for _, svc := range cfg.Services {
+		for _, srv := range svc.Servers {
+			if err := s.server(svc, srv); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *stage) platform(at netip.AddrPort) error {
+	l, err := s.listen(at)
+	if l == nil {
+		return err
+	}
+	s.serve(l, s.api.Handler())
+	return nil
+}
+
+func (s *stage) serve(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.group.Go(func(ctx context.Context) error {
+		defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+func (s *stage) server(svc config.Service, srv config.Server) error {
+	l, err := s.listen(srv.Data)
+	if l == nil {
+		return err
+	}
+	o := origin.New(origin.Config{
+		Service: svc.Name, Server: srv.Name, Centre: srv.Centre,
+		Keyed: svc.Divided, Slices: svc.Slices, Checks: svc.Checks,
+		Slots: srv.Slots, Queue: srv.Slots, Conns: srv.Conns, Work: s.work,
+	})
+	s.origins = append(s.origins, o)
+	o.Serve(l)
+	control, err := s.listen(srv.Control)
+	if control == nil {
+		return err
+	}
+	s.serve(control, o.Handler())
+	return nil
+}
+
+// listen opens an address once; several files name the same surroundings. It
+// returns nil for one that is open already.
+func (s *stage) listen(at netip.AddrPort) (net.Listener, error) {
+	if !at.IsValid() || s.opened[at] {
+		return nil, nil
+	}
+	s.opened[at] = true
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+}
