--- /dev/null
+++ b/internal/audit/once/sweep.go
@@ -0,0 +1,72 @@
+package once
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Keep is how long a claim is remembered. A request that is repeated later runs
+// again, so it is far beyond any caller's patience: a weekend and a holiday.
+const Keep = 7 * 24 * time.Hour
+
+// Claims would fill the store for ever. Each VM looks at one of the shards in
+// turn; ten VMs see all of them about every four hours, and the pause between
+// deletions keeps the sweep a small part of the store's writes.
+const (
+	shards     = 256
+	sweepEvery = 10 * time.Minute
+	sweepPause = 100 * time.Millisecond
+)
+
+func (g *Guard) sweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	turn := xxhash.Sum64String(string(g.vm))
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		turn++
+		n, err := Sweep(ctx, g.store, byte(turn%shards), time.Now().Add(-Keep))
+		if n > 0 || err != nil {
+			g.log.Debug("old claims deleted", slog.Int("count", n), slog.Any("err", err))
+		}
+	}
+}
+
+// Sweep deletes the claims of one shard that were written before a time, and
+// returns how many. A claim that changes meanwhile stays, and so does one that
+// cannot be read.
+func Sweep(ctx context.Context, store object.Store, shard byte, before time.Time) (int, error) {
+	all, _, err := store.List(ctx, fmt.Sprintf("%s%02x/", Prefix, shard))
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	pause := time.NewTicker(sweepPause)
+	defer pause.Stop()
+	for _, o := range all {
+		var r Receipt
+		if wire.Decode(o.Value, &r) != nil || r.V > Version || !r.At.Before(before) {
+			continue
+		}
+		if store.Delete(ctx, o.Name, o.Version) == nil {
+			n++
+		}
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return n, nil
+		}
+	}
+	return n, nil
+}
