edge/front: claims are settled, and a rule with once needs the caller's own id

The seam let the front end claim an id but not give it back: a submission that was refused after its claim, for want of a durable record or by a full service, could never have been sent again under its id. Claim now returns a ticket; a request that ran notes its answer, one that did not run gives the claim back before the caller is told so (at most 250 ms), one that may have run leaves it. A request under such a rule without an id from the caller is refused as malformed: under an id of our own making its repeat would look new.

--- a/internal/audit/ledger/journal.go
+++ b/internal/audit/ledger/journal.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// Keep commits a decision of the request path before the request is forwarded,
+// as a decision of the sort [record.Accept].
+func (j *Journal) Keep(ctx context.Context, d *record.Decision) error {
+	accepted := *d
+	accepted.Sort = record.Accept
+	return j.Commit(ctx, accepted)
+}
+
 // Fleet tells the journal how many VMs share the store's budget.
 func (j *Journal) Fleet(vms int) { j.loop.Send(FleetMsg{vms}) }
 
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -35,6 +36,9 @@
 	key  ident.Key
 	by   time.Time
 	sent bool // the header of an answer has been written to the caller
+
+	ticket *once.Ticket // the claim on the request id, if the rule demands one
+	named  bool         // the caller itself chose the request id
 }
 
 // serve takes one request along the line.
@@ -76,7 +80,8 @@
 // identify names the request and its caller.
 func (x *exchange) identify() error {
 	id := x.r.Header.Get(relay.HeaderID)
-	if id == "" {
+	x.named = id != ""
+	if !x.named {
 		id = x.f.prefix + strconv.FormatUint(x.f.serial.Add(1), 36)
 	}
 	if !plain(id) {
@@ -109,6 +114,7 @@
 	errNoRule   = kinds.New(kinds.NoRule, "no rule matches")
 	errDenied   = kinds.New(kinds.Denied, "a rule denies the request")
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
+	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller, in the header "+relay.HeaderID)
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
 )
 
@@ -173,7 +179,13 @@
 func (x *exchange) promise(ctx context.Context) error {
 	then := &x.rule.Then
 	if then.Once == match.OnceStore && x.f.Claims != nil {
-		if err := x.f.Claims.Claim(ctx, &x.note); err != nil {
+		if !x.named {
+			// Under an id of our own making a repeat would look like a new request.
+			return errNoID
+		}
+		ask := once.Ask{Service: then.Service, ID: x.note.ID, Rule: x.rule.Name}
+		var err error
+		if x.ticket, err = x.f.Claims.Claim(ctx, ask); err != nil {
 			return err
 		}
 	}
@@ -183,6 +195,26 @@
 	return nil
 }
 
+// settleWait bounds how long a refusal waits until the claim is given back.
+const settleWait = 250 * time.Millisecond
+
+// settle says what became of the claim. A request that did not run gives it
+// back before the caller is told so, or the caller's next try would be taken
+// for a second submission of something that was accepted.
+func (x *exchange) settle() {
+	if x.ticket == nil {
+		return
+	}
+	switch x.note.Ran {
+	case kinds.RanYes:
+		x.ticket.Done(x.note.Status)
+	case kinds.RanNo:
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), settleWait)
+		defer cancel()
+		x.ticket.Release(ctx)
+	}
+}
+
 // finish answers what was not answered yet, and records the decision.
 func (x *exchange) finish(err error) {
 	k := kinds.Of(err)
@@ -193,9 +225,10 @@
 		if notSent(err) {
 			x.note.Ran = kinds.RanNo
 		}
-		if !x.sent {
-			x.note.Status = x.refuse(err)
-		}
+	}
+	x.settle()
+	if err != nil && !x.sent {
+		x.note.Status = x.refuse(err)
 	}
 	if x.f.Record != nil {
 		x.f.Record.Record(x.note)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -32,15 +33,16 @@
 	Answered(d *record.Decision)
 }
 
-// Claimer keeps a request id from running twice, as audit/once does. It fails
-// with kind Repeated when the id was claimed before, and with kind Undurable
-// when that cannot be found out now.
+// Claimer keeps a request id from running twice, as *once.Guard does. Claim
+// fails with kind Repeated when the id was claimed before, and with kind
+// Undurable when that cannot be found out now. The ticket is settled once it is
+// known whether the request ran.
 type Claimer interface {
-	Claim(ctx context.Context, d *record.Decision) error
+	Claim(ctx context.Context, ask once.Ask) (*once.Ticket, error)
 }
 
-// Keeper makes a decision durable before the request is forwarded. It fails
-// with kind Undurable when it cannot.
+// Keeper makes a decision durable before the request is forwarded, as
+// *ledger.Journal does. It fails with kind Undurable when it cannot.
 type Keeper interface {
 	Keep(ctx context.Context, d *record.Decision) error
 }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -130,7 +130,9 @@
 	time.Sleep(time.Minute) // net/http lingers on a connection that it ended itself
 }
 
-func (w *world) compile(text string) {
+func (w *world) compile(text string) { w.compileAt(7, text) }
+
+func (w *world) compileAt(rev ident.Revision, text string) {
 	f, err := match.Parse([]byte(text))
 	if err != nil {
 		panic(err)
@@ -139,7 +141,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.state.SetRules(&state.Rules{Rev: 7, Set: set})
+	w.state.SetRules(&state.Rules{Rev: rev, Set: set})
 }
 
 // owner gives every slice of the divided service to one server, which gets a
