--- /dev/null
+++ b/internal/audit/report/group.go
@@ -0,0 +1,179 @@
+package report
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// By names what rows are counted by.
+type By string
+
+// The ways to count.
+const (
+	ByKey     By = "key"
+	ByCaller  By = "caller"
+	ByServer  By = "server"
+	ByService By = "service"
+	ByRule    By = "rule"
+	ByHour    By = "hour"
+)
+
+// Count is one line of a counted report: requests only, moves apart.
+type Count struct {
+	Name    string        `json:"name"`
+	All     int           `json:"all"`
+	Ran     int           `json:"ran"`
+	Not     int           `json:"not"` // refused as not run
+	Unknown int           `json:"unknown"`
+	P50     time.Duration `json:"p50"` // of those that ran
+	P99     time.Duration `json:"p99"`
+}
+
+// Counts groups the report's requests, the largest group first; by hour, in
+// order of time.
+func (r *Report) Counts(by By) []Count {
+	groups := map[string]*Count{}
+	took := map[string][]time.Duration{}
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		if row.Sort == record.Place || row.Sort == record.Rules {
+			continue
+		}
+		name := by.name(row)
+		c := groups[name]
+		if c == nil {
+			c = &Count{Name: name}
+			groups[name] = c
+		}
+		c.All++
+		switch row.Ran {
+		case kinds.RanYes:
+			c.Ran++
+			took[name] = append(took[name], row.Took)
+		case kinds.RanNo:
+			c.Not++
+		default:
+			c.Unknown++
+		}
+	}
+	all := make([]Count, 0, len(groups))
+	for name, c := range groups {
+		c.P50, c.P99 = quantile(took[name], 50), quantile(took[name], 99)
+		all = append(all, *c)
+	}
+	slices.SortFunc(all, func(a, b Count) int {
+		if by == ByHour {
+			return strings.Compare(a.Name, b.Name)
+		}
+		return cmp.Or(cmp.Compare(b.All, a.All), strings.Compare(a.Name, b.Name))
+	})
+	return all
+}
+
+func (by By) name(row *Row) string {
+	switch by {
+	case ByCaller:
+		return string(row.Caller)
+	case ByServer:
+		return string(row.Server)
+	case ByService:
+		return string(row.Service)
+	case ByRule:
+		return row.Rule
+	case ByHour:
+		return row.At.UTC().Format("2006-01-02 15h")
+	default:
+		return string(row.Key)
+	}
+}
+
+// quantile returns the value that percent of all do not exceed.
+func quantile(all []time.Duration, percent int) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, len(all)*percent/100)]
+}
+
+// WriteJSON writes the report as one JSON document.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteTable writes one line for each decision, and then what is missing.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "TIME\tWHAT\tID\tKEY\tCALLER\tSERVER\tEPOCH\tRULE\tREV\tBY\tRAN\tCODE\tWHY")
+	for i := range r.Rows {
+		d := &r.Rows[i]
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
+			d.At.UTC().Format("2006-01-02 15:04:05.000"), d.Sort, dash(string(d.ID)), dash(subject(d)), dash(string(d.Caller)),
+			dash(where(d)), number(uint64(d.Epoch)), dash(d.Rule), number(uint64(d.Rev)), dash(d.Author), dash(string(d.Ran)),
+			number(uint64(max(d.Status, 0))), dash(d.Why))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return r.writeEnd(w)
+}
+
+// WriteCounts writes one line for each group, and then what is missing.
+func (r *Report) WriteCounts(w io.Writer, by By) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s\tALL\tRAN\tNOT RUN\tUNKNOWN\tP50\tP99\n", strings.ToUpper(string(by)))
+	for _, c := range r.Counts(by) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%v\t%v\n", dash(c.Name), c.All, c.Ran, c.Not, c.Unknown,
+			c.P50.Round(10*time.Microsecond), c.P99.Round(10*time.Microsecond))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return r.writeEnd(w)
+}
+
+func (r *Report) writeEnd(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "\n%d decisions, from %d segments of %d journals\n", len(r.Rows), r.Segments, r.Journals)
+	if r.Cut {
+		fmt.Fprintf(w, "cut at %d decisions: ask for a shorter time\n", MaxRows)
+	}
+	for _, g := range r.Gaps {
+		fmt.Fprintf(w, "missing: %d in %s, %s to %s: %s\n", g.Count, g.Path,
+			g.From.UTC().Format(time.DateTime), g.To.UTC().Format(time.DateTime), g.Why)
+	}
+	return err
+}
+
+func subject(d *Row) string {
+	if d.Key == "" && d.Sort == record.Place {
+		return fmt.Sprintf("%s slice %d", d.Service, d.Slice)
+	}
+	return string(d.Key)
+}
+
+func where(d *Row) string {
+	if d.Former != "" {
+		return string(d.Former) + " > " + string(d.Server)
+	}
+	return string(d.Server)
+}
+
+func dash(s string) string { return cmp.Or(s, "-") }
+
+func number(n uint64) string {
+	if n == 0 {
+		return "-"
+	}
+	return fmt.Sprint(n)
+}
--- /dev/null
+++ b/internal/audit/report/report_test.go
@@ -0,0 +1,195 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/audit/ledger"
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/fake/objmem"
+)
+
+var quiet = slog.New(slog.NewJSONHandler(io.Discard, nil))
+
+func open(store *objmem.Store, path string) *ledger.Journal {
+	return ledger.Open(store, path, ledger.WithLog(quiet))
+}
+
+// harvest writes a small history through two VMs that are gone afterwards.
+func harvest(t *testing.T, store *objmem.Store) (start time.Time) {
+	start = time.Now()
+	const slices = 8
+	slice := ident.SliceOf("scale-7", slices)
+	for vm := range 2 {
+		j := open(store, fmt.Sprint("log/vm-", vm))
+		for i := range 10 {
+			j.Take(record.Decision{
+				At: time.Now(), Sort: record.Route, ID: ident.Request(fmt.Sprint(vm, "-", i)), VM: ident.VM(fmt.Sprint("vm-", vm)),
+				Key: ident.Key(fmt.Sprint("scale-", i%2+6)), Caller: ident.Caller(fmt.Sprint("hauler-", i%5)), Service: "ledger",
+				Server: ident.Server(fmt.Sprint("ledger-", i%3)), Rule: "receipts", Rev: 4, Ran: kinds.RanYes, Status: 201,
+				Took: time.Duration(i+1) * time.Millisecond,
+			})
+			time.Sleep(time.Minute)
+		}
+		assert.NilError(t, j.Close())
+	}
+	own := open(store, ledger.OwnPath("ledger"))
+	own.Take(record.Decision{At: time.Now(), Sort: record.Place, Service: "ledger", Slice: slice, Former: "ledger-1", Server: "ledger-2", Rev: 9})
+	own.Take(record.Decision{At: time.Now(), Sort: record.Place, Service: "ledger", Slice: (slice + 1) % slices, Former: "ledger-1", Server: "ledger-2", Rev: 9})
+	assert.NilError(t, own.Close())
+	return start
+}
+
+func ask(t *testing.T, store *objmem.Store, q Query) *Report {
+	t.Helper()
+	r, err := Run(t.Context(), store, q)
+	assert.NilError(t, err)
+	return r
+}
+
+// Every entry VM has been replaced since. A grower's question about one scale
+// is answered all the same, from what the VMs left in the store.
+func TestReportAnswersAfterEveryVMIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		start := harvest(t, store)
+		r := ask(t, store, Query{
+			Key:    "scale-7",
+			Slices: func(ident.Service) uint32 { return 8 },
+			Author: func(rev ident.Revision) string { return fmt.Sprint("operator of ", rev) },
+		})
+		assert.Equal(t, len(r.Rows), 11) // ten receipts and one move of its slice
+		assert.Equal(t, r.Rows[0].Author, "operator of 4")
+		assert.Equal(t, r.Rows[10].Sort, record.Place)
+		assert.Equal(t, len(ask(t, store, Query{Caller: "hauler-3"}).Rows), 4)
+		assert.Equal(t, len(ask(t, store, Query{Server: "ledger-1"}).Rows), 6+2)
+		assert.Equal(t, len(ask(t, store, Query{ID: "1-4"}).Rows), 1)
+		assert.Equal(t, len(ask(t, store, Query{Rule: "other"}).Rows), 0)
+		assert.Equal(t, len(ask(t, store, Query{Since: start.Add(15 * time.Minute), Sort: record.Route}).Rows), 5)
+		assert.Equal(t, len(ask(t, store, Query{Until: start.Add(90 * time.Second)}).Rows), 2)
+	})
+}
+
+func TestTableCountsAndJSONSayTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		harvest(t, store)
+		r := ask(t, store, Query{})
+		var table, counts, doc bytes.Buffer
+		assert.NilError(t, r.WriteTable(&table))
+		assert.Equal(t, strings.Count(table.String(), "receipts"), 20)
+		assert.Assert(t, strings.Contains(table.String(), "ledger-1 > ledger-2"))
+		assert.NilError(t, r.WriteCounts(&counts, ByServer))
+		assert.Assert(t, strings.Contains(counts.String(), "22 decisions"), counts.String())
+		assert.DeepEqual(t, r.Counts(ByServer)[0], Count{Name: "ledger-0", All: 8, Ran: 8, P50: 7 * time.Millisecond, P99: 10 * time.Millisecond})
+		assert.Equal(t, len(r.Counts(ByHour)), 1)
+		assert.NilError(t, r.WriteJSON(&doc))
+		var back Report
+		assert.NilError(t, json.Unmarshal(doc.Bytes(), &back))
+		assert.Equal(t, len(back.Rows), 22)
+		assert.Equal(t, back.Rows[3].Server, r.Rows[3].Server)
+	})
+}
+
+// A VM was lost between accepting a submission and recording its outcome, and
+// another one dropped decisions during an outage. The auditor must see both: a
+// report that leaves them out looks complete.
+func TestWhatIsMissingIsPartOfTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		j := open(store, "log/vm-1")
+		for _, d := range []record.Decision{
+			{Sort: record.Accept, ID: "finished"},
+			{Sort: record.Route, ID: "finished", Ran: kinds.RanYes},
+			{Sort: record.Accept, ID: "open"},
+			{Sort: record.Lost, Count: 7, Why: "the ring of decisions was full"},
+		} {
+			d.At = time.Now()
+			j.Take(d)
+		}
+		assert.NilError(t, j.Close())
+		_, err := store.Put(t.Context(), "log/vm-1/1", []byte{0xff}, 0)
+		assert.NilError(t, err)
+		r := ask(t, store, Query{})
+		assert.Equal(t, len(r.Rows), 2)
+		assert.Equal(t, r.Rows[1].ID, ident.Request("open"))
+		assert.Equal(t, r.Rows[1].Ran, kinds.RanUnknown)
+		assert.Equal(t, len(r.Gaps), 2)
+		var out bytes.Buffer
+		assert.NilError(t, r.WriteTable(&out))
+		assert.Assert(t, strings.Contains(out.String(), "missing: 7 in log/vm-1"))
+		assert.Equal(t, r.Counts(ByKey)[0].Unknown, 1)
+	})
+}
+
+// A store that fails in the middle must not end in half a report.
+func TestStoreFailureIsNotAnEmptyReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objmem.New()
+		harvest(t, store)
+		store.SetFault(func(_ objmem.Op, name string) objmem.Fault {
+			return objmem.Fault{Down: strings.HasPrefix(name, "log/vm-1/")}
+		})
+		_, err := Run(t.Context(), store, Query{})
+		assert.Equal(t, kinds.Of(err), kinds.Down)
+	})
+}
+
+// BenchmarkLastMinutes asks about five minutes of one key in a history of ten
+// VMs with 2,000 segments each, and reports what it reads.
+func BenchmarkLastMinutes(b *testing.B) {
+	store := objmem.New()
+	start := time.Date(2026, 10, 1, 6, 0, 0, 0, time.UTC)
+	const vms, segments, entries = 10, 2000, 50
+	for vm := range vms {
+		writeLong(b, store, fmt.Sprint("log/vm-", vm), start, segments, entries)
+	}
+	before := store.Usage()
+	q := Query{Key: "scale-7", Since: start.Add(20 * time.Hour), Until: start.Add(20*time.Hour + 5*time.Minute)}
+	for b.Loop() {
+		r, err := Run(b.Context(), store, q)
+		if err != nil || len(r.Rows) != vms*6*entries/10 {
+			b.Fatal(err, len(r.Rows))
+		}
+	}
+	after := store.Usage()
+	b.ReportMetric(float64(after.Reads-before.Reads)/float64(b.N), "reads/op")
+	b.ReportMetric(float64(vms*segments), "segments")
+}
+
+// writeLong writes a journal with a segment for each minute.
+func writeLong(b *testing.B, store *objmem.Store, path string, start time.Time, segments, entries int) {
+	b.Helper()
+	for n := range segments {
+		at := start.Add(time.Duration(n) * time.Minute)
+		s := ledger.Segment{Head: ledger.Head{V: ledger.Version, Path: path, N: uint64(n), From: at, To: at}}
+		for i := range entries {
+			d := record.Decision{At: at, Sort: record.Route, ID: ident.Request(fmt.Sprint(path, n, i)), Key: ident.Key(fmt.Sprint("scale-", i%10))}
+			item, err := wire.Encode(&d)
+			assert.NilError(b, err)
+			s.Items = append(s.Items, item)
+		}
+		put(b, store, fmt.Sprint(path, "/", n), s)
+	}
+	put(b, store, ledger.IndexPrefix+path, ledger.Index{V: ledger.Version, Path: path, At: start, Window: ledger.DefaultWindow})
+}
+
+func put(b *testing.B, store *objmem.Store, name string, v any) {
+	b.Helper()
+	value, err := wire.Encode(v)
+	assert.NilError(b, err)
+	_, err = store.Put(b.Context(), name, value, 0)
+	assert.NilError(b, err)
+}
