Command line: check, rules, report, owners, with exit codes and help

Commands talk to the object API and not to an entry VM, so rules can be edited and reports read while every VM is being replaced. Edits name the revision the operator looked at; a race ends with exit code 4 and both revisions. One table turns error kinds into exit codes.

--- a/cmd/hawthorn/main.go
+++ b/cmd/hawthorn/main.go
@@ -2,8 +2,19 @@
 // operator's tools and the demonstration.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {
-	os.Exit(0)
+	"hawthornfield.org/hawthornfield/internal/admin/cmds"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return cmds.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
 }
--- /dev/null
+++ b/internal/admin/cmds/app.go
@@ -0,0 +1,205 @@
+// Package cmds is the program's command line: one file for each command, one
+// place for exit codes, help and errors.
+//
+// Commands talk to the platform's object API, not to an entry VM, so an
+// operator can list and edit rules and read reports while every VM is being
+// replaced.
+package cmds
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/plat/objcli"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK       = 0 // done
+	ExitFault    = 1 // the program could not do it
+	ExitUsage    = 2 // the command line is wrong
+	ExitInvalid  = 3 // settings or rules are wrong; nothing was started or changed
+	ExitConflict = 4 // another operator's edit came first; nothing was changed
+	ExitDown     = 5 // the platform cannot be reached, or did not say what it did
+	ExitBroken   = 6 // the demonstration or the comparison found something broken
+)
+
+// exits maps error kinds to exit codes; all others are ExitFault.
+var exits = map[kinds.Kind]int{
+	kinds.None:       ExitOK,
+	kinds.BadRequest: ExitUsage,
+	kinds.Malformed:  ExitInvalid,
+	kinds.TooLarge:   ExitInvalid,
+	kinds.Newer:      ExitInvalid,
+	kinds.Conflict:   ExitConflict,
+	kinds.Down:       ExitDown,
+	kinds.Ambiguous:  ExitDown,
+}
+
+// errBroken makes the program exit with ExitBroken.
+var errBroken = errors.New("not everything held")
+
+const overview = `hawthorn routes requests to backend servers that own their keys exclusively.
+
+Try it first:       hawthorn demo
+Run an entry VM:    hawthorn serve -c settings.toml
+Before you start:   hawthorn check settings.toml
+Operate:            hawthorn rules list, report, owners
+
+Exit codes: 0 done, 1 fault, 2 wrong command line, 3 invalid settings or rules,
+4 conflict with another edit, 5 platform not reachable, 6 a promise was broken.`
+
+// app is what every command shares.
+type app struct {
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+//
+//	os.Exit(cmds.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+func Main(ctx context.Context, args []string, out, errs io.Writer) int {
+	a := &app{ctx: ctx, out: out, err: errs}
+	_, err := newParser(a).ParseArgs(args)
+	var shown *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &shown) && shown.Type == flags.ErrHelp:
+		fmt.Fprintln(out, shown.Message)
+		return ExitOK
+	case errors.As(err, &shown):
+		fmt.Fprintf(errs, "hawthorn: %s\nTry: hawthorn --help\n", strings.TrimRight(shown.Message, "\n"))
+		return ExitUsage
+	case errors.Is(err, errBroken):
+		fmt.Fprintf(errs, "hawthorn: %v\n", err)
+		return ExitBroken
+	}
+	fmt.Fprintf(errs, "hawthorn: %s\n", explain(err))
+	if code, ok := exits[kinds.Of(err)]; ok {
+		return code
+	}
+	return ExitFault
+}
+
+// explain adds what the operator can do about it.
+func explain(err error) string {
+	switch kinds.Of(err) {
+	case kinds.Down:
+		return err.Error() + "\nThe platform's object API did not answer. Nothing was changed; try again."
+	case kinds.Ambiguous:
+		return err.Error() + "\nThe platform did not say whether the change took effect: look at hawthorn rules history."
+	case kinds.Conflict:
+		return err.Error() + "\nNothing was changed. Look at hawthorn rules list and decide again."
+	}
+	return err.Error()
+}
+
+func newParser(a *app) *flags.Parser {
+	p := flags.NewNamedParser("hawthorn", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = overview
+	p.SubcommandsOptional = false
+	add := func(c *flags.Command, err error) *flags.Command {
+		if err != nil {
+			panic(err) // a fault of the program's own tags
+		}
+		return c
+	}
+	add(p.AddCommand("check", "check settings or rules", checkHelp, &checkCmd{app: a}))
+	rules := add(p.AddCommand("rules", "list, edit and retire rules", rulesHelp, &struct{}{}))
+	add(rules.AddCommand("list", "show the rules in force, in their order", listHelp, &listCmd{app: a}))
+	add(rules.AddCommand("put", "add or replace rules", putHelp, &putCmd{edit: edit{app: a}}))
+	add(rules.AddCommand("move", "change the order", moveHelp, &moveCmd{edit: edit{app: a}}))
+	add(rules.AddCommand("retire", "take a rule out of force", retireHelp, &retireCmd{edit: edit{app: a}}))
+	add(rules.AddCommand("history", "show who changed the rules and when", historyHelp, &historyCmd{app: a}))
+	add(p.AddCommand("report", "who received what, when, why, under whose rule", reportHelp, &reportCmd{app: a}))
+	add(p.AddCommand("owners", "which server owns what now", ownersHelp, &ownersCmd{app: a}))
+	return p
+}
+
+// target names the platform. Commands embed it.
+type target struct {
+	Settings string        `short:"c" long:"settings" value-name:"FILE" description:"take the platform's address and the services from this settings file"`
+	Objects  string        `long:"objects" value-name:"IP:PORT" env:"HAWTHORN_OBJECTS" description:"the platform's object API"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"longest wait for the platform"`
+}
+
+// session is one command's connection to the platform.
+type session struct {
+	ctx   context.Context
+	close context.CancelFunc
+	store object.Store
+	cfg   *config.Config // nil without a settings file
+}
+
+// open reads the settings, if a file was named, and finds the object API. Close
+// the session when done.
+func (t *target) open(ctx context.Context) (*session, error) {
+	s := &session{}
+	at := t.Objects
+	if t.Settings != "" {
+		cfg, err := config.Load(t.Settings)
+		if err != nil {
+			return nil, err
+		}
+		s.cfg = &cfg
+		at = cmp.Or(at, cfg.Platform.Objects.String())
+	}
+	if at == "" {
+		return nil, kinds.New(kinds.BadRequest, "say where the platform is: -c FILE, --objects IP:PORT or HAWTHORN_OBJECTS")
+	}
+	addr, err := netip.ParseAddrPort(at)
+	if err != nil {
+		return nil, kinds.Wrap(kinds.BadRequest, err, "address of the object API")
+	}
+	s.ctx, s.close = context.WithTimeout(ctx, t.Timeout)
+	s.store = objcli.New(addr)
+	return s, nil
+}
+
+// known lists the services of the settings for the check of rules; nil without
+// a settings file.
+func known(cfg *config.Config) map[ident.Service]match.Service {
+	if cfg == nil {
+		return nil
+	}
+	all := map[ident.Service]match.Service{}
+	for _, s := range cfg.Services {
+		all[s.Name] = match.Service{Divided: s.Divided}
+	}
+	return all
+}
+
+func noMore(args []string) error {
+	if len(args) > 0 {
+		return kinds.New(kinds.BadRequest, "too many arguments: "+strings.Join(args, " "))
+	}
+	return nil
+}
+
+func readFile(path string, most int64) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, kinds.Wrap(kinds.Absent, err, "read")
+	}
+	if info.Size() > most {
+		return nil, kinds.New(kinds.TooLarge, path+" is larger than any such file")
+	}
+	b, err := os.ReadFile(path)
+	return b, kinds.Wrap(kinds.Absent, err, "read")
+}
--- /dev/null
+++ b/internal/admin/cmds/report.go
@@ -0,0 +1,141 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/audit/report"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/rules/save"
+)
+
+const reportHelp = `Lists decisions out of the platform's store: who received what, when, why, and
+under whose rule. Without filters it shows the last hour. Times are RFC 3339, or
+durations back from now such as 90m. What is missing from the record is listed at
+the end.`
+
+type reportCmd struct {
+	target
+	app     *app
+	Key     string `long:"key" description:"only this key, with the moves of its slice"`
+	Caller  string `long:"caller" description:"only this caller"`
+	Server  string `long:"server" description:"only this backend server"`
+	Service string `long:"service" description:"only this service"`
+	ID      string `long:"id" description:"only this request id"`
+	Rule    string `long:"rule" description:"only this rule"`
+	Since   string `long:"since" default:"1h" value-name:"TIME" description:"begin"`
+	Until   string `long:"until" value-name:"TIME" description:"end; now when left out"`
+	Moves   bool   `long:"moves" description:"only moves of keys"`
+	By      string `long:"by" choice:"key" choice:"caller" choice:"server" choice:"service" choice:"rule" choice:"hour" description:"count instead of listing"`
+	JSON    bool   `long:"json" description:"as JSON"`
+}
+
+// Execute answers the question.
+func (c *reportCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	q, err := c.query(time.Now())
+	if err != nil {
+		return err
+	}
+	s, err := c.open(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	q.Slices, q.Author = slicesOf(s.ctx, s.store), authorOf(s.ctx, s.store)
+	r, err := report.Run(s.ctx, s.store, q)
+	switch {
+	case err != nil:
+		return err
+	case c.JSON:
+		return r.WriteJSON(c.app.out)
+	case c.By != "":
+		return r.WriteCounts(c.app.out, report.By(c.By))
+	}
+	return r.WriteTable(c.app.out)
+}
+
+func (c *reportCmd) query(now time.Time) (report.Query, error) {
+	q := report.Query{
+		Key: ident.Key(c.Key), Caller: ident.Caller(c.Caller), Server: ident.Server(c.Server),
+		Service: ident.Service(c.Service), ID: ident.Request(c.ID), Rule: c.Rule,
+	}
+	if c.Moves {
+		q.Sort = record.Place
+	}
+	var err error
+	if q.Since, err = parseTime(c.Since, now); err != nil {
+		return q, err
+	}
+	q.Until, err = parseTime(c.Until, now)
+	return q, err
+}
+
+func parseTime(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return now.Add(-d), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	return at, kinds.Wrap(kinds.BadRequest, err, "time")
+}
+
+// cache remembers what f answered, for readers of several journals at once.
+func cache[K comparable, V any](f func(K) V) func(K) V {
+	var mu sync.Mutex
+	seen := map[K]V{}
+	return func(k K) V {
+		mu.Lock()
+		defer mu.Unlock()
+		if v, ok := seen[k]; ok {
+			return v
+		}
+		v := f(k)
+		seen[k] = v
+		return v
+	}
+}
+
+// slicesOf reads how many slices a service has from its table.
+func slicesOf(ctx context.Context, store object.Store) func(ident.Service) uint32 {
+	return cache(func(s ident.Service) uint32 {
+		t, err := readTable(ctx, store, s)
+		if err != nil {
+			return 0
+		}
+		return t.Slices()
+	})
+}
+
+// authorOf reads who put a revision of the rules in force from their history.
+func authorOf(ctx context.Context, store object.Store) func(ident.Revision) string {
+	return cache(func(rev ident.Revision) string {
+		rec, err := save.Revision(ctx, store, rev)
+		if err != nil {
+			return ""
+		}
+		return rec.Author
+	})
+}
+
+// tablePrefix is where the tables of ownership stand in the object API.
+const tablePrefix = "table/"
+
+func readTable(ctx context.Context, store object.Store, s ident.Service) (table.Table, error) {
+	o, err := store.Get(ctx, tablePrefix+string(s))
+	if err != nil {
+		return table.Table{}, err
+	}
+	t, err := table.Decode(o.Value)
+	return t, kinds.Wrap(kinds.Of(err), err, fmt.Sprint("table of ", s))
+}
--- /dev/null
+++ b/internal/admin/cmds/rules.go
@@ -0,0 +1,293 @@
+package cmds
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+	"hawthornfield.org/hawthornfield/internal/rules/save"
+)
+
+const (
+	rulesHelp = `Rules are tried in their order; the first that matches decides. Every edit makes
+a new revision of the whole list, and is accepted or refused as a whole.`
+	listHelp = `Shows the rules in force, in their order, with the revision that an edit has to
+name. With --rev an earlier revision.`
+	putHelp = `Adds the rules of a file, or replaces those of the same name. A new rule goes to
+the end unless --first or --before says otherwise. --all replaces the whole list.
+--seen is the revision that you looked at (0 before the first): if another one is
+in force by now, nothing is changed and both are named.`
+	moveHelp    = `Puts a rule at another place in the order.`
+	retireHelp  = `Takes a rule out of force. Earlier revisions keep it, so reports still show it.`
+	historyHelp = `Lists the revisions, the one in force first: who, when, why.`
+)
+
+type listCmd struct {
+	target
+	app  *app
+	Rev  uint64 `long:"rev" value-name:"N" description:"an earlier revision"`
+	TOML bool   `long:"toml" description:"as a file that put --all takes"`
+}
+
+// Execute shows the rules.
+func (c *listCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	s, err := c.open(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	rec, _, err := save.Load(s.ctx, s.store)
+	if err == nil && c.Rev != 0 {
+		rec, err = save.Revision(s.ctx, s.store, ident.Revision(c.Rev))
+	}
+	if err != nil {
+		return err
+	}
+	if rec == nil {
+		fmt.Fprintln(c.app.out, "no rules yet; an edit names --seen 0")
+		return nil
+	}
+	if c.TOML {
+		text, err := match.Render(rec.Rules)
+		if err != nil {
+			return err
+		}
+		_, err = c.app.out.Write(text)
+		return err
+	}
+	return printRules(c.app.out, rec)
+}
+
+func printRules(w io.Writer, rec *force.Record) error {
+	fmt.Fprintf(w, "revision %d by %s, %s: %s\n\n", rec.Rev, rec.Author, rec.At.UTC().Format(time.DateTime), rec.Note)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "#\tNAME\tWHEN\tTHEN")
+	for i := range rec.Rules {
+		when, then := ruleText(&rec.Rules[i])
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\n", i+1, rec.Rules[i].Name, when, then)
+	}
+	return t.Flush()
+}
+
+// ruleText takes the two inner tables out of the rule's own TOML form.
+func ruleText(r *match.Rule) (when, then string) {
+	text, err := match.Render([]match.Rule{*r})
+	if err != nil {
+		return "?", "?"
+	}
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), " = ")
+		value = strings.TrimSuffix(strings.TrimPrefix(value, "{"), "}")
+		switch name {
+		case "when":
+			when = value
+		case "then":
+			then = value
+		}
+	}
+	if when == "" {
+		when = "always"
+	}
+	return when, then
+}
+
+// edit is what all edits share.
+type edit struct {
+	target
+	app  *app
+	Seen uint64 `long:"seen" value-name:"N" required:"yes" description:"the revision that you looked at"`
+	By   string `long:"by" value-name:"NAME" env:"USER" description:"who makes the edit"`
+	Note string `long:"note" value-name:"TEXT" description:"why"`
+}
+
+// place is where a rule goes.
+type place struct {
+	First  bool   `long:"first" description:"put it first"`
+	Last   bool   `long:"last" description:"put it last"`
+	Before string `long:"before" value-name:"RULE" description:"put it before this rule"`
+}
+
+func (p place) place() (force.Place, error) {
+	n := 0
+	for _, set := range []bool{p.First, p.Last, p.Before != ""} {
+		if set {
+			n++
+		}
+	}
+	if n > 1 {
+		return force.Place{}, kinds.New(kinds.BadRequest, "give one of --first, --last and --before")
+	}
+	return force.Place{First: p.First, Last: p.Last, Before: p.Before}, nil
+}
+
+// save makes the edit and says what is in force then.
+func (e *edit) save(change func(cur *force.Record, e force.Edit) (*force.Record, error)) error {
+	s, err := e.open(e.app.ctx)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	if e.By == "" {
+		return kinds.New(kinds.BadRequest, "say who you are: --by NAME")
+	}
+	rec, err := e.run(s, func(cur *force.Record) (*force.Record, error) {
+		return change(cur, force.Edit{
+			Seen: ident.Revision(e.Seen), Author: e.By, Note: e.Note, Token: rand.Text(), At: time.Now(), Known: known(s.cfg),
+		})
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.app.out, "accepted as revision %d; in force everywhere within seconds\n", rec.Rev)
+	return nil
+}
+
+func (e *edit) run(s *session, f save.EditFunc) (*force.Record, error) {
+	rec, err := save.Save(s.ctx, s.store, f)
+	var c *force.Conflict
+	if errors.As(err, &c) {
+		return nil, kinds.New(kinds.Conflict, fmt.Sprintf("you looked at revision %d, but revision %d by %s is in force (%s)", c.Seen, c.Actual, c.Author, c.Note))
+	}
+	return rec, err
+}
+
+type putCmd struct {
+	edit
+	place
+	All  bool `long:"all" description:"replace the whole list by the file"`
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"yes" description:"rules"`
+	} `positional-args:"yes"`
+}
+
+// Execute puts the rules of the file in force.
+func (c *putCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	src, err := readFile(c.Args.File, match.MaxFile)
+	if err != nil {
+		return err
+	}
+	file, err := match.Parse(src)
+	if err != nil {
+		return kinds.Wrap(kinds.Of(err), err, c.Args.File)
+	}
+	if len(file.Rules) == 0 && !c.All {
+		return kinds.New(kinds.Malformed, c.Args.File+" holds no rule")
+	}
+	at, err := c.place.place()
+	if err != nil {
+		return err
+	}
+	return c.save(func(cur *force.Record, e force.Edit) (*force.Record, error) {
+		if c.All {
+			return force.Replace(cur, e, file.Rules)
+		}
+		return putAll(cur, e, file.Rules, at)
+	})
+}
+
+// putAll makes one revision out of several rules, which keep their order in the
+// file.
+func putAll(cur *force.Record, e force.Edit, rules []match.Rule, at force.Place) (*force.Record, error) {
+	rules = slices.Clone(rules)
+	if at.First {
+		slices.Reverse(rules)
+	}
+	next := cur
+	for _, r := range rules {
+		var err error
+		if next, err = force.Put(next, e, r, at); err != nil {
+			return nil, err
+		}
+		e.Seen = next.Rev
+	}
+	next.Rev = 1
+	if cur != nil {
+		next.Rev = cur.Rev + 1
+	}
+	return next, nil
+}
+
+type moveCmd struct {
+	edit
+	place
+	Args struct {
+		Name string `positional-arg-name:"RULE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute moves the rule.
+func (c *moveCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	at, err := c.place.place()
+	if err != nil {
+		return err
+	}
+	if at == (force.Place{}) {
+		return kinds.New(kinds.BadRequest, "say where: --first, --last or --before RULE")
+	}
+	return c.save(func(cur *force.Record, e force.Edit) (*force.Record, error) {
+		return force.Move(cur, e, c.Args.Name, at)
+	})
+}
+
+type retireCmd struct {
+	edit
+	Args struct {
+		Name string `positional-arg-name:"RULE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute retires the rule.
+func (c *retireCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	return c.save(func(cur *force.Record, e force.Edit) (*force.Record, error) {
+		return force.Retire(cur, e, c.Args.Name)
+	})
+}
+
+type historyCmd struct {
+	target
+	app *app
+	N   int `short:"n" default:"20" value-name:"N" description:"how many revisions"`
+}
+
+// Execute lists the revisions.
+func (c *historyCmd) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	s, err := c.open(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	all, err := save.History(s.ctx, s.store, c.N)
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(c.app.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "REV\tAT\tBY\tRULES\tNOTE")
+	for _, r := range all {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%s\n", r.Rev, r.At.UTC().Format(time.DateTime), r.Author, len(r.Rules), r.Note)
+	}
+	return t.Flush()
+}
--- a/internal/audit/report/report.go
+++ b/internal/audit/report/report.go
@@ -134,7 +134,7 @@
 		return false
 	case q.Server != "" && d.Server != q.Server && d.Former != q.Server:
 		return false
-	case q.Sort != "" && d.Sort != q.Sort && !(q.Sort == record.Route && d.Sort == record.Accept):
+	case q.Sort != "" && d.Sort != q.Sort && (q.Sort != record.Route || d.Sort != record.Accept):
 		return false
 	}
 	return q.Key == "" || q.aboutKey(d)
