edge/daemon: a whole entry VM, from callers to seats, wired by fx

Cause: the parts of the path existed and nothing ran them together. keeper runs a seat per backend server over the store, the servers' control side and the peers, and checks each order's authority once more before it is sent; news follows rules and tables; warden watches VMs and servers; doors are the HTTP listeners, with /ready, /live, /status and /metrics.

--- /dev/null
+++ b/internal/edge/daemon/doors.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/audit/ledger"
+	"hawthornfield.org/hawthornfield/internal/audit/once"
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/front"
+	"hawthornfield.org/hawthornfield/internal/edge/keeper"
+	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// faces are the parts that the front end is made of.
+type faces struct {
+	fx.In
+	State   *state.State
+	Relay   *relay.Relay
+	Record  *record.Writer
+	Meter   *meter.Meter
+	Claims  *once.Guard
+	Journal *ledger.Journal
+	Control server.Control
+	// The keeper, the news and the warden are made before the front, so that
+	// they stop after it: what is in flight needs them to the end.
+	Warden *warden
+}
+
+func newFront(lc fx.Lifecycle, cfg config.Config, a faces) *front.Front {
+	c := newCanceler(a.State, a.Control)
+	closes(lc, c)
+	return &front.Front{
+		VM: cfg.VM, Centre: cfg.Centre, Limit: cfg.Limit, State: a.State, Relay: a.Relay,
+		Record: a.Record, Meter: a.Meter, Claims: a.Claims, Keep: a.Journal, Cancel: c,
+	}
+}
+
+// door is one HTTP listener.
+type door struct {
+	web  *http.Server
+	l    net.Listener
+	done group.Group
+}
+
+func (d *door) open(at netip.AddrPort) error {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		return kinds.Wrap(kinds.Down, err, "listen on "+at.String())
+	}
+	d.l = l
+	d.done.Go(func(context.Context) error {
+		if err := d.web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+func (d *door) addr() netip.AddrPort {
+	if d.l == nil {
+		return netip.AddrPort{}
+	}
+	return d.l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// shut stops accepting, waits for what is in flight until ctx ends, and then
+// breaks off what is left.
+func (d *door) shut(ctx context.Context) error {
+	err := d.web.Shutdown(ctx)
+	if err != nil {
+		_ = d.web.Close()
+		err = kinds.Wrap(kinds.Late, err, "requests were still in flight")
+	}
+	if e := d.done.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// doors are the listeners for callers and operators.
+type doors struct {
+	in        doorParts
+	cfg       config.Config
+	notice    time.Duration
+	callers   door
+	operators door
+}
+
+type doorParts struct {
+	fx.In
+	Front   *front.Front
+	State   *state.State
+	Keeper  *keeper.Keeper
+	Record  *record.Writer
+	Journal *ledger.Journal
+	Peers   *peers
+	Meter   *meter.Meter
+	Log     *slog.Logger
+}
+
+func newDoors(lc fx.Lifecycle, cfg config.Config, o *options, a doorParts) *doors {
+	d := &doors{in: a, cfg: cfg, notice: o.notice}
+	quiet := slog.NewLogLogger(a.Log.Handler(), slog.LevelDebug)
+	d.callers.web = &http.Server{
+		Handler: a.Front.Handler(), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
+		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
+	}
+	d.operators.web = &http.Server{
+		Handler: d.routes(o.routes), ReadHeaderTimeout: cfg.Limit.Slow.Duration, ErrorLog: quiet,
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return d.operators.open(cfg.Listen.Operators) },
+		OnStop:  d.operators.shut,
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return d.callers.open(cfg.Listen.Callers) },
+		OnStop:  d.retire,
+	})
+	return d
+}
+
+// retire takes leave of callers: say not ready, let the balancer notice while
+// everything is still served, stop accepting, finish what is in flight.
+func (d *doors) retire(ctx context.Context) error {
+	d.in.Front.Closing()
+	d.in.Log.Info("shutting down", "flying", d.in.Front.Flying(), "notice", d.notice)
+	sleep(ctx, d.notice)
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Limit.Drain.Duration)
+	defer cancel()
+	return d.callers.shut(ctx)
+}
--- /dev/null
+++ b/internal/edge/daemon/peers.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/peer/certs"
+	"hawthornfield.org/hawthornfield/internal/peer/link"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// reloadEvery is how often the files of keys and certificates are read again.
+const reloadEvery = 5 * time.Second
+
+// peers is the exchange with other entry VMs. Without keys in the settings
+// there is none, and the VM works alone.
+type peers struct {
+	node   atomic.Pointer[link.Node] // nil before the start, and without keys
+	group  group.Group
+	log    *slog.Logger
+	onSeat func(from ident.VM, body []byte) error
+}
+
+func newPeers(lc fx.Lifecycle, cfg config.Config, o *options, log *slog.Logger) (*peers, error) {
+	p := &peers{log: log}
+	pem, err := credentials(cfg.Certs, o)
+	if err != nil || pem == nil {
+		return p, err
+	}
+	store := &certs.Store{}
+	if err := store.Load(*pem); err != nil {
+		return nil, err
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			node, err := link.New(link.Options{
+				Self: cfg.VM, Addr: cfg.Listen.Peers, Certs: store, Handle: p.handle, Log: log,
+			})
+			if err != nil {
+				return err
+			}
+			p.node.Store(node)
+			if o.pem == nil {
+				p.group.Go(func(ctx context.Context) error { return p.reload(ctx, cfg.Certs, store, *pem) })
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error { return p.close() },
+	})
+	return p, nil
+}
+
+func (p *peers) close() error {
+	err := p.group.Close()
+	if node := p.node.Load(); node != nil {
+		if e := node.Close(); err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (p *peers) addr() netip.AddrPort {
+	node := p.node.Load()
+	if node == nil {
+		return netip.AddrPort{}
+	}
+	return node.Listening()
+}
+
+// handle takes a message of a peer. One that makes no sense is logged and
+// changes nothing.
+func (p *peers) handle(from ident.VM, k link.Kind, body []byte) {
+	err := kinds.New(kinds.Malformed, "unknown kind of message")
+	if k == link.Seat && p.onSeat != nil {
+		err = p.onSeat(from, body)
+	}
+	if err != nil {
+		p.log.Warn("peer message", "vm", from, "kind", k, "err", err)
+	}
+}
+
+// Send sends a seat message that should arrive.
+func (p *peers) Send(to ident.VM, body []byte) {
+	if node := p.node.Load(); node != nil {
+		node.Send(to, link.Seat, body)
+	}
+}
+
+// Cast sends a seat message that is stale when it is late.
+func (p *peers) Cast(to ident.VM, body []byte) {
+	if node := p.node.Load(); node != nil {
+		node.Cast(to, link.Seat, body)
+	}
+}
+
+// set connects to the live VMs of the list.
+func (p *peers) set(list []vmlist.VM) {
+	node := p.node.Load()
+	if node == nil {
+		return
+	}
+	all := make([]link.Peer, 0, len(list))
+	for _, vm := range list {
+		if vm.State == vmlist.Live && vm.Addr.IsValid() {
+			all = append(all, link.Peer{ID: vm.ID, Addr: vm.Addr})
+		}
+	}
+	node.SetPeers(all)
+}
+
+func (p *peers) connected() []ident.VM {
+	node := p.node.Load()
+	if node == nil {
+		return nil
+	}
+	return node.Connected()
+}
+
+func credentials(c config.Certs, o *options) (*certs.PEM, error) {
+	if o.pem != nil {
+		return o.pem, nil
+	}
+	if c.Cert == "" {
+		return nil, nil
+	}
+	return readPEM(c)
+}
+
+// readPEM reads each part from its file, or takes it as it stands.
+func readPEM(c config.Certs) (*certs.PEM, error) {
+	var p certs.PEM
+	for _, part := range []struct {
+		from string
+		to   *[]byte
+	}{{c.Cert, &p.Cert}, {c.Key, &p.Key}, {c.CA, &p.CA}} {
+		if strings.Contains(part.from, "-----BEGIN") {
+			*part.to = []byte(part.from)
+			continue
+		}
+		b, err := os.ReadFile(part.from)
+		if err != nil {
+			return nil, kinds.Wrap(kinds.Absent, err, "read keys and certificates")
+		}
+		*part.to = b
+	}
+	return &p, nil
+}
+
+// reload puts changed files in force. Files that do not fit together, as in the
+// moment between replacing one and the other, are tried again.
+func (p *peers) reload(ctx context.Context, c config.Certs, store *certs.Store, last certs.PEM) error {
+	for ctx.Err() == nil {
+		sleep(ctx, reloadEvery)
+		now, err := readPEM(c)
+		if err == nil && same(*now, last) {
+			continue
+		}
+		if err == nil {
+			err = store.Load(*now)
+		}
+		if err != nil {
+			p.log.Warn("keys and certificates not reloaded", "err", err)
+			continue
+		}
+		last = *now
+		p.log.Info("keys and certificates reloaded")
+	}
+	return nil
+}
+
+func same(a, b certs.PEM) bool {
+	return string(a.Cert) == string(b.Cert) && string(a.Key) == string(b.Key) && string(a.CA) == string(b.CA)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/edge/daemon/wire.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/audit/ledger"
+	"hawthornfield.org/hawthornfield/internal/audit/once"
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/edge/keeper"
+	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/news"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/lease"
+	"hawthornfield.org/hawthornfield/internal/plat/objcli"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/srvcli"
+	"hawthornfield.org/hawthornfield/internal/plat/vmcli"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// provided lists the parts. fx stops them in the reverse of the order in which
+// they are made, which follows from who needs whom: the callers' door closes
+// first, the journal among the last.
+func provided() []any {
+	return []any{
+		newLog, newStore, newVMs, newControl, newMeter, newJournal, newRecord, newClaims,
+		newState, newRelay, newPeers, newKeeper, newNews, newWarden, newFront, newDoors,
+	}
+}
+
+func newLog(o *options) *slog.Logger { return o.log }
+
+func newStore(o *options, cfg config.Config) object.Store {
+	if o.store != nil {
+		return o.store
+	}
+	return objcli.New(cfg.Platform.Objects)
+}
+
+func newVMs(o *options, cfg config.Config) vmlist.Lister {
+	if o.vms != nil {
+		return o.vms
+	}
+	return vmcli.New(cfg.Platform.VMs)
+}
+
+func newControl(o *options) server.Control {
+	if o.control != nil {
+		return o.control
+	}
+	return &srvcli.Client{}
+}
+
+// closer is a part that is closed when the daemon stops.
+type closer interface{ Close() error }
+
+func closes(lc fx.Lifecycle, c closer) {
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+}
+
+func newMeter(lc fx.Lifecycle, cfg config.Config) *meter.Meter {
+	m := meter.New(cfg.VM)
+	closes(lc, m)
+	return m
+}
+
+func newJournal(lc fx.Lifecycle, cfg config.Config, store object.Store, log *slog.Logger) *ledger.Journal {
+	j := ledger.Open(store, ledger.LogPath(cfg.VM), ledger.WithLog(log), ledger.WithLimits(ledger.Limits{
+		Batch: cfg.Journal.Batch, Rate: cfg.Journal.Rate, Window: cfg.Journal.Window,
+		Buffer: cfg.Journal.Buffer, Call: cfg.Platform.Timeout.Duration,
+	}))
+	closes(lc, j)
+	return j
+}
+
+func newRecord(lc fx.Lifecycle, cfg config.Config, o *options, j *ledger.Journal) *record.Writer {
+	opts := []record.Option{record.WithRing(cfg.Journal.Ring), record.WithSink(j)}
+	for _, s := range o.sinks {
+		opts = append(opts, record.WithSink(s))
+	}
+	if !cfg.Log.Decisions {
+		opts = append(opts, record.WithoutLines())
+	}
+	w := record.New(cfg.VM, o.log, opts...)
+	closes(lc, w)
+	return w
+}
+
+func newClaims(lc fx.Lifecycle, cfg config.Config, store object.Store, log *slog.Logger) *once.Guard {
+	g := once.New(store, cfg.VM, log)
+	closes(lc, g)
+	return g
+}
+
+func newState(lc fx.Lifecycle, cfg config.Config) *state.State {
+	s := state.New(cfg.Services)
+	for name, svc := range s.Services() {
+		svc.Gate = gate.New(gate.Config{Service: name, Queue: cfg.Limit.Queue, Deadline: cfg.Limit.Request.Duration})
+		svc.Gate.SetServers(infos(svc, nil))
+		closes(lc, svc.Gate)
+	}
+	return s
+}
+
+func newRelay(lc fx.Lifecycle, cfg config.Config) *relay.Relay {
+	r := relay.New(relay.Config{Dial: cfg.Limit.Dial.Duration, Idle: cfg.Limit.Idle.Duration})
+	closes(lc, r)
+	return r
+}
+
+// leaveWait is how long handing over the seats may take.
+const leaveWait = 3 * time.Second
+
+// hands are the parts that the keeper works with.
+type hands struct {
+	fx.In
+	State   *state.State
+	Store   object.Store
+	Control server.Control
+	Peers   *peers
+	Record  *record.Writer
+	Log     *slog.Logger
+}
+
+func newKeeper(lc fx.Lifecycle, cfg config.Config, o *options, a hands) (*keeper.Keeper, error) {
+	times := timesOf(cfg.Lease)
+	if err := times.Check(); err != nil {
+		return nil, err
+	}
+	k := keeper.New(keeper.Options{
+		VM: cfg.VM, State: a.State, Store: a.Store, Control: a.Control, Peers: a.Peers, Times: times,
+		Plan: o.plan, Record: a.Record, Log: a.Log,
+	})
+	a.Peers.onSeat = k.Handle
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, leaveWait)
+		defer cancel()
+		k.Leave(ctx)
+		return k.Close()
+	}})
+	return k, nil
+}
+
+func timesOf(l config.Lease) lease.Times {
+	const perMille = 1000
+	t := lease.Default()
+	t.TTL, t.Renew, t.Beat = l.TTL.Duration, l.Renew.Duration, l.Beat.Duration
+	t.Silent, t.Margin, t.Term = l.Silent.Duration, l.Margin.Duration, l.Term.Duration
+	t.Drift = int(l.Drift*perMille + 0.5)
+	return t
+}
+
+func newNews(lc fx.Lifecycle, cfg config.Config, a hands, k *keeper.Keeper) *news.News {
+	n := news.New(news.Options{
+		Store: a.Store, Book: &a.State.Rules, Tables: k.Table, Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
+	})
+	closes(lc, n)
+	return n
+}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -14,6 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 )
 
@@ -110,7 +111,7 @@
 }
 
 var (
-	errNoRules  = kinds.New(kinds.Down, "no rules are loaded yet")
+	errNoRules  = kinds.New(kinds.Down, "this VM may not answer: it cannot know the rules in force")
 	errNoRule   = kinds.New(kinds.NoRule, "no rule matches")
 	errDenied   = kinds.New(kinds.Denied, "a rule denies the request")
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
@@ -120,10 +121,11 @@
 
 // route matches the rule and reads the key.
 func (x *exchange) route() error {
-	rules, ok := x.f.State.Rules()
-	if !ok {
+	book := &x.f.State.Rules
+	if book.State() != force.Serve {
 		return errNoRules
 	}
+	rules, ok := book.Current(), false
 	x.note.Rev = rules.Rev
 	req := match.Request{
 		Service: ident.Service(x.r.Header.Get(relay.HeaderService)),
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -111,6 +111,9 @@
 // notice, and whoever it sends until then must not be turned away.
 func (f *Front) Closing() { f.closing.Store(true) }
 
+// IsClosing reports whether Closing was called.
+func (f *Front) IsClosing() bool { return f.closing.Load() }
+
 // Flying counts the requests in flight.
 func (f *Front) Flying() int { return int(f.flying.Load()) }
 
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -26,6 +26,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 )
 
@@ -141,7 +142,8 @@
 	if err != nil {
 		panic(err)
 	}
-	w.state.SetRules(&state.Rules{Rev: rev, Set: set})
+	w.state.Rules.Apply(&force.Snapshot{Record: &force.Record{Rev: rev}, Set: set})
+	w.state.Rules.SetState(force.Serve)
 }
 
 // owner gives every slice of the divided service to one server, which gets a
--- /dev/null
+++ b/internal/edge/keeper/assign.go
@@ -0,0 +1,94 @@
+package keeper
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// Assign picks the VM that should hold a server's seat and the one that should
+// be its deputy, out of the live VMs, by rendezvous hashing: every VM computes
+// the same, and when one VM comes or goes only its own seats change.
+//
+// Both stand in another data centre than the server where that is possible, so
+// that the loss of one data centre never takes a server and its authority
+// together; and in two different data centres where that is possible too.
+func Assign(svc ident.Service, srv ident.Server, centre ident.Centre, live []vmlist.VM) (lead, deputy ident.VM) {
+	first := best(svc, srv, live, func(vm vmlist.VM) int {
+		if vm.Centre == centre {
+			return 1
+		}
+		return 0
+	})
+	if first == nil {
+		return "", ""
+	}
+	second := best(svc, srv, live, func(vm vmlist.VM) int {
+		switch {
+		case vm.ID == first.ID:
+			return skip
+		case vm.Centre != centre && vm.Centre != first.Centre:
+			return 0
+		case vm.Centre != centre:
+			return 1
+		}
+		return 2
+	})
+	if second == nil {
+		return first.ID, ""
+	}
+	return first.ID, second.ID
+}
+
+// skip excludes a VM in best.
+const skip = -1
+
+// best returns the VM of the lowest rank, and among those the one with the
+// highest hash.
+func best(svc ident.Service, srv ident.Server, live []vmlist.VM, rank func(vmlist.VM) int) *vmlist.VM {
+	var found *vmlist.VM
+	var foundRank int
+	var foundHash uint64
+	for i := range live {
+		r := rank(live[i])
+		if r == skip {
+			continue
+		}
+		h := xxhash.Sum64String(string(svc) + "\x00" + string(srv) + "\x00" + string(live[i].ID))
+		if found == nil || r < foundRank || r == foundRank && h > foundHash {
+			found, foundRank, foundHash = &live[i], r, h
+		}
+	}
+	return found
+}
+
+// Spread is the simplest planner: every key of a server that leaves goes to the
+// usable server that then owns the fewest slices.
+func Spread(_ *state.Service, tab table.Table, from ident.Server, usable []ident.Server) []table.Move {
+	if len(usable) == 0 {
+		return nil
+	}
+	owned := map[ident.Server]int{}
+	for x := range ident.Slice(tab.Slices()) {
+		owned[tab.OwnerOf(x)]++
+	}
+	next := func() ident.Server {
+		to := slices.MinFunc(usable, func(a, b ident.Server) int { return owned[a] - owned[b] })
+		owned[to]++
+		return to
+	}
+	set := tab.SetOf(from)
+	moves := make([]table.Move, 0, len(set.Slices)+len(set.Keys))
+	for _, x := range set.Slices {
+		moves = append(moves, table.Move{Slice: x, To: next()})
+	}
+	for _, key := range set.Keys {
+		moves = append(moves, table.Move{Key: key, To: next()})
+	}
+	return moves
+}
--- /dev/null
+++ b/internal/edge/keeper/keeper.go
@@ -0,0 +1,286 @@
+// Package keeper runs the authority over backend servers on one entry VM: a
+// seat for each server of each divided service, joined to the object API, to
+// the servers' control side and to the other entry VMs.
+//
+// The decisions are owner/seat's. What is added here are the effects, and one
+// rule about them: the authority behind an order is checked once more on this
+// process's clock immediately before the order is sent. A process that was
+// paused between deciding and sending would otherwise give an order that its
+// successor knows nothing of.
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/lease"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// Sender carries seat messages to other entry VMs. It never waits; a message
+// may be lost.
+type Sender interface {
+	// Send is for messages that should arrive, Cast for those that are stale
+	// when they are late.
+	Send(to ident.VM, body []byte)
+	Cast(to ident.VM, body []byte)
+}
+
+// Planner says where the keys of a server should go. It is asked off the
+// request path and may take tens of milliseconds.
+type Planner func(svc *state.Service, tab table.Table, from ident.Server, usable []ident.Server) []table.Move
+
+// Recorder takes placement decisions, as *record.Writer does.
+type Recorder interface {
+	Record(d record.Decision) bool
+}
+
+// Options are what a keeper needs. VM, State, Store, Control and Peers are
+// required.
+type Options struct {
+	VM      ident.VM
+	State   *state.State
+	Store   object.Store
+	Control server.Control
+	Peers   Sender
+	Times   lease.Times // zero: lease.Default()
+	Plan    Planner     // nil: Spread
+	Record  Recorder
+	Log     *slog.Logger
+	// Tables is told of each table that this VM wrote or read anew.
+	Tables func(table.Table)
+}
+
+// Keeper runs the seats of one VM. Make one with New.
+type Keeper struct {
+	Options
+	group  group.Group
+	effect group.Group
+
+	seats map[seatName]*chair
+	books map[ident.Service]*book
+
+	mu    sync.Mutex
+	alive map[ident.Server]bool // servers that may be given keys
+	gone  map[ident.VM]bool
+	left  sync.WaitGroup
+}
+
+type seatName struct {
+	svc ident.Service
+	srv ident.Server
+}
+
+// chair is one seat at work.
+type chair struct {
+	seatName
+	svc  *state.Service
+	cfg  *serverAt
+	loop *loop.Loop
+	once sync.Once // for left
+}
+
+// New starts the seats. Nothing is sent before SetVMs says who leads which.
+func New(o Options) *Keeper {
+	if o.Times == (lease.Times{}) {
+		o.Times = lease.Default()
+	}
+	if o.Plan == nil {
+		o.Plan = Spread
+	}
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	k := &Keeper{
+		Options: o,
+		seats:   map[seatName]*chair{},
+		books:   map[ident.Service]*book{},
+		alive:   map[ident.Server]bool{},
+		gone:    map[ident.VM]bool{},
+	}
+	for name, svc := range o.State.Services() {
+		if svc.Divided {
+			k.addService(name, svc)
+		}
+	}
+	for name, b := range k.books {
+		k.group.Go(func(ctx context.Context) error { return k.bootstrap(ctx, name, b) })
+	}
+	return k
+}
+
+func (k *Keeper) addService(name ident.Service, svc *state.Service) {
+	k.books[name] = &book{svc: svc}
+	for i := range svc.Servers {
+		cfg := &svc.Servers[i]
+		at := &serverAt{name: cfg.Name, control: cfg.Control, centre: cfg.Centre}
+		c := &chair{seatName: seatName{name, cfg.Name}, svc: svc, cfg: at}
+		model := seat.New(seat.Config{
+			Self: k.VM, Service: name, Server: cfg.Name, Checks: svc.Checks, Times: k.Times,
+		})
+		k.left.Add(1)
+		c.loop = loop.New(model, loop.RunnerFunc(func(ctx context.Context, cmd loop.Cmd, send func(loop.Msg)) {
+			k.run(ctx, c, cmd, send)
+		}))
+		k.seats[c.seatName] = c
+	}
+}
+
+// Close stops all seats without handing over: call Leave first.
+func (k *Keeper) Close() error {
+	err := k.group.Close()
+	for _, c := range k.seats {
+		if e := c.loop.Close(); err == nil {
+			err = e
+		}
+	}
+	if e := k.effect.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// Leave hands every seat over and waits for it, at most until ctx ends.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.tell(seat.LeaveMsg{})
+	done := make(chan struct{})
+	k.effect.Go(func(context.Context) error {
+		k.left.Wait()
+		close(done)
+		return nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		// The seats that have not answered are closed with the loops; their
+		// waiting duty must end with them.
+		for _, c := range k.seats {
+			c.once.Do(k.left.Done)
+		}
+	}
+}
+
+func (k *Keeper) tell(msg loop.Msg) {
+	for _, c := range k.seats {
+		c.loop.Send(msg)
+	}
+}
+
+// SetVMs assigns the seats to the live VMs, and passes on which VMs are gone.
+func (k *Keeper) SetVMs(list []vmlist.VM) {
+	var live []vmlist.VM
+	for _, vm := range list {
+		switch vm.State {
+		case vmlist.Live:
+			live = append(live, vm)
+		case vmlist.Gone:
+			k.markGone(vm.ID)
+		}
+	}
+	for _, c := range k.seats {
+		lead, deputy := Assign(c.svc.Name, c.srv, c.cfg.centre, live)
+		if deputy == k.VM {
+			deputy = lead // for a seat that this VM still holds from before
+		}
+		c.loop.Send(seat.PlanMsg{Lead: lead == k.VM, Deputy: deputy})
+	}
+}
+
+func (k *Keeper) markGone(vm ident.VM) {
+	k.mu.Lock()
+	known := k.gone[vm]
+	k.gone[vm] = true
+	k.mu.Unlock()
+	if !known {
+		k.tell(seat.GoneMsg{VM: vm})
+	}
+}
+
+// Suspect passes on that a VM seems frozen, cut off or lost.
+func (k *Keeper) Suspect(vm ident.VM) { k.tell(seat.SuspectMsg{VM: vm}) }
+
+// Drain moves all keys away from a backend server, or takes that back.
+func (k *Keeper) Drain(svc ident.Service, srv ident.Server, on bool) {
+	c, ok := k.seats[seatName{svc, srv}]
+	if !ok {
+		return
+	}
+	if on {
+		c.loop.Send(seat.DrainMsg{})
+		return
+	}
+	c.loop.Send(seat.UndrainMsg{})
+}
+
+// Move asks the holder of a server's seat to give keys away. Other VMs ignore
+// it, so any VM may be told.
+func (k *Keeper) Move(svc ident.Service, from ident.Server, moves []table.Move) {
+	if c, ok := k.seats[seatName{svc, from}]; ok {
+		c.loop.Send(seat.MoveMsg{Moves: moves})
+	}
+}
+
+// SetAlive says whether a server may be given keys: it answers, and does not
+// leave.
+func (k *Keeper) SetAlive(srv ident.Server, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.alive[srv] = ok
+}
+
+// usable lists the servers of a service that may be given keys, without one.
+func (k *Keeper) usable(svc *state.Service, not ident.Server) []ident.Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var all []ident.Server
+	for _, s := range svc.Servers {
+		if up, known := k.alive[s.Name]; s.Name != not && (up || !known) {
+			all = append(all, s.Name)
+		}
+	}
+	return all
+}
+
+// Status is one seat's state, for operators.
+type Status struct {
+	Service ident.Service `json:"service"`
+	Server  ident.Server  `json:"server"`
+	seat.Status
+}
+
+// Status lists the seats of this VM.
+func (k *Keeper) Status() []Status {
+	all := make([]Status, 0, len(k.seats))
+	for _, c := range k.seats {
+		m := c.loop.Model().(seat.Seat)
+		all = append(all, Status{Service: c.seatName.svc, Server: c.srv, Status: m.Status()})
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		return strings.Compare(string(a.Service)+"/"+string(a.Server), string(b.Service)+"/"+string(b.Server))
+	})
+	return all
+}
+
+// Holds counts the seats that this VM holds.
+func (k *Keeper) Holds() int {
+	n := 0
+	for _, c := range k.seats {
+		if _, ok := c.loop.Model().(seat.Seat).Holds(time.Now()); ok {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/edge/keeper/post.go
@@ -0,0 +1,89 @@
+package keeper
+
+import (
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+)
+
+// letter is a seat message on its way between entry VMs: the seat, and exactly
+// one message.
+type letter struct {
+	Svc     ident.Service    `cbor:"svc"`
+	Srv     ident.Server     `cbor:"srv"`
+	Beat    *seat.BeatMsg    `cbor:"beat,omitempty"`
+	Ask     *seat.AskMsg     `cbor:"ask,omitempty"`
+	Yield   *seat.YieldMsg   `cbor:"yield,omitempty"`
+	Yielded *seat.YieldedMsg `cbor:"did,omitempty"`
+}
+
+// post sends a seat's message. Beats and the questions that answer them are
+// stale when they are late, so they do not queue behind anything.
+func (k *Keeper) post(name seatName, cmd seat.SendCmd) {
+	l := letter{Svc: name.svc, Srv: name.srv}
+	cast := false
+	switch m := cmd.Msg.(type) {
+	case seat.BeatMsg:
+		l.Beat, cast = &m, true
+	case seat.AskMsg:
+		l.Ask, cast = &m, true
+	case seat.YieldMsg:
+		l.Yield = &m
+	case seat.YieldedMsg:
+		l.Yielded = &m
+	}
+	b, err := wire.Encode(l)
+	if err != nil {
+		k.Log.Error("seat message", "err", err)
+		return
+	}
+	if cast {
+		k.Peers.Cast(cmd.To, b)
+		return
+	}
+	k.Peers.Send(cmd.To, b)
+}
+
+// Handle takes a message from another entry VM. The sender is whom the peer's
+// certificate names. Kind Malformed means that the message made no sense; it
+// changed nothing.
+func (k *Keeper) Handle(from ident.VM, body []byte) error {
+	var l letter
+	if err := wire.Decode(body, &l); err != nil {
+		return err
+	}
+	msg, n := l.open(from)
+	if n != 1 {
+		return kinds.New(kinds.Malformed, "not exactly one seat message")
+	}
+	c, ok := k.seats[seatName{l.Svc, l.Srv}]
+	if !ok {
+		return kinds.New(kinds.Absent, "no such seat here")
+	}
+	c.loop.Send(msg)
+	return nil
+}
+
+// open returns the message, signed with its true sender, and how many there
+// were.
+func (l *letter) open(from ident.VM) (msg loop.Msg, n int) {
+	if l.Beat != nil {
+		l.Beat.From = from
+		msg, n = *l.Beat, n+1
+	}
+	if l.Ask != nil {
+		l.Ask.From = from
+		msg, n = *l.Ask, n+1
+	}
+	if l.Yield != nil {
+		l.Yield.From = from
+		msg, n = *l.Yield, n+1
+	}
+	if l.Yielded != nil {
+		l.Yielded.From = from
+		msg, n = *l.Yielded, n+1
+	}
+	return msg, n
+}
--- /dev/null
+++ b/internal/edge/keeper/tables.go
@@ -0,0 +1,167 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Pauses between attempts at the store that failed.
+const (
+	firstPause = 100 * time.Millisecond
+	lastPause  = 2 * time.Second
+)
+
+// book is what this VM knows of one service's table.
+type book struct {
+	svc *state.Service
+
+	mu  sync.Mutex
+	rev ident.Revision
+	ver object.Version
+}
+
+// newer notes a table and reports whether it is news.
+func (b *book) newer(rev ident.Revision, ver object.Version) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rev < b.rev || rev == b.rev && (ver == 0 || ver == b.ver) {
+		return false
+	}
+	b.rev, b.ver = rev, ver
+	return true
+}
+
+// publish puts a table in place for the request path and tells the seats of its
+// service. A zero version means that a peer sent it.
+func (k *Keeper) publish(svc ident.Service, tab table.Table, ver object.Version) {
+	b, ok := k.books[svc]
+	if !ok || !b.newer(tab.Rev, ver) {
+		return
+	}
+	b.svc.SetView(table.NewView(tab))
+	for name, c := range k.seats {
+		if name.svc == svc {
+			c.loop.Send(seat.TableMsg{Table: tab, Version: ver})
+		}
+	}
+	if k.Tables != nil {
+		k.Tables(tab)
+	}
+}
+
+// Table takes a table that a watch or a peer brought; the version is that of
+// its object, zero when a peer sent it.
+func (k *Keeper) Table(tab table.Table, ver object.Version) { k.publish(tab.Service, tab, ver) }
+
+// seen takes a table that was read from the store.
+func (k *Keeper) seen(o object.Object) (table.Table, error) {
+	tab, err := table.Decode(o.Value)
+	if err != nil {
+		return tab, err
+	}
+	k.publish(tab.Service, tab, o.Version)
+	return tab, nil
+}
+
+// bootstrap makes sure that the service has a table, and that every server of
+// the settings has a row in it.
+func (k *Keeper) bootstrap(ctx context.Context, svc ident.Service, b *book) error {
+	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, lastPause) {
+		done, err := k.complete(ctx, svc, b)
+		if done {
+			return nil
+		}
+		if err != nil && kinds.Of(err) != kinds.Conflict {
+			k.Log.Debug("bootstrap of a table", "service", svc, "err", err)
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (k *Keeper) complete(ctx context.Context, svc ident.Service, b *book) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*k.Times.Store)
+	defer cancel()
+	o, err := k.Store.Get(ctx, tableObject(svc))
+	if kinds.Of(err) == kinds.Absent {
+		tab, err := FirstTable(b.svc)
+		if err != nil {
+			return false, err
+		}
+		return k.offer(ctx, svc, tab, 0)
+	}
+	if err != nil {
+		return false, err
+	}
+	tab, err := k.seen(o)
+	if err != nil {
+		return false, err
+	}
+	next, changed := join(tab, b.svc)
+	if !changed {
+		return true, nil
+	}
+	return k.offer(ctx, svc, next, o.Version)
+}
+
+func (k *Keeper) offer(ctx context.Context, svc ident.Service, tab table.Table, old object.Version) (bool, error) {
+	raw, err := tab.Encode()
+	if err != nil {
+		return false, err
+	}
+	v, err := k.Store.Put(ctx, tableObject(svc), raw, old)
+	if err != nil {
+		return false, err
+	}
+	k.publish(svc, tab, v)
+	return true, nil
+}
+
+// FirstTable is a service's first table: equal shares, in turn, so that
+// neighbouring slices lie on different servers.
+func FirstTable(svc *state.Service) (table.Table, error) {
+	names := make([]ident.Server, len(svc.Servers))
+	for i, s := range svc.Servers {
+		names[i] = s.Name
+	}
+	tab, err := table.New(svc.Name, svc.Slices, names...)
+	if err != nil || len(names) == 0 {
+		return tab, err
+	}
+	moves := make([]table.Move, svc.Slices)
+	for x := range moves {
+		moves[x] = table.Move{Slice: ident.Slice(x), To: names[x%len(names)]}
+	}
+	return tab.Assigned(moves...)
+}
+
+// join adds the servers of the settings that the table does not know.
+func join(tab table.Table, svc *state.Service) (table.Table, bool) {
+	changed := false
+	for _, s := range svc.Servers {
+		if _, known := tab.Row(s.Name); known {
+			continue
+		}
+		if next, err := tab.Added(s.Name); err == nil {
+			tab, changed = next, true
+		}
+	}
+	return tab, changed
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -17,18 +17,12 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
-	"hawthornfield.org/hawthornfield/internal/rules/match"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
 )
 
-// Rules are the rules in force and their revision.
-type Rules struct {
-	Rev ident.Revision
-	Set *match.Set
-}
-
 // State is one entry VM's view of the system. Make one with New.
 type State struct {
-	rules    atomic.Pointer[Rules]
+	Rules    force.Book
 	services map[ident.Service]*Service
 }
 
@@ -41,26 +35,6 @@
 	return s
 }
 
-// Rules returns the rules in force, and false before the first.
-func (s *State) Rules() (*Rules, bool) {
-	r := s.rules.Load()
-	return r, r != nil
-}
-
-// SetRules puts rules in force. An older revision than the present one is
-// refused: rules that were in force once must never come back.
-func (s *State) SetRules(r *Rules) bool {
-	for {
-		old := s.rules.Load()
-		if old != nil && old.Rev >= r.Rev {
-			return false
-		}
-		if s.rules.CompareAndSwap(old, r) {
-			return true
-		}
-	}
-}
-
 // Service finds a service by its name.
 func (s *State) Service(name ident.Service) (*Service, bool) {
 	svc, ok := s.services[name]
