load/bench: what callers receive, ours beside a naive policy

A discrete-event harness on its own clock: the gates of all entry VMs against fake servers with slots, a queue and shedding, at the users' sizes, the same arrivals and work for each policy. The naive policy takes servers in turn, queues without bound and retries at once.

Found while writing it: a probed server without requests kept the gate's timer running for ever (the harness did not end); only states that time alone changes ask for a tick now.

--- /dev/null
+++ b/internal/load/bench/all.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+)
+
+// RunAll plays every scene under both policies, several at a time, and returns
+// the rows in the order of the scenes, ours before naive.
+func RunAll(scenes []Scene, seed uint64) ([]Row, error) {
+	const atOnce = 4
+	results := make([][]Row, 2*len(scenes))
+	var g group.Group
+	var mu sync.Mutex
+	next := 0
+	for range atOnce {
+		g.Go(func(context.Context) error {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= len(results) {
+					return nil
+				}
+				results[i] = Run(scenes[i/2], Policy(i%2), seed)
+			}
+		})
+	}
+	err := g.Wait()
+	var rows []Row
+	for _, r := range results {
+		rows = append(rows, r...)
+	}
+	return rows, err
+}
+
+// Table writes rows as a Markdown table.
+func Table(w io.Writer, rows []Row) error {
+	const head = "| service | scene | window | policy | group | asked | in time | refused | unknown | p50 ms | p99 ms | p999 ms | refused within (p99) ms | goodput | imbalance | extra |\n" +
+		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
+	if _, err := io.WriteString(w, head); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		_, err := fmt.Fprintf(w, "| %s | %s | %d | %s | %s | %d | %.4f | %.4f | %.4f | %.1f | %.1f | %.1f | %.1f | %.3f | %.2f | %.3f |\n",
+			r.Service, r.Scene, r.Window, r.Policy, r.Group, r.Asked,
+			r.share(r.InTime), r.share(r.Refused), r.share(r.Unknown),
+			millis(r.P50), millis(r.P99), millis(r.P999), millis(r.RefuseP99),
+			r.Goodput, r.Imbalance, r.Extra)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Row) share(n int) float64 { return float64(n) / float64(max(r.Asked, 1)) }
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -268,11 +268,12 @@
 	c.panel.Judge(now, c.checked)
 }
 
-// unsettled reports whether some server is on its way back, or a queue is
-// still called standing.
+// unsettled reports whether time alone will change some server's state, or a
+// queue is still called standing. A probed server waits for requests, not for
+// the clock.
 func (c *Core) unsettled() bool {
 	for _, s := range c.servers {
-		if s.health.State() != health.OK {
+		if st := s.health.State(); st == health.Ejected || st == health.Ramping {
 			return true
 		}
 	}
--- a/internal/load/gate/types.go
+++ b/internal/load/gate/types.go
@@ -156,3 +156,11 @@
 	Latency time.Duration
 	State   string
 }
+
+// Again returns the job as a further attempt of the gate's own, which avoids
+// the server of the attempt before. [Pass.Retry] and [Pass.Hedge] do this
+// themselves; use it with a [Core].
+func (j Job) Again(avoid ident.Server) Job {
+	j.again, j.avoid = true, avoid
+	return j
+}
