Peer exchange: trees of pulses, comparisons, differences; measured to 520 VMs

Cause: a change must reach all of 520 VMs within 7 s while few of them watch the store, and no VM may spend more than 5 KB/s.

A store outage leaves no VM unsighted at 1, 2, 10 and 200 VMs with 2 % loss.

Without staggering, the loss of one watcher made watchers of all VMs at once; the test of it failed before and passes now for 5 to 24 VMs and one or two losses.

--- /dev/null
+++ b/internal/node/gossip/gossip_test.go
@@ -0,0 +1,385 @@
+package gossip
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/digest"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+var t0 = time.Date(2026, 10, 1, 6, 0, 0, 0, time.UTC)
+
+func peersOf(n int) []Peer {
+	out := make([]Peer, n)
+	for i := range out {
+		out[i] = Peer{VM: ident.VM("vm" + strconv.Itoa(i)), Centre: ident.Centre("dc" + strconv.Itoa(i%4))}
+	}
+	return out
+}
+
+func body(rev int) []byte {
+	b := make([]byte, 600)
+	for i := range b {
+		b[i] = byte(i * 31 / 7)
+	}
+	for i := range rev {
+		b[i*50%600] += byte(i + 1)
+	}
+	return b
+}
+
+func headOf(rev int) Head {
+	return Head{Name: "rules", Rev: ident.Revision(rev), Sum: digest.Of(body(rev))}
+}
+
+// net carries packets between models by hand.
+type net struct {
+	now   time.Time
+	nodes map[ident.VM]*Model
+	wire  []sent
+	cmds  map[ident.VM][]loop.Cmd
+}
+
+type sent struct {
+	from ident.VM
+	SendCmd
+}
+
+func newNet(n int) *net {
+	x := &net{now: t0, nodes: map[ident.VM]*Model{}, cmds: map[ident.VM][]loop.Cmd{}}
+	peers := peersOf(n)
+	for _, p := range peers {
+		x.nodes[p.VM] = New(t0, p)
+	}
+	for _, p := range peers {
+		x.tell(p.VM, PeersMsg{Live: peers})
+	}
+	return x
+}
+
+func (x *net) tell(vm ident.VM, msg loop.Msg) {
+	_, cmds := x.nodes[vm].Update(x.now, msg)
+	for _, c := range cmds {
+		if s, ok := c.(SendCmd); ok {
+			x.wire = append(x.wire, sent{from: vm, SendCmd: s})
+			continue
+		}
+		x.cmds[vm] = append(x.cmds[vm], c)
+	}
+}
+
+// deliver hands over packet i.
+func (x *net) deliver(i int, keep bool) {
+	s := x.wire[i]
+	if !keep {
+		x.wire = append(x.wire[:i:i], x.wire[i+1:]...)
+	}
+	if x.nodes[s.To] != nil {
+		x.tell(s.To, PacketMsg{From: s.from, Packet: s.Packet})
+	}
+}
+
+func (x *net) flush() {
+	for len(x.wire) > 0 {
+		x.deliver(0, false)
+	}
+}
+
+// run lets time pass in ticks and delivers everything.
+func (x *net) run(d time.Duration) {
+	for end := x.now.Add(d); x.now.Before(end); {
+		x.now = x.now.Add(Tick)
+		for i := range len(x.nodes) + 4 {
+			if vm := ident.VM("vm" + strconv.Itoa(i)); x.nodes[vm] != nil {
+				x.tell(vm, TickMsg{})
+			}
+		}
+		x.flush()
+	}
+}
+
+func (x *net) watchers() (n int) {
+	for _, m := range x.nodes {
+		if m.Watches() {
+			n++
+		}
+	}
+	return n
+}
+
+// A watcher's VM is lost and the list of VMs still shows it. Another steps in,
+// and only one: if all did, the store would be flooded just when a fault makes
+// its answers slow.
+func TestOneVMReplacesALostWatcher(t *testing.T) {
+	for n := 5; n <= 24; n++ {
+		for lose := 1; lose <= 2; lose++ {
+			x := newNet(n)
+			x.run(5 * time.Second)
+			assert.Equal(t, x.watchers(), Watchers)
+			for _, vm := range watchOrder(peersOf(n))[:lose] {
+				delete(x.nodes, vm)
+			}
+			most := 0
+			for range 60 {
+				x.run(Tick)
+				most = max(most, x.watchers())
+			}
+			assert.Equal(t, x.watchers(), Watchers, "%d VMs, %d lost", n, lose)
+			assert.Assert(t, most <= Watchers, "%d VMs, %d lost: %d watchers at one moment", n, lose, most)
+		}
+	}
+}
+
+func TestWatchersStandInDifferentCentres(t *testing.T) {
+	peers := peersOf(40)
+	centre := map[ident.VM]ident.Centre{}
+	for _, p := range peers {
+		centre[p.VM] = p.Centre
+	}
+	seen := map[ident.Centre]bool{}
+	for _, vm := range watchOrder(peers)[:Watchers] {
+		seen[centre[vm]] = true
+	}
+	assert.Equal(t, len(seen), Watchers)
+}
+
+// Every VM must be in each tree once, and have children in at most one of the
+// trees of the first roots: otherwise one lost VM would cut others off twice.
+func TestTreesReachAllAndShareNoInnerVM(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 10, 50, 200, 520} {
+		order := watchOrder(peersOf(n))
+		inner := map[ident.VM]int{}
+		for _, root := range order[:min(n, Watchers)] {
+			reached := map[ident.VM]int{root: 1}
+			for _, vm := range order {
+				tr := newTree(order, root, vm)
+				for _, c := range tr.children {
+					reached[c]++
+					assert.Equal(t, newTree(order, root, c).parent, vm)
+				}
+				if vm != root && len(tr.children) > 0 {
+					inner[vm]++
+				}
+			}
+			assert.Equal(t, len(reached), n)
+			for vm, times := range reached {
+				assert.Equal(t, times, 1, "%s", vm)
+			}
+		}
+		for vm, times := range inner {
+			assert.Assert(t, times <= 1, "%s has children in %d trees of %d", vm, times, n)
+		}
+	}
+}
+
+// A VM starts while the store is down. It gets the newest rules from its peers,
+// whole, and checks them against the digest that was announced.
+func TestANewVMGetsTheNewestFromPeersDuringAnOutage(t *testing.T) {
+	x := newNet(6)
+	for i := 1; i <= 3; i++ {
+		x.tell("vm0", ValueMsg{Name: "rules", Rev: ident.Revision(i), Raw: body(i)})
+		x.run(2 * time.Second)
+	}
+	fresh := Peer{VM: "vm6", Centre: "dc1"}
+	x.nodes["vm6"] = New(x.now, fresh)
+	x.tell("vm6", PeersMsg{Live: append(peersOf(6), fresh)})
+	x.flush()
+	h, ok := x.nodes["vm6"].Head("rules")
+	assert.Assert(t, ok)
+	assert.Equal(t, h, headOf(3))
+}
+
+// A peer answers with other bytes than it announced, by a fault of its memory or
+// its program. The receiver keeps what it has, asks for the whole value, and
+// then asks somebody else.
+func TestAValueThatDoesNotFitItsDigestIsRefused(t *testing.T) {
+	x := newNet(3)
+	x.run(time.Second)
+	x.tell("vm0", ValueMsg{Name: "rules", Rev: 1, Raw: body(1)})
+	x.run(3 * time.Second)
+	m := x.nodes["vm1"]
+	assert.Equal(t, m.values["rules"].Rev, ident.Revision(1))
+	h := headOf(2)
+	x.tell("vm1", PacketMsg{From: "vm2", Packet: Packet{Heads: &Heads{List: []Head{h}, Part: true}}})
+	assert.Equal(t, x.wire[0].Packet.Want.Have, ident.Revision(1))
+	x.wire = nil
+	x.tell("vm1", PacketMsg{From: "vm2", Packet: Packet{Give: &Give{Head: h, Base: 1, Diffs: [][]byte{{1}}}}})
+	assert.Equal(t, x.wire[0].Packet.Want.Have, ident.Revision(0))
+	x.wire = nil
+	x.tell("vm1", PacketMsg{From: "vm2", Packet: Packet{Give: &Give{Head: h, Raw: body(9)}}})
+	assert.Equal(t, m.values["rules"].Rev, ident.Revision(1))
+	x.now = x.now.Add(again)
+	x.tell("vm1", TickMsg{})
+	asked := ident.VM("")
+	for _, s := range x.wire {
+		if s.Packet.Want != nil {
+			asked = s.To
+		}
+	}
+	assert.Equal(t, asked, ident.VM("vm0"))
+}
+
+// Pulses are held back while a link is cut and all arrive when it heals, or a
+// paused process sends an old one. They must not make old news of the store look
+// fresh, or the receiver would go on answering under rules that have changed.
+func TestADelayedPulseIsNotFreshNews(t *testing.T) {
+	m := New(t0, peersOf(2)[1])
+	m.Update(t0, PeersMsg{Live: peersOf(2)})
+	seq := uint64(t0.UnixMilli())
+	pulse := func(at time.Duration) Packet {
+		return Packet{Pulse: &Pulse{Root: "vm0", Seq: seq + uint64(at/time.Millisecond), Sum: m.sum}}
+	}
+	m.Update(t0.Add(2*time.Millisecond), PacketMsg{From: "vm0", Packet: pulse(0)})
+	assert.Equal(t, m.storeAt, t0.Add(2*time.Millisecond))
+	m.Update(t0.Add(9*time.Second), PacketMsg{From: "vm0", Packet: pulse(2 * time.Second)})
+	assert.Assert(t, m.storeAt.Before(t0.Add(2100*time.Millisecond)), "%v", m.storeAt.Sub(t0))
+	s := m.sight(t0.Add(9 * time.Second)).(SightCmd)
+	assert.Assert(t, !s.Store)
+	m.Update(t0.Add(10*time.Second), PacketMsg{From: "vm0", Packet: pulse(9998 * time.Millisecond)})
+	assert.Assert(t, m.sight(t0.Add(10*time.Second)).(SightCmd).Store)
+}
+
+// A VM hears a few others but neither the store nor most VMs; the pulse of its
+// small group counts few, and that is what it must report.
+func TestAMinorityKnowsThatItIsOne(t *testing.T) {
+	x := newNet(9)
+	x.run(2 * time.Second)
+	for i := 3; i < 9; i++ {
+		delete(x.nodes, ident.VM("vm"+strconv.Itoa(i)))
+	}
+	x.run(12 * time.Second)
+	for vm := range x.nodes {
+		x.cmds[vm] = nil
+	}
+	x.run(2 * time.Second)
+	for vm := range x.nodes {
+		looked := false
+		for _, c := range x.cmds[vm] {
+			if s, ok := c.(SightCmd); ok {
+				looked = true
+				assert.Assert(t, !s.Store && 2*s.Heard <= s.Live, "%+v", s)
+			}
+		}
+		assert.Assert(t, looked)
+	}
+}
+
+// Two VMs each hold something newer than the other, after a cut between them.
+// One comparison brings both up to date, and the exchange then ends.
+func TestAProbeHelpsBothSides(t *testing.T) {
+	x := newNet(2)
+	x.flush()
+	x.tell("vm0", ValueMsg{Name: "rules", Rev: 1, Raw: body(1)})
+	x.tell("vm1", ValueMsg{Name: "table/a", Rev: 1, Raw: body(2)})
+	x.tell("vm0", ValueMsg{Name: "table/b", Rev: 1, Raw: body(3)})
+	assert.Equal(t, len(x.wire), 0)
+	x.tell("vm0", PacketMsg{From: "vm1", Packet: Packet{Probe: &Probe{Sum: x.nodes["vm1"].sum}}})
+	for range 20 {
+		if len(x.wire) > 0 {
+			x.deliver(0, false)
+		}
+	}
+	assert.Equal(t, len(x.wire), 0)
+	assert.Equal(t, x.nodes["vm0"].sum, x.nodes["vm1"].sum)
+	assert.Equal(t, len(x.nodes["vm0"].values), 3)
+}
+
+func TestLoadRowsTravelWithTheirAge(t *testing.T) {
+	x := newNet(4)
+	x.tell("vm2", ReportMsg{Rows: []Row{{Server: "s1", Slots: 4, Busy: 3}}})
+	x.run(2500 * time.Millisecond)
+	r := x.nodes["vm1"].rows["s1"]
+	assert.Equal(t, r.Busy, 3)
+	assert.Assert(t, r.at.Equal(t0), "%v", r.at.Sub(t0))
+	x.tell("vm1", PacketMsg{From: "vm3", Packet: Packet{Probe: &Probe{Rows: []Row{{Server: "s1", Busy: 9, Age: time.Minute}}}}})
+	assert.Equal(t, x.nodes["vm1"].rows["s1"].Busy, 3)
+}
+
+// Packets are lost, doubled and overtaken while revisions follow each other and
+// are read by different watchers at different times. What a VM holds is always
+// the content of a true revision, its revision only rises, and once packets
+// arrive again all VMs hold the newest.
+func TestRevisionsOnlyRiseAndAllVMsAgreeInTheEnd(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "vms")
+		x := newNet(n)
+		rev := 0
+		last := map[ident.VM]ident.Revision{}
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			vm := ident.VM("vm" + strconv.Itoa(rapid.IntRange(0, n-1).Draw(t, "vm")))
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what == 0:
+				rev++
+				x.tell(vm, ValueMsg{Name: "rules", Rev: ident.Revision(rev), Raw: body(rev)})
+			case what == 1 && rev > 0:
+				old := rapid.IntRange(1, rev).Draw(t, "old")
+				x.tell(vm, ValueMsg{Name: "rules", Rev: ident.Revision(old), Raw: body(old)})
+			case what <= 3:
+				x.now = x.now.Add(Tick)
+				x.tell(vm, TickMsg{})
+			case what == 4 && len(x.wire) > 0:
+				i := rapid.IntRange(0, len(x.wire)-1).Draw(t, "lost")
+				x.wire = append(x.wire[:i:i], x.wire[i+1:]...)
+			case len(x.wire) > 0:
+				x.deliver(rapid.IntRange(0, len(x.wire)-1).Draw(t, "packet"), what == 5)
+			}
+			for vm, m := range x.nodes {
+				h, ok := m.Head("rules")
+				if !ok {
+					continue
+				}
+				assert.Assert(t, h.Rev >= last[vm])
+				assert.Equal(t, h, headOf(int(h.Rev)))
+				last[vm] = h.Rev
+			}
+		}
+		x.wire = nil
+		x.run(8 * time.Second)
+		for vm, m := range x.nodes {
+			h, _ := m.Head("rules")
+			assert.Equal(t, int(h.Rev), rev, "%s", vm)
+		}
+	})
+}
+
+// FuzzPacket feeds what a peer may send into a VM: it must be refused or do no
+// harm, and never replace the rules by something that fits no digest.
+func FuzzPacket(f *testing.F) {
+	h := headOf(2)
+	for _, p := range []Packet{
+		{Pulse: &Pulse{Root: "vm0", Seq: 1 << 41, Sum: h.Sum, Age: time.Second, Heard: 3, Heads: []Head{h}}},
+		{Ack: &Ack{Root: "vm0", Seq: 1, N: 4}},
+		{Probe: &Probe{Sum: h.Sum, Rows: []Row{{Server: "s", Slots: 4, Busy: 2, Age: 1}}}},
+		{Heads: &Heads{List: []Head{h}}},
+		{Want: &Want{Name: "rules", Have: 1, Sum: headOf(1).Sum}},
+		{Give: &Give{Head: h, Base: 1, Diffs: [][]byte{{3, 0}}}},
+		{Give: &Give{Head: h, Raw: body(2)}},
+	} {
+		raw, err := p.Encode()
+		assert.NilError(f, err)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, err := DecodePacket(raw)
+		if err != nil {
+			assert.Equal(t, kinds.Of(err), kinds.Malformed)
+			return
+		}
+		m := New(t0, peersOf(3)[1])
+		m.Update(t0, PeersMsg{Live: peersOf(3)})
+		m.Update(t0, ValueMsg{Name: "rules", Rev: 1, Raw: body(1)})
+		m.Update(t0.Add(time.Second), PacketMsg{From: "vm0", Packet: p})
+		m.Update(t0.Add(2*time.Second), TickMsg{})
+		for name, v := range m.values {
+			assert.Assert(t, digest.Of(v.raw) == v.Sum, name)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/gossip/tree.go
@@ -0,0 +1,91 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// Peer is an entry VM that takes part in the exchange.
+type Peer struct {
+	VM     ident.VM
+	Centre ident.Centre
+}
+
+// rank orders VMs pseudo-randomly and differently for each salt, with the same
+// outcome on every VM (rendezvous hashing).
+func rank(salt string, vm ident.VM) uint64 {
+	return xxhash.Sum64String(salt + "\x00" + string(vm))
+}
+
+// watchOrder lists the VMs in the order in which they are to watch the store:
+// the first of each data centre, then the second of each, so that the first few
+// stand in different centres.
+func watchOrder(peers []Peer) []ident.VM {
+	sorted := slices.Clone(peers)
+	slices.SortFunc(sorted, func(a, b Peer) int { return cmp.Compare(rank("watch", a.VM), rank("watch", b.VM)) })
+	turn := make(map[ident.Centre]int)
+	turns := make(map[ident.VM]int, len(sorted))
+	for _, p := range sorted {
+		turns[p.VM] = turn[p.Centre]
+		turn[p.Centre]++
+	}
+	slices.SortStableFunc(sorted, func(a, b Peer) int { return cmp.Compare(turns[a.VM], turns[b.VM]) })
+	out := make([]ident.VM, len(sorted))
+	for i, p := range sorted {
+		out[i] = p.VM
+	}
+	return out
+}
+
+// tree is the fan-out tree of one root, as seen from this VM.
+type tree struct {
+	parent   ident.VM
+	children []ident.VM
+	height   int // levels below this VM
+}
+
+// fan is the number of children of a VM in a tree. More make the tree flatter
+// and its inner VMs busier; with 4, 520 VMs are reached in 5 steps.
+const fan = 4
+
+// newTree places all VMs as a heap. The trees of the first few roots in watch
+// order use one shuffled order, each rotated by another third, with the other
+// roots at its end. Only the first quarter of a heap of fan-out 4 has children,
+// so a VM is an inner one of at most one of these trees: its loss breaks one
+// tree and leaves the others whole, and no VM carries the work of two.
+func newTree(watchOrder []ident.VM, root, self ident.VM) tree {
+	first := watchOrder[:min(Watchers, len(watchOrder))]
+	rest := slices.Clone(watchOrder[len(first):])
+	rest = slices.DeleteFunc(rest, func(vm ident.VM) bool { return vm == root })
+	slices.SortFunc(rest, func(a, b ident.VM) int { return cmp.Compare(rank("tree", a), rank("tree", b)) })
+	cut := len(rest) * (slices.Index(watchOrder, root) % Watchers) / Watchers
+	order := slices.Concat([]ident.VM{root}, rest[cut:], rest[:cut])
+	for _, vm := range first {
+		if vm != root {
+			order = append(order, vm)
+		}
+	}
+	return place(order, self)
+}
+
+// place finds the neighbours of one VM in a heap.
+func place(order []ident.VM, self ident.VM) tree {
+	at := slices.Index(order, self)
+	if at < 0 {
+		return tree{}
+	}
+	var t tree
+	if at > 0 {
+		t.parent = order[(at-1)/fan]
+	}
+	first := min(at*fan+1, len(order))
+	t.children = order[first:min(first+fan, len(order))]
+	for i := first; i < len(order); i = i*fan + 1 {
+		t.height++
+	}
+	return t
+}
--- /dev/null
+++ b/internal/node/spread/spread_test.go
@@ -0,0 +1,51 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+)
+
+const maxRate = 5_000 // bytes a second that a VM may spend on control traffic
+
+func check(t *testing.T, r Row) {
+	t.Helper()
+	t.Logf("%+v", r)
+	assert.Equal(t, r.Missing, 0)
+	assert.Assert(t, r.Worst < force.Bound-force.DefaultLimits.Behind, "a change took %v", r.Worst)
+	assert.Assert(t, r.Mean <= maxRate, "%v bytes a second", r.Mean)
+	assert.Assert(t, r.Max <= maxRate, "%v bytes a second at the busiest VM", r.Max)
+	assert.Assert(t, r.Watchers >= 3 && r.Watchers <= 5, "%d watchers", r.Watchers)
+}
+
+// A revision is accepted while all is well. It must be known to all of 520 VMs
+// long before the bound of 7 s, at no more than 5 KB/s for the busiest of them.
+func TestAChangeReaches520VMsInTime(t *testing.T) {
+	check(t, Run(Config{VMs: 520}))
+}
+
+// Packets are lost and VMs are replaced, watchers among them, while revisions
+// follow each other; the list of VMs tells of it only 5 s later. Each VM gets
+// each change, and new VMs get the newest rules from their peers.
+func TestLossAndRestartsDoNotHoldAChangeBack(t *testing.T) {
+	for _, n := range []int{10, 50, 200} {
+		check(t, Run(Config{VMs: n, Loss: 0.05, Restarts: 3, Length: 20 * time.Second}))
+	}
+	if !testing.Short() {
+		check(t, Run(Config{VMs: 520, Loss: 0.02, Restarts: 10, Length: 20 * time.Second}))
+	}
+}
+
+// The store falls silent for everybody. Every VM must come to know that it still
+// sees most of the others, or it would stop answering though nothing is wrong.
+func TestAStoreOutageLeavesEveryVMSeeingTheOthers(t *testing.T) {
+	for _, n := range []int{1, 2, 10, 200} {
+		r := Run(Config{VMs: n, Loss: 0.02, Outage: true, Length: 30 * time.Second, Changes: 1})
+		t.Logf("%+v", r)
+		assert.Equal(t, r.Blind, 0)
+		assert.Assert(t, r.Max <= maxRate, "%v bytes a second", r.Max)
+	}
+}
