edge/front: requests leave an owner that froze, with their keys

Cause: a lookup that had been sent to an owner which then froze waited for its deadline of 30 s, and so did what queued for its places, although another server had the key after 0.9 s.

Ruled out: hedging every lookup at the old owner's successor (twice the load for a rare fault); ending all attempts when keys move (would cut off a healthy owner's answer to a request that must not run twice).

Conclusion: an attempt under way is ended when its key has another owner, if nothing was sent, or it may run twice, or the server is known to be silent.

--- a/internal/edge/daemon/daemon_test.go
+++ b/internal/edge/daemon/daemon_test.go
@@ -225,3 +225,28 @@
 	code, _ := send(t, d, "GET", "/scales/north", "later")
 	assert.Equal(t, code, 0)
 }
+
+// A backend server is frozen in the middle of its work and does not come back.
+// Its keys have no owner until its lease has run out; then another server takes
+// them, and callers who waited get their answers. When the server wakes, it no
+// longer serves them.
+func TestALostOwnersKeysAreServedByAnother(t *testing.T) {
+	s := newSite(t)
+	for _, c := range []ident.Centre{"north", "west"} {
+		s.start(c)
+	}
+	for _, d := range s.vms {
+		until(t, "all keys served", serves(t, d))
+	}
+	lost := s.origins["lookup-1"]
+	before := len(lost.Record.All())
+	lost.Freeze(true)
+	start := time.Now()
+	until(t, "all keys served again", serves(t, s.vms[0]))
+	t.Logf("all keys served again after %v", time.Since(start))
+	lost.Freeze(false)
+	until(t, "all keys served through the other VM", serves(t, s.vms[1]))
+	for _, r := range lost.Record.All()[before:] {
+		assert.Assert(t, r.At.Before(start.Add(time.Second)), "ran %v as owner after it had lost %s", r.At.Sub(start), r.Key)
+	}
+}
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -43,10 +43,18 @@
 func newFront(lc fx.Lifecycle, cfg config.Config, a faces) *front.Front {
 	c := newCanceler(a.State, a.Control)
 	closes(lc, c)
-	return &front.Front{
+	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, Limit: cfg.Limit, State: a.State, Relay: a.Relay,
 		Record: a.Record, Meter: a.Meter, Claims: a.Claims, Keep: a.Journal, Cancel: c,
 	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			f.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error { return f.Close() },
+	})
+	return f
 }
 
 // door is one HTTP listener.
--- a/internal/edge/daemon/warden.go
+++ b/internal/edge/daemon/warden.go
@@ -185,10 +185,12 @@
 		p.failed++
 		if p.failed >= deadAfter {
 			p.w.in.Keeper.SetAlive(p.srv.Name, false)
+			p.svc.SetSilent(p.srv.Name, true)
 		}
 		return
 	}
 	p.failed = 0
+	p.svc.SetSilent(p.srv.Name, false)
 	p.w.in.Keeper.SetAlive(p.srv.Name, !h.Drain && h.Ready)
 	if h.Drain != p.drain {
 		p.drain = h.Drain
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -38,6 +38,8 @@
 	by   time.Time
 	sent bool // the header of an answer has been written to the caller
 
+	flight *flight // the attempt under way, in a service divided by key
+
 	ticket *once.Ticket // the claim on the request id, if the rule demands one
 	named  bool         // the caller itself chose the request id
 }
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -84,10 +84,20 @@
 	if !ok {
 		return errNoOwner
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	fl := &flight{key: x.key, server: owner.Server, safe: x.rule.Then.Idempotent, cancel: cancel}
+	all := x.f.flights[x.svc.Name]
+	all.add(fl)
+	defer all.remove(fl)
 	pass, err := x.svc.Gate.Enter(ctx, x.job(owner.Server))
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errMoved) {
+			return errMoved
+		}
 		return err
 	}
+	x.flight = fl
 	outcome, err := x.attempt(ctx, pass, owner)
 	pass.Done(outcome)
 	return err
@@ -99,7 +109,7 @@
 	case kinds.NoOwner, kinds.Misrouted, kinds.NoServer:
 		return true
 	}
-	return false
+	return errors.Is(err, errMoved)
 }
 
 // mayRepeat reports whether the request certainly did not run, or may run
@@ -164,20 +174,50 @@
 	}()
 	answer, err := x.ask(ctx, to, owner)
 	if err != nil {
-		return x.failed(pass, err), err
+		return x.failed(pass, err), x.diverted(ctx, err)
 	}
 	return x.passOn(pass, answer)
 }
 
+// diverted tells an attempt that was ended because its key moved from one whose
+// caller went away. It may have run, unless nothing was sent.
+func (x *exchange) diverted(ctx context.Context, err error) error {
+	var fail *relay.Failure
+	if !errors.Is(context.Cause(ctx), errMoved) || !errors.As(err, &fail) {
+		return err
+	}
+	if !fail.Sent || x.rule.Then.Idempotent {
+		return errMoved
+	}
+	return kinds.Wrap(kinds.Unknown, err, "the server is silent and its keys have moved")
+}
+
 func (x *exchange) ask(ctx context.Context, to netip.AddrPort, owner table.Owner) (*relay.Answer, error) {
 	body, ok := x.body.reader()
 	if !ok {
 		return nil, errSpent
 	}
-	return x.f.Relay.Send(ctx, x.r, body, to, &relay.Meta{
+	if x.flight != nil && !x.flight.departs() {
+		return nil, errMoved
+	}
+	answer, err := x.f.Relay.Send(ctx, x.r, body, to, &relay.Meta{
 		ID: x.note.ID, Caller: x.note.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.by,
 	})
+	if err == nil && x.flight != nil && !x.flight.lands() {
+		answer.Close()
+		return nil, x.overtaken()
+	}
+	return answer, err
+}
+
+// overtaken is for an answer that began in the moment in which its attempt was
+// ended: its body would break off.
+func (x *exchange) overtaken() error {
+	if x.rule.Then.Idempotent {
+		return errMoved
+	}
+	return kinds.New(kinds.Unknown, "the server is silent and its keys have moved")
 }
 
 // failed tells the gate how an attempt without an answer ended, and the server
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -18,6 +18,7 @@
 	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -53,8 +54,8 @@
 	Cancel(svc ident.Service, s ident.Server, id ident.Request)
 }
 
-// Front serves callers. Fill in the exported fields and call Handler; State and
-// Relay are required, a nil for the others leaves that step out.
+// Front serves callers. Fill in the exported fields, then call Start and Handler;
+// State and Relay are required, a nil for the others leaves that step out.
 type Front struct {
 	VM     ident.VM
 	Centre ident.Centre
@@ -71,6 +72,8 @@
 	// Identify names the caller; nil takes IdentifyHeader.
 	Identify func(*http.Request) ident.Caller
 
+	group   group.Group
+	flights map[ident.Service]*flights // of the services divided by key
 	closing atomic.Bool
 	flying  atomic.Int64
 	waiting atomic.Int64 // requests that wait for an owner
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -107,6 +108,7 @@
 		VM: "vm-1", State: w.state, Record: &w.log, Relay: relay.New(relay.Config{Open: w.net.Dial}),
 		Limit: config.Limit{Request: config.SpanOf(30 * time.Second), Slow: config.SpanOf(5 * time.Second), Body: 1 << 20, Queue: 100},
 	}
+	w.front.Start()
 	w.web = &http.Server{Handler: w.front.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10}
 	l := w.net.Listen(entry)
 	w.group.Go(func(context.Context) error {
@@ -121,6 +123,7 @@
 	w.client.CloseIdleConnections()
 	assert.NilError(w.t, w.web.Close())
 	assert.NilError(w.t, w.group.Close())
+	assert.NilError(w.t, w.front.Close())
 	assert.NilError(w.t, w.front.Relay.Close())
 	for _, o := range w.origins {
 		assert.NilError(w.t, o.Close())
@@ -289,6 +292,58 @@
 	})
 }
 
+// An owner freezes with requests in its hands, and its keys go to another
+// server. Callers must not stare at a dead screen until their deadlines: what
+// may run twice is sent to the next owner at once, what may not is answered as
+// unknown as soon as the server is known to be silent, and what was still
+// queueing for the frozen server runs at the next one.
+func TestRequestsLeaveAFrozenOwner(t *testing.T) {
+	for sent, status := range map[string]int{
+		"/scales/sent":   http.StatusOK,
+		"/receipts/sent": kinds.Unknown.Answer().Status,
+	} {
+		t.Run(sent, func(t *testing.T) {
+			run(t, func(t *testing.T, w *world) { leaveFrozen(t, w, sent, status) })
+		})
+	}
+}
+
+func leaveFrozen(t *testing.T, w *world, sent string, status int) {
+	w.compileAt(8, rules+`
+[[rule]]
+name = "receipts"
+when = { path = "/receipts/{scale}" }
+then = { service = "lookup", key = "path:scale", deadline = "30s" }
+`)
+	svc, _ := w.state.Service("lookup")
+	w.origins["l1"].Freeze(true)
+	start := time.Now()
+	var g group.Group
+	ask := func(path string, status int, by time.Duration) {
+		g.Go(func(context.Context) error {
+			resp, _, err := w.do(w.request("GET", path, nil))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, status, path)
+			assert.Assert(t, time.Since(start) <= by, "%s took %v", path, time.Since(start))
+			return nil
+		})
+		synctest.Wait()
+	}
+	ask(sent, status, 3*time.Second+silentEvery)
+	for i := range 4 {
+		ask(fmt.Sprintf("/scales/%d", i), http.StatusOK, time.Second+grace)
+	}
+	time.Sleep(time.Second)
+	o := w.origins["l2"]
+	all := []ident.Slice{0, 1, 2, 3, 4, 5, 6, 7}
+	assert.Assert(t, o.Grant(server.Order{Seat: "l2", Mark: o.Read().Mark, TTL: time.Hour, Full: true, Rev: 2, Slices: all}).Done)
+	w.see("l2")
+	time.Sleep(2 * time.Second)
+	svc.SetSilent("l1", true)
+	assert.NilError(t, g.Wait())
+	w.origins["l1"].Freeze(false)
+}
+
 // The key's new owner is not known for long. Holding the request back until its
 // deadline would only keep the caller from asking again, so it gets its answer
 // when the patience of its rule has ended, with the time to come back.
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -50,7 +50,8 @@
 	Gate *gate.Gate
 	Owners
 
-	addrs atomic.Pointer[map[ident.Server]netip.AddrPort]
+	addrs  atomic.Pointer[map[ident.Server]netip.AddrPort]
+	silent sync.Map // ident.Server -> struct{}
 }
 
 func newService(cfg config.Service) *Service {
@@ -76,6 +77,21 @@
 	s.addrs.Store(&addrs)
 }
 
+// Silent reports whether a backend server has not answered for a while.
+func (s *Service) Silent(name ident.Server) bool {
+	_, silent := s.silent.Load(name)
+	return silent
+}
+
+// SetSilent notes whether a backend server answers.
+func (s *Service) SetSilent(name ident.Server, silent bool) {
+	if silent {
+		s.silent.Store(name, struct{}{})
+		return
+	}
+	s.silent.Delete(name)
+}
+
 // Owners says which backend server owns which key, and tells who waits for a
 // change. The zero value knows no owner.
 type Owners struct {
