--- a/internal/admin/cmds/app.go
+++ b/internal/admin/cmds/app.go
@@ -129,6 +129,9 @@
 	add(rules.AddCommand("history", "show who changed the rules and when", historyHelp, &historyCmd{app: a}))
 	add(p.AddCommand("report", "who received what, when, why, under whose rule", reportHelp, &reportCmd{app: a}))
 	add(p.AddCommand("owners", "which server owns what now", ownersHelp, &ownersCmd{app: a}))
+	measure := add(p.AddCommand("bench", "run the measurements", benchHelp, &benchCmd{app: a}))
+	measure.SubcommandsOptional = true
+	add(measure.AddCommand("compare", "print what got worse", compareHelp, &compareCmd{app: a}))
 	return p
 }
 
--- a/internal/audit/ledger/act.go
+++ b/internal/audit/ledger/act.go
@@ -7,7 +7,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"hawthornfield.org/hawthornfield/internal/core/loop"
-	"hawthornfield.org/hawthornfield/internal/core/wire"
 )
 
 // act asks for every write that may go out now, and for a timer for the rest.
@@ -74,31 +73,52 @@
 	}
 	m.slot = m.slot.Add(gap)
 	b := m.cut()
-	m.number(b)
 	m.flight = append(m.flight, b)
 	return PutCmd{b.n, b.value}
 }
 
-// cut takes as many entries as one segment holds.
+// cut takes as many entries as one segment holds and gives them the next
+// address. Entries that compress badly are cut again by halves until the value
+// fits into one object.
 func (m *Model) cut() *batch {
 	b := &batch{lost: m.lost}
-	for len(m.items) > 0 && b.bytes+len(m.items[0].data) <= m.lim.Batch {
-		it := m.items[0]
-		b.items = append(b.items, it)
+	n := 0
+	for n < len(m.items) && b.bytes+len(m.items[n].data) <= m.lim.Batch {
+		b.bytes += len(m.items[n].data)
+		n++
+	}
+	for {
+		b.items = m.items[:n:n]
+		m.render(b, m.next)
+		if len(b.value) <= maxValue || n == 1 {
+			break
+		}
+		n /= 2
+	}
+	b.bytes = 0
+	for _, it := range b.items {
 		b.bytes += len(it.data)
-		m.items[0] = item{}
-		m.items = m.items[1:]
 	}
+	m.items = m.items[n:]
 	m.bytes -= b.bytes
 	m.lost = 0
+	m.next++
 	return b
 }
 
-// number gives a batch the next address and renders it.
+// maxValue leaves a distance to the platform's limit.
+const maxValue = 1_000_000
+
+// number gives a batch another address than it had.
 func (m *Model) number(b *batch) {
-	b.n = m.next
+	m.render(b, m.next)
 	m.next++
-	s := Segment{Head: Head{V: Version, Path: m.path, N: b.n, Tok: m.tok, Lost: b.lost}}
+}
+
+// render makes a batch's value for an address.
+func (m *Model) render(b *batch, n uint64) {
+	b.n = n
+	s := Segment{Head: Head{V: Version, Path: m.path, N: n, Tok: m.tok, Lost: b.lost}}
 	for i, it := range b.items {
 		if i == 0 || it.at.Before(s.From) {
 			s.From = it.at
@@ -108,13 +128,13 @@
 		}
 		s.Items = append(s.Items, cbor.RawMessage(it.data))
 	}
-	value, err := wire.Encode(s)
+	value, err := s.Encode()
 	if err != nil {
 		// Only a fault of the program gets here. An empty segment keeps the
 		// log free of a hole, and counts what it does not hold.
 		s.Lost += uint64(len(s.Items))
 		s.Items = nil
-		value, _ = wire.Encode(s)
+		value, _ = s.Encode()
 	}
 	b.value = value
 }
--- a/internal/audit/ledger/compare_test.go
+++ b/internal/audit/ledger/compare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 }
 
 func (a *appender) append(ctx context.Context, mark string, data []byte) {
-	if a.value.bytes+len(data) > DefaultBatch {
+	if a.value.bytes+len(data) > compareRoll {
 		a.rolled++
 		a.value, a.ver = appended{}, 0
 	}
@@ -64,8 +65,17 @@
 const (
 	compareBatches = 200
 	compareBytes   = 20_000 // about 100 decisions
+	compareRoll    = 256 << 10
 )
 
+// noise does not compress, so that the comparison is about the way of writing.
+func noise(i int) []byte {
+	b := make([]byte, compareBytes)
+	rng := rand.NewChaCha8([32]byte{byte(i)})
+	_, _ = rng.Read(b)
+	return b
+}
+
 func faulty(every int) func(objmem.Op, string) objmem.Fault {
 	n := 0
 	return func(op objmem.Op, _ string) objmem.Fault {
@@ -85,7 +95,7 @@
 		start := time.Now()
 		a := &appender{store: store}
 		for i := range compareBatches {
-			a.append(t.Context(), fmt.Sprint(i), make([]byte, compareBytes))
+			a.append(t.Context(), fmt.Sprint(i), noise(i))
 		}
 		c = cost{store.Usage(), time.Since(start)}
 	})
@@ -98,9 +108,9 @@
 		store.SetFault(faulty(every))
 		start := time.Now()
 		j := Open(store, "log/x", WithLog(quiet), WithLimits(Limits{Batch: compareBytes + 100, Rate: 1e6, Budget: 1e9}))
-		item, err := wire.Encode(make([]byte, compareBytes))
-		assert.NilError(t, err)
-		for range compareBatches {
+		for i := range compareBatches {
+			item, err := wire.Encode(noise(i))
+			assert.NilError(t, err)
 			j.loop.Send(AddMsg{Data: item, At: time.Now()})
 		}
 		assert.NilError(t, j.Close())
--- /dev/null
+++ b/internal/audit/ledger/drive.go
@@ -0,0 +1,74 @@
+package ledger
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+)
+
+// Pace is what a journal asks of the store, as [Drive] finds it.
+type Pace struct {
+	Writes  float64       // objects a second
+	Bytes   float64       // bytes a second
+	Lost    uint64        // entries dropped
+	Longest time.Duration // longest time from an entry to its confirmed write
+}
+
+// Drive runs the model of one VM's journal among vms ones, with perSecond
+// entries as next makes them, over a simulated span against a store that
+// answers at once. It is the slope behind the figures in docs/CAPACITY.md.
+func Drive(vms, perSecond int, span time.Duration, next func(now time.Time) record.Decision) (Pace, error) {
+	d := drive{now: time.Unix(0, 0), model: NewModel("log/x", "tok", Limits{})}
+	d.send(FleetMsg{vms})
+	start := d.now
+	gap := time.Second / time.Duration(perSecond)
+	for end := start.Add(span); d.now.Before(end); d.now = d.now.Add(gap) {
+		for len(d.timers) > 0 && !d.now.Before(d.timers[0]) {
+			d.timers = d.timers[1:]
+			d.send(TickMsg{})
+		}
+		if oldest := d.model.Status.Oldest; !oldest.IsZero() {
+			d.pace.Longest = max(d.pace.Longest, d.now.Sub(oldest))
+		}
+		entry := next(d.now)
+		data, err := wire.Encode(&entry)
+		if err != nil {
+			return d.pace, err
+		}
+		d.send(AddMsg{Data: data, At: d.now})
+	}
+	d.pace.Writes /= span.Seconds()
+	d.pace.Bytes /= span.Seconds()
+	d.pace.Lost = d.model.Status.Lost
+	return d.pace, nil
+}
+
+type drive struct {
+	now    time.Time
+	model  Model
+	timers []time.Time // in order: the model keeps one at a time, or an earlier one
+	pace   Pace
+}
+
+// send hands the model a message and answers its calls at once.
+func (d *drive) send(msg loop.Msg) {
+	for queue := []loop.Msg{msg}; len(queue) > 0; queue = queue[1:] {
+		next, cmds := d.model.Update(d.now, queue[0])
+		d.model = next.(Model)
+		for _, cmd := range cmds {
+			switch cmd := cmd.(type) {
+			case TailCmd:
+				queue = append(queue, TailMsg{Kind: kinds.None, Next: cmd.From})
+			case PutCmd:
+				d.pace.Writes++
+				d.pace.Bytes += float64(len(cmd.Value))
+				queue = append(queue, PutMsg{N: cmd.N})
+			case loop.AfterCmd:
+				d.timers = append(d.timers, d.now.Add(cmd.D))
+			}
+		}
+	}
+}
--- a/internal/audit/ledger/journal_test.go
+++ b/internal/audit/ledger/journal_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/audit/record"
@@ -116,7 +118,7 @@
 		path := LogPath("vm-1")
 		for _, n := range []uint64{0, 1, 3, 4} { // 2 was never written
 			s := Segment{Head: Head{V: Version, Path: path, N: n, Tok: "old", From: time.Now(), To: time.Now()}}
-			value, err := wire.Encode(s)
+			value, err := s.Encode()
 			assert.NilError(t, err)
 			_, err = store.Put(t.Context(), nameOf(path, n), value, 0)
 			assert.NilError(t, err)
@@ -145,7 +147,7 @@
 		path := LogPath("vm-1")
 		value, err := wire.Encode(struct {
 			Head
-			Items string `cbor:"items"`
+			Pack string `cbor:"pack"`
 		}{Head{V: Version + 1, Path: path, From: time.Now(), To: time.Now()}, "of another shape"})
 		assert.NilError(t, err)
 		_, err = store.Put(t.Context(), nameOf(path, 0), value, 0)
@@ -225,8 +227,12 @@
 
 // FuzzSegment decodes anything at all as a segment and as an index.
 func FuzzSegment(f *testing.F) {
-	good, _ := wire.Encode(Segment{Head: Head{V: Version, Path: "log/x", N: 3}})
+	good, _ := Segment{Head: Head{V: Version, Path: "log/x", N: 3}, Items: []cbor.RawMessage{entry(7)}}.Encode()
 	f.Add(good)
+	bomb, _ := Segment{Items: []cbor.RawMessage{slices.Concat([]byte{0x5a, 1, 0, 0, 0}, make([]byte, maxPack))}}.Encode()
+	if _, err := decodeSegment(bomb); kinds.Of(err) != kinds.Malformed {
+		f.Fatal("a small segment unfolds without bound")
+	}
 	f.Add([]byte(strings.Repeat("\x81", 64)))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s, err := decodeSegment(b)
--- a/internal/audit/ledger/model_test.go
+++ b/internal/audit/ledger/model_test.go
@@ -75,8 +75,8 @@
 	if _, taken := b.kept[cmd.N]; taken {
 		return kinds.Conflict
 	}
-	var s Segment
-	if err := wire.Decode(cmd.Value, &s); err != nil || s.N != cmd.N || s.Tok != tok {
+	s, err := decodeSegment(cmd.Value)
+	if err != nil || s.N != cmd.N || s.Tok != tok {
 		return kinds.Malformed
 	}
 	b.kept[cmd.N] = s
@@ -294,3 +294,24 @@
 	assert.Equal(t, st.Waiting, 0)
 	assert.Equal(t, entries+int(st.Lost)+refusedAt, 2*int(ticket))
 }
+
+// Entries that do not compress, say long reasons full of ids, come in a burst.
+// A value beyond the platform's limit would be refused for ever, and the journal
+// would stand still behind it.
+func TestEntriesThatCompressBadlyStillFit(t *testing.T) {
+	b := newBench(1, Limits{})
+	b.settle()
+	for i := range 60 {
+		data, err := wire.Encode(noise(i))
+		assert.NilError(t, err)
+		b.send(0, AddMsg{Data: data, At: b.now})
+	}
+	b.settle()
+	kept := 0
+	for _, s := range b.kept {
+		kept += len(s.Items)
+		assert.Assert(t, len(s.Pack) <= maxValue)
+	}
+	assert.Equal(t, kept, 60)
+	assert.Assert(t, len(b.kept) >= 2)
+}
--- a/internal/audit/ledger/recover.go
+++ b/internal/audit/ledger/recover.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	now := time.Now() // so that a search by time passes it as it passes its neighbours
-	value, err := wire.Encode(Segment{Head: Head{V: Version, Path: j.path, N: n, Tok: j.tok, From: now, To: now}})
+	value, err := Segment{Head: Head{V: Version, Path: j.path, N: n, Tok: j.tok, From: now, To: now}}.Encode()
 	if err != nil {
 		return err
 	}
--- a/internal/audit/ledger/segment.go
+++ b/internal/audit/ledger/segment.go
@@ -1,8 +1,12 @@
 package ledger
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
+	"io"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -49,7 +53,55 @@
 // Segment is one write-once object of a journal.
 type Segment struct {
 	Head
-	Items []cbor.RawMessage `cbor:"items"`
+	Items []cbor.RawMessage `cbor:"-"`
+	Pack  []byte            `cbor:"pack"` // the items, encoded and compressed (DEFLATE, RFC 1951)
+}
+
+// maxPack bounds what a segment's items unfold to. A damaged or hostile segment
+// of a megabyte could otherwise claim a gigabyte of a reader's memory.
+const maxPack = 16 << 20
+
+// packers are compressors that are used again: each holds a megabyte of tables.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // only an unknown level fails
+	}
+	return w
+}}
+
+// Encode renders the segment as it is stored. Decisions repeat the same names
+// of services, rules and servers, so they compress to a fraction.
+func (s Segment) Encode() ([]byte, error) {
+	plain, err := wire.Encode(s.Items)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&packed)
+	_, _ = w.Write(plain) // a buffer takes everything
+	if err := w.Close(); err != nil {
+		return nil, kinds.Wrap(kinds.Internal, err, "compress segment")
+	}
+	s.Pack = packed.Bytes()
+	return wire.Encode(s)
+}
+
+func (s *Segment) unpack() error {
+	if len(s.Pack) == 0 {
+		return nil
+	}
+	r := flate.NewReader(bytes.NewReader(s.Pack))
+	plain, err := io.ReadAll(io.LimitReader(r, maxPack+1))
+	if err != nil {
+		return kinds.Wrap(kinds.Malformed, err, "unfold segment")
+	}
+	if len(plain) > maxPack {
+		return kinds.New(kinds.Malformed, "segment unfolds to more than 16 MiB")
+	}
+	return wire.Decode(plain, &s.Items)
 }
 
 // Index is the value of a journal's index object.
@@ -70,7 +122,10 @@
 	if s.V > Version {
 		return s, kinds.New(kinds.Newer, "segment "+nameOf(s.Path, s.N)+" has version "+strconv.Itoa(s.V))
 	}
-	return s, wire.Decode(b, &s)
+	if err := wire.Decode(b, &s); err != nil {
+		return s, err
+	}
+	return s, s.unpack()
 }
 
 // Decisions decodes the entries. An entry that cannot be decoded is counted,
@@ -89,7 +144,7 @@
 
 // Limits bound a journal. The zero value works.
 type Limits struct {
-	Batch  int           // most bytes of entries in one object
+	Batch  int           // most bytes of entries in one object, before they are compressed
 	Rate   float64       // objects a second that one VM writes at most
 	Budget float64       // objects a second that all VMs together write at most
 	Window int           // writes in flight; also bounds the holes at the tail
@@ -103,7 +158,7 @@
 // leaves most of that to ownership and claims: 40 a second are four for each of
 // ten VMs, and one every 13 s for each of 520.
 const (
-	DefaultBatch  = 256 << 10
+	DefaultBatch  = 2 << 20
 	DefaultRate   = 4.0
 	DefaultBudget = 40.0
 	DefaultWindow = 4
--- a/internal/audit/report/report_test.go
+++ b/internal/audit/report/report_test.go
@@ -181,15 +181,13 @@
 			assert.NilError(b, err)
 			s.Items = append(s.Items, item)
 		}
-		put(b, store, fmt.Sprint(path, "/", n), s)
+		value, err := s.Encode()
+		assert.NilError(b, err)
+		_, err = store.Put(b.Context(), fmt.Sprint(path, "/", n), value, 0)
+		assert.NilError(b, err)
 	}
-	put(b, store, ledger.IndexPrefix+path, ledger.Index{V: ledger.Version, Path: path, At: start, Window: ledger.DefaultWindow})
-}
-
-func put(b *testing.B, store *objmem.Store, name string, v any) {
-	b.Helper()
-	value, err := wire.Encode(v)
+	value, err := wire.Encode(ledger.Index{V: ledger.Version, Path: path, At: start, Window: ledger.DefaultWindow})
 	assert.NilError(b, err)
-	_, err = store.Put(b.Context(), name, value, 0)
+	_, err = store.Put(b.Context(), ledger.IndexPrefix+path, value, 0)
 	assert.NilError(b, err)
 }
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -117,7 +117,7 @@
 
 // Journal bounds the durable record behind reports.
 type Journal struct {
-	Batch  int     `toml:"batch" validate:"min=0,max=1000000"`    // bytes of one object
+	Batch  int     `toml:"batch" validate:"min=0,max=8388608"`    // bytes of one object's entries, before they are compressed
 	Rate   float64 `toml:"rate" validate:"min=0,max=100"`         // objects a second
 	Budget float64 `toml:"budget" validate:"min=0,max=100000"`    // objects a second of all VMs together
 	Window int     `toml:"window" validate:"min=0,max=16"`        // writes in flight
