--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -133,8 +133,8 @@
 
 // Log chooses what is logged, as JSON lines on standard output.
 type Log struct {
-	Level     string `toml:"level" validate:"omitempty,oneof=debug info warn error"`
-	Decisions bool   `toml:"decisions"` // a line for each routing and placement decision
+	Level string `toml:"level" validate:"omitempty,oneof=debug info warn error"`
+	Quiet bool   `toml:"quiet"` // no line for each routing and placement decision; the journal keeps them all the same
 }
 
 // Span is a duration that the file writes as "700ms" or "30m". It embeds
--- a/internal/edge/daemon/warden.go
+++ b/internal/edge/daemon/warden.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"hawthornfield.org/hawthornfield/internal/audit/ledger"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -55,6 +56,7 @@
 	News    *news.News
 	Relay   *relay.Relay
 	Peers   *peers
+	Journal *ledger.Journal
 	Log     *slog.Logger
 }
 
@@ -135,6 +137,7 @@
 		}
 		n++
 	}
+	w.in.Journal.Fleet(n)
 	for _, svc := range w.in.State.Services() {
 		svc.Gate.SetShare(n, index)
 	}
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/fx"
 
-	"hawthornfield.org/hawthornfield/internal/audit/ledger"
 	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
@@ -31,7 +30,7 @@
 // first, the journal among the last.
 func provided() []any {
 	return []any{
-		newLog, newStore, newVMs, newControl, newMeter, newJournal, newRecord, newClaims,
+		newLog, newStore, newVMs, newControl, newMeter, newJournal, newHistories, newRecord, newClaims,
 		newState, newRelay, newPeers, newKeeper, newNews, newWarden, newFront, newDoors,
 	}
 }
@@ -72,28 +71,6 @@
 	return m
 }
 
-func newJournal(lc fx.Lifecycle, cfg config.Config, store object.Store, log *slog.Logger) *ledger.Journal {
-	j := ledger.Open(store, ledger.LogPath(cfg.VM), ledger.WithLog(log), ledger.WithLimits(ledger.Limits{
-		Batch: cfg.Journal.Batch, Rate: cfg.Journal.Rate, Window: cfg.Journal.Window,
-		Buffer: cfg.Journal.Buffer, Call: cfg.Platform.Timeout.Duration,
-	}))
-	closes(lc, j)
-	return j
-}
-
-func newRecord(lc fx.Lifecycle, cfg config.Config, o *options, j *ledger.Journal) *record.Writer {
-	opts := []record.Option{record.WithRing(cfg.Journal.Ring), record.WithSink(j)}
-	for _, s := range o.sinks {
-		opts = append(opts, record.WithSink(s))
-	}
-	if !cfg.Log.Decisions {
-		opts = append(opts, record.WithoutLines())
-	}
-	w := record.New(cfg.VM, o.log, opts...)
-	closes(lc, w)
-	return w
-}
-
 func newClaims(lc fx.Lifecycle, cfg config.Config, store object.Store, log *slog.Logger) *once.Guard {
 	g := once.New(store, cfg.VM, log)
 	closes(lc, g)
