edge/news: rules and tables through few watchers and peers, also during an outage

Cause: every entry VM watched the store by itself, which counts a waiting call for each, and a VM that started during an outage had no rules and no tables. news now carries out node/gossip and rules/force; only the VMs that gossip elects watch, and values from peers are verified by digest.

Ruled out: handing a table that this VM wrote to gossip by a callback; the store's watch brings it in any case, to the watchers at once.

--- a/internal/edge/daemon/daemon_test.go
+++ b/internal/edge/daemon/daemon_test.go
@@ -167,7 +167,7 @@
 	assert.Equal(t, first, second)
 	held := 0
 	for _, d := range s.vms {
-		held += d.Keeper().Holds()
+		held += len(d.Keeper().Held())
 	}
 	assert.Equal(t, held, 3)
 
@@ -187,8 +187,14 @@
 }
 
 // The platform's store goes away for a long time while everything else works.
-// Owners keep their leases without it, so callers notice nothing.
+// Owners keep their leases without it, so callers notice nothing; a VM that
+// starts meanwhile gets rules and tables from its peers and serves as well. A
+// receipt whose rule demands a record is refused, and truly did not run.
 func TestAStoreOutageStopsNoLookups(t *testing.T) {
+	outage := 6 * time.Second // beyond the time after which a VM alone must stop
+	if testing.Short() {
+		outage = 2 * time.Second
+	}
 	s := newSite(t)
 	for _, c := range []ident.Centre{"north", "west"} {
 		s.start(c)
@@ -197,12 +203,17 @@
 		until(t, "all keys served", serves(t, d))
 	}
 	s.api.Outage(true)
-	ends := time.Now().Add(2 * time.Second) // several leases long
+	ends := time.Now().Add(outage)
+	late := s.start("north")
+	until(t, "the new VM is ready", func() bool { return late.Ready() == nil })
 	for time.Now().Before(ends) {
-		assert.Assert(t, serves(t, s.vms[0])(), "a lookup failed during the outage")
+		for _, d := range s.vms {
+			assert.Assert(t, serves(t, d)(), "a lookup failed during the outage")
+		}
 	}
 	code, _ := send(t, s.vms[0], "POST", "/receipts/north", "load-2")
 	assert.Equal(t, code, http.StatusServiceUnavailable)
+	assert.Equal(t, s.origins["ledger-0"].Record.Count("load-2")+s.origins["ledger-1"].Record.Count("load-2"), 0)
 	s.api.Outage(false)
 }
 
--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +27,26 @@
 // peers is the exchange with other entry VMs. Without keys in the settings
 // there is none, and the VM works alone.
 type peers struct {
-	node   atomic.Pointer[link.Node] // nil before the start, and without keys
-	group  group.Group
-	log    *slog.Logger
-	onSeat func(from ident.VM, body []byte) error
+	node  atomic.Pointer[link.Node] // nil before the start, and without keys
+	group group.Group
+	log   *slog.Logger
+
+	mu     sync.RWMutex
+	takers map[link.Kind]taker
+}
+
+// taker takes the messages of one kind.
+type taker func(from ident.VM, body []byte) error
+
+// on says who takes the messages of a kind.
+func (p *peers) on(k link.Kind, t taker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takers[k] = t
 }
 
 func newPeers(lc fx.Lifecycle, cfg config.Config, o *options, log *slog.Logger) (*peers, error) {
-	p := &peers{log: log}
+	p := &peers{log: log, takers: map[link.Kind]taker{}}
 	pem, err := credentials(cfg.Certs, o)
 	if err != nil || pem == nil {
 		return p, err
@@ -82,26 +95,41 @@
 // handle takes a message of a peer. One that makes no sense is logged and
 // changes nothing.
 func (p *peers) handle(from ident.VM, k link.Kind, body []byte) {
+	p.mu.RLock()
+	take := p.takers[k]
+	p.mu.RUnlock()
 	err := kinds.New(kinds.Malformed, "unknown kind of message")
-	if k == link.Seat && p.onSeat != nil {
-		err = p.onSeat(from, body)
+	if take != nil {
+		err = take(from, body)
 	}
 	if err != nil {
 		p.log.Warn("peer message", "vm", from, "kind", k, "err", err)
 	}
 }
 
-// Send sends a seat message that should arrive.
-func (p *peers) Send(to ident.VM, body []byte) {
-	if node := p.node.Load(); node != nil {
-		node.Send(to, link.Seat, body)
+// mail sends messages of one kind.
+type mail struct {
+	*peers
+	kind link.Kind
+}
+
+// Send sends a message that should arrive.
+func (m mail) Send(to ident.VM, body []byte) {
+	if node := m.node.Load(); node != nil {
+		node.Send(to, m.kind, body)
 	}
 }
 
-// Cast sends a seat message that is stale when it is late.
-func (p *peers) Cast(to ident.VM, body []byte) {
-	if node := p.node.Load(); node != nil {
-		node.Cast(to, link.Seat, body)
+// Cast sends a message that is stale when it is late. One that does not fit a
+// datagram goes with the others.
+func (m mail) Cast(to ident.VM, body []byte) {
+	node := m.node.Load()
+	switch {
+	case node == nil:
+	case len(body) > link.MaxCast:
+		node.Send(to, m.kind, body)
+	default:
+		node.Cast(to, m.kind, body)
 	}
 }
 
--- a/internal/edge/daemon/warden.go
+++ b/internal/edge/daemon/warden.go
@@ -20,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
 	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
 )
@@ -30,7 +31,6 @@
 	vmsEvery    = time.Second
 	serverEvery = time.Second
 	probeWait   = 500 * time.Millisecond
-	sightEvery  = 250 * time.Millisecond
 	deadAfter   = 3 // failed probes in a row
 )
 
@@ -44,6 +44,7 @@
 	mu      sync.Mutex
 	list    []vmlist.VM
 	servers map[ident.Server]server.Health
+	rows    map[ident.Server]gossip.Row // read since the last tellLoads
 }
 
 // around are the parts that the warden looks at and talks to.
@@ -61,7 +62,7 @@
 }
 
 func newWarden(lc fx.Lifecycle, cfg config.Config, a around) *warden {
-	w := &warden{in: a, cfg: cfg, servers: map[ident.Server]server.Health{}}
+	w := &warden{in: a, cfg: cfg, servers: map[ident.Server]server.Health{}, rows: map[ident.Server]gossip.Row{}}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			w.start()
@@ -74,7 +75,7 @@
 
 func (w *warden) start() {
 	w.group.Go(func(ctx context.Context) error { return every(ctx, vmsEvery, w.lookVMs) })
-	w.group.Go(func(ctx context.Context) error { return every(ctx, sightEvery, w.sight) })
+	w.group.Go(func(ctx context.Context) error { return every(ctx, serverEvery, w.tellLoads) })
 	for _, svc := range w.in.State.Services() {
 		for _, srv := range svc.Servers {
 			p := &probe{w: w, svc: svc, srv: srv}
@@ -128,10 +129,12 @@
 	w.in.Peers.set(list)
 	w.in.Keeper.SetVMs(list)
 	n, index := 0, 0
+	var live []gossip.Peer
 	for _, vm := range list {
 		if vm.State != vmlist.Live {
 			continue
 		}
+		live = append(live, gossip.Peer{VM: vm.ID, Centre: vm.Centre})
 		if vm.ID == w.cfg.VM {
 			index = n
 		}
@@ -141,6 +144,7 @@
 	for _, svc := range w.in.State.Services() {
 		svc.Gate.SetShare(n, index)
 	}
+	w.in.News.SetPeers(live)
 	w.limitConns()
 }
 
@@ -154,22 +158,6 @@
 	}
 }
 
-// sight tells the rules how many live VMs can be heard.
-func (w *warden) sight(context.Context) {
-	up := w.in.Peers.connected()
-	live, heard := 0, 0
-	for _, vm := range w.listed() {
-		if vm.State != vmlist.Live {
-			continue
-		}
-		live++
-		if vm.ID == w.cfg.VM || slices.Contains(up, vm.ID) {
-			heard++
-		}
-	}
-	w.in.News.Sight(live, heard)
-}
-
 // probe looks at one backend server.
 type probe struct {
 	w      *warden
@@ -202,10 +190,33 @@
 	p.w.note(p.svc, p.srv.Name, h)
 	l, err := p.w.in.Control.Load(ctx, p.srv.Control)
 	if err == nil {
-		p.svc.Gate.Report(p.srv.Name, l.Busy+l.Queue, l.Age+time.Since(asked))
+		age := l.Age + time.Since(asked)
+		p.svc.Gate.Report(p.srv.Name, l.Busy+l.Queue, age)
+		p.w.loaded(gossip.Row{Server: p.srv.Name, Slots: l.Slots, Busy: l.Busy, Queue: l.Queue, Age: age})
 	}
 }
 
+func (w *warden) loaded(r gossip.Row) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rows[r.Server] = r
+}
+
+// tellLoads passes on to peers what this VM read of the servers whose seats it
+// holds.
+func (w *warden) tellLoads(context.Context) {
+	var rows []gossip.Row
+	w.mu.Lock()
+	for name := range w.in.Keeper.Held() {
+		if r, ok := w.rows[name]; ok {
+			rows = append(rows, r)
+			delete(w.rows, name)
+		}
+	}
+	w.mu.Unlock()
+	w.in.News.Report(rows)
+}
+
 // note passes a changed state of a server on to its gate.
 func (w *warden) note(svc *state.Service, srv ident.Server, h server.Health) {
 	w.mu.Lock()
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -16,7 +16,9 @@
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/owner/lease"
+	"hawthornfield.org/hawthornfield/internal/peer/link"
 	"hawthornfield.org/hawthornfield/internal/plat/objcli"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
@@ -113,10 +115,10 @@
 		return nil, err
 	}
 	k := keeper.New(keeper.Options{
-		VM: cfg.VM, State: a.State, Store: a.Store, Control: a.Control, Peers: a.Peers, Times: times,
+		VM: cfg.VM, State: a.State, Store: a.Store, Control: a.Control, Peers: mail{a.Peers, link.Seat}, Times: times,
 		Plan: o.plan, Record: a.Record, Log: a.Log,
 	})
-	a.Peers.onSeat = k.Handle
+	a.Peers.on(link.Seat, k.Handle)
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, leaveWait)
 		defer cancel()
@@ -137,8 +139,24 @@
 
 func newNews(lc fx.Lifecycle, cfg config.Config, a hands, k *keeper.Keeper) *news.News {
 	n := news.New(news.Options{
-		Store: a.Store, Book: &a.State.Rules, Tables: k.Table, Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
+		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
+		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table,
+		Loads:   func(rows []gossip.Row) { report(a.State, rows) },
+		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
+	a.Peers.on(link.Gossip, n.Handle)
 	closes(lc, n)
 	return n
 }
+
+// report hands loads that peers read to the gates. They only tip the choice
+// between servers that look alike.
+func report(s *state.State, rows []gossip.Row) {
+	for _, r := range rows {
+		for _, svc := range s.Services() {
+			if _, ok := svc.Addr(r.Server); ok {
+				svc.Gate.Report(r.Server, r.Busy+r.Queue, r.Age)
+			}
+		}
+	}
+}
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -60,8 +60,6 @@
 	Plan    Planner     // nil: Spread
 	Record  Recorder
 	Log     *slog.Logger
-	// Tables is told of each table that this VM wrote or read anew.
-	Tables func(table.Table)
 }
 
 // Keeper runs the seats of one VM. Make one with New.
@@ -274,13 +272,13 @@
 	return all
 }
 
-// Holds counts the seats that this VM holds.
-func (k *Keeper) Holds() int {
-	n := 0
+// Held lists the servers whose seats this VM holds.
+func (k *Keeper) Held() map[ident.Server]bool {
+	held := map[ident.Server]bool{}
 	for _, c := range k.seats {
 		if _, ok := c.loop.Model().(seat.Seat).Holds(time.Now()); ok {
-			n++
+			held[c.srv] = true
 		}
 	}
-	return n
+	return held
 }
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -52,9 +52,6 @@
 			c.loop.Send(seat.TableMsg{Table: tab, Version: ver})
 		}
 	}
-	if k.Tables != nil {
-		k.Tables(tab)
-	}
 }
 
 // Table takes a table that a watch or a peer brought; the version is that of
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -1,6 +1,11 @@
-// Package news keeps one entry VM's rules and tables up to date: it follows the
-// store, hands what it learns to rules/force and to the keeper of seats, and
-// carries out what they decide.
+// Package news keeps one entry VM's rules and tables up to date, and those of
+// its peers: it carries out what node/gossip and rules/force decide, over the
+// store and the exchange between entry VMs.
+//
+// A few VMs watch the store, the others hear from them: a waiting watch counts
+// as a call of the object API, and its rates grow more slowly than the fleet.
+// While the store is down, a VM that starts anew gets its rules and tables from
+// peers, verified by digest.
 package news
 
 import (
@@ -11,44 +16,53 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
 )
 
-// Periods of following the store.
-const (
-	tick       = 250 * time.Millisecond // of rules/force
-	look       = 500 * time.Millisecond // between reads that prove that the store answers
-	firstPause = 100 * time.Millisecond // after a failed call
-	lastPause  = 2 * time.Second
-)
-
 const tablePrefix = "table/"
 
-// Options are what a follower needs. Store and Book are required.
+// Sender carries packets to other entry VMs. It never waits; a packet may be
+// lost.
+type Sender interface {
+	// Send is for packets that should arrive, Cast for small ones that are
+	// stale when they are late.
+	Send(to ident.VM, body []byte)
+	Cast(to ident.VM, body []byte)
+}
+
+// Options are what the exchange needs. Self, Store, Book and Peers are
+// required.
 type Options struct {
+	Self    gossip.Peer
 	Store   object.Store
 	Book    *force.Book
-	Tables  func(table.Table, object.Version) // told of each table read
-	Timeout time.Duration                     // of one call, watches apart
+	Peers   Sender
+	Tables  func(table.Table, object.Version) // told of each table; version zero from a peer
+	Loads   func([]gossip.Row)                // told of loads that peers read
+	Timeout time.Duration                     // of one store call, watches apart
 	Log     *slog.Logger
 }
 
-// News follows the store. Make one with New.
+// News is one VM's end of the exchange. Make one with New.
 type News struct {
 	Options
 	group  group.Group
 	effect group.Group
 	rules  *loop.Loop
+	gossip *loop.Loop
+
+	watching atomic.Bool
+	watchers *follower
 
-	live  atomic.Int32 // entry VMs that should be there
-	heard atomic.Int32 // of them heard lately
+	seen atomic.Uint64 // version of the rules object that was handed on
 }
 
-// New starts following.
+// New joins the exchange.
 func New(o Options) *News {
 	if o.Log == nil {
 		o.Log = slog.Default()
@@ -57,153 +71,146 @@
 		o.Timeout = 2 * time.Second
 	}
 	n := &News{Options: o}
-	n.rules = loop.New(force.Model{}, loop.RunnerFunc(n.run))
-	n.group.Go(func(ctx context.Context) error {
-		return n.watch(ctx, force.Current, n.onRules)
-	})
-	n.group.Go(func(ctx context.Context) error {
-		return n.watch(ctx, tablePrefix, n.onTable)
-	})
-	n.group.Go(n.tick)
+	n.watchers = &follower{n: n}
+	n.rules = loop.New(force.Model{}, loop.RunnerFunc(n.runRules))
+	n.gossip = loop.New(gossip.New(time.Now(), o.Self), loop.RunnerFunc(n.runGossip))
+	n.group.Go(n.tickRules)
+	n.group.Go(n.tickGossip)
+	n.group.Go(n.probes)
 	return n
 }
 
-// Close stops following and waits.
+// Close leaves the exchange and waits.
 func (n *News) Close() error {
 	err := n.group.Close()
-	if e := n.rules.Close(); err == nil {
-		err = e
-	}
-	if e := n.effect.Close(); err == nil {
-		err = e
+	for _, c := range []interface{ Close() error }{n.gossip, n.rules, n.watchers, &n.effect} {
+		if e := c.Close(); err == nil {
+			err = e
+		}
 	}
 	return err
 }
 
-// Sight notes how many entry VMs there should be and how many were heard
-// lately, this one included in both.
-func (n *News) Sight(live, heard int) {
-	n.live.Store(int32(live))
-	n.heard.Store(int32(heard))
-}
+// SetPeers says which VMs take part, this one included.
+func (n *News) SetPeers(live []gossip.Peer) { n.gossip.Send(gossip.PeersMsg{Live: live}) }
 
-// Rules takes the bytes of the rules that an operator just had accepted here.
-func (n *News) Rules(raw []byte) { n.rules.Send(force.LoadedMsg{Raw: raw}) }
+// Report passes on loads of backend servers that this VM read itself.
+func (n *News) Report(rows []gossip.Row) { n.gossip.Send(gossip.ReportMsg{Rows: rows}) }
 
-func (n *News) onRules(o object.Object) {
-	if o.Name == force.Current {
-		n.rules.Send(force.LoadedMsg{Raw: o.Value})
-		n.rules.Send(force.SightMsg{Store: true})
+// Watching reports whether this VM watches the store for the others.
+func (n *News) Watching() bool { return n.watching.Load() }
+
+// Handle takes a packet of a peer, whom its certificate names. Kind Malformed
+// means that it made no sense; it changed nothing.
+func (n *News) Handle(from ident.VM, body []byte) error {
+	p, err := gossip.DecodePacket(body)
+	if err != nil {
+		return err
 	}
+	n.gossip.Send(gossip.PacketMsg{From: from, Packet: p})
+	return nil
 }
 
-func (n *News) onTable(o object.Object) {
-	tab, err := table.Decode(o.Value)
+// runGossip carries out what node/gossip decides.
+func (n *News) runGossip(_ context.Context, cmd loop.Cmd, _ func(loop.Msg)) {
+	switch cmd := cmd.(type) {
+	case gossip.SendCmd:
+		n.post(cmd)
+	case gossip.HeadCmd:
+		if cmd.Head.Name == force.Current {
+			n.rules.Send(force.HeardMsg{From: cmd.From, Rev: cmd.Head.Rev, Sum: cmd.Head.Sum})
+		}
+	case gossip.ValueCmd:
+		n.value(cmd)
+	case gossip.WatchCmd:
+		n.watching.Store(cmd.On)
+		n.watchers.set(cmd.On)
+	case gossip.SightCmd:
+		n.rules.Send(force.SightMsg{Store: cmd.Store, Live: cmd.Live, Heard: cmd.Heard})
+	case gossip.LoadCmd:
+		if n.Loads != nil {
+			n.Loads(cmd.Rows)
+		}
+	}
+}
+
+func (n *News) post(cmd gossip.SendCmd) {
+	b, err := cmd.Packet.Encode()
 	if err != nil {
-		n.Log.Error("ownership table", "name", o.Name, "err", err)
+		n.Log.Error("peer packet", "err", err)
 		return
 	}
-	if tablePrefix+string(tab.Service) != o.Name {
-		n.Log.Error("ownership table under another name", "name", o.Name, "service", tab.Service)
+	p := cmd.Packet
+	if p.Pulse != nil || p.Ack != nil || p.Probe != nil {
+		n.Peers.Cast(cmd.To, b)
 		return
 	}
-	if n.Tables != nil {
-		n.Tables(tab, o.Version)
-	}
+	n.Peers.Send(cmd.To, b)
 }
 
-// tick lets time pass for rules/force and proves now and then that the store
-// answers: a watch that waits in silence proves nothing.
-func (n *News) tick(ctx context.Context) error {
-	last := time.Time{}
-	for ctx.Err() == nil {
-		n.rules.Send(force.SightMsg{Live: int(n.live.Load()), Heard: int(n.heard.Load())})
-		n.rules.Send(force.TickMsg{})
-		if time.Since(last) >= look {
-			last = time.Now()
-			n.probe(ctx)
+// value takes what a peer brought. What came from the store was handed on when
+// it was read.
+func (n *News) value(cmd gossip.ValueCmd) {
+	switch {
+	case cmd.From == "":
+	case cmd.Head.Name == force.Current:
+		n.rules.Send(force.LoadedMsg{From: cmd.From, Raw: cmd.Raw})
+	case strings.HasPrefix(cmd.Head.Name, tablePrefix):
+		tab, err := decode(cmd.Head.Name, cmd.Raw)
+		if err != nil {
+			n.Log.Error("ownership table", "from", cmd.From, "err", err)
+			return
 		}
-		sleep(ctx, tick)
+		n.tables(tab, 0)
 	}
-	return nil
 }
 
-func (n *News) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
-	defer cancel()
-	o, err := n.Store.Get(ctx, force.Current)
-	switch kinds.Of(err) {
-	case kinds.None:
-		n.onRules(o)
-	case kinds.Absent:
-		n.rules.Send(force.SightMsg{Store: true})
+func (n *News) tables(tab table.Table, ver object.Version) {
+	if n.Tables != nil {
+		n.Tables(tab, ver)
 	}
 }
 
-// run carries out what rules/force decides.
-func (n *News) run(ctx context.Context, cmd loop.Cmd, _ func(loop.Msg)) {
+// runRules carries out what rules/force decides.
+func (n *News) runRules(ctx context.Context, cmd loop.Cmd, _ func(loop.Msg)) {
 	switch cmd := cmd.(type) {
 	case force.ApplyCmd:
 		n.Book.Apply(cmd.Snap)
-		n.Log.Info("rules in force", "rev", cmd.Snap.Rev, "author", cmd.Snap.Author, "sum", cmd.Snap.Sum)
+		n.Log.Info("rules in force", "rev", cmd.Snap.Rev, "author", cmd.Snap.Author)
 	case force.ServeCmd:
 		n.Book.SetState(cmd.State)
 		n.Log.Info("answering requests", "state", cmd.State.String())
 	case force.AlarmCmd:
 		n.Log.Error("rules", "from", cmd.From, "rev", cmd.Rev, "err", cmd.Err)
 	case force.FetchCmd:
+		if cmd.From != "" {
+			return // node/gossip asks peers by itself
+		}
 		n.effect.Go(func(context.Context) error {
+			n.seen.Store(0)
 			n.probe(ctx)
 			return nil
 		})
 	}
 }
 
-// watch follows the objects under a prefix through outages of the store.
-func (n *News) watch(ctx context.Context, prefix string, news func(object.Object)) error {
-	var at object.Cursor
-	listed, pause := false, firstPause
+// tickRules is the period of rules/force.
+const tickRules = 250 * time.Millisecond
+
+func (n *News) tickRules(ctx context.Context) error {
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			at, err = n.follow(ctx, prefix, at, news)
-		} else {
-			at, err = n.list(ctx, prefix, news)
-		}
-		switch {
-		case err == nil:
-			listed, pause = true, firstPause
-			continue
-		case kinds.Of(err) == kinds.Absent:
-			listed = false // the cursor is too old
-		}
-		sleep(ctx, pause)
-		pause = min(2*pause, lastPause)
+		n.rules.Send(force.TickMsg{})
+		sleep(ctx, tickRules)
 	}
 	return nil
 }
 
-func (n *News) list(ctx context.Context, prefix string, news func(object.Object)) (object.Cursor, error) {
-	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
-	defer cancel()
-	all, at, err := n.Store.List(ctx, prefix)
-	for _, o := range all {
-		news(o)
-	}
-	return at, err
-}
-
-func (n *News) follow(ctx context.Context, prefix string, at object.Cursor, news func(object.Object)) (object.Cursor, error) {
-	changes, next, err := n.Store.Watch(ctx, prefix, at)
-	if err != nil {
-		return at, err
-	}
-	for _, c := range changes {
-		if c.Version != 0 && strings.HasPrefix(c.Name, prefix) {
-			news(c.Object)
-		}
+func (n *News) tickGossip(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.gossip.Send(gossip.TickMsg{})
+		sleep(ctx, gossip.Tick)
 	}
-	return next, nil
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/edge/news/store.go
@@ -0,0 +1,169 @@
+package news
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+)
+
+// Pauses of following the store.
+const (
+	look       = 500 * time.Millisecond // between reads that prove that it answers
+	firstPause = 100 * time.Millisecond // after a failed call
+	lastPause  = 2 * time.Second
+)
+
+// probes proves, on a VM that watches, that the store answers: a watch that
+// waits in silence proves nothing.
+func (n *News) probes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if n.watching.Load() {
+			n.probe(ctx)
+		}
+		sleep(ctx, look)
+	}
+	return nil
+}
+
+func (n *News) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
+	defer cancel()
+	o, err := n.Store.Get(ctx, force.Current)
+	switch kinds.Of(err) {
+	case kinds.None:
+		n.onRules(o)
+		n.gossip.Send(gossip.StoreMsg{})
+	case kinds.Absent:
+		n.gossip.Send(gossip.StoreMsg{})
+	}
+}
+
+// onRules takes the rules as read from the store. The same version is handed on
+// once: most reads only prove that the store answers.
+func (n *News) onRules(o object.Object) {
+	if o.Name != force.Current || n.seen.Swap(uint64(o.Version)) == uint64(o.Version) {
+		return
+	}
+	n.rules.Send(force.LoadedMsg{Raw: o.Value})
+	rec, err := force.Decode(o.Value)
+	if err != nil {
+		return // rules/force reports it
+	}
+	n.gossip.Send(gossip.ValueMsg{Name: o.Name, Rev: rec.Rev, Raw: o.Value})
+}
+
+func (n *News) onTable(o object.Object) {
+	tab, err := decode(o.Name, o.Value)
+	if err != nil {
+		n.Log.Error("ownership table", "name", o.Name, "err", err)
+		return
+	}
+	n.tables(tab, o.Version)
+	n.gossip.Send(gossip.ValueMsg{Name: o.Name, Rev: tab.Rev, Raw: o.Value})
+}
+
+// decode reads a table and checks that it stands under its own name: a table in
+// another's place would send a service's requests to another's servers.
+func decode(name string, raw []byte) (table.Table, error) {
+	tab, err := table.Decode(raw)
+	if err == nil && tablePrefix+string(tab.Service) != name {
+		err = kinds.New(kinds.Malformed, "a table of "+string(tab.Service)+" under the name "+name)
+	}
+	return tab, err
+}
+
+// follower watches the store while it is switched on.
+type follower struct {
+	n *News
+
+	mu   sync.Mutex
+	on   *group.Group
+	shut bool
+}
+
+// set switches watching on or off. It does not wait.
+func (f *follower) set(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.shut || on == (f.on != nil) {
+		return
+	}
+	if !on {
+		old := f.on
+		f.on = nil
+		f.n.effect.Go(func(context.Context) error { return old.Close() })
+		return
+	}
+	f.on = &group.Group{}
+	f.on.Go(func(ctx context.Context) error { return f.n.watch(ctx, force.Current, f.n.onRules) })
+	f.on.Go(func(ctx context.Context) error { return f.n.watch(ctx, tablePrefix, f.n.onTable) })
+}
+
+// Close switches watching off for good and waits.
+func (f *follower) Close() error {
+	f.mu.Lock()
+	old := f.on
+	f.on, f.shut = nil, true
+	f.mu.Unlock()
+	if old == nil {
+		return nil
+	}
+	return old.Close()
+}
+
+// watch follows the objects under a prefix through outages of the store.
+func (n *News) watch(ctx context.Context, prefix string, news func(object.Object)) error {
+	var at object.Cursor
+	listed, pause := false, firstPause
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			at, err = n.follow(ctx, prefix, at, news)
+		} else {
+			at, err = n.list(ctx, prefix, news)
+		}
+		switch {
+		case err == nil:
+			listed, pause = true, firstPause
+			continue
+		case kinds.Of(err) == kinds.Absent:
+			listed = false // the cursor is too old
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, lastPause)
+	}
+	return nil
+}
+
+func (n *News) list(ctx context.Context, prefix string, news func(object.Object)) (object.Cursor, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
+	defer cancel()
+	all, at, err := n.Store.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range all {
+		news(o)
+	}
+	return at, nil
+}
+
+func (n *News) follow(ctx context.Context, prefix string, at object.Cursor, news func(object.Object)) (object.Cursor, error) {
+	changes, next, err := n.Store.Watch(ctx, prefix, at)
+	if err != nil {
+		return at, err
+	}
+	for _, c := range changes {
+		if c.Version != 0 {
+			news(c.Object)
+		}
+	}
+	return next, nil
+}
--- a/internal/fake/objapi/knobs.go
+++ b/internal/fake/objapi/knobs.go
@@ -18,14 +18,16 @@
 type knobs struct {
 	mu     sync.Mutex
 	down   bool
+	noList bool
 	delay  time.Duration
 	lose   int
 	calls  Calls
 	change chan struct{} // closed when the outage begins, so that waits end
 }
 
-// Outage begins or ends an outage. While it lasts every call is cut off without
-// an answer and without effect, and waiting watches break.
+// Outage begins or ends an outage of the object API. While it lasts every call
+// but that of the VM list is cut off without an answer and without effect, and
+// waiting watches break.
 func (k *knobs) Outage(down bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -36,6 +38,19 @@
 	k.down = down
 }
 
+// ListOutage begins or ends an outage of the VM list.
+func (k *knobs) ListOutage(down bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noList = down
+}
+
+func (k *knobs) listDown() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.noList
+}
+
 // Delay makes every call take at least d.
 func (k *knobs) Delay(d time.Duration) {
 	k.mu.Lock()
--- a/internal/fake/objapi/objapi.go
+++ b/internal/fake/objapi/objapi.go
@@ -68,6 +68,9 @@
 
 func (a *API) serve(w http.ResponseWriter, r *http.Request) {
 	down, delay, _ := a.state()
+	if r.URL.Path == PathVMs {
+		down = a.listDown()
+	}
 	if delay > 0 {
 		t := time.NewTimer(delay)
 		defer t.Stop()
