--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -141,7 +141,7 @@
 	n := news.New(news.Options{
 		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
 		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table,
-		Loads:   func(rows []gossip.Row) { report(a.State, rows) },
+		Loads:   func(rows []gossip.Row) { weigh(a.State, rows) },
 		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
 	a.Peers.on(link.Gossip, n.Handle)
@@ -149,9 +149,9 @@
 	return n
 }
 
-// report hands loads that peers read to the gates. They only tip the choice
+// weigh hands loads that peers read to the gates. They only tip the choice
 // between servers that look alike.
-func report(s *state.State, rows []gossip.Row) {
+func weigh(s *state.State, rows []gossip.Row) {
 	for _, r := range rows {
 		for _, svc := range s.Services() {
 			if _, ok := svc.Addr(r.Server); ok {
