load/gate: a standing queue holds one turn, not the server's own queue

Cause: the target wait of a queue followed the typical answer, which includes the wait in the server's own queue: the longer servers queued, the longer the gate let requests queue before them.

Change: the wait taken in is counted in turns (how long a place is held, over the places): one turn, at least 10 ms.

--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -17,7 +17,8 @@
 	// nothing, a later one has wasted its time.
 	Early = 8 * time.Millisecond
 	// standingWaits is how many targets long the wait in a standing queue may
-	// be. Two keep the slots busy through the gaps between arrivals.
+	// be: enough for one request to be ready whenever a place becomes free. More
+	// adds delay and no work, since the servers are busy without it.
 	standingWaits = 2
 	// margin is how many typical answers must fit before the deadline when a
 	// request is started: service times vary as much as their mean.
@@ -90,18 +91,19 @@
 // not.
 func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket) Verdict {
 	typical := c.typical(t.long)
-	l.q.Target = max(queue.DefaultTarget, typical)
+	each := c.each(now, owner, t.long)
+	l.q.Target = max(queue.DefaultTarget, each)
 	t.item.By = t.Job.Deadline.Add(-margin * typical)
 	t.caller = c.flow(string(t.Job.Caller), 'c')
 	t.key = c.flow(string(t.Job.Key), 'k')
 	tag := max(l.book.Start(t.caller), l.book.Start(t.key))
-	wait := c.wait(now, owner, t, l.q.Ahead(uint8(t.Job.Class), tag))
+	wait := turns(each, l.q.Ahead(uint8(t.Job.Class), tag)) + stalled(now, owner)
 	slack := t.item.By.Sub(now)
 	if wait > slack {
 		l.q.Full(now)
 		return c.refuse(t, kinds.Late, c.hint(wait-max(slack, 0)))
 	}
-	if l.q.Standing() && wait > standingWaits*l.q.Target {
+	if l.q.Standing() && wait > standing(each) {
 		l.q.Full(now)
 		return c.refuse(t, kinds.Busy, c.hint(wait))
 	}
@@ -109,24 +111,41 @@
 		return c.refuse(t, kinds.Busy, c.hint(wait))
 	}
 	c.enqueue(now, l, t)
-	c.trim(now, l, owner, t)
+	c.trim(now, l, each, t)
 	return Wait
 }
 
-// wait estimates how long a request with so many ahead of it waits, by Little's
-// law: places over the time each is held.
-func (c *Core) wait(now time.Time, owner *server, t *Ticket, ahead float64) time.Duration {
-	width := c.width[t.long]
-	var stalled time.Duration
+// each estimates the time between two starts on a lane's servers while they are
+// full, by Little's law: how long a place is held over the number of places.
+func (c *Core) each(now time.Time, owner *server, k sizes.Kind) time.Duration {
+	held := c.typical(k)
+	width := c.width[k]
 	if owner != nil {
 		width = float64(owner.most(now))
-		stalled = owner.health.Stalled(now)
 	}
-	each := c.typical(t.long).Seconds() / max(width, 1)
-	if owner != nil && owner.load.Latency() > c.typical(t.long) && t.long == sizes.Short {
-		each = owner.load.Latency().Seconds() / max(width, 1)
+	if owner != nil && k == sizes.Short {
+		held = max(held, owner.load.Latency())
 	}
-	return stalled + time.Duration((ahead+1)*each*float64(time.Second))
+	return time.Duration(float64(held) / max(width, 1))
+}
+
+// turns is the wait of a request with so many ahead of it.
+func turns(each time.Duration, ahead float64) time.Duration {
+	return time.Duration((ahead + 1) * float64(each))
+}
+
+// standing is the longest wait that a standing queue takes in: at least one
+// turn, or a lane with a single place would never have a request ready for it.
+func standing(each time.Duration) time.Duration {
+	return max(standingWaits*queue.DefaultTarget, each)
+}
+
+// stalled is for how long an owner has been silent when it should not be.
+func stalled(now time.Time, owner *server) time.Duration {
+	if owner == nil {
+		return 0
+	}
+	return owner.health.Stalled(now)
 }
 
 func (c *Core) enqueue(now time.Time, l *lane, t *Ticket) {
@@ -156,11 +175,11 @@
 
 // trim keeps a standing queue short after a request went in ahead of others:
 // those who would now wait too long are told so while it is still early.
-func (c *Core) trim(now time.Time, l *lane, owner *server, t *Ticket) {
+func (c *Core) trim(now time.Time, l *lane, each time.Duration, t *Ticket) {
 	for l.q.Standing() {
-		wait := c.wait(now, owner, t, float64(l.q.Len()-1))
+		wait := turns(each, float64(l.q.Len()-1))
 		worst := l.q.Worst()
-		if wait <= standingWaits*l.q.Target || worst == &t.item || now.Sub(worst.Since()) > Early {
+		if wait <= standing(each) || worst == &t.item || now.Sub(worst.Since()) > Early {
 			return
 		}
 		l.q.Full(now)
