load/fair: debts at a common rate in place of virtual time

Cause: fair queueing orders a backlog, and a standing queue holds one turn. Who came in while it was empty was let in whoever it was.

Tried first and dropped: virtual time with memory (every request charged, time moving by one round of the active flows).

Change: debts paid off at one common rate that is squeezed when someone without debt has to be refused and eases otherwise. Debt moves a request back in the queue by a bounded time, so it cannot starve, and is refused first.

--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -2,110 +2,153 @@
 //
 // The load pattern is one caller that sends half of all requests, or one key
 // that gets a third of them. In order of arrival, everybody then waits behind
-// the hot one: the others' p99 grows with a backlog that is not theirs.
+// the hot one, and under overload everybody is refused alike, although the
+// others alone would all have been served.
 //
-// The method is start-time fair queueing. A flow (a caller, a key) has a finish
-// tag, which rises by the cost of each of its requests; a request is ordered by
-// its start tag, the flow's finish tag or the virtual time, whichever is later.
-// A flow that asks for little always starts at the virtual time, hence before
-// the backlog of a hot one, and a flow alone still gets everything: nothing is
-// reserved, so no capacity is lost.
+// The method is approximate max-min fairness with one common rate. Each flow (a
+// caller, a key) has a debt, which rises by the cost of each of its requests
+// that is let in and is paid off at the common rate. Whoever sends more slowly
+// than the rate owes nothing. Whoever sends faster is in debt: its requests go
+// behind those of others and are the first to be refused. The rate is not set
+// by anybody: it is squeezed a little each time a request of someone without
+// debt has to be refused, and eases while requests are let in, so that it
+// settles where the hot flows leave the others their room.
 //
-// Grounds for the memory bound: a flow whose tag is not above the virtual time
-// owes nothing and can be forgotten without changing any later decision. Only
-// flows with something waiting or just served are remembered, so a million
-// callers cost no more than the queue is long.
+// Fair queueing by virtual time was tried first and needs a backlog to remember
+// who has had how much; under overload the gate keeps its queues too short for
+// that (see docs/design/load.md).
+//
+// Grounds: a twentieth per squeeze reaches the right rate within about a second
+// of one server's arrivals; a thousandth per admission keeps the refusals of
+// those without debt, at the settled rate, at about two in a hundred. A flow
+// whose debt is paid can be forgotten without changing any later decision, so
+// only flows that were active lately are remembered: a million callers cost no
+// more than DefaultFlows entries.
 package fair
 
+import "time"
+
 // Flow is the hash of a caller or a key. Zero is "none", which is never charged.
 type Flow uint64
 
-// Tag is a point in virtual time, in units of request cost.
-type Tag float64
-
-// DefaultFlows is how many flows a Book remembers. It is four times the longest
-// queue of the gate: every waiting request may have its own caller, and the
-// rest are flows served moments ago.
-const DefaultFlows = 1024
+// Settings, with their grounds in the package comment.
+const (
+	// DefaultFlows is how many flows a Book remembers: four times the longest
+	// queue of the gate.
+	DefaultFlows = 1024
+	// MaxDebt bounds what a flow can owe, in requests: one that has calmed down
+	// is an ordinary one again as soon as these are paid.
+	MaxDebt = 8
+	// Free is the debt that counts as none: two requests in a row are usual.
+	Free = 2
 
-// sweep is how many remembered flows are looked at for each new one. Two is
-// enough to forget faster than flows arrive.
-const sweep = 2
+	tighter = 0.95
+	looser  = 1.001
+	slowest = 0.01 // requests per second
+	fastest = 1e4
+	sweep   = 2 // flows looked at for each new one, to forget faster than they come
+)
 
-// Book keeps the finish tags of the flows of one queue. The zero value is ready
-// to use and remembers DefaultFlows flows.
+// Book keeps the debts of the flows of one queue. The zero value is ready to
+// use and remembers DefaultFlows flows.
 type Book struct {
 	Max int // most flows remembered; zero is DefaultFlows
 
-	finish  map[Flow]Tag
-	order   []Flow // ring of remembered flows in the order they came
+	due     map[Flow]float64 // debt plus paid
+	order   []Flow           // ring of remembered flows in the order they came
 	head, n int
-	now     Tag
+	rate    float64 // requests per second at which each flow pays
+	paid    float64 // what a flow in debt has paid since the start
+	at      time.Time
 }
 
-// Start returns the start tag that a request of this flow would get, without
-// charging it.
-func (b *Book) Start(f Flow) Tag {
-	if f == 0 {
-		return b.now
+// Debt is how many requests the flow owes.
+func (b *Book) Debt(now time.Time, f Flow) float64 {
+	b.pay(now)
+	return max(b.due[f]-b.paid, 0)
+}
+
+// Delay is how long the flow needs to pay what it owes beyond Free; zero for a
+// flow that is within its share.
+func (b *Book) Delay(now time.Time, f Flow) time.Duration {
+	over := b.Debt(now, f) - Free
+	if over <= 0 || f == 0 {
+		return 0
 	}
-	return max(b.now, b.finish[f])
+	return time.Duration(over / b.speed() * float64(time.Second))
 }
 
-// Charge adds a request of the given cost to the flow and returns its start
-// tag.
-func (b *Book) Charge(f Flow, cost float64) Tag {
-	start := b.Start(f)
-	end := start + Tag(cost)
+// Charge adds a request that was let in.
+func (b *Book) Charge(now time.Time, f Flow, cost float64) {
 	if f == 0 {
-		return start
+		return
 	}
+	debt := b.Debt(now, f)
 	b.remember(f)
-	b.finish[f] = end
-	return start
+	b.due[f] = b.paid + min(debt+cost, MaxDebt)
 }
 
-// Refund takes back a charge whose request was refused or abandoned before it
-// was served.
+// Refund takes back a charge whose request was refused or abandoned after all.
 func (b *Book) Refund(f Flow, cost float64) {
-	if end, ok := b.finish[f]; ok && f != 0 {
-		b.finish[f] = end - Tag(cost)
+	if due, ok := b.due[f]; ok {
+		b.due[f] = due - cost
 	}
 }
 
-// Serve moves the virtual time on for a request that is started: to its start
-// tag, and by its part of one round over the active flows.
-//
-// With the first step alone a request could wait for ever: as long as new flows
-// keep arriving, each starts at the virtual time, is served before whoever is
-// one request ahead of it, and leaves the virtual time where it was. One would
-// notice refusals at the deadline, of callers with two requests in a row.
-func (b *Book) Serve(start Tag, cost float64, active int) {
-	b.now = max(b.now, start) + Tag(cost)/Tag(max(active, 1))
+// Squeeze lowers the common rate, because someone without debt was refused.
+// Most is the rate, in requests per second, that one flow could reach alone.
+func (b *Book) Squeeze(most float64) {
+	b.rate = max(min(b.speed(), most)*tighter, slowest)
 }
 
-// Now returns the virtual time.
-func (b *Book) Now() Tag { return b.now }
+// Ease raises the common rate a little, because a request was let in.
+func (b *Book) Ease() { b.rate = min(b.speed()*looser, fastest) }
 
 // Len is the number of flows remembered.
 func (b *Book) Len() int { return b.n }
 
+func (b *Book) speed() float64 {
+	if b.rate == 0 {
+		return fastest
+	}
+	return b.rate
+}
+
+func (b *Book) pay(now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 && !b.at.IsZero() {
+		b.paid += passed.Seconds() * b.speed()
+	}
+	b.at = now
+}
+
 func (b *Book) remember(f Flow) {
-	if b.finish == nil {
+	if b.due == nil {
 		if b.Max <= 0 {
 			b.Max = DefaultFlows
 		}
-		b.finish = make(map[Flow]Tag, b.Max)
-		b.order = make([]Flow, b.Max)
+		b.due = make(map[Flow]float64)
 	}
-	if _, ok := b.finish[f]; ok {
+	if _, ok := b.due[f]; ok {
 		return
 	}
 	b.forget()
-	b.order[(b.head+b.n)%b.Max] = f
+	if len(b.order) < b.Max && b.n == len(b.order) {
+		b.grow()
+	}
+	b.order[(b.head+b.n)%len(b.order)] = f
 	b.n++
 }
 
+// grow doubles the ring, so that a queue with few flows stays small.
+func (b *Book) grow() {
+	const first = 16
+	ring := make([]Flow, min(max(2*len(b.order), first), b.Max))
+	for i := range b.n {
+		ring[i] = b.order[(b.head+i)%len(b.order)]
+	}
+	b.order, b.head = ring, 0
+}
+
 // forget drops flows that owe nothing. When all owe something and the book is
 // full it drops the oldest, which then starts afresh: a bounded unfairness in
 // place of unbounded memory.
@@ -114,20 +157,22 @@
 		if b.n == 0 {
 			return
 		}
-		f := b.order[b.head]
-		b.head = (b.head + 1) % b.Max
-		b.n--
-		if b.finish[f] <= b.now {
-			delete(b.finish, f)
+		f := b.take()
+		if b.due[f] <= b.paid {
+			delete(b.due, f)
 			continue
 		}
-		b.order[(b.head+b.n)%b.Max] = f
+		b.order[(b.head+b.n)%len(b.order)] = f
 		b.n++
 	}
-	if b.n < b.Max {
-		return
+	if b.n == b.Max {
+		delete(b.due, b.take())
 	}
-	delete(b.finish, b.order[b.head])
-	b.head = (b.head + 1) % b.Max
+}
+
+func (b *Book) take() Flow {
+	f := b.order[b.head]
+	b.head = (b.head + 1) % len(b.order)
 	b.n--
+	return f
 }
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -32,10 +32,37 @@
 	cost = 1
 )
 
-// lane is one queue with what fairness and estimates need.
+// lane is one queue, and who has had how much of it.
 type lane struct {
-	q    queue.Queue[*Ticket]
-	book fair.Book
+	q       queue.Queue[*Ticket]
+	callers fair.Book
+	keys    fair.Book
+}
+
+// delay is how far the caller or the key is over its share.
+func (l *lane) delay(now time.Time, t *Ticket) time.Duration {
+	return max(l.callers.Delay(now, t.caller), l.keys.Delay(now, t.key))
+}
+
+func (l *lane) charge(now time.Time, t *Ticket) {
+	l.callers.Charge(now, t.caller, cost)
+	l.keys.Charge(now, t.key, cost)
+	l.callers.Ease()
+	l.keys.Ease()
+}
+
+func (l *lane) refund(t *Ticket) {
+	l.callers.Refund(t.caller, cost)
+	l.keys.Refund(t.key, cost)
+}
+
+// squeeze lowers the fair shares, because the lane, which starts a request in
+// each such time, had to refuse one that was within them.
+func (l *lane) squeeze(now time.Time, each time.Duration) {
+	most := 1 / max(each.Seconds(), 1e-6)
+	l.callers.Squeeze(most)
+	l.keys.Squeeze(most)
+	l.q.Full(now)
 }
 
 // lanes is a pair of queues, short and long, that share servers.
@@ -90,24 +117,26 @@
 // admit queues the request if it can be served in time, and refuses it now if
 // not.
 func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket) Verdict {
-	typical := c.typical(t.long)
 	each := c.each(now, owner, t.long)
 	l.q.Target = max(queue.DefaultTarget, each)
-	t.item.By = t.Job.Deadline.Add(-margin * typical)
-	t.caller = c.flow(string(t.Job.Caller), 'c')
-	t.key = c.flow(string(t.Job.Key), 'k')
-	tag := max(l.book.Start(t.caller), l.book.Start(t.key))
-	wait := turns(each, l.q.Ahead(uint8(t.Job.Class), tag)) + stalled(now, owner)
+	t.item.By = t.Job.Deadline.Add(-margin * c.typical(t.long))
+	over := l.delay(now, t)
+	back := min(over, max(Early, turns(each, float64(l.q.Len()))))
+	t.item.Rank = now.Add(back)
+	wait := turns(each, l.q.Ahead(uint8(t.Job.Class), t.item.Rank)) + stalled(now, owner) + back
 	slack := t.item.By.Sub(now)
-	if wait > slack {
+	switch {
+	case l.q.Standing() && over > 0:
 		l.q.Full(now)
+		return c.refuse(t, kinds.Busy, c.hint(over))
+	case wait > slack:
+		l.squeeze(now, each)
 		return c.refuse(t, kinds.Late, c.hint(wait-max(slack, 0)))
-	}
-	if l.q.Standing() && wait > standing(each) {
-		l.q.Full(now)
+	case l.q.Standing() && wait > standing(each):
+		l.squeeze(now, each)
 		return c.refuse(t, kinds.Busy, c.hint(wait))
-	}
-	if !l.q.Room() && !c.displace(now, l, tag) {
+	case !l.q.Room() && !c.displace(now, l, t):
+		l.squeeze(now, each)
 		return c.refuse(t, kinds.Busy, c.hint(wait))
 	}
 	c.enqueue(now, l, t)
@@ -151,7 +180,7 @@
 func (c *Core) enqueue(now time.Time, l *lane, t *Ticket) {
 	t.item.Value = t
 	t.item.Class = uint8(t.Job.Class)
-	t.item.Tag = max(l.book.Charge(t.caller, cost), l.book.Charge(t.key, cost))
+	l.charge(now, t)
 	l.q.Push(now, &t.item)
 	t.state = waiting
 	c.waiting++
@@ -161,12 +190,12 @@
 	}
 }
 
-// displace makes room in a full queue for a request with an earlier tag than
-// the worst one there, if that one has not waited long.
-func (c *Core) displace(now time.Time, l *lane, tag fair.Tag) bool {
+// displace makes room in a full queue for a request that goes before the worst
+// one there, if that one has not waited long.
+func (c *Core) displace(now time.Time, l *lane, t *Ticket) bool {
 	l.q.Full(now)
 	worst := l.q.Worst()
-	if worst == nil || worst.Tag <= tag || now.Sub(worst.Since()) > Early {
+	if worst == nil || !t.item.Rank.Before(worst.Rank) || now.Sub(worst.Since()) > Early {
 		return false
 	}
 	c.drop(l, worst.Value, kinds.Busy, c.hint(0))
@@ -190,8 +219,7 @@
 // drop refuses a request that waits.
 func (c *Core) drop(l *lane, t *Ticket, k kinds.Kind, after time.Duration) {
 	l.q.Remove(&t.item)
-	l.book.Refund(t.caller, cost)
-	l.book.Refund(t.key, cost)
+	l.refund(t)
 	c.waiting--
 	c.decide(t, k, after)
 }
@@ -200,8 +228,7 @@
 func (c *Core) unqueue(t *Ticket) {
 	l := &t.in.by[t.long]
 	l.q.Remove(&t.item)
-	l.book.Refund(t.caller, cost)
-	l.book.Refund(t.key, cost)
+	l.refund(t)
 	c.waiting--
 }
 
@@ -229,10 +256,11 @@
 	return min(max(after, minHint), maxHint)
 }
 
-// flow hashes a name. The kind keeps a caller and a key of the same name apart.
-func (c *Core) flow(name string, kind uint64) fair.Flow {
+// flow hashes a name, under a seed that callers cannot know: they could
+// otherwise choose names that collide with someone else's.
+func (c *Core) flow(name string) fair.Flow {
 	if name == "" {
 		return 0
 	}
-	return fair.Flow(maphash.String(c.seed, name) ^ kind<<56 | 1)
+	return fair.Flow(maphash.String(c.seed, name) | 1)
 }
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -154,8 +154,10 @@
 func (c *Core) enter(now time.Time, ls *lanes, owner *server, t *Ticket) Verdict {
 	t.in = ls
 	l := &ls.by[t.long]
+	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
 	if l.q.Len() == 0 && t.Job.Deadline.After(now) {
 		if s := c.place(now, owner, t); s != nil {
+			l.charge(now, t)
 			c.start(now, t, s)
 			return Start
 		}
@@ -300,7 +302,6 @@
 	l := &ls.by[kind]
 	t := l.q.Pop(now).Value
 	c.waiting--
-	l.book.Serve(t.item.Tag, cost, l.q.Len()+1)
 	ls.spend(kind, c.typical(kind).Seconds())
 	c.start(now, t, s)
 	c.ready = append(c.ready, t)
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -295,8 +295,7 @@
 func (c *Core) expireLane(now time.Time, l *lane) {
 	l.q.Expire(now, func(t *Ticket) {
 		l.q.Full(now)
-		l.book.Refund(t.caller, cost)
-		l.book.Refund(t.key, cost)
+		l.refund(t)
 		c.waiting--
 		c.decide(t, kinds.Late, c.hint(0))
 	})
--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -24,8 +24,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"hawthornfield.org/hawthornfield/internal/load/fair"
 )
 
 // Defaults of Queue.
@@ -44,7 +42,7 @@
 type Item[T any] struct {
 	Value T
 	Class uint8
-	Tag   fair.Tag  // fair order, lowest first
+	Rank  time.Time // order within the class, earliest first
 	By    time.Time // when it is too late to start
 
 	seq uint64
@@ -59,12 +57,12 @@
 func (i *Item[T]) Waiting() bool { return i.in }
 
 type entry[T any] struct {
-	tag  fair.Tag
+	rank time.Time
 	seq  uint64
 	item *Item[T]
 }
 
-// line is one class: entries sorted by tag, then by arrival.
+// line is one class: entries sorted by rank, then by arrival.
 type line[T any] struct {
 	entries []entry[T]
 	pass    float64 // virtual time of the class, for sharing by weight
@@ -119,8 +117,8 @@
 	if len(l.entries) == 0 {
 		l.pass = max(l.pass, q.pass)
 	}
-	i := l.find(it.Tag, it.seq)
-	l.entries = slices.Insert(l.entries, i, entry[T]{it.Tag, it.seq, it})
+	i := l.find(it.Rank, it.seq)
+	l.entries = slices.Insert(l.entries, i, entry[T]{it.Rank, it.seq, it})
 	q.n++
 	if q.soonest.IsZero() || it.By.Before(q.soonest) {
 		q.soonest = it.By
@@ -128,10 +126,11 @@
 }
 
 // find returns the place of an entry in the line.
-func (l *line[T]) find(tag fair.Tag, seq uint64) int {
+func (l *line[T]) find(rank time.Time, seq uint64) int {
 	return sort.Search(len(l.entries), func(i int) bool {
 		e := &l.entries[i]
-		return e.tag > tag || (e.tag == tag && e.seq >= seq)
+		c := e.rank.Compare(rank)
+		return c > 0 || (c == 0 && e.seq >= seq)
 	})
 }
 
@@ -176,7 +175,7 @@
 		return
 	}
 	l := &q.lines[it.Class]
-	i := l.find(it.Tag, it.seq)
+	i := l.find(it.Rank, it.seq)
 	l.entries = slices.Delete(l.entries, i, i+1)
 	it.in = false
 	q.n--
@@ -186,10 +185,10 @@
 }
 
 // Ahead estimates how many items are served before a newcomer of this class and
-// tag: those before it in its own class, and the share the other classes take
+// rank: those before it in its own class, and the share the other classes take
 // meanwhile.
-func (q *Queue[T]) Ahead(class uint8, tag fair.Tag) float64 {
-	own := float64(q.lines[class].find(tag, q.seq+1))
+func (q *Queue[T]) Ahead(class uint8, rank time.Time) float64 {
+	own := float64(q.lines[class].find(rank, q.seq+1))
 	ahead := own
 	for i := range q.lines {
 		if i == int(class) {
