load/limit: a share per entry VM, and the server's report as a second sign

Read from the gauges at 0.1 s to 10 s: 27 to 35 requests on each server of 4 slots, limits of 1 on one VM and 5 on another for the same server.

Cause: a VM that starts under overload learns the crowded latency as the quiet one, and grows to slots+1; ten VMs do, and those that come late stay at 1.

Change: the limit starts at the VM's share (2 of 4 slots for ten VMs), exceeds it only when both the latency and a fresh report say that slots are unused, and is cut by either one that speaks of a crowd.

--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -116,7 +116,7 @@
 func (c *Core) learnAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
 	typical := c.typical(t.long).Seconds()
 	c.mix.Observe(t.Job.Size, uint8(t.Job.Class), took)
-	s.limit[t.long].Observe(took)
+	s.limit[t.long].Observe(now, took)
 	s.health.Done(now, took.Seconds()/typical, false)
 	if t.long == sizes.Short {
 		s.load.Observe(now, took, false)
@@ -188,6 +188,7 @@
 func (c *Core) Report(now time.Time, name ident.Server, load int, age time.Duration) {
 	if s := c.byName[name]; s != nil {
 		s.load.Report(now, load, age, c.typical(sizes.Short))
+		s.limit[s.kind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
 }
 
@@ -214,7 +215,7 @@
 	for _, s := range c.servers {
 		s.kind = kind
 		for k := range s.limit {
-			s.limit[k].Bound(s.info.Slots, s.pool.Most(now))
+			s.limit[k].Bound(s.info.Slots, c.share.VMs, s.pool.Most(now))
 		}
 		s.load.Weight = s.health.Weight(now)
 		c.open.Put(s.idx, s.room(now))
