Membership: states out of witnesses that can each be wrong

Cause: the list lags, health endpoints lie, servers freeze and come back, and this VM's own link can be the broken part. A rule that trusts any one of these either keeps a dead server in service or takes a healthy fleet out.

Ruled out on the way, each by a failing test: judging each message alone (two of three servers were frozen one after the other: 2 of 3 after 42 histories), holding the guard against a half-read list also against the word 'gone' (a server took work 3.1 s after it left, after 893 fresh histories), silence no longer than the time between two probes (an idle server was a silent one).

--- /dev/null
+++ b/internal/node/roster/roster.go
@@ -0,0 +1,255 @@
+// Package roster decides which entry VMs and backend servers are live, joining,
+// draining, frozen or gone, out of witnesses that can each be wrong: the
+// platform's list lags, a health endpoint can say "ready" while nothing is
+// served, silence can be our own broken link, and callers' failures can be the
+// callers' fault.
+//
+// The pattern it answers: servers join and leave all day, some freeze and come
+// back as if nothing had happened. Without a rule, one lying endpoint keeps
+// requests flowing into a dead server; a rule that trusts any one witness takes
+// a healthy fleet out of service when that witness fails. So:
+//
+//   - Leaving is believed at once from the list, its "gone" included, and from
+//     the server's own word unless more than half of its group says so while the list says live. To
+//     believe it wrongly costs some capacity, to doubt it breaks the promise
+//     that a leaving server gets no new work within 3 s.
+//   - Frozen takes two witnesses, or callers alone for longer; and never more
+//     than half of those that are watched. Beyond that it is our side, or
+//     overload, and nothing is declared.
+//   - Frozen here and well with the others is our link: avoided, not frozen.
+//   - Gone takes the list's word and silence. Silence alone never makes gone:
+//     whoever was silent may still hold what it held.
+//
+// The states and their changes stand in member.toml.
+package roster
+
+import (
+	_ "embed"
+	"net/netip"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/chart"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+//go:embed member.toml
+var chartFile []byte
+
+var states = chart.MustParse(chartFile)
+
+// States of a member.
+const (
+	Joining  chart.State = "joining"
+	Live     chart.State = "live"
+	Draining chart.State = "draining"
+	Frozen   chart.State = "frozen"
+	Gone     chart.State = "gone"
+)
+
+const (
+	onReady  chart.Trigger = "ready"
+	onLeave  chart.Trigger = "leave"
+	onSilent chart.Trigger = "silent"
+	onLost   chart.Trigger = "lost"
+	onStay   chart.Trigger = "stay"
+	onBack   chart.Trigger = "back"
+)
+
+// Config holds the times. The zero value takes DefaultConfig.
+type Config struct {
+	Probe  time.Duration // between two probes of a member
+	Silent time.Duration // without any answer: one witness of a freeze
+	Alone  time.Duration // failing callers alone are believed after this
+	Lost   time.Duration // silence that confirms the list's "gone"
+	Absent time.Duration // missing from the list counts as "gone" after this
+	Stay   time.Duration // both witnesses deny the leaving for this long
+	Fresh  time.Duration // another VM's view counts for this long
+}
+
+// DefaultConfig leaves room for one lost probe within the 3 s in which a leaving
+// server must be noticed. Silent is longer than the time between two probes, so
+// an idle member is not a silent one, and more than eight renewals of a lease
+// (175 ms), so a pause of a garbage collector is no freeze.
+var DefaultConfig = Config{
+	Probe:  time.Second,
+	Silent: 1500 * time.Millisecond,
+	Alone:  3 * time.Second,
+	Lost:   2 * time.Second,
+	Absent: 30 * time.Second,
+	Stay:   10 * time.Second,
+	Fresh:  3 * time.Second,
+}
+
+const (
+	badProbes  = 2  // unanswered probes in a row that make a witness
+	badCalls   = 3  // failures in a row that make callers a witness
+	manyCalls  = 10 // failures in a row that are believed alone, after Alone
+	goodProofs = 3  // answers in a row that make a joining member live
+	someViews  = 2  // other VMs whose contrary view outweighs ours
+)
+
+// Times for a member that freezes again and again.
+const (
+	firstHold = 2 * time.Second // after the second freeze, then doubled
+	longHold  = time.Minute
+	forgiven  = 5 * time.Minute // since the last freeze
+)
+
+// Listed is one row of the platform's list.
+type Listed[K ~string] struct {
+	ID     K
+	Group  ident.Service // empty for entry VMs
+	Centre ident.Centre
+	Addr   netip.AddrPort
+	State  vmlist.State
+}
+
+// ListMsg brings the list as read just now.
+type ListMsg[K ~string] struct{ Rows []Listed[K] }
+
+// ProbeMsg brings the answer to a probe: the member's own word.
+type ProbeMsg[K ~string] struct {
+	ID     K
+	Failed bool // no answer
+	Health server.Health
+}
+
+// BeatMsg tells that a member was heard directly: an answer to an order, a
+// packet of a peer.
+type BeatMsg[K ~string] struct{ ID K }
+
+// CallsMsg tells what callers observed since the last one. Bad counts requests
+// without any answer: refusals and errors are answers.
+type CallsMsg[K ~string] struct {
+	ID   K
+	Good int
+	Bad  int
+}
+
+// ViewMsg tells whom another VM holds to be frozen; send it about once a second.
+type ViewMsg[K ~string] struct {
+	From ident.VM
+	Bad  []K
+}
+
+// TickMsg lets time pass; send it every 100 ms or so. States change only with it
+// and with a list, so that all members are judged by one picture.
+type TickMsg struct{}
+
+// ProbeCmd asks for a probe.
+type ProbeCmd[K ~string] struct {
+	ID   K
+	Addr netip.AddrPort
+}
+
+// ChangeCmd tells that a member changed its state, and why in a few words.
+type ChangeCmd[K ~string] struct {
+	ID       K
+	From, To chart.State
+	Why      string
+}
+
+// ViewCmd tells whom this VM holds to look frozen, for the other VMs. It is made
+// with each round of probes.
+type ViewCmd[K ~string] struct{ Bad []K }
+
+// Member is one member as seen now.
+type Member[K ~string] struct {
+	Listed[K]
+	Is    chart.State
+	Since time.Time // of the state
+	Cold  bool      // by its own word: give it little at first
+	Avoid bool      // it looks frozen from here, but not to others
+}
+
+// Takes reports whether the member may get new work.
+func (m Member[K]) Takes() bool { return m.Is == Live }
+
+// Model is the decision module; it implements [loop.Model]. Make one with New.
+// It changes in place, so its state belongs to the goroutine that updates it.
+type Model[K ~string] struct {
+	cfg     Config
+	members map[K]*member[K]
+	views   map[ident.VM]view[K]
+	probed  time.Time
+}
+
+type view[K ~string] struct {
+	at  time.Time
+	bad []K
+}
+
+// New makes a roster.
+func New[K ~string](cfg Config) *Model[K] {
+	if cfg == (Config{}) {
+		cfg = DefaultConfig
+	}
+	return &Model[K]{cfg: cfg, members: map[K]*member[K]{}, views: map[ident.VM]view[K]{}}
+}
+
+// Update implements [loop.Model].
+func (m *Model[K]) Update(now time.Time, msg loop.Msg) (loop.Model, []loop.Cmd) {
+	var cmds []loop.Cmd
+	switch msg := msg.(type) {
+	case ListMsg[K]:
+		m.onList(now, msg.Rows)
+		cmds = m.judge(now)
+	case ProbeMsg[K]:
+		m.with(msg.ID, func(x *member[K]) { x.onProbe(now, msg) })
+	case BeatMsg[K]:
+		m.with(msg.ID, func(x *member[K]) { x.onBeat(now) })
+	case CallsMsg[K]:
+		m.with(msg.ID, func(x *member[K]) { x.onCalls(now, msg) })
+	case ViewMsg[K]:
+		m.views[msg.From] = view[K]{at: now, bad: msg.Bad}
+	case TickMsg:
+		cmds = append(m.probe(now), m.judge(now)...)
+	}
+	return m, cmds
+}
+
+func (m *Model[K]) with(id K, f func(*member[K])) {
+	if x := m.members[id]; x != nil {
+		f(x)
+	}
+}
+
+// onList takes the list in. Names that it shows for the first time join.
+func (m *Model[K]) onList(now time.Time, rows []Listed[K]) {
+	for _, x := range m.members {
+		x.inList = false
+	}
+	for _, row := range rows {
+		x := m.members[row.ID]
+		if x == nil {
+			x = &member[K]{Member: Member[K]{Is: Joining, Since: now}, born: now}
+			m.members[row.ID] = x
+		}
+		x.Listed = row
+		x.inList, x.listAt = true, now
+	}
+}
+
+// probe asks for the round of probes and tells the others what is seen here.
+func (m *Model[K]) probe(now time.Time) []loop.Cmd {
+	if now.Sub(m.probed) < m.cfg.Probe {
+		return nil
+	}
+	m.probed = now
+	var cmds []loop.Cmd
+	var bad []K
+	for _, id := range m.ids() {
+		x := m.members[id]
+		if x.Is == Gone {
+			continue
+		}
+		cmds = append(cmds, ProbeCmd[K]{ID: id, Addr: x.Addr})
+		if x.suspect(now, m.cfg) {
+			bad = append(bad, id)
+		}
+	}
+	return append(cmds, ViewCmd[K]{Bad: bad})
+}
