--- /dev/null
+++ b/internal/edge/trial/path.go
@@ -0,0 +1,229 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"runtime"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/front"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// Path is the request path of one entry VM alone: from the handler to the bytes
+// written to a backend server's connection and back, without network, callers'
+// HTTP server or stand-ins. What it allocates is the path's own, net/http's
+// client included.
+type Path struct {
+	front   *front.Front
+	handler http.Handler
+	gate    *gate.Gate
+	request *http.Request
+	answer  sink
+}
+
+// NewPath makes a path with 200 rules, of which the last one matches, and one
+// backend server that answers at once.
+func NewPath() (*Path, error) {
+	at := netip.MustParseAddrPort("10.0.0.1:80")
+	st := state.New([]config.Service{{
+		Name: "lookup", Divided: true, Slices: slices,
+		Servers: []config.Server{{Name: "lookup-1", Data: at}},
+	}})
+	svc, _ := st.Service("lookup")
+	svc.Gate = gate.New(gate.Config{Service: "lookup"})
+	svc.Gate.SetServers([]gate.ServerInfo{{Name: "lookup-1", Slots: slots, Conns: conns}})
+	if err := ownAll(svc); err != nil {
+		return nil, err
+	}
+	set, err := match.Compile(ruleList(DefaultRules))
+	if err != nil {
+		return nil, err
+	}
+	st.Rules.Apply(&force.Snapshot{Record: &force.Record{Rev: 1}, Set: set})
+	st.Rules.SetState(force.Serve)
+	f := &front.Front{
+		VM: "vm-1", State: st, Limit: config.Config{}.Fill().Limit,
+		Relay: relay.New(relay.Config{Open: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			return newCanned(), nil
+		}}),
+	}
+	f.Start()
+	p := &Path{front: f, handler: f.Handler(), gate: svc.Gate, answer: sink{header: http.Header{}}}
+	p.request = &http.Request{
+		Method: http.MethodGet, Host: "x", URL: &url.URL{Path: "/scales/north"}, Proto: "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1, RemoteAddr: "10.0.0.9:1",
+		Header: http.Header{"User-Agent": {"trial"}, "Accept": {"*/*"}, "Hawthorn-Caller": {"weighbridge"}, "Hawthorn-Id": {"request-1"}},
+	}
+	return p, nil
+}
+
+func ownAll(svc *state.Service) error {
+	tab, err := table.New("lookup", slices, "lookup-1")
+	if err != nil {
+		return err
+	}
+	moves := make([]table.Move, slices)
+	for i := range moves {
+		moves[i] = table.Move{Slice: ident.Slice(i), To: "lookup-1"}
+	}
+	if tab, err = tab.Assigned(moves...); err != nil {
+		return err
+	}
+	svc.SetView(table.NewView(tab))
+	return nil
+}
+
+// Close ends the path.
+func (p *Path) Close() error {
+	err := p.front.Relay.Close()
+	if e := p.gate.Close(); err == nil {
+		err = e
+	}
+	if e := p.front.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// Once takes one request along the path. It fails with kind Internal when the
+// answer is not the expected one.
+func (p *Path) Once() error {
+	p.answer.reset()
+	p.handler.ServeHTTP(&p.answer, p.request)
+	if p.answer.code != http.StatusOK || p.answer.n != len(body) {
+		return kinds.New(kinds.Internal, "the path answered "+http.StatusText(p.answer.code))
+	}
+	return nil
+}
+
+// Allocs returns the allocations and the time of one request, as means over n.
+func (p *Path) Allocs(n int) (allocs, bytes float64, took time.Duration, err error) {
+	for range 100 {
+		if err := p.Once(); err != nil {
+			return 0, 0, 0, err
+		}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	for range n {
+		if err := p.Once(); err != nil {
+			return 0, 0, 0, err
+		}
+	}
+	took = time.Since(start) / time.Duration(n)
+	runtime.ReadMemStats(&after)
+	allocs = float64(after.Mallocs-before.Mallocs) / float64(n)
+	bytes = float64(after.TotalAlloc-before.TotalAlloc) / float64(n)
+	return allocs, bytes, took, nil
+}
+
+// sink takes an answer and keeps nothing of it.
+type sink struct {
+	header http.Header
+	code   int
+	n      int
+}
+
+func (s *sink) reset() {
+	clear(s.header)
+	s.code, s.n = 0, 0
+}
+
+// Header returns the answer's header.
+func (s *sink) Header() http.Header { return s.header }
+
+// WriteHeader notes the status.
+func (s *sink) WriteHeader(code int) { s.code = code }
+
+// Write counts the bytes.
+func (s *sink) Write(b []byte) (int, error) {
+	s.n += len(b)
+	return len(b), nil
+}
+
+const body = "north: window 14:10 to 14:40, last tare 11,240 kg\n"
+
+var (
+	cannedAnswer = []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 50\r\n\r\n" + body)
+	headEnd      = []byte("\r\n\r\n")
+)
+
+// canned is a connection to a backend server that answers every request with
+// the same bytes and allocates nothing.
+type canned struct {
+	mu     sync.Mutex
+	more   *sync.Cond
+	left   []byte
+	closed bool
+}
+
+func newCanned() *canned {
+	c := &canned{}
+	c.more = sync.NewCond(&c.mu)
+	return c
+}
+
+// Write takes a request; when its header ends, the answer is ready.
+func (c *canned) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if bytes.HasSuffix(b, headEnd) {
+		c.left = cannedAnswer
+		c.more.Signal()
+	}
+	return len(b), nil
+}
+
+// Read hands out the answer.
+func (c *canned) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.left) == 0 {
+		if c.closed {
+			return 0, net.ErrClosed
+		}
+		c.more.Wait()
+	}
+	n := copy(b, c.left)
+	c.left = c.left[n:]
+	return n, nil
+}
+
+// Close wakes a waiting Read.
+func (c *canned) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.more.Broadcast()
+	return nil
+}
+
+// LocalAddr returns no particular address.
+func (c *canned) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
+// RemoteAddr returns no particular address.
+func (c *canned) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// SetDeadline does nothing: the answer is always there.
+func (c *canned) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline does nothing.
+func (c *canned) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline does nothing.
+func (c *canned) SetWriteDeadline(time.Time) error { return nil }
