hawthorn certs: keys and certificates for entry VMs

Cause: the exchange between entry VMs needs certificates that name VM and address, and a stranger with no authority of their own could not start two VMs.

--- a/internal/admin/cmds/app.go
+++ b/internal/admin/cmds/app.go
@@ -121,6 +121,7 @@
 		return c
 	}
 	add(p.AddCommand("check", "check settings or rules", checkHelp, &checkCmd{app: a}))
+	add(p.AddCommand("certs", "make keys and certificates for entry VMs", certsHelp, &certsCmd{app: a}))
 	rules := add(p.AddCommand("rules", "list, edit and retire rules", rulesHelp, &struct{}{}))
 	add(rules.AddCommand("list", "show the rules in force, in their order", listHelp, &listCmd{app: a}))
 	add(rules.AddCommand("put", "add or replace rules", putHelp, &putCmd{edit: edit{app: a}}))
