Request path: 80 allocations become 65

Cause: each attempt made two cancellable contexts where one does, a slice for each added header, a copy of the request, and text of addresses and fences several times.

Ruled out: a context of our own in place of the deadline's, which net/http and the context package would have to follow with a goroutine for each request.

Measured: go test -run none -bench Path -benchmem -count 3 ./internal/edge/trial: before 80 allocs, 6427 to 6582 B; after 65 allocs, 5986 to 6053 B. Time 102 to 107 us before, 91 to 108 us after on a busy machine: no difference that can be told from noise.

Conclusion: what is left is mostly net/http's own.

--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -69,7 +69,9 @@
 
 // String renders the fence as "epoch.seq", the form used in headers and logs.
 func (f Fence) String() string {
-	return strconv.FormatUint(uint64(f.Epoch), 10) + "." + strconv.FormatUint(f.Seq, 10)
+	const most = 41 // two numbers of 20 digits and the dot
+	b := strconv.AppendUint(make([]byte, 0, most), uint64(f.Epoch), 10)
+	return string(strconv.AppendUint(append(b, '.'), f.Seq, 10))
 }
 
 // SliceOf hashes a key to one of n slices. The hash is xxHash64, which is
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -39,6 +39,7 @@
 	sent bool // the header of an answer has been written to the caller
 
 	flight *flight // the attempt under way, in a service divided by key
+	first  flight
 
 	ticket *once.Ticket // the claim on the request id, if the rule demands one
 	named  bool         // the caller itself chose the request id
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	for {
-		outcome, err := x.attempt(ctx, pass, table.Owner{Server: pass.Server()})
+		outcome, err := x.toServer(ctx, pass)
 		if err == nil || !x.mayRepeat(err) || x.note.Tries > x.rule.Then.Retry {
 			pass.Done(outcome)
 			return err
@@ -56,6 +56,13 @@
 	}
 }
 
+// toServer makes one attempt at the server that the gate picked.
+func (x *exchange) toServer(ctx context.Context, pass gate.Pass) (gate.Outcome, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	return x.attempt(ctx, cancel, pass, table.Owner{Server: pass.Server()})
+}
+
 // toOwner sends the request to the key's owner. While the key is between owners
 // nothing can run, so asking again costs no server any work; it goes on until
 // the key has an owner that takes it or the request's patience ends.
@@ -86,7 +93,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	fl := &flight{key: x.key, server: owner.Server, safe: x.rule.Then.Idempotent, cancel: cancel}
+	fl := x.newFlight(owner.Server, cancel)
 	all := x.f.flights[x.svc.Name]
 	all.add(fl)
 	defer all.remove(fl)
@@ -98,11 +105,22 @@
 		return err
 	}
 	x.flight = fl
-	outcome, err := x.attempt(ctx, pass, owner)
+	outcome, err := x.attempt(ctx, cancel, pass, owner)
 	pass.Done(outcome)
 	return err
 }
 
+// newFlight returns the flight of the next attempt. The first one is part of
+// the exchange; a later one may still be looked at while the next begins.
+func (x *exchange) newFlight(to ident.Server, cancel context.CancelCauseFunc) *flight {
+	fl := &x.first
+	if x.flight != nil || fl.cancel != nil {
+		fl = &flight{}
+	}
+	fl.key, fl.server, fl.safe, fl.cancel = x.key, to, x.rule.Then.Idempotent, cancel
+	return fl
+}
+
 // reroutable reports whether another owner would help.
 func reroutable(err error) bool {
 	switch kinds.Of(err) {
@@ -158,7 +176,9 @@
 }
 
 // attempt sends the request to one server and passes its answer on.
-func (x *exchange) attempt(ctx context.Context, pass gate.Pass, owner table.Owner) (out gate.Outcome, err error) {
+func (x *exchange) attempt(
+	ctx context.Context, cancel context.CancelCauseFunc, pass gate.Pass, owner table.Owner,
+) (out gate.Outcome, err error) {
 	x.note.Tries++
 	x.note.Server = pass.Server()
 	to, ok := x.svc.Addr(pass.Server())
@@ -172,7 +192,7 @@
 			panic(v)
 		}
 	}()
-	answer, err := x.ask(ctx, to, owner)
+	answer, err := x.ask(ctx, cancel, to, owner)
 	if err != nil {
 		return x.failed(pass, err), x.diverted(ctx, err)
 	}
@@ -192,7 +212,9 @@
 	return kinds.Wrap(kinds.Unknown, err, "the server is silent and its keys have moved")
 }
 
-func (x *exchange) ask(ctx context.Context, to netip.AddrPort, owner table.Owner) (*relay.Answer, error) {
+func (x *exchange) ask(
+	ctx context.Context, cancel context.CancelCauseFunc, to netip.AddrPort, owner table.Owner,
+) (*relay.Answer, error) {
 	body, ok := x.body.reader()
 	if !ok {
 		return nil, errSpent
@@ -200,7 +222,7 @@
 	if x.flight != nil && !x.flight.departs() {
 		return nil, errMoved
 	}
-	answer, err := x.f.Relay.Send(ctx, x.r, body, to, &relay.Meta{
+	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, &relay.Meta{
 		ID: x.note.ID, Caller: x.note.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.by,
 	})
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -42,33 +42,37 @@
 
 // attempt follows one request over the connections that net/http tries.
 type attempt struct {
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+	trace  httptrace.ClientTrace
 
-	mu   sync.Mutex
-	last *permit
-	sent bool
+	mu    sync.Mutex
+	first permit
+	last  *permit
+	sent  bool
 }
 
-// trace gives the attempt a permit for the connection that it is about to be
+// gotConn gives the attempt a permit for the connection that it is about to be
 // written on. A connection after one that was written on gets none, and the
 // request is cancelled.
-func (a *attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c, ok := info.Conn.(*conn)
-		if !ok {
-			return
-		}
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.last != nil && a.last.revoke() {
-			a.sent = true
-			c.permit.Store(nil)
-			a.cancel()
-			return
-		}
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.last != nil && a.last.revoke() {
+		a.sent = true
+		c.permit.Store(nil)
+		a.cancel(errNoPermit)
+		return
+	}
+	if a.last == nil {
+		a.last = &a.first
+	} else {
 		a.last = &permit{}
-		c.permit.Store(a.last)
-	}}
+	}
+	c.permit.Store(a.last)
 }
 
 // end stops the attempt from writing and reports whether any byte of it may
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -52,6 +52,7 @@
 
 // line is what leads to one backend server: its connections and their cap.
 type line struct {
+	host      string
 	seats     seats
 	transport *http.Transport
 }
@@ -118,7 +119,7 @@
 const maxIdle = 1 << 16
 
 func (r *Relay) newLine(to netip.AddrPort) *line {
-	l := &line{}
+	l := &line{host: to.String()}
 	l.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return r.dial(ctx, l, to)
@@ -159,18 +160,24 @@
 	Deadline time.Time
 }
 
+// set writes the headers. Their values share one array: a slice of its own for
+// each was a tenth of what the request path allocated.
 func (m *Meta) set(h http.Header) {
-	h[HeaderID] = []string{string(m.ID)}
-	h[HeaderCaller] = []string{string(m.Caller)}
-	h[HeaderService] = []string{string(m.Service)}
+	all := make([]string, 0, len(ours))
+	put := func(name, value string) {
+		all = append(all, value)
+		h[name] = all[len(all)-1 : len(all) : len(all)]
+	}
+	put(HeaderID, string(m.ID))
+	put(HeaderCaller, string(m.Caller))
+	put(HeaderService, string(m.Service))
 	if m.Key != "" {
-		h[HeaderKey] = []string{string(m.Key)}
-		h[HeaderSlice] = []string{strconv.FormatUint(uint64(m.Slice), 10)}
-		h[HeaderFence] = []string{ident.Fence{Epoch: m.Epoch}.String()}
+		put(HeaderKey, string(m.Key))
+		put(HeaderSlice, strconv.FormatUint(uint64(m.Slice), 10))
+		put(HeaderFence, ident.Fence{Epoch: m.Epoch}.String())
 	}
 	if !m.Deadline.IsZero() {
-		left := max(time.Until(m.Deadline).Milliseconds(), 0)
-		h[HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
+		put(HeaderDeadline, strconv.FormatInt(max(time.Until(m.Deadline).Milliseconds(), 0), 10))
 	}
 }
 
@@ -179,7 +186,7 @@
 // closed, never used again.
 type Answer struct {
 	resp   *http.Response
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	First  time.Duration // from sending to the header's arrival
 }
 
@@ -188,7 +195,7 @@
 
 // Close abandons what was not read.
 func (a *Answer) Close() error {
-	a.cancel()
+	a.cancel(nil)
 	return a.resp.Body.Close()
 }
 
@@ -199,19 +206,24 @@
 //   - Unknown: the request may have run;
 //   - Canceled after it was written: the caller went away.
 //
-// Use Ran on the error to tell the two cases of Canceled apart. The body is
-// read once, by the attempt alone.
-func (r *Relay) Send(ctx context.Context, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta) (*Answer, error) {
-	caller := ctx
-	ctx, cancel := context.WithCancel(ctx)
+// Failure.Sent tells the two cases of Canceled apart. The body is read once, by
+// the attempt alone.
+//
+// The context is the attempt's own: cancel ends it, is called by the relay when
+// the attempt is over, and by the caller to give it up.
+func (r *Relay) Send(
+	ctx context.Context, cancel context.CancelCauseFunc, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta,
+) (*Answer, error) {
 	a := &attempt{cancel: cancel}
-	out := outgoing(httptrace.WithClientTrace(ctx, a.trace()), in, body, to, meta)
+	a.trace.GotConn = a.gotConn
+	l := r.line(to)
 	start := time.Now()
-	resp, err := r.line(to).transport.RoundTrip(out) //nolint:bodyclose // Answer.Close does
+	resp, err := l.transport.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, l.host, meta)) //nolint:bodyclose // Answer.Close does
 	if err != nil {
 		sent := a.end()
-		cancel()
-		return nil, failure(caller, err, sent)
+		err = failure(ctx, err, sent)
+		cancel(nil)
+		return nil, err
 	}
 	answer := &Answer{resp: resp, cancel: cancel, First: time.Since(start)}
 	if err := check(resp, in.Method, meta.ID); err != nil {
@@ -222,26 +234,25 @@
 }
 
 // outgoing makes the request for the backend server.
-func outgoing(ctx context.Context, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta) *http.Request {
-	u := &url.URL{
-		Scheme: "http", Host: to.String(),
+func outgoing(ctx context.Context, in *http.Request, body io.Reader, host string, meta *Meta) *http.Request {
+	out := new(http.Request).WithContext(ctx)
+	out.Method, out.Host = in.Method, in.Host
+	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
+	out.URL = &url.URL{
+		Scheme: "http", Host: host,
 		Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery,
 	}
-	out := &http.Request{
-		Method: in.Method, URL: u, Host: in.Host,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: outHeader(in.Header, meta),
-	}
+	out.Header = outHeader(in.Header, meta)
 	if body != nil && in.ContentLength != 0 {
 		out.Body, out.ContentLength, out.Trailer = io.NopCloser(body), in.ContentLength, in.Trailer
 	}
-	return out.WithContext(ctx)
+	return out
 }
 
 // failure gives an attempt without an answer its kind.
 func failure(caller context.Context, err error, sent bool) error {
 	switch {
-	case errors.Is(caller.Err(), context.Canceled):
+	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
 		return &Failure{Kind: kinds.Canceled, Sent: sent, err: err}
 	case sent:
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: err}
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -92,7 +92,8 @@
 	if in.ContentLength != 0 {
 		body = in.Body
 	}
-	a, err := r.Send(ctx, in, body, someone, &Meta{ID: ident.Request(id)})
+	ctx, cancel := context.WithCancelCause(ctx)
+	a, err := r.Send(ctx, cancel, in, body, someone, &Meta{ID: ident.Request(id)})
 	if err != nil {
 		return nil, err
 	}
