--- a/internal/admin/cmds/app.go
+++ b/internal/admin/cmds/app.go
@@ -65,16 +65,27 @@
 
 // app is what every command shares.
 type app struct {
-	ctx context.Context
-	out io.Writer
-	err io.Writer
+	ctx     context.Context
+	release func() // gives signals their usual effect back
+	out     io.Writer
+	err     io.Writer
 }
 
+// Option changes how Main works.
+type Option func(*app)
+
+// WithRelease gives a function that gives signals their usual effect back, so
+// that a second one ends a shutdown that takes too long.
+func WithRelease(f func()) Option { return func(a *app) { a.release = f } }
+
 // Main runs the command line and returns the exit code.
 //
 //	os.Exit(cmds.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
-func Main(ctx context.Context, args []string, out, errs io.Writer) int {
+func Main(ctx context.Context, args []string, out, errs io.Writer, opts ...Option) int {
 	a := &app{ctx: ctx, out: out, err: errs}
+	for _, opt := range opts {
+		opt(a)
+	}
 	_, err := newParser(a).ParseArgs(args)
 	var shown *flags.Error
 	switch {
@@ -120,6 +131,7 @@
 		}
 		return c
 	}
+	add(p.AddCommand("serve", "run an entry VM", serveHelp, &serveCmd{app: a}))
 	add(p.AddCommand("check", "check settings or rules", checkHelp, &checkCmd{app: a}))
 	add(p.AddCommand("certs", "make keys and certificates for entry VMs", certsHelp, &certsCmd{app: a}))
 	rules := add(p.AddCommand("rules", "list, edit and retire rules", rulesHelp, &struct{}{}))
@@ -130,6 +142,7 @@
 	add(rules.AddCommand("history", "show who changed the rules and when", historyHelp, &historyCmd{app: a}))
 	add(p.AddCommand("report", "who received what, when, why, under whose rule", reportHelp, &reportCmd{app: a}))
 	add(p.AddCommand("owners", "which server owns what now", ownersHelp, &ownersCmd{app: a}))
+	add(p.AddCommand("demo", "see it work, in one process", demoHelp, &demoCmd{app: a}))
 	measure := add(p.AddCommand("bench", "run the measurements", benchHelp, &benchCmd{app: a}))
 	measure.SubcommandsOptional = true
 	add(measure.AddCommand("compare", "print what got worse", compareHelp, &compareCmd{app: a}))
--- /dev/null
+++ b/internal/admin/cmds/serve_test.go
@@ -0,0 +1,76 @@
+package cmds
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/fake/origin"
+)
+
+// An operator starts an entry VM from a file, sends a request through it, and
+// ends it with a signal. The exit code is 0 and the request is in the report.
+func TestServeFromAFileToTheReport(t *testing.T) {
+	d := newDesk(t)
+	o := origin.New(origin.Config{Service: "upload", Server: "upload-1", Slots: 4, Queue: 4, Conns: 100})
+	at, err := o.Start()
+	assert.NilError(t, err)
+	defer o.Close()
+	settings := d.file("vm.toml", "vm = \"vm-1\"\ncentre = \"north\"\n[platform]\nobjects = \""+d.at+"\"\n"+
+		"[limit]\ndrain = \"1s\"\n"+
+		"[rules]\ntext = '''\n"+rest+"'''\n[[service]]\nname = \"upload\"\n[[service.server]]\nname = \"upload-1\"\ndata = \""+at.String()+"\"\n")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r, w := io.Pipe()
+	var g group.Group
+	code, errs := -1, bytes.Buffer{}
+	g.Go(func(context.Context) error {
+		code = Main(ctx, []string{"serve", "-c", settings}, w, &errs)
+		return w.Close()
+	})
+	lines := bufio.NewScanner(r)
+	callers := ""
+	for callers == "" && lines.Scan() {
+		var line struct{ Msg, Callers string }
+		assert.NilError(t, json.Unmarshal(lines.Bytes(), &line))
+		callers = line.Callers
+	}
+	assert.Assert(t, callers != "", errs.String())
+	g.Go(func(context.Context) error {
+		_, err := io.Copy(io.Discard, r)
+		return err
+	})
+	ask := func() int {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+callers+"/anything", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Hawthorn-Id", "asked")
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	for ask() != http.StatusOK { // until the first rules are in force
+	}
+	cancel()
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, code, ExitOK, errs.String())
+	assert.Assert(t, strings.Contains(d.must("report --id asked"), "upload-1"))
+}
+
+func TestServeOpensNothingWithWrongSettings(t *testing.T) {
+	d := newDesk(t)
+	assert.Equal(t, d.run("serve"), ExitUsage)
+	assert.Equal(t, d.run("serve -c", d.file("vm.toml", "vm = \"x\"\nspeed = 1\n")), ExitInvalid)
+	assert.Assert(t, strings.Contains(d.errs.String(), "line 2: speed: unknown setting"), d.errs.String())
+	hidden := strings.Replace(vm, "[platform]", "[rules]\ntext = '''\n"+rest+lookups+"'''\n[platform]", 1)
+	assert.Equal(t, d.run("serve -c", d.file("vm.toml", hidden)), ExitInvalid)
+	assert.Assert(t, strings.Contains(d.errs.String(), "can never match"), d.errs.String())
+}
--- a/internal/core/config/fill.go
+++ b/internal/core/config/fill.go
@@ -36,8 +36,8 @@
 	DefaultWatch   = 30 * time.Second
 
 	DefaultBatch  = 2 << 20 // decisions compress to a quarter or less; a batch that does not is cut again
-	DefaultRate   = 4.0     // objects a second that one VM writes
-	DefaultBudget = 40.0    // objects a second of all VMs, out of the store's several hundred
+	DefaultRate   = 10.0    // objects a second that one VM writes
+	DefaultBudget = 100.0   // objects a second of all VMs, out of the store's several hundred
 	DefaultWindow = 4
 	DefaultBuffer = 8 << 20 // about 50,000 decisions
 	DefaultRing   = 8192
