load/gate: wait estimates from the observed pace, with room for error

Cause: in the first tenth of a second a burst fills the queue up to the whole time to spare, by an estimate from before the burst; then the servers' own queues fill, answers take three to four times as long, and the last in line are refused at their deadline.

Change: the estimate uses the pace of starts while others wait, when that is slower than the model; half of the time to spare is left for error.

--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -23,6 +23,12 @@
 	// margin is how many typical answers must fit before the deadline when a
 	// request is started: service times vary as much as their mean.
 	margin = 2
+	// patience is the part of the time to spare that a request may wait: the
+	// estimate of the wait can be wrong by as much again when a burst begins,
+	// because the servers' own queues have not filled yet.
+	patience = 0.5
+	// gapFollow averages about ten starts.
+	gapFollow = 0.1
 	// pressFollow spans about fifty requests, half a second of one VM's part.
 	pressFollow = 0.02
 	minHint     = 100 * time.Millisecond
@@ -37,6 +43,28 @@
 	q       queue.Queue[*Ticket]
 	callers fair.Book
 	keys    fair.Book
+	gap     time.Duration // average time between two starts while others wait
+	last    time.Time     // the last start, while others wait
+}
+
+// popped notes a start from the queue.
+func (l *lane) popped(now time.Time) {
+	if !l.last.IsZero() {
+		l.gap += time.Duration(float64(now.Sub(l.last)-l.gap) * gapFollow)
+	}
+	l.last = now
+	if l.q.Len() == 0 {
+		l.last = time.Time{}
+	}
+}
+
+// pace is the time between two starts as observed, the present wait for one
+// included; zero when nothing waits.
+func (l *lane) pace(now time.Time) time.Duration {
+	if l.q.Len() == 0 || l.last.IsZero() {
+		return 0
+	}
+	return max(l.gap, now.Sub(l.last))
 }
 
 // delay is how far the caller or the key is over its share.
@@ -117,7 +145,7 @@
 // admit queues the request if it can be served in time, and refuses it now if
 // not.
 func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket) Verdict {
-	each := c.each(now, owner, t.long)
+	each := max(c.each(now, owner, t.long), l.pace(now))
 	l.q.Target = max(queue.DefaultTarget, each)
 	t.item.By = t.Job.Deadline.Add(-margin * c.typical(t.long))
 	over := l.delay(now, t)
@@ -129,7 +157,7 @@
 	case l.q.Standing() && over > 0:
 		l.q.Full(now)
 		return c.refuse(t, kinds.Busy, c.hint(over))
-	case wait > slack:
+	case float64(wait) > float64(slack)*patience:
 		l.squeeze(now, each)
 		return c.refuse(t, kinds.Late, c.hint(wait-max(slack, 0)))
 	case l.q.Standing() && wait > standing(each):
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -301,6 +301,7 @@
 	}
 	l := &ls.by[kind]
 	t := l.q.Pop(now).Value
+	l.popped(now)
 	c.waiting--
 	ls.spend(kind, c.typical(kind).Seconds())
 	c.start(now, t, s)
