--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -71,7 +71,6 @@
 	judgeAt time.Time
 	running int
 	waiting int
-	fulls   int // servers full by their own word, at the last refresh
 
 	ready []*Ticket
 	stats Stats
@@ -156,10 +155,6 @@
 	t.in = ls
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
-	if l.q.Standing() && l.delay(now, t) > 0 && c.full(now, owner) {
-		l.q.Full(now)
-		return c.refuse(t, kinds.Busy, c.hint(l.delay(now, t)))
-	}
 	if l.q.Len() == 0 && t.Job.Deadline.After(now) {
 		if s := c.place(now, owner, t); s != nil {
 			l.charge(now, t)
@@ -171,15 +166,6 @@
 	return c.admit(now, l, owner, t)
 }
 
-// full reports whether the owner, or most servers when there is none, have no
-// slot to spare by their own word.
-func (c *Core) full(now time.Time, owner *server) bool {
-	if owner != nil {
-		return owner.limit[owner.kind].Full(now)
-	}
-	return 2*c.fulls > len(c.servers)
-}
-
 // place returns a server with room for the request, nil if there is none.
 func (c *Core) place(now time.Time, owner *server, t *Ticket) *server {
 	switch {
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -207,7 +207,6 @@
 func (c *Core) refresh(now time.Time) {
 	c.open.Clear()
 	c.width = [sizes.Kinds]float64{}
-	c.fulls = 0
 	kind := sizes.Short
 	if c.mix.Only(now, sizes.Long) {
 		kind = sizes.Long
@@ -221,9 +220,6 @@
 		s.load.Weight = s.health.Weight(now)
 		c.open.Put(s.idx, s.room(now))
 		c.widen(now, s, mixed)
-		if s.limit[kind].Full(now) {
-			c.fulls++
-		}
 	}
 	for _, s := range c.servers {
 		if c.waiting == 0 {
--- a/internal/load/limit/limit.go
+++ b/internal/load/limit/limit.go
@@ -93,12 +93,6 @@
 	return l.crowd < 1 && !l.told.IsZero() && now.Sub(l.told) < Fresh
 }
 
-// Full reports whether a recent report says that all slots are used and
-// requests wait: one more adds delay there and no work.
-func (l *Limit) Full(now time.Time) bool {
-	return l.crowd > 1 && now.Sub(l.told) < Fresh
-}
-
 // crowded reports whether a recent report says that they are more than used.
 func (l *Limit) crowded(now time.Time) bool {
 	return l.crowd >= Crowd && now.Sub(l.told) < Fresh
