load/pick: the next in turn, unless a random one is clearly better

Cause: a VM has about two requests in flight over 8 to 10 servers, so two random servers mostly tie, and what decides is the noise of two averages. Taking turns spreads each VM's requests evenly, and nine even streams add up to less than chance.

Change: compare the next in turn with a random one; take the random one only if it is better by a factor.

--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -8,16 +8,21 @@
 // one whose report lies. Counting only one's own requests in flight makes a
 // server that fails at once look idle, and it attracts everything.
 //
-// Two servers are drawn at random and the better one is taken, which already
-// removes most imbalance and cannot herd, since VMs draw differently. Better is
-// the shorter expected answer: observed latency, times own requests in flight
-// over the slots, times the report in proportion to its freshness and to how
-// far it has proved true. A failure counts as ten long answers.
+// Two servers are compared: the next in turn, and one drawn at random. Turns
+// spread this VM's requests more evenly than chance, and what it knows of equal
+// servers is mostly noise, so the random one is taken only when it is better by
+// Clear; then it removes most of the harm of a bad server. It cannot herd, since
+// VMs draw differently. Better is the shorter expected answer: observed latency,
+// times own requests in flight over the slots, times the report in proportion to
+// its freshness and to how far it has proved true. A failure counts as ten long
+// answers.
 //
 // Grounds: a report's weight halves every 200 ms of age, which is the scale on
 // which a queue of a few slots turns over. A report adds at most two servers'
 // worth of load and never subtracts, so a lie can move a server's score by a
 // factor of three, less than the observed latency of the overload it causes.
+// Clear of 2 is where the p99 of equal servers is that of plain turns (see
+// docs/design/load.md); averages of ten answers differ by less than that.
 package pick
 
 import (
@@ -29,6 +34,7 @@
 const (
 	HalfAge    = 200 * time.Millisecond
 	MaxForeign = 2.0 // a report's load counts up to this many times the slots
+	Clear      = 2.0 // the random server must be better by this factor
 	Penalty    = 10  // a failure counts as an answer this many times longer
 	follow     = 0.2
 	failDecay  = 0.9
@@ -130,6 +136,7 @@
 type Set struct {
 	open []int32
 	at   []int32 // position in open plus one, zero when absent
+	turn int     // index taken in turn last
 }
 
 // Len is how many servers have room.
@@ -159,9 +166,10 @@
 	clear(s.at)
 }
 
-// Two draws two servers with room and returns the one that score rates lower.
-// It never returns skip (an index, or -1 for none) unless that is the only one;
-// it returns -1 when no server has room.
+// Two takes the next server in turn and a random one, and returns the one that
+// score rates better: the random one only if it is better by Clear. It never
+// returns skip (an index, or -1 for none) unless that is the only one; it
+// returns -1 when no server has room.
 func (s *Set) Two(r *rand.Rand, skip int, score func(i int) float64) int {
 	n := len(s.open)
 	switch n {
@@ -170,17 +178,31 @@
 	case 1:
 		return int(s.open[0])
 	}
-	a := s.draw(r, n, skip)
+	a := s.inTurn(r, n, skip)
 	b := s.draw(r, n, a)
 	if b == skip && n > 2 {
 		b = s.draw(r, n, a)
 	}
-	if b == skip || score(a) <= score(b) {
+	if b == skip || score(a) <= score(b)*Clear {
 		return a
 	}
 	return b
 }
 
+// inTurn returns the next member after the last one taken in turn, by index. It
+// looks at a few indexes only: when most servers are full, a random one with
+// room is as good.
+func (s *Set) inTurn(r *rand.Rand, n, skip int) int {
+	const looks = 8
+	for range looks {
+		s.turn = (s.turn + 1) % len(s.at)
+		if s.at[s.turn] != 0 && s.turn != skip {
+			return s.turn
+		}
+	}
+	return s.draw(r, n, skip)
+}
+
 // draw returns a random member other than not.
 func (s *Set) draw(r *rand.Rand, n, not int) int {
 	k := int(r.Uint32N(uint32(n)))
