bench: latency, load patterns, peer exchange

The command now runs what the other areas measure: what one entry VM adds, what callers receive under twelve load patterns beside the naive policy, and the exchange between entry VMs by their number. The report says how busy the machine was, since other work makes figures worse.

--- a/internal/admin/bench/all.go
+++ b/internal/admin/bench/all.go
@@ -4,6 +4,9 @@
 func All() []Experiment {
 	return []Experiment{
 		{"costs", Costs},
+		{"latency", Latency},
+		{"load", Load},
+		{"peers", Peers},
 		{"journal", Journal},
 	}
 }
--- a/internal/admin/bench/draw.go
+++ b/internal/admin/bench/draw.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -47,7 +49,18 @@
 
 func goVersion() string { return runtime.Version() }
 
-// machine names the processor, as far as the system tells.
+// loadAverage is how many processors other work keeps busy, zero if unknown.
+func loadAverage() (busy float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	busy, _ = strconv.ParseFloat(first, 64)
+	return busy
+}
+
+// machine names the processor and how many there are, if the system tells.
 func machine() string {
 	name := runtime.GOARCH
 	f, err := os.Open("/proc/cpuinfo")
@@ -61,5 +74,5 @@
 			break
 		}
 	}
-	return name
+	return fmt.Sprintf("%s x %d", name, runtime.NumCPU())
 }
--- a/internal/admin/bench/result.go
+++ b/internal/admin/bench/result.go
@@ -84,6 +84,7 @@
 	Took     time.Duration `json:"took"`
 	Go       string        `json:"go"`
 	Machine  string        `json:"machine"`
+	Busy     float64       `json:"busy"` // load average at the start: other work makes figures worse
 	Quick    bool          `json:"quick"`
 	Sections []Section     `json:"sections"`
 	Failed   []string      `json:"failed,omitempty"` // experiments that did not run, and why
@@ -104,7 +105,7 @@
 // Run runs experiments one after another: two at once would measure each other.
 // One that fails is noted, and the others still run.
 func Run(ctx context.Context, all []Experiment, o Options) Result {
-	r := Result{At: time.Now().UTC().Truncate(time.Second), Go: goVersion(), Machine: machine(), Quick: o.Quick}
+	r := Result{At: time.Now().UTC().Truncate(time.Second), Go: goVersion(), Machine: machine(), Busy: loadAverage(), Quick: o.Quick}
 	start := time.Now()
 	for _, e := range all {
 		fmt.Fprintf(o.Log, "%s ...\n", e.Name)
@@ -161,7 +162,7 @@
 // Markdown renders the report.
 func Markdown(r Result) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "# Measurements\n\n%s, %s, %s, took %v", r.At.Format(time.DateTime), r.Go, r.Machine, r.Took)
+	fmt.Fprintf(&b, "# Measurements\n\n%s, %s, %s, load average %.1f at the start, took %v", r.At.Format(time.DateTime), r.Go, r.Machine, r.Busy, r.Took)
 	if r.Quick {
 		b.WriteString(", quick run: figures are rough")
 	}
