--- a/internal/edge/daemon/cancel.go
+++ b/internal/edge/daemon/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -14,6 +15,9 @@
 // nothing depends on them: a server that misses one finishes for nobody.
 const cancelRing = 256
 
+// cancelWait is how long one cancellation may take.
+const cancelWait = 500 * time.Millisecond
+
 type abandoned struct {
 	svc ident.Service
 	srv ident.Server
@@ -57,7 +61,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	ctx, cancel := context.WithTimeout(ctx, cancelWait)
 	defer cancel()
 	for _, s := range svc.Servers {
 		if s.Name == a.srv {
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/keeper"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/edge/warden"
 	"hawthornfield.org/hawthornfield/internal/peer/certs"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
@@ -63,7 +64,7 @@
 	Keeper *keeper.Keeper
 	Doors  *doors
 	Peers  *peers
-	Warden *warden
+	Warden *warden.Warden
 }
 
 // Option changes what a daemon is made of.
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -22,6 +22,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/edge/warden"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
 )
 
@@ -37,7 +38,7 @@
 	Control server.Control
 	// The keeper, the news and the warden are made before the front, so that
 	// they stop after it: what is in flight needs them to the end.
-	Warden *warden
+	Warden *warden.Warden
 }
 
 func newFront(lc fx.Lifecycle, cfg config.Config, a faces) *front.Front {
--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -31,6 +31,7 @@
 	group group.Group
 	log   *slog.Logger
 
+	heard  atomic.Pointer[func(ident.VM)] // told of everything that arrives
 	mu     sync.RWMutex
 	takers map[link.Kind]taker
 }
@@ -95,6 +96,9 @@
 // handle takes a message of a peer. One that makes no sense is logged and
 // changes nothing.
 func (p *peers) handle(from ident.VM, k link.Kind, body []byte) {
+	if heard := p.heard.Load(); heard != nil {
+		(*heard)(from)
+	}
 	p.mu.RLock()
 	take := p.takers[k]
 	p.mu.RUnlock()
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"hawthornfield.org/hawthornfield/internal/audit/ledger"
 	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
@@ -15,6 +16,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/news"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/edge/warden"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/owner/lease"
@@ -83,7 +85,7 @@
 	s := state.New(cfg.Services)
 	for name, svc := range s.Services() {
 		svc.Gate = gate.New(gate.Config{Service: name, Queue: cfg.Limit.Queue, Deadline: cfg.Limit.Request.Duration})
-		svc.Gate.SetServers(infos(svc, nil))
+		svc.Gate.SetServers(infos(svc))
 		closes(lc, svc.Gate)
 	}
 	return s
@@ -137,6 +139,49 @@
 	return t
 }
 
+// infos describes a service's servers to its gate before anything is known of
+// them.
+func infos(svc *state.Service) []gate.ServerInfo {
+	all := make([]gate.ServerInfo, len(svc.Servers))
+	for i, s := range svc.Servers {
+		all[i] = gate.ServerInfo{Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: s.Conns}
+	}
+	return all
+}
+
+// surroundings are the parts that the warden looks at and talks to.
+type surroundings struct {
+	fx.In
+	VMs     vmlist.Lister
+	Keeper  *keeper.Keeper
+	News    *news.News
+	Relay   *relay.Relay
+	Journal *ledger.Journal
+}
+
+func newWarden(lc fx.Lifecycle, cfg config.Config, h hands, a surroundings) *warden.Warden {
+	w := warden.New(warden.Options{
+		VM: cfg.VM, Centre: cfg.Centre, Addr: h.Peers.addr, State: h.State, VMs: a.VMs, Control: h.Control,
+		Keeper: a.Keeper, News: a.News, Relay: a.Relay, Peers: mail{h.Peers, link.Beat},
+		Listed: func(list []vmlist.VM, live int) {
+			h.Peers.set(list)
+			a.Journal.Fleet(live)
+		},
+		Timeout: cfg.Platform.Timeout.Duration, Log: h.Log,
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			w.Start()
+			h.Peers.on(link.Beat, w.Handle)
+			h.Peers.heard.Store(new(w.Heard))
+			a.Keeper.OnAnswer(w.Answered)
+			return nil
+		},
+		OnStop: func(context.Context) error { return w.Close() },
+	})
+	return w
+}
+
 func newNews(lc fx.Lifecycle, cfg config.Config, a hands, k *keeper.Keeper) *news.News {
 	n := news.New(news.Options{
 		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -252,6 +252,12 @@
 	if fail.Sent && !fail.Refused {
 		x.cancel(pass.Server())
 	}
+	switch {
+	case fail.Refused:
+		x.svc.Called(pass.Server(), true)
+	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
+		x.svc.Called(pass.Server(), false)
+	}
 	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused}
 }
 
@@ -265,6 +271,7 @@
 // fault counts as failing, however quickly it does so.
 func (x *exchange) passOn(pass gate.Pass, answer *relay.Answer) (gate.Outcome, error) {
 	x.sent = true
+	x.svc.Called(pass.Server(), true)
 	x.note.Status = answer.Status()
 	x.w.Header()[relay.HeaderID] = []string{string(x.note.ID)}
 	n, err := answer.Copy(x.w)
--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -156,14 +156,22 @@
 		send = k.Control.Revoke
 	}
 	reply, err := send(ctx, c.cfg.control, cmd.Order)
+	k.heard(c, err)
 	return seat.ReplyMsg{Order: cmd, Reply: reply, Kind: unanswered(err)}
 }
 
 func (k *Keeper) readServer(ctx context.Context, c *chair, cmd seat.ReadServerCmd) loop.Msg {
 	reply, err := k.Control.Read(ctx, c.cfg.control, c.seatName.svc)
+	k.heard(c, err)
 	return seat.ReplyMsg{Read: cmd, Reply: reply, Kind: unanswered(err)}
 }
 
+func (k *Keeper) heard(c *chair, err error) {
+	if tell := k.answered.Load(); err == nil && tell != nil {
+		(*tell)(c.srv)
+	}
+}
+
 func unanswered(err error) kinds.Kind {
 	if err == nil {
 		return kinds.None
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/audit/record"
@@ -68,6 +69,8 @@
 	group  group.Group
 	effect group.Group
 
+	answered atomic.Pointer[func(ident.Server)]
+
 	seats map[seatName]*chair
 	books map[ident.Service]*book
 
@@ -223,6 +226,17 @@
 	c.loop.Send(seat.UndrainMsg{})
 }
 
+// OnAnswer says who is told of each answer of a backend server.
+func (k *Keeper) OnAnswer(f func(ident.Server)) { k.answered.Store(&f) }
+
+// ServerGone passes on that the platform lists a backend server as gone: no
+// lease of it can exist.
+func (k *Keeper) ServerGone(svc ident.Service, srv ident.Server) {
+	if c, ok := k.seats[seatName{svc, srv}]; ok {
+		c.loop.Send(seat.ServerGoneMsg{})
+	}
+}
+
 // Move asks the holder of a server's seat to give keys away. Other VMs ignore
 // it, so any VM may be told.
 func (k *Keeper) Move(svc ident.Service, from ident.Server, moves []table.Move) {
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -316,3 +316,16 @@
 	assert.Equal(t, got.Load(), "5")
 	assert.Equal(t, w.Result().Trailer.Get("X-Back"), "7")
 }
+
+// A server sends headers without end. The entry VM must not collect them.
+func TestAnAnswersHeaderIsBounded(t *testing.T) {
+	r, _ := launch(t, func(w io.Writer, _ *http.Request, _, _ int) bool {
+		say(w, "HTTP/1.1 200 OK\r\n")
+		for say(w, "X-More: "+strings.Repeat("x", 1000)+"\r\n") {
+			continue
+		}
+		return false
+	})
+	_, err := send(t.Context(), r, httptest.NewRequest("GET", "/", nil), "a")
+	assert.Equal(t, kinds.Of(err), kinds.Unknown)
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -52,13 +52,18 @@
 
 	addrs  atomic.Pointer[map[ident.Server]netip.AddrPort]
 	silent sync.Map // ident.Server -> struct{}
+	calls  map[ident.Server]*calls
 }
 
+// calls counts attempts at one server since the last look.
+type calls struct{ good, bad atomic.Int64 }
+
 func newService(cfg config.Service) *Service {
-	s := &Service{Service: cfg}
+	s := &Service{Service: cfg, calls: make(map[ident.Server]*calls, len(cfg.Servers))}
 	addrs := make(map[ident.Server]netip.AddrPort, len(cfg.Servers))
 	for _, srv := range cfg.Servers {
 		addrs[srv.Name] = srv.Data
+		s.calls[srv.Name] = &calls{}
 	}
 	s.addrs.Store(&addrs)
 	return s
@@ -92,6 +97,28 @@
 	s.silent.Delete(name)
 }
 
+// Called notes one attempt at a server: whether any answer came, be it a
+// refusal or an error. It is a witness of the server's state.
+func (s *Service) Called(name ident.Server, answered bool) {
+	c := s.calls[name]
+	switch {
+	case c == nil:
+	case answered:
+		c.good.Add(1)
+	default:
+		c.bad.Add(1)
+	}
+}
+
+// TakeCalls returns the attempts noted since the last time.
+func (s *Service) TakeCalls(name ident.Server) (good, bad int) {
+	c := s.calls[name]
+	if c == nil {
+		return 0, 0
+	}
+	return int(c.good.Swap(0)), int(c.bad.Swap(0))
+}
+
 // Owners says which backend server owns which key, and tells who waits for a
 // change. The zero value knows no owner.
 type Owners struct {
--- /dev/null
+++ b/internal/edge/warden/servers.go
@@ -0,0 +1,177 @@
+package warden
+
+import (
+	"context"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/chart"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
+	"hawthornfield.org/hawthornfield/internal/node/roster"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// home is a backend server and its service.
+type home struct {
+	svc *state.Service
+	srv config.Server
+}
+
+// serverState is what is known of a backend server.
+type serverState struct {
+	is   chart.State
+	cold bool
+}
+
+// out reports whether the server gets no new work. One that is joining does: a
+// VM that has just started knows every server as joining, and one that comes
+// back after a freeze is given its load in steps by the gate.
+func (s serverState) out() bool {
+	return s.is == roster.Draining || s.is == roster.Frozen || s.is == roster.Gone
+}
+
+// serverRows lists the backend servers of the settings. The platform's list
+// counts for those that it shows under the same name.
+func (w *Warden) serverRows(list []vmlist.VM) []roster.Listed[ident.Server] {
+	said := map[ident.Server]vmlist.State{}
+	for _, vm := range list {
+		said[ident.Server(vm.ID)] = vm.State
+	}
+	rows := make([]roster.Listed[ident.Server], 0, len(w.homes))
+	for name, h := range w.homes {
+		row := roster.Listed[ident.Server]{
+			ID: name, Group: h.svc.Name, Centre: h.srv.Centre, Addr: h.srv.Control, State: vmlist.Live,
+		}
+		if s, ok := said[name]; ok {
+			row.State = s
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// runServers carries out what the roster of backend servers asks for.
+func (w *Warden) runServers(_ context.Context, cmd loop.Cmd, send func(loop.Msg)) {
+	switch cmd := cmd.(type) {
+	case roster.ProbeCmd[ident.Server]:
+		w.effect.Go(func(ctx context.Context) error {
+			send(w.probe(ctx, cmd.ID))
+			return nil
+		})
+	case roster.ViewCmd[ident.Server]:
+		w.tellAll(note{View: &view{Of: ofSrvs, Srvs: cmd.Bad}})
+	case roster.ChangeCmd[ident.Server]:
+		w.Log.Info("backend server", "id", cmd.ID, "from", cmd.From, "to", cmd.To, "why", cmd.Why)
+		w.effect.Go(func(context.Context) error {
+			w.serverChanged(cmd.ID, cmd.To)
+			return nil
+		})
+	}
+}
+
+// probe asks a server for its health and load.
+func (w *Warden) probe(ctx context.Context, id ident.Server) loop.Msg {
+	h := w.homes[id]
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	asked := time.Now()
+	health, err := w.Control.Health(ctx, h.srv.Control)
+	if err != nil {
+		return roster.ProbeMsg[ident.Server]{ID: id, Failed: true}
+	}
+	w.warmth(id, health)
+	if l, err := w.Control.Load(ctx, h.srv.Control); err == nil {
+		age := l.Age + time.Since(asked)
+		h.svc.Gate.Report(id, l.Busy+l.Queue, age)
+		w.mu.Lock()
+		w.rows[id] = gossip.Row{Server: id, Slots: l.Slots, Busy: l.Busy, Queue: l.Queue, Age: age}
+		w.mu.Unlock()
+	}
+	return roster.ProbeMsg[ident.Server]{ID: id, Health: health}
+}
+
+// warmth notes a server's word on being cold, which is no state of the roster.
+func (w *Warden) warmth(id ident.Server, h server.Health) {
+	w.mu.Lock()
+	s := w.is[id]
+	changed := s.cold != h.Cold
+	s.cold = h.Cold
+	w.is[id] = s
+	w.mu.Unlock()
+	if changed {
+		w.tellGate(w.homes[id].svc)
+	}
+}
+
+func (w *Warden) serverChanged(id ident.Server, to chart.State) {
+	h := w.homes[id]
+	w.mu.Lock()
+	s := w.is[id]
+	was := s.is
+	s.is = to
+	w.is[id] = s
+	w.mu.Unlock()
+	w.Keeper.SetAlive(id, !s.out())
+	h.svc.SetSilent(id, to == roster.Frozen || to == roster.Gone)
+	if (to == roster.Draining) != (was == roster.Draining) {
+		w.Keeper.Drain(h.svc.Name, id, to == roster.Draining)
+	}
+	if to == roster.Gone {
+		w.Keeper.ServerGone(h.svc.Name, id)
+	}
+	w.tellGate(h.svc)
+}
+
+// tellGate describes a service's servers to its gate. A server of a service
+// divided by key that is going out still serves its keys until they have moved.
+func (w *Warden) tellGate(svc *state.Service) {
+	w.mu.Lock()
+	all := make([]gate.ServerInfo, len(svc.Servers))
+	for i, srv := range svc.Servers {
+		s := w.is[srv.Name]
+		all[i] = gate.ServerInfo{
+			Name: srv.Name, Centre: srv.Centre, Slots: srv.Slots, Conns: srv.Conns,
+			Cold: s.cold, Drain: s.out() && !svc.Divided,
+		}
+	}
+	w.mu.Unlock()
+	svc.Gate.SetServers(all)
+}
+
+// tellCalls passes on what callers received from each server since the last
+// time.
+func (w *Warden) tellCalls(context.Context) {
+	for name, h := range w.homes {
+		if good, bad := h.svc.TakeCalls(name); good+bad > 0 {
+			w.servers.Send(roster.CallsMsg[ident.Server]{ID: name, Good: good, Bad: bad})
+		}
+	}
+}
+
+// Answered notes that a server answered an order.
+func (w *Warden) Answered(id ident.Server) {
+	if w.servers != nil {
+		w.servers.Send(roster.BeatMsg[ident.Server]{ID: id})
+	}
+}
+
+// tellLoads passes on to peers what this VM read of the servers whose seats it
+// holds.
+func (w *Warden) tellLoads(context.Context) {
+	held := w.Keeper.Held()
+	var rows []gossip.Row
+	w.mu.Lock()
+	for name := range held {
+		if r, ok := w.rows[name]; ok {
+			rows = append(rows, r)
+			delete(w.rows, name)
+		}
+	}
+	w.mu.Unlock()
+	w.News.Report(rows)
+}
--- /dev/null
+++ b/internal/edge/warden/warden.go
@@ -0,0 +1,232 @@
+// Package warden watches who is there, entry VMs and backend servers, and tells
+// the gates, the seats and the exchange between VMs. The judgement is
+// node/roster's; what is added here are its witnesses: the platform's list,
+// probes, what peers send, and what callers received.
+package warden
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/edge/keeper"
+	"hawthornfield.org/hawthornfield/internal/edge/news"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/node/gossip"
+	"hawthornfield.org/hawthornfield/internal/node/roster"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// Periods of looking at the surroundings.
+const (
+	listEvery = time.Second            // the platform's list
+	tickEvery = 100 * time.Millisecond // of the rosters
+	callEvery = 250 * time.Millisecond // what callers received
+	tellEvery = time.Second            // loads and suspicions, to peers and seats
+	probeWait = 500 * time.Millisecond // for one answer of a backend server
+)
+
+// Poster carries small messages to other entry VMs, which may be lost.
+type Poster interface {
+	Cast(to ident.VM, body []byte)
+}
+
+// Options are what a warden needs; all but Log are required.
+type Options struct {
+	VM      ident.VM
+	Centre  ident.Centre
+	Addr    func() netip.AddrPort // where peers reach this VM
+	State   *state.State
+	VMs     vmlist.Lister
+	Control server.Control
+	Keeper  *keeper.Keeper
+	News    *news.News
+	Relay   *relay.Relay
+	Peers   Poster
+	// Listed is told of each changed list of VMs, with the number of live ones.
+	Listed  func(list []vmlist.VM, live int)
+	Timeout time.Duration // of reading the list
+	Log     *slog.Logger
+}
+
+// Warden watches. Make one with New, then Start it.
+type Warden struct {
+	Options
+	group   group.Group
+	effect  group.Group
+	vms     *loop.Loop // roster of entry VMs
+	servers *loop.Loop // roster of backend servers
+	homes   map[ident.Server]home
+
+	mu     sync.Mutex
+	list   []vmlist.VM
+	frozen map[ident.VM]bool
+	heard  map[ident.VM]time.Time
+	pings  int
+	rows   map[ident.Server]gossip.Row
+	is     map[ident.Server]serverState
+}
+
+// New makes a warden that does nothing yet.
+func New(o Options) *Warden {
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	w := &Warden{
+		Options: o,
+		homes:   map[ident.Server]home{},
+		frozen:  map[ident.VM]bool{},
+		heard:   map[ident.VM]time.Time{},
+		rows:    map[ident.Server]gossip.Row{},
+		is:      map[ident.Server]serverState{},
+	}
+	for _, svc := range o.State.Services() {
+		for _, srv := range svc.Servers {
+			w.homes[srv.Name] = home{svc, srv}
+		}
+	}
+	return w
+}
+
+// Start begins to watch.
+func (w *Warden) Start() {
+	w.vms = loop.New(roster.New[ident.VM](roster.Config{}), loop.RunnerFunc(w.runVMs))
+	w.servers = loop.New(roster.New[ident.Server](roster.Config{}), loop.RunnerFunc(w.runServers))
+	for _, duty := range []struct {
+		period time.Duration
+		do     func(context.Context)
+	}{
+		{listEvery, w.readList},
+		{tickEvery, w.tick},
+		{callEvery, w.tellCalls},
+		{tellEvery, w.tellLoads},
+		{tellEvery, w.tellSuspects},
+	} {
+		w.group.Go(func(ctx context.Context) error { return every(ctx, duty.period, duty.do) })
+	}
+}
+
+// Close ends watching and waits.
+func (w *Warden) Close() error {
+	err := w.group.Close()
+	for _, l := range []*loop.Loop{w.vms, w.servers} {
+		if l == nil {
+			continue
+		}
+		if e := l.Close(); err == nil {
+			err = e
+		}
+	}
+	if e := w.effect.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func (w *Warden) tick(context.Context) {
+	w.vms.Send(roster.TickMsg{})
+	w.servers.Send(roster.TickMsg{})
+}
+
+// readList reads the platform's list. This VM counts itself as live whatever a
+// lagging list says, unless it is said to leave: it is what runs this line.
+func (w *Warden) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
+	defer cancel()
+	list, err := w.VMs.VMs(ctx)
+	if err != nil {
+		w.Log.Debug("VM list", "err", err)
+		if len(w.listed()) > 0 {
+			return
+		}
+		list = nil
+	}
+	if !slices.ContainsFunc(list, func(vm vmlist.VM) bool { return vm.ID == w.VM }) {
+		list = append(list, vmlist.VM{ID: w.VM, Centre: w.Centre, Addr: w.Addr(), State: vmlist.Live})
+	}
+	slices.SortFunc(list, func(a, b vmlist.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	w.mu.Lock()
+	same := slices.Equal(w.list, list)
+	w.list = list
+	w.mu.Unlock()
+	w.vms.Send(roster.ListMsg[ident.VM]{Rows: rowsOf(list, w.VM)})
+	w.servers.Send(roster.ListMsg[ident.Server]{Rows: w.serverRows(list)})
+	if !same {
+		w.changed()
+	}
+}
+
+func (w *Warden) listed() []vmlist.VM {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list
+}
+
+// rowsOf are the other entry VMs of a list.
+func rowsOf(list []vmlist.VM, self ident.VM) []roster.Listed[ident.VM] {
+	var rows []roster.Listed[ident.VM]
+	for _, vm := range list {
+		if vm.ID != self {
+			rows = append(rows, roster.Listed[ident.VM]{ID: vm.ID, Centre: vm.Centre, Addr: vm.Addr, State: vm.State})
+		}
+	}
+	return rows
+}
+
+// changed passes on who is live. A VM that looks frozen keeps its place in the
+// exchange, where it may be heard again, but is given no seats.
+func (w *Warden) changed() {
+	w.mu.Lock()
+	list := slices.Clone(w.list)
+	var seats []vmlist.VM
+	for _, vm := range list {
+		if !w.frozen[vm.ID] || vm.State == vmlist.Gone {
+			seats = append(seats, vm)
+		}
+	}
+	w.mu.Unlock()
+	index := 0
+	var live []gossip.Peer
+	for _, vm := range list {
+		if vm.State != vmlist.Live {
+			continue
+		}
+		if vm.ID == w.VM {
+			index = len(live)
+		}
+		live = append(live, gossip.Peer{VM: vm.ID, Centre: vm.Centre})
+	}
+	w.Listed(list, len(live))
+	w.Keeper.SetVMs(seats)
+	w.News.SetPeers(live)
+	for _, svc := range w.State.Services() {
+		svc.Gate.SetShare(len(live), index)
+		for _, srv := range svc.Servers {
+			most, _ := svc.Gate.Conns(srv.Name)
+			w.Relay.Limit(srv.Data, most)
+		}
+	}
+}
+
+// every calls do now and then at a period, until ctx ends.
+func every(ctx context.Context, period time.Duration, do func(context.Context)) error {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
