edge/keeper: tests of the order that comes too late, and a fuzz target

Cause: the runner's own guard, its reduction of errors and its assignment were covered only through the daemon.

--- /dev/null
+++ b/internal/edge/keeper/keeper_test.go
@@ -0,0 +1,215 @@
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/fake/objmem"
+	"hawthornfield.org/hawthornfield/internal/fake/origin"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+)
+
+// control is the control side of stand-ins in this process.
+type control struct {
+	server.Control
+	mu     sync.Mutex
+	by     map[netip.AddrPort]*origin.Origin
+	orders int
+}
+
+func (c *control) at(to netip.AddrPort) *origin.Origin {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.by[to]
+}
+
+func (c *control) Grant(_ context.Context, to netip.AddrPort, o server.Order) (server.Reply, error) {
+	c.mu.Lock()
+	c.orders++
+	c.mu.Unlock()
+	return c.at(to).Grant(o), nil
+}
+
+func (c *control) Revoke(_ context.Context, to netip.AddrPort, o server.Order) (server.Reply, error) {
+	c.mu.Lock()
+	c.orders++
+	c.mu.Unlock()
+	return c.at(to).Revoke(o), nil
+}
+
+func (c *control) Read(_ context.Context, to netip.AddrPort, _ ident.Service) (server.Reply, error) {
+	return c.at(to).Read(), nil
+}
+
+type silence struct{}
+
+func (silence) Send(ident.VM, []byte) {}
+func (silence) Cast(ident.VM, []byte) {}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+}
+
+func launch(store *objmem.Store) (*Keeper, *control, *state.Service) {
+	c := &control{by: map[netip.AddrPort]*origin.Origin{}}
+	cfg := config.Service{Name: "lookup", Divided: true, Slices: 16}
+	for i, name := range []ident.Server{"a", "b", "c"} {
+		c.by[addr(i)] = origin.New(origin.Config{Service: "lookup", Server: name, Keyed: true, Slices: 16})
+		cfg.Servers = append(cfg.Servers, config.Server{Name: name, Control: addr(i), Data: addr(i), Centre: "south"})
+	}
+	st := state.New([]config.Service{cfg})
+	k := New(Options{
+		VM: "vm-1", State: st, Store: store, Control: c, Peers: silence{}, Log: slog.New(slog.DiscardHandler),
+	})
+	svc, _ := st.Service("lookup")
+	return k, c, svc
+}
+
+func TestOneVMBootstrapsAndServesEveryKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, c, svc := launch(objmem.New())
+		k.SetVMs([]vmlist.VM{{ID: "vm-1", State: vmlist.Live}})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(k.Held()), 3)
+		assert.Equal(t, len(k.Status()), 3)
+		for i := range 3 {
+			assert.Assert(t, c.at(addr(i)).Read().Left > 0, "server %d has no lease", i)
+		}
+		total := 0
+		for _, s := range svc.Servers {
+			total += len(svc.View().Table().SetOf(s.Name).Slices)
+		}
+		assert.Equal(t, total, 16)
+
+		k.Drain("lookup", "a", true)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, svc.View().Table().SetOf("a").Empty())
+		assert.Equal(t, c.at(addr(0)).Read().Left, time.Duration(0))
+		k.Leave(t.Context())
+		assert.Equal(t, len(k.Held()), 0)
+		assert.NilError(t, k.Close())
+	})
+}
+
+// A VM is paused between deciding on an order and sending it, for longer than
+// its authority lasts. Its successor has given the keys away meanwhile; the old
+// order, sent now, would give a key a second owner.
+func TestAnOrderIsNotSentAfterItsAuthorityEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, c, _ := launch(objmem.New())
+		chair := k.seats[seatName{"lookup", "a"}]
+		cmd := seat.OrderCmd{Guard: seat.Guard{Until: time.Now().Add(time.Second)}}
+		time.Sleep(time.Second)
+		msg := k.order(t.Context(), chair, cmd).(seat.ReplyMsg)
+		assert.Equal(t, msg.Kind, kinds.Down)
+		assert.Equal(t, c.orders, 0)
+		put := seat.PutTableCmd{Guard: cmd.Guard}
+		assert.Equal(t, k.putTable(t.Context(), chair, put).(seat.TablePutMsg).Kind, kinds.Down)
+		assert.NilError(t, k.Close())
+	})
+}
+
+// An answer of the store is lost after the write took effect. It must reach the
+// seat as "may have happened": taken for a failure, the seat would be written
+// twice; taken for a success, two VMs could hold it.
+func TestOutcomesKeepWhatSafetyDependsOn(t *testing.T) {
+	for in, want := range map[kinds.Kind]kinds.Kind{
+		kinds.Ambiguous: kinds.Ambiguous, kinds.Conflict: kinds.Conflict, kinds.Absent: kinds.Absent,
+		kinds.Down: kinds.Down, kinds.TooLarge: kinds.Down, kinds.Malformed: kinds.Down,
+	} {
+		assert.Equal(t, outcome(kinds.New(in, "x")), want)
+	}
+	assert.Equal(t, outcome(nil), kinds.None)
+	assert.Equal(t, unanswered(kinds.New(kinds.Ambiguous, "x")), kinds.Ambiguous)
+	assert.Equal(t, unanswered(kinds.New(kinds.Malformed, "x")), kinds.Down)
+}
+
+func TestAssignKeepsServerLeadAndDeputyApart(t *testing.T) {
+	live := []vmlist.VM{
+		{ID: "n1", Centre: "north"},
+		{ID: "n2", Centre: "north"},
+		{ID: "s1", Centre: "south"},
+		{ID: "s2", Centre: "south"},
+		{ID: "w1", Centre: "west"},
+	}
+	centre := map[ident.VM]ident.Centre{}
+	for _, vm := range live {
+		centre[vm.ID] = vm.Centre
+	}
+	moved := 0
+	for i := range 100 {
+		srv := ident.Server(string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		lead, deputy := Assign("lookup", srv, "south", live)
+		assert.Assert(t, centre[lead] != "south" && centre[deputy] != "south")
+		assert.Assert(t, centre[lead] != centre[deputy])
+		again, _ := Assign("lookup", srv, "south", live[1:])
+		if lead != "n1" {
+			assert.Equal(t, again, lead, "a seat moved although its VM stayed")
+		} else {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 0)
+	lead, deputy := Assign("lookup", "x", "south", live[2:3])
+	assert.Equal(t, lead, ident.VM("s1"))
+	assert.Equal(t, deputy, ident.VM(""))
+}
+
+func TestSpreadGivesEverythingAwayEvenly(t *testing.T) {
+	tab, err := table.New("lookup", 12, "a", "b", "c")
+	assert.NilError(t, err)
+	for x := range ident.Slice(12) {
+		tab, err = tab.Assigned(table.Move{Slice: x, To: []ident.Server{"a", "b", "c"}[x%3]})
+		assert.NilError(t, err)
+	}
+	next, err := tab.Moved("a", 0, Spread(nil, tab, "a", []ident.Server{"b", "c"})...)
+	assert.NilError(t, err)
+	assert.Equal(t, len(next.SetOf("b").Slices), 6)
+	assert.Equal(t, len(next.SetOf("c").Slices), 6)
+	assert.Equal(t, len(Spread(nil, tab, "a", nil)), 0)
+}
+
+// FuzzHandle feeds the decoder of seat messages anything at all: it takes
+// exactly one message for a seat that exists, and nothing else.
+func FuzzHandle(f *testing.F) {
+	for _, l := range []letter{
+		{Svc: "lookup", Srv: "a", Beat: &seat.BeatMsg{Epoch: 3}},
+		{Svc: "lookup", Srv: "a", Yield: &seat.YieldMsg{Below: 1 << 62}},
+		{Svc: "lookup", Srv: "a", Ask: &seat.AskMsg{}, Yielded: &seat.YieldedMsg{Below: 4}},
+		{Svc: "none", Srv: "a", Yielded: &seat.YieldedMsg{Below: 4}},
+	} {
+		b, err := wire.Encode(l)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var l letter
+		if wire.Decode(b, &l) != nil {
+			return
+		}
+		msg, n := l.open("vm-9")
+		assert.Equal(t, msg != nil, n > 0)
+		switch m := msg.(type) {
+		case seat.YieldMsg:
+			assert.Equal(t, m.From, ident.VM("vm-9"))
+		case seat.YieldedMsg:
+			assert.Equal(t, m.From, ident.VM("vm-9"))
+		}
+	})
+}
