owner: a hot key can be held while its slice moves

Cause: the planner answers a hot key that alone exceeds a server by moving its neighbours away and holding the key.

Ruled out: leaving such slices out of a plan, which then proposes the same ones for ever.

Tests of owner/table and owner/seat pass, 1 new.

Conclusion: a move of a key that is not overridden to its slice's owner holds it; a revocation keeps a key that was held with its slice, in the stand-in too.

--- a/internal/fake/origin/control.go
+++ b/internal/fake/origin/control.go
@@ -63,7 +63,7 @@
 	defer o.mu.Unlock()
 	why := o.admit(order)
 	if why == "" {
-		o.seat(order.Seat).revoke(order)
+		o.seat(order.Seat).revoke(order, o.Slices)
 	}
 	return o.conclude(order, why)
 }
--- a/internal/fake/origin/lease.go
+++ b/internal/fake/origin/lease.go
@@ -28,9 +28,11 @@
 
 // owns reports whether the lease covers the key at a time.
 func (l *lease) owns(k ident.Key, slice ident.Slice, now time.Duration) bool {
-	if now >= l.end {
-		return false
-	}
+	return now < l.end && l.covers(k, slice)
+}
+
+// covers reports whether the lease's set has the key.
+func (l *lease) covers(k ident.Key, slice ident.Slice) bool {
 	if _, single := l.keys[k]; single {
 		return true
 	}
@@ -57,11 +59,18 @@
 	return ""
 }
 
-// revoke keeps only what is both held and in the order's set.
-func (l *lease) revoke(o server.Order) {
+// revoke keeps only what is both held and in the order's set. A key that was
+// held with its slice may be in the set by itself.
+func (l *lease) revoke(o server.Order, slices uint32) {
 	l.rev = o.Rev
+	keys := map[ident.Key]struct{}{}
+	for _, k := range o.Keys {
+		if l.covers(k, ident.SliceOf(k, slices)) {
+			keys[k] = struct{}{}
+		}
+	}
+	l.keys = keys
 	keepOnly(l.slices, o.Slices)
-	keepOnly(l.keys, o.Keys)
 	for _, k := range o.Except {
 		if l.except == nil {
 			l.except = map[ident.Key]struct{}{}
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -89,7 +89,8 @@
 		}
 		_, known := t.tab.Row(m.To)
 		back := m.Key != "" && m.To == ""
-		if seen[at] || t.tab.From(m) != t.cfg.Server || m.To == t.cfg.Server || !known && !back {
+		stays := m.To == t.cfg.Server && !t.holds(m, moves)
+		if seen[at] || t.tab.From(m) != t.cfg.Server || stays || !known && !back {
 			continue
 		}
 		seen[at] = true
@@ -98,6 +99,18 @@
 	return out
 }
 
+// holds reports whether a move keeps a hot key here while its slice leaves by
+// another one of the moves.
+func (t *turn) holds(m table.Move, moves []table.Move) bool {
+	if _, apart := t.tab.HotOwner(m.Key); m.Key == "" || apart {
+		return false
+	}
+	x := ident.SliceOf(m.Key, t.tab.Slices())
+	return slices.ContainsFunc(moves, func(o table.Move) bool {
+		return o.Key == "" && o.Slice == x && o.To != t.cfg.Server && t.tab.From(o) == t.cfg.Server
+	})
+}
+
 func (t *turn) open(moves []table.Move, lost bool) {
 	next, err := t.tab.Moved(t.cfg.Server, t.row().Bar, moves...)
 	if err != nil {
--- a/internal/owner/table/edit.go
+++ b/internal/owner/table/edit.go
@@ -8,8 +8,9 @@
 )
 
 // Move gives one slice, or one hot key when Key is set, to another server. A
-// move of a key to "" ends its override: the key goes back to the owner of its
-// slice.
+// move of a key to "", or back to the owner of its slice, ends its override. A
+// move of a key that is not overridden to the owner of its slice holds the key
+// there: it stays when the slice moves away.
 type Move struct {
 	Slice ident.Slice  `cbor:"at"`
 	Key   ident.Key    `cbor:"key,omitempty"`
@@ -155,7 +156,7 @@
 	t.touch(t.From(m))
 	home := t.OwnerOf(ident.SliceOf(m.Key, t.Slices()))
 	i, found := t.hot(m.Key)
-	if m.To == "" || m.To == home {
+	if m.To == "" || m.To == home && found {
 		if found {
 			t.Hot = slices.Delete(t.Hot, i, i+1)
 		}
--- a/internal/owner/table/table_test.go
+++ b/internal/owner/table/table_test.go
@@ -232,3 +232,22 @@
 		b.ReportMetric(float64(len(raw)), "bytes")
 	}
 }
+
+// A hot key stays where it is while its slice moves away: its neighbours leave
+// it, not the other way round. Without the hold the key would go along, and the
+// plan would carry it from server to server.
+func TestAKeyIsHeldWhileItsSliceMoves(t *testing.T) {
+	tab, err := New("svc", 4, "a", "b")
+	assert.NilError(t, err)
+	x := ident.SliceOf("busy", 4)
+	tab, err = tab.Assigned(Move{Slice: x, To: "a"})
+	assert.NilError(t, err)
+	held, err := tab.Moved("a", 0, Move{Key: "busy", To: "a"}, Move{Slice: x, To: "b"})
+	assert.NilError(t, err)
+	o, _ := NewView(held).Owner("busy")
+	assert.Equal(t, o.Server, ident.Server("a"))
+	assert.Equal(t, held.OwnerOf(x), ident.Server("b"))
+	joined, err := held.Moved("a", 0, Move{Key: "busy", To: "b"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(joined.Hot), 0)
+}
