owners counts imbalance among servers that own something; /status in plain names

A server that was drained owns nothing and still stood in the mean: three servers of which one had left showed an imbalance of 1.50 with 32 and 32 slices.

Ran: 26 tests of the packages concerned; two entry VMs and the stand-in as separate processes, by hand.

--- a/internal/admin/cmds/owners.go
+++ b/internal/admin/cmds/owners.go
@@ -18,8 +18,8 @@
 )
 
 const ownersHelp = `Shows for each service divided by key which backend server owns how many of its
-slices and which single hot keys, the imbalance (most over mean), and the moves of
-the last hour. With --key, who owns that key.`
+slices and which single hot keys, the imbalance (most over the mean of those that
+own any, so that a server that left does not count), and the moves of the last hour. With --key, who owns that key.`
 
 type ownersCmd struct {
 	target
@@ -36,7 +36,7 @@
 	Slices    uint32         `json:"slices"`
 	Servers   []serverShare  `json:"servers"`
 	Hot       []table.Hot    `json:"hot,omitempty"`
-	Imbalance float64        `json:"imbalance"` // most slices over the mean
+	Imbalance float64        `json:"imbalance"` // most slices over the mean of those that own any
 	Moves     int            `json:"moves"`     // in the last hour
 	Churn     float64        `json:"churn"`     // share of slices moved in the last hour
 }
@@ -136,14 +136,17 @@
 	for s := range t.Slices() {
 		counts[t.OwnerOf(ident.Slice(s))]++
 	}
-	most := 0
+	most, owners := 0, 0
 	for _, row := range t.Rows {
 		n := counts[row.Name]
 		most = max(most, n)
+		if n > 0 {
+			owners++
+		}
 		h.Servers = append(h.Servers, serverShare{row.Name, n, row.Bar})
 	}
-	if len(t.Rows) > 0 && t.Slices() > 0 {
-		h.Imbalance = float64(most) * float64(len(t.Rows)) / float64(t.Slices())
+	if t.Slices() > 0 {
+		h.Imbalance = float64(most) * float64(owners) / float64(t.Slices())
 	}
 	if n := counts[""]; n > 0 {
 		h.Servers = append(h.Servers, serverShare{Server: "(no owner)", Slices: n})
--- a/internal/audit/ledger/model.go
+++ b/internal/audit/ledger/model.go
@@ -93,14 +93,14 @@
 
 // Status is what an operator sees of a journal.
 type Status struct {
-	Waiting int       // entries not yet confirmed: what a crash now would lose
-	Bytes   int       // their size
-	Written uint64    // segments confirmed
-	Kept    uint64    // entries confirmed
-	Lost    uint64    // entries dropped because the buffer was full
-	Refused uint64    // durable entries refused
-	Down    bool      // the store counts as down
-	Oldest  time.Time // of the oldest entry not yet confirmed; zero when there is none
+	Waiting int       `json:"waiting"`         // entries not yet confirmed: what a crash now would lose
+	Bytes   int       `json:"bytes"`           // their size
+	Written uint64    `json:"written"`         // segments confirmed
+	Kept    uint64    `json:"kept"`            // entries confirmed
+	Lost    uint64    `json:"lost"`            // entries dropped because the buffer was full
+	Refused uint64    `json:"refused"`         // durable entries refused
+	Down    bool      `json:"down"`            // the store counts as down
+	Oldest  time.Time `json:"oldest,omitzero"` // of the oldest entry not yet confirmed
 }
 
 type phase uint8
--- a/internal/audit/record/writer.go
+++ b/internal/audit/record/writer.go
@@ -8,6 +8,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/ring"
 )
 
@@ -89,6 +90,9 @@
 	if d.VM == "" {
 		d.VM = w.vm
 	}
+	if d.Kind == kinds.None.String() {
+		d.Kind = ""
+	}
 	return w.ring.Push(context.Background(), d)
 }
 
