edge/mover: load is counted, joined on one VM, planned and moved

Cause: owner/place and owner/sketch decided nothing in the daemon: keys moved only when a server left or was lost, and then by count, not by load.

Ruled out: counting on the request path (the record of decisions carries it off the path); sending every slice's count (131 KB for 64k slices), only the 256 heaviest and a rest are sent.

--- a/internal/edge/daemon/audit.go
+++ b/internal/edge/daemon/audit.go
@@ -9,6 +9,7 @@
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/mover"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -44,8 +45,8 @@
 	}
 }
 
-func newRecord(lc fx.Lifecycle, cfg config.Config, o *options, j *ledger.Journal, h histories) *record.Writer {
-	opts := []record.Option{record.WithRing(cfg.Journal.Ring), record.WithSink(j), record.WithSink(h)}
+func newRecord(lc fx.Lifecycle, cfg config.Config, o *options, j *ledger.Journal, h histories, m *mover.Mover) *record.Writer {
+	opts := []record.Option{record.WithRing(cfg.Journal.Ring), record.WithSink(j), record.WithSink(h), record.WithSink(m)}
 	for _, s := range o.sinks {
 		opts = append(opts, record.WithSink(s))
 	}
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -13,6 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/edge/keeper"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/mover"
 	"hawthornfield.org/hawthornfield/internal/edge/news"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -35,7 +36,7 @@
 func provided() []any {
 	return []any{
 		newLog, newStore, newVMs, newControl, newMeter, newJournal, newHistories, newRecord, newClaims,
-		newState, newRelay, newPeers, newKeeper, newNews, newWarden, newFront, newDoors,
+		newState, newMover, newRelay, newPeers, newKeeper, newNews, newWarden, newFront, newDoors,
 	}
 }
 
@@ -111,14 +112,22 @@
 	Log     *slog.Logger
 }
 
-func newKeeper(lc fx.Lifecycle, cfg config.Config, o *options, a hands) (*keeper.Keeper, error) {
+func newMover(cfg config.Config, s *state.State, log *slog.Logger) *mover.Mover {
+	return mover.New(cfg.VM, s, log)
+}
+
+func newKeeper(lc fx.Lifecycle, cfg config.Config, o *options, a hands, m *mover.Mover) (*keeper.Keeper, error) {
 	times := timesOf(cfg.Lease)
 	if err := times.Check(); err != nil {
 		return nil, err
 	}
+	plan := o.plan
+	if plan == nil {
+		plan = m.Plan
+	}
 	k := keeper.New(keeper.Options{
 		VM: cfg.VM, State: a.State, Store: a.Store, Control: a.Control, Peers: mail{a.Peers, link.Seat}, Times: times,
-		Plan: o.plan, Record: a.Record, Log: a.Log,
+		Plan: plan, Record: a.Record, Log: a.Log,
 	})
 	a.Peers.on(link.Seat, k.Handle)
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
@@ -127,6 +136,14 @@
 		k.Leave(ctx)
 		return k.Close()
 	}})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			m.Start(mover.Hands{Seats: k, Peers: mail{a.Peers, link.Load}, Takes: k.Takes})
+			a.Peers.on(link.Load, m.Handle)
+			return nil
+		},
+		OnStop: func(context.Context) error { return m.Close() },
+	})
 	return k, nil
 }
 
@@ -157,6 +174,7 @@
 	News    *news.News
 	Relay   *relay.Relay
 	Journal *ledger.Journal
+	Mover   *mover.Mover
 }
 
 func newWarden(lc fx.Lifecycle, cfg config.Config, h hands, a surroundings) *warden.Warden {
@@ -166,6 +184,7 @@
 		Listed: func(list []vmlist.VM, live int) {
 			h.Peers.set(list)
 			a.Journal.Fleet(live)
+			a.Mover.SetVMs(list)
 		},
 		Timeout: cfg.Platform.Timeout.Duration, Log: h.Log,
 	})
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -253,13 +253,20 @@
 	k.alive[srv] = ok
 }
 
-// usable lists the servers of a service that may be given keys, without one.
-func (k *Keeper) usable(svc *state.Service, not ident.Server) []ident.Server {
+// Takes reports whether a server may be given keys. One that was not looked at
+// yet may.
+func (k *Keeper) Takes(srv ident.Server) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	up, known := k.alive[srv]
+	return up || !known
+}
+
+// usable lists the servers of a service that may be given keys, without one.
+func (k *Keeper) usable(svc *state.Service, not ident.Server) []ident.Server {
 	var all []ident.Server
 	for _, s := range svc.Servers {
-		if up, known := k.alive[s.Name]; s.Name != not && (up || !known) {
+		if s.Name != not && k.Takes(s.Name) {
 			all = append(all, s.Name)
 		}
 	}
