--- a/internal/audit/report/group.go
+++ b/internal/audit/report/group.go
@@ -39,13 +39,15 @@
 }
 
 // Counts groups the report's requests, the largest group first; by hour, in
-// order of time.
+// order of time. A report that holds nothing but moves is counted by its moves.
 func (r *Report) Counts(by By) []Count {
+	isMove := func(row Row) bool { return row.Sort == record.Place || row.Sort == record.Rules }
+	onlyMoves := !slices.ContainsFunc(r.Rows, func(row Row) bool { return !isMove(row) })
 	groups := map[string]*Count{}
 	took := map[string][]time.Duration{}
 	for i := range r.Rows {
 		row := &r.Rows[i]
-		if row.Sort == record.Place || row.Sort == record.Rules {
+		if isMove(*row) && !onlyMoves {
 			continue
 		}
 		name := by.name(row)
@@ -55,6 +57,9 @@
 			groups[name] = c
 		}
 		c.All++
+		if isMove(*row) {
+			continue
+		}
 		switch row.Ran {
 		case kinds.RanYes:
 			c.Ran++
--- a/internal/audit/report/report.go
+++ b/internal/audit/report/report.go
@@ -204,7 +204,7 @@
 }
 
 func (c *collector) report() *Report {
-	r := &Report{Gaps: c.gaps, Journals: c.journals, Segments: c.segments, Cut: c.cut, Rows: []Row{}}
+	r := &Report{Gaps: append([]Gap{}, c.gaps...), Journals: c.journals, Segments: c.segments, Cut: c.cut, Rows: []Row{}}
 	slices.SortStableFunc(c.rows, func(a, b record.Decision) int {
 		return cmp.Or(a.At.Compare(b.At), strings.Compare(string(a.ID), string(b.ID)), strings.Compare(string(a.Sort), string(b.Sort)))
 	})
--- a/internal/audit/report/report_test.go
+++ b/internal/audit/report/report_test.go
@@ -95,6 +95,8 @@
 		assert.Assert(t, strings.Contains(counts.String(), "22 decisions"), counts.String())
 		assert.DeepEqual(t, r.Counts(ByServer)[0], Count{Name: "ledger-0", All: 8, Ran: 8, P50: 7 * time.Millisecond, P99: 10 * time.Millisecond})
 		assert.Equal(t, len(r.Counts(ByHour)), 1)
+		moves := ask(t, store, Query{Sort: record.Place}).Counts(ByServer)
+		assert.DeepEqual(t, moves, []Count{{Name: "ledger-2", All: 2}})
 		assert.NilError(t, r.WriteJSON(&doc))
 		var back Report
 		assert.NilError(t, json.Unmarshal(doc.Bytes(), &back))
