--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -20,6 +20,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -301,7 +302,8 @@
 // refetch asks another VM for values that have not come.
 func (m *Model) refetch(now time.Time) []loop.Cmd {
 	var cmds []loop.Cmd
-	for _, f := range m.fetches {
+	for _, name := range slices.Sorted(maps.Keys(m.fetches)) {
+		f := m.fetches[name]
 		if now.Sub(f.at) < again {
 			continue
 		}
--- a/internal/node/gossip/pulse.go
+++ b/internal/node/gossip/pulse.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -91,8 +93,8 @@
 // freshHeads lists what changed lately.
 func (m *Model) freshHeads(now time.Time) []Head {
 	var list []Head
-	for name, at := range m.fresh {
-		if now.Sub(at) > newFor {
+	for _, name := range slices.Sorted(maps.Keys(m.fresh)) {
+		if now.Sub(m.fresh[name]) > newFor {
 			delete(m.fresh, name)
 			continue
 		}
@@ -182,8 +184,8 @@
 
 func (m *Model) ackDue(now time.Time) []loop.Cmd {
 	var cmds []loop.Cmd
-	for vm, r := range m.roots {
-		if r.count != nil {
+	for _, vm := range slices.Sorted(maps.Keys(m.roots)) {
+		if r := m.roots[vm]; r.count != nil {
 			cmds = append(cmds, m.endCount(now, vm, r)...)
 		}
 	}
--- a/internal/node/gossip/value.go
+++ b/internal/node/gossip/value.go
@@ -125,8 +125,9 @@
 		delete(m.fetches, h.Name)
 	}
 	cmds := []loop.Cmd{ValueCmd{From: from, Head: h, Raw: raw}}
-	for vm, w := range m.waiting[h.Name] {
-		cmds = append(cmds, SendCmd{To: vm, Packet: Packet{Give: v.give(w)}})
+	waiting := m.waiting[h.Name]
+	for _, vm := range slices.Sorted(maps.Keys(waiting)) {
+		cmds = append(cmds, SendCmd{To: vm, Packet: Packet{Give: v.give(waiting[vm])}})
 	}
 	delete(m.waiting, h.Name)
 	return cmds
--- a/internal/node/spread/spread_test.go
+++ b/internal/node/spread/spread_test.go
@@ -49,3 +49,11 @@
 		assert.Assert(t, r.Max <= maxRate, "%v bytes a second", r.Max)
 	}
 }
+
+func TestTheSameRunGivesTheSameRow(t *testing.T) {
+	c := Config{VMs: 40, Loss: 0.3, Restarts: 5, Outage: true, Length: 15 * time.Second}
+	want := Run(c)
+	for range 5 {
+		assert.DeepEqual(t, Run(c), want)
+	}
+}
