edge/front: a rule's hedge is carried out, and an unsent request may go elsewhere

Cause: a rule could ask for hedging and nothing happened; and a request whose connection could not be opened was refused although another server was free.

Ruled out: hedging in services divided by key, whose keys have one owner; hedging a streamed body, which can be read once.

Conclusion: a cancelled loser teaches the gate nothing; once the hedge budget is spent, lookups wait for a server that only probes find out to be frozen.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -40,6 +40,7 @@
 
 	flight *flight // the attempt under way, in a service divided by key
 	first  flight
+	racers []*try // attempts of a hedged request
 
 	ticket *once.Ticket // the claim on the request id, if the rule demands one
 	named  bool         // the caller itself chose the request id
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -43,8 +43,13 @@
 		return err
 	}
 	for {
-		outcome, err := x.toServer(ctx, pass)
-		if err == nil || !x.mayRepeat(err) || x.note.Tries > x.rule.Then.Retry {
+		var outcome gate.Outcome
+		if x.hedges() {
+			pass, outcome, err = x.hedged(ctx, pass)
+		} else {
+			outcome, err = x.toServer(ctx, pass)
+		}
+		if err == nil || !x.mayRepeat(err) || x.note.Tries > x.repeats(err) {
 			pass.Done(outcome)
 			return err
 		}
@@ -56,6 +61,16 @@
 	}
 }
 
+// repeats is how often the request may be tried again. What never left this VM
+// may try another server once, whatever the rule says: it is not sent again.
+func (x *exchange) repeats(err error) int {
+	var fail *relay.Failure
+	if errors.As(err, &fail) && !fail.Sent {
+		return max(x.rule.Then.Retry, 1)
+	}
+	return x.rule.Then.Retry
+}
+
 // toServer makes one attempt at the server that the gate picked.
 func (x *exchange) toServer(ctx context.Context, pass gate.Pass) (gate.Outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -44,12 +44,18 @@
 name = "uploads"
 when = { path = "/lab/{rest...}" }
 then = { service = "upload", size = "long", retry = 2 }
+[[rule]]
+name = "views"
+when = { path = "/views/{ward}" }
+then = { service = "viewer", idempotent = true, hedge = "50ms" }
 `
 
 var (
 	entry  = netip.MustParseAddrPort("10.0.0.1:80")
 	first  = netip.MustParseAddrPort("10.0.0.2:80")
 	second = netip.MustParseAddrPort("10.0.0.3:80")
+	fourth = netip.MustParseAddrPort("10.0.0.5:80")
+	fifth  = netip.MustParseAddrPort("10.0.0.6:80")
 	third  = netip.MustParseAddrPort("10.0.0.4:80")
 )
 
@@ -90,6 +96,7 @@
 	w.state = state.New([]config.Service{
 		{Name: "lookup", Divided: true, Slices: 8, Servers: []config.Server{{Name: "l1", Data: first}, {Name: "l2", Data: second}}},
 		{Name: "upload", Servers: []config.Server{{Name: "u1", Data: third}}},
+		{Name: "viewer", Servers: []config.Server{{Name: "v1", Data: fourth}, {Name: "v2", Data: fifth}}},
 	})
 	for _, svc := range w.state.Services() {
 		svc.Gate = gate.New(gate.Config{Service: svc.Name})
@@ -462,3 +469,51 @@
 		assert.Equal(t, resp.StatusCode, http.StatusOK)
 	})
 }
+
+// One server is slow for a moment while another one is idle. A lookup that may
+// run twice is raced by a second attempt; the driver gets the first answer, and
+// the slow server's place is free again at once.
+func TestASlowAnswerIsRacedByASecondAttempt(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		svc, _ := w.state.Service("viewer")
+		for range 20 { // so that both servers are known and connected
+			_, _, err := w.do(w.request("GET", "/views/north", nil))
+			assert.NilError(t, err)
+		}
+		w.origins["v1"].Slow(time.Hour)
+		w.origins["v2"].Slow(0)
+		slow, start := 0, time.Now()
+		for range 6 {
+			before := time.Now()
+			_, body, err := w.do(w.request("GET", "/views/north", nil))
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(body, "v2 served"), body)
+			if time.Since(before) > 0 {
+				slow++
+			}
+			synctest.Wait()
+			assert.Equal(t, svc.Gate.Stats().Running, 0, "a place was kept")
+		}
+		t.Logf("%d of 6 raced, %v in all, %d hedges", slow, time.Since(start), svc.Gate.Stats().Hedges)
+		assert.Assert(t, svc.Gate.Stats().Hedges > 0)
+		assert.Assert(t, time.Since(start) < time.Second)
+	})
+}
+
+// The winner of a race has a long answer and its caller reads slowly. The loser
+// must not keep its server's place for all that time.
+func TestTheLoserOfARaceEndsBeforeTheWinnersAnswer(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		svc, _ := w.state.Service("viewer")
+		w.origins["v1"].Slow(time.Hour)
+		for svc.Gate.Stats().Hedges == 0 {
+			resp, err := w.client.Do(w.request("GET", "/views/north?size=300000", nil))
+			assert.NilError(t, err)
+			synctest.Wait()
+			assert.Equal(t, svc.Gate.Stats().Running, 1)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+		}
+	})
+}
