What was seen before a pause is old: news carries the moment it is true for

Cause: a VM that is paused between the store's answer, or its look at its peers, and the handling of it took what it saw before the pause for what it sees, and went on for up to 4 s more under rules that may have changed meanwhile. Found by reading the way of a SightMsg through two loops.

Ruled out: shorter limits, which shorten the fault and do not end it.

After: StoreMsg says when the store was asked and SightCmd up to when it is true; both default to now, so senders that do not say so are as before. Two tests fail without it.

--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -62,7 +62,11 @@
 // StoreMsg tells that the store answered just now: send it only for answers
 // that would have shown a change. A watch that waits in silence says nothing, so
 // a watcher reads the version of the rules twice a second besides.
-type StoreMsg struct{}
+//
+// Asked is when the call was sent; zero counts as now. The answer says nothing
+// about later moments: a process that is paused between the answer and this
+// message would otherwise take old news for fresh.
+type StoreMsg struct{ Asked time.Time }
 
 // ValueMsg brings a value that was read from the store, or written to it with
 // confirmation.
@@ -106,11 +110,13 @@
 // WatchCmd tells whether this VM is to watch the store.
 type WatchCmd struct{ On bool }
 
-// SightCmd tells what this VM hears; see force.SightMsg.
+// SightCmd tells what this VM hears; see force.SightMsg. At is the moment for
+// which it is true: up to then, a new revision would have been heard of.
 type SightCmd struct {
 	Store bool
 	Live  int
 	Heard int
+	At    time.Time
 }
 
 // LoadCmd hands out load rows that peers read.
@@ -184,7 +190,7 @@
 		m.setPeers(now, msg.Live)
 		return m, append(m.elect(now), m.probe(now)...)
 	case StoreMsg:
-		m.storeAt = now
+		m.storeHeard(now, msg.Asked)
 	case ValueMsg:
 		h := Head{Name: msg.Name, Rev: msg.Rev, Sum: digest.Of(msg.Raw)}
 		return m, m.held(now, "", h, msg.Raw)
@@ -326,11 +332,27 @@
 	return than
 }
 
+// storeHeard notes an answer of the store.
+func (m *Model) storeHeard(now, asked time.Time) {
+	if asked.IsZero() || asked.After(now) {
+		asked = now
+	}
+	if asked.After(m.storeAt) {
+		m.storeAt = asked
+	}
+}
+
 // sight tells what this VM hears.
 func (m *Model) sight(now time.Time) loop.Cmd {
 	s := SightCmd{Store: !m.storeAt.IsZero() && now.Sub(m.storeAt) < seen, Live: len(m.peers), Heard: 1}
 	if !m.heardAt.IsZero() && now.Sub(m.heardAt) < counted {
 		s.Heard = max(m.heard, 1)
 	}
+	if s.Store {
+		s.At = m.storeAt
+	}
+	if 2*s.Heard > s.Live && m.heardAt.After(s.At) {
+		s.At = m.heardAt
+	}
 	return s
 }
--- a/internal/node/gossip/gossip_test.go
+++ b/internal/node/gossip/gossip_test.go
@@ -247,6 +247,20 @@
 	assert.Assert(t, m.sight(t0.Add(10*time.Second)).(SightCmd).Store)
 }
 
+// A watcher is paused between the store's answer and the moment it handles it.
+// The answer is as old as the question, and so is what it tells the others.
+func TestAnAnswerOfTheStoreIsAsOldAsItsQuestion(t *testing.T) {
+	m := New(t0, peersOf(1)[0])
+	now := t0.Add(10 * time.Second)
+	m.Update(now, StoreMsg{Asked: t0})
+	assert.Assert(t, !m.sight(now).(SightCmd).Store)
+	assert.Equal(t, m.storeAge(now), 10*time.Second)
+	m.Update(now, StoreMsg{Asked: now.Add(-time.Second)})
+	s := m.sight(now).(SightCmd)
+	assert.Assert(t, s.Store)
+	assert.Assert(t, s.At.Equal(now.Add(-time.Second)))
+}
+
 // A VM hears a few others but neither the store nor most VMs; the pulse of its
 // small group counts few, and that is what it must report.
 func TestAMinorityKnowsThatItIsOne(t *testing.T) {
--- a/internal/node/gossip/pulse.go
+++ b/internal/node/gossip/pulse.go
@@ -161,7 +161,7 @@
 	if late > counted || n < m.heard && now.Sub(m.heardAt) < Period+gap {
 		return
 	}
-	m.heard, m.heardAt = n, now
+	m.heard, m.heardAt = n, now.Add(-late)
 }
 
 // startCount begins to add up who got a pulse. A VM without children answers at
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -61,6 +61,7 @@
 	Watchers int           `json:"watchers"`
 	LoadAge  time.Duration `json:"age"`   // of a load row at a VM, on average
 	Blind    int           `json:"blind"` // VMs that at the end see neither store nor most peers
+	Gap      time.Duration `json:"gap"`   // longest time that a VM went without news of the store or most peers
 }
 
 // Overhead is what one packet costs beside its own bytes: IP and UDP headers
@@ -105,8 +106,12 @@
 	sent  int
 	born  time.Time
 	sight gossip.SightCmd
-	got   map[ident.Revision]time.Time
-	loads map[ident.Server]time.Time
+	seen  time.Time // the latest moment of which it knows that it would have heard news
+	gap   time.Duration
+
+	sighted bool
+	got     map[ident.Revision]time.Time
+	loads   map[ident.Server]time.Time
 }
 
 type event struct {
@@ -293,7 +298,7 @@
 				n.loads[x.Server] = r.now.Add(-x.Age)
 			}
 		case gossip.SightCmd:
-			n.sight = c
+			n.look(r.now, c)
 		}
 	}
 }
@@ -344,6 +349,7 @@
 		if n.watch {
 			row.Watchers++
 		}
+		row.Gap = max(row.Gap, n.gap)
 		if !n.sight.Store && 2*n.sight.Heard <= n.sight.Live {
 			row.Blind++
 		}
@@ -362,6 +368,17 @@
 	return row
 }
 
+// look notes how long the VM went without enough sight, as rules/force counts it.
+func (n *node) look(now time.Time, c gossip.SightCmd) {
+	n.sight = c
+	if n.sighted {
+		n.gap = max(n.gap, now.Sub(n.seen))
+	}
+	if c.Store || 2*c.Heard > c.Live {
+		n.seen, n.sighted = c.At, true
+	}
+}
+
 // lags returns the time that each revision took to reach a VM, counted from the
 // later of its making and the VM's start. A revision that a VM never saw, since
 // it got a newer one at once, took as long as that newer one.
--- a/internal/node/spread/spread_test.go
+++ b/internal/node/spread/spread_test.go
@@ -40,12 +40,14 @@
 }
 
 // The store falls silent for everybody. Every VM must come to know that it still
-// sees most of the others, or it would stop answering though nothing is wrong.
+// sees most of the others, before it stops answering for want of news, or it
+// would stop though nothing is wrong.
 func TestAStoreOutageLeavesEveryVMSeeingTheOthers(t *testing.T) {
-	for _, n := range []int{1, 2, 10, 200} {
-		r := Run(Config{VMs: n, Loss: 0.02, Outage: true, Length: 30 * time.Second, Changes: 1})
+	for n, restarts := range map[int]int{1: 0, 2: 0, 10: 0, 50: 3, 200: 0} {
+		r := Run(Config{VMs: n, Loss: 0.05, Outage: true, Restarts: restarts, Length: 30 * time.Second, Changes: 1})
 		t.Logf("%+v", r)
 		assert.Equal(t, r.Blind, 0)
+		assert.Assert(t, r.Gap < force.DefaultLimits.Alone, "a VM saw nothing for %v", r.Gap)
 		assert.Assert(t, r.Max <= maxRate, "%v bytes a second", r.Max)
 	}
 }
--- a/internal/rules/force/force.go
+++ b/internal/rules/force/force.go
@@ -76,6 +76,10 @@
 	Store bool // the store answered just now
 	Live  int  // entry VMs that should be there, this one included
 	Heard int  // of them heard within the last second or two, this one included
+	// At is the moment up to which this is true; zero counts as now. Without it,
+	// a process that is paused while this message waits would take what it saw
+	// before the pause for what it sees.
+	At time.Time
 }
 
 // TickMsg lets time pass; send it a few times a second.
@@ -138,9 +142,7 @@
 	case LoadedMsg:
 		cmds = m.loaded(msg)
 	case SightMsg:
-		if msg.enough() {
-			m.sight = now
-		}
+		m.looked(now, msg)
 	case TickMsg:
 		cmds = m.askAgain(now)
 	}
@@ -151,6 +153,17 @@
 	return m, cmds
 }
 
+// looked notes when this VM last saw enough.
+func (m *Model) looked(now time.Time, msg SightMsg) {
+	at := msg.At
+	if at.IsZero() || at.After(now) {
+		at = now
+	}
+	if msg.enough() && at.After(m.sight) {
+		m.sight = at
+	}
+}
+
 // enough reports whether this VM would hear of a new revision. More than half
 // of the VMs is asked for because any two such groups share a member: news that
 // reaches one group reaches the other.
--- a/internal/rules/force/force_test.go
+++ b/internal/rules/force/force_test.go
@@ -148,6 +148,20 @@
 	assert.Equal(t, v.book.State(), Serve)
 }
 
+// The process is paused for ten seconds just after it looked around, and what it
+// saw is handled when it goes on. It must not count as seen now: meanwhile an
+// operator may have forbidden what this VM still allows.
+func TestWhatWasSeenBeforeAPauseIsOld(t *testing.T) {
+	var v vm
+	v.do(t0, LoadedMsg{Raw: raws(t, 1)[1]})
+	v.do(t0, SightMsg{Store: true, At: t0})
+	assert.Equal(t, v.book.State(), Serve)
+	v.do(t0.Add(10*time.Second), SightMsg{Store: true, At: t0.Add(time.Second)})
+	assert.Equal(t, v.book.State(), Alone)
+	v.do(t0.Add(11*time.Second), SightMsg{Store: true, At: t0.Add(10900 * time.Millisecond)})
+	assert.Equal(t, v.book.State(), Serve)
+}
+
 // The store is down for hours and nothing else is wrong. The VMs hear each
 // other, nothing can be accepted meanwhile, and no caller notices anything.
 func TestAnOutageOfTheStoreAloneStopsNobody(t *testing.T) {
