--- a/internal/admin/bench/all.go
+++ b/internal/admin/bench/all.go
@@ -8,5 +8,6 @@
 		{"load", Load},
 		{"peers", Peers},
 		{"journal", Journal},
+		{"slopes", Slopes},
 	}
 }
