A revision that does not exist stops nobody; costs of membership by size

Cause: one faulty peer that announced a revision which was never accepted made every VM that it spoke to stop after 4 s, and asked around for it without end.

Ruled out: asking several peers to confirm an announcement. A true revision is first known to one watcher alone, so that would delay every change.

After: after 2 s the store is asked too, and what it does not have is dropped with an alarm; a value that nobody gives is given up after 10 s.

--- /dev/null
+++ b/internal/node/gossip/bench_test.go
@@ -0,0 +1,34 @@
+package gossip
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+// BenchmarkSecond is what one VM decides in a second at a fleet of that size,
+// without encoding: ten ticks, three pulses and four probes.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{10, 50, 200, 520} {
+		b.Run("vms="+strconv.Itoa(n), func(b *testing.B) {
+			peers := peersOf(n)
+			m := New(t0, peers[n/2])
+			m.Update(t0, PeersMsg{Live: peers})
+			now := t0
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 10 {
+					now = now.Add(Tick)
+					m.Update(now, TickMsg{})
+				}
+				for i := range 3 {
+					p := &Pulse{Root: m.order[i], Seq: uint64(now.UnixMilli()), Sum: m.sum}
+					m.Update(now, PacketMsg{From: m.order[i], Packet: Packet{Pulse: p}})
+				}
+				for i := range 4 {
+					m.Update(now, PacketMsg{From: m.order[i], Packet: Packet{Probe: &Probe{Sum: m.sum, Rows: []Row{{Server: "s1", Age: time.Second}}}}})
+				}
+			}
+		})
+	}
+}
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -36,6 +36,7 @@
 	Period = time.Second            // between pulses, and between probes
 	Tick   = 100 * time.Millisecond // how often TickMsg is to be sent
 	gap    = 200 * time.Millisecond // least time between two pulses of a root
+	giveUp = 10 * time.Second       // on a value that nobody has; it is announced again if it exists
 	again  = 400 * time.Millisecond // before a value is asked for elsewhere
 	silent = 3 * time.Second        // after which a watcher is passed over
 	newFor = 3 * time.Second        // how long a head rides on pulses
@@ -310,6 +311,11 @@
 	var cmds []loop.Cmd
 	for _, name := range slices.Sorted(maps.Keys(m.fetches)) {
 		f := m.fetches[name]
+		if now.Sub(f.since) >= giveUp {
+			delete(m.fetches, name)
+			delete(m.waiting, name)
+			continue
+		}
 		if now.Sub(f.at) < again {
 			continue
 		}
--- a/internal/node/gossip/value.go
+++ b/internal/node/gossip/value.go
@@ -86,9 +86,10 @@
 // fetch is a value that is being asked for.
 type fetch struct {
 	Head
-	from ident.VM
-	at   time.Time
-	full bool // differences did not fit: ask for the whole value
+	from  ident.VM
+	since time.Time
+	at    time.Time
+	full  bool // differences did not fit: ask for the whole value
 }
 
 // heads lists what is held, in name order.
@@ -142,7 +143,7 @@
 	if ok && h.Rev <= f.Rev || !ok && len(m.fetches) >= maxHeads {
 		return nil
 	}
-	m.fetches[h.Name] = &fetch{Head: h, from: from, at: now}
+	m.fetches[h.Name] = &fetch{Head: h, from: from, since: now, at: now}
 	return []loop.Cmd{HeadCmd{From: from, Head: h}, m.want(m.fetches[h.Name])}
 }
 
--- a/internal/rules/force/force.go
+++ b/internal/rules/force/force.go
@@ -119,8 +119,12 @@
 	state State
 }
 
-// retry is how often a revision that is known but not held is asked for.
-const retry = 500 * time.Millisecond
+// A revision that is known but not held is asked for again after retry; after
+// doubt the store is asked as well, which has it if it exists.
+const (
+	retry = 500 * time.Millisecond
+	doubt = 2 * time.Second
+)
 
 // Rev returns the revision in force, zero for none.
 func (m Model) Rev() ident.Revision {
@@ -140,7 +144,7 @@
 	case HeardMsg:
 		cmds = m.heard(now, msg)
 	case LoadedMsg:
-		cmds = m.loaded(msg)
+		cmds = m.loaded(now, msg)
 	case SightMsg:
 		m.looked(now, msg)
 	case TickMsg:
@@ -198,16 +202,40 @@
 		return nil
 	}
 	m.asked = now
-	return []loop.Cmd{FetchCmd{From: m.want.From, Rev: m.want.Rev}}
+	cmds := []loop.Cmd{FetchCmd{From: m.want.From, Rev: m.want.Rev}}
+	if m.want.From != "" && now.Sub(m.since) >= doubt {
+		cmds = append(cmds, FetchCmd{Rev: m.want.Rev})
+	}
+	return cmds
+}
+
+// refute drops a revision that a peer spoke of and that the store, asked later,
+// does not have. Without it one faulty peer that announces a revision that was
+// never accepted would stop every VM that it speaks to. A read of the store that
+// was already under way when the revision was accepted can refute a true one; it
+// is announced again within a second.
+func (m *Model) refute(now time.Time, msg LoadedMsg, s *Snapshot) []loop.Cmd {
+	wanted := m.want.Rev > m.Rev() && m.want.Rev > s.Rev
+	if msg.From != "" || !wanted || m.want.From == "" || now.Sub(m.since) < doubt {
+		return nil
+	}
+	cmds := m.alarm(m.want.From, m.want.Rev, kinds.New(kinds.Absent, "a peer announced a revision that the store does not have"))
+	m.want = HeardMsg{}
+	return cmds
 }
 
 // loaded applies a revision if it is newer than all that were held, and, on a
 // VM that holds none, not older than the newest heard of.
-func (m *Model) loaded(msg LoadedMsg) []loop.Cmd {
+func (m *Model) loaded(now time.Time, msg LoadedMsg) []loop.Cmd {
 	s, err := Open(msg.Raw)
-	switch {
-	case err != nil:
+	if err != nil {
 		return m.alarm(msg.From, 0, err)
+	}
+	return append(m.refute(now, msg, s), m.apply(msg, s)...)
+}
+
+func (m *Model) apply(msg LoadedMsg, s *Snapshot) []loop.Cmd {
+	switch {
 	case s.Rev <= m.Rev():
 		return m.checkOld(msg.From, s)
 	case m.snap == nil && s.Rev < m.want.Rev:
--- a/internal/rules/force/force_test.go
+++ b/internal/rules/force/force_test.go
@@ -187,6 +187,7 @@
 		assert.Equal(t, v.book.State(), Serve)
 	}
 	assert.Assert(t, len(v.fetch) >= 7, "%d", len(v.fetch))
+	v.do(t0.Add(3900*time.Millisecond), LoadedMsg{From: "vm3", Raw: raw[1]})
 	v.do(t0.Add(4*time.Second), TickMsg{})
 	assert.Equal(t, v.book.State(), Behind)
 	v.do(t0.Add(5*time.Second), LoadedMsg{Raw: raw[2]})
@@ -219,6 +220,36 @@
 	assert.ErrorContains(t, v.alarm[2].Err, "two contents")
 }
 
+// A faulty peer announces a revision that was never accepted. The VM asks the
+// store before it stops, and goes on; a true revision that only the store's
+// answer shows is applied as ever.
+func TestARevisionThatTheStoreDoesNotHaveStopsNobody(t *testing.T) {
+	var v vm
+	raw := raws(t, 3)
+	v.do(t0, LoadedMsg{Raw: raw[1]})
+	v.do(t0, HeardMsg{From: "vm2", Rev: 900, Sum: digest.Of(raw[3])})
+	asked := 0
+	for i := range 100 {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		v.do(now, SightMsg{Store: true})
+		v.fetch = nil
+		v.do(now, TickMsg{})
+		for _, c := range v.fetch {
+			if c.From == "" {
+				asked++
+				v.do(now, LoadedMsg{Raw: raw[2]})
+			}
+		}
+		assert.Equal(t, v.book.State(), Serve, "after %v", now.Sub(t0))
+	}
+	assert.Equal(t, asked, 1)
+	assert.Equal(t, v.book.Current().Rev, ident.Revision(2))
+	assert.ErrorContains(t, v.alarm[0].Err, "does not have")
+	v.do(t0.Add(time.Minute), HeardMsg{From: "vm2", Rev: 3, Sum: digest.Of(raw[3])})
+	v.do(t0.Add(time.Minute), LoadedMsg{From: "vm2", Raw: raw[3]})
+	assert.Equal(t, v.book.Current().Rev, ident.Revision(3))
+}
+
 // Messages about revisions come late, twice, out of order and from peers that
 // are behind. The revision in force only rises, and an answering VM that has
 // known of a newer one for the limit does not exist.
@@ -243,7 +274,11 @@
 					known = n
 				}
 			case 1:
+				alarms := len(v.alarm)
 				v.do(now, LoadedMsg{From: from, Raw: raw[n]})
+				if len(v.alarm) > alarms && kinds.Of(v.alarm[alarms].Err) == kinds.Absent {
+					known = 0
+				}
 			case 2:
 				v.do(now, SightMsg{Store: true})
 			default:
