--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -190,28 +190,34 @@
 	return &p, nil
 }
 
-// reload puts changed files in force. Files that do not fit together, as in the
-// moment between replacing one and the other, are tried again.
+// reload looks at the files again and again.
 func (p *peers) reload(ctx context.Context, c config.Certs, store *certs.Store, last certs.PEM) error {
 	for ctx.Err() == nil {
 		sleep(ctx, reloadEvery)
-		now, err := readPEM(c)
-		if err == nil && same(*now, last) {
-			continue
-		}
-		if err == nil {
-			err = store.Load(*now)
-		}
+		now, err := p.reloadOnce(c, store, last)
 		if err != nil {
 			p.log.Warn("keys and certificates not reloaded", "err", err)
-			continue
 		}
-		last = *now
-		p.log.Info("keys and certificates reloaded")
+		last = now
 	}
 	return nil
 }
 
+// reloadOnce puts changed files in force and returns what is in force then.
+// Files that do not fit together, as in the moment between replacing one and
+// the other, change nothing and are tried again.
+func (p *peers) reloadOnce(c config.Certs, store *certs.Store, last certs.PEM) (certs.PEM, error) {
+	now, err := readPEM(c)
+	if err != nil || same(*now, last) {
+		return last, err
+	}
+	if err := store.Load(*now); err != nil {
+		return last, err
+	}
+	p.log.Info("keys and certificates reloaded")
+	return *now, nil
+}
+
 func same(a, b certs.PEM) bool {
 	return string(a.Cert) == string(b.Cert) && string(a.Key) == string(b.Key) && string(a.CA) == string(b.CA)
 }
