owner/seat: a hot key and its slice can leave a lost server together

The plan gave a hot key and the slice that it hashes to to two servers, the slice first; by then the key belonged to the slice's new owner, the table refused the whole batch, and the seat tried the same again every 500 ms until the key had cooled down. Ruled out by a trial with a line for each command: the deputy, the waiting for other members, the planner's time (33 moves were there after 0.2 s).

Moves of keys now come first.

--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -1,6 +1,7 @@
 package seat
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -84,7 +85,9 @@
 }
 
 // sensible keeps the moves whose subject is still this server's and whose next
-// owner is known, each subject once.
+// owner is known, each subject once. Hot keys come before slices: a key that is
+// not apart belongs to whoever owns its slice, so once the slice has moved, the
+// key is no longer this server's to give and the whole batch would be refused.
 func (t *turn) sensible(moves []table.Move) []table.Move {
 	type subject struct {
 		x ident.Slice
@@ -106,9 +109,17 @@
 		seen[at] = true
 		out = append(out, m)
 	}
+	slices.SortStableFunc(out, func(a, b table.Move) int { return cmp.Compare(rank(a), rank(b)) })
 	return out
 }
 
+func rank(m table.Move) int {
+	if m.Key != "" {
+		return 0
+	}
+	return 1
+}
+
 // holds reports whether a move keeps a hot key here while its slice leaves by
 // another one of the moves.
 func (t *turn) holds(m table.Move, moves []table.Move) bool {
