load/fair: a hot flow is refused while the queue stands, equal ones never are

Cause: whoever finds a free place starts, also a flow that is far over its share, and at that moment half of those who ask are the hot one.

Change: a flow that owes more than 5 is refused while the queue is standing. Now no rate is squeezed below a fiftieth of the lane, and refusals of hot flows ease the rate. A standing queue of the undivided services now holds 5 ms, not 10.

--- a/internal/load/bench/scene.go
+++ b/internal/load/bench/scene.go
@@ -54,6 +54,7 @@
 	Faults    []Fault
 	Lies      bool            // a third of the servers always report no load
 	Cold      bool            // half the servers are cold
+	Callers   int             // how many there are; zero is 500
 	Again     int             // how often a caller asks again after a failure
 	Marks     []time.Duration // ends of measured windows; empty is one
 }
--- a/internal/load/bench/world.go
+++ b/internal/load/bench/world.go
@@ -72,7 +72,11 @@
 		o := &origin{clock: &w.clock, slots: sc.Service.Slots, cold: sc.Cold && i%2 == 0}
 		w.origins = append(w.origins, o)
 	}
-	for i := range callers {
+	n := sc.Callers
+	if n == 0 {
+		n = callers
+	}
+	for i := range n {
 		w.names = append(w.names, ident.Caller("caller-"+strconv.Itoa(i)))
 	}
 	for i := range keys {
@@ -176,7 +180,7 @@
 	rng := w.arrivals
 	r := &request{
 		vm:     rng.IntN(s.VMs),
-		caller: w.names[rng.IntN(callers)],
+		caller: w.names[rng.IntN(len(w.names))],
 		owner:  -1,
 		asked:  w.now,
 		by:     w.now + s.Deadline,
--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -14,11 +14,18 @@
 // debt has to be refused, and eases while requests are let in, so that it
 // settles where the hot flows leave the others their room.
 //
+// A flow that owes much although it is refused for its debt must have sent at
+// several times the rate for a while: it is hot, and is let in only when the
+// queue is not standing. No rate is squeezed below Least of what one flow could
+// reach alone, so that among many equal callers none is hot.
+//
 // Fair queueing by virtual time was tried first and needs a backlog to remember
 // who has had how much; under overload the gate keeps its queues too short for
 // that (see docs/design/load.md).
 //
-// Grounds: a twentieth per squeeze reaches the right rate within about a second
+// Grounds: without Least, two times the load from 500 equal callers made all of
+// them hot, and a quarter of the capacity was used (see docs/design/load.md); at
+// 0.02 fifty equal callers can still fill a lane. A twentieth per squeeze reaches the right rate within about a second
 // of one server's arrivals; a thousandth per admission keeps the refusals of
 // those without debt, at the settled rate, at about two in a hundred. A flow
 // whose debt is paid can be forgotten without changing any later decision, so
@@ -42,9 +49,15 @@
 	// Free is the debt that counts as none: two requests in a row are usual.
 	Free = 2
 
+	// Much is the debt that only a hot flow reaches: the others are refused while
+	// they owe more than Free, and so gain little beyond it.
+	Much = 5
+
 	tighter = 0.95
 	looser  = 1.001
-	slowest = 0.01 // requests per second
+	// Least is the smallest common rate, as a part of what one flow could reach
+	// alone: whoever takes less than this is never what crowds the others out.
+	Least   = 0.02
 	fastest = 1e4
 	sweep   = 2 // flows looked at for each new one, to forget faster than they come
 )
@@ -78,6 +91,12 @@
 	return time.Duration(over / b.speed() * float64(time.Second))
 }
 
+// Hot reports whether the flow owes so much that it must have sent at several
+// times the common rate for a while.
+func (b *Book) Hot(now time.Time, f Flow) bool {
+	return f != 0 && b.Debt(now, f) > Much
+}
+
 // Charge adds a request that was let in.
 func (b *Book) Charge(now time.Time, f Flow, cost float64) {
 	if f == 0 {
@@ -98,7 +117,7 @@
 // Squeeze lowers the common rate, because someone without debt was refused.
 // Most is the rate, in requests per second, that one flow could reach alone.
 func (b *Book) Squeeze(most float64) {
-	b.rate = max(min(b.speed(), most)*tighter, slowest)
+	b.rate = max(min(b.speed(), most)*tighter, most*Least)
 }
 
 // Ease raises the common rate a little, because a request was let in.
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -16,10 +16,6 @@
 	// by one whose flow has had less: a refusal within 10 ms costs its caller
 	// nothing, a later one has wasted its time.
 	Early = 8 * time.Millisecond
-	// standingWaits is how many targets long the wait in a standing queue may
-	// be: enough for one request to be ready whenever a place becomes free. More
-	// adds delay and no work, since the servers are busy without it.
-	standingWaits = 2
 	// margin is how many typical answers must fit before the deadline when a
 	// request is started: service times vary as much as their mean.
 	margin = 2
@@ -72,6 +68,11 @@
 	return max(l.callers.Delay(now, t.caller), l.keys.Delay(now, t.key))
 }
 
+// hot reports whether the caller or the key is far over its share.
+func (l *lane) hot(now time.Time, t *Ticket) bool {
+	return l.callers.Hot(now, t.caller) || l.keys.Hot(now, t.key)
+}
+
 func (l *lane) charge(now time.Time, t *Ticket) {
 	l.callers.Charge(now, t.caller, cost)
 	l.keys.Charge(now, t.key, cost)
@@ -93,6 +94,16 @@
 	l.q.Full(now)
 }
 
+// heldOff notes that a request was refused because its flow is over its share.
+// The queue stays standing, or the hot flow would flood it each time the others
+// had their room; the shares ease, or those that became small in an overload
+// would be held to them for long after it.
+func (l *lane) heldOff(now time.Time) {
+	l.q.Full(now)
+	l.callers.Ease()
+	l.keys.Ease()
+}
+
 // lanes is a pair of queues, short and long, that share servers.
 type lanes struct {
 	by    [sizes.Kinds]lane
@@ -155,7 +166,7 @@
 	slack := t.item.By.Sub(now)
 	switch {
 	case l.q.Standing() && over > 0:
-		l.q.Full(now)
+		l.heldOff(now)
 		return c.refuse(t, kinds.Busy, c.hint(over))
 	case float64(wait) > float64(slack)*patience:
 		l.squeeze(now, each)
@@ -194,7 +205,7 @@
 // standing is the longest wait that a standing queue takes in: at least one
 // turn, or a lane with a single place would never have a request ready for it.
 func standing(each time.Duration) time.Duration {
-	return max(standingWaits*queue.DefaultTarget, each)
+	return max(queue.DefaultTarget, each)
 }
 
 // stalled is for how long an owner has been silent when it should not be.
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -155,6 +155,10 @@
 	t.in = ls
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
+	if l.q.Standing() && l.hot(now, t) {
+		l.heldOff(now)
+		return c.refuse(t, kinds.Busy, c.hint(l.delay(now, t)))
+	}
 	if l.q.Len() == 0 && t.Job.Deadline.After(now) {
 		if s := c.place(now, owner, t); s != nil {
 			l.charge(now, t)
