owner/seat: a deputy asks for its term once in 30 s, not with every beat

Cause: a held seat cost 20 messages a second between entry VMs, because the deputy answered each beat with a reading of its clock. The reading only anchors the term that later beats tell; an old one can make that term shorter, by its age, and never longer. So it is sent when a beat names none of ours, or one older than a sixtieth of the term (30 s of 30 min). A lost question is put again with the next beat; a restarted holder or deputy is anchored within two beats.

Ruled out: a counter of beats at the deputy (needs state that a restart loses); no question at all, counting from the beat's arrival (a late beat would stretch the term).

--- a/internal/owner/seat/deputy.go
+++ b/internal/owner/seat/deputy.go
@@ -83,7 +83,29 @@
 		told := t.cfg.Times.Until(t.born.Add(m.Echo), m.Left)
 		t.d.until = later(t.d.until, told)
 	}
+	t.ask(m)
+}
+
+// askPart is the part of a term after which the deputy gives its holder a new
+// reading of its clock.
+//
+// A reading serves for one thing: the term that a beat tells is counted from it.
+// An old one can only make the told term shorter, by its age. A sixtieth costs
+// 30 s of a term of 30 min, so the deputy still outlasts a store outage of
+// 19.5 min after the holder's last renewal of the term, instead of 20; asking
+// with each beat would double the messages of every seat for that.
+const askPart = 60
+
+// ask gives the holder our clock when the one that its beat names is not ours or
+// is old. It looks at the beat alone, so a lost question is put again with the
+// next beat, and a holder or deputy that started anew is anchored at once: the
+// one names no reading, the other does not know the one that is named.
+func (t *turn) ask(m BeatMsg) {
 	at := max(t.now.Sub(t.born), 1)
+	known := m.Echo > 0 && m.Born == t.born.UnixNano()
+	if known && at-m.Echo < t.cfg.Times.Term/askPart {
+		return
+	}
 	t.do(SendCmd{To: m.From, Msg: AskMsg{From: t.cfg.Self, Epoch: m.Epoch, At: at, Born: t.born.UnixNano()}})
 }
 
--- a/internal/owner/seat/msg.go
+++ b/internal/owner/seat/msg.go
@@ -120,9 +120,10 @@
 		Rev  ident.Revision `cbor:"rev"`
 	}
 
-	// AskMsg goes from deputy to holder after each beat. At is the deputy's own
-	// clock since its process started, and Born that start: an answer to an
-	// earlier process of the same VM must not be counted on this one's clock.
+	// AskMsg goes from deputy to holder after a beat that names no reading of the
+	// deputy's clock, or an old one. At is the deputy's own clock since its
+	// process started, and Born that start: an answer to an earlier process of
+	// the same VM must not be counted on this one's clock.
 	AskMsg struct {
 		From  ident.VM      `cbor:"-"`
 		Epoch ident.Epoch   `cbor:"epoch"`
