--- a/internal/admin/bench/all.go
+++ b/internal/admin/bench/all.go
@@ -6,6 +6,7 @@
 		{"costs", Costs},
 		{"latency", Latency},
 		{"load", Load},
+		{"place", Place},
 		{"peers", Peers},
 		{"journal", Journal},
 		{"slopes", Slopes},
