--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -41,7 +41,6 @@
 		return err
 	}
 	log := slog.New(slog.NewJSONHandler(c.app.out, &slog.HandlerOptions{Level: level(cfg.Log.Level)}))
-	daemon.Tune()
 	d, err := daemon.New(cfg, daemon.WithLog(log))
 	if err != nil {
 		return err
--- a/internal/edge/trial/trial.go
+++ b/internal/edge/trial/trial.go
@@ -15,8 +15,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,10 +114,6 @@
 // set up.
 func Latency(ctx context.Context, o Options) (Result, error) {
 	o = o.fill()
-	if os.Getenv("GOGC") == "" {
-		// As `hawthorn serve` does, for the time of the measurement.
-		defer debug.SetGCPercent(debug.SetGCPercent(daemon.GCPercent))
-	}
 	s, err := build(ctx, o)
 	if err != nil {
 		return Result{}, err
