demo: its test asserts no time

Promises that name a bound in seconds are judged by the command alone; a test that asserts them would fail on a busy machine.

--- a/internal/admin/demo/judge.go
+++ b/internal/admin/demo/judge.go
@@ -23,6 +23,7 @@
 	promise string
 	checks  int
 	broken  []string
+	timed   bool // names a bound in seconds, which a busy machine can break by itself
 }
 
 // held reports whether the promise was tested at all and never broken. One that
@@ -184,7 +185,7 @@
 
 // draining looks for new work on a server after it said that it leaves.
 func draining(e *evidence) verdict {
-	v := verdict{promise: "a leaving server gets no new work after 3 s"}
+	v := verdict{promise: "a leaving server gets no new work after 3 s", timed: true}
 	late, before := map[ident.Server]int{}, map[ident.Server]int{}
 	for _, s := range e.served {
 		at, ok := e.drained[s.Server]
@@ -229,7 +230,7 @@
 
 // rulesHold checks when each entry VM had the accepted revision in force.
 func rulesHold(e *evidence) verdict {
-	v := verdict{promise: "accepted rules are in force everywhere within 7 s and never revert"}
+	v := verdict{promise: "accepted rules are in force everywhere within 7 s and never revert", timed: true}
 	for i, at := range e.edit.inForce {
 		v.must(!at.IsZero() && at.Sub(e.edit.accepted) <= rulesWithin, "entry VM %d had revision %d in force at %v", i+1, e.edit.rev, at)
 	}
