Seat histories: generated faults judged by the backend servers' own records

Cause: the seat model was not yet proved.

Found by the histories and mended: a process restarted on the same VM never looked whether its predecessor held the seat, so the seat stayed without a holder; a deputy that heard of a later epoch too late kept believing in its own; a batch that began just after its server had gained a key left that key without a grant; a holder whose store had failed once never named a deputy again.

--- /dev/null
+++ b/internal/fake/world/store.go
@@ -0,0 +1,152 @@
+package world
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Store is the fake object API: seat records and one table, with versions. It
+// keeps every table that was ever in force.
+type Store struct {
+	w       *World
+	downTo  time.Duration
+	records map[ident.Server]versioned
+	table   table.Table
+	version object.Version
+	past    map[ident.Revision]table.Table
+}
+
+type versioned struct {
+	rec seat.Record
+	ver object.Version
+}
+
+func newStore(w *World, t table.Table) *Store {
+	return &Store{
+		w: w, records: map[ident.Server]versioned{}, table: t, version: 1,
+		past: map[ident.Revision]table.Table{t.Rev: t},
+	}
+}
+
+// Down takes the store away for a while.
+func (s *Store) Down(d time.Duration) { s.downTo = max(s.downTo, s.w.now+d) }
+
+// Table returns the table in force.
+func (s *Store) Table() table.Table { return s.table }
+
+// Record returns the record of a seat.
+func (s *Store) Record(srv ident.Server) seat.Record { return s.records[srv].rec }
+
+func (s *Store) down() bool { return s.w.now < s.downTo }
+
+// refused is the answer of a store that is down and says so.
+type refused struct{}
+
+// serve answers a call unless the store is down; then half the calls are
+// refused and half are lost.
+func (s *Store) serve(reply func(any), do func() any) {
+	if s.down() {
+		if s.w.chance(500) {
+			reply(refused{})
+		}
+		return
+	}
+	s.w.after(s.w.between(time.Millisecond, 4*time.Millisecond), func() {
+		if !s.down() {
+			reply(do())
+		}
+	})
+}
+
+// kindOf turns the outcome of a call into its kind.
+func kindOf(a any, ok bool, lost kinds.Kind) kinds.Kind {
+	if !ok {
+		return lost
+	}
+	switch a := a.(type) {
+	case refused:
+		return kinds.Down
+	case kinds.Kind:
+		return a
+	}
+	return kinds.None
+}
+
+func (s *Store) putRecord(srv ident.Server, c seat.PutRecordCmd) any {
+	old := s.records[srv]
+	if old.ver != c.Old {
+		return kinds.Conflict
+	}
+	if c.Record.Epoch < old.rec.Epoch {
+		s.w.errorf("epoch of %s falls from %d to %d", srv, old.rec.Epoch, c.Record.Epoch)
+	}
+	s.records[srv] = versioned{c.Record, old.ver + 1}
+	return old.ver + 1
+}
+
+func (s *Store) putTable(c seat.PutTableCmd) any {
+	if s.version != c.Old {
+		return kinds.Conflict
+	}
+	if c.Table.Rev <= s.table.Rev {
+		s.w.errorf("table revision falls from %d to %d", s.table.Rev, c.Table.Rev)
+	}
+	s.released(c.Table)
+	s.version++
+	s.table = c.Table
+	s.past[c.Table.Rev] = c.Table
+	s.push()
+	return s.version
+}
+
+// push tells the watchers.
+func (s *Store) push() {
+	t, ver := s.table, s.version
+	for _, v := range s.w.VMs {
+		s.w.message("store", string(v.ID), func() { v.learn(t, ver) })
+	}
+}
+
+// acknowledged checks that a reported move stands in the table that is said to
+// give it.
+func (s *Store) acknowledged(srv ident.Server, c seat.MovedCmd) {
+	t, ok := s.past[c.Rev]
+	if !ok {
+		s.w.errorf("move acknowledged under revision %d, which never was", c.Rev)
+		return
+	}
+	for _, m := range c.Moves {
+		if t.From(m) == srv {
+			s.w.errorf("acknowledged move of slice %d %q from %s is lost", m.Slice, m.Key, srv)
+		}
+	}
+	s.w.Count.Moves += len(c.Moves)
+}
+
+// released checks the moment of an update: a key that gets another owner must
+// not be served by its old one any more (rule 5). This is stricter than asking
+// for two owners, for the next owner starts a little later.
+func (s *Store) released(next table.Table) {
+	for x := range ident.Slice(next.Slices()) {
+		s.free(next, table.Move{Slice: x}, uint64(1)<<x)
+	}
+	for i, k := range s.w.Hot {
+		s.free(next, table.Move{Key: k}, uint64(1)<<(s.w.Opt.Slices+i))
+	}
+}
+
+func (s *Store) free(next table.Table, m table.Move, bit uint64) {
+	from := s.table.From(m)
+	if from == "" || from == next.From(m) {
+		return
+	}
+	srv := s.w.server(from)
+	if last := srv.last(); srv.open && last.set&bit != 0 && s.w.now < last.to {
+		s.w.errorf("slice %d %q given away while %s serves it until %v", m.Slice, m.Key, from, last.to)
+	}
+}
--- /dev/null
+++ b/internal/fake/world/vm.go
@@ -0,0 +1,287 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/core/wire"
+	"hawthornfield.org/hawthornfield/internal/owner/seat"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// VM is one entry VM: a seat model for each backend server and a runner.
+type VM struct {
+	ID     ident.VM
+	Centre int
+	Dead   bool
+	Gone   bool // listed as gone
+	Left   bool // asked to leave
+
+	w        *World
+	rate     float64
+	off      time.Duration
+	pausedTo time.Duration
+	pausedAt time.Duration
+	life     int // process number; effects of an earlier one are gone
+	seats    map[ident.Server]loop.Model
+	promised map[ident.Server]ident.Epoch
+	plans    map[ident.Server]seat.PlanMsg // last sent
+	table    table.Table
+}
+
+func newVM(w *World, i int) *VM {
+	v := &VM{
+		ID: ident.VM(fmt.Sprintf("vm%d", i)), Centre: i % w.Opt.Centres,
+		w: w, rate: w.rate(), off: w.between(0, time.Hour),
+	}
+	v.boot()
+	return v
+}
+
+func (v *VM) boot() {
+	v.life++
+	v.promised = map[ident.Server]ident.Epoch{}
+	v.plans = map[ident.Server]seat.PlanMsg{}
+	v.table = table.Table{}
+	v.seats = map[ident.Server]loop.Model{}
+	for _, s := range v.w.Servers {
+		v.seats[s.Name] = v.w.Opt.New(seat.Config{
+			Self: v.ID, Service: Service, Server: s.Name, Checks: v.w.Opt.Checks,
+			Times: v.w.times, Patience: v.w.Opt.Patience,
+		})
+	}
+}
+
+// local is the VM's own clock.
+func (v *VM) local() time.Time {
+	return start.Add(v.off + time.Duration(float64(v.w.now)*v.rate))
+}
+
+// real turns a time on the VM's clock into the history's.
+func (v *VM) real(d time.Duration) time.Duration { return time.Duration(float64(d) / v.rate) }
+
+// Paused reports whether the VM stands still.
+func (v *VM) Paused() bool { return v.w.now < v.pausedTo }
+
+// Pause stops the VM for a while.
+func (v *VM) Pause(d time.Duration) {
+	if !v.Paused() {
+		v.pausedAt = v.w.now
+	}
+	v.pausedTo = max(v.pausedTo, v.w.now+d)
+}
+
+// Kill ends the VM for good. The platform lists it as gone after a lag.
+func (v *VM) Kill(lag time.Duration) {
+	v.Dead = true
+	v.w.after(lag, func() { v.Gone = true; v.w.planAll() })
+}
+
+// Restart starts the process anew on the same VM, without its memory.
+func (v *VM) Restart() {
+	if !v.Dead {
+		v.boot()
+		v.w.plan(v)
+		if !v.w.Store.down() {
+			v.w.Store.push()
+		}
+	}
+}
+
+// Leave asks every seat to hand over.
+func (v *VM) Leave() {
+	v.Left = true
+	for _, s := range v.w.Servers {
+		v.Send(s.Name, seat.LeaveMsg{})
+	}
+}
+
+// Send delivers a message to one seat, once the VM runs.
+func (v *VM) Send(srv ident.Server, msg loop.Msg) { v.run(v.life, func() { v.update(srv, msg) }) }
+
+// run does something on the VM, after its pause, unless its process has ended.
+func (v *VM) run(life int, do func()) {
+	if v.Dead || life != v.life {
+		return
+	}
+	if v.Paused() {
+		v.w.At(v.pausedTo, func() { v.run(life, do) })
+		return
+	}
+	do()
+}
+
+func (v *VM) update(srv ident.Server, msg loop.Msg) {
+	m, cmds := v.seats[srv].Update(v.local(), msg)
+	v.seats[srv] = m
+	for _, c := range cmds {
+		v.watch(srv, c)
+		if _, timer := c.(loop.AfterCmd); !timer && v.w.chance(v.w.Noise.Stall) {
+			// The pause falls between the decision and its effect.
+			v.Pause(v.w.between(0, v.w.Noise.MaxStall))
+		}
+		v.run(v.life, func() { v.exec(srv, c) })
+	}
+}
+
+// watch checks a decision as it is made: no order after the term, none under an
+// epoch that the VM promised not to use any more.
+func (v *VM) watch(srv ident.Server, cmd loop.Cmd) {
+	switch c := cmd.(type) {
+	case seat.OrderCmd:
+		if !c.Valid(v.local()) {
+			v.w.errorf("%s orders %s after its term", v.ID, srv)
+		}
+		if c.Order.Fence.Epoch < v.promised[srv] && !c.Revoke {
+			v.w.errorf("%s orders %s after its promise", v.ID, srv)
+		}
+	case seat.SendCmd:
+		if m, ok := c.Msg.(seat.YieldedMsg); ok {
+			v.promised[srv] = max(v.promised[srv], m.Below)
+		}
+	}
+}
+
+// Seat returns the state of one seat on this VM.
+func (v *VM) Seat(srv ident.Server) loop.Model { return v.seats[srv] }
+
+func (v *VM) learn(t table.Table, ver object.Version) {
+	v.run(v.life, func() {
+		if t.Rev > v.table.Rev {
+			v.table = t
+		}
+		for _, s := range v.w.Servers {
+			v.update(s.Name, seat.TableMsg{Table: t, Version: ver})
+		}
+	})
+}
+
+func (v *VM) exec(srv ident.Server, cmd loop.Cmd) {
+	switch c := cmd.(type) {
+	case loop.AfterCmd:
+		life := v.life
+		v.w.after(v.real(c.D), func() { v.run(life, func() { v.update(srv, c.Msg) }) })
+	case seat.ReadRecordCmd, seat.PutRecordCmd, seat.ReadTableCmd, seat.PutTableCmd:
+		v.execStore(srv, cmd)
+	case seat.OrderCmd:
+		v.execOrder(srv, c)
+	case seat.ReadServerCmd:
+		v.ask(srv, func(s *Server) any { return s.read() }, func(r server.Reply, k kinds.Kind) {
+			v.Send(srv, seat.ReplyMsg{Read: c, Reply: r, Kind: k})
+		})
+	case seat.SendCmd:
+		v.execSend(srv, c)
+	case seat.PlanCmd:
+		v.w.planMoves(v, c)
+	case seat.MovedCmd:
+		v.w.Store.acknowledged(srv, c)
+	case seat.HeldCmd:
+		v.w.heldOnce(srv, c.Epoch, v.ID)
+	case seat.FaultCmd:
+		v.w.errorf("%s: %v", v.ID, c.Err)
+	}
+}
+
+func (v *VM) execStore(srv ident.Server, cmd loop.Cmd) {
+	st, wait, life := v.w.Store, v.w.times.Store, v.life
+	send := func(m loop.Msg) { v.run(life, func() { v.update(srv, m) }) }
+	switch c := cmd.(type) {
+	case seat.ReadRecordCmd:
+		v.w.Count.Reads++
+		v.w.call(v, "store", wait, func(reply func(any)) {
+			st.serve(reply, func() any { return st.records[srv] })
+		}, func(a any, ok bool) {
+			got, _ := a.(versioned)
+			send(seat.RecordMsg{Cmd: c, Record: got.rec, Version: got.ver, Kind: kindOf(a, ok, kinds.Down)})
+		})
+	case seat.PutRecordCmd:
+		v.w.Count.Writes++
+		v.w.call(v, "store", wait, func(reply func(any)) {
+			st.serve(reply, func() any { return st.putRecord(srv, c) })
+		}, func(a any, ok bool) {
+			ver, _ := a.(object.Version)
+			send(seat.RecordPutMsg{Cmd: c, Version: ver, Kind: kindOf(a, ok, kinds.Ambiguous)})
+		})
+	case seat.ReadTableCmd:
+		v.w.Count.Reads++
+		v.w.call(v, "store", wait, func(reply func(any)) {
+			st.serve(reply, func() any { return seat.TableMsg{Table: st.table, Version: st.version} })
+		}, func(a any, ok bool) {
+			m, _ := a.(seat.TableMsg)
+			m.Kind = kindOf(a, ok, kinds.Down)
+			send(m)
+		})
+	case seat.PutTableCmd:
+		v.execPutTable(c, send)
+	}
+}
+
+func (v *VM) execPutTable(c seat.PutTableCmd, send func(loop.Msg)) {
+	if !c.Valid(v.local()) {
+		send(seat.TablePutMsg{Cmd: c, Kind: kinds.Down})
+		return
+	}
+	st := v.w.Store
+	v.w.Count.Writes++
+	v.w.call(v, "store", v.w.times.Store, func(reply func(any)) {
+		st.serve(reply, func() any { return st.putTable(c) })
+	}, func(a any, ok bool) {
+		ver, _ := a.(object.Version)
+		k := kindOf(a, ok, kinds.Ambiguous)
+		send(seat.TablePutMsg{Cmd: c, Version: ver, Kind: k})
+		if k == kinds.None {
+			v.tell(c.Table, ver)
+		}
+	})
+}
+
+// tell passes a confirmed table on to the other VMs.
+func (v *VM) tell(t table.Table, ver object.Version) {
+	for _, o := range v.w.VMs {
+		if o != v {
+			v.w.message(string(v.ID), string(o.ID), func() { o.learn(t, ver) })
+		}
+	}
+}
+
+func (v *VM) execOrder(srv ident.Server, c seat.OrderCmd) {
+	v.w.Count.Orders++
+	if !c.Valid(v.local()) {
+		v.Send(srv, seat.ReplyMsg{Order: c, Kind: kinds.Down})
+		return
+	}
+	v.ask(srv, func(s *Server) any { return s.obey(c.Order, c.Revoke) }, func(r server.Reply, k kinds.Kind) {
+		v.Send(srv, seat.ReplyMsg{Order: c, Reply: r, Kind: k})
+	})
+}
+
+func (v *VM) ask(srv ident.Server, serve func(*Server) any, done func(server.Reply, kinds.Kind)) {
+	s, life := v.w.server(srv), v.life
+	v.w.call(v, string(srv), v.w.times.Call, func(reply func(any)) {
+		s.run(func() { reply(serve(s)) })
+	}, func(a any, ok bool) {
+		r, _ := a.(server.Reply)
+		v.run(life, func() { done(r, kindOf(a, ok, kinds.Ambiguous)) })
+	})
+}
+
+func (v *VM) execSend(srv ident.Server, c seat.SendCmd) {
+	v.w.Count.Peer++
+	if b, err := wire.Encode(c.Msg); err == nil {
+		v.w.Count.PeerBytes += len(b)
+	}
+	for _, o := range v.w.VMs {
+		if o.ID == c.To {
+			v.w.message(string(v.ID), string(o.ID), func() { o.Send(srv, c.Msg) })
+		}
+	}
+}
+
+// Resume ends a pause now: what waited for its end runs then or at the end that
+// was planned, whichever comes first for it.
+func (v *VM) Resume() { v.pausedTo = v.w.now }
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -238,23 +238,15 @@
 	t.putTable(next)
 }
 
-// written ends the batch. The reduced set is now what the table gives, unless
-// somebody gave the server more meanwhile.
+// written ends the batch. A full grant from the new table follows: the server
+// may have held less than the set that it kept.
 func (t *turn) written() {
-	row := t.row()
 	t.fire(moveChart, &t.move, "written")
 	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.tab.Rev})
-	if sameSet(t.owned(), t.b.keep) {
-		t.srv.from = row.Rev
-	}
 	t.b = batch{}
 	t.srv.next = t.now
 }
 
-func sameSet(a, b table.Set) bool {
-	return slices.Equal(a.Slices, b.Slices) && slices.Equal(a.Keys, b.Keys) && slices.Equal(a.Except, b.Except)
-}
-
 // endBatch forgets a batch that was not written, or whose fate a successor will
 // see in the table.
 func (t *turn) endBatch() {
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -57,6 +57,7 @@
 	tokens  int
 	floor   ident.Epoch // never act under an epoch below: see yield.go
 	plan    PlanMsg
+	planned bool
 	leaving bool
 	want    bool // take the seat when its record allows
 
--- a/internal/owner/seat/take.go
+++ b/internal/owner/seat/take.go
@@ -21,10 +21,12 @@
 }
 
 func (t *turn) onPlan(m PlanMsg) {
-	if m.Lead && !t.plan.Lead {
+	// The first plan makes a fresh process look whether its predecessor on this
+	// VM held the seat: the roster sees the VM live, so nobody else would act.
+	if !t.planned || m.Lead && !t.plan.Lead {
 		t.want = true
 	}
-	t.plan = m
+	t.plan, t.planned = m, true
 }
 
 func (t *turn) onSuspect(m SuspectMsg) {
@@ -47,11 +49,8 @@
 	if t.d.state == alone || t.d.state == renewing || t.d.called {
 		return t.d.epoch >= t.rec.Epoch
 	}
-	if !t.plan.Lead {
-		return false
-	}
 	h := t.rec.Holder
-	return h == "" || h == t.cfg.Self || t.isGone(h) || t.isSuspect(h)
+	return h == t.cfg.Self || t.plan.Lead && (h == "" || t.isGone(h) || t.isSuspect(h))
 }
 
 func (t *turn) isSuspect(vm ident.VM) bool {
@@ -68,7 +67,7 @@
 	if t.auth != idle || t.leaving {
 		return
 	}
-	wanted := t.want && t.plan.Lead || t.d.state == alone || t.d.state == renewing || t.d.called
+	wanted := t.want || t.d.state == alone || t.d.state == renewing || t.d.called
 	if wanted && t.due(t.storeAt) {
 		t.fire(authorityChart, &t.auth, "seek")
 		t.readRecord()
@@ -90,6 +89,9 @@
 	}
 	t.rec, t.ver, t.recAt = m.Record, m.Version, t.now
 	t.down = false
+	if t.d.epoch < t.rec.Epoch {
+		t.endDeputy() // the epoch that we were deputy of is over
+	}
 	ours := t.putting && t.rec.Token == t.put.Record.Token
 	if t.epoch != 0 && t.rec.Epoch > t.epoch && !ours {
 		t.step("fenced", "another VM took the seat over")
@@ -173,7 +175,7 @@
 	}
 	switch {
 	case m.Kind == kinds.None:
-		t.rec, t.ver = t.put.Record, max(t.ver, m.Version)
+		t.rec, t.ver, t.down = t.put.Record, max(t.ver, m.Version), false
 		t.settlePut()
 	case m.Kind == kinds.Down && !t.hung:
 		t.putFailed()
@@ -309,7 +311,13 @@
 	if want == t.rec.Deputy && !t.deputyEnded() || want == "" && t.rec.Deputy == "" {
 		return
 	}
-	if t.down || !t.due(t.storeAt) || !t.due(t.wonAt.Add(storePause)) {
+	if !t.due(t.storeAt) || !t.due(t.wonAt.Add(storePause)) {
+		return
+	}
+	if t.down {
+		// A write whose answer is lost would keep us from granting until the
+		// store is back, so look first whether it is there.
+		t.readRecord()
 		return
 	}
 	t.fire(authorityChart, &t.auth, "retake")
@@ -365,5 +373,5 @@
 	t.storeAt = t.now.Add(storePause)
 	t.endBatch()
 	t.others = nil
-	t.want = t.plan.Lead
+	t.want = true
 }
