--- a/internal/admin/bench/all.go
+++ b/internal/admin/bench/all.go
@@ -10,5 +10,6 @@
 		{"peers", Peers},
 		{"journal", Journal},
 		{"slopes", Slopes},
+		{"control", Control},
 	}
 }
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -80,6 +81,7 @@
 	control server.Control
 	routes  map[string]http.Handler
 	plan    keeper.Planner
+	packets func(net.PacketConn) net.PacketConn
 }
 
 // WithLog sets where the daemon logs; JSON lines on standard output otherwise.
@@ -106,6 +108,12 @@
 // WithPlanner replaces the planner of moves.
 func WithPlanner(p keeper.Planner) Option { return func(o *options) { o.plan = p } }
 
+// WithPackets puts wrap between the exchange with other entry VMs and its socket,
+// to count what the exchange costs.
+func WithPackets(wrap func(net.PacketConn) net.PacketConn) Option {
+	return func(o *options) { o.packets = wrap }
+}
+
 // WithRoute adds a handler to the operators' listener, under a pattern of
 // http.ServeMux.
 func WithRoute(pattern string, h http.Handler) Option {
--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -59,7 +59,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			node, err := link.New(link.Options{
-				Self: cfg.VM, Addr: cfg.Listen.Peers, Certs: store, Handle: p.handle, Log: log,
+				Self: cfg.VM, Addr: cfg.Listen.Peers, Certs: store, Handle: p.handle, Log: log, Packets: o.packets,
 			})
 			if err != nil {
 				return err
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -70,6 +70,9 @@
 	Certs  *certs.Store
 	Handle Handler
 	Log    *slog.Logger // nil: the default logger
+	// Packets, if set, stands between the exchange and its socket, to count what
+	// crosses it.
+	Packets func(net.PacketConn) net.PacketConn
 }
 
 // Node is one VM's end of the exchange. Make one with New.
@@ -107,10 +110,14 @@
 	if err != nil {
 		return nil, kinds.Wrap(kinds.Down, err, "listen for peers")
 	}
+	conn := net.PacketConn(udp)
+	if o.Packets != nil {
+		conn = o.Packets(udp)
+	}
 	n := &Node{
 		Options:   o,
 		udp:       udp,
-		transport: &quic.Transport{Conn: udp},
+		transport: &quic.Transport{Conn: conn},
 		peers:     map[ident.VM]*sender{},
 	}
 	l, err := n.transport.Listen(o.Certs.Server(), settings())
