--- a/internal/admin/cmds/demo.go
+++ b/internal/admin/cmds/demo.go
@@ -10,9 +10,10 @@
 
 const demoHelp = `Runs both users' sites at their real sizes in this one process, with stand-ins for
 the platform and the backend servers: a mixed run of lookups, submissions and
-uploads in which a server is lost, servers leave, an entry VM is replaced and the
-rules change. Prints what callers received and whether every promise held. It
-takes about twenty seconds, opens loopback addresses only and leaves nothing.`
+uploads in which a server is lost, servers leave, the rules change, an entry VM
+leaves and the platform's store goes away. Prints what callers received and
+whether every promise held. It takes about sixteen seconds, opens loopback
+addresses only and leaves nothing.`
 
 type demoCmd struct {
 	app    *app
--- a/internal/admin/demo/judge.go
+++ b/internal/admin/demo/judge.go
@@ -43,7 +43,7 @@
 
 func judge(e *evidence) []verdict {
 	return []verdict{
-		oneOwner(e), survives(e), whole(e), notRun(e), atMostOnce(e), draining(e), shutdown(e), rulesHold(e), traced(e),
+		oneOwner(e), survives(e), whole(e), notRun(e), atMostOnce(e), draining(e), shutdown(e), rulesHold(e), outage(e), traced(e),
 	}
 }
 
@@ -238,6 +238,19 @@
 	return v
 }
 
+// outage looks at the lookups that were asked and answered while the store was
+// away: owners keep their leases without it.
+func outage(e *evidence) verdict {
+	v := verdict{promise: "an outage of the store alone stops no lookup"}
+	for i := range e.attempts {
+		a := &e.attempts[i]
+		if a.class == lookup && a.start.After(e.downAt) && a.start.Add(a.took).Before(e.backAt) {
+			v.must(a.ok(), "%s was answered %d", a.id, a.status)
+		}
+	}
+	return v
+}
+
 // traced looks for every submission that ran in the report, with the server that
 // ran it by that server's own record.
 func traced(e *evidence) verdict {
--- a/internal/admin/demo/judge_test.go
+++ b/internal/admin/demo/judge_test.go
@@ -35,11 +35,12 @@
 		return attempt{class: c, id: id, key: key, start: second(start), took: time.Second / 10, status: http.StatusOK, ran: kinds.RanYes, whole: true}
 	}
 	return &evidence{
-		user: users[0], table: tab, seen: tab.Rev, moves: []record.Decision{move}, vms: 2, lost: "a", left: 1, leftAt: second(6), goneAt: second(7),
+		user: users[0], table: tab, seen: tab.Rev, moves: []record.Decision{move}, vms: 2, lost: "a", left: 1, leftAt: second(6), goneAt: second(7), downAt: second(8), backAt: second(9),
 		attempts: []attempt{
 			yes(lookup, "l-1", 1), yes(lookup, "l-2", 3), yes(submit, "s-1", 4),
 			{class: submit, id: "s-1", start: second(4), status: http.StatusConflict, ran: kinds.RanUnknown},
 			{class: hurried, id: "h-1", start: second(5), status: http.StatusTooManyRequests, ran: kinds.RanNo},
+			yes(lookup, "l-4", 8.2),
 			{class: lookup, id: "l-3", key: key, vm: 1, start: second(6.5), took: time.Second, status: http.StatusOK, ran: kinds.RanYes, whole: true},
 		},
 		served: []origin.Served{
@@ -85,12 +86,13 @@
 		"a submission runs twice":           {4, func(e *evidence) { e.served = append(e.served, origin.Served{ID: "s-1"}) }},
 		"a submission is answered, not run": {4, func(e *evidence) { e.served[2].ID = "s-9" }},
 		"new work on the leaving":           {5, func(e *evidence) { e.served = append(e.served, origin.Served{Server: "c", At: second(7.1)}) }},
-		"a request is cut off":              {6, func(e *evidence) { e.attempts[5].cut = true }},
+		"a request is cut off":              {6, func(e *evidence) { e.attempts[6].cut = true }},
 		"rules come late":                   {7, func(e *evidence) { e.edit.inForce[1] = second(11) }},
 		"rules never come":                  {7, func(e *evidence) { e.edit.inForce[0] = time.Time{} }},
 		"rules go back":                     {7, func(e *evidence) { e.edit.back = true }},
-		"the report names another server":   {8, func(e *evidence) { e.report.Rows[0].Server = "q" }},
-		"the report misses something":       {8, func(e *evidence) { e.report.Gaps = []report.Gap{{Count: 1}} }},
+		"a lookup fails without the store":  {8, func(e *evidence) { e.attempts[5].status = 503 }},
+		"the report names another server":   {9, func(e *evidence) { e.report.Rows[0].Server = "q" }},
+		"the report misses something":       {9, func(e *evidence) { e.report.Gaps = []report.Gap{{Count: 1}} }},
 		"nothing put it to the test":        {3, func(e *evidence) { e.attempts[4].ran = kinds.RanUnknown }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/admin/demo/print.go
+++ b/internal/admin/demo/print.go
@@ -40,8 +40,9 @@
 	for _, at := range e.edit.inForce {
 		slowest = max(slowest, at.Sub(e.edit.accepted))
 	}
-	fmt.Fprintf(w, "; entry VM %d shut down in %v; rules revision %d in force everywhere after %v\n\n",
-		e.left+1, e.goneAt.Sub(e.leftAt).Round(time.Millisecond), e.edit.rev, slowest.Round(time.Millisecond))
+	fmt.Fprintf(w, "; entry VM %d shut down in %v; rules revision %d in force everywhere after %v; store away for %v\n\n",
+		e.left+1, e.goneAt.Sub(e.leftAt).Round(time.Millisecond), e.edit.rev, slowest.Round(time.Millisecond),
+		e.backAt.Sub(e.downAt).Round(time.Millisecond))
 }
 
 func mapKeys[K comparable, V any](m map[K]V) func(yield func(K) bool) {
--- a/internal/admin/demo/story.go
+++ b/internal/admin/demo/story.go
@@ -19,7 +19,7 @@
 )
 
 // DefaultLength is how long callers send requests. With starting and judging
-// the whole run takes about twenty seconds.
+// the whole run takes about sixteen seconds.
 const DefaultLength = 12 * time.Second
 
 // Options of a run. The zero value works.
@@ -35,7 +35,9 @@
 	editAt  = 32
 	drainAt = 45
 	burstAt = 55
-	leaveAt = 65
+	leaveAt = 62
+	downAt  = 78 // the platform's store goes away
+	backAt  = 92
 )
 
 // evidence is what a run leaves for the judges.
@@ -49,6 +51,8 @@
 	left     int // the entry VM that was shut down
 	leftAt   time.Time
 	goneAt   time.Time
+	downAt   time.Time // the store's outage
+	backAt   time.Time
 	edit     edit
 	moves    []record.Decision // from the ownership history, after all VMs are gone
 	table    table.Table       // in the store, after all VMs are gone
@@ -135,7 +139,7 @@
 }
 
 // story lets things happen: a server is lost, the rules change, servers drain,
-// many come at once, and an entry VM leaves.
+// many come at once, an entry VM leaves, and the platform's store goes away.
 func (s *site) story(ctx context.Context, e *evidence, c *callers, length time.Duration) error {
 	after := func(n int) { pause(ctx, length*time.Duration(n)/parts) }
 	after(loseAt)
@@ -161,7 +165,13 @@
 	c.long(len(s.vms) - 1)
 	pause(ctx, longWork/4)
 	s.leave(e)
-	after(parts - leaveAt)
+	after(downAt - leaveAt)
+	e.downAt = time.Now()
+	s.api.Outage(true)
+	after(backAt - downAt)
+	s.api.Outage(false)
+	e.backAt = time.Now()
+	after(parts - backAt)
 	return ctx.Err()
 }
 
