edge/daemon: a VM that leaves can still be asked to yield

Cause: peers dropped their connection to a VM as soon as the list said that it leaves, while it still held seats.

Ruled out: waiting for the list's gone, which lags.

--- a/internal/edge/daemon/fault_test.go
+++ b/internal/edge/daemon/fault_test.go
@@ -15,6 +15,7 @@
 	"hawthornfield.org/hawthornfield/internal/peer/link"
 	"hawthornfield.org/hawthornfield/internal/plat/objcli"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
 )
 
@@ -70,7 +71,12 @@
 	for _, d := range others {
 		steady(t, &g, d, stop)
 	}
+	me := vmlist.VM{ID: leaver.cfg.VM, Addr: leaver.Peers(), Centre: leaver.cfg.Centre, State: vmlist.Leaving}
+	s.api.SetVM(me)
+	time.Sleep(1200 * time.Millisecond) // the list is read once a second
 	assert.NilError(t, leaver.Close())
+	me.State = vmlist.Gone
+	s.api.SetVM(me)
 	time.Sleep(2 * time.Second) // several leases long
 	close(stop)
 	assert.NilError(t, g.Wait())
--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -137,7 +137,9 @@
 	}
 }
 
-// set connects to the live VMs of the list.
+// set connects to the VMs of the list that are not gone. One that leaves may
+// still hold seats: cut off, it could not be asked to yield them, and its
+// successors would wait for its term before they move a key.
 func (p *peers) set(list []vmlist.VM) {
 	node := p.node.Load()
 	if node == nil {
@@ -145,7 +147,7 @@
 	}
 	all := make([]link.Peer, 0, len(list))
 	for _, vm := range list {
-		if vm.State == vmlist.Live && vm.Addr.IsValid() {
+		if vm.State != vmlist.Gone && vm.Addr.IsValid() {
 			all = append(all, link.Peer{ID: vm.ID, Addr: vm.Addr})
 		}
 	}
