--- a/internal/edge/mover/counts.go
+++ b/internal/edge/mover/counts.go
@@ -102,8 +102,12 @@
 	return ok
 }
 
-// good is a finite weight that is not negative.
-func good(w float64) bool { return w >= 0 && !math.IsInf(w, 0) && !math.IsNaN(w) }
+// most is above any honest weight, and so far below the largest number that
+// sums of weights stay finite.
+const most = 1e12
+
+// good is a weight that an honest VM can count; NaN is not.
+func good(w float64) bool { return w >= 0 && w <= most }
 
 // joined adds up the counts of all VMs that reported lately.
 func (b *book) joined(now time.Time) (load []float64, hot []place.Hot, total float64) {
--- a/internal/edge/mover/mover_test.go
+++ b/internal/edge/mover/mover_test.go
@@ -204,3 +204,35 @@
 	assert.Equal(t, kinds.Of(p["vm-1"].Handle("vm-2", []byte{0xff})), kinds.Malformed)
 	assert.Equal(t, len(p["vm-1"].books["lookup"].parts), 0)
 }
+
+// FuzzHandle feeds the decoder of letters anything at all: a report that is
+// taken can be planned with, and nothing crashes.
+func FuzzHandle(f *testing.F) {
+	for _, l := range []letter{
+		{Svc: "lookup", Load: &report{Total: 5, Top: []slice{{1, 5}}}},
+		{Svc: "lookup", Load: &report{Top: []slice{{nslices, 1}}}},
+		{Svc: "none", From: "a"},
+	} {
+		b, err := wire.Encode(l)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, _ := launch("vm-1")
+		m := p["vm-1"]
+		m.Seats = nobody{}
+		if m.Handle("vm-2", b) != nil {
+			return
+		}
+		load, _, total := m.books["lookup"].joined(time.Now())
+		assert.Assert(t, good(total))
+		for _, w := range load {
+			assert.Assert(t, !math.IsNaN(w))
+		}
+	})
+}
+
+// nobody holds no seat.
+type nobody struct{}
+
+func (nobody) Move(ident.Service, ident.Server, []table.Move) {}
--- a/internal/edge/warden/vms.go
+++ b/internal/edge/warden/vms.go
@@ -47,24 +47,39 @@
 
 // Handle takes a note of a peer, whom its certificate names.
 func (w *Warden) Handle(from ident.VM, body []byte) error {
-	var n note
-	if err := wire.Decode(body, &n); err != nil {
-		return err
-	}
+	n, err := open(body)
 	switch {
+	case err != nil:
+		return err
 	case n.Ping:
 		w.cast(from, note{Pong: true})
-	case n.Pong: // that it was heard is all it says
 	case n.View != nil && n.View.Of == ofVMs:
 		w.vms.Send(roster.ViewMsg[ident.VM]{From: from, Bad: n.View.VMs})
-	case n.View != nil && n.View.Of == ofSrvs:
+	case n.View != nil:
 		w.servers.Send(roster.ViewMsg[ident.Server]{From: from, Bad: n.View.Srvs})
-	default:
-		return kinds.New(kinds.Malformed, "a note without content")
 	}
 	return nil
 }
 
+// open decodes a note. It fails with kind Malformed unless the note has exactly
+// one part, and a view is about one of the two subjects.
+func open(body []byte) (note, error) {
+	var n note
+	if err := wire.Decode(body, &n); err != nil {
+		return note{}, err
+	}
+	parts := 0
+	for _, has := range []bool{n.Ping, n.Pong, n.View != nil && (n.View.Of == ofVMs || n.View.Of == ofSrvs)} {
+		if has {
+			parts++
+		}
+	}
+	if parts != 1 {
+		return note{}, kinds.New(kinds.Malformed, "a note without sense")
+	}
+	return n, nil
+}
+
 func (w *Warden) cast(to ident.VM, n note) {
 	b, err := wire.Encode(n)
 	if err != nil {
