--- /dev/null
+++ b/internal/load/health/health_test.go
@@ -0,0 +1,131 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+var begin = time.Unix(1000, 0)
+
+const typical = 10 * time.Millisecond
+
+func fleet(n int) []*Server {
+	all := make([]*Server, n)
+	for i := range all {
+		all[i] = &Server{}
+	}
+	return all
+}
+
+func answer(s *Server, now time.Time, latency float64, failed bool) {
+	s.Sent(now, typical)
+	s.Done(now, latency, failed)
+}
+
+func round(all []*Server, now time.Time, latency func(i int) float64, failed func(i int) bool) {
+	for i, s := range all {
+		for range 10 {
+			answer(s, now, latency(i), failed(i))
+		}
+	}
+}
+
+func even(int) float64 { return 1 }
+func never(int) bool   { return false }
+func always(int) bool  { return true }
+
+// One of six servers is slow, one fails, one goes silent: each is taken out, and
+// the rest stay.
+func TestBadServersAreEjected(t *testing.T) {
+	var p Panel
+	all := fleet(9)
+	round(all, begin, func(i int) float64 {
+		if i == 0 {
+			return 10
+		}
+		return 1
+	}, func(i int) bool { return i == 1 })
+	all[2].Sent(begin, typical)
+	p.Judge(begin.Add(MinFrozen), all)
+	for i, s := range all {
+		assert.Equal(t, s.State() == Ejected, i < 3, "server %d: %s", i, s.State())
+	}
+	assert.Equal(t, p.Ejected(), 3)
+}
+
+// Everything looks bad at once: then it is our side, or plain overload. Taking
+// servers out would send their load to the rest until none is left.
+func TestNothingIsEjectedWhenAllLookBad(t *testing.T) {
+	var p Panel
+	all := fleet(6)
+	round(all, begin, even, always)
+	p.Judge(begin, all)
+	assert.Assert(t, p.Panic())
+	assert.Equal(t, p.Ejected(), 0)
+}
+
+// Whatever servers do, at most a third are out at once.
+func TestEjectionIsBounded(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		var p Panel
+		n := rapid.IntRange(1, 12).Draw(t, "servers")
+		all := fleet(n)
+		now := begin
+		for range 40 {
+			now = now.Add(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
+			for _, s := range all {
+				if s.Most(1) > 0 && rapid.Bool().Draw(t, "asked") {
+					answer(s, now, rapid.Float64Range(0.5, 20).Draw(t, "latency"), rapid.IntRange(0, 2).Draw(t, "fails") == 0)
+				}
+			}
+			p.Judge(now, all)
+			bound := max(n/maxShare, 1)
+			if n == 1 {
+				bound = 0
+			}
+			assert.Assert(t, p.Ejected() <= bound, "%d of %d out", p.Ejected(), n)
+		}
+	})
+}
+
+// A server flaps: it answers its probes and fails again. Its pauses must grow,
+// or every few seconds a part of the requests fails there.
+func TestFlappingServerPausesLonger(t *testing.T) {
+	var p Panel
+	all := fleet(6)
+	now := begin
+	last := time.Duration(0)
+	for range 4 {
+		round(all, now, even, func(i int) bool { return i == 0 })
+		p.Judge(now, all)
+		assert.Equal(t, all[0].State(), Ejected)
+		assert.Assert(t, all[0].out > last)
+		last = all[0].out
+		assert.Equal(t, all[0].Most(5), 0)
+		now = now.Add(last)
+		p.Judge(now, all)
+		assert.Equal(t, all[0].Most(5), 1, "one probe at a time")
+		for range Probes {
+			answer(all[0], now, 1, false)
+		}
+		assert.Equal(t, all[0].State(), Ramping)
+	}
+}
+
+// A server that has just started is cold. It must get little at first, and all
+// of its part in the end.
+func TestColdServerRampsUp(t *testing.T) {
+	var p Panel
+	s := &Server{}
+	s.Cold(begin)
+	assert.Equal(t, s.Weight(begin), minWeight)
+	assert.Equal(t, s.Weight(begin.Add(Ramp/2)), 0.5)
+	p.Judge(begin.Add(Ramp), []*Server{s, {}, {}})
+	assert.Equal(t, s.State(), OK)
+	assert.Equal(t, s.Weight(begin.Add(Ramp)), 1.0)
+}
--- /dev/null
+++ b/internal/load/queue/queue_test.go
@@ -0,0 +1,107 @@
+package queue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+var begin = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+// One class, any ranks, anyone may leave or be too late: the order must be that
+// of a plain sorted list.
+func TestAgreesWithASortedList(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		var q Queue[int]
+		var naive []*Item[int]
+		now := 0
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += rapid.IntRange(0, 3).Draw(t, "ms")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				it := &Item[int]{Value: i, Rank: at(rapid.IntRange(0, 20).Draw(t, "rank")), By: at(now + rapid.IntRange(1, 60).Draw(t, "by"))}
+				q.Push(at(now), it)
+				naive = append(naive, it)
+				slices.SortStableFunc(naive, func(a, b *Item[int]) int { return a.Rank.Compare(b.Rank) })
+			case 2:
+				it := q.Pop(at(now))
+				if len(naive) == 0 {
+					assert.Assert(t, it == nil)
+					continue
+				}
+				assert.Equal(t, it.Value, naive[0].Value)
+				naive = naive[1:]
+			case 3:
+				if len(naive) > 0 {
+					k := rapid.IntRange(0, len(naive)-1).Draw(t, "leaves")
+					q.Remove(naive[k])
+					naive = slices.Delete(naive, k, k+1)
+				}
+			default:
+				late := 0
+				q.Expire(at(now), func(int) { late++ })
+				before := len(naive)
+				naive = slices.DeleteFunc(naive, func(it *Item[int]) bool { return !it.By.After(at(now)) })
+				assert.Equal(t, late, before-len(naive))
+			}
+			assert.Equal(t, q.Len(), len(naive))
+			if len(naive) > 0 {
+				assert.Assert(t, !q.Soonest().After(slices.MinFunc(naive, func(a, b *Item[int]) int { return a.By.Compare(b.By) }).By))
+			}
+		}
+	})
+}
+
+// Requests of every class keep waiting. Each class must get its share, the
+// lowest one too: it would otherwise never be served while others are busy.
+func TestClassesShareByWeight(t *testing.T) {
+	var q Queue[int]
+	served := [Classes]int{}
+	push := func(class int) { q.Push(begin, &Item[int]{Value: class, Class: uint8(class), By: at(1000)}) }
+	for class := range Classes {
+		push(class)
+		push(class)
+	}
+	const rounds = 1300
+	for range rounds {
+		it := q.Pop(begin)
+		served[it.Value]++
+		push(it.Value)
+	}
+	for class, w := range weights {
+		want := int(float64(rounds) * w / 13)
+		assert.Assert(t, served[class] >= want-1 && served[class] <= want+1, "class %d: %d, want %d", class, served[class], want)
+	}
+}
+
+// A burst fills the queue for 50 ms, an overload for longer. Only the second is
+// standing; a queue that calls a burst an overload refuses what it could serve,
+// and one that never leaves the state refuses long after the overload is over.
+func TestStandingQueueIsNoticedAndForgotten(t *testing.T) {
+	var q Queue[int]
+	// serve keeps as many waiting as it takes for each to wait so long.
+	serve := func(from, to, wait int) {
+		for ms := from; ms < to; ms++ {
+			q.Push(at(ms), &Item[int]{Rank: at(ms), By: at(10_000)})
+			for q.Len() > wait {
+				q.Pop(at(ms))
+			}
+		}
+	}
+	serve(100, 150, 20)
+	assert.Assert(t, !q.Standing())
+	serve(150, 160, 0)
+	serve(160, 300, 20)
+	assert.Assert(t, q.Standing())
+	serve(300, 700, 0)
+	assert.Assert(t, q.Standing(), "left before Settle")
+	serve(700, 900, 0)
+	assert.Assert(t, !q.Standing())
+}
--- /dev/null
+++ b/internal/load/sizes/sizes_test.go
@@ -0,0 +1,61 @@
+package sizes
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+var begin = time.Unix(1000, 0)
+
+// Entry VMs divide the long slots without talking: over all of them no server
+// may get more than its part, and no VM may be left without any.
+func TestLongSlotsAreDividedWhole(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		vms, n, slots := rapid.IntRange(1, 30).Draw(t, "vms"), rapid.IntRange(1, 20).Draw(t, "servers"), rapid.IntRange(1, 8).Draw(t, "slots")
+		each := max(slots/2, 1)
+		perServer := make([]int, n)
+		for v := range vms {
+			own := 0
+			for i := range n {
+				k := Share{VMs: vms, Index: v}.Long(i, n, slots)
+				own += k
+				perServer[i] += k
+			}
+			assert.Assert(t, own >= 1, "VM %d of %d owns none", v, vms)
+		}
+		for _, k := range perServer {
+			if vms <= each*n {
+				assert.Equal(t, k, each)
+			}
+		}
+	})
+}
+
+// Uploads alone may use everything; while lookups are around they may not, and
+// for a while after the last one.
+func TestMixedOnlyWhileBothAreAround(t *testing.T) {
+	var m Mix
+	m.Seen(begin, Long)
+	assert.Assert(t, !m.Mixed(begin) && m.Only(begin, Long))
+	m.Seen(begin, Short)
+	assert.Assert(t, m.Mixed(begin.Add(Linger-1)))
+	m.Seen(begin.Add(Linger), Long)
+	assert.Assert(t, m.Only(begin.Add(Linger), Long))
+}
+
+// Bodies of unknown length turn out to take a hundred times longer than others.
+// They must count as long from then on, or they fill the slots unseen.
+func TestUnknownSizesAreLearned(t *testing.T) {
+	var m Mix
+	assert.Equal(t, m.Kind(-1, 0), Short)
+	m.Observe(100, 0, 5*time.Millisecond)
+	m.Observe(-1, 0, 500*time.Millisecond)
+	assert.Equal(t, m.Kind(-1, 0), Long)
+	assert.Equal(t, m.Kind(-1, 1), Short)
+	assert.Equal(t, m.Kind(LongBytes, 0), Long)
+}
