--- a/internal/load/conns/conns.go
+++ b/internal/load/conns/conns.go
@@ -27,6 +27,8 @@
 const (
 	Settle   = 5 * time.Second
 	HalfLife = 30 * time.Second
+	// decayEvery spares the exponent for each request.
+	decayEvery = 100 * time.Millisecond
 )
 
 // Pool is the policy for one server. The zero value allows one connection.
@@ -74,8 +76,12 @@
 }
 
 func (p *Pool) decay(now time.Time) {
+	passed := now.Sub(p.peakAt)
+	if passed < decayEvery {
+		return
+	}
 	if !p.peakAt.IsZero() {
-		p.peak *= math.Exp2(-now.Sub(p.peakAt).Seconds() / HalfLife.Seconds())
+		p.peak *= math.Exp2(-passed.Seconds() / HalfLife.Seconds())
 	}
 	p.peakAt = now
 }
--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -51,7 +51,7 @@
 
 	// Much is the debt that only a hot flow reaches: the others are refused while
 	// they owe more than Free, and so gain little beyond it.
-	Much = 5
+	Much = 3
 
 	tighter = 0.95
 	looser  = 1.001
@@ -75,28 +75,26 @@
 	at      time.Time
 }
 
-// Debt is how many requests the flow owes.
+// Debt is how many requests the flow owes. More than Free is over its share,
+// more than Much is hot.
 func (b *Book) Debt(now time.Time, f Flow) float64 {
+	if f == 0 {
+		return 0
+	}
 	b.pay(now)
 	return max(b.due[f]-b.paid, 0)
 }
 
-// Delay is how long the flow needs to pay what it owes beyond Free; zero for a
-// flow that is within its share.
-func (b *Book) Delay(now time.Time, f Flow) time.Duration {
-	over := b.Debt(now, f) - Free
-	if over <= 0 || f == 0 {
+// Delay is how long it takes to pay a debt down to Free; zero for one that is
+// within its share.
+func (b *Book) Delay(debt float64) time.Duration {
+	over := debt - Free
+	if over <= 0 {
 		return 0
 	}
 	return time.Duration(over / b.speed() * float64(time.Second))
 }
 
-// Hot reports whether the flow owes so much that it must have sent at several
-// times the common rate for a while.
-func (b *Book) Hot(now time.Time, f Flow) bool {
-	return f != 0 && b.Debt(now, f) > Much
-}
-
 // Charge adds a request that was let in.
 func (b *Book) Charge(now time.Time, f Flow, cost float64) {
 	if f == 0 {
@@ -134,6 +132,9 @@
 }
 
 func (b *Book) pay(now time.Time) {
+	if now == b.at {
+		return
+	}
 	if passed := now.Sub(b.at); passed > 0 && !b.at.IsZero() {
 		b.paid += passed.Seconds() * b.speed()
 	}
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -63,14 +63,9 @@
 	return max(l.gap, now.Sub(l.last))
 }
 
-// delay is how far the caller or the key is over its share.
-func (l *lane) delay(now time.Time, t *Ticket) time.Duration {
-	return max(l.callers.Delay(now, t.caller), l.keys.Delay(now, t.key))
-}
-
-// hot reports whether the caller or the key is far over its share.
-func (l *lane) hot(now time.Time, t *Ticket) bool {
-	return l.callers.Hot(now, t.caller) || l.keys.Hot(now, t.key)
+// debt is how much the caller or the key owes, whichever is more.
+func (l *lane) debt(now time.Time, t *Ticket) float64 {
+	return max(l.callers.Debt(now, t.caller), l.keys.Debt(now, t.key))
 }
 
 func (l *lane) charge(now time.Time, t *Ticket) {
@@ -155,11 +150,11 @@
 
 // admit queues the request if it can be served in time, and refuses it now if
 // not.
-func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket) Verdict {
+func (c *Core) admit(now time.Time, l *lane, owner *server, t *Ticket, debt float64) Verdict {
 	each := max(c.each(now, owner, t.long), l.pace(now))
 	l.q.Target = max(queue.DefaultTarget, each)
 	t.item.By = t.Job.Deadline.Add(-margin * c.typical(t.long))
-	over := l.delay(now, t)
+	over := l.callers.Delay(debt)
 	back := min(over, max(Early, turns(each, float64(l.q.Len()))))
 	t.item.Rank = now.Add(back)
 	wait := turns(each, l.q.Ahead(uint8(t.Job.Class), t.item.Rank)) + stalled(now, owner) + back
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -7,6 +7,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/fair"
 	"hawthornfield.org/hawthornfield/internal/load/health"
 	"hawthornfield.org/hawthornfield/internal/load/pick"
 	"hawthornfield.org/hawthornfield/internal/load/retry"
@@ -155,9 +156,13 @@
 	t.in = ls
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
-	if l.q.Standing() && l.hot(now, t) {
+	debt := 0.0
+	if l.q.Standing() || l.q.Len() > 0 {
+		debt = l.debt(now, t)
+	}
+	if l.q.Standing() && debt > fair.Much {
 		l.heldOff(now)
-		return c.refuse(t, kinds.Busy, c.hint(l.delay(now, t)))
+		return c.refuse(t, kinds.Busy, c.hint(l.callers.Delay(debt)))
 	}
 	if l.q.Len() == 0 && t.Job.Deadline.After(now) {
 		if s := c.place(now, owner, t); s != nil {
@@ -166,8 +171,7 @@
 			return Start
 		}
 	}
-	c.tight(owner)
-	return c.admit(now, l, owner, t)
+	return c.admit(now, l, owner, t, debt)
 }
 
 // place returns a server with room for the request, nil if there is none.
@@ -224,17 +228,6 @@
 	return s.long < max(s.info.Slots/2, 1)
 }
 
-// tight tells the limits that held a request back.
-func (c *Core) tight(owner *server) {
-	if owner != nil {
-		owner.tight()
-		return
-	}
-	for _, s := range c.servers {
-		s.tight()
-	}
-}
-
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
 	t.state, t.srv, t.at = started, s, now
 	s.start(now, t.long, c.typical(t.long))
@@ -307,6 +300,7 @@
 	t := l.q.Pop(now).Value
 	l.popped(now)
 	c.waiting--
+	s.limit[s.kind].Tight() // it waited for a place here
 	ls.spend(kind, c.typical(kind).Seconds())
 	c.start(now, t, s)
 	c.ready = append(c.ready, t)
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -58,12 +58,6 @@
 	return s.running < s.health.Most(allowed)
 }
 
-func (s *server) tight() {
-	if s.running >= s.limit[s.kind].Max() {
-		s.limit[s.kind].Tight()
-	}
-}
-
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
 	s.running++
 	s.load.Running = s.running
