--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -132,7 +132,7 @@
 }
 
 func (b *Book) pay(now time.Time) {
-	if now == b.at {
+	if now.Equal(b.at) {
 		return
 	}
 	if passed := now.Sub(b.at); passed > 0 && !b.at.IsZero() {
--- a/internal/load/health/health_test.go
+++ b/internal/load/health/health_test.go
@@ -36,7 +36,6 @@
 }
 
 func even(int) float64 { return 1 }
-func never(int) bool   { return false }
 func always(int) bool  { return true }
 
 // One of six servers is slow, one fails, one goes silent: each is taken out, and
