--- a/internal/admin/bench/all.go
+++ b/internal/admin/bench/all.go
@@ -6,6 +6,7 @@
 		{"costs", Costs},
 		{"latency", Latency},
 		{"load", Load},
+		{"owner", Owner},
 		{"place", Place},
 		{"peers", Peers},
 		{"journal", Journal},
--- /dev/null
+++ b/internal/admin/bench/owner.go
@@ -0,0 +1,40 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+
+	"hawthornfield.org/hawthornfield/internal/owner/trial"
+)
+
+// How many histories are played for each fault and mode.
+const (
+	ownerRuns      = 100
+	ownerRunsQuick = 10
+)
+
+// Owner measures how long a key is without an owner, fault by fault.
+func Owner(ctx context.Context, o Options) (Section, error) {
+	runs := ownerRuns
+	if o.Quick {
+		runs = ownerRunsQuick
+	}
+	s := Section{
+		Title: "Unavailable time of a key, by fault",
+		Note: fmt.Sprintf("The seats' own decision modules over a simulated clock, network and store, %d histories for each fault and mode, "+
+			"judged by the stand-in backend servers' records; beside them a plain lease for each server in the store.", runs),
+	}
+	broken := 0
+	rows := trial.Run(loadSeed, runs)
+	for _, r := range rows {
+		name := r.Fault + ", careful: "
+		if r.Checks {
+			name = r.Fault + ", servers check: "
+		}
+		s.Figures = append(s.Figures, Figure{Name: name + "p99", Value: millis(r.P99), Unit: "ms", Better: Lower})
+		broken += r.Bad
+	}
+	s.Figures = append(s.Figures, Figure{Name: "histories in which a promise was broken", Value: float64(broken), Unit: "histories", Better: Lower, Target: "0"})
+	s.Tables = []Table{parseTable(trial.Markdown(rows))}
+	return s, ctx.Err()
+}
