--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/gin-gonic/gin"
+
 	"hawthornfield.org/hawthornfield/internal/audit/once"
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -27,7 +29,8 @@
 // exchange is one request on its way.
 type exchange struct {
 	f    *Front
-	w    http.ResponseWriter
+	out  writer
+	w    http.ResponseWriter // out
 	r    *http.Request
 	body body
 
@@ -47,10 +50,11 @@
 }
 
 // serve takes one request along the line.
-func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
+func (f *Front) serve(w gin.ResponseWriter, r *http.Request) {
 	f.flying.Add(1)
 	defer f.flying.Add(-1)
-	x := &exchange{f: f, w: w, r: r}
+	x := &exchange{f: f, out: writer{w}, r: r}
+	x.w = &x.out
 	x.note = record.Decision{Sort: record.Route, At: time.Now(), VM: f.VM}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -270,13 +270,21 @@
 	}
 }
 
+// nameOf is the request id as the value of a header.
+func (x *exchange) nameOf() []string {
+	if x.named {
+		return x.r.Header[relay.HeaderID][:1:1]
+	}
+	return []string{string(x.note.ID)}
+}
+
 // passOn copies the answer to the caller. A server that answers with its own
 // fault counts as failing, however quickly it does so.
 func (x *exchange) passOn(pass gate.Pass, answer *relay.Answer) (gate.Outcome, error) {
 	x.sent = true
 	x.svc.Called(pass.Server(), true)
 	x.note.Status = answer.Status()
-	x.w.Header()[relay.HeaderID] = []string{string(x.note.ID)}
+	x.w.Header()[relay.HeaderID] = x.nameOf()
 	n, err := answer.Copy(x.w)
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.First, Bytes: n + max(x.r.ContentLength, 0)}
 	if err != nil {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -92,7 +92,7 @@
 	engine := gin.New()
 	engine.RedirectTrailingSlash = false
 	// Rules route, not paths: every path and method lands here.
-	engine.NoRoute(func(c *gin.Context) { f.serve(writer{c.Writer}, c.Request) })
+	engine.NoRoute(func(c *gin.Context) { f.serve(c.Writer, c.Request) })
 	return engine
 }
 
@@ -101,13 +101,13 @@
 type writer struct{ gin.ResponseWriter }
 
 // WriteHeader sends the status and the headers.
-func (w writer) WriteHeader(code int) {
+func (w *writer) WriteHeader(code int) {
 	w.ResponseWriter.WriteHeader(code)
 	w.WriteHeaderNow()
 }
 
 // Unwrap lets http.ResponseController reach the connection.
-func (w writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // Closing makes every further answer ask its caller to open no more requests
 // on the connection. Requests are still served: the balancer needs time to
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -44,6 +44,7 @@
 type attempt struct {
 	cancel context.CancelCauseFunc
 	trace  httptrace.ClientTrace
+	answer Answer
 
 	mu    sync.Mutex
 	first permit
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -225,7 +225,8 @@
 		cancel(nil)
 		return nil, err
 	}
-	answer := &Answer{resp: resp, cancel: cancel, First: time.Since(start)}
+	a.answer = Answer{resp: resp, cancel: cancel, First: time.Since(start)}
+	answer := &a.answer
 	if err := check(resp, in.Method, meta.ID); err != nil {
 		answer.Close()
 		return nil, err
