--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -151,7 +151,9 @@
 }
 
 // enter starts the request if there is room and nobody waits before it, and
-// else admits it to the queue or refuses it.
+// else admits it to the queue or refuses it. A hot flow is refused while the
+// queue is standing, even if a place happens to be free: half of those who ask
+// at that moment are the hot one, and it would get half of the service.
 func (c *Core) enter(now time.Time, ls *lanes, owner *server, t *Ticket) Verdict {
 	t.in = ls
 	l := &ls.by[t.long]
@@ -177,7 +179,7 @@
 // place returns a server with room for the request, nil if there is none.
 func (c *Core) place(now time.Time, owner *server, t *Ticket) *server {
 	switch {
-	case owner != nil && owner.roomKeyed(now) && c.longRoom(now, owner, t):
+	case owner != nil && owner.roomKeyed(now) && (t.long == sizes.Short || c.longRoom(now, owner)):
 		return owner
 	case owner != nil:
 		return nil
@@ -221,11 +223,8 @@
 
 // longRoom is ownsLong for the owner of a key: the request has no other place
 // to go, so half the slots are open to each VM.
-func (c *Core) longRoom(now time.Time, s *server, t *Ticket) bool {
-	if t.long == sizes.Short || !c.mix.Mixed(now) {
-		return true
-	}
-	return s.long < max(s.info.Slots/2, 1)
+func (c *Core) longRoom(now time.Time, s *server) bool {
+	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
 }
 
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
@@ -275,7 +274,7 @@
 // keys it owns first, then those that may go anywhere.
 func (c *Core) dispatch(now time.Time, s *server) {
 	for s.own != nil && s.roomKeyed(now) {
-		if !c.next(now, s.own, s, c.longRoomFor(now, s)) {
+		if !c.next(now, s.own, s, c.longRoom(now, s)) {
 			break
 		}
 	}
@@ -286,10 +285,6 @@
 	}
 }
 
-func (c *Core) longRoomFor(now time.Time, s *server) bool {
-	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
-}
-
 // next starts one waiting request of the lanes on the server.
 func (c *Core) next(now time.Time, ls *lanes, s *server, long bool) bool {
 	kind, ok := ls.turn(long)
--- a/internal/load/gate/gate_test.go
+++ b/internal/load/gate/gate_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
@@ -44,6 +45,43 @@
 	})
 }
 
+// Many callers enter, wait, leave and finish at once, while servers change. No
+// place may be lost or counted twice; the service would otherwise serve fewer and
+// fewer requests until the VM is replaced.
+func TestManyCallersAtOnce(t *testing.T) {
+	g := New(Config{Seed: 1})
+	defer g.Close()
+	list := []ServerInfo{{Name: "a", Slots: 2, Conns: 10}, {Name: "b", Slots: 2, Conns: 10}}
+	g.SetServers(list)
+	var callers group.Group
+	for i := range 40 {
+		callers.Go(func(ctx context.Context) error {
+			for n := range 50 {
+				ctx, cancel := context.WithTimeout(ctx, time.Duration(1+n%5)*time.Millisecond)
+				p, err := g.Enter(ctx, Job{Caller: ident.Caller(rune('a' + i)), Idempotent: true, Deadline: time.Now().Add(time.Second)})
+				cancel()
+				if err != nil {
+					continue
+				}
+				if h, ok := p.Hedge(); ok {
+					h.Done(Cancel())
+				}
+				if next, ok := p.Retry(context.Background(), Outcome{Kind: kinds.Busy, Refused: true}); ok {
+					next.Done(Outcome{})
+				}
+				if n%20 == 0 {
+					g.SetServers(list)
+				}
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, callers.Wait())
+	st := g.Stats()
+	assert.Equal(t, st.Running, 0)
+	assert.Equal(t, st.Waiting, 0)
+}
+
 // A key moves from one owner to another. Requests that come in between must
 // reach the new owner, and only it; a caller would otherwise see its request
 // refused, or two owners serve the key.
