--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -28,8 +28,6 @@
 	Route  Sort = "route"  // a request was answered or refused
 	Accept Sort = "accept" // a request is about to be forwarded, under a durable rule
 	Place  Sort = "place"  // a slice or a key got an owner
-	Claim  Sort = "claim"  // a request id was claimed, so that it runs at most once
-	Rules  Sort = "rules"  // a revision of the rules was accepted or came into force
 	Lost   Sort = "lost"   // Count decisions were not recorded
 )
 
--- a/internal/audit/report/group.go
+++ b/internal/audit/report/group.go
@@ -41,7 +41,7 @@
 // Counts groups the report's requests, the largest group first; by hour, in
 // order of time. A report that holds nothing but moves is counted by its moves.
 func (r *Report) Counts(by By) []Count {
-	isMove := func(row Row) bool { return row.Sort == record.Place || row.Sort == record.Rules }
+	isMove := func(row Row) bool { return row.Sort == record.Place }
 	onlyMoves := !slices.ContainsFunc(r.Rows, func(row Row) bool { return !isMove(row) })
 	groups := map[string]*Count{}
 	took := map[string][]time.Duration{}
