--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -224,7 +224,7 @@
 // longRoom is ownsLong for the owner of a key: the request has no other place
 // to go, so half the slots are open to each VM.
 func (c *Core) longRoom(now time.Time, s *server) bool {
-	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2/c.share.VMs, 1)
+	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
 }
 
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
