node/roster: three VMs probe a server, the others look when somebody finds it odd

Cause: every VM asked every backend server for health and load each second, which gave ten equal answers and was the largest part of the control traffic. Three VMs from different data centres now do. The rest are excused while two of them were heard within 1.5 s, nobody finds the server odd and their own callers get answers. Hearsay only makes a VM probe for itself, so a prober that lies hides nothing. The two views of a VM travel as one note, and loads are told by who read them.

Ruled out: passing on the servers' words (a lying prober would be believed, and 1,800 words a second to each VM are more than its 5 KB/s). Not reached: views go to 32 VMs a second, so above 33 VMs every VM probes every server as before.

--- a/internal/edge/warden/servers.go
+++ b/internal/edge/warden/servers.go
@@ -64,7 +64,10 @@
 			return nil
 		})
 	case roster.ViewCmd[ident.Server]:
-		w.tellAll(note{View: &view{Of: ofSrvs, Srvs: cmd.Bad}})
+		w.mu.Lock()
+		bad := w.bad
+		w.mu.Unlock()
+		w.tellAll(note{View: &view{Of: ofBoth, VMs: bad, Srvs: cmd.Bad, Odd: cmd.Odd}})
 	case roster.ChangeCmd[ident.Server]:
 		w.Log.Info("backend server", "id", cmd.ID, "from", cmd.From, "to", cmd.To, "why", cmd.Why)
 		w.effect.Go(func(context.Context) error {
@@ -160,17 +163,13 @@
 	}
 }
 
-// tellLoads passes on to peers what this VM read of the servers whose seats it
-// holds.
+// tellLoads passes on to peers what this VM read of the servers that it probes.
 func (w *Warden) tellLoads(context.Context) {
-	held := w.Keeper.Held()
 	var rows []gossip.Row
 	w.mu.Lock()
-	for name := range held {
-		if r, ok := w.rows[name]; ok {
-			rows = append(rows, r)
-			delete(w.rows, name)
-		}
+	for name, r := range w.rows {
+		rows = append(rows, r)
+		delete(w.rows, name)
 	}
 	w.mu.Unlock()
 	w.News.Report(rows)
--- a/internal/edge/warden/vms.go
+++ b/internal/edge/warden/vms.go
@@ -25,9 +25,12 @@
 	View *view `cbor:"view,omitempty"`
 }
 
+// view is whom the sender holds to look frozen, and which of the servers that it
+// probes for others gave another word than "ready".
 type view struct {
 	VMs  []ident.VM     `cbor:"vms,omitempty"`
 	Srvs []ident.Server `cbor:"srvs,omitempty"`
+	Odd  []ident.Server `cbor:"odd,omitempty"`
 	Of   string         `cbor:"of"` // which of the two the view is about
 }
 
@@ -35,6 +38,7 @@
 const (
 	ofVMs  = "vms"
 	ofSrvs = "srvs"
+	ofBoth = "both"
 )
 
 // Heard notes that a peer was heard, by whatever it sent.
@@ -53,10 +57,8 @@
 		return err
 	case n.Ping:
 		w.cast(from, note{Pong: true})
-	case n.View != nil && n.View.Of == ofVMs:
-		w.vms.Send(roster.ViewMsg[ident.VM]{From: from, Bad: n.View.VMs})
 	case n.View != nil:
-		w.servers.Send(roster.ViewMsg[ident.Server]{From: from, Bad: n.View.Srvs})
+		w.seen(from, n.View)
 	}
 	return nil
 }
@@ -69,7 +71,7 @@
 		return note{}, err
 	}
 	parts := 0
-	for _, has := range []bool{n.Ping, n.Pong, n.View != nil && (n.View.Of == ofVMs || n.View.Of == ofSrvs)} {
+	for _, has := range []bool{n.Ping, n.Pong, n.View != nil && n.View.known()} {
 		if has {
 			parts++
 		}
@@ -80,6 +82,18 @@
 	return n, nil
 }
 
+func (v *view) known() bool { return v.Of == ofVMs || v.Of == ofSrvs || v.Of == ofBoth }
+
+// seen passes a peer's view on to the rosters that it is about.
+func (w *Warden) seen(from ident.VM, v *view) {
+	if v.Of != ofSrvs {
+		w.vms.Send(roster.ViewMsg[ident.VM]{From: from, Bad: v.VMs})
+	}
+	if v.Of != ofVMs {
+		w.servers.Send(roster.ViewMsg[ident.Server]{From: from, Bad: v.Srvs, Odd: v.Odd})
+	}
+}
+
 func (w *Warden) cast(to ident.VM, n note) {
 	b, err := wire.Encode(n)
 	if err != nil {
@@ -110,7 +124,9 @@
 	case roster.ProbeCmd[ident.VM]:
 		w.ping(cmd.ID)
 	case roster.ViewCmd[ident.VM]:
-		w.tellAll(note{View: &view{Of: ofVMs, VMs: cmd.Bad}})
+		w.mu.Lock()
+		w.bad = cmd.Bad // goes with the next view of servers
+		w.mu.Unlock()
 	case roster.ChangeCmd[ident.VM]:
 		w.Log.Info("entry VM", "id", cmd.ID, "from", cmd.From, "to", cmd.To, "why", cmd.Why)
 		w.vmChanged(cmd)
--- a/internal/edge/warden/warden.go
+++ b/internal/edge/warden/warden.go
@@ -72,6 +72,7 @@
 	frozen map[ident.VM]bool
 	heard  map[ident.VM]time.Time
 	pings  int
+	bad    []ident.VM // whom the roster of entry VMs holds to look frozen
 	rows   map[ident.Server]gossip.Row
 	is     map[ident.Server]serverState
 }
@@ -194,6 +195,7 @@
 		}
 	}
 	w.mu.Unlock()
+	w.servers.Send(shardOf(w.VM, seats))
 	index := 0
 	var live []gossip.Peer
 	for _, vm := range list {
@@ -217,6 +219,17 @@
 	}
 }
 
+// shardOf are the VMs that share the probes.
+func shardOf(self ident.VM, list []vmlist.VM) roster.ShardMsg {
+	m := roster.ShardMsg{Self: self}
+	for _, vm := range list {
+		if vm.State == vmlist.Live {
+			m.VMs = append(m.VMs, roster.Prober{VM: vm.ID, Centre: vm.Centre})
+		}
+	}
+	return m
+}
+
 // every calls do now and then at a period, until ctx ends.
 func every(ctx context.Context, period time.Duration, do func(context.Context)) error {
 	t := time.NewTicker(period)
--- a/internal/edge/warden/warden_test.go
+++ b/internal/edge/warden/warden_test.go
@@ -40,6 +40,7 @@
 		{Ping: true, Pong: true},
 		{View: &view{Of: ofVMs, VMs: []ident.VM{"a"}}},
 		{View: &view{Of: ofSrvs, Srvs: []ident.Server{"a"}}},
+		{View: &view{Of: ofBoth, VMs: []ident.VM{"a"}, Srvs: []ident.Server{"a"}, Odd: []ident.Server{"b"}}},
 		{View: &view{Of: "else"}},
 		{},
 	} {
--- a/internal/node/roster/member.go
+++ b/internal/node/roster/member.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/chart"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
 )
 
@@ -17,7 +18,10 @@
 	heard  time.Time // directly, by any means
 	proofs int       // direct answers since the last state or silence
 
-	probeBad int // probes in a row without an answer
+	probeBad int       // probes in a row without an answer
+	probed   time.Time // when we last asked
+	probers  []ident.VM
+	oddAt    time.Time // when another VM last found it odd
 	health   server.Health
 	denied   time.Time // since when neither witness says that it leaves
 
@@ -38,7 +42,10 @@
 	x.proofs++
 }
 
-func (x *member[K]) onProbe(now time.Time, msg ProbeMsg[K]) {
+// onProbe takes an answer, and reports whether the others should hear of it.
+func (x *member[K]) onProbe(now time.Time, msg ProbeMsg[K]) (news bool) {
+	was := x.odd()
+	defer func() { news = x.odd() != was }()
 	if msg.Failed {
 		x.probeBad++
 		return
@@ -49,6 +56,7 @@
 	if msg.Health.Ready {
 		x.onBeat(now)
 	}
+	return
 }
 
 func (x *member[K]) onCalls(now time.Time, msg CallsMsg[K]) {
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -129,10 +129,12 @@
 	Bad  int
 }
 
-// ViewMsg tells whom another VM holds to be frozen; send it about once a second.
+// ViewMsg tells whom another VM holds to be frozen, and whom it would look at
+// more closely: see ViewCmd. Send it about once a second.
 type ViewMsg[K ~string] struct {
 	From ident.VM
 	Bad  []K
+	Odd  []K
 }
 
 // TickMsg lets time pass; send it every 100 ms or so. States change only with it
@@ -152,9 +154,13 @@
 	Why      string
 }
 
-// ViewCmd tells whom this VM holds to look frozen, for the other VMs. It is made
-// with each round of probes.
-type ViewCmd[K ~string] struct{ Bad []K }
+// ViewCmd tells the other VMs whom this VM holds to look frozen, and who of those
+// that it probes gave no answer or another word than "ready". It is made with
+// each round of probes, and soon after such a word changed.
+type ViewCmd[K ~string] struct {
+	Bad []K
+	Odd []K
+}
 
 // Member is one member as seen now.
 type Member[K ~string] struct {
@@ -174,7 +180,9 @@
 	cfg     Config
 	members map[K]*member[K]
 	views   map[ident.VM]view[K]
-	probed  time.Time
+	told    time.Time // when the others were last told
+	tell    bool      // there is something new to tell
+	shard   ShardMsg
 }
 
 type view[K ~string] struct {
@@ -198,13 +206,21 @@
 		m.onList(now, msg.Rows)
 		cmds = m.judge(now)
 	case ProbeMsg[K]:
-		m.with(msg.ID, func(x *member[K]) { x.onProbe(now, msg) })
+		m.with(msg.ID, func(x *member[K]) { m.tell = x.onProbe(now, msg) || m.tell })
 	case BeatMsg[K]:
 		m.with(msg.ID, func(x *member[K]) { x.onBeat(now) })
 	case CallsMsg[K]:
 		m.with(msg.ID, func(x *member[K]) { x.onCalls(now, msg) })
 	case ViewMsg[K]:
 		m.views[msg.From] = view[K]{at: now, bad: msg.Bad}
+		for _, id := range msg.Odd {
+			m.with(id, func(x *member[K]) { x.oddAt = now })
+		}
+	case ShardMsg:
+		m.shard = msg
+		for _, x := range m.members {
+			x.probers = nil
+		}
 	case TickMsg:
 		cmds = append(m.probe(now), m.judge(now)...)
 	}
@@ -232,24 +248,3 @@
 		x.inList, x.listAt = true, now
 	}
 }
-
-// probe asks for the round of probes and tells the others what is seen here.
-func (m *Model[K]) probe(now time.Time) []loop.Cmd {
-	if now.Sub(m.probed) < m.cfg.Probe {
-		return nil
-	}
-	m.probed = now
-	var cmds []loop.Cmd
-	var bad []K
-	for _, id := range m.ids() {
-		x := m.members[id]
-		if x.Is == Gone {
-			continue
-		}
-		cmds = append(cmds, ProbeCmd[K]{ID: id, Addr: x.Addr})
-		if x.suspect(now, m.cfg) {
-			bad = append(bad, id)
-		}
-	}
-	return append(cmds, ViewCmd[K]{Bad: bad})
-}
--- /dev/null
+++ b/internal/node/roster/shard.go
@@ -0,0 +1,141 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/plat/server"
+)
+
+// Prober is an entry VM that may probe for the others.
+type Prober struct {
+	VM     ident.VM
+	Centre ident.Centre
+}
+
+// ShardMsg says which entry VMs share the probes, this one included. Without it
+// every VM probes every member.
+//
+// Each member is then probed by a few VMs, the same on every VM. The rest do
+// without while all is as it was; what they are told never changes what they
+// believe of a member, it only makes them look for themselves. So a VM that
+// lies, or a packet that is lost, costs probes and nothing else.
+type ShardMsg struct {
+	Self ident.VM
+	VMs  []Prober
+}
+
+const (
+	// proberCount VMs probe a member: with one lost and one that lies, there is
+	// still one to tell.
+	proberCount = 3
+	// neededViews of them must have been heard lately, so that one that lies is
+	// never the only one believed.
+	neededViews = 2
+)
+
+// wordFresh is how long a view of a prober stands for a probe of one's own. With
+// a round a second one view may be late by half; the first probe of our own
+// after the last view still leaves more than a second of the 3 s in which a
+// leaving member must be noticed.
+const wordFresh = 1500 * time.Millisecond
+
+// probe asks for the probes that are due and tells the others what is seen here.
+func (m *Model[K]) probe(now time.Time) []loop.Cmd {
+	var cmds []loop.Cmd
+	for _, id := range m.ids() {
+		x := m.members[id]
+		if x.Is == Gone || now.Sub(x.probed) < m.cfg.Probe || m.excused(now, x) {
+			continue
+		}
+		x.probed = now
+		cmds = append(cmds, ProbeCmd[K]{ID: id, Addr: x.Addr})
+	}
+	if now.Sub(m.told) < m.cfg.Probe && !m.tell {
+		return cmds
+	}
+	m.told, m.tell = now, false
+	return append(cmds, m.view(now))
+}
+
+func (m *Model[K]) view(now time.Time) ViewCmd[K] {
+	var v ViewCmd[K]
+	for _, id := range m.ids() {
+		x := m.members[id]
+		if x.Is == Gone {
+			continue
+		}
+		if x.suspect(now, m.cfg) {
+			v.Bad = append(v.Bad, id)
+		}
+		if x.odd() && m.shards() && slices.Contains(m.probersOf(x), m.shard.Self) {
+			v.Odd = append(v.Odd, id)
+		}
+	}
+	return v
+}
+
+func (m *Model[K]) shards() bool { return m.shard.Self != "" }
+
+// odd reports whether a member's last answer to us was anything but "ready", or
+// the last probe went without one.
+func (x *member[K]) odd() bool { return x.probeBad > 0 || x.health != server.Health{Ready: true} }
+
+// excused reports whether we need not probe a member now: others do, we heard
+// from enough of them, nobody finds it odd, and nothing here speaks against it.
+func (m *Model[K]) excused(now time.Time, x *member[K]) bool {
+	if !m.shards() || x.Is != Live || x.odd() || x.callBad > 0 || x.saidBad > 0 || !x.oddAt.IsZero() && now.Sub(x.oddAt) <= m.cfg.Fresh {
+		return false
+	}
+	probers := m.probersOf(x)
+	if slices.Contains(probers, m.shard.Self) {
+		return false
+	}
+	var heard []time.Time
+	for _, vm := range probers {
+		if v, ok := m.views[vm]; ok && now.Sub(v.at) <= wordFresh {
+			heard = append(heard, v.at)
+		}
+	}
+	if len(heard) < neededViews {
+		return false
+	}
+	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
+	if at := heard[neededViews-1]; at.After(x.heard) {
+		x.heard = at
+	}
+	return true
+}
+
+// probersOf returns the VMs that probe a member, in rendezvous order, from as
+// many data centres as there are.
+func (m *Model[K]) probersOf(x *member[K]) []ident.VM {
+	if x.probers != nil {
+		return x.probers
+	}
+	type ranked struct {
+		Prober
+		rank uint64
+	}
+	all := make([]ranked, 0, len(m.shard.VMs))
+	for _, vm := range m.shard.VMs {
+		all = append(all, ranked{vm, xxhash.Sum64String(string(x.Group) + "\x00" + string(x.ID) + "\x00" + string(vm.VM))})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.VM, b.VM)) })
+	x.probers = make([]ident.VM, 0, proberCount)
+	centres := map[ident.Centre]bool{}
+	for _, fresh := range []bool{true, false} {
+		for _, vm := range all {
+			if len(x.probers) < proberCount && !slices.Contains(x.probers, vm.VM) && (!fresh || !centres[vm.Centre]) {
+				x.probers = append(x.probers, vm.VM)
+				centres[vm.Centre] = true
+			}
+		}
+	}
+	return x.probers
+}
