--- a/internal/audit/report/report_test.go
+++ b/internal/audit/report/report_test.go
@@ -122,7 +122,9 @@
 			j.Take(d)
 		}
 		assert.NilError(t, j.Close())
-		_, err := store.Put(t.Context(), "log/vm-1/1", []byte{0xff}, 0)
+		end, err := ledger.Tail(t.Context(), store, "log/vm-1", 0, ledger.DefaultWindow)
+		assert.NilError(t, err)
+		_, err = store.Put(t.Context(), fmt.Sprint("log/vm-1/", end), []byte{0xff}, 0)
 		assert.NilError(t, err)
 		r := ask(t, store, Query{})
 		assert.Equal(t, len(r.Rows), 2)
