Seat: one write of the table at a time, and a scattered wait after a clash

Cause: a seat that waited to raise its bar answered every news of the table with a write of its own, so the writes of a fleet that starts answered each other. Ruled out: the peers' telling alone (half of the news); a longer pause alone, which slows the single move as well.

What comes during a pause now waits in line.

--- a/internal/fake/world/vm.go
+++ b/internal/fake/world/vm.go
@@ -27,6 +27,7 @@
 	off      time.Duration
 	pausedTo time.Duration
 	pausedAt time.Duration
+	waiting  []waiter
 	life     int // process number; effects of an earlier one are gone
 	seats    map[ident.Server]loop.Model
 	promised map[ident.Server]ident.Epoch
@@ -108,15 +109,37 @@
 func (v *VM) Send(srv ident.Server, msg loop.Msg) { v.run(v.life, func() { v.update(srv, msg) }) }
 
 // run does something on the VM, after its pause, unless its process has ended.
+// What comes during a pause waits in line.
 func (v *VM) run(life int, do func()) {
-	if v.Dead || life != v.life {
-		return
+	switch {
+	case v.Dead || life != v.life:
+	case v.Paused() || len(v.waiting) > 0:
+		v.waiting = append(v.waiting, waiter{life, do})
+		if len(v.waiting) == 1 {
+			v.w.At(v.pausedTo, v.wake)
+		}
+	default:
+		do()
 	}
-	if v.Paused() {
-		v.w.At(v.pausedTo, func() { v.run(life, do) })
-		return
+}
+
+type waiter struct {
+	life int
+	do   func()
+}
+
+// wake goes through the line until it is empty or the VM pauses again.
+func (v *VM) wake() {
+	for len(v.waiting) > 0 && !v.Paused() {
+		next := v.waiting[0]
+		v.waiting = v.waiting[1:]
+		if !v.Dead && next.life == v.life {
+			next.do()
+		}
+	}
+	if len(v.waiting) > 0 {
+		v.w.At(v.pausedTo, v.wake)
 	}
-	do()
 }
 
 func (v *VM) update(srv ident.Server, msg loop.Msg) {
@@ -162,11 +185,23 @@
 			v.table = t
 		}
 		for _, s := range v.w.Servers {
-			v.update(s.Name, seat.TableMsg{Table: t, Version: ver})
+			if !v.w.Opt.Lean || v.involved(s.Name) {
+				v.update(s.Name, seat.TableMsg{Table: t, Version: ver})
+			}
 		}
 	})
 }
 
+// involved reports whether the VM is a member of a seat, or about to be.
+func (v *VM) involved(srv ident.Server) bool {
+	s, ok := v.seats[srv].(interface{ Status() seat.Status })
+	if !ok {
+		return true
+	}
+	now := s.Status()
+	return now.Authority != "idle" || now.Stand != "off"
+}
+
 func (v *VM) exec(srv ident.Server, cmd loop.Cmd) {
 	switch c := cmd.(type) {
 	case loop.AfterCmd:
@@ -177,6 +212,7 @@
 	case seat.OrderCmd:
 		v.execOrder(srv, c)
 	case seat.ReadServerCmd:
+		v.w.Count.Asks++
 		v.ask(srv, func(s *Server) any { return s.read() }, func(r server.Reply, k kinds.Kind) {
 			v.Send(srv, seat.ReplyMsg{Read: c, Reply: r, Kind: k})
 		})
@@ -257,6 +293,9 @@
 
 func (v *VM) execOrder(srv ident.Server, c seat.OrderCmd) {
 	v.w.Count.Orders++
+	if b, err := wire.Encode(c.Order); err == nil && v.w.Opt.Lean {
+		v.w.Count.OrderBytes += len(b)
+	}
 	if !c.Valid(v.local()) {
 		v.Send(srv, seat.ReplyMsg{Order: c, Kind: kinds.Down})
 		return
@@ -288,6 +327,8 @@
 	}
 }
 
-// Resume ends a pause now: what waited for its end runs then or at the end that
-// was planned, whichever comes first for it.
-func (v *VM) Resume() { v.pausedTo = v.w.now }
+// Resume ends a pause now.
+func (v *VM) Resume() {
+	v.pausedTo = v.w.now
+	v.wake()
+}
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -38,6 +38,9 @@
 	Patience time.Duration
 	// New makes a seat; tests put a flawed one here.
 	New func(seat.Config) loop.Model
+	// Lean spares seats that neither hold nor stand by the news of each table, as
+	// a runner of many seats would; they read it when they take over.
+	Lean bool
 	// Term shortens the authority's term, so that a history outlasts it.
 	Term time.Duration
 	// Skew is how far a clock's rate may be off, in parts of a thousand.
@@ -94,6 +97,8 @@
 type Count struct {
 	Reads, Writes int // of the store
 	Orders        int // to backend servers
+	Asks          int // questions to backend servers
+	OrderBytes    int
 	Peer          int // messages between VMs
 	PeerBytes     int
 	Moves         int // keys moved
--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -1,6 +1,11 @@
 package seat
 
 import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 )
@@ -32,11 +37,16 @@
 }
 
 func (t *turn) readTable() {
+	t.tabBusy = false
 	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
 	t.do(ReadTableCmd{})
 }
 
+// putTable writes the table. One write is under way at a time: news of other
+// tables come meanwhile, and answering each of them with a write of its own made
+// the store's calls grow with the square of the fleet.
 func (t *turn) putTable(next table.Table) {
+	t.tabBusy = true
 	t.storeAt = t.now.Add(2 * t.cfg.Times.Store)
 	t.do(PutTableCmd{Guard: t.guard(), Table: next, Old: t.tabVer})
 }
@@ -56,6 +66,23 @@
 	t.afterTable()
 }
 
+// Bounds of the wait after a write that came second. All seats of a service
+// write one table: without a growing and scattered wait they would come second
+// again and again.
+const (
+	clashFirst = 4 * time.Millisecond
+	clashMost  = 256 * time.Millisecond
+)
+
+// clash waits before the next try. The scatter comes from a hash of the name
+// and the try, since a decision module draws no random numbers.
+func (t *turn) clash() {
+	most := min(clashFirst<<min(t.clashes, 10), clashMost)
+	t.clashes++
+	h := xxhash.Sum64String(string(t.cfg.Self) + "/" + string(t.cfg.Server) + "/" + strconv.Itoa(t.clashes))
+	t.storeAt = t.now.Add(time.Duration(h % uint64(most)))
+}
+
 func (t *turn) afterTable() {
 	if row, _ := t.tab.Row(t.cfg.Server); t.epoch != 0 && row.Bar > t.epoch && t.cfg.flaw != flawBar {
 		if t.auth == holding || t.auth == barring {
@@ -63,6 +90,14 @@
 			return
 		}
 	}
+	if t.tabBusy || t.clashes > 0 && t.now.Before(t.storeAt) {
+		return
+	}
+	t.nextTable()
+}
+
+// nextTable goes on with whatever waits for the table.
+func (t *turn) nextTable() {
 	switch {
 	case t.auth == barring:
 		t.raise()
@@ -72,9 +107,10 @@
 }
 
 func (t *turn) onTablePut(m TablePutMsg) {
+	t.tabBusy = false
 	switch m.Kind {
 	case kinds.None:
-		t.down = false
+		t.down, t.clashes = false, 0
 		t.onTable(TableMsg{Table: m.Cmd.Table, Version: m.Version})
 	case kinds.Down:
 		t.down = true
@@ -82,6 +118,11 @@
 		if m.Cmd.Table.Rev == t.b.rev && !t.b.hung {
 			t.b.doubt = false
 		}
+	case kinds.Conflict:
+		if t.tabVer == m.Cmd.Old {
+			t.tabVer = 0 // the table that came first is not known yet
+		}
+		t.clash()
 	default:
 		t.tabVer = 0
 		t.b.hung = t.b.hung || m.Kind == kinds.Ambiguous
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -163,14 +163,15 @@
 	case revoking:
 		if t.runOut() {
 			t.fire(moveChart, &t.move, "out")
+			t.clashes = 0
 			t.writeBatch()
 		}
 	case settling:
 		t.settle()
 	case writing:
 		if t.due(t.storeAt) {
-			t.b.hung = t.b.hung || !t.down // the call was not answered at all
-			t.readTable()
+			t.b.hung = t.b.hung || t.tabBusy // the write was not answered at all
+			t.retryTable()
 		}
 	}
 }
--- a/internal/owner/seat/mutant_test.go
+++ b/internal/owner/seat/mutant_test.go
@@ -29,15 +29,15 @@
 	{"wait", true, 221, "given away while"},
 	{"doubt", false, 5, "held by"},
 	{"doubt", true, 5, "held by"},
-	{"fence", true, 847, "two owners"},
-	{"bar", false, 95, "given away while"},
-	{"bar", true, 267, "given away while"},
+	{"fence", true, 353, "two owners"},
+	{"bar", false, 47, "given away while"},
+	{"bar", true, 605, "given away while"},
 	{"add", false, 8, "given away while"},
 	{"add", true, 6, "given away while"},
 	{"deputy", false, 1, "as a deputy"},
-	{"others", false, 6, "given away while"},
-	{"others", true, 635, "given away while"},
-	{"late", false, 847, "two owners"},
+	{"others", false, 93, "given away while"},
+	{"others", true, 93, "given away while"},
+	{"late", false, 353, "two owners"},
 	{"term", false, 400, "after its term"},
 	{"yield", false, 1, "after its promise"},
 }
@@ -107,16 +107,18 @@
 	}
 }
 
-// TestScan looks for the histories of the table above.
+// TestScan looks for the histories of the table above; HAWTHORN_KILLS narrows it
+// to one property.
 func TestScan(t *testing.T) {
 	name := os.Getenv("HAWTHORN_SCAN")
 	if name == "" {
 		t.Skip("a tool: set HAWTHORN_SCAN to the name of a flaw")
 	}
-	for _, checks := range []bool{false, true} {
+	for _, checks := range []bool{true, false} {
 		for i := range 1500 {
-			if bad := drawn(checks, i, seat.Flaws[name]).play().Judge(); len(bad) > 0 {
-				t.Logf("%s checks=%v history %d: %s", name, checks, i, bad[0])
+			bad := strings.Join(drawn(checks, i, seat.Flaws[name]).play().Judge(), "; ")
+			if bad != "" && strings.Contains(bad, os.Getenv("HAWTHORN_KILLS")) {
+				t.Logf("%s checks=%v history %d: %s", name, checks, i, bad)
 				break
 			}
 		}
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -78,10 +78,12 @@
 	wonAt   time.Time
 
 	// The agreed table: bar.go.
-	tab    table.Table
-	tabVer object.Version
-	mine   table.Set      // what the table gives the server
-	mineAt ident.Revision // row revision of mine
+	tab     table.Table
+	tabVer  object.Version
+	tabBusy bool           // a write of the table is under way
+	clashes int            // writes in a row that came second
+	mine    table.Set      // what the table gives the server
+	mineAt  ident.Revision // row revision of mine
 
 	others   []other // who else may act: yield.go
 	words    []word
--- a/internal/owner/seat/take.go
+++ b/internal/owner/seat/take.go
@@ -248,6 +248,7 @@
 	t.epoch = t.put.Record.Epoch
 	t.until = t.cfg.Times.Until(t.put.At, t.put.Record.Term)
 	t.wonAt = t.now
+	t.tabBusy, t.clashes = false, 0
 	t.freshAt = t.now.Add(t.cfg.Times.Term / 3)
 	t.told, t.echo, t.beatAt = time.Time{}, 0, t.now
 	t.srv.begin(t.now)
@@ -336,9 +337,7 @@
 			t.doubt()
 		}
 	case barring:
-		if t.due(t.storeAt) {
-			t.readTable()
-		}
+		t.retryTable()
 	case holding:
 		if t.putting && t.due(t.storeAt) {
 			t.readRecord()
@@ -346,6 +345,18 @@
 	}
 }
 
+// retryTable goes on after a wait, with the newest table where it is known.
+func (t *turn) retryTable() {
+	if !t.due(t.storeAt) {
+		return
+	}
+	if t.tabBusy || t.clashes == 0 || t.tabVer == 0 {
+		t.readTable()
+		return
+	}
+	t.nextTable()
+}
+
 // expire stops acting once the term is over (rule 9).
 func (t *turn) expire() {
 	if t.epoch == 0 || t.cfg.flaw == flawTerm {
--- a/internal/owner/trial/table_test.go
+++ b/internal/owner/trial/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 )
 
@@ -22,3 +23,18 @@
 		}
 	}
 }
+
+// TestCost prints the cost table of the design note:
+//
+//	HAWTHORN_COST=10,50,200 go test -v -run TestCost ./internal/owner/trial
+func TestCost(t *testing.T) {
+	var rows []CostRow
+	for _, f := range strings.Split(os.Getenv("HAWTHORN_COST"), ",") {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			t.Skip("a measurement: set HAWTHORN_COST to fleet sizes")
+		}
+		rows = append(rows, Cost(1, n))
+		t.Log("\n" + CostMarkdown(rows))
+	}
+}
