trial: a naive baseline that loses its owner too

Cause: under a store outage the naive rows for a lost or restarted owner, and for everything restarted, reckoned as if nothing else had failed.

--- a/internal/owner/trial/naive.go
+++ b/internal/owner/trial/naive.go
@@ -51,3 +51,13 @@
 // naiveHandover: the old owner is told, the lease released, and the next VM
 // looks.
 func naiveHandover(rng *rand.Rand) time.Duration { return upTo(rng, naivePoll) + 2*naiveWrite }
+
+// naiveLost: the owner is lost a second into an outage, and nobody can take its
+// lease over until the store is back.
+func naiveLost(rng *rand.Rand) time.Duration {
+	return outage - time.Second + upTo(rng, naivePoll) + 2*naiveWrite
+}
+
+// naiveBack: the owner is away for a second, and then loses its lease with all
+// others.
+func naiveBack(rng *rand.Rand) time.Duration { return time.Second + naiveOutage(outage)(rng) }
--- a/internal/owner/trial/table_test.go
+++ b/internal/owner/trial/table_test.go
@@ -10,12 +10,20 @@
 // TestTable prints the fault table of the design note:
 //
 //	HAWTHORN_TABLE=100 go test -v -run TestTable ./internal/owner/trial
+//
+// HAWTHORN_FAULT narrows it to faults with that in their name.
 func TestTable(t *testing.T) {
 	runs, err := strconv.Atoi(os.Getenv("HAWTHORN_TABLE"))
 	if err != nil {
 		t.Skip("a measurement: set HAWTHORN_TABLE to the number of runs")
 	}
-	rows := Run(1, runs)
+	var rows []Row
+	for _, f := range Faults {
+		if !strings.Contains(f.Name, os.Getenv("HAWTHORN_FAULT")) {
+			continue
+		}
+		rows = append(rows, Measure(f, 1, runs, false), Measure(f, 1, runs, true))
+	}
 	t.Log("\n" + Markdown(rows))
 	for _, r := range rows {
 		if r.Bad > 0 {
