Seat: a renewal that is refused is not repeated at once while no grant is allowed

A holder that waits for the table may not grant; its server, which holds nothing, refuses each renewal, and the refusal made the next one due at once: as many orders as the server can refuse. With a server that answers in no time the fake clock never moved on (TestOneVMBootstrapsAndServesEveryKey spun for 3 minutes; the log of the loop showed renewals 1.159, 1.160, 1.161 at one instant). The waiting only made visible what a slow store would have shown.

Ruled out: the wait itself (retryTable asks the store at most every 4 to 200 ms).

--- a/internal/owner/seat/order.go
+++ b/internal/owner/seat/order.go
@@ -223,6 +223,11 @@
 		t.refused(r.Fence)
 	case r.Why == server.WhyRev:
 		t.srv.rev, t.srv.sure, t.srv.next = 0, 0, t.now
+		if !t.mayGrant() {
+			// Only a full grant helps, and that waits for the table. Asking again
+			// at once would send the server orders as fast as it refuses them.
+			t.srv.next = t.now.Add(t.cfg.Times.Call)
+		}
 	default: // late: the answer brought a fresh mark
 		t.srv.next = t.now.Add(lateGap)
 	}
