edge/news: what the store said is as old as the question

Cause: the exchange was told of an answer of the store without when it was asked for, and rules/force got its sight without the moment up to which it is true. A VM paused between seeing and handling could serve up to 4 s more under old rules. Both times are passed on now.

Ruled out: counting from the answer's arrival; a pause after it is not seen there.

--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -126,7 +126,7 @@
 		n.watching.Store(cmd.On)
 		n.watchers.set(cmd.On)
 	case gossip.SightCmd:
-		n.rules.Send(force.SightMsg{Store: cmd.Store, Live: cmd.Live, Heard: cmd.Heard})
+		n.rules.Send(force.SightMsg{Store: cmd.Store, Live: cmd.Live, Heard: cmd.Heard, At: cmd.At})
 	case gossip.LoadCmd:
 		if n.Loads != nil {
 			n.Loads(cmd.Rows)
--- a/internal/edge/news/store.go
+++ b/internal/edge/news/store.go
@@ -35,13 +35,14 @@
 func (n *News) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
 	defer cancel()
+	asked := time.Now() // the answer says nothing of what came after
 	o, err := n.Store.Get(ctx, force.Current)
 	switch kinds.Of(err) {
 	case kinds.None:
 		n.onRules(o)
-		n.gossip.Send(gossip.StoreMsg{})
+		n.gossip.Send(gossip.StoreMsg{Asked: asked})
 	case kinds.Absent:
-		n.gossip.Send(gossip.StoreMsg{})
+		n.gossip.Send(gossip.StoreMsg{Asked: asked})
 	}
 }
 
