edge/daemon: the shutdown test waits until the request runs on its server

Cause: it waited until 1 request was in flight at the VM, which the tail of the request before could satisfy; the slow one then arrived after the shutdown had begun, and passed only thanks to the notice time. Before: with connections closed in place of waited for, the test failed, but for a refused dial. Conclusion: replaced by a stricter wait.

--- a/internal/edge/daemon/daemon_test.go
+++ b/internal/edge/daemon/daemon_test.go
@@ -217,6 +217,15 @@
 	s.api.Outage(false)
 }
 
+// ran counts the runs of a request over all backend servers.
+func (s *site) ran(id ident.Request) int {
+	n := 0
+	for _, o := range s.origins {
+		n += o.Record.Count(id)
+	}
+	return n
+}
+
 // An entry VM is told to stop while a request is on its way. The request must
 // end whole; the connection is refused only to those who come later.
 func TestShutdownCutsOffNothingInFlight(t *testing.T) {
@@ -230,7 +239,7 @@
 		assert.Equal(t, len(body), 100000)
 		return nil
 	})
-	until(t, "in flight", func() bool { return d.Status().Flying == 1 })
+	until(t, "running on its server", func() bool { return s.ran("slow") == 1 })
 	assert.NilError(t, d.Close())
 	assert.NilError(t, g.Wait())
 	code, _ := send(t, d, "GET", "/scales/north", "later")
