core/loop: answers to a module's own commands never wait for the inbox

Cause: the runner may answer from the loop's own goroutine. With the inbox full of what others sent, that answer waited for room that only the loop could make: a deadlock, and a VM that holds its seats without renewing them.

Ruled out: a larger inbox, which only makes it rarer; a goroutine for each answer, which loses their order.

Now answers have a list of their own, bounded by the commands that they answer, and are taken first.

--- a/internal/admin/bench/seats.go
+++ b/internal/admin/bench/seats.go
@@ -46,6 +46,37 @@
 	return ctx.Err()
 }
 
+// watchSlope: what a VM keeps for each seat that is not its own, so that it can
+// take it over.
+func watchSlope(ctx context.Context, s *Section) error {
+	memory := slope{name: "seat that is only watched, with its loop", per: "seats", unit: "bytes"}
+	for _, n := range []int{50, 200, 500, 900} {
+		loops, bytes, err := heap(func() ([]*loop.Loop, error) { return watched(n), nil })
+		if err != nil {
+			return err
+		}
+		memory.at(float64(n), bytes)
+		for _, l := range loops {
+			if err := l.Close(); err != nil {
+				return err
+			}
+		}
+	}
+	s.slope(memory)
+	return ctx.Err()
+}
+
+func watched(n int) []*loop.Loop {
+	nothing := loop.RunnerFunc(func(context.Context, loop.Cmd, func(loop.Msg)) {})
+	loops := make([]*loop.Loop, 0, n)
+	for _, name := range serverNames(n) {
+		l := loop.New(seat.New(seat.Config{Self: benchVMs[0], Service: "lookup", Server: name}), nothing)
+		l.Send(seat.PlanMsg{Deputy: benchVMs[1]})
+		loops = append(loops, l)
+	}
+	return loops
+}
+
 // bench is a row of seats on a clock of its own: for each server a holder and a
 // deputy, with a store and a server that answer at once.
 type bench struct {
--- a/internal/admin/bench/slopes.go
+++ b/internal/admin/bench/slopes.go
@@ -22,11 +22,11 @@
 func Slopes(ctx context.Context, _ Options) (Section, error) {
 	s := Section{
 		Title: "Slopes: what a role costs as it grows",
-		Note: "Each part alone at four sizes. Memory is the live heap after a collection, less that before; " +
+		Note: "Each part alone at four sizes. Memory is the live heap and stacks after a collection, less that before; " +
 			"time is by testing.Benchmark on one processor.",
 	}
 	for _, measure := range []func(context.Context, *Section) error{
-		viewSlope, rulesSlope, planSlope, gateSlope, callerSlope, rosterSlope, sketchSlope, seatSlope,
+		viewSlope, rulesSlope, planSlope, gateSlope, callerSlope, rosterSlope, sketchSlope, seatSlope, watchSlope,
 	} {
 		if err := measure(ctx, &s); err != nil {
 			return s, err
@@ -78,7 +78,7 @@
 	return out
 }
 
-// heap returns the live heap that build leaves behind, and its result.
+// heap returns the live heap and stacks that build leaves behind, and its result.
 func heap[T any](build func() (T, error)) (T, float64, error) {
 	before := live()
 	v, err := build()
@@ -95,7 +95,7 @@
 	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
+	return float64(m.HeapAlloc + m.StackInuse)
 }
 
 func nanos(f func(b *testing.B)) float64 {
--- a/internal/core/loop/loop.go
+++ b/internal/core/loop/loop.go
@@ -39,7 +39,8 @@
 }
 
 // Runner carries out commands. Run must not block the loop for long: it starts
-// slow work through a group and reports the outcome with send.
+// slow work through a group and reports the outcome with send. send never
+// waits, so Run may call it right away.
 type Runner interface {
 	Run(ctx context.Context, cmd Cmd, send func(Msg))
 }
@@ -59,21 +60,29 @@
 
 // Loop is a running module. Make one with New.
 type Loop struct {
-	group  group.Group
-	inbox  *ring.Ring[Msg]
-	runner Runner
+	group   group.Group
+	inbox   *ring.Ring[Msg]
+	answers answers
+	runner  Runner
 
 	mu    sync.RWMutex
 	model Model
 }
 
 // DefaultInbox is how many messages may wait before Send blocks. A module
-// answers in microseconds, so a longer queue only hides that it is stuck.
-const DefaultInbox = 1024
+// answers in microseconds, so a longer queue only hides that it is stuck; and a
+// VM runs a loop for every seat, nearly all of them idle, so each place is paid
+// for some hundred times.
+const DefaultInbox = 128
 
 // New starts a loop over the model.
 func New(m Model, r Runner) *Loop {
-	l := &Loop{inbox: ring.New[Msg](DefaultInbox, ring.Block), runner: r, model: m}
+	l := &Loop{
+		inbox:   ring.New[Msg](DefaultInbox, ring.Block),
+		answers: answers{more: make(chan struct{}, 1)},
+		runner:  r,
+		model:   m,
+	}
 	l.group.Go(l.run)
 	return l
 }
@@ -95,7 +104,7 @@
 
 func (l *Loop) run(ctx context.Context) error {
 	for {
-		msg, ok := l.inbox.Pop(ctx)
+		msg, ok := l.next(ctx)
 		if !ok {
 			return nil
 		}
@@ -103,6 +112,22 @@
 	}
 }
 
+// next takes the answers to the module's own commands before what others sent.
+func (l *Loop) next(ctx context.Context) (Msg, bool) {
+	for {
+		if msg, ok := l.answers.pop(); ok {
+			return msg, true
+		}
+		select {
+		case msg := <-l.inbox.Items():
+			return msg, true
+		case <-l.answers.more:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
 func (l *Loop) step(ctx context.Context, msg Msg) {
 	l.mu.Lock()
 	next, cmds := l.model.Update(time.Now(), msg)
@@ -116,7 +141,7 @@
 func (l *Loop) do(ctx context.Context, cmd Cmd) {
 	after, ok := cmd.(AfterCmd)
 	if !ok {
-		l.runner.Run(ctx, cmd, l.Send)
+		l.runner.Run(ctx, cmd, l.answers.push)
 		return
 	}
 	l.group.Go(func(ctx context.Context) error {
@@ -124,7 +149,7 @@
 		defer t.Stop()
 		select {
 		case <-t.C:
-			l.Send(after.Msg)
+			l.answers.push(after.Msg)
 		case <-ctx.Done():
 		}
 		return nil
--- a/internal/core/loop/loop_test.go
+++ b/internal/core/loop/loop_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
 )
 
 type (
@@ -63,3 +65,43 @@
 		assert.Equal(t, l.Model().(counter).n, 0)
 	})
 }
+
+type floodMsg struct{}
+
+// flooded asks for an effect with each message, so that the runner has an
+// answer to give while others fill the inbox.
+type flooded struct{ answers int }
+
+func (f flooded) Update(_ time.Time, msg Msg) (Model, []Cmd) {
+	switch msg.(type) {
+	case floodMsg:
+		return f, []Cmd{echoCmd(0)}
+	case addMsg:
+		f.answers++
+	}
+	return f, nil
+}
+
+// A hundred peers report at once while the module's own effects answer. The
+// runner answers from the loop's goroutine; if that answer had to wait for room
+// in the inbox, the loop would wait for itself, and the VM would hold its seats
+// without ever renewing them.
+func TestAnswersNeverWaitForTheInbox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const senders, each = 4, 2 * DefaultInbox
+		l := New(flooded{}, RunnerFunc(func(_ context.Context, _ Cmd, send func(Msg)) { send(addMsg(1)) }))
+		var g group.Group
+		for range senders {
+			g.Go(func(context.Context) error {
+				for range each {
+					l.Send(floodMsg{})
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, g.Wait())
+		synctest.Wait()
+		assert.Equal(t, l.Model().(flooded).answers, senders*each)
+		assert.NilError(t, l.Close())
+	})
+}
--- a/internal/core/ring/ring.go
+++ b/internal/core/ring/ring.go
@@ -99,6 +99,10 @@
 	}
 }
 
+// Items is the ring as a channel to receive from, for a duty that waits for
+// something else as well.
+func (r *Ring[T]) Items() <-chan T { return r.items }
+
 // Len is the number of items waiting, for a gauge.
 func (r *Ring[T]) Len() int { return len(r.items) }
 
