edge/front: a rule that says long is believed at once

Cause: such a request was handed to the gate with an unknown size (-1), which counts as short until its class was seen to take 1 long time; sizes.LongBytes says what the rule says. After: the package's tests pass; the load harness already passes the size.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -10,6 +10,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/load/sizes"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 )
@@ -162,7 +163,7 @@
 // length of a short body meaningless.
 func (x *exchange) size() int64 {
 	if x.rule.Then.Size == match.Long {
-		return -1
+		return sizes.LongBytes
 	}
 	return x.r.ContentLength
 }
