--- a/internal/rules/match/check.go
+++ b/internal/rules/match/check.go
@@ -202,11 +202,10 @@
 
 func (c *checker) checkKey() {
 	t := &c.rule.Then
-	s, known := c.known[t.Service]
-	if known && s.Divided != (t.Key != "") {
-		c.add("then.key", keyAdvice(s.Divided))
-	}
 	if t.Key == "" {
+		// A service that is not divided may have a key too: reports ask by key.
+		divided := c.known[t.Service].Divided
+		c.addIf(divided, "then.key", "the service is divided by key: say where the key stands")
 		return
 	}
 	place, name, _ := strings.Cut(t.Key, ":")
@@ -218,13 +217,6 @@
 	}
 }
 
-func keyAdvice(divided bool) string {
-	if divided {
-		return "the service is divided by key: say where the key stands"
-	}
-	return "the service is not divided by key"
-}
-
 func (c *checker) checkLimits() {
 	t := &c.rule.Then
 	c.addIf(t.Deadline < 0 || t.Deadline > MaxDeadline, "then.deadline", "outside 0 to "+MaxDeadline.String())
--- a/internal/rules/match/key.go
+++ b/internal/rules/match/key.go
@@ -17,7 +17,7 @@
 )
 
 // KeyOf returns the key that a request carries under its rule, and an empty key
-// when the rule's service is not divided by key.
+// when the rule reads none.
 //
 // It fails with kind BadRequest when the key is missing, too long or given
 // twice. A key that stands twice would let this side and the backend server
--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -71,7 +71,8 @@
 	// Deny refuses the request; a rule that denies names no service.
 	Deny bool `cbor:"deny,omitempty" json:"deny,omitempty"`
 	// Key says where the key stands: "path:NAME", "header:NAME" or
-	// "query:NAME". Empty for services that are not divided by key.
+	// "query:NAME". A service that is divided by key needs one. Elsewhere it may
+	// be given so that reports can say what a submission was about.
 	Key   string `cbor:"key,omitempty" json:"key,omitempty"`
 	Class Class  `cbor:"class,omitempty" json:"class,omitempty"`
 	Size  Size   `cbor:"size,omitempty" json:"size,omitempty"`
