--- a/internal/edge/keeper/share_test.go
+++ b/internal/edge/keeper/share_test.go
@@ -31,6 +31,15 @@
 	o.sent, o.at = append(o.sent, b), append(o.at, time.Now())
 }
 
+// take hands over what was noted, and begins anew.
+func (o *outbox) take() ([][]byte, []time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sent, at := o.sent, o.at
+	o.sent, o.at = nil, nil
+	return sent, at
+}
+
 // A VM holds the seats of three servers with one deputy. If each beat were a
 // packet of its own, control traffic would grow with the servers of a VM; if
 // beats waited longer for each other, the deputy would take a live holder for a
@@ -46,13 +55,12 @@
 			k.seats[name].loop.Send(seat.PlanMsg{Lead: true, Deputy: "vm-2"})
 		}
 		time.Sleep(time.Second)
-		out.mu.Lock()
-		out.sent, out.at = nil, nil
-		out.mu.Unlock()
+		out.take()
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(out.sent), 100)
+		sent, at := out.take()
+		assert.Equal(t, len(sent), 100)
 		last := map[ident.Server]time.Time{}
-		for i, b := range out.sent {
+		for i, b := range sent {
 			var l letter
 			assert.NilError(t, wire.Decode(b, &l))
 			assert.Equal(t, len(l.All), 3)
@@ -60,9 +68,9 @@
 				var one letter
 				assert.NilError(t, wire.Decode(raw, &one))
 				if was, ok := last[one.Srv]; ok {
-					assert.Assert(t, out.at[i].Sub(was) <= k.Times.Beat+shareWait)
+					assert.Assert(t, at[i].Sub(was) <= k.Times.Beat+shareWait)
 				}
-				last[one.Srv] = out.at[i]
+				last[one.Srv] = at[i]
 			}
 		}
 		assert.NilError(t, k.Close())
--- a/internal/owner/seat/loop_test.go
+++ b/internal/owner/seat/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,9 @@
 	"hawthornfield.org/hawthornfield/internal/plat/server"
 )
 
-// platform answers one seat's commands at once, under the runtime's clock. Only
-// the loop's goroutine uses it, but for down, which the test sets while the loop
-// is idle.
+// platform answers one seat's commands at once, under the runtime's clock.
 type platform struct {
+	mu    sync.Mutex // the loop runs commands while the test looks
 	down  bool
 	rec   seat.Record
 	ver   object.Version
@@ -34,6 +34,8 @@
 }
 
 func (p *platform) Run(_ context.Context, cmd loop.Cmd, send func(loop.Msg)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	kind := kinds.None
 	if p.down {
 		kind = kinds.Down
@@ -83,6 +85,14 @@
 	}
 }
 
+// outage begins or ends the store's outage, and says what the server has seen.
+func (p *platform) outage(down bool) (grants int, ends time.Time, gap time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	return p.grant, p.ends, p.gap
+}
+
 // The store goes away for ten minutes. The real loop, with its real timers,
 // keeps the server's lease without a gap, and needs no new grant for it.
 func TestLoopKeepsALeaseThroughAStoreOutage(t *testing.T) {
@@ -98,13 +108,12 @@
 		time.Sleep(time.Second)
 		epoch, ok := l.Model().(seat.Seat).Holds(time.Now())
 		assert.Assert(t, ok && epoch == 1)
-		granted := p.grant
-		p.down = true
+		granted, _, _ := p.outage(true)
 		time.Sleep(10 * time.Minute)
-		assert.Assert(t, time.Now().Before(p.ends))
-		assert.Assert(t, p.gap < 0, "the lease lapsed for %v", p.gap)
-		assert.Equal(t, p.grant, granted)
-		p.down = false
+		again, ends, gap := p.outage(false)
+		assert.Assert(t, time.Now().Before(ends))
+		assert.Assert(t, gap < 0, "the lease lapsed for %v", gap)
+		assert.Equal(t, again, granted)
 		time.Sleep(time.Minute)
 		_, ok = l.Model().(seat.Seat).Holds(time.Now())
 		assert.Assert(t, ok)
