--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -57,9 +57,15 @@
 		t.storeAt = t.now.Add(storePause)
 		return
 	}
+	if m.Version != 0 {
+		t.seen = t.now
+	}
 	if m.Table.Rev < t.tab.Rev {
 		return // overtaken
 	}
+	if r, _ := m.Table.Row(t.cfg.Server); r.Rev != t.row().Rev && t.move == rest {
+		t.srv.next = t.now // the server's set changed: grant it now, not at the next renewal
+	}
 	if m.Table.Rev > t.tab.Rev || m.Version != 0 {
 		t.tab, t.tabVer = m.Table, m.Version
 	}
--- a/internal/owner/seat/lost.go
+++ b/internal/owner/seat/lost.go
@@ -10,6 +10,12 @@
 // asked for new owners, so that the answer is there in time.
 const planAhead = 200 * time.Millisecond
 
+// storeFresh is how lately the store must have answered before the keys of a
+// silent server are written to others. A write sent into an outage stays in
+// doubt until the store is back, and a server that returns meanwhile could not
+// be given its keys again; a read that fails leaves no doubt.
+const storeFresh = 500 * time.Millisecond
+
 // watchServer notices a server that no longer answers. After Silent it asks the
 // deputy, which either reaches the server and takes over, or promises to stop;
 // once every lease has run out the keys may go.
@@ -55,6 +61,7 @@
 	if t.due(lapseAt.Add(-planAhead)) && t.due(t.planAt) {
 		t.planAt = t.now.Add(askPause)
 		t.do(PlanCmd{Server: t.cfg.Server, Lost: true})
+		t.readTable() // see storeFresh
 	}
 }
 
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -223,7 +223,7 @@
 		t.written()
 		return
 	}
-	if t.tabVer == 0 {
+	if t.tabVer == 0 || t.b.lost && t.now.Sub(t.seen) > storeFresh {
 		t.readTable()
 		return
 	}
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -72,6 +72,7 @@
 	putting bool
 	hung    bool      // an earlier attempt at put may still take effect
 	down    bool      // the store failed last time
+	seen    time.Time // when the store last answered
 	pastEnd time.Time // when every authority of an earlier epoch has run out
 	storeAt time.Time // when the pending call counts as lost, or the next try is due
 	freshAt time.Time // when the term is renewed
--- a/internal/owner/seat/take.go
+++ b/internal/owner/seat/take.go
@@ -88,7 +88,7 @@
 		return // an answer that was overtaken
 	}
 	t.rec, t.ver, t.recAt = m.Record, m.Version, t.now
-	t.down = false
+	t.down, t.seen = false, t.now
 	if t.d.epoch < t.rec.Epoch {
 		t.endDeputy() // the epoch that we were deputy of is over
 	}
