--- a/internal/owner/seat/loop_test.go
+++ b/internal/owner/seat/loop_test.go
@@ -30,6 +30,7 @@
 	ends  time.Time     // of the server's lease
 	gap   time.Duration // longest stretch without a lease; negative: none
 	grant int
+	cut   int // revocations obeyed
 	held  ident.Revision
 }
 
@@ -71,9 +72,15 @@
 		p.gap = max(p.gap, late)
 	}
 	if c.Order.Full {
-		p.grant++
 		p.held = c.Order.Rev
 	}
+	if c.Revoke {
+		p.cut++
+		return p.reply(true, "")
+	}
+	if c.Order.Full {
+		p.grant++
+	}
 	p.ends = p.boot.Add(c.Order.Mark.At + c.Order.TTL)
 	return p.reply(true, "")
 }
@@ -119,3 +126,42 @@
 		assert.Assert(t, ok)
 	})
 }
+
+// The planner asks for a move just after the store went away. If the holder took
+// the slice from its server first and then found that it cannot write the move
+// down, nobody would serve the slice until the store is back, and a driver would
+// wait at the scale for an outage that need not have touched anybody.
+func TestAPlannedMoveWaitsForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab, err := table.New("lookup", 4, "s0", "s1")
+		assert.NilError(t, err)
+		tab, err = tab.Assigned(table.Move{Slice: 0, To: "s0"})
+		assert.NilError(t, err)
+		p := &platform{table: tab, rev: 1, boot: time.Now(), gap: -time.Hour}
+		l := loop.New(seat.New(seat.Config{Self: "vm0", Service: "lookup", Server: "s0", Checks: true}), p)
+		defer l.Close()
+		l.Send(seat.PlanMsg{Lead: true})
+		time.Sleep(2 * time.Second)
+		p.outage(true)
+		l.Send(seat.MoveMsg{Moves: []table.Move{{Slice: 0, To: "s1"}}})
+		time.Sleep(10 * time.Minute)
+		_, ends, _ := p.outage(false)
+		assert.Assert(t, time.Now().Before(ends), "the lease lapsed")
+		assert.Equal(t, p.revoked(), 0, "the slice was taken away although the move cannot be written")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, p.revoked(), 1)
+		assert.Equal(t, p.owner(0), ident.Server("s1"), "the move was forgotten")
+	})
+}
+
+func (p *platform) revoked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut
+}
+
+func (p *platform) owner(x ident.Slice) ident.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.OwnerOf(x)
+}
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -53,7 +53,7 @@
 		return
 	}
 	lost := t.lease == out || t.gone
-	if !lost && (t.lease != held || len(t.queue) == 0 || !t.upToDate()) {
+	if !lost && (t.lease != held || len(t.queue) == 0 || !t.upToDate() || !t.storeIsFresh()) {
 		return
 	}
 	plan, limit := t.queue, maxBatch
@@ -84,6 +84,19 @@
 	return t.srv.want != 0 && t.srv.sure == t.srv.want
 }
 
+// storeIsFresh reports whether the store answered lately, and asks it if not. A
+// planned move that is begun into an outage leaves its keys without an owner
+// until the store is back, for nothing: the old owner could have kept them.
+func (t *turn) storeIsFresh() bool {
+	if t.now.Sub(t.seen) <= storeFresh {
+		return true
+	}
+	if t.due(t.storeAt) {
+		t.readTable()
+	}
+	return false
+}
+
 // sensible keeps the moves whose subject is still this server's and whose next
 // owner is known, each subject once. Hot keys come before slices: a key that is
 // not apart belongs to whoever owns its slice, so once the slice has moved, the
@@ -169,6 +182,10 @@
 	case settling:
 		t.settle()
 	case writing:
+		if t.down && !t.b.lost && !t.b.doubt && !t.b.hung {
+			t.cancelMove()
+			return
+		}
 		if t.due(t.storeAt) {
 			t.b.hung = t.b.hung || t.tabBusy // the write was not answered at all
 			t.retryTable()
@@ -262,6 +279,16 @@
 	}
 }
 
+// cancelMove gives the keys back to a server that lives when the store went away
+// before their move was written. No write can take effect any more, so the table
+// still gives them to it; the planner asks again later.
+func (t *turn) cancelMove() {
+	t.fire(moveChart, &t.move, "drop")
+	t.b = batch{}
+	t.srv.from = 0
+	t.srv.next = t.now
+}
+
 // cancelLost keeps the keys where they are when a silent server answers before
 // its keys were written to others. A write that may have taken effect is never
 // taken back.
@@ -270,8 +297,5 @@
 	if t.move == rest || !t.b.lost || t.move == writing && t.b.doubt {
 		return
 	}
-	t.fire(moveChart, &t.move, "drop")
-	t.b = batch{}
-	t.srv.from = 0
-	t.srv.next = t.now
+	t.cancelMove()
 }
