--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,8 +4,9 @@
 //
 //	standin vm-1.toml vm-2.toml
 //
-// It holds everything in memory and ends on SIGINT or SIGTERM. It is no part of
-// the product.
+// It holds everything in memory and ends on SIGINT or SIGTERM. SIGUSR1 begins an
+// outage of the platform's store, and ends it the next time. It is no part of the
+// product.
 package main
 
 import (
@@ -85,10 +86,27 @@
 		}
 	}
 	fmt.Printf("standin: platform and %d backend servers are up\n", len(s.origins))
-	<-ctx.Done()
+	s.outages(ctx)
 	return nil
 }
 
+// outages begins and ends outages of the store until ctx is done.
+func (s *stage) outages(ctx context.Context) {
+	toggle := make(chan os.Signal, 1)
+	signal.Notify(toggle, syscall.SIGUSR1)
+	defer signal.Stop(toggle)
+	for down := false; ; {
+		select {
+		case <-toggle:
+			down = !down
+			s.api.Outage(down)
+			fmt.Printf("standin: store down: %v\n", down)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *stage) close() {
 	for _, o := range s.origins {
 		if err := o.Close(); err != nil {
--- a/internal/core/kinds/kinds.go
+++ b/internal/core/kinds/kinds.go
@@ -124,6 +124,10 @@
 	return table[k].name
 }
 
+// MarshalText renders the name, so that JSON shows an operator "busy" and not a
+// number that differs between versions.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
 // Answer returns the row for k. A value outside the list answers as Internal,
 // so that a fault never looks like a success.
 func (k Kind) Answer() Answer {
--- a/internal/core/kinds/kinds_test.go
+++ b/internal/core/kinds/kinds_test.go
@@ -1,6 +1,7 @@
 package kinds
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -32,3 +33,9 @@
 func TestInvalidKindNeverLooksLikeSuccess(t *testing.T) {
 	assert.Equal(t, Kind(200).Answer(), Internal.Answer())
 }
+
+func TestJSONShowsNames(t *testing.T) {
+	b, err := json.Marshal(map[Kind]int{Busy: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), `{"busy":3}`)
+}
