edge/keeper: the line about a renewing deputy no longer blames the store

Cause: since rule 10 was changed a deputy renews as soon as its holder is silent, but the log line still said that the store is down; an operator who lost 1 VM would have looked for an outage that isn't there.

Conclusion: wording only, no decision changes.

--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -75,7 +75,7 @@
 	case seat.StoodCmd:
 		log.Info("seat given up", "epoch", cmd.Epoch, "why", cmd.Why)
 	case seat.AloneCmd:
-		log.Warn("renewing as deputy: the holder is silent and the store is down", "epoch", cmd.Epoch)
+		log.Warn("renewing as deputy: the holder is silent", "epoch", cmd.Epoch)
 	case seat.DrainedCmd:
 		log.Info("server drained")
 	case seat.LeftCmd:
