examples/ownership: the report of the move is waited for, not raced

Cause: the seat that gives a slice away and the seat that gets it run on loops of their own. Ruled out: a move reported before its update was confirmed (the report comes after PutTable's answer, as it should).

--- a/examples/ownership/main.go
+++ b/examples/ownership/main.go
@@ -36,6 +36,8 @@
 	w.waitFor("scale-a", moved)
 	fmt.Println("slice", moved, "is served by scale-a")
 	w.seats["scale-a"].Send(hawthornfield.MoveMsg{Moves: []hawthornfield.Move{{Slice: moved, To: "scale-b"}}})
+	report := w.waitMoved()
+	fmt.Println("moved under epoch", report.Epoch, "at revision", report.Rev)
 	w.waitFor("scale-b", moved)
 	fmt.Println("slice", moved, "is served by scale-b")
 }
@@ -48,6 +50,7 @@
 	version hawthornfield.Version
 	servers map[hawthornfield.Server]*backend
 	seats   map[hawthornfield.Server]*hawthornfield.Loop
+	report  *hawthornfield.MovedCmd
 	changed *sync.Cond
 }
 
@@ -90,6 +93,17 @@
 	}
 }
 
+// waitMoved waits for the report of the move. Each seat's loop works on its own,
+// so the next owner may be granted the slice before or after the report comes.
+func (w *world) waitMoved() hawthornfield.MovedCmd {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for w.report == nil {
+		w.changed.Wait()
+	}
+	return *w.report
+}
+
 // runner carries out the commands of one seat.
 type runner struct {
 	*world
@@ -118,7 +132,7 @@
 	case hawthornfield.ReadServerCmd:
 		send(hawthornfield.ReplyMsg{Read: c, Reply: r.servers[r.server].reply()})
 	case hawthornfield.MovedCmd:
-		fmt.Println("moved under epoch", c.Epoch, "at revision", c.Rev)
+		r.report = &c
 	}
 }
 
