--- a/internal/fake/world/store.go
+++ b/internal/fake/world/store.go
@@ -63,6 +63,27 @@
 	})
 }
 
+// request is all copies of one call. A refusal is the store's word that the call
+// did nothing and will not do anything: a copy that comes after it is dropped,
+// and none is refused when an earlier copy may have taken effect.
+type request struct{ came, refused bool }
+
+func (r *request) serve(serve func(reply func(any)), reply func(any)) {
+	first := !r.came
+	if r.came = true; r.refused {
+		return
+	}
+	serve(func(a any) {
+		if _, no := a.(refused); no {
+			if !first {
+				return
+			}
+			r.refused = true
+		}
+		reply(a)
+	})
+}
+
 // kindOf turns the outcome of a call into its kind.
 func kindOf(a any, ok bool, lost kinds.Kind) kinds.Kind {
 	if !ok {
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -222,9 +222,9 @@
 		}
 	}
 	w.after(v.real(wait), func() { finish(nil, false) })
-	name := string(v.ID)
+	name, copies := string(v.ID), request{}
 	w.message(name, to, func() {
-		serve(func(a any) { w.message(to, name, func() { finish(a, true) }) })
+		copies.serve(serve, func(a any) { w.message(to, name, func() { finish(a, true) }) })
 	})
 }
 
