Keeper: a VM that starts reads all seat records with one List

Cause: each seat's first look was a read of its own: 884 on every VM, 115,000 for a data centre that starts; and again every 250 ms on a VM that starts while the store is down. An outage alone makes a running VM read nothing: only seats that it wants are looked at, and those are few.

Changed: four looks go out as they come; those that come meanwhile wait for company, and eight or more are answered from one List of seat/. Nothing is kept, so each look is answered from a call that began after it. A take-over's lone look waits for nobody. If listing fails while reads are answered, looks are reads again for a second; after four failed calls in a row looks rest for 100 ms.

Ruled out: a copy of the List kept for later looks (a take-over from an old record would only lose its update, but it would lose time); a wait for company before every look (2 ms on every take-over).

--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -99,7 +99,7 @@
 }
 
 func (k *Keeper) readRecord(ctx context.Context, c *chair, cmd seat.ReadRecordCmd) loop.Msg {
-	o, err := k.Store.Get(ctx, c.object())
+	o, err := k.look(ctx, c.object())
 	if err != nil {
 		return seat.RecordMsg{Cmd: cmd, Kind: outcome(err)}
 	}
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -81,6 +81,7 @@
 	left  sync.WaitGroup
 
 	piles piles // share.go
+	looks looks // looks.go
 }
 
 type seatName struct {
