Seat: patience is tested by the stall it exists for

Cause: Patience had no test.

Noticed: no setting of the daemon sets Patience; only the embedder can.

--- /dev/null
+++ b/internal/owner/seat/patience_test.go
@@ -0,0 +1,72 @@
+package seat_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/fake/world"
+)
+
+// stalled freezes one server for a while and returns how many keys moved, how
+// long after the stall's begin the first one did, and who owns the server's
+// first slice at the end.
+func stalled(t *testing.T, seed uint64, checks bool, patience, stall time.Duration) (int, time.Duration, ident.Server) {
+	w := world.New(world.Options{
+		Seed: seed, VMs: 3, Servers: 3, Checks: checks, Skew: 5, Patience: patience, Join: joined,
+	})
+	w.Run(2*time.Second + time.Duration(seed)*7*time.Millisecond)
+	before, from := w.Count.Moves, w.Now()
+	w.Servers[0].Freeze(stall)
+	first := time.Duration(0)
+	for w.Now() < from+stall+4*time.Second {
+		w.Run(w.Now() + 5*time.Millisecond)
+		if first == 0 && w.Count.Moves > before {
+			first = w.Now() - from
+		}
+	}
+	assert.Equal(t, len(w.Judge()), 0, "seed %d: %v", seed, w.Errs)
+	assert.Equal(t, len(unserved(w)), 0)
+	return w.Count.Moves - before, first, w.Store.Table().OwnerOf(0)
+}
+
+// The budget service's servers stop for a second now and then, to collect
+// garbage. Without patience a third of its keys changes owner each time, every
+// cache that goes with them is cold, and the stall comes back as load. With it,
+// the keys stay, and are served again as soon as the server wakes.
+func TestPatienceKeepsTheKeysOfAServerThatStalls(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(20) {
+				moved, _, _ := stalled(t, seed, checks, 0, 1200*time.Millisecond)
+				assert.Assert(t, moved > 0, "seed %d: the stall must be one that moves keys", seed)
+				moved, _, owner := stalled(t, seed, checks, time.Second, 1200*time.Millisecond)
+				assert.Equal(t, moved, 0, "seed %d", seed)
+				assert.Equal(t, owner, ident.Server("s0"), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// A server does not come back. Patience must end: its keys move as they would
+// without it, later by that time and not more.
+func TestPatienceEnds(t *testing.T) {
+	const patience = time.Second
+	for _, checks := range []bool{false, true} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(20) {
+				_, soon, _ := stalled(t, seed, checks, 0, 5*time.Second)
+				moved, late, owner := stalled(t, seed, checks, patience, 5*time.Second)
+				assert.Assert(t, moved > 0 && owner != "s0", "seed %d: nobody got the keys", seed)
+				more := late - soon
+				assert.Assert(t, more >= patience-50*time.Millisecond && more <= patience+200*time.Millisecond,
+					"seed %d: %v without patience, %v with", seed, soon, late)
+			}
+		})
+	}
+}
