trial.Cost reaches 520 VMs; the trials write through the VM's writer

Cause: 200 VMs took over a minute, 520 were never measured: the fake roster ranked all VMs for every VM and server ten times a second, and the news of a table asked every seat of every VM for its state.

Changed, in the fakes alone: the roster ranks when somebody came or went; a lean world notes who is a member when the seat changes; servers are found by a map.

--- a/internal/fake/world/roster.go
+++ b/internal/fake/world/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -23,8 +24,14 @@
 }
 
 func (w *World) planAll() {
+	lives := make([]bool, len(w.VMs))
+	for i, v := range w.VMs {
+		lives[i] = w.live(v)
+	}
+	news := !slices.Equal(lives, w.lives)
+	w.lives = lives
 	for _, v := range w.VMs {
-		w.plan(v)
+		w.planFor(v, news)
 	}
 }
 
@@ -49,50 +56,85 @@
 	return others > 0
 }
 
-// plan tells one VM its part in each seat. VMs in the server's own data centre
-// come last.
+// plan tells one VM its part in each seat.
 func (w *World) plan(v *VM) {
+	w.lives = nil // the next planAll looks at everybody anew
+	w.planFor(v, true)
+}
+
+// planFor tells one VM who leads, if that is news, and whom to suspect. VMs in
+// the server's own data centre lead last.
+func (w *World) planFor(v *VM, news bool) {
 	if v.Dead {
 		return
 	}
+	away := w.absent(v)
+	if !news && len(away) == 0 {
+		return
+	}
 	for _, s := range w.Servers {
-		ranked := w.ranked(s)
-		m := seat.PlanMsg{Lead: len(ranked) > 0 && ranked[0] == v}
-		for _, o := range ranked {
-			if o != v {
-				m.Deputy = o.ID
-				break
-			}
-		}
-		if v.plans[s.Name] != m {
-			v.plans[s.Name] = m
-			v.Send(s.Name, m)
+		if news {
+			w.planSeat(v, s)
 		}
-		for _, o := range w.VMs {
-			switch {
-			case o == v:
-			case o.Gone:
+		for _, o := range away {
+			if o.Gone {
 				v.Send(s.Name, seat.GoneMsg{VM: o.ID})
-			case !w.live(o):
-				v.Send(s.Name, seat.SuspectMsg{VM: o.ID})
+				continue
 			}
+			v.Send(s.Name, seat.SuspectMsg{VM: o.ID})
 		}
 	}
 }
 
-func (w *World) ranked(s *Server) []*VM {
-	var far, near []*VM
-	for i := range w.VMs {
-		v := w.VMs[(s.index+i)%len(w.VMs)]
-		switch {
-		case !w.live(v):
-		case v.Centre == s.Centre:
-			near = append(near, v)
-		default:
-			far = append(far, v)
+func (w *World) planSeat(v *VM, s *Server) {
+	first, next := w.ranked(s, v)
+	m := seat.PlanMsg{Lead: first == v}
+	if next != nil {
+		m.Deputy = next.ID
+	}
+	if v.plans[s.Name] != m {
+		v.plans[s.Name] = m
+		v.Send(s.Name, m)
+	}
+}
+
+// absent lists the VMs that are gone or not live, without one.
+func (w *World) absent(v *VM) []*VM {
+	var all []*VM
+	for i, o := range w.VMs {
+		if o != v && (o.Gone || !w.believed(i)) {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// believed is live, from the last look at all where there was one.
+func (w *World) believed(i int) bool {
+	if w.lives != nil {
+		return w.lives[i]
+	}
+	return w.live(w.VMs[i])
+}
+
+// ranked returns the first choice for a server's seat, and the first beside v.
+func (w *World) ranked(s *Server, v *VM) (first, next *VM) {
+	for _, near := range []bool{false, true} {
+		for i := range w.VMs {
+			k := (s.index + i) % len(w.VMs)
+			o := w.VMs[k]
+			if (o.Centre == s.Centre) != near || !w.believed(k) {
+				continue
+			}
+			if first == nil {
+				first = o
+			}
+			if o != v {
+				return first, o
+			}
 		}
 	}
-	return append(far, near...)
+	return first, nil
 }
 
 // resync stands for the watch that catches up after an outage.
--- a/internal/fake/world/server.go
+++ b/internal/fake/world/server.go
@@ -151,11 +151,4 @@
 	return set
 }
 
-func (w *World) server(name ident.Server) *Server {
-	for _, s := range w.Servers {
-		if s.Name == name {
-			return s
-		}
-	}
-	return nil
-}
+func (w *World) server(name ident.Server) *Server { return w.names[name] }
--- a/internal/fake/world/vm.go
+++ b/internal/fake/world/vm.go
@@ -34,6 +34,7 @@
 	plans    map[ident.Server]seat.PlanMsg // last sent
 	table    table.Table
 	writer   loop.Model // nil where each seat writes for itself
+	involved []bool     // by server, in a lean world: see noteInvolved
 }
 
 func newVM(w *World, i int) *VM {
@@ -54,6 +55,7 @@
 	v.table = table.Table{}
 	v.bootWriter()
 	v.seats = map[ident.Server]loop.Model{}
+	v.involved = make([]bool, len(v.w.Servers))
 	for _, s := range v.w.Servers {
 		v.seats[s.Name] = v.w.Opt.New(seat.Config{
 			Self: v.ID, Service: Service, Server: s.Name, Checks: v.w.Opt.Checks,
@@ -149,6 +151,7 @@
 func (v *VM) update(srv ident.Server, msg loop.Msg) {
 	m, cmds := v.seats[srv].Update(v.local(), msg)
 	v.seats[srv] = m
+	v.noteInvolved(srv, m)
 	for _, c := range cmds {
 		v.watch(srv, c)
 		if _, timer := c.(loop.AfterCmd); !timer && v.w.chance(v.w.Noise.Stall) {
@@ -189,22 +192,25 @@
 			v.table = t
 		}
 		v.seen(t, ver)
-		for _, s := range v.w.Servers {
-			if !v.w.Opt.Lean || v.involved(s.Name) {
+		for i, s := range v.w.Servers {
+			if !v.w.Opt.Lean || v.involved[i] {
 				v.update(s.Name, seat.TableMsg{Table: t, Version: ver})
 			}
 		}
 	})
 }
 
-// involved reports whether the VM is a member of a seat, or about to be.
-func (v *VM) involved(srv ident.Server) bool {
-	s, ok := v.seats[srv].(interface{ Status() seat.Status })
-	if !ok {
-		return true
+// noteInvolved keeps whether the VM is a member of a seat, or about to be.
+func (v *VM) noteInvolved(srv ident.Server, m loop.Model) {
+	if !v.w.Opt.Lean {
+		return
+	}
+	involved := true
+	if s, ok := m.(interface{ Status() seat.Status }); ok {
+		now := s.Status()
+		involved = now.Authority != "idle" || now.Stand != "off"
 	}
-	now := s.Status()
-	return now.Authority != "idle" || now.Stand != "off"
+	v.involved[v.w.server(srv).index] = involved
 }
 
 func (v *VM) exec(srv ident.Server, cmd loop.Cmd) {
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -95,6 +95,8 @@
 	cuts  map[[2]string]time.Duration // until when a link is cut
 	held  map[string]ident.VM         // server and epoch to holder
 	times lease.Times
+	names map[ident.Server]*Server
+	lives []bool // whom the roster believed live when it last looked
 }
 
 // Count is what the seats did.
@@ -118,6 +120,7 @@
 	w := &World{
 		Opt: o, rng: rand.New(rand.NewPCG(o.Seed, 0x68617774)),
 		cuts: map[[2]string]time.Duration{}, held: map[string]ident.VM{}, times: lease.Default(),
+		names: map[ident.Server]*Server{},
 	}
 	if o.Term > 0 {
 		w.times.Term = o.Term
@@ -126,6 +129,7 @@
 	for i := range names {
 		names[i] = ident.Server(fmt.Sprintf("s%d", i))
 		w.Servers = append(w.Servers, newServer(w, i, names[i]))
+		w.names[names[i]] = w.Servers[i]
 	}
 	t, _ := table.New(Service, uint32(o.Slices), names...)
 	for x := range o.Slices {
--- a/internal/owner/trial/cost.go
+++ b/internal/owner/trial/cost.go
@@ -29,12 +29,14 @@
 	defaultTerm = 30 * time.Minute
 )
 
-// Cost measures a quiet fleet of n VMs and n backend servers. It counts the
-// seats' own calls: watches, the roster and the exchange of tables between peers
-// are not in it.
+// Cost measures a quiet fleet of n VMs and n backend servers, each with one slice.
+// It counts the seats' own calls: watches, the roster and the exchange of tables
+// between peers are not in it. Each seat's first look at its record is a read of
+// its own here, which a VM's runner answers from one List.
 func Cost(seed uint64, n int) CostRow {
 	w := world.New(world.Options{
-		Seed: seed, VMs: n, Servers: n, Slices: min(n, 60), Centres: 4, Term: costTerm, Lean: true,
+		Seed: seed, VMs: n, Servers: n, Slices: n, Centres: 4, Term: costTerm, Lean: true,
+		Join: joined,
 	})
 	w.Run(costWarmup)
 	a := w.Count
--- a/internal/owner/trial/trial.go
+++ b/internal/owner/trial/trial.go
@@ -18,7 +18,9 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/fake/world"
+	"hawthornfield.org/hawthornfield/internal/owner/commit"
 )
 
 // Row is one line of the fault table.
@@ -78,7 +80,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	o := world.Options{
 		Seed: seed, Checks: checks, Skew: 5, Term: f.term,
-		VMs: 6, Servers: 6, Slices: 18, Centres: 3,
+		VMs: 6, Servers: 6, Slices: 18, Centres: 3, Join: joined,
 	}
 	if f.small {
 		o.VMs, o.Servers, o.Slices = 3, 3, 3
@@ -101,6 +103,9 @@
 	return out
 }
 
+// joined gives each VM its one writer of the table, as the daemon has it.
+func joined(c commit.Config) loop.Model { return commit.New(c) }
+
 // warmup is long enough for every seat to be held and every server granted.
 const warmup = 5 * time.Second
 
