Seat: keys that a lost server was given while it was lost leave at once

Cause: the planner learns of a lost server from the roster, after 1.5 s; the keys of servers lost in one moment are given away after 0.65 s, a part of them to servers that are lost too. Such a server's seat planned again only 500 ms after it last had, and again for each further turn.

Changed: a seat asks for a plan as soon as its server's set changes, and after a batch of a lost server. The keeper does not offer a planner servers that its own seats find silent. The large fleet's planner knows what the daemon's does: its own seats', and after 1.7 s the roster's.

Tried and left out: to send edits to the hub at once when many servers fell.

--- a/internal/edge/keeper/fleet_test.go
+++ b/internal/edge/keeper/fleet_test.go
@@ -37,8 +37,9 @@
 	fleetWatch   = 3           // VMs that hear of a table from the store, with its version
 	fleetWarm    = time.Minute // at most, until every seat is held
 	fleetSpan    = 12 * time.Second
-	fleetSuspect = 500 * time.Millisecond // until a lost VM is suspected
-	fleetLag     = 5 * time.Second        // until the platform lists it as gone
+	fleetNotice  = 1700 * time.Millisecond // until the roster knows a lost server as silent
+	fleetSuspect = 500 * time.Millisecond  // until a lost VM is suspected
+	fleetLag     = 5 * time.Second         // until the platform lists it as gone
 )
 
 // fleet is the keepers of all VMs around one store.
@@ -49,12 +50,13 @@
 	servers []config.Server
 	tab     table.Table
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	origin map[netip.AddrPort]*holder
-	names  map[ident.Server]*holder
-	lost   time.Time
-	served map[ident.Slice]time.Time // first grant after the loss
+	mu      sync.Mutex
+	rng     *rand.Rand
+	origin  map[netip.AddrPort]*holder
+	names   map[ident.Server]*holder
+	lost    time.Time
+	noticed bool                      // every VM knows which servers are lost
+	served  map[ident.Slice]time.Time // first grant after the loss
 }
 
 // tally is a store that counts what is done with the tables and with records,
@@ -260,13 +262,18 @@
 	}
 }
 
-// plan gives the keys of a lost server to those that are well.
-func (f *fleet) plan(_ *state.Service, tab table.Table, from ident.Server, _ []ident.Server) []table.Move {
+// plan gives the keys of a lost server to those that seem well: what this VM's own
+// seats know, and after a while what the roster knows.
+func (f *fleet) plan(svc *state.Service, tab table.Table, from ident.Server, usable []ident.Server) []table.Move {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	out := map[ident.Server]bool{from: true}
+	for _, s := range svc.Servers {
+		out[s.Name] = out[s.Name] || !slices.Contains(usable, s.Name)
+	}
 	var well []ident.Server
 	for _, s := range f.servers {
-		if !f.names[s.Name].dead {
+		if !out[s.Name] && (!f.noticed || !f.names[s.Name].dead) {
 			well = append(well, s.Name)
 		}
 	}
@@ -313,9 +320,27 @@
 		}
 	}
 	f.lost = time.Now()
+	time.AfterFunc(fleetNotice, f.notice)
 	return hit
 }
 
+// notice tells every VM which servers do not answer, as its probers do.
+func (f *fleet) notice() {
+	f.mu.Lock()
+	f.noticed = true
+	f.mu.Unlock()
+	for _, s := range f.servers {
+		f.mu.Lock()
+		dead := f.names[s.Name].dead
+		f.mu.Unlock()
+		if dead {
+			for _, k := range f.keepers {
+				k.SetAlive(s.Name, false)
+			}
+		}
+	}
+}
+
 func (f *fleet) hubCentre() ident.Centre {
 	first := hubs("lookup", f.vms)[0]
 	i := slices.IndexFunc(f.vms, func(vm vmlist.VM) bool { return vm.ID == first })
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -282,17 +282,23 @@
 	return up || !known
 }
 
-// usable lists the servers of a service that may be given keys, without one.
+// usable lists the servers of a service that may be given keys, without one. The
+// seats that this VM holds know of a silent server long before the roster does.
 func (k *Keeper) usable(svc *state.Service, not ident.Server) []ident.Server {
 	var all []ident.Server
 	for _, s := range svc.Servers {
-		if s.Name != not && k.Takes(s.Name) {
+		if s.Name != not && k.Takes(s.Name) && !k.silent(seatName{svc.Name, s.Name}) {
 			all = append(all, s.Name)
 		}
 	}
 	return all
 }
 
+func (k *Keeper) silent(name seatName) bool {
+	c, ok := k.seats[name]
+	return ok && c.loop.Model().(seat.Seat).Silent()
+}
+
 // Status is one seat's state, for operators.
 type Status struct {
 	Service ident.Service `json:"service"`
--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -65,6 +65,7 @@
 	}
 	if r, _ := m.Table.Row(t.cfg.Server); r.Rev != t.row().Rev && t.move == rest {
 		t.srv.next = t.now // the server's set changed: grant it now, not at the next renewal
+		t.planAt = t.now   // or give it away now, if it came to a server that is lost as well
 	}
 	if m.Table.Rev > t.tab.Rev || m.Version != 0 {
 		t.tab, t.tabVer = m.Table, m.Version
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -262,6 +262,9 @@
 func (t *turn) written() {
 	t.fire(moveChart, &t.move, "written")
 	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.tab.Rev})
+	if t.b.lost {
+		t.planAt = t.now // for what the server was given while it was lost
+	}
 	t.b = batch{}
 	t.srv.next = t.now
 }
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -134,6 +134,9 @@
 	return s.epoch, s.auth == holding && now.Before(s.until)
 }
 
+// Silent reports whether this VM holds the seat and its server does not answer.
+func (s Seat) Silent() bool { return s.auth == holding && (s.lease == silent || s.lease == out) }
+
 // Status is a seat's state for operators.
 type Status struct {
 	Authority chart.State `json:"authority"`
