Seat: the table is not read for a plan when the store answered just before

Cause: a lost server that is given keys asks for a plan at each turn, and read the table each time only to know that the store answers.

--- a/internal/owner/seat/lost.go
+++ b/internal/owner/seat/lost.go
@@ -61,7 +61,9 @@
 	if t.due(lapseAt.Add(-planAhead)) && t.due(t.planAt) {
 		t.planAt = t.now.Add(askPause)
 		t.do(PlanCmd{Server: t.cfg.Server, Lost: true})
-		t.readTable() // see storeFresh
+		if t.now.Sub(t.seen) > storeFresh-planAhead {
+			t.readTable() // so that the store has answered lately when the plan is carried out
+		}
 	}
 }
 
