--- a/ownership.go
+++ b/ownership.go
@@ -17,6 +17,9 @@
 	Owner = table.Owner
 	// Move gives a slice, or a single hot key, to another server.
 	Move = table.Move
+	// Edit is what a seat wants changed in a Table, apart from the Table it was
+	// worked out on.
+	Edit = table.Edit
 
 	// Seat is the decision module of one seat on one VM.
 	Seat = seat.Seat
