--- a/internal/edge/trial/trial.go
+++ b/internal/edge/trial/trial.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -71,6 +70,7 @@
 	P999   time.Duration `json:"p999"`
 	Count  int64         `json:"count"`
 	Failed int64         `json:"failed"` // answers other than 200
+	Codes  map[int]int64 `json:"codes"`  // failures by status; 0 is no answer
 	Rate   float64       `json:"rate"`   // requests a second that were sent
 }
 
@@ -85,8 +85,8 @@
 // String renders the result as a small table.
 func (r Result) String() string {
 	line := func(name string, s Side) string {
-		return fmt.Sprintf("%-7s p50 %8v  p99 %8v  p99.9 %8v  %.0f/s  %d sent  %d failed\n",
-			name, s.P50, s.P99, s.P999, s.Rate, s.Count, s.Failed)
+		return fmt.Sprintf("%-7s p50 %8v  p99 %8v  p99.9 %8v  %.0f/s  %d sent  %d failed %v\n",
+			name, s.P50, s.P99, s.P999, s.Rate, s.Count, s.Failed, s.Codes)
 	}
 	return line("direct", r.Direct) + line("routed", r.Routed) + fmt.Sprintf("added   p50 %8v  p99 %8v\n", r.P50, r.P99)
 }
@@ -237,7 +237,7 @@
 		if ctx.Err() != nil {
 			return kinds.Wrap(kinds.Late, ctx.Err(), "the entry VM did not become ready")
 		}
-		if s.vm.Ready() == nil && s.send(ctx, s.routed(i), i) {
+		if s.vm.Ready() == nil && s.send(ctx, s.routed(i), i) == http.StatusOK {
 			i++
 		}
 	}
@@ -267,19 +267,22 @@
 	return s.addrs[owner.Server]
 }
 
-func (s *scene) send(ctx context.Context, to netip.AddrPort, i int) bool {
+// send returns the status of the answer, zero if none came whole.
+func (s *scene) send(ctx context.Context, to netip.AddrPort, i int) int {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to.String()+path(i), nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	r.Header.Set(relay.HeaderKey, path(i)[len("/scales/"):])
 	resp, err := s.client.Do(r)
 	if err != nil {
-		return false
+		return 0
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
+	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
 }
 
 // arrival is a request that is due.
@@ -299,8 +302,8 @@
 				if !ok || a.at.IsZero() {
 					return nil
 				}
-				ok = s.send(ctx, to(a.n), a.n)
-				t.add(time.Since(a.at), ok)
+				code := s.send(ctx, to(a.n), a.n)
+				t.add(time.Since(a.at), code)
 			}
 		})
 	}
@@ -322,30 +325,37 @@
 
 // tally collects latencies.
 type tally struct {
-	mu     sync.Mutex
-	hist   *hdrhistogram.Histogram
-	failed atomic.Int64
-	spent  time.Duration
+	mu    sync.Mutex
+	hist  *hdrhistogram.Histogram
+	codes map[int]int64
+	spent time.Duration
 }
 
 func newTally() *tally {
 	const digits = 3
-	return &tally{hist: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), digits)}
+	return &tally{
+		hist:  hdrhistogram.New(1, int64(time.Minute/time.Microsecond), digits),
+		codes: map[int]int64{},
+	}
 }
 
-func (t *tally) add(d time.Duration, ok bool) {
-	if !ok {
-		t.failed.Add(1)
-	}
+func (t *tally) add(d time.Duration, code int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if code != http.StatusOK {
+		t.codes[code]++
+	}
 	_ = t.hist.RecordValue(int64(d / time.Microsecond))
 }
 
 func (t *tally) side() Side {
 	q := func(p float64) time.Duration { return time.Duration(t.hist.ValueAtQuantile(p)) * time.Microsecond }
+	var failed int64
+	for _, n := range t.codes {
+		failed += n
+	}
 	return Side{
-		P50: q(50), P99: q(99), P999: q(99.9), Count: t.hist.TotalCount(), Failed: t.failed.Load(),
+		P50: q(50), P99: q(99), P999: q(99.9), Count: t.hist.TotalCount(), Failed: failed, Codes: t.codes,
 		Rate: float64(t.hist.TotalCount()) / t.spent.Seconds(),
 	}
 }
