rules/quorum: an edit is accepted when more than half of the entry VMs hold it

Cause: the confirmed update of the store was acceptance. While most entry VMs reach neither the store nor a VM that does, and hear each other, they go on under the old rules as in an outage of the store; the operator had been told 'accepted'.

Now each VM confirms what it holds to a counting VM, which records it once more than half do; the command waits for that record and exits with a code of its own when it does not come. Before: with two of three VMs stopped, 'accepted as revision 3' at once. After: 'written as revision 3 and not accepted yet', code 7, and accepted when they came back.

The demonstration also judges that acceptance was counted.

--- a/internal/admin/cmds/app.go
+++ b/internal/admin/cmds/app.go
@@ -36,6 +36,7 @@
 	ExitConflict = 4 // another operator's edit came first; nothing was changed
 	ExitDown     = 5 // the platform cannot be reached, or did not say what it did
 	ExitBroken   = 6 // the demonstration or the comparison found something broken
+	ExitPending  = 7 // the rules are written, and were not seen to be accepted
 )
 
 // exits maps error kinds to exit codes; all others are ExitFault.
@@ -53,6 +54,9 @@
 // errBroken makes the program exit with ExitBroken.
 var errBroken = errors.New("not everything held")
 
+// errPending makes the program exit with ExitPending.
+var errPending = errors.New("not accepted yet")
+
 const overview = `hawthorn routes requests to backend servers that own their keys exclusively.
 
 Try it first:       hawthorn demo
@@ -61,7 +65,8 @@
 Operate:            hawthorn rules list, report, owners
 
 Exit codes: 0 done, 1 fault, 2 wrong command line, 3 invalid settings or rules,
-4 conflict with another edit, 5 platform not reachable, 6 a promise was broken.`
+4 conflict with another edit, 5 platform not reachable, 6 a promise was broken,
+7 rules written and not accepted yet.`
 
 // app is what every command shares.
 type app struct {
@@ -100,6 +105,9 @@
 	case errors.Is(err, errBroken):
 		fmt.Fprintf(errs, "hawthorn: %v\n", err)
 		return ExitBroken
+	case errors.Is(err, errPending):
+		fmt.Fprintf(errs, "hawthorn: %v\n", err)
+		return ExitPending
 	}
 	fmt.Fprintf(errs, "hawthorn: %s\n", explain(err))
 	if code, ok := exits[kinds.Of(err)]; ok {
--- a/internal/admin/cmds/rules.go
+++ b/internal/admin/cmds/rules.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
@@ -14,12 +15,14 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
+	"hawthornfield.org/hawthornfield/internal/rules/quorum"
 	"hawthornfield.org/hawthornfield/internal/rules/save"
 )
 
 const (
 	rulesHelp = `Rules are tried in their order; the first that matches decides. Every edit makes
-a new revision of the whole list, and is accepted or refused as a whole.`
+a new revision of the whole list, and is written or refused as a whole. It is
+accepted when more than half of the entry VMs hold it; nothing goes back.`
 	listHelp = `Shows the rules in force, in their order, with the revision that an edit has to
 name. With --rev an earlier revision.`
 	putHelp = `Adds the rules of a file, or replaces those of the same name. A new rule goes to
@@ -67,9 +70,27 @@
 		_, err = c.app.out.Write(text)
 		return err
 	}
+	if c.Rev == 0 {
+		held, err := save.Accepted(s.ctx, s.store)
+		if err != nil {
+			return err
+		}
+		printAccepted(c.app.out, rec.Rev, held)
+	}
 	return printRules(c.app.out, rec)
 }
 
+func printAccepted(w io.Writer, rev ident.Revision, held quorum.Record) {
+	switch {
+	case held.Rev >= rev:
+		fmt.Fprintf(w, "accepted: %d of %d entry VMs held it\n", held.Have, held.Live)
+	case held.Rev > 0:
+		fmt.Fprintf(w, "not accepted yet; revision %d is\n", held.Rev)
+	default:
+		fmt.Fprintln(w, "not accepted yet")
+	}
+}
+
 func printRules(w io.Writer, rec *force.Record) error {
 	fmt.Fprintf(w, "revision %d by %s, %s: %s\n\n", rec.Rev, rec.Author, rec.At.UTC().Format(time.DateTime), rec.Note)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -110,6 +131,8 @@
 	Seen uint64 `long:"seen" value-name:"N" required:"yes" description:"the revision that you looked at"`
 	By   string `long:"by" value-name:"NAME" env:"USER" description:"who makes the edit"`
 	Note string `long:"note" value-name:"TEXT" description:"why"`
+
+	Wait time.Duration `long:"wait" default:"7s" description:"longest wait until the edit is accepted; 0s does not wait"`
 }
 
 // place is where a rule goes.
@@ -150,7 +173,25 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.app.out, "accepted as revision %d; in force everywhere within seconds\n", rec.Rev)
+	return e.await(s, rec.Rev)
+}
+
+// await says whether the edit is accepted. Until it is, an entry VM that is cut
+// off may answer under an older revision, and the operator must not be told
+// otherwise.
+func (e *edit) await(s *session, rev ident.Revision) error {
+	if e.Wait <= 0 {
+		fmt.Fprintf(e.app.out, "written as revision %d; hawthorn rules list shows when it is accepted\n", rev)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(e.app.ctx, e.Wait)
+	defer cancel()
+	held, err := save.Await(ctx, s.store, rev)
+	if err != nil {
+		return fmt.Errorf("written as revision %d and %w after %v: it stays, and is accepted once more than half of the entry VMs hold it.\n"+
+			"Entry VMs that are cut off may answer under an older revision meanwhile; hawthorn rules list shows when it is accepted", rev, errPending, e.Wait)
+	}
+	fmt.Fprintf(e.app.out, "accepted as revision %d: %d of %d entry VMs hold it; in force everywhere within seconds\n", rev, held.Have, held.Live)
 	return nil
 }
 
--- a/internal/admin/demo/print.go
+++ b/internal/admin/demo/print.go
@@ -38,10 +38,11 @@
 	}
 	slowest := time.Duration(0)
 	for _, at := range e.edit.inForce {
-		slowest = max(slowest, at.Sub(e.edit.accepted))
+		slowest = max(slowest, at.Sub(e.edit.written))
 	}
-	fmt.Fprintf(w, "; entry VM %d shut down in %v; rules revision %d in force everywhere after %v; store away for %v\n\n",
-		e.left+1, e.goneAt.Sub(e.leftAt).Round(time.Millisecond), e.edit.rev, slowest.Round(time.Millisecond),
+	fmt.Fprintf(w, "; entry VM %d shut down in %v; rules revision %d accepted after %v and in force everywhere after %v; store away for %v\n\n",
+		e.left+1, e.goneAt.Sub(e.leftAt).Round(time.Millisecond), e.edit.rev,
+		e.edit.accepted.Sub(e.edit.written).Round(time.Millisecond), slowest.Round(time.Millisecond),
 		e.backAt.Sub(e.downAt).Round(time.Millisecond))
 }
 
--- a/internal/admin/demo/site.go
+++ b/internal/admin/demo/site.go
@@ -29,6 +29,7 @@
 	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
+	"hawthornfield.org/hawthornfield/internal/rules/quorum"
 	"hawthornfield.org/hawthornfield/internal/rules/save"
 )
 
@@ -202,6 +203,13 @@
 	return rec.Rev, nil
 }
 
+// held waits until more than half of the entry VMs are known to hold a revision.
+func (s *site) held(ctx context.Context, rev ident.Revision) (quorum.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, rulesWithin)
+	defer cancel()
+	return save.Await(ctx, s.store, rev)
+}
+
 // entries starts one entry VM in each data centre.
 func (s *site) entries(ctx context.Context, services []config.Service) error {
 	ca, err := certs.NewAuthority(time.Hour)
--- a/internal/admin/demo/story.go
+++ b/internal/admin/demo/story.go
@@ -15,6 +15,7 @@
 	"hawthornfield.org/hawthornfield/internal/fake/origin"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/vmlist"
+	"hawthornfield.org/hawthornfield/internal/rules/quorum"
 	"hawthornfield.org/hawthornfield/internal/rules/save"
 )
 
@@ -64,9 +65,11 @@
 // edit is a change of the rules and when each entry VM had it in force.
 type edit struct {
 	rev      ident.Revision
+	written  time.Time
 	accepted time.Time
-	inForce  []time.Time // zero: never
-	back     bool        // some VM went back to an older revision
+	held     quorum.Record // by whom it was held when it was accepted
+	inForce  []time.Time   // zero: never
+	back     bool          // some VM went back to an older revision
 }
 
 // Run plays both users' sites at once, prints what happened, and reports whether
@@ -152,7 +155,11 @@
 	if err != nil {
 		return err
 	}
-	e.edit = edit{rev: rev, accepted: time.Now()}
+	e.edit = edit{rev: rev, written: time.Now()}
+	if e.edit.held, err = s.held(ctx, rev); err != nil {
+		return err
+	}
+	e.edit.accepted = time.Now()
 	after(drainAt - editAt)
 	for _, svc := range []ident.Service{s.keyed.name, s.once.name} {
 		name := s.names[svc][2]
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -206,9 +206,11 @@
 		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
 		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table,
 		Loads:   func(rows []gossip.Row) { weigh(a.State, rows) },
+		Confirm: mail{a.Peers, link.Rules},
 		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
 	a.Peers.on(link.Gossip, n.Handle)
+	a.Peers.on(link.Rules, n.HandleConfirm)
 	closes(lc, n)
 	return n
 }
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -22,6 +22,7 @@
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
+	"hawthornfield.org/hawthornfield/internal/rules/quorum"
 )
 
 const tablePrefix = "table/"
@@ -44,6 +45,7 @@
 	Peers   Sender
 	Tables  func(table.Table, object.Version) // told of each table; version zero from a peer
 	Loads   func([]gossip.Row)                // told of loads that peers read
+	Confirm Sender                            // carries what rules/quorum tells other VMs; nil: nobody is told
 	Timeout time.Duration                     // of one store call, watches apart
 	Log     *slog.Logger
 }
@@ -55,6 +57,7 @@
 	effect group.Group
 	rules  *loop.Loop
 	gossip *loop.Loop
+	quorum *loop.Loop
 
 	watching atomic.Bool
 	watchers *follower
@@ -74,6 +77,7 @@
 	n.watchers = &follower{n: n}
 	n.rules = loop.New(force.Model{}, loop.RunnerFunc(n.runRules))
 	n.gossip = loop.New(gossip.New(time.Now(), o.Self), loop.RunnerFunc(n.runGossip))
+	n.quorum = loop.New(quorum.New(o.Self.VM), loop.RunnerFunc(n.runQuorum))
 	n.group.Go(n.tickRules)
 	n.group.Go(n.tickGossip)
 	n.group.Go(n.probes)
@@ -83,7 +87,7 @@
 // Close leaves the exchange and waits.
 func (n *News) Close() error {
 	err := n.group.Close()
-	for _, c := range []interface{ Close() error }{n.gossip, n.rules, n.watchers, &n.effect} {
+	for _, c := range []interface{ Close() error }{n.gossip, n.rules, n.quorum, n.watchers, &n.effect} {
 		if e := c.Close(); err == nil {
 			err = e
 		}
@@ -92,7 +96,10 @@
 }
 
 // SetPeers says which VMs take part, this one included.
-func (n *News) SetPeers(live []gossip.Peer) { n.gossip.Send(gossip.PeersMsg{Live: live}) }
+func (n *News) SetPeers(live []gossip.Peer) {
+	n.gossip.Send(gossip.PeersMsg{Live: live})
+	n.quorum.Send(quorum.PeersMsg{Order: gossip.WatchOrder(live)})
+}
 
 // Report passes on loads of backend servers that this VM read itself.
 func (n *News) Report(rows []gossip.Row) { n.gossip.Send(gossip.ReportMsg{Rows: rows}) }
@@ -176,6 +183,7 @@
 	switch cmd := cmd.(type) {
 	case force.ApplyCmd:
 		n.Book.Apply(cmd.Snap)
+		n.quorum.Send(quorum.HoldMsg{Rev: cmd.Snap.Rev})
 		n.Log.Info("rules in force", "rev", cmd.Snap.Rev, "author", cmd.Snap.Author)
 	case force.ServeCmd:
 		n.Book.SetState(cmd.State)
@@ -200,6 +208,7 @@
 func (n *News) tickRules(ctx context.Context) error {
 	for ctx.Err() == nil {
 		n.rules.Send(force.TickMsg{})
+		n.quorum.Send(quorum.TickMsg{})
 		sleep(ctx, tickRules)
 	}
 	return nil
--- a/internal/node/gossip/tree.go
+++ b/internal/node/gossip/tree.go
@@ -21,6 +21,10 @@
 	return xxhash.Sum64String(salt + "\x00" + string(vm))
 }
 
+// WatchOrder lists the VMs in the order in which they are to watch the store.
+// It is the same on every VM that is given the same peers.
+func WatchOrder(peers []Peer) []ident.VM { return watchOrder(peers) }
+
 // watchOrder lists the VMs in the order in which they are to watch the store:
 // the first of each data centre, then the second of each, so that the first few
 // stand in different centres.
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -51,6 +51,7 @@
 	Seat   Kind = 2 // owner/seat
 	Beat   Kind = 3 // heartbeats
 	Load   Kind = 4 // load reports
+	Rules  Kind = 5 // rules/quorum
 )
 
 // Peer says where a VM listens.
