owner/place: keys that nobody asks for are spread by number

Cause: what has no load ties everywhere, and a tie went to the first of the least loaded servers. A quiet service of 16 servers and 512 slices that lost one put all 32 of its slices on one other server: 64 there, 32 on each of the rest.

Now idle slices go to those that have the fewest: 34 or 35 on each. Load is placed as before.

--- a/internal/owner/place/place_test.go
+++ b/internal/owner/place/place_test.go
@@ -240,6 +240,31 @@
 	assert.Assert(t, Imbalance(after(in, moves)) < 1.04)
 }
 
+// A server is lost at night, when nobody asks for anything, or for half of the
+// keys only. What nobody asks for weighs nothing wherever it goes, so by load
+// alone all of it lands on the server that happens to be the least loaded one;
+// in the morning that server has twice the keys of the others, and its callers
+// wait.
+func TestKeysThatNobodyAsksForSpreadEvenly(t *testing.T) {
+	for _, idle := range []int{1, 2} { // every slice, every second one
+		in := even(16, 512, Band{High: 0.2, Low: 0.4, Budget: 2})
+		for s := range in.Loads {
+			if s/16%idle == 0 {
+				in.Loads[s] = 0
+			}
+		}
+		in.Servers[2].Takes = false
+		out := after(in, Plan(in))
+		counts := map[ident.Server]int{}
+		for _, owner := range out.Owners {
+			counts[owner]++
+		}
+		for owner, n := range counts {
+			assert.Assert(t, n >= 512/15 && n <= 512/15+2, "%s has %d of 512 slices", owner, n)
+		}
+	}
+}
+
 // A server restarts and comes back empty and cold. Within the band nothing flows
 // back, since each move would cost a wait and a cold start for little; a server
 // that stays nearly idle gets keys, few while it is cold.
--- a/internal/owner/place/plan.go
+++ b/internal/owner/place/plan.go
@@ -36,6 +36,7 @@
 	Server
 	capacity float64
 	load     float64
+	count    int   // items that it has
 	items    []int // by load, the largest first; sorted at first use
 	sorted   bool
 	stuck    bool // nothing can be moved away from it
@@ -43,6 +44,8 @@
 
 func (h *host) ratio() float64 { return h.load / h.capacity }
 
+func (h *host) crowd() float64 { return float64(h.count) / h.capacity }
+
 type plan struct {
 	in      Input
 	hosts   []host
@@ -52,6 +55,7 @@
 	mean    float64 // load for each unit of capacity
 	spent   int
 	byRatio *ladder            // takers, the least loaded first
+	byCount *ladder            // takers, those with the fewest items first
 	centres map[string]*ladder // the same for each data centre
 }
 
@@ -106,6 +110,7 @@
 	for i := range p.items {
 		if at := p.items[i].now; at >= 0 {
 			p.hosts[at].load += p.items[i].load
+			p.hosts[at].count++
 			p.hosts[at].items = append(p.hosts[at].items, i)
 		}
 	}
@@ -134,6 +139,12 @@
 
 // rescue finds new owners for everything that has none or whose owner does not
 // take keys. The largest go first, each to the least loaded server.
+//
+// What nobody asked for lately weighs nothing wherever it goes. By load alone
+// all of it would go to the one server that is least loaded at the moment: a
+// quiet service that lost a server would put that server's keys on a single
+// other one, which then has twice the keys of the rest when they are asked for.
+// So it goes to those that have the fewest.
 func (p *plan) rescue() {
 	p.climb()
 	var homeless []int
@@ -151,20 +162,25 @@
 	}
 	slices.SortStableFunc(homeless, func(a, b int) int { return cmp.Compare(p.items[b].load, p.items[a].load) })
 	for _, i := range homeless {
-		p.put(i, p.least(p.items[i].slice))
+		if p.items[i].load > 0 {
+			p.put(i, p.least(p.items[i].slice))
+		} else {
+			p.put(i, p.byCount.top())
+		}
 	}
 }
 
 // climb builds the ladders.
 func (p *plan) climb() {
-	p.byRatio = newLadder(p.hosts, p.takers)
+	p.byRatio = newLadder(p.hosts, p.takers, (*host).ratio)
+	p.byCount = newLadder(p.hosts, p.takers, (*host).crowd)
 	byCentre := map[string][]int{}
 	for _, i := range p.takers {
 		c := string(p.hosts[i].Centre)
 		byCentre[c] = append(byCentre[c], i)
 	}
 	for c, list := range byCentre {
-		p.centres[c] = newLadder(p.hosts, list)
+		p.centres[c] = newLadder(p.hosts, list, (*host).ratio)
 	}
 }
 
@@ -192,10 +208,12 @@
 	x := &p.items[i]
 	if x.now >= 0 {
 		p.hosts[x.now].load -= x.load
+		p.hosts[x.now].count--
 		p.settle(x.now)
 	}
 	x.now = to
 	p.hosts[to].load += x.load
+	p.hosts[to].count++
 	p.hosts[to].items = append(p.hosts[to].items, i)
 	p.hosts[to].sorted = false
 	p.settle(to)
@@ -206,6 +224,7 @@
 		return
 	}
 	p.byRatio.fix(h)
+	p.byCount.fix(h)
 	p.centres[string(p.hosts[h].Centre)].fix(h)
 }
 
@@ -285,15 +304,16 @@
 	return -1
 }
 
-// ladder is a heap of servers, the least loaded at the top.
+// ladder is a heap of servers, the one with the least of something at the top.
 type ladder struct {
 	hosts []host
+	of    func(*host) float64
 	list  []int
 	at    map[int]int
 }
 
-func newLadder(hosts []host, members []int) *ladder {
-	l := &ladder{hosts: hosts, list: slices.Clone(members), at: make(map[int]int, len(members))}
+func newLadder(hosts []host, members []int, of func(*host) float64) *ladder {
+	l := &ladder{hosts: hosts, of: of, list: slices.Clone(members), at: make(map[int]int, len(members))}
 	for k, h := range l.list {
 		l.at[h] = k
 	}
@@ -311,7 +331,7 @@
 // Less implements heap.Interface.
 func (l *ladder) Less(i, j int) bool {
 	a, b := &l.hosts[l.list[i]], &l.hosts[l.list[j]]
-	return cmp.Or(cmp.Compare(a.ratio(), b.ratio()), cmp.Compare(l.list[i], l.list[j])) < 0
+	return cmp.Or(cmp.Compare(l.of(a), l.of(b)), cmp.Compare(l.list[i], l.list[j])) < 0
 }
 
 // Swap implements heap.Interface.
