load: bad owners and uploads refuse early, and cost the lookups less

Long ones do not count with the short ones any more; they have their own bound, half the slots. - Ten VMs each with half the slots of an owner. Now the right to start an upload at an owner goes round by the clock (sizes.Token).

The machine's check "no more than slots+1 at once" now counts short ones while both kinds are around, beside two new ones: uploads of keys within half the slots, all within the connections.

--- a/internal/load/bench/all.go
+++ b/internal/load/bench/all.go
@@ -42,16 +42,16 @@
 
 // Table writes rows as a Markdown table.
 func Table(w io.Writer, rows []Row) error {
-	const head = "| service | scene | window | policy | group | asked | in time | refused | unknown | p50 ms | p99 ms | p999 ms | refused within (p99) ms | goodput | imbalance | extra |\n" +
-		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
+	const head = "| service | scene | window | policy | group | asked | in time | refused | unknown | p50 ms | p99 ms | p999 ms | refused within (p99) ms | refused after 10 ms | goodput | imbalance | extra |\n" +
+		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
 	if _, err := io.WriteString(w, head); err != nil {
 		return err
 	}
 	for _, r := range rows {
-		_, err := fmt.Fprintf(w, "| %s | %s | %d | %s | %s | %d | %.4f | %.4f | %.4f | %.1f | %.1f | %.1f | %.1f | %.3f | %.2f | %.3f |\n",
+		_, err := fmt.Fprintf(w, "| %s | %s | %d | %s | %s | %d | %.4f | %.4f | %.4f | %.1f | %.1f | %.1f | %.1f | %.4f | %.3f | %.2f | %.3f |\n",
 			r.Service, r.Scene, r.Window, r.Policy, r.Group, r.Asked,
 			r.share(r.InTime), r.share(r.Refused), r.share(r.Unknown),
-			millis(r.P50), millis(r.P99), millis(r.P999), millis(r.RefuseP99),
+			millis(r.P50), millis(r.P99), millis(r.P999), millis(r.RefuseP99), r.share(r.Held),
 			r.Goodput, r.Imbalance, r.Extra)
 		if err != nil {
 			return err
--- a/internal/load/bench/result.go
+++ b/internal/load/bench/result.go
@@ -37,6 +37,7 @@
 	asked   int
 	ends    [endings]int
 	inTime  int
+	held    int                     // refused later than prompt
 	latency *hdrhistogram.Histogram // of answers, microseconds
 	refusal *hdrhistogram.Histogram // from asking to the refusal
 }
@@ -44,6 +45,8 @@
 const (
 	longest = int64(10 * time.Minute / time.Microsecond)
 	digits  = 3
+	// prompt is the target for the time until a refusal.
+	prompt = 10 * time.Millisecond
 )
 
 type results struct {
@@ -101,6 +104,9 @@
 		}
 	case Refused:
 		_ = t.refusal.RecordValue(micros)
+		if now-r.asked > prompt {
+			t.held++
+		}
 	default:
 	}
 }
@@ -124,6 +130,8 @@
 	// RefuseP99 and RefuseMax are how long callers waited to be refused.
 	RefuseP99 time.Duration `json:"refusep99"`
 	RefuseMax time.Duration `json:"refusemax"`
+	// Held is how many were refused later than the target of 10 ms.
+	Held int `json:"held"`
 	// Goodput is the work of answers in time over the capacity of all slots,
 	// over all groups of the window.
 	Goodput float64 `json:"goodput"`
@@ -164,6 +172,7 @@
 		Refused: t.ends[Refused], Unknown: t.ends[Unknown],
 		P50: at(t.latency, 50), P99: at(t.latency, 99), P999: at(t.latency, 99.9),
 		RefuseP99: at(t.refusal, 99), RefuseMax: time.Duration(t.refusal.Max()) * time.Microsecond,
+		Held: t.held,
 	}
 }
 
--- a/internal/load/bench/scene_test.go
+++ b/internal/load/bench/scene_test.go
@@ -14,6 +14,8 @@
 // docs/design/load.md:
 //
 //	HAWTHORN_TABLE=1 go test -v -run TestTable ./internal/load/bench
+//
+// HAWTHORN_TABLE can name one service, and HAWTHORN_SCENE one scene.
 func TestTable(t *testing.T) {
 	if os.Getenv("HAWTHORN_TABLE") == "" {
 		t.Skip("set HAWTHORN_TABLE=1 to print the table")
@@ -23,7 +25,11 @@
 		if only := os.Getenv("HAWTHORN_TABLE"); only != "1" && only != s.Name {
 			continue
 		}
-		all = append(all, Scenes(s)...)
+		for _, sc := range Scenes(s) {
+			if only := os.Getenv("HAWTHORN_SCENE"); only == "" || strings.Contains(only, sc.Name) {
+				all = append(all, sc)
+			}
+		}
 	}
 	rows, err := RunAll(all, seed)
 	assert.NilError(t, err)
--- a/internal/load/bench/target_test.go
+++ b/internal/load/bench/target_test.go
@@ -151,3 +151,37 @@
 		assert.Assert(t, 2*short.P99 <= naive.P99, "p99 %v, naive %v", short.P99, naive.P99)
 	}
 }
+
+// In services divided by key nobody else can serve what a bad owner does not.
+// Its callers must be told soon, and no fewer be served than the naive policy
+// serves, but for what its tries at every moment find.
+func TestBadOwners(t *testing.T) {
+	for _, s := range []Service{Basin(), Viewer()} {
+		for name, within := range map[string]time.Duration{
+			"failing-server": early, "frozen-server": 120 * time.Millisecond, "slow-server": 150 * time.Millisecond,
+		} {
+			r := find(t, Run(scene(t, s, name), Ours, seed), 0, Other)
+			naive := find(t, Run(scene(t, s, name), Naive, seed), 0, Other)
+			assert.Assert(t, r.RefuseP99 <= within, "%s: %s: refused after %v", s.Name, name, r.RefuseP99)
+			assert.Assert(t, r.share(r.Held) <= 0.002, "%s: %s: %d refused late", s.Name, name, r.Held)
+			assert.Assert(t, r.share(r.InTime) >= naive.share(naive.InTime)-0.006, "%s: %s: in time %.4f", s.Name, name, r.share(r.InTime))
+		}
+	}
+}
+
+// Uploads for keys take 40 in 100 of the time of their owners' slots. With all
+// that the VMs could know of each other, 978 and 954 in 1,000 lookups were
+// served in time; the token must keep most of it, and let the uploads through.
+func TestLongAmongShortAtOwners(t *testing.T) {
+	for name, least := range map[string]float64{"basin-lookup": 0.975, "kerala-viewer": 0.915} {
+		for _, s := range Services() {
+			if s.Name != name {
+				continue
+			}
+			rows := Run(scene(t, s, "long-among-short"), Ours, seed)
+			short, long := find(t, rows, 0, Other), find(t, rows, 0, Long)
+			assert.Assert(t, short.share(short.InTime) >= least, "%s: lookups %.4f", name, short.share(short.InTime))
+			assert.Assert(t, long.share(long.InTime) >= 0.95, "%s: uploads %.4f", name, long.share(long.InTime))
+		}
+	}
+}
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -160,6 +160,8 @@
 	wait := turns(each, l.q.Ahead(uint8(t.Job.Class), t.item.Rank)) + stalled(now, owner) + back
 	slack := t.item.By.Sub(now)
 	switch {
+	case owner != nil && owner.health.Failing():
+		return c.refuse(t, kinds.NoServer, c.hint(wait))
 	case l.q.Standing() && over > 0:
 		l.heldOff(now)
 		return c.refuse(t, kinds.Busy, c.hint(over))
@@ -173,7 +175,7 @@
 		l.squeeze(now, each)
 		return c.refuse(t, kinds.Busy, c.hint(wait))
 	}
-	c.enqueue(now, l, t)
+	c.enqueue(now, l, owner, t)
 	c.trim(now, l, each, t)
 	return Wait
 }
@@ -189,7 +191,11 @@
 	if owner != nil && k == sizes.Short {
 		held = max(held, owner.load.Latency())
 	}
-	return time.Duration(float64(held) / max(width, 1))
+	each := time.Duration(float64(held) / max(width, 1))
+	if owner != nil && k == sizes.Long && c.mix.Mixed(now) {
+		each = max(each, c.token(owner).Round())
+	}
+	return each
 }
 
 // turns is the wait of a request with so many ahead of it.
@@ -211,7 +217,7 @@
 	return owner.health.Stalled(now)
 }
 
-func (c *Core) enqueue(now time.Time, l *lane, t *Ticket) {
+func (c *Core) enqueue(now time.Time, l *lane, owner *server, t *Ticket) {
 	t.item.Value = t
 	t.item.Class = uint8(t.Job.Class)
 	l.charge(now, t)
@@ -219,6 +225,9 @@
 	t.state = waiting
 	c.waiting++
 	c.stats.Queued++
+	if owner != nil && c.thinkAt.IsZero() {
+		c.thinkAt = now.Add(rethinkEvery)
+	}
 	if c.soonest.IsZero() || t.item.By.Before(c.soonest) {
 		c.soonest = t.item.By
 	}
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -23,6 +23,9 @@
 // MayRetry reports whether a started request may be tried again after o, and
 // takes the retry from the budget.
 func (c *Core) MayRetry(now time.Time, t *Ticket, o Outcome) bool {
+	if t.Job.Server != "" && t.srv.health.Failing() {
+		return false // there is no other server for this key
+	}
 	ok := c.budget.May(retry.Try{
 		Kind:       o.Kind,
 		Refused:    o.Refused,
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -71,6 +71,7 @@
 	budget  retry.Budget
 	press   float64 // recent share of requests refused
 	soonest time.Time
+	thinkAt time.Time // when waits are estimated again
 	judgeAt time.Time
 	running int
 	waiting int
@@ -231,14 +232,11 @@
 	return !c.mix.Mixed(now) || s.long < c.share.Long(s.idx, len(c.servers), s.info.Slots)
 }
 
-// longRoom is ownsLong for the owner of a key: the request has no other place
-// to go, so half the slots are open to each VM.
-func (c *Core) longRoom(now time.Time, s *server) bool {
-	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
-}
-
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
 	t.state, t.srv, t.at = started, s, now
+	if t.long == sizes.Long && t.Job.Server != "" {
+		c.useTurn(now, s)
+	}
 	s.start(now, t.long, c.typical(t.long))
 	c.running++
 	c.stats.Started++
@@ -324,7 +322,7 @@
 // Next is when Tick has something to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
 	var next time.Time
-	for _, at := range [...]time.Time{c.soonest, c.judgeAt, c.askAt} {
+	for _, at := range [...]time.Time{c.soonest, c.judgeAt, c.askAt, c.thinkAt} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/internal/load/gate/core_test.go
+++ b/internal/load/gate/core_test.go
@@ -11,6 +11,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
 var begin = time.Unix(1000, 0)
@@ -152,7 +153,16 @@
 	} else {
 		assert.Assert(t, !m.drain[s], "new work for a draining server")
 	}
-	assert.Assert(t, m.core.byName[s].running <= m.bound[s], "more than slots+1 at once")
+	srv := m.core.byName[s]
+	if srv.kind == sizes.Short {
+		assert.Assert(t, srv.running-srv.long <= m.bound[s], "more than slots+1 short ones at once")
+	} else {
+		assert.Assert(t, srv.running <= m.bound[s], "more than slots+1 at once")
+	}
+	if k.long == sizes.Long && m.core.mix.Mixed(m.now) {
+		assert.Assert(t, k.Job.Server == "" || srv.long <= max(srv.info.Slots/2, 1), "uploads on more than half the slots")
+	}
+	assert.Assert(t, srv.running <= srv.pool.Most(m.now), "more than the connections")
 }
 
 func (m *machine) Done(t *rapid.T) {
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -28,6 +28,9 @@
 	load   pick.Load
 	health health.Server
 	pool   conns.Pool
+	told   int // load in the last report
+	toldAt time.Time
+	turn   turn
 	own    *lanes // requests for the keys it owns
 }
 
@@ -47,7 +50,17 @@
 	return max(s.health.Most(allowed), 1)
 }
 
-func (s *server) roomKeyed(now time.Time) bool { return !s.gone && s.running < s.most(now) }
+// roomKeyed reports whether another request for a key that it owns may start
+// there. Its long requests do not count with its short ones: this VM often has
+// but one place there, and its own upload would keep its lookups out for as long
+// as it takes. How many long ones there may be is decided by longRoom.
+func (s *server) roomKeyed(now time.Time) bool {
+	running := s.running
+	if s.kind == sizes.Short {
+		running -= s.long
+	}
+	return !s.gone && running < s.most(now) && s.running < s.pool.Most(now)
+}
 
 // room reports whether a request that may go anywhere may go here.
 func (s *server) room(now time.Time) bool {
@@ -181,6 +194,7 @@
 // Report notes a server's own word on its load.
 func (c *Core) Report(now time.Time, name ident.Server, load int, age time.Duration) {
 	if s := c.byName[name]; s != nil {
+		s.told, s.toldAt = load, now.Add(-age)
 		s.load.Report(now, load, age, c.typical(sizes.Short))
 		s.limit[s.kind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
@@ -240,6 +254,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.expire(now)
 	c.ask(now)
+	c.rethink(now)
 	if c.judgeAt.IsZero() || now.Before(c.judgeAt) {
 		return
 	}
--- a/internal/load/health/health.go
+++ b/internal/load/health/health.go
@@ -84,6 +84,7 @@
 	good    int
 	running int
 	heard   time.Time     // last answer, or last start with nothing running
+	lost    bool          // the last request came to nothing
 	expect  time.Duration // longest typical answer among those running
 }
 
@@ -114,7 +115,9 @@
 // such a request takes on this service.
 func (s *Server) Sent(now time.Time, expect time.Duration) {
 	if s.running == 0 {
-		s.heard = now
+		if !s.lost {
+			s.heard = now
+		}
 		s.expect = 0
 	}
 	s.expect = max(s.expect, expect)
@@ -132,6 +135,7 @@
 	s.running--
 	s.n++
 	s.fails *= 1 - follow
+	s.lost = failed
 	if failed {
 		s.fails += follow
 		s.good = 0
@@ -170,6 +174,26 @@
 	s.fire(now, onBad)
 }
 
+// Failing reports whether its recent attempts came to nothing, so that the next
+// one will too, most likely.
+func (s *Server) Failing() bool {
+	switch s.State() {
+	case Ejected, Probe:
+		return s.lost
+	default:
+		return s.lost && s.n >= Enough && s.fails >= FailShare
+	}
+}
+
+// Silent is for how long nothing has come back from a server that has requests
+// to answer.
+func (s *Server) Silent(now time.Time) time.Duration {
+	if s.running == 0 {
+		return 0
+	}
+	return now.Sub(s.heard)
+}
+
 // Stalled is for how long nothing has come back although something should have;
 // zero when all is well.
 func (s *Server) Stalled(now time.Time) time.Duration {
--- a/internal/load/health/health_test.go
+++ b/internal/load/health/health_test.go
@@ -128,3 +128,46 @@
 	assert.Equal(t, s.State(), OK)
 	assert.Equal(t, s.Weight(begin.Add(Ramp)), 1.0)
 }
+
+// A frozen server gets one request after another, and none comes back. Each one
+// that is given up must not make it look as if it had just been heard of: the
+// next would be kept waiting for as long again.
+func TestSilenceLastsUntilAnAnswer(t *testing.T) {
+	var s Server
+	answer(&s, begin, 1, false)
+	for i := range 5 {
+		now := begin.Add(time.Duration(i) * time.Second)
+		s.Sent(now, typical)
+		s.Done(now.Add(time.Second/2), 0, true)
+	}
+	now := begin.Add(5 * time.Second)
+	assert.Equal(t, s.Silent(now), time.Duration(0), "nothing is asked of it")
+	s.Sent(now, typical)
+	assert.Equal(t, s.Silent(now), 5*time.Second)
+	assert.Assert(t, s.Stalled(now) > 0)
+	s.Done(now, 1, false)
+	s.Sent(now, typical)
+	assert.Equal(t, s.Silent(now), time.Duration(0))
+}
+
+// A server refuses everything. It is failing from the fifth refusal on, through
+// its pause and its probes, until it answers one.
+func TestFailingUntilAnAnswer(t *testing.T) {
+	var p Panel
+	all := fleet(4)
+	s := all[0]
+	answer(s, begin, 1, false)
+	assert.Assert(t, !s.Failing())
+	for range 2 * Enough {
+		answer(s, begin, 1, true)
+	}
+	assert.Assert(t, s.Failing())
+	p.Judge(begin, all)
+	assert.Equal(t, s.State(), Ejected)
+	assert.Assert(t, s.Failing())
+	p.Judge(begin.Add(FirstOut), all)
+	assert.Equal(t, s.State(), Probe)
+	assert.Assert(t, s.Failing())
+	answer(s, begin.Add(FirstOut), 1, false)
+	assert.Assert(t, !s.Failing())
+}
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -57,6 +57,7 @@
 	latency float64 // seconds
 	seen    time.Time
 	fails   float64 // recent share of failures, 0 to 1
+	answer  float64 // seconds
 	foreign float64 // reported requests of others
 	told    time.Time
 	trust   float64 // 0 distrusted fully; kept as distrust so that zero works
@@ -68,7 +69,10 @@
 	l.fails *= failDecay
 	if failed {
 		l.fails += 1 - failDecay
-		s = max(s, l.Latency().Seconds()*Penalty)
+		l.answered(max(s, l.answer)) // it would have taken longer than that
+		s = max(s, l.Answer().Seconds()*Penalty)
+	} else {
+		l.answered(s)
 	}
 	if l.latency == 0 {
 		l.latency = s
@@ -78,6 +82,23 @@
 	l.seen = now
 }
 
+func (l *Load) answered(s float64) {
+	if l.answer == 0 {
+		l.answer = s
+		return
+	}
+	l.answer += (s - l.answer) * follow
+}
+
+// Answer is the average latency of the answers alone: what a request that is
+// answered can expect.
+func (l *Load) Answer() time.Duration {
+	if l.answer == 0 {
+		return time.Duration(typical * float64(time.Second))
+	}
+	return time.Duration(l.answer * float64(time.Second))
+}
+
 // Latency is the average latency observed, Penalty included.
 func (l *Load) Latency() time.Duration {
 	if l.latency == 0 {
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -74,3 +74,21 @@
 	assert.Assert(t, l.Score(begin, 10e-3) > 2*quiet)
 	assert.Assert(t, l.Score(begin.Add(time.Hour), 10e-3) < 1.01*quiet)
 }
+
+// A server refuses a hundred requests in a row and then answers again. Each
+// failure counting ten times the one before would leave it shunned for minutes
+// of good answers.
+func TestFailuresDoNotAddUp(t *testing.T) {
+	var l Load
+	now := time.Unix(1000, 0)
+	l.Observe(now, 8*time.Millisecond, false)
+	for range 100 {
+		l.Observe(now, time.Millisecond, true)
+	}
+	assert.Equal(t, l.Answer(), 8*time.Millisecond)
+	assert.Assert(t, l.Latency() <= Penalty*8*time.Millisecond, "%v", l.Latency())
+	for range 20 {
+		l.Observe(now, 8*time.Millisecond, false)
+	}
+	assert.Assert(t, l.Latency() <= 9*time.Millisecond, "%v", l.Latency())
+}
--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -188,10 +188,13 @@
 // rank: those before it in its own class, and the share the other classes take
 // meanwhile.
 func (q *Queue[T]) Ahead(class uint8, rank time.Time) float64 {
-	own := float64(q.lines[class].find(rank, q.seq+1))
+	return q.ahead(int(class), float64(q.lines[class].find(rank, q.seq+1)))
+}
+
+func (q *Queue[T]) ahead(class int, own float64) float64 {
 	ahead := own
 	for i := range q.lines {
-		if i == int(class) {
+		if i == class {
 			continue
 		}
 		share := (own + 1) * weights[i] / weights[class]
@@ -241,6 +244,29 @@
 	})
 }
 
+// Shed removes the items for which late is true and hands each to drop. Late is
+// told how many are served before the item, as by Ahead, those that stay
+// counted only, and when it is too late to start it.
+func (q *Queue[T]) Shed(late func(ahead float64, by time.Time) bool, drop func(T)) {
+	for class := range q.lines {
+		l := &q.lines[class]
+		own := 0.0
+		l.entries = slices.DeleteFunc(l.entries, func(e entry[T]) bool {
+			if !late(q.ahead(class, own), e.item.By) {
+				own++
+				return false
+			}
+			e.item.in = false
+			q.n--
+			drop(e.item.Value)
+			return true
+		})
+	}
+	if q.n == 0 {
+		q.soonest = time.Time{}
+	}
+}
+
 // Each calls do for every waiting item, in no particular order.
 func (q *Queue[T]) Each(do func(T)) {
 	for i := range q.lines {
--- a/internal/load/queue/queue_test.go
+++ b/internal/load/queue/queue_test.go
@@ -105,3 +105,56 @@
 	serve(700, 900, 0)
 	assert.Assert(t, !q.Standing())
 }
+
+// Each item of one class can wait until its own time, and each turn takes as
+// long. Who must be told that it is too late is found by serving a copy of the
+// list in order: the others must stay, in their order, and only they count.
+func TestShedAgreesWithServingInOrder(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		var q Queue[int]
+		each := rapid.IntRange(1, 10).Draw(t, "each")
+		var stay []int
+		var gone []int
+		clock := 0
+		for i := range rapid.IntRange(0, 40).Draw(t, "items") {
+			by := rapid.IntRange(0, 200).Draw(t, "by")
+			q.Push(begin, &Item[int]{Value: i, Rank: at(i), By: at(by)})
+			if clock+each > by {
+				gone = append(gone, i)
+				continue
+			}
+			clock += each
+			stay = append(stay, i)
+		}
+		var shed []int
+		q.Shed(func(ahead float64, by time.Time) bool {
+			return at(int(ahead+1) * each).After(by)
+		}, func(v int) { shed = append(shed, v) })
+		assert.DeepEqual(t, shed, gone)
+		var left []int
+		for it := q.Pop(begin); it != nil; it = q.Pop(begin) {
+			left = append(left, it.Value)
+		}
+		assert.DeepEqual(t, left, stay)
+	})
+}
+
+// Two classes share the service, so an item waits also for the other class's
+// part. Shed must count as Ahead does, or one class would be refused for waits
+// that it does not have.
+func TestShedCountsAsAhead(t *testing.T) {
+	var q Queue[int]
+	items := make([]*Item[int], 12)
+	for i := range items {
+		items[i] = &Item[int]{Value: i, Class: uint8(i % 2), Rank: at(i), By: at(1000)}
+		q.Push(begin, items[i])
+	}
+	i := 0
+	q.Shed(func(ahead float64, _ time.Time) bool {
+		it := items[2*(i%6)+i/6]
+		assert.Equal(t, ahead, q.Ahead(it.Class, it.Rank.Add(-1)), "item %d", it.Value)
+		i++
+		return false
+	}, func(int) { t.Fatal("dropped") })
+	assert.Equal(t, i, len(items))
+}
--- a/internal/load/sizes/sizes.go
+++ b/internal/load/sizes/sizes.go
@@ -125,3 +125,54 @@
 	}
 	return owned
 }
+
+// Grounds of the token: see [Token].
+const (
+	usual  = 400 * time.Millisecond // a long request's length, before one was seen
+	coarse = 4                      // lengths are told apart in steps of this factor
+	shares = 3                      // starts in the time that a long request takes, for each long slot
+)
+
+// Token says which entry VM may start a long request at the owner of its key,
+// where no other server can be chosen. Half the slots are for long requests, and
+// ten VMs cannot agree on who uses them in the time that an upload takes: what
+// they tell each other is a second old. But they agree on the time of day. So
+// the right to start one long request at an owner goes round by the clock, and
+// each owner's token is with another VM.
+//
+// Grounds: a window is half the time that a long request takes, for each long
+// slot, so that at most as many start as all slots can do, and about half on
+// average when each second holder has nothing to start. Shorter ones let more
+// uploads onto an owner at once, longer ones keep uploads waiting for their turn
+// for seconds (docs/design/load.md). Lengths count in steps of four, because VMs
+// that saw other uploads must still go round in step; clocks that differ by less
+// than a window let two VMs start one each, and no more.
+type Token struct {
+	Share
+	window time.Duration
+}
+
+// NewToken makes the token of a service whose long requests take so long, on
+// servers with the given slots.
+func NewToken(s Share, typical time.Duration, slots int) Token {
+	step := usual
+	for typical > 0 && typical < step/(coarse/2) && step > usual/coarse {
+		step /= coarse
+	}
+	for typical >= step*(coarse/2) {
+		step *= coarse
+	}
+	each := time.Duration(shares * max(slots/2, 1))
+	return Token{Share: s, window: max(step/each, time.Millisecond)}
+}
+
+// Turn is the number of the window at this moment, and whether this VM holds the
+// token of server i in it.
+func (t Token) Turn(now time.Time, i int) (turn int64, holds bool) {
+	turn = now.UnixNano() / int64(t.window)
+	vms := int64(max(t.VMs, 1))
+	return turn, (turn+int64(i))%vms == int64(t.Index)
+}
+
+// Round is how long it takes until the token is back.
+func (t Token) Round() time.Duration { return t.window * time.Duration(max(t.VMs, 1)) }
--- a/internal/load/sizes/sizes_test.go
+++ b/internal/load/sizes/sizes_test.go
@@ -59,3 +59,49 @@
 	assert.Equal(t, m.Kind(-1, 1), Short)
 	assert.Equal(t, m.Kind(LongBytes, 0), Long)
 }
+
+// The right to start an upload goes round among the entry VMs. At any moment
+// exactly one may have it at each server, and each must get it in every round:
+// two would fill the server with uploads, and one left out could never upload.
+func TestTheTokenGoesRound(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		vms, slots := rapid.IntRange(1, 12).Draw(t, "vms"), rapid.IntRange(1, 8).Draw(t, "slots")
+		length := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond
+		server := rapid.IntRange(0, 20).Draw(t, "server")
+		now := begin.Add(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "at")))
+		tokens := make([]Token, vms)
+		for v := range tokens {
+			tokens[v] = NewToken(Share{VMs: vms, Index: v}, length, slots)
+		}
+		step := tokens[0].Round() / time.Duration(vms)
+		first, _ := tokens[0].Turn(now, server)
+		held := map[int]bool{}
+		for k := range vms {
+			at := now.Add(time.Duration(k) * step)
+			holders := 0
+			for v := range tokens {
+				turn, holds := tokens[v].Turn(at, server)
+				assert.Equal(t, turn, first+int64(k))
+				if holds {
+					holders++
+					held[v] = true
+				}
+			}
+			assert.Equal(t, holders, 1)
+		}
+		assert.Equal(t, len(held), vms)
+	})
+}
+
+// VMs see other uploads, and so know their usual length only roughly. They must
+// go round in step all the same, and the steps must follow the length when
+// uploads are far longer.
+func TestTheTokenKeepsStep(t *testing.T) {
+	at := func(ms int) time.Duration {
+		return NewToken(Share{VMs: 10}, time.Duration(ms)*time.Millisecond, 4).Round()
+	}
+	assert.Equal(t, at(0), at(400))
+	assert.Equal(t, at(250), at(750))
+	assert.Assert(t, at(4000) > at(400))
+	assert.Assert(t, at(40) < at(400))
+}
