load/gate: who was let in on a guess hears soon when the guess was wrong

Cause: the queue that a VM fills before its first answer is standing when the answers come, and waits of a standing queue were not estimated again (what that frees would go to a hot key). Now those who were let in before 16 answers had been seen are gone through all the same, by what is known now.

Tried and dropped: the deadline by what is known now for everybody who waits. It refused others after 47 ms at p99 in a burst of the viewer (TestBurst, bound 10 ms).

Module test: 167 of 200 refused later than half a second after the first answer before, 4 after; answered 33 and 32.

--- a/internal/load/gate/rethink.go
+++ b/internal/load/gate/rethink.go
@@ -72,7 +72,10 @@
 		if guessed && !t.guess {
 			return false
 		}
-		by := t.Job.Deadline.Add(-need) // it.By goes by what was known then
+		by := it.By
+		if t.guess {
+			by = t.Job.Deadline.Add(-need) // it.By goes by the guess
+		}
 		return now.Add(turns(each, ahead) + stall).After(by)
 	}, func(t *Ticket) {
 		l.q.Full(now)
