--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -59,7 +59,7 @@
 	// alone: whoever takes less than this is never what crowds the others out.
 	Least   = 0.02
 	fastest = 1e4
-	sweep   = 2 // flows looked at for each new one, to forget faster than they come
+	sweep   = 4 // slots looked at for each new flow at the bound, to forget faster than they come
 )
 
 // Book keeps the debts of the flows of one queue. The zero value is ready to
@@ -67,12 +67,10 @@
 type Book struct {
 	Max int // most flows remembered; zero is DefaultFlows
 
-	due     map[Flow]float64 // debt plus paid
-	order   []Flow           // ring of remembered flows in the order they came
-	head, n int
-	rate    float64 // requests per second at which each flow pays
-	paid    float64 // what a flow in debt has paid since the start
-	at      time.Time
+	flows flows
+	rate  float64 // requests per second at which each flow pays
+	paid  float64 // what a flow in debt has paid since the start
+	at    time.Time
 }
 
 // Debt is how many requests the flow owes. More than Free is over its share,
@@ -82,9 +80,15 @@
 		return 0
 	}
 	b.pay(now)
-	return max(b.due[f]-b.paid, 0)
+	s := b.flows.find(f)
+	if s == nil {
+		return 0
+	}
+	return b.debt(s)
 }
 
+func (b *Book) debt(s *slot) float64 { return max(s.due-b.paid, 0) }
+
 // Delay is how long it takes to pay a debt down to Free; zero for one that is
 // within its share.
 func (b *Book) Delay(debt float64) time.Duration {
@@ -100,15 +104,18 @@
 	if f == 0 {
 		return
 	}
-	debt := b.Debt(now, f)
-	b.remember(f)
-	b.due[f] = b.paid + min(debt+cost, MaxDebt)
+	b.pay(now)
+	s := b.flows.find(f)
+	if s == nil {
+		s = b.remember(f)
+	}
+	s.due = b.paid + min(b.debt(s)+cost, MaxDebt)
 }
 
 // Refund takes back a charge whose request was refused or abandoned after all.
 func (b *Book) Refund(f Flow, cost float64) {
-	if due, ok := b.due[f]; ok {
-		b.due[f] = due - cost
+	if s := b.flows.find(f); s != nil {
+		s.due -= cost
 	}
 }
 
@@ -122,7 +129,7 @@
 func (b *Book) Ease() { b.rate = min(b.speed()*looser, fastest) }
 
 // Len is the number of flows remembered.
-func (b *Book) Len() int { return b.n }
+func (b *Book) Len() int { return b.flows.n }
 
 func (b *Book) speed() float64 {
 	if b.rate == 0 {
@@ -132,67 +139,35 @@
 }
 
 func (b *Book) pay(now time.Time) {
-	if now.Equal(b.at) {
+	passed := now.Sub(b.at)
+	if passed <= 0 {
 		return
 	}
-	if passed := now.Sub(b.at); passed > 0 && !b.at.IsZero() {
+	if !b.at.IsZero() {
 		b.paid += passed.Seconds() * b.speed()
 	}
 	b.at = now
 }
 
-func (b *Book) remember(f Flow) {
-	if b.due == nil {
-		if b.Max <= 0 {
-			b.Max = DefaultFlows
-		}
-		b.due = make(map[Flow]float64)
-	}
-	if _, ok := b.due[f]; ok {
-		return
-	}
-	b.forget()
-	if len(b.order) < b.Max && b.n == len(b.order) {
-		b.grow()
+// remember gives a new flow its slot. Those that owe nothing are forgotten when
+// the table is full, before it grows. When all owe something and the book is at
+// its bound it drops the next one, which then starts afresh: a bounded unfairness
+// in place of unbounded memory.
+func (b *Book) remember(f Flow) *slot {
+	if b.Max <= 0 {
+		b.Max = DefaultFlows
 	}
-	b.order[(b.head+b.n)%len(b.order)] = f
-	b.n++
-}
-
-// grow doubles the ring, so that a queue with few flows stays small.
-func (b *Book) grow() {
-	const first = 16
-	ring := make([]Flow, min(max(2*len(b.order), first), b.Max))
-	for i := range b.n {
-		ring[i] = b.order[(b.head+i)%len(b.order)]
-	}
-	b.order, b.head = ring, 0
-}
-
-// forget drops flows that owe nothing. When all owe something and the book is
-// full it drops the oldest, which then starts afresh: a bounded unfairness in
-// place of unbounded memory.
-func (b *Book) forget() {
-	for range sweep {
-		if b.n == 0 {
-			return
-		}
-		f := b.take()
-		if b.due[f] <= b.paid {
-			delete(b.due, f)
-			continue
+	switch {
+	case b.flows.n >= b.Max:
+		b.flows.forget(sweep, b.paid)
+	case b.flows.full():
+		b.flows.forget(len(b.flows.slots), b.paid)
+		if 4*b.flows.n > len(b.flows.slots) {
+			b.flows.grow() // or it would be full again soon
 		}
-		b.order[(b.head+b.n)%len(b.order)] = f
-		b.n++
 	}
-	if b.n == b.Max {
-		delete(b.due, b.take())
+	if b.flows.n >= b.Max {
+		b.flows.drop()
 	}
-}
-
-func (b *Book) take() Flow {
-	f := b.order[b.head]
-	b.head = (b.head + 1) % len(b.order)
-	b.n--
-	return f
+	return b.flows.add(f)
 }
--- a/internal/load/fair/fair_test.go
+++ b/internal/load/fair/fair_test.go
@@ -20,7 +20,7 @@
 		b.Charge(start.Add(time.Duration(i)*time.Millisecond), Flow(i+1), 1)
 		assert.Assert(t, b.Len() <= 64)
 	}
-	assert.Assert(t, len(b.due) <= 64)
+	assert.Assert(t, len(b.flows.slots) <= 128)
 }
 
 // One caller sends ten times the common rate, others send less than it. The hot
--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -125,8 +125,12 @@
 	}
 }
 
-// find returns the place of an entry in the line.
+// find returns the place of an entry in the line. Most go to its end.
 func (l *line[T]) find(rank time.Time, seq uint64) int {
+	n := len(l.entries)
+	if n == 0 || l.entries[n-1].rank.Before(rank) {
+		return n
+	}
 	return sort.Search(len(l.entries), func(i int) bool {
 		e := &l.entries[i]
 		c := e.rank.Compare(rank)
@@ -141,7 +145,7 @@
 		return nil
 	}
 	it := l.entries[0].item
-	q.Remove(it)
+	q.removeAt(l, 0)
 	q.pass = l.pass
 	l.pass += 1 / weights[it.Class]
 	q.judge(now, now.Sub(it.at))
@@ -175,9 +179,12 @@
 		return
 	}
 	l := &q.lines[it.Class]
-	i := l.find(it.Rank, it.seq)
+	q.removeAt(l, l.find(it.Rank, it.seq))
+}
+
+func (q *Queue[T]) removeAt(l *line[T], i int) {
+	l.entries[i].item.in = false
 	l.entries = slices.Delete(l.entries, i, i+1)
-	it.in = false
 	q.n--
 	if q.n == 0 {
 		q.soonest = time.Time{}
