--- a/internal/admin/bench/control.go
+++ b/internal/admin/bench/control.go
@@ -12,7 +12,7 @@
 
 // How long the fleet settles before the measurement, and is measured.
 const (
-	controlSettle = 8 * time.Second
+	controlSettle = 16 * time.Second // after the seats are even
 	controlSpan   = 20 * time.Second
 	controlQuick  = 3 * time.Second
 )
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -211,6 +211,7 @@
 		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
 	a.Peers.on(link.Gossip, n.Handle)
+	k.OnTable(keeper.Tables{Newer: n.Wrote, Moved: n.Tell})
 	closes(lc, n)
 	return n
 }
--- a/internal/edge/keeper/assign.go
+++ b/internal/edge/keeper/assign.go
@@ -32,21 +32,26 @@
 	if first == nil {
 		return "", ""
 	}
-	second := best("deputy\x00"+string(first.ID), live, func(vm vmlist.VM) int {
+	return first.ID, deputyOf(first, centre, live)
+}
+
+// deputyOf picks the deputy for a holder's seats of servers in a data centre.
+func deputyOf(lead *vmlist.VM, centre ident.Centre, live []vmlist.VM) ident.VM {
+	vm := best("deputy\x00"+string(lead.ID), live, func(vm vmlist.VM) int {
 		switch {
-		case vm.ID == first.ID:
+		case vm.ID == lead.ID:
 			return skip
-		case vm.Centre != centre && vm.Centre != first.Centre:
+		case vm.Centre != centre && vm.Centre != lead.Centre:
 			return 0
 		case vm.Centre != centre:
 			return 1
 		}
 		return 2
 	})
-	if second == nil {
-		return first.ID, ""
+	if vm == nil {
+		return ""
 	}
-	return first.ID, second.ID
+	return vm.ID
 }
 
 // skip excludes a VM in best.
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -70,6 +70,7 @@
 	effect group.Group
 
 	answered atomic.Pointer[Answered]
+	told     atomic.Pointer[Tables]
 
 	seats map[seatName]*chair
 	books map[ident.Service]*book
@@ -80,6 +81,7 @@
 	left  sync.WaitGroup
 
 	piles piles // share.go
+	dealt dealt // level.go
 }
 
 type seatName struct {
@@ -122,6 +124,7 @@
 	for name, b := range k.books {
 		k.group.Go(func(ctx context.Context) error { return k.bootstrap(ctx, name, b) })
 	}
+	k.group.Go(k.level)
 	return k
 }
 
@@ -193,8 +196,9 @@
 			k.markGone(vm.ID)
 		}
 	}
+	pairs := k.deal(live)
 	for _, c := range k.seats {
-		lead, deputy := Assign(c.svc.Name, c.srv, c.cfg.centre, live)
+		lead, deputy := pairs[c.place()].Lead, pairs[c.place()].Deputy
 		if deputy == k.VM {
 			deputy = lead // for a seat that this VM still holds from before
 		}
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 		return
 	}
 	b.svc.SetView(table.NewView(tab))
+	if told := k.told.Load(); told != nil && ver != 0 {
+		told.Newer(tab)
+	}
 	for name, c := range k.seats {
 		if name.svc == svc {
 			c.loop.Send(seat.TableMsg{Table: tab, Version: ver})
@@ -54,6 +58,36 @@
 	}
 }
 
+// Tables are told of tables that this VM wrote or read, for the other VMs.
+type Tables struct {
+	// Newer takes each newer one.
+	Newer func(table.Table)
+	// Moved names the VMs that wait for the newest one of a service: they hold
+	// the seats of the servers that were given keys, which nobody serves until
+	// they hear of it.
+	Moved func(svc ident.Service, to []ident.VM)
+}
+
+// OnTable says who is told.
+func (k *Keeper) OnTable(t Tables) { k.told.Store(&t) }
+
+// tellNext lets the holders of the next owners' seats hear of a move at once.
+func (k *Keeper) tellNext(svc ident.Service, moves []table.Move) {
+	told := k.told.Load()
+	if told == nil {
+		return
+	}
+	var to []ident.VM
+	for _, m := range moves {
+		if vm := k.Pair(svc, m.To).Lead; vm != "" && vm != k.VM && !slices.Contains(to, vm) {
+			to = append(to, vm)
+		}
+	}
+	if len(to) > 0 {
+		told.Moved(svc, to)
+	}
+}
+
 // Table takes a table that a watch or a peer brought; the version is that of
 // its object, zero when a peer sent it.
 func (k *Keeper) Table(tab table.Table, ver object.Version) { k.publish(tab.Service, tab, ver) }
--- a/internal/edge/mover/mover.go
+++ b/internal/edge/mover/mover.go
@@ -45,9 +45,11 @@
 	Send(to ident.VM, body []byte)
 }
 
-// Seats are what carries moves out, as *keeper.Keeper does.
+// Seats are what carries moves out, as *keeper.Keeper does. Pair names the VMs
+// that should hold a seat and be its deputy.
 type Seats interface {
 	Move(svc ident.Service, from ident.Server, moves []table.Move)
+	Pair(svc ident.Service, srv ident.Server) keeper.Pair
 }
 
 // Hands are what a mover plans with.
@@ -234,8 +236,8 @@
 			continue
 		}
 		m.Seats.Move(svc.Name, srv.Name, list)
-		lead, deputy := keeper.Assign(svc.Name, srv.Name, srv.Centre, m.live)
-		for _, vm := range []ident.VM{lead, deputy} {
+		to := m.Seats.Pair(svc.Name, srv.Name)
+		for _, vm := range []ident.VM{to.Lead, to.Deputy} {
 			if vm != "" && vm != m.vm {
 				m.send(vm, letter{Svc: svc.Name, From: srv.Name, Move: list})
 			}
--- a/internal/edge/mover/mover_test.go
+++ b/internal/edge/mover/mover_test.go
@@ -27,6 +27,7 @@
 // desk carries moves out at once, as the seats would in time, and counts them.
 type desk struct {
 	svc   *state.Service
+	list  []vmlist.VM
 	moves int
 }
 
@@ -39,6 +40,12 @@
 	d.svc.SetView(table.NewView(tab))
 }
 
+// Pair deals the seats to the movers of the desk's list.
+func (d *desk) Pair(svc ident.Service, srv ident.Server) keeper.Pair {
+	lead, deputy := keeper.Assign(svc, srv, "", d.list)
+	return keeper.Pair{Lead: lead, Deputy: deputy}
+}
+
 // post joins movers.
 type post map[ident.VM]*Mover
 
@@ -74,7 +81,7 @@
 		svc.SetView(table.NewView(tab))
 		m := New(vm, st, slog.New(slog.DiscardHandler))
 		m.SetVMs(list)
-		d := &desk{svc: svc}
+		d := &desk{svc: svc, list: list}
 		p[vm] = m
 		desks = append(desks, d)
 		m.Hands = Hands{Seats: d, Peers: mailFrom{p, vm}, Takes: func(ident.Server) bool { return true }}
@@ -236,3 +243,5 @@
 type nobody struct{}
 
 func (nobody) Move(ident.Service, ident.Server, []table.Move) {}
+
+func (nobody) Pair(ident.Service, ident.Server) keeper.Pair { return keeper.Pair{} }
--- a/internal/edge/news/store.go
+++ b/internal/edge/news/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
@@ -70,6 +71,22 @@
 	n.gossip.Send(gossip.ValueMsg{Name: o.Name, Rev: tab.Rev, Raw: o.Value})
 }
 
+// Wrote passes on a table that this VM wrote itself, or read.
+func (n *News) Wrote(tab table.Table) {
+	raw, err := tab.Encode()
+	if err != nil {
+		n.Log.Error("ownership table", "service", tab.Service, "err", err)
+		return
+	}
+	n.gossip.Send(gossip.ValueMsg{Name: tablePrefix + string(tab.Service), Rev: tab.Rev, Raw: raw})
+}
+
+// Tell lets VMs hear at once of the newest table that this VM wrote or read. The
+// others hear of it by the trees.
+func (n *News) Tell(svc ident.Service, to []ident.VM) {
+	n.gossip.Send(gossip.TellMsg{Name: tablePrefix + string(svc), To: to})
+}
+
 // decode reads a table and checks that it stands under its own name: a table in
 // another's place would send a service's requests to another's servers.
 func decode(name string, raw []byte) (table.Table, error) {
--- a/internal/fake/world/roster.go
+++ b/internal/fake/world/roster.go
@@ -82,8 +82,12 @@
 
 func (w *World) ranked(s *Server) []*VM {
 	var far, near []*VM
+	shift := s.index
+	if w.Opt.Level > 0 {
+		shift += int(w.now / w.Opt.Level)
+	}
 	for i := range w.VMs {
-		v := w.VMs[(s.index+i)%len(w.VMs)]
+		v := w.VMs[(shift+i)%len(w.VMs)]
 		switch {
 		case !w.live(v):
 		case v.Centre == s.Centre:
@@ -95,6 +99,19 @@
 	return append(far, near...)
 }
 
+// level makes each lead take its seats over from whoever holds them as it knows.
+func (w *World) level() {
+	for _, v := range w.VMs {
+		for _, s := range w.Servers {
+			holder := v.seats[s.Name].(seat.Seat).Status().Holder
+			if !v.Dead && v.plans[s.Name].Lead && holder != v.ID && holder != "" {
+				v.Send(s.Name, seat.RelieveMsg{VM: holder})
+			}
+		}
+	}
+	w.after(w.Opt.Level/2, w.level)
+}
+
 // resync stands for the watch that catches up after an outage.
 func (w *World) resync() {
 	if !w.Store.down() {
@@ -135,3 +152,6 @@
 	}
 	w.held[key] = vm
 }
+
+// Epochs counts the authorities that were held so far, over all seats.
+func (w *World) Epochs() int { return len(w.held) }
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -43,6 +43,9 @@
 	Lean bool
 	// Term shortens the authority's term, so that a history outlasts it.
 	Term time.Duration
+	// Level is how often the seats are dealt out anew, each to another VM, which
+	// takes them over from holders that are well; zero for never.
+	Level time.Duration
 	// Skew is how far a clock's rate may be off, in parts of a thousand.
 	Skew int
 }
@@ -131,6 +134,9 @@
 		w.VMs = append(w.VMs, newVM(w, i))
 	}
 	w.roster()
+	if o.Level > 0 {
+		w.after(o.Level/2, w.level)
+	}
 	w.resync()
 	return w
 }
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -194,7 +194,9 @@
 		m.storeHeard(now, msg.Asked)
 	case ValueMsg:
 		h := Head{Name: msg.Name, Rev: msg.Rev, Sum: digest.Of(msg.Raw)}
-		return m, m.held(now, "", h, msg.Raw)
+		return m, append(m.held(now, "", h, msg.Raw), m.tellWatchers(h)...)
+	case TellMsg:
+		return m, m.tell(msg.Name, msg.To)
 	case ReportMsg:
 		m.report(now, msg.Rows)
 	case PacketMsg:
--- a/internal/node/gossip/gossip_test.go
+++ b/internal/node/gossip/gossip_test.go
@@ -179,6 +179,31 @@
 	}
 }
 
+// A VM that does not watch the store moves a key just after an outage, when the
+// watchers still wait before their next look. The next owner's VM must hear of it
+// at once: nobody serves the key until then.
+func TestAWritersValueDoesNotWaitForTheWatchers(t *testing.T) {
+	x := newNet(12)
+	x.run(2 * time.Second)
+	var writer, next ident.VM
+	for _, vm := range x.nodes["vm0"].order {
+		if !x.nodes[vm].Watches() {
+			next, writer = writer, vm
+		}
+	}
+	x.now = x.now.Add(Tick / 2)
+	x.tell(writer, ValueMsg{Name: "table/lookup", Rev: 7, Raw: body(1)})
+	x.tell(writer, TellMsg{Name: "table/lookup", To: []ident.VM{next}})
+	x.flush()
+	h, _ := x.nodes[next].Head("table/lookup")
+	assert.Equal(t, h.Rev, ident.Revision(7))
+	x.run(gap + 2*Tick)
+	for vm, m := range x.nodes {
+		h, _ := m.Head("table/lookup")
+		assert.Equal(t, h.Rev, ident.Revision(7), "%s", vm)
+	}
+}
+
 // A VM starts while the store is down. It gets the newest rules from its peers,
 // whole, and checks them against the digest that was announced.
 func TestANewVMGetsTheNewestFromPeersDuringAnOutage(t *testing.T) {
--- a/internal/owner/seat/msg.go
+++ b/internal/owner/seat/msg.go
@@ -21,7 +21,8 @@
 	// start and whenever it changes.
 	PlanMsg struct {
 		// Lead means: take the seat when its holder is gone, suspected, or not
-		// named yet. A seat whose holder is well stays where it is.
+		// named yet. A seat whose holder is well stays where it is, until a
+		// RelieveMsg.
 		Lead bool
 		// Deputy is whom a holder here should name, "" for none. Prefer a VM in
 		// another data centre than the backend server.
@@ -32,6 +33,12 @@
 	// it only makes the lead take over, and never counts as an end.
 	SuspectMsg struct{ VM ident.VM }
 
+	// RelieveMsg asks the lead to take the seat over from a holder that is well,
+	// so that seats are even. It counts for the next look at the record alone: a
+	// holder that is not VM keeps the seat, and a store that does not answer ends
+	// the wish.
+	RelieveMsg struct{ VM ident.VM }
+
 	// GoneMsg says that the platform listed the VM and now lists it as gone: no
 	// process of that name runs or will ever run.
 	GoneMsg struct{ VM ident.VM }
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -59,7 +59,8 @@
 	plan    PlanMsg
 	planned bool
 	leaving bool
-	want    bool // take the seat when its record allows
+	want    bool     // take the seat when its record allows
+	relieve ident.VM // and also from this holder, at the next look
 
 	// Authority: take.go.
 	auth    chart.State
@@ -200,6 +201,8 @@
 		t.onPlan(m)
 	case SuspectMsg:
 		t.onSuspect(m)
+	case RelieveMsg:
+		t.onRelieve(m)
 	case GoneMsg:
 		t.heard(word{vm: m.VM, below: ^ident.Epoch(0), gone: true})
 	case ServerGoneMsg:
--- a/internal/owner/seat/take.go
+++ b/internal/owner/seat/take.go
@@ -40,6 +40,15 @@
 	t.want = t.want || t.plan.Lead
 }
 
+// onRelieve notes whom to take the seat over from. Like a suspicion it only makes
+// the lead look, but a suspicion counts for seconds: two VMs that both take
+// themselves for the lead would pass the seat to and fro all that time.
+func (t *turn) onRelieve(m RelieveMsg) {
+	if t.plan.Lead && !t.leaving {
+		t.relieve, t.want = m.VM, true
+	}
+}
+
 // wants reports whether the record, as just read, should be replaced by one
 // that names us.
 func (t *turn) wants() bool {
@@ -50,7 +59,7 @@
 		return t.d.epoch >= t.rec.Epoch
 	}
 	h := t.rec.Holder
-	return h == t.cfg.Self || t.plan.Lead && (h == "" || t.isGone(h) || t.isSuspect(h))
+	return h == t.cfg.Self || t.plan.Lead && (h == "" || h == t.relieve || t.isGone(h) || t.isSuspect(h))
 }
 
 func (t *turn) isSuspect(vm ident.VM) bool {
@@ -103,7 +112,9 @@
 func (t *turn) afterRead() {
 	switch t.auth {
 	case reading:
-		if !t.wants() {
+		wants := t.wants()
+		t.relieve = ""
+		if !wants {
 			t.want, t.d.called = false, false
 			t.fire(authorityChart, &t.auth, "absent")
 			return
@@ -122,6 +133,7 @@
 	t.down = true
 	t.storeAt = t.now.Add(storePause)
 	if t.auth == reading {
+		t.relieve = ""
 		t.fire(authorityChart, &t.auth, "absent")
 	}
 }
