--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -35,7 +35,7 @@
 // first, the journal among the last.
 func provided() []any {
 	return []any{
-		newLog, newStore, newVMs, newControl, newMeter, newJournal, newHistories, newRecord, newClaims,
+		newLog, newStore, newVMs, newControl, newMeter, newJournal, newSieve, newHistories, newRecord, newClaims,
 		newState, newMover, newRelay, newPeers, newKeeper, newNews, newWarden, newFront, newDoors,
 	}
 }
@@ -213,6 +213,7 @@
 	})
 	a.Peers.on(link.Gossip, n.Handle)
 	a.Peers.on(link.Rules, n.HandleConfirm)
+	k.OnTable(keeper.Tables{Newer: n.Wrote, Moved: n.Tell})
 	closes(lc, n)
 	return n
 }
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -71,6 +71,7 @@
 	effect group.Group
 
 	answered atomic.Pointer[Answered]
+	told     atomic.Pointer[Tables]
 
 	seats map[seatName]*chair
 	books map[ident.Service]*book
@@ -82,6 +83,9 @@
 
 	piles piles // share.go
 	looks looks // looks.go
+	dealt dealt // level.go
+
+	places []Place // all seats that are dealt out
 }
 
 type seatName struct {
@@ -123,9 +127,13 @@
 			k.addService(name, svc)
 		}
 	}
+	for _, c := range k.seats {
+		k.places = append(k.places, c.place())
+	}
 	for name, b := range k.books {
 		k.group.Go(func(ctx context.Context) error { return k.bootstrap(ctx, name, b) })
 	}
+	k.group.Go(k.level)
 	return k
 }
 
@@ -206,8 +214,9 @@
 	for name, b := range k.books {
 		b.writer.Send(commit.HubsMsg{VMs: hubs(name, live)})
 	}
+	pairs := k.deal(live)
 	for _, c := range k.seats {
-		lead, deputy := Assign(c.svc.Name, c.srv, c.cfg.centre, live)
+		lead, deputy := pairs[c.place()].Lead, pairs[c.place()].Deputy
 		if deputy == k.VM {
 			deputy = lead // for a seat that this VM still holds from before
 		}
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -47,6 +47,9 @@
 	Lean bool
 	// Term shortens the authority's term, so that a history outlasts it.
 	Term time.Duration
+	// Level is how often the seats are dealt out anew, each to another VM, which
+	// takes them over from holders that are well; zero for never.
+	Level time.Duration
 	// Skew is how far a clock's rate may be off, in parts of a thousand.
 	Skew int
 }
@@ -88,15 +91,16 @@
 	// Count counts calls by kind, for the cost table.
 	Count Count
 
-	now   time.Duration
-	rng   *rand.Rand
-	queue events
-	order uint64
-	cuts  map[[2]string]time.Duration // until when a link is cut
-	held  map[string]ident.VM         // server and epoch to holder
-	times lease.Times
-	names map[ident.Server]*Server
-	lives []bool // whom the roster believed live when it last looked
+	now     time.Duration
+	rng     *rand.Rand
+	queue   events
+	order   uint64
+	cuts    map[[2]string]time.Duration // until when a link is cut
+	held    map[string]ident.VM         // server and epoch to holder
+	times   lease.Times
+	names   map[ident.Server]*Server
+	lives   []bool // whom the roster believed live when it last looked
+	shifted int    // the roster's shift at the last look
 }
 
 // Count is what the seats did.
@@ -141,6 +145,9 @@
 		w.VMs = append(w.VMs, newVM(w, i))
 	}
 	w.roster()
+	if o.Level > 0 {
+		w.after(o.Level/2, w.level)
+	}
 	w.resync()
 	return w
 }
