load: few callers get the whole capacity, and one hot caller spoils less

Few callers: all of them owe more than their share, and while a queue is standing a hot flow is refused even when a place is free, to keep that place for the others; there are no others. Hot caller: the common rate settles where one in fifty requests without debt is refused; that leaves the hot one nearly all that is free, and the others wait in the queues of servers that are 0.89 to 0.97 busy.

Change: while a queue is standing, the share of those who come owing next to nothing is followed; below 8 in 100 a hot flow may have a free place. A squeeze lowers the common rate by a tenth in place of a twentieth.

TestHotCallerDoesNotSpoilOthers now holds for each seed, not for their mean. Run: go test -v -run 'TestFew|TestHot' ./internal/load/bench, and TestTable.

--- a/internal/load/bench/target_test.go
+++ b/internal/load/bench/target_test.go
@@ -16,8 +16,8 @@
 	mostBack     = 1.1  // p99 after an overload, to that before it
 )
 
-// Ratios of two p99s vary by a tenth with the seed, so they are judged by their
-// mean over several; everything else holds for each seed.
+// The ratio of p99 after an overload to that before varies by a tenth with the
+// seed, so it is judged by its mean over several; everything else holds for each.
 const (
 	overloadSeeds = 3
 	hotSeeds      = 8
@@ -101,6 +101,7 @@
 			beside := find(t, Run(scene(t, s, "hot-caller"), Ours, seed+sd), 0, Other)
 			one := float64(beside.P99) / float64(alone.P99)
 			t.Logf("seed %d: %.3f, in time %.3f", seed+sd, one, beside.share(beside.InTime))
+			assert.Assert(t, one <= mostSpoiled, "seed %d: %.3f", seed+sd, one)
 			ratio += one / hotSeeds
 		}
 		assert.Assert(t, ratio <= mostSpoiled, "p99 beside a hot caller to alone: %.3f", ratio)
--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -25,9 +25,11 @@
 //
 // Grounds: without Least, two times the load from 500 equal callers made all of
 // them hot, and a quarter of the capacity was used (see docs/design/load.md); at
-// 0.02 fifty equal callers can still fill a lane. A twentieth per squeeze reaches the right rate within about a second
-// of one server's arrivals; a thousandth per admission keeps the refusals of
-// those without debt, at the settled rate, at about two in a hundred. A flow
+// 0.02 fifty equal callers can still fill a lane. A tenth per squeeze reaches the
+// right rate within half a second of one server's arrivals; a thousandth per
+// admission keeps the refusals of those without debt, at the settled rate, at
+// about one in a hundred. A twentieth kept them at two and left the hot flow more:
+// the others' p99 was up to 1.57 times theirs without it, 1.39 now. A flow
 // whose debt is paid can be forgotten without changing any later decision, so
 // only flows that were active lately are remembered: a million callers cost no
 // more than DefaultFlows entries.
@@ -53,7 +55,7 @@
 	// they owe more than Free, and so gain little beyond it.
 	Much = 3
 
-	tighter = 0.95
+	tighter = 0.9
 	looser  = 1.001
 	// Least is the smallest common rate, as a part of what one flow could reach
 	// alone: whoever takes less than this is never what crowds the others out.
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -27,9 +27,17 @@
 	gapFollow = 0.1
 	// pressFollow spans about fifty requests, half a second of one VM's part.
 	pressFollow = 0.02
-	minHint     = 100 * time.Millisecond
-	maxHint     = 10 * time.Second
-	typicalPace = 5e-3 // seconds, before any answer was seen
+	// fewModest is the share of requests without debt below which there is nobody
+	// to protect from hot flows: with ten equal callers at twice the capacity all
+	// are hot, and refusing them all left a quarter of the capacity unused. With a
+	// hot key that gets seven times what its owner can do, those for the other keys
+	// are 13 in 100; with 12 as the bound 18 in 100 of them were refused, with 8 it
+	// is 6, as without it. modestFollow spans fifty of those who come.
+	fewModest    = 0.08
+	modestFollow = 0.02
+	minHint      = 100 * time.Millisecond
+	maxHint      = 10 * time.Second
+	typicalPace  = 5e-3 // seconds, before any answer was seen
 	// cost is what one request adds to its caller's and key's tags.
 	cost = 1
 )
@@ -39,10 +47,19 @@
 	q       queue.Queue[*Ticket]
 	callers fair.Book
 	keys    fair.Book
+	modest  float64       // share of those who come while it stands and owe next to nothing
 	gap     time.Duration // average time between two starts while others wait
 	last    time.Time     // the last start, while others wait
 }
 
+// see notes who comes while the queue is standing.
+func (l *lane) see(debt float64) {
+	l.modest -= l.modest * modestFollow
+	if debt <= fair.Free/2 {
+		l.modest += modestFollow
+	}
+}
+
 // popped notes a start from the queue.
 func (l *lane) popped(now time.Time) {
 	if !l.last.IsZero() {
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -164,7 +164,8 @@
 // enter starts the request if there is room and nobody waits before it, and
 // else admits it to the queue or refuses it. A hot flow is refused while the
 // queue is standing, even if a place happens to be free: half of those who ask
-// at that moment are the hot one, and it would get half of the service.
+// at that moment are the hot one, and it would get half of the service. Only when
+// there is nobody else whom that could harm does it get a free place.
 func (c *Core) enter(now time.Time, ls *lanes, owner *server, t *Ticket) Verdict {
 	t.in = ls
 	l := &ls.by[t.long]
@@ -173,7 +174,10 @@
 	if l.q.Standing() || l.q.Len() > 0 {
 		debt = l.debt(now, t)
 	}
-	if l.q.Standing() && debt > fair.Much {
+	if l.q.Standing() {
+		l.see(debt)
+	}
+	if l.q.Standing() && debt > fair.Much && !c.spare(now, l, owner) {
 		l.heldOff(now)
 		return c.refuse(t, kinds.Busy, c.hint(l.callers.Delay(debt)))
 	}
@@ -187,6 +191,19 @@
 	return c.admit(now, l, owner, t, debt)
 }
 
+// spare reports whether a place is free that nobody within a share would want:
+// nobody waits, and hardly anybody comes who owes nothing.
+func (c *Core) spare(now time.Time, l *lane, owner *server) bool {
+	switch {
+	case l.q.Len() > 0 || l.modest >= fewModest:
+		return false
+	case owner != nil:
+		return owner.roomKeyed(now)
+	default:
+		return c.open.Len() > 0
+	}
+}
+
 // place returns a server with room for the request, nil if there is none.
 func (c *Core) place(now time.Time, owner *server, t *Ticket) *server {
 	switch {
