Bad input: answers that cannot be read, redirects, callers that stop reading

Cause, found by going through the adapters and doors for cases no test caused: a 200 to a write or an order with an unreadable body counted as certainly not done; a redirect of a write was followed as a read, whose 200 passed for the write's; a reply in another version's form counted as a refusal; a caller that stopped reading a large answer held a backend server's slot until TCP gave up; the operators' listener bounded neither headers nor idle connections by the settings, and answers' headers could be 10 MB.

--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -130,7 +130,8 @@
 		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
 	}
 	d.operators.web = &http.Server{
-		Handler: d.routes(o.routes), ReadHeaderTimeout: cfg.Limit.Slow.Duration, ErrorLog: quiet,
+		Handler: d.routes(o.routes), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
+		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return d.operators.open(cfg.Listen.Operators) },
--- a/internal/edge/daemon/fault_test.go
+++ b/internal/edge/daemon/fault_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,6 +116,26 @@
 	assert.Assert(t, serves(t, s.vms[1])())
 }
 
+// A caller sends headers of several megabytes, to either listener. They must not
+// be held in memory, and the next caller must not notice.
+func TestOversizedHeadersAreRefusedAtBothDoors(t *testing.T) {
+	s := newSite(t)
+	d := s.start("north")
+	until(t, "all keys served", serves(t, d))
+	for _, at := range []netip.AddrPort{d.Callers(), d.Operators()} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+at.String()+"/status", nil)
+		assert.NilError(t, err)
+		r.Header.Set("X-Big", strings.Repeat("x", 4<<20))
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			// The server may also break the connection before the client has sent all.
+			assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+			assert.NilError(t, resp.Body.Close())
+		}
+	}
+	assert.Assert(t, serves(t, d)())
+}
+
 // During an update of the fleet a newer version of the program writes rules and
 // a table that this one does not understand. It must neither guess, nor fall
 // over, nor lose what it had: it goes on under the rules it knows, for as long
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -102,6 +102,50 @@
 	return n, err
 }
 
+// A caller must take copySize bytes of an answer within readPaces times the pace
+// at which it must send, or a wireless link's short pause would end an answer.
+const (
+	readPaces = 4
+	// instant is up to where an answer is written without a wait: net/http holds
+	// it, and no deadline needs to be set.
+	instant = 4 << 10
+)
+
+// drained ends a write that the caller takes nothing of for too long. Without it
+// a caller that asks for a large answer and stops reading holds one of a backend
+// server's two or four slots until the request's deadline.
+type drained struct {
+	http.ResponseWriter
+	rc   *http.ResponseController
+	pace time.Duration
+}
+
+// drain returns where to write an answer of a length, -1 if it is not known, and
+// what ends the writing.
+func (x *exchange) drain(length int64) (http.ResponseWriter, func()) {
+	pace := readPaces * x.f.Limit.Slow.Duration
+	if pace <= 0 || length >= 0 && length <= instant {
+		return x.w, func() {}
+	}
+	d := &drained{ResponseWriter: x.w, rc: http.NewResponseController(x.w), pace: pace}
+	return d, func() {
+		// The connection's next answer sets its own.
+		_ = d.rc.SetWriteDeadline(time.Time{})
+	}
+}
+
+// Write writes within the pace.
+func (d *drained) Write(b []byte) (int, error) {
+	_ = d.rc.SetWriteDeadline(time.Now().Add(d.pace))
+	return d.ResponseWriter.Write(b)
+}
+
+// Flush sends what is held back, within the pace.
+func (d *drained) Flush() {
+	_ = d.rc.SetWriteDeadline(time.Now().Add(d.pace))
+	_ = d.rc.Flush()
+}
+
 // refusal is the body of an answer that the system makes itself.
 type refusal struct {
 	Kind string        `json:"kind"`
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -286,7 +286,9 @@
 	x.svc.Called(pass.Server(), true)
 	x.note.Status = answer.Status()
 	x.w.Header()[relay.HeaderID] = x.nameOf()
-	n, err := answer.Copy(x.w)
+	w, end := x.drain(answer.Length())
+	n, err := answer.Copy(w)
+	end()
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.First, Bytes: n + max(x.r.ContentLength, 0)}
 	if err != nil {
 		x.cancel(pass.Server())
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -251,6 +251,41 @@
 	})
 }
 
+// A caller asks for a large answer and then reads nothing, as a telephone does
+// that was put away. A few of them would keep all slots of a server busy with
+// nothing, and every other caller would be refused.
+func TestACallerThatStopsReadingFreesItsPlace(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		c, err := w.net.Dial(t.Context(), entry)
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /lab/x?size=1000000 HTTP/1.1\r\nHost: x\r\nHawthorn-Deadline: 600000\r\n\r\n")
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		svc, _ := w.state.Service("upload")
+		assert.Equal(t, svc.Gate.Stats().Running, 1)
+		time.Sleep(readPaces * 5 * time.Second)
+		assert.Equal(t, svc.Gate.Stats().Running, 0)
+		assert.Equal(t, w.front.Relay.Open(third), 0, "an abandoned connection was kept")
+
+		// One that reads slowly, but reads, gets the whole.
+		slow, err := w.net.Dial(t.Context(), entry)
+		assert.NilError(t, err)
+		defer slow.Close()
+		_, err = io.WriteString(slow, "GET /lab/x?size=100000 HTTP/1.1\r\nHost: x\r\nConnection: close\r\nHawthorn-Deadline: 600000\r\n\r\n")
+		assert.NilError(t, err)
+		got, buf := 0, make([]byte, 8<<10)
+		for err == nil {
+			var n int
+			n, err = slow.Read(buf)
+			got += n
+			time.Sleep(2 * time.Second)
+		}
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Assert(t, got > 100_000, "%d", got)
+	})
+}
+
 // A caller trickles its headers, or sends far too many of them. The entry VM
 // ends both by itself within bounded time and memory, and goes on serving.
 func TestHeadersAreBoundedInTimeAndSize(t *testing.T) {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -193,6 +193,9 @@
 // Status is the answer's HTTP status.
 func (a *Answer) Status() int { return a.resp.StatusCode }
 
+// Length is the length of the body, -1 if it is not known.
+func (a *Answer) Length() int64 { return a.resp.ContentLength }
+
 // Close abandons what was not read.
 func (a *Answer) Close() error {
 	a.cancel(nil)
--- a/internal/plat/call/call.go
+++ b/internal/plat/call/call.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -25,6 +26,9 @@
 // MaxAnswer bounds an answer's bytes. A list of objects is the largest.
 const MaxAnswer = 64 << 20
 
+// MaxHeader bounds the headers of an answer in bytes.
+const MaxHeader = 64 << 10
+
 // Client makes calls. The zero value works.
 type Client struct {
 	// HTTP carries the calls; nil means a client of its own defaults.
@@ -33,10 +37,13 @@
 
 // defaultClient keeps few connections: control calls are small and rare.
 var defaultClient = &http.Client{Transport: &http.Transport{
-	MaxIdleConnsPerHost: 4,
-	IdleConnTimeout:     30 * time.Second,
+	MaxIdleConnsPerHost:    4,
+	IdleConnTimeout:        30 * time.Second,
+	MaxResponseHeaderBytes: MaxHeader,
 }}
 
+var errLong = errors.New("the answer is longer than 64 MiB")
+
 // once hides a reader's further abilities, so that net/http cannot rewind it.
 type once struct{ io.Reader }
 
@@ -52,7 +59,18 @@
 	if err != nil || out == nil {
 		return err
 	}
-	return kinds.Wrap(kinds.Malformed, json.Unmarshal(a.Body, out), "decode answer")
+	return Unread(method, json.Unmarshal(a.Body, out))
+}
+
+// Unread gives an answer that could not be decoded its kind: Ambiguous for a
+// call with an effect, because a 200 says that it was done, whatever the rest
+// says. Taken for a failure, a write that took effect would be repeated, or a
+// key be given away that its server still serves.
+func Unread(method string, err error) error {
+	if method != http.MethodGet {
+		return kinds.Wrap(kinds.Ambiguous, err, "decode answer")
+	}
+	return kinds.Wrap(kinds.Malformed, err, "decode answer")
 }
 
 // Exchange sends body under a header and returns a 200 answer, or an error with
@@ -70,7 +88,9 @@
 	if body != nil {
 		r.Body, r.ContentLength = io.NopCloser(once{bytes.NewReader(body)}), int64(len(body))
 	}
-	resp, err := c.client().Do(r)
+	client := *c.client()
+	client.CheckRedirect = stay
+	resp, err := client.Do(r)
 	if err != nil {
 		return Answer{}, kinds.Wrap(failure(method, handed.Load()), err, method+" "+r.URL.Path)
 	}
@@ -78,6 +98,10 @@
 	return read(resp, method)
 }
 
+// stay takes a redirect for the answer. To follow one turns a write into a read,
+// whose 200 would say that the write was done.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (c *Client) client() *http.Client {
 	if c.HTTP != nil {
 		return c.HTTP
@@ -97,7 +121,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return Answer{}, kinds.New(kindOf(resp.StatusCode, method), method+" answered "+resp.Status)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	if err == nil && len(b) > MaxAnswer {
+		err = errLong
+	}
 	if err != nil {
 		return Answer{}, kinds.Wrap(failure(method, true), err, "read answer")
 	}
--- a/internal/plat/srvcli/host.go
+++ b/internal/plat/srvcli/host.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"hawthornfield.org/hawthornfield/internal/plat/call"
 )
 
 // How a server's answers show what it takes. The first call to a server is one
@@ -38,6 +40,8 @@
 		MaxIdleConnsPerHost: mostIdle,
 		IdleConnTimeout:     idleTime,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: call.MaxHeader,
 	}
 }
 
--- a/internal/plat/srvcli/srvcli.go
+++ b/internal/plat/srvcli/srvcli.go
@@ -101,5 +101,10 @@
 		return out, err
 	}
 	c.learn(to, h, a.Header)
-	return out, kinds.Wrap(kinds.Malformed, Decode(a.Header.Get("Content-Type"), a.Body, &out), "decode answer")
+	err = Decode(a.Header.Get("Content-Type"), a.Body, &out)
+	if r, ok := any(out).(server.Reply); ok && err == nil && !r.Done && r.Why == "" {
+		// Another version's form, of which nothing was understood.
+		err = kinds.New(kinds.Malformed, "a reply that neither obeys nor refuses")
+	}
+	return out, call.Unread(method, err)
 }
--- a/internal/plat/srvcli/srvcli_test.go
+++ b/internal/plat/srvcli/srvcli_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -271,3 +274,25 @@
 		d.close(t)
 	})
 }
+
+// A backend server of another version answers an order with 200 and something
+// that nobody here can read. The order was obeyed; a holder that took it for
+// refused would give the keys away while the server serves them.
+func TestAnUnreadableAnswerToAnOrderIsInDoubt(t *testing.T) {
+	for name, kind := range map[string]string{"JSON": srvcli.TypeJSON, "CBOR": srvcli.TypeCBOR, "neither": "text/html; charset", "none": ""} {
+		for _, body := range []string{"", "{", "\xff", "\xa1\x01", "[7]", "\x9f\xff", `{"obeyed":true}`} {
+			web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header()["Content-Type"] = []string{kind}
+				_, _ = io.WriteString(w, body)
+			}))
+			to := netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+			var c srvcli.Client
+			_, err := c.Grant(t.Context(), to, renewal(server.Mark{Boot: 1}))
+			assert.Equal(t, kinds.Of(err), kinds.Ambiguous, "%s %q", name, body)
+			_, err = c.Read(t.Context(), to, "lookup")
+			assert.Equal(t, kinds.Of(err), kinds.Malformed, "%s %q", name, body)
+			assert.NilError(t, c.Close())
+			web.Close()
+		}
+	}
+}
