--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -87,7 +87,7 @@
 func newState(lc fx.Lifecycle, cfg config.Config) *state.State {
 	s := state.New(cfg.Services)
 	for name, svc := range s.Services() {
-		svc.Gate = gate.New(gate.Config{Service: name, Queue: cfg.Limit.Queue, Deadline: cfg.Limit.Request.Duration})
+		svc.Gate = gate.New(gate.Config{Service: name, Queue: cfg.Limit.Queue, Held: cfg.Limit.Queue, Deadline: cfg.Limit.Request.Duration})
 		svc.Gate.SetServers(infos(svc))
 		closes(lc, svc.Gate)
 	}
@@ -208,9 +208,11 @@
 		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
 		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table,
 		Loads:   func(rows []gossip.Row) { weigh(a.State, rows) },
+		Confirm: mail{a.Peers, link.Rules},
 		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
 	a.Peers.on(link.Gossip, n.Handle)
+	a.Peers.on(link.Rules, n.HandleConfirm)
 	k.OnTable(keeper.Tables{Newer: n.Wrote, Moved: n.Tell})
 	closes(lc, n)
 	return n
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -23,6 +23,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/commit"
 	"hawthornfield.org/hawthornfield/internal/owner/lease"
 	"hawthornfield.org/hawthornfield/internal/owner/seat"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
@@ -81,7 +82,10 @@
 	left  sync.WaitGroup
 
 	piles piles // share.go
+	looks looks // looks.go
 	dealt dealt // level.go
+
+	places []Place // all seats that are dealt out
 }
 
 type seatName struct {
@@ -96,6 +100,8 @@
 	cfg  *serverAt
 	loop *loop.Loop
 	once sync.Once // for left
+
+	answer atomic.Pointer[func(loop.Msg)] // takes the outcome of a write: commit.go
 }
 
 // New starts the seats. Nothing is sent before SetVMs says who leads which.
@@ -121,6 +127,9 @@
 			k.addService(name, svc)
 		}
 	}
+	for _, c := range k.seats {
+		k.places = append(k.places, c.place())
+	}
 	for name, b := range k.books {
 		k.group.Go(func(ctx context.Context) error { return k.bootstrap(ctx, name, b) })
 	}
@@ -130,6 +139,7 @@
 
 func (k *Keeper) addService(name ident.Service, svc *state.Service) {
 	k.books[name] = &book{svc: svc}
+	k.startWriter(name, k.books[name])
 	for i := range svc.Servers {
 		cfg := &svc.Servers[i]
 		at := &serverAt{name: cfg.Name, control: cfg.Control, centre: cfg.Centre}
@@ -153,6 +163,11 @@
 			err = e
 		}
 	}
+	for _, b := range k.books {
+		if e := b.writer.Close(); err == nil {
+			err = e
+		}
+	}
 	if e := k.effect.Close(); err == nil {
 		err = e
 	}
@@ -196,6 +211,9 @@
 			k.markGone(vm.ID)
 		}
 	}
+	for name, b := range k.books {
+		b.writer.Send(commit.HubsMsg{VMs: hubs(name, live)})
+	}
 	pairs := k.deal(live)
 	for _, c := range k.seats {
 		lead, deputy := pairs[c.place()].Lead, pairs[c.place()].Deputy
@@ -217,7 +235,12 @@
 }
 
 // Suspect passes on that a VM seems frozen, cut off or lost.
-func (k *Keeper) Suspect(vm ident.VM) { k.tell(seat.SuspectMsg{VM: vm}) }
+func (k *Keeper) Suspect(vm ident.VM) {
+	for _, b := range k.books {
+		b.writer.Send(commit.SuspectMsg{VM: vm})
+	}
+	k.tell(seat.SuspectMsg{VM: vm})
+}
 
 // Drain moves all keys away from a backend server, or takes that back.
 func (k *Keeper) Drain(svc ident.Service, srv ident.Server, on bool) {
--- a/internal/edge/keeper/level.go
+++ b/internal/edge/keeper/level.go
@@ -132,11 +132,7 @@
 
 // deal works out who should hold which seat.
 func (k *Keeper) deal(live []vmlist.VM) map[Place]Pair {
-	places := make([]Place, 0, len(k.seats))
-	for _, c := range k.seats {
-		places = append(places, c.place())
-	}
-	pairs := Deal(places, live)
+	pairs := Deal(k.places, live)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !slices.Equal(k.dealt.live, live) {
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -8,7 +8,9 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/commit"
 	"hawthornfield.org/hawthornfield/internal/owner/seat"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -22,7 +24,8 @@
 
 // book is what this VM knows of one service's table.
 type book struct {
-	svc *state.Service
+	svc    *state.Service
+	writer *loop.Loop // commit.go
 
 	mu  sync.Mutex
 	rev ident.Revision
@@ -48,6 +51,7 @@
 		return
 	}
 	b.svc.SetView(table.NewView(tab))
+	b.writer.Send(commit.NewsMsg{Table: tab, Version: ver})
 	if told := k.told.Load(); told != nil && ver != 0 {
 		told.Newer(tab)
 	}
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -19,6 +19,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/commit"
 	"hawthornfield.org/hawthornfield/internal/owner/lease"
 	"hawthornfield.org/hawthornfield/internal/owner/seat"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
@@ -38,6 +39,9 @@
 	Patience time.Duration
 	// New makes a seat; tests put a flawed one here.
 	New func(seat.Config) loop.Model
+	// Join makes the writer that joins the table's edits of one VM's seats; nil
+	// lets each seat write for itself.
+	Join func(commit.Config) loop.Model
 	// Lean spares seats that neither hold nor stand by the news of each table, as
 	// a runner of many seats would; they read it when they take over.
 	Lean bool
@@ -87,13 +91,16 @@
 	// Count counts calls by kind, for the cost table.
 	Count Count
 
-	now   time.Duration
-	rng   *rand.Rand
-	queue events
-	order uint64
-	cuts  map[[2]string]time.Duration // until when a link is cut
-	held  map[string]ident.VM         // server and epoch to holder
-	times lease.Times
+	now     time.Duration
+	rng     *rand.Rand
+	queue   events
+	order   uint64
+	cuts    map[[2]string]time.Duration // until when a link is cut
+	held    map[string]ident.VM         // server and epoch to holder
+	times   lease.Times
+	names   map[ident.Server]*Server
+	lives   []bool // whom the roster believed live when it last looked
+	shifted int    // the roster's shift at the last look
 }
 
 // Count is what the seats did.
@@ -105,6 +112,8 @@
 	Peer          int // messages between VMs
 	PeerBytes     int
 	Moves         int // keys moved
+	Joined        int // edits that needed no write of their own
+	Forwarded     int // edits sent to the hub
 }
 
 var start = time.Date(2026, 9, 21, 6, 0, 0, 0, time.UTC)
@@ -115,6 +124,7 @@
 	w := &World{
 		Opt: o, rng: rand.New(rand.NewPCG(o.Seed, 0x68617774)),
 		cuts: map[[2]string]time.Duration{}, held: map[string]ident.VM{}, times: lease.Default(),
+		names: map[ident.Server]*Server{},
 	}
 	if o.Term > 0 {
 		w.times.Term = o.Term
@@ -123,6 +133,7 @@
 	for i := range names {
 		names[i] = ident.Server(fmt.Sprintf("s%d", i))
 		w.Servers = append(w.Servers, newServer(w, i, names[i]))
+		w.names[names[i]] = w.Servers[i]
 	}
 	t, _ := table.New(Service, uint32(o.Slices), names...)
 	for x := range o.Slices {
@@ -228,9 +239,9 @@
 		}
 	}
 	w.after(v.real(wait), func() { finish(nil, false) })
-	name := string(v.ID)
+	name, copies := string(v.ID), request{}
 	w.message(name, to, func() {
-		serve(func(a any) { w.message(to, name, func() { finish(a, true) }) })
+		copies.serve(serve, func(a any) { w.message(to, name, func() { finish(a, true) }) })
 	})
 }
 
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -62,13 +62,17 @@
 
 	any     lanes // requests that may go to any server
 	pace    [sizes.Kinds]float64
+	seen    [sizes.Kinds]int // answers of each kind
 	width   [sizes.Kinds]float64
 	holds   holds
+	owner   func(ident.Key) (Place, bool) // nil when owners are not followed
+	askAt   time.Time                     // when a request that is held goes and asks
 	mix     sizes.Mix
 	share   sizes.Share
 	budget  retry.Budget
 	press   float64 // recent share of requests refused
 	soonest time.Time
+	thinkAt time.Time // when waits are estimated again
 	judgeAt time.Time
 	running int
 	waiting int
@@ -107,24 +111,32 @@
 // Offer takes in a request and decides at once whether it starts, waits or is
 // refused.
 func (c *Core) Offer(now time.Time, t *Ticket) Verdict {
-	c.earn(t)
-	if t.Job.Deadline.IsZero() {
-		t.Job.Deadline = now.Add(c.cfg.Deadline)
-	}
+	c.accept(now, t)
 	switch {
 	case c.closed:
 		return c.refuse(t, kinds.Closing, time.Second)
 	case len(c.servers) == 0:
 		return c.refuse(t, kinds.NoServer, c.hint(0))
 	}
-	t.long = c.mix.Kind(t.Job.Size, uint8(t.Job.Class))
-	c.mix.Seen(now, t.long)
-	if h := c.holds.find(t.Job); h != nil {
-		return c.keep(now, h, t)
+	if h := c.holds.find(&t.Job); h != nil {
+		return c.meet(now, h, t)
 	}
 	return c.route(now, t)
 }
 
+// accept notes what is known of a request at its arrival.
+func (c *Core) accept(now time.Time, t *Ticket) {
+	c.earn(t)
+	if t.Job.Deadline.IsZero() {
+		t.Job.Deadline = now.Add(c.cfg.Deadline)
+	}
+	if t.Job.asked.IsZero() {
+		t.Job.asked = now
+	}
+	t.long = c.mix.Kind(t.Job.Size, uint8(t.Job.Class))
+	c.mix.Seen(now, t.long)
+}
+
 func (c *Core) earn(t *Ticket) {
 	switch {
 	case t.Job.again:
@@ -221,15 +233,12 @@
 	return !c.mix.Mixed(now) || s.long < c.share.Long(s.idx, len(c.servers), s.info.Slots)
 }
 
-// longRoom is ownsLong for the owner of a key: the request has no other place
-// to go, so half the slots are open to each VM.
-func (c *Core) longRoom(now time.Time, s *server) bool {
-	return !c.mix.Mixed(now) || s.long < max(s.info.Slots/2, 1)
-}
-
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
 	t.state, t.srv, t.at = started, s, now
-	s.start(now, t.long, c.typical(t.long))
+	if t.long == sizes.Long && t.Job.Server != "" {
+		c.useTurn(now, s)
+	}
+	s.start(now, t.long, c.expected(t.long))
 	c.running++
 	c.stats.Started++
 	c.press -= c.press * pressFollow
@@ -248,6 +257,7 @@
 	t.state = idle
 	c.running--
 	c.learn(now, t, o)
+	c.taken(now, t, o)
 	if s.gone {
 		return
 	}
@@ -285,7 +295,10 @@
 	}
 }
 
-// next starts one waiting request of the lanes on the server.
+// next starts one waiting request of the lanes on the server. One that has too
+// little time left by what is known now is refused: it was let in when answers
+// were taken to be quicker, as by a VM that has seen none yet, and sent now it
+// would end as unknown at its deadline and hold the place until then.
 func (c *Core) next(now time.Time, ls *lanes, s *server, long bool) bool {
 	kind, ok := ls.turn(long)
 	if !ok {
@@ -295,6 +308,12 @@
 	t := l.q.Pop(now).Value
 	l.popped(now)
 	c.waiting--
+	if t.Job.Deadline.Sub(now) < margin*c.typical(kind) {
+		l.q.Full(now)
+		l.refund(t)
+		c.decide(t, kinds.Late, c.hint(c.each(now, owned(ls, s), kind)))
+		return true
+	}
 	s.limit[s.kind].Tight() // it waited for a place here
 	ls.spend(kind, c.typical(kind).Seconds())
 	c.start(now, t, s)
@@ -302,6 +321,14 @@
 	return true
 }
 
+// owned returns the server if the lanes are those of its own keys.
+func owned(ls *lanes, s *server) *server {
+	if ls == s.own {
+		return s
+	}
+	return nil
+}
+
 // Ready returns the tickets decided since the last call, started or refused.
 // The slice is valid until the next call into the core.
 func (c *Core) Ready() []*Ticket {
@@ -312,14 +339,13 @@
 
 // Next is when Tick has something to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
-	switch {
-	case c.soonest.IsZero():
-		return c.judgeAt
-	case c.judgeAt.IsZero() || c.soonest.Before(c.judgeAt):
-		return c.soonest
-	default:
-		return c.judgeAt
+	var next time.Time
+	for _, at := range [...]time.Time{c.soonest, c.judgeAt, c.askAt, c.thinkAt} {
+		if next.IsZero() || !at.IsZero() && at.Before(next) {
+			next = at
+		}
 	}
+	return next
 }
 
 // Close refuses all who wait, and all who come later.
@@ -334,10 +360,12 @@
 			}
 		}
 	})
-	for _, t := range c.holds.all() {
-		c.holds.remove(t)
-		c.decide(t, kinds.Closing, time.Second)
-	}
+	c.holds.each(func(h *hold) bool {
+		for _, t := range c.empty(h) {
+			c.decide(t, kinds.Closing, time.Second)
+		}
+		return false
+	})
 }
 
 func (c *Core) eachLanes(do func(*lanes)) {
