The next owner's VM hears of the table that is meant, also when another VM wrote it

Cause: seats' edits of a table may now be joined and written by another VM. The holder then knows of its move before it holds the table, and announced the one before; the next owner heard of the right one by the trees, 0.3 s later.

Changed: the announcement names its revision and is owed until that is held.

--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -184,7 +184,7 @@
 
 // moved records an acknowledged move, one decision for each slice or key.
 func (k *Keeper) moved(c *chair, cmd seat.MovedCmd) {
-	k.tellNext(c.seatName.svc, cmd.Moves)
+	k.tellNext(c.seatName.svc, cmd.Rev, cmd.Moves)
 	k.Log.Info("keys moved", "service", c.seatName.svc, "from", c.srv, "count", len(cmd.Moves), "rev", cmd.Rev)
 	if k.Record == nil {
 		return
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -66,17 +66,17 @@
 type Tables struct {
 	// Newer takes each newer one.
 	Newer func(table.Table)
-	// Moved names the VMs that wait for the newest one of a service: they hold
+	// Moved names the VMs that wait for a revision of a service's: they hold
 	// the seats of the servers that were given keys, which nobody serves until
 	// they hear of it.
-	Moved func(svc ident.Service, to []ident.VM)
+	Moved func(svc ident.Service, rev ident.Revision, to []ident.VM)
 }
 
 // OnTable says who is told.
 func (k *Keeper) OnTable(t Tables) { k.told.Store(&t) }
 
 // tellNext lets the holders of the next owners' seats hear of a move at once.
-func (k *Keeper) tellNext(svc ident.Service, moves []table.Move) {
+func (k *Keeper) tellNext(svc ident.Service, rev ident.Revision, moves []table.Move) {
 	told := k.told.Load()
 	if told == nil {
 		return
@@ -88,7 +88,7 @@
 		}
 	}
 	if len(to) > 0 {
-		told.Moved(svc, to)
+		told.Moved(svc, rev, to)
 	}
 }
 
--- a/internal/edge/news/store.go
+++ b/internal/edge/news/store.go
@@ -81,10 +81,10 @@
 	n.gossip.Send(gossip.ValueMsg{Name: tablePrefix + string(tab.Service), Rev: tab.Rev, Raw: raw})
 }
 
-// Tell lets VMs hear at once of the newest table that this VM wrote or read. The
+// Tell lets VMs hear of a revision of a table as soon as this VM holds it. The
 // others hear of it by the trees.
-func (n *News) Tell(svc ident.Service, to []ident.VM) {
-	n.gossip.Send(gossip.TellMsg{Name: tablePrefix + string(svc), To: to})
+func (n *News) Tell(svc ident.Service, rev ident.Revision, to []ident.VM) {
+	n.gossip.Send(gossip.TellMsg{Name: tablePrefix + string(svc), Rev: rev, To: to})
 }
 
 // decode reads a table and checks that it stands under its own name: a table in
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -141,6 +141,7 @@
 	fetches map[string]*fetch
 	waiting map[string]map[ident.VM]*Want
 	fresh   map[string]time.Time // when a name last changed here
+	owed    map[string]TellMsg   // who is to hear of a value that has not come
 	sum     digest.Sum
 
 	storeAt time.Time // when the store was last heard, by us or by a root
@@ -196,7 +197,7 @@
 		h := Head{Name: msg.Name, Rev: msg.Rev, Sum: digest.Of(msg.Raw)}
 		return m, append(m.held(now, "", h, msg.Raw), m.tellWatchers(h)...)
 	case TellMsg:
-		return m, m.tell(msg.Name, msg.To)
+		return m, m.onTell(msg)
 	case ReportMsg:
 		m.report(now, msg.Rows)
 	case PacketMsg:
--- a/internal/node/gossip/gossip_test.go
+++ b/internal/node/gossip/gossip_test.go
@@ -204,6 +204,23 @@
 	}
 }
 
+// Another VM wrote the table for the one that moves a key, and the mover is told
+// so before the table itself reaches it. The next owner's VM must not be told of
+// the table before, and then of nothing.
+func TestWhoIsToldHearsOfTheRevisionThatIsMeant(t *testing.T) {
+	x := newNet(6)
+	x.run(time.Second)
+	x.tell("vm0", ValueMsg{Name: "table/lookup", Rev: 6, Raw: body(1)})
+	x.flush()
+	x.tell("vm0", TellMsg{Name: "table/lookup", Rev: 7, To: []ident.VM{"vm3"}})
+	assert.Equal(t, len(x.wire), 0)
+	x.tell("vm0", ValueMsg{Name: "table/lookup", Rev: 7, Raw: body(2)})
+	x.flush()
+	h, _ := x.nodes["vm3"].Head("table/lookup")
+	assert.Equal(t, h.Rev, ident.Revision(7))
+	assert.Equal(t, len(x.nodes["vm0"].owed), 0)
+}
+
 // A VM starts while the store is down. It gets the newest rules from its peers,
 // whole, and checks them against the digest that was announced.
 func TestANewVMGetsTheNewestFromPeersDuringAnOutage(t *testing.T) {
--- a/internal/node/gossip/told.go
+++ b/internal/node/gossip/told.go
@@ -9,12 +9,37 @@
 // of pulses, some 0.3 s later.
 const mostTold = 16
 
-// TellMsg lets some VMs hear at once of the value held under a name.
+// TellMsg lets some VMs hear at once of the value under a name, as soon as the
+// revision is held: another VM may have written it for this one.
 type TellMsg struct {
 	Name string
+	Rev  ident.Revision
 	To   []ident.VM
 }
 
+// onTell announces the value, or notes that it is owed.
+func (m *Model) onTell(msg TellMsg) []loop.Cmd {
+	if v := m.values[msg.Name]; v != nil && v.Rev >= msg.Rev {
+		return m.tell(msg.Name, msg.To)
+	}
+	if m.owed == nil {
+		m.owed = map[string]TellMsg{}
+	}
+	msg.To = msg.To[:min(mostTold, len(msg.To))]
+	m.owed[msg.Name] = msg
+	return nil
+}
+
+// payOwed announces a value that has come to those who wait for it.
+func (m *Model) payOwed(h Head) []loop.Cmd {
+	msg, ok := m.owed[h.Name]
+	if !ok || h.Rev < msg.Rev {
+		return nil
+	}
+	delete(m.owed, h.Name)
+	return m.tell(h.Name, msg.To)
+}
+
 // tell announces a head to VMs, which ask for what they lack.
 func (m *Model) tell(name string, to []ident.VM) []loop.Cmd {
 	v := m.values[name]
--- a/internal/node/gossip/value.go
+++ b/internal/node/gossip/value.go
@@ -131,7 +131,7 @@
 		cmds = append(cmds, SendCmd{To: vm, Packet: Packet{Give: v.give(waiting[vm])}})
 	}
 	delete(m.waiting, h.Name)
-	return cmds
+	return append(cmds, m.payOwed(h)...)
 }
 
 // learn compares a head with what is held and asks for what is newer.
