--- a/internal/edge/daemon/audit_test.go
+++ b/internal/edge/daemon/audit_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,3 +53,40 @@
 	assert.Equal(t, r.Rows[0].Ran, kinds.RanYes)
 	assert.Equal(t, r.Rows[0].Rule, "receipts")
 }
+
+// Operators keep of lookups only what failed. An auditor who asks afterwards, with
+// every entry VM gone, finds each receipt, and reads how many lookups were left
+// out under which rule instead of finding nothing.
+func TestWhatARuleLeavesOutIsCountedToTheEnd(t *testing.T) {
+	s := newSite(t)
+	s.accept(strings.Replace(rules, "idempotent = true", `keep = "submissions", idempotent = true`, 1))
+	d := s.start("north")
+	until(t, "all keys served", serves(t, d))
+	const lookups = 30
+	before := d.Status().Skipped
+	for i := range lookups {
+		code, _ := send(t, d, "GET", fmt.Sprint("/scales/s", i%7), "")
+		assert.Equal(t, code, http.StatusOK)
+	}
+	code, _ := send(t, d, "POST", "/receipts/north", "load-1")
+	assert.Equal(t, code, http.StatusOK)
+	code, _ = send(t, d, "POST", "/scales/s1", "weighing-1")
+	assert.Equal(t, code, http.StatusOK)
+	until(t, "all counted", func() bool { return d.Status().Skipped >= before+lookups })
+	skipped := d.Status().Skipped
+	assert.NilError(t, d.Close())
+
+	r, err := report.Run(t.Context(), objcli.New(s.at), report.Query{Sort: record.Route})
+	assert.NilError(t, err)
+	kept := map[ident.Request]string{}
+	for _, row := range r.Rows {
+		assert.Assert(t, row.Rule != "lookups" || row.ID == "weighing-1" || row.Ran != kinds.RanYes, "%+v", row.Decision)
+		kept[row.ID] = row.Rule
+	}
+	assert.Equal(t, kept["load-1"], "receipts")
+	assert.Equal(t, kept["weighing-1"], "lookups")
+	assert.Equal(t, len(r.Skips), 1)
+	assert.Equal(t, r.Skips[0].Rule, "lookups")
+	assert.Equal(t, r.Skips[0].Count, skipped)
+	assert.Equal(t, len(r.Gaps), 0)
+}
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -117,6 +117,7 @@
 	Keeper  *keeper.Keeper
 	Record  *record.Writer
 	Journal *ledger.Journal
+	Sieve   *ledger.Sieve
 	Peers   *peers
 	Meter   *meter.Meter
 	Log     *slog.Logger
--- a/internal/edge/daemon/status.go
+++ b/internal/edge/daemon/status.go
@@ -22,6 +22,7 @@
 	Rules    ident.Revision                  `json:"rules"`         // revision in force
 	Peers    []ident.VM                      `json:"peers"`         // connected now
 	Lost     uint64                          `json:"lost"`          // decisions that found no room
+	Skipped  uint64                          `json:"skipped"`       // decisions that rules leave out of the journal
 	Journal  ledger.Status                   `json:"journal"`
 	Services map[ident.Service]ServiceStatus `json:"services"`
 	Seats    []keeper.Status                 `json:"seats"`
@@ -83,7 +84,7 @@
 	s := Status{
 		VM: d.cfg.VM, Centre: d.cfg.Centre, Ready: true, Flying: d.in.Front.Flying(),
 		Rules: d.in.State.Rules.Current().Rev, Peers: d.in.Peers.connected(), Lost: d.in.Record.Lost(),
-		Journal: d.in.Journal.Status(), Services: map[ident.Service]ServiceStatus{}, Seats: d.in.Keeper.Status(),
+		Skipped: d.in.Sieve.Skipped(), Journal: d.in.Journal.Status(), Services: map[ident.Service]ServiceStatus{}, Seats: d.in.Keeper.Status(),
 	}
 	if err := d.ready(); err != nil {
 		s.Ready, s.Why = false, err.Error()
