--- a/internal/load/bench/few_test.go
+++ b/internal/load/bench/few_test.go
@@ -22,16 +22,8 @@
 			sc.Marks = []time.Duration{sc.Last}
 			r := find(t, Run(sc, Ours, seed), 0, Other)
 			t.Logf("%d callers: goodput %.3f, refused within %v", n, r.Goodput, r.RefuseP99)
-			least := leastGoodput
-			if n != 3 {
-				least = leastFew
-			}
-			assert.Assert(t, r.Goodput >= least, "%d callers: goodput %.3f", n, r.Goodput)
+			assert.Assert(t, r.Goodput >= leastGoodput, "%d callers: goodput %.3f", n, r.Goodput)
 			assert.Assert(t, r.RefuseP99 < early, "%d callers: refused after %v", n, r.RefuseP99)
 		}
 	})
 }
-
-// leastFew is what was reached with one caller and with ten, 0.946 to 0.950,
-// rounded down; the target is that of three and of many.
-const leastFew = 0.93
--- a/internal/load/conns/conns_test.go
+++ b/internal/load/conns/conns_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
 )
 
 var begin = time.Unix(1000, 0)
@@ -38,3 +41,51 @@
 	assert.Equal(t, p.Warm(begin.Add(HalfLife)), 4)
 	assert.Assert(t, p.Warm(begin.Add(10*HalfLife)) <= 1)
 }
+
+// VMs join and leave, and hear of it at different moments, each before the next
+// change. All together must stay within what the server accepts, but for the
+// part of a VM that has just joined, which the others give up as they hear; it
+// would otherwise refuse connections of whoever comes last.
+func TestAllTogetherStayWithinTheServersBound(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(20, 100).Draw(t, "connections")
+		n := rapid.IntRange(1, 10).Draw(t, "vms")
+		pools := make([]Pool, n, 20)
+		now := begin
+		for i := range pools {
+			pools[i].Share(now, total, n)
+		}
+		sum := func(at time.Time) (all int) {
+			for i := range pools {
+				all += pools[i].Most(at)
+			}
+			return all
+		}
+		for range 30 {
+			now = now.Add(Settle + time.Duration(rapid.IntRange(0, 20).Draw(t, "s"))*time.Second)
+			allowed := total
+			if len(pools) < 20 && (len(pools) == 1 || rapid.Bool().Draw(t, "joins")) {
+				pools = append(pools, Pool{})
+				pools[len(pools)-1].Share(now, total, len(pools))
+				allowed += max(total/len(pools), 1)
+			} else {
+				pools = pools[:len(pools)-1]
+			}
+			for _, i := range rapid.Permutation(indices(len(pools))).Draw(t, "order") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				pools[i].Share(now, total, len(pools))
+				assert.Assert(t, sum(now) <= allowed, "%d of %d", sum(now), total)
+			}
+			assert.Assert(t, sum(now) <= total, "%d of %d once all have heard", sum(now), total)
+			assert.Assert(t, sum(now.Add(time.Hour)) <= total)
+		}
+	})
+}
+
+func indices(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- a/internal/load/fair/fair.go
+++ b/internal/load/fair/fair.go
@@ -17,7 +17,9 @@
 // A flow that owes much although it is refused for its debt must have sent at
 // several times the rate for a while: it is hot, and is let in only when the
 // queue is not standing. No rate is squeezed below Least of what one flow could
-// reach alone, so that among many equal callers none is hot.
+// reach alone, so that among many equal callers none is hot, nor below an
+// equal share for each flow seen lately: one that is nearly alone would else be
+// held to a fiftieth of a server that idles.
 //
 // Fair queueing by virtual time was tried first and needs a backlog to remember
 // who has had how much; under overload the gate keeps its queues too short for
@@ -29,9 +31,9 @@
 // right rate within half a second of one server's arrivals; a thousandth per
 // admission keeps the refusals of those without debt, at the settled rate, at
 // about one in a hundred. A twentieth kept them at two and left the hot flow more:
-// the others' p99 was up to 1.57 times theirs without it, 1.39 now. A flow
-// whose debt is paid can be forgotten without changing any later decision, so
-// only flows that were active lately are remembered: a million callers cost no
+// the others' p99 was up to 1.57 times theirs without it, 1.42 now. A flow
+// whose debt is paid can be forgotten without changing what others owe, so only
+// flows that were active lately are remembered: a million callers cost no
 // more than DefaultFlows entries.
 package fair
 
@@ -69,10 +71,11 @@
 type Book struct {
 	Max int // most flows remembered; zero is DefaultFlows
 
-	flows flows
-	rate  float64 // requests per second at which each flow pays
-	paid  float64 // what a flow in debt has paid since the start
-	at    time.Time
+	flows  flows
+	lately int     // flows remembered before the last forgetting
+	rate   float64 // requests per second at which each flow pays
+	paid   float64 // what a flow in debt has paid since the start
+	at     time.Time
 }
 
 // Debt is how many requests the flow owes. More than Free is over its share,
@@ -124,7 +127,8 @@
 // Squeeze lowers the common rate, because someone without debt was refused.
 // Most is the rate, in requests per second, that one flow could reach alone.
 func (b *Book) Squeeze(most float64) {
-	b.rate = max(min(b.speed(), most)*tighter, most*Least)
+	share := 1 / float64(max(b.flows.n, b.lately, 1))
+	b.rate = max(min(b.speed(), most)*tighter, most*max(Least, share))
 }
 
 // Ease raises the common rate a little, because a request was let in.
@@ -163,6 +167,7 @@
 	case b.flows.n >= b.Max:
 		b.flows.forget(sweep, b.paid)
 	case b.flows.full():
+		b.lately = b.flows.n
 		b.flows.forget(len(b.flows.slots), b.paid)
 		if 4*b.flows.n > len(b.flows.slots) {
 			b.flows.grow() // or it would be full again soon
--- a/internal/load/fair/fair_test.go
+++ b/internal/load/fair/fair_test.go
@@ -69,3 +69,22 @@
 	b.Refund(7, 1)
 	assert.Equal(t, b.Debt(start, 7), before)
 }
+
+// However often someone has to be refused, nobody's rate may be squeezed below
+// an equal share of the flows seen lately, nor below Least: two callers would
+// otherwise both be held to a fiftieth of a server that idles.
+func TestNobodyIsSqueezedBelowAnEqualShare(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		var b Book
+		n := rapid.IntRange(1, 200).Draw(t, "flows")
+		most := rapid.Float64Range(1, 1000).Draw(t, "most")
+		for i := range n {
+			b.Charge(start, Flow(i+1), 1)
+		}
+		for range 500 {
+			b.Squeeze(most)
+		}
+		want := most * max(Least, 1/float64(n))
+		assert.Assert(t, b.rate >= want*0.999 && b.rate <= want*1.001, "%v, want %v", b.rate, want)
+	})
+}
--- a/internal/load/fair/flows.go
+++ b/internal/load/fair/flows.go
@@ -18,7 +18,9 @@
 	hand  int // the next slot to be looked at, to forget its flow
 }
 
-const firstSlots = 32
+// firstSlots holds 64 flows before any is forgotten, so that a book can tell few
+// from the fifty among which Least is an equal share.
+const firstSlots = 128
 
 // home is where a flow belongs if nobody is there: the high bits of its product
 // with 2^64 over the golden ratio, because flows may be small numbers.
--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -28,12 +28,12 @@
 	// pressFollow spans about fifty requests, half a second of one VM's part.
 	pressFollow = 0.02
 	// fewModest is the share of requests without debt below which there is nobody
-	// to protect from hot flows: with ten equal callers at twice the capacity all
-	// are hot, and refusing them all left a quarter of the capacity unused. With a
-	// hot key that gets seven times what its owner can do, those for the other keys
-	// are 13 in 100; with 12 as the bound 18 in 100 of them were refused, with 8 it
-	// is 6, as without it. modestFollow spans fifty of those who come.
-	fewModest    = 0.08
+	// to protect from hot flows: with one caller at twice the capacity, refusing it
+	// while a place was free left an eighth of the capacity unused. With a hot key
+	// that gets seven times what its owner can do, those for the other keys are 13
+	// in 100; with 12 as the bound 18 in 100 of them were refused, with 3 it is 6 to
+	// 7, as without it. modestFollow spans fifty of those who come.
+	fewModest    = 0.03
 	modestFollow = 0.02
 	minHint      = 100 * time.Millisecond
 	maxHint      = 10 * time.Second
--- a/internal/load/gate/hold_test.go
+++ b/internal/load/gate/hold_test.go
@@ -242,3 +242,61 @@
 		assert.Assert(t, m.core.Stats(m.now).Held <= limit)
 	})
 }
+
+// All places are taken by requests that were asked before. One that went to ask
+// and comes back must not be squeezed in beyond the bound: each held request
+// costs memory of the VM and a connection of a caller.
+func TestOneThatComesBackStaysWithinTheBound(t *testing.T) {
+	m := newMover(4)
+	young, v := m.offer("young", time.Hour)
+	assert.Equal(t, v, Start)
+	for i := range 4 {
+		k := &Ticket{Job: m.job(ident.Caller(strconv.Itoa(i)), time.Hour).Again("")}
+		k.Job.asked, k.Job.met = begin.Add(-time.Second), begin
+		assert.Equal(t, m.core.Await(m.now, k), Wait)
+	}
+	m.now = m.now.Add(time.Millisecond)
+	back := &Ticket{Job: young.Job.Again("")}
+	back.Job.met = m.now
+	m.core.Done(m.now, young, Outcome{Kind: kinds.Misrouted, Refused: true})
+	assert.Equal(t, m.core.Await(m.now, back), Refuse)
+	assert.Equal(t, m.core.Stats(m.now).Held, 4)
+	old := &Ticket{Job: m.job("old", time.Hour).Again("")}
+	old.Job.asked, old.Job.met = begin.Add(-2*time.Second), begin
+	assert.Equal(t, m.core.Await(m.now, old), Wait, "older than all: the newest gives way")
+	assert.Equal(t, m.core.Stats(m.now).Held, 4)
+	assert.Equal(t, len(m.core.Ready()), 1)
+}
+
+// An owner answers one request that it had taken before its lease ended, and
+// refuses those that came after. The late answer must not send everybody who
+// waits to a server that will refuse them.
+func TestALateAnswerOfTheFormerOwnerEndsNoHold(t *testing.T) {
+	m := newMover(100)
+	early, v := m.offer("early", time.Hour)
+	assert.Equal(t, v, Start)
+	m.now = m.now.Add(time.Millisecond)
+	for i := range 5 {
+		_, v = m.refused(ident.Caller(strconv.Itoa(i)), time.Hour)
+		assert.Equal(t, v, Wait)
+	}
+	m.now = m.now.Add(time.Millisecond)
+	m.core.Done(m.now, early, Outcome{Latency: 2 * time.Millisecond})
+	assert.Equal(t, m.core.Stats(m.now).Held, 5)
+	assert.Equal(t, len(m.core.Ready()), 0)
+}
+
+// A key owned apart from its slice moves. Requests for the other keys of the
+// slice have their owner and must not wait.
+func TestAHotKeysMoveHoldsNobodyElse(t *testing.T) {
+	m := newMover(100)
+	j := m.job("c", time.Hour)
+	j.Hot = true
+	hot := &Ticket{Job: j.Again("")}
+	assert.Equal(t, m.core.Await(m.now, hot), Wait)
+	_, v := m.offer("other", time.Hour)
+	assert.Equal(t, v, Start)
+	j.Deadline = m.now.Add(time.Hour)
+	assert.Equal(t, m.core.Offer(m.now, &Ticket{Job: j}), Wait, "the hot key's next one")
+	assert.Equal(t, m.core.Stats(m.now).Held, 2)
+}
--- a/internal/load/gate/rethink_test.go
+++ b/internal/load/gate/rethink_test.go
@@ -148,3 +148,28 @@
 	assert.Equal(t, c.Offer(now, lookup()), Start)
 	assert.Equal(t, c.Offer(now, lookup()), Wait, "the limit of short ones holds")
 }
+
+// An owner is always busy with lookups, its reports never show a free slot. An
+// upload must start there all the same, after a few rounds of the token.
+func TestAnUploadStartsAtABusyOwner(t *testing.T) {
+	c := NewCore(Config{Seed: 1})
+	c.SetServers(begin, []ServerInfo{{Name: "a", Slots: 4, Conns: 100}})
+	c.SetShare(begin, 10, 0)
+	now := begin
+	k := ask("a", now, time.Second)
+	assert.Equal(t, c.Offer(now, k), Start)
+	c.Done(now, k, Outcome{Latency: 8 * time.Millisecond})
+	c.Report(now, "a", 9, 0)
+	upload := ask("a", now, time.Minute)
+	upload.Job.Size = 1 << 20
+	round := c.token(c.byName["a"]).Round()
+	assert.Equal(t, c.Offer(now, upload), Wait)
+	for upload.state != started {
+		now = now.Add(5 * time.Millisecond)
+		c.Report(now, "a", 9, 0)
+		c.mix.Seen(now, 0)
+		c.Tick(now)
+		assert.Assert(t, now.Sub(begin) <= (passes+2)*round, "still waits after %v", now.Sub(begin))
+	}
+	assert.Assert(t, now.Sub(begin) >= (passes-1)*round, "did not yield to the lookups: %v", now.Sub(begin))
+}
--- a/internal/load/limit/limit_test.go
+++ b/internal/load/limit/limit_test.go
@@ -93,3 +93,42 @@
 	feed(l, begin, 1, 18*time.Millisecond)
 	assert.Equal(t, l.Max(), 2, "did not give back")
 }
+
+// A server turns requests away, once or a hundred times in a row. The limit must
+// never be below one place in its own account either: each refusal beyond the
+// first few would otherwise be paid back one by one, and the VM would stay at a
+// single place for minutes after the server has recovered.
+func TestNoNumberOfCutsIsOwed(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		slots, vms := rapid.IntRange(2, 8).Draw(t, "slots"), rapid.IntRange(1, 20).Draw(t, "vms")
+		var l Limit
+		l.Bound(slots, vms, 100)
+		share := l.Max()
+		feed(&l, begin, 1, 8*time.Millisecond)
+		for range rapid.IntRange(20, 200).Draw(t, "cuts") {
+			if rapid.Bool().Draw(t, "refused") {
+				l.Refused()
+			} else {
+				l.Report(begin, Crowd)
+			}
+			assert.Assert(t, l.value >= minimum, "%v", l.value)
+		}
+		assert.Equal(t, l.Max(), 1)
+		later := begin.Add(2 * Fresh)
+		for want := 2; want <= share; want++ {
+			feed(&l, later, 1, 8*time.Millisecond)
+			assert.Equal(t, l.Max(), want, "one good batch, one place")
+		}
+	})
+}
+
+// Before anything is known of a server, and after any bad news of it, one
+// request is allowed.
+func TestTheZeroLimitAllowsOne(t *testing.T) {
+	var l Limit
+	assert.Equal(t, l.Max(), 1)
+	l.Refused()
+	assert.Equal(t, l.Max(), 1)
+	l.Report(begin, 10)
+	assert.Equal(t, l.Max(), 1)
+}
--- a/internal/load/sizes/sizes_test.go
+++ b/internal/load/sizes/sizes_test.go
@@ -88,6 +88,16 @@
 				}
 			}
 			assert.Equal(t, holders, 1)
+			here, next := 0, 0
+			for v := range tokens {
+				if _, holds := tokens[v].Turn(at, server); holds {
+					here = v
+				}
+				if _, holds := tokens[v].Turn(at, server+1); holds {
+					next = v
+				}
+			}
+			assert.Assert(t, vms == 1 || here != next, "one VM has the tokens of neighbouring servers at once")
 		}
 		assert.Equal(t, len(held), vms)
 	})
