--- a/internal/load/sizes/sizes.go
+++ b/internal/load/sizes/sizes.go
@@ -140,13 +140,14 @@
 // the right to start one long request at an owner goes round by the clock, and
 // each owner's token is with another VM.
 //
-// Grounds: a window is half the time that a long request takes, for each long
-// slot, so that at most as many start as all slots can do, and about half on
-// average when each second holder has nothing to start. Shorter ones let more
-// uploads onto an owner at once, longer ones keep uploads waiting for their turn
-// for seconds (docs/design/load.md). Lengths count in steps of four, because VMs
-// that saw other uploads must still go round in step; clocks that differ by less
-// than a window let two VMs start one each, and no more.
+// Grounds: a window is a third of the time that a long request takes, divided by
+// the long slots. If each holder had one to start, one and a half times the slots
+// would be full; few have, and the gate also asks that the owner's last report
+// show a free slot. Shorter windows let more uploads onto an owner at once, longer
+// ones keep uploads waiting for their turn for seconds (docs/design/load.md).
+// Lengths count in steps of four, because VMs that saw other uploads must still go
+// round in step; clocks that differ by less than a window let two VMs start one
+// each, and no more.
 type Token struct {
 	Share
 	window time.Duration
