load/gate: a full owner is told apart from a lost one

An owner that refused everything was answered with no_server, for which the front end waits for the key's next owner, up to 2 s. That is right for an owner that cannot be reached and wrong for one that is full: its callers must hear busy at once. The kind of the last failed attempt decides now. Found by reading; the test of failing owners has both cases. The rows of bad owners in TestTable are unchanged.

--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -178,7 +178,7 @@
 	slack := t.item.By.Sub(now)
 	switch {
 	case owner != nil && owner.health.Failing():
-		return c.refuse(t, kinds.NoServer, c.hint(wait))
+		return c.refuse(t, owner.fault, c.hint(wait))
 	case l.q.Standing() && over > 0:
 		l.heldOff(now)
 		return c.refuse(t, kinds.Busy, c.hint(over))
--- a/internal/load/gate/rethink_test.go
+++ b/internal/load/gate/rethink_test.go
@@ -92,15 +92,25 @@
 	}
 }
 
-// The owner of a key refuses everything it is sent. Nobody else can serve the
-// key, so queueing for it and trying again only delays the refusal; the first to
-// come still asks, so that the owner's return is noticed.
+// The owner of a key refuses everything it is sent, or cannot be reached. Nobody
+// else can serve the key, so queueing for it and trying again only delays the
+// refusal; the first to come still asks, so that the owner's return is noticed.
+// Who is refused by a full server must hear so; only one that is lost is worth
+// waiting for until its keys move.
 func TestAFailingOwnerRefusesAtOnce(t *testing.T) {
+	for want, out := range map[kinds.Kind]Outcome{
+		kinds.Busy: {Kind: kinds.Busy, Refused: true}, kinds.NoServer: {Kind: kinds.NoServer},
+	} {
+		t.Run(want.String(), func(t *testing.T) { failingOwner(t, out, want) })
+	}
+}
+
+func failingOwner(t *testing.T, out Outcome, want kinds.Kind) {
 	c, now := keyed()
 	for range 10 {
 		k := ask("a", now, 250*time.Millisecond)
 		if c.Offer(now, k) == Start {
-			c.Done(now, k, Outcome{Kind: kinds.Busy, Refused: true})
+			c.Done(now, k, out)
 		}
 		now = now.Add(time.Millisecond)
 	}
@@ -109,8 +119,8 @@
 	second := ask("a", now, 250*time.Millisecond)
 	assert.Equal(t, c.Offer(now, second), Refuse)
 	kind, _ := second.Refusal()
-	assert.Equal(t, kind, kinds.NoServer)
-	assert.Assert(t, !c.MayRetry(now, first, Outcome{Kind: kinds.Busy, Refused: true}))
+	assert.Equal(t, kind, want)
+	assert.Assert(t, !c.MayRetry(now, first, out))
 	for range 20 {
 		now = now.Add(8 * time.Millisecond)
 		c.Done(now, first, Outcome{Latency: 8 * time.Millisecond})
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -28,7 +28,8 @@
 	load   pick.Load
 	health health.Server
 	pool   conns.Pool
-	told   int // load in the last report
+	fault  kinds.Kind // of the last attempt that came to nothing, as callers are told
+	told   int        // load in the last report
 	toldAt time.Time
 	turn   turn
 	own    *lanes // requests for the keys it owns
@@ -98,10 +99,12 @@
 	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted:
 		s.health.Gone()
 	case o.Refused:
+		s.fault = kinds.Busy
 		c.learnRefused(now, s, t, took)
 	case o.Kind == kinds.None:
 		c.learnAnswer(now, s, t, took)
 	default:
+		s.fault = kinds.NoServer
 		s.load.Observe(now, took, true)
 		s.health.Done(now, 0, true)
 	}
