--- a/internal/load/gate/hold.go
+++ b/internal/load/gate/hold.go
@@ -89,11 +89,11 @@
 }
 
 // unserved is for a request whose key's owner fails. One that waits for the next
-// owner already goes on waiting: it only asked whether this one is back, and
-// found another one asking.
-func (c *Core) unserved(now time.Time, t *Ticket, wait time.Duration) Verdict {
-	if t.Job.met.IsZero() {
-		return c.refuse(t, kinds.NoServer, c.hint(wait))
+// owner of a lost one already goes on waiting: it only asked whether this one is
+// back, and found another one asking.
+func (c *Core) unserved(now time.Time, t *Ticket, fault kinds.Kind, wait time.Duration) Verdict {
+	if t.Job.met.IsZero() || fault != kinds.NoServer {
+		return c.refuse(t, fault, c.hint(wait))
 	}
 	return c.hold(now, t)
 }
