--- a/internal/fake/world/store.go
+++ b/internal/fake/world/store.go
@@ -166,8 +166,10 @@
 	if from == "" || from == next.From(m) {
 		return
 	}
-	srv := s.w.server(from)
-	if last := srv.last(); srv.open && last.set&bit != 0 && s.w.now < last.to {
-		s.w.errorf("slice %d %q given away while %s serves it until %v", m.Slice, m.Key, from, last.to)
+	for _, srv := range s.w.Servers {
+		if l := srv.lane(from); l.open && l.last().set&bit != 0 && s.w.now < l.last().to {
+			s.w.errorf("slice %d %q given away while %s serves it until %v for the seat of %s",
+				m.Slice, m.Key, srv.Name, l.last().to, from)
+		}
 	}
 }
--- a/internal/fake/world/vm.go
+++ b/internal/fake/world/vm.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -59,7 +60,7 @@
 	for _, s := range v.w.Servers {
 		v.seats[s.Name] = v.w.Opt.New(seat.Config{
 			Self: v.ID, Service: Service, Server: s.Name, Checks: v.w.Opt.Checks,
-			Times: v.w.times, Patience: v.w.Opt.Patience,
+			Times: v.w.times, Patience: v.w.Opt.Patience, Stand: v.w.Opt.Stand,
 		})
 	}
 }
@@ -224,7 +225,7 @@
 		v.execOrder(srv, c)
 	case seat.ReadServerCmd:
 		v.w.Count.Asks++
-		v.ask(srv, func(s *Server) any { return s.read() }, func(r server.Reply, k kinds.Kind) {
+		v.ask(cmp.Or(c.To, srv), func(s *Server) any { return s.lane(srv).read() }, func(r server.Reply, k kinds.Kind) {
 			v.Send(srv, seat.ReplyMsg{Read: c, Reply: r, Kind: k})
 		})
 	case seat.SendCmd:
@@ -316,7 +317,7 @@
 		v.Send(srv, seat.ReplyMsg{Order: c, Kind: kinds.Down})
 		return
 	}
-	v.ask(srv, func(s *Server) any { return s.obey(c.Order, c.Revoke) }, func(r server.Reply, k kinds.Kind) {
+	v.ask(c.Order.Server, func(s *Server) any { return s.lane(srv).obey(c.Order, c.Revoke) }, func(r server.Reply, k kinds.Kind) {
 		v.Send(srv, seat.ReplyMsg{Order: c, Reply: r, Kind: k})
 	})
 }
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -37,6 +37,7 @@
 	Centres  int // default 3
 	Checks   bool
 	Patience time.Duration
+	Stand    bool // stand-bys serve for lost servers while the store is down
 	// New makes a seat; tests put a flawed one here.
 	New func(seat.Config) loop.Model
 	// Join makes the writer that joins the table's edits of one VM's seats; nil
--- a/internal/owner/seat/join_test.go
+++ b/internal/owner/seat/join_test.go
@@ -80,7 +80,7 @@
 }
 
 func drawnJoined(checks bool, i int, flaw string) history {
-	h := drawn(checks, i, 0)
+	h := drawn(mode{Checks: checks}, i, 0)
 	h.opt.Join = joinFlaws[flaw]
 	return h
 }
--- a/internal/owner/seat/level_test.go
+++ b/internal/owner/seat/level_test.go
@@ -1,7 +1,6 @@
 package seat_test
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -18,11 +17,11 @@
 // hold and claim the same seat so often; a mistake in it would credit one
 // truckload twice.
 func TestHistoriesKeepOneOwnerWhileSeatsPassOn(t *testing.T) {
-	for _, checks := range []bool{false, true} {
-		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+	for _, m := range modes {
+		t.Run(m.String(), func(t *testing.T) {
 			t.Parallel()
 			seeds.Check(t, func(rt *rapid.T) {
-				h := drawHistory(rt, checks)
+				h := drawHistory(rt, m)
 				h.opt.Level = time.Duration(rapid.IntRange(400, 3000).Draw(rt, "level")) * time.Millisecond
 				w := h.play()
 				bad := append(w.Judge(), unserved(w)...)
