--- a/internal/edge/daemon/fault_test.go
+++ b/internal/edge/daemon/fault_test.go
@@ -145,7 +145,7 @@
 	d := s.start("north")
 	until(t, "all keys served", serves(t, d))
 	p := d.parts.Peers
-	two, err := wire.Encode(map[string]any{"svc": "lookup", "srv": "lookup-0", "beat": map[string]any{"epoch": 9}, "yield": map[string]any{"below": 9}})
+	two, err := wire.Encode(map[any]any{"svc": "lookup", "srv": "lookup-0", 2: map[int]any{1: 9}, "yield": map[string]any{"below": 9}})
 	assert.NilError(t, err)
 	none, err := wire.Encode(map[string]any{"svc": "lookup", "srv": "lookup-0"})
 	assert.NilError(t, err)
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -80,6 +80,7 @@
 	left  sync.WaitGroup
 
 	piles piles // share.go
+	desks desks // form.go
 }
 
 type seatName struct {
--- a/internal/edge/keeper/keeper_test.go
+++ b/internal/edge/keeper/keeper_test.go
@@ -188,9 +188,10 @@
 // exactly one message for a seat that exists, and nothing else.
 func FuzzHandle(f *testing.F) {
 	for _, l := range []letter{
-		{Svc: "lookup", Srv: "a", Beat: &seat.BeatMsg{Epoch: 3}},
+		{Svc: "lookup", Srv: "a", Beat: formOf(seat.BeatMsg{Epoch: 3})},
+		{Seat: seatName{"lookup", "a"}.sum(), Beat: &beatForm{Epoch: 3, Left: 1 << 62, Echo: -1 << 63}},
 		{Svc: "lookup", Srv: "a", Yield: &seat.YieldMsg{Below: 1 << 62}},
-		{Svc: "lookup", Srv: "a", Ask: &seat.AskMsg{}, Yielded: &seat.YieldedMsg{Below: 4}},
+		{Svc: "lookup", Srv: "a", Ask: &askForm{}, Yielded: &seat.YieldedMsg{Below: 4}},
 		{Svc: "none", Srv: "a", Yielded: &seat.YieldedMsg{Below: 4}},
 	} {
 		b, err := wire.Encode(l)
@@ -206,6 +207,12 @@
 		msg, n := l.open("vm-9")
 		assert.Equal(t, msg != nil, n > 0)
 		switch m := msg.(type) {
+		case seat.BeatMsg:
+			assert.Equal(t, m.From, ident.VM("vm-9"))
+			assert.Equal(t, m.Left > 0, l.Beat.Left > 0)
+			assert.Equal(t, m.Echo > 0, l.Beat.Echo > 0)
+		case seat.AskMsg:
+			assert.Equal(t, m.From, ident.VM("vm-9"))
 		case seat.YieldMsg:
 			assert.Equal(t, m.From, ident.VM("vm-9"))
 		case seat.YieldedMsg:
--- a/internal/edge/keeper/post.go
+++ b/internal/edge/keeper/post.go
@@ -11,10 +11,11 @@
 // letter is a seat message on its way between entry VMs: the seat, and exactly
 // one message.
 type letter struct {
-	Svc     ident.Service    `cbor:"svc"`
-	Srv     ident.Server     `cbor:"srv"`
-	Beat    *seat.BeatMsg    `cbor:"beat,omitempty"`
-	Ask     *seat.AskMsg     `cbor:"ask,omitempty"`
+	Svc     ident.Service    `cbor:"svc,omitempty"`
+	Srv     ident.Server     `cbor:"srv,omitempty"`
+	Seat    uint64           `cbor:"1,keyasint,omitempty"` // in place of both; see desks
+	Beat    *beatForm        `cbor:"2,keyasint,omitempty"`
+	Ask     *askForm         `cbor:"3,keyasint,omitempty"`
 	Yield   *seat.YieldMsg   `cbor:"yield,omitempty"`
 	Yielded *seat.YieldedMsg `cbor:"did,omitempty"`
 	// All, in place of everything else, are whole letters that share a packet.
@@ -24,13 +25,14 @@
 // post sends a seat's message. Beats and the questions that answer them are
 // stale when they are late, so they do not queue behind anything.
 func (k *Keeper) post(name seatName, cmd seat.SendCmd) {
-	l := letter{Svc: name.svc, Srv: name.srv}
+	var l letter
+	k.name(&l, name)
 	cast := false
 	switch m := cmd.Msg.(type) {
 	case seat.BeatMsg:
-		l.Beat, cast = &m, true
+		l.Beat, cast = formOf(m), true
 	case seat.AskMsg:
-		l.Ask, cast = &m, true
+		l.Ask, cast = &askForm{Epoch: m.Epoch, At: m.At.Milliseconds(), Born: m.Born}, true
 	case seat.YieldMsg:
 		l.Yield = &m
 	case seat.YieldedMsg:
@@ -84,7 +86,7 @@
 	if n != 1 || len(l.All) > 0 {
 		return kinds.New(kinds.Malformed, "not exactly one seat message")
 	}
-	c, ok := k.seats[seatName{l.Svc, l.Srv}]
+	c, ok := k.chairOf(l)
 	if !ok {
 		return kinds.New(kinds.Absent, "no such seat here")
 	}
@@ -96,12 +98,10 @@
 // were.
 func (l *letter) open(from ident.VM) (msg loop.Msg, n int) {
 	if l.Beat != nil {
-		l.Beat.From = from
-		msg, n = *l.Beat, n+1
+		msg, n = l.Beat.msg(from), n+1
 	}
 	if l.Ask != nil {
-		l.Ask.From = from
-		msg, n = *l.Ask, n+1
+		msg, n = l.Ask.msg(from), n+1
 	}
 	if l.Yield != nil {
 		l.Yield.From = from
--- a/internal/edge/keeper/share_test.go
+++ b/internal/edge/keeper/share_test.go
@@ -59,7 +59,7 @@
 		time.Sleep(10 * time.Second)
 		sent, at := out.take()
 		assert.Equal(t, len(sent), 100)
-		last := map[ident.Server]time.Time{}
+		last := map[*chair]time.Time{}
 		for i, b := range sent {
 			var l letter
 			assert.NilError(t, wire.Decode(b, &l))
@@ -67,10 +67,12 @@
 			for _, raw := range l.All {
 				var one letter
 				assert.NilError(t, wire.Decode(raw, &one))
-				if was, ok := last[one.Srv]; ok {
+				c, ok := k.chairOf(&one)
+				assert.Assert(t, ok)
+				if was, ok := last[c]; ok {
 					assert.Assert(t, at[i].Sub(was) <= k.Times.Beat+shareWait)
 				}
-				last[one.Srv] = at[i]
+				last[c] = at[i]
 			}
 		}
 		assert.NilError(t, k.Close())
@@ -105,7 +107,7 @@
 func TestOneBadLetterDoesNotHoldUpTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k, _, _ := launch(objmem.New())
-		good, err := wire.Encode(letter{Svc: "lookup", Srv: "a", Beat: &seat.BeatMsg{Epoch: 3}})
+		good, err := wire.Encode(letter{Svc: "lookup", Srv: "a", Beat: formOf(seat.BeatMsg{Epoch: 3})})
 		assert.NilError(t, err)
 		nested, err := wire.Encode(letter{All: [][]byte{good}})
 		assert.NilError(t, err)
