--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -84,6 +84,7 @@
 	piles piles // share.go
 	looks looks // looks.go
 	dealt dealt // level.go
+	desks desks // form.go
 
 	places []Place // all seats that are dealt out
 }
--- a/internal/edge/keeper/post.go
+++ b/internal/edge/keeper/post.go
@@ -12,10 +12,11 @@
 // letter is a seat message on its way between entry VMs: the seat, and exactly
 // one message.
 type letter struct {
-	Svc     ident.Service    `cbor:"svc"`
-	Srv     ident.Server     `cbor:"srv"`
-	Beat    *seat.BeatMsg    `cbor:"beat,omitempty"`
-	Ask     *seat.AskMsg     `cbor:"ask,omitempty"`
+	Svc     ident.Service    `cbor:"svc,omitempty"`
+	Srv     ident.Server     `cbor:"srv,omitempty"`
+	Seat    uint64           `cbor:"1,keyasint,omitempty"` // in place of both; see desks
+	Beat    *beatForm        `cbor:"2,keyasint,omitempty"`
+	Ask     *askForm         `cbor:"3,keyasint,omitempty"`
 	Yield   *seat.YieldMsg   `cbor:"yield,omitempty"`
 	Yielded *seat.YieldedMsg `cbor:"did,omitempty"`
 	// Edit and Did are between the writers of a service's table; they name no
@@ -29,13 +30,14 @@
 // post sends a seat's message. Beats and the questions that answer them are
 // stale when they are late, so they do not queue behind anything.
 func (k *Keeper) post(name seatName, cmd seat.SendCmd) {
-	l := letter{Svc: name.svc, Srv: name.srv}
+	var l letter
+	k.name(&l, name)
 	cast := false
 	switch m := cmd.Msg.(type) {
 	case seat.BeatMsg:
-		l.Beat, cast = &m, true
+		l.Beat, cast = formOf(m), true
 	case seat.AskMsg:
-		l.Ask, cast = &m, true
+		l.Ask, cast = &askForm{Epoch: m.Epoch, At: m.At.Milliseconds(), Born: m.Born}, true
 	case seat.YieldMsg:
 		l.Yield = &m
 	case seat.YieldedMsg:
@@ -92,7 +94,7 @@
 	if l.Edit != nil || l.Did != nil {
 		return k.deliverWriter(l.Svc, msg)
 	}
-	c, ok := k.seats[seatName{l.Svc, l.Srv}]
+	c, ok := k.chairOf(l)
 	if !ok {
 		return kinds.New(kinds.Absent, "no such seat here")
 	}
@@ -104,12 +106,10 @@
 // were.
 func (l *letter) open(from ident.VM) (msg loop.Msg, n int) {
 	if l.Beat != nil {
-		l.Beat.From = from
-		msg, n = *l.Beat, n+1
+		msg, n = l.Beat.msg(from), n+1
 	}
 	if l.Ask != nil {
-		l.Ask.From = from
-		msg, n = *l.Ask, n+1
+		msg, n = l.Ask.msg(from), n+1
 	}
 	if l.Yield != nil {
 		l.Yield.From = from
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -144,6 +144,12 @@
 	Odd  []K
 }
 
+// ViewsMsg brings many VMs' views at once, as the exchange collects them.
+type ViewsMsg[K ~string] struct {
+	Views []ViewMsg[K]
+	Odd   []K // as any of them finds
+}
+
 // TickMsg lets time pass; send it every 100 ms or so. States change only with it
 // and with a list, so that all members are judged by one picture.
 type TickMsg struct{}
@@ -190,6 +196,8 @@
 	told    time.Time // when the others were last told
 	tell    bool      // there is something new to tell
 	shard   ShardMsg
+	lists   uint64 // how many were taken in
+	resting[K]
 }
 
 type view[K ~string] struct {
@@ -202,7 +210,10 @@
 	if cfg == (Config{}) {
 		cfg = DefaultConfig
 	}
-	return &Model[K]{cfg: cfg, members: map[K]*member[K]{}, views: map[ident.VM]view[K]{}}
+	return &Model[K]{
+		cfg: cfg, members: map[K]*member[K]{}, views: map[ident.VM]view[K]{},
+		resting: resting[K]{awake: map[K]*member[K]{}, groups: map[ident.Service]int{}},
+	}
 }
 
 // Update implements [loop.Model].
@@ -211,49 +222,88 @@
 	switch msg := msg.(type) {
 	case ListMsg[K]:
 		m.onList(now, msg.Rows)
-		cmds = m.judge(now)
+		m.wakeDue(now)
+		m.countViews(now)
+		cmds = m.judge(now, m.lookedAt())
 	case ProbeMsg[K]:
-		m.with(msg.ID, func(x *member[K]) { m.tell = x.onProbe(now, msg) || m.tell })
+		m.with(now, msg.ID, func(x *member[K]) { m.tell = x.onProbe(now, msg) || m.tell })
 	case WordMsg[K]:
-		m.with(msg.ID, func(x *member[K]) { m.tell = x.onWord(now, msg.Health) || m.tell })
+		m.with(now, msg.ID, func(x *member[K]) { m.tell = x.onWord(now, msg.Health) || m.tell })
 	case BeatMsg[K]:
-		m.with(msg.ID, func(x *member[K]) { x.onBeat(now) })
+		m.with(now, msg.ID, func(x *member[K]) { x.onBeat(now) })
 	case CallsMsg[K]:
-		m.with(msg.ID, func(x *member[K]) { x.onCalls(now, msg) })
+		m.with(now, msg.ID, func(x *member[K]) { x.onCalls(now, msg) })
 	case ViewMsg[K]:
-		m.views[msg.From] = view[K]{at: now, bad: msg.Bad}
-		for _, id := range msg.Odd {
-			m.with(id, func(x *member[K]) { x.oddAt = now })
+		m.onView(now, msg)
+	case ViewsMsg[K]:
+		for _, v := range msg.Views {
+			m.onView(now, v)
 		}
+		m.onOdd(now, msg.Odd)
 	case ShardMsg:
-		m.shard = msg
+		m.wakeAll()
 		for _, x := range m.members {
+			m.excuse(now, x)
 			x.probers = nil
 		}
+		m.shard = msg
 	case TickMsg:
-		cmds = append(m.probe(now), m.judge(now)...)
+		m.wakeDue(now)
+		m.countViews(now)
+		looked := m.lookedAt()
+		cmds = append(m.probe(now, looked), m.judge(now, looked)...)
 	}
 	return m, cmds
 }
 
-func (m *Model[K]) with(id K, f func(*member[K])) {
-	if x := m.members[id]; x != nil {
-		f(x)
+func (m *Model[K]) onView(now time.Time, v ViewMsg[K]) {
+	m.views[v.From] = view[K]{at: now, bad: v.Bad}
+	if m.shard.Peers {
+		m.with(now, K(v.From), func(x *member[K]) { x.hear(now) })
+	}
+	m.onOdd(now, v.Odd)
+}
+
+func (m *Model[K]) onOdd(now time.Time, ids []K) {
+	for _, id := range ids {
+		m.with(now, id, func(x *member[K]) {
+			x.oddAt = now
+			m.wake(x)
+		})
+	}
+}
+
+func (m *Model[K]) with(now time.Time, id K, f func(*member[K])) {
+	x := m.members[id]
+	if x == nil {
+		return
+	}
+	m.excuse(now, x)
+	f(x)
+	if x.rest == calm && !x.well() {
+		m.wake(x)
 	}
 }
 
 // onList takes the list in. Names that it shows for the first time join.
 func (m *Model[K]) onList(now time.Time, rows []Listed[K]) {
-	for _, x := range m.members {
-		x.inList = false
-	}
+	m.lists++
 	for _, row := range rows {
 		x := m.members[row.ID]
 		if x == nil {
 			x = &member[K]{Member: Member[K]{Is: Joining, Since: now}, born: now}
-			m.members[row.ID] = x
+			m.members[row.ID], m.awake[row.ID] = x, x
+		}
+		if x.Listed != row || !x.inList {
+			m.wake(x)
 		}
 		x.Listed = row
-		x.inList, x.listAt = true, now
+		x.inList, x.listAt, x.list = true, now, m.lists
+	}
+	for _, x := range m.members {
+		if x.inList && x.list != m.lists {
+			m.wake(x)
+			x.inList = false
+		}
 	}
 }
