--- a/internal/owner/seat/deputy.go
+++ b/internal/owner/seat/deputy.go
@@ -37,7 +37,7 @@
 		return
 	}
 	t.beatAt = t.nextBeat()
-	m := BeatMsg{From: t.cfg.Self, Epoch: t.epoch, Mark: t.srv.mark.Mark, Rev: t.srv.want, Clear: true}
+	m := BeatMsg{From: t.cfg.Self, Epoch: t.epoch, Mark: t.srv.mark.Mark, Rev: t.srv.want, Clear: t.rec.format() == Format}
 	if t.echo > 0 {
 		m.Left, m.Echo, m.Born = t.until.Sub(t.now), t.echo, t.echoBorn
 		t.told = t.until
@@ -87,6 +87,7 @@
 		t.fire(deputyChart, &t.d.state, "beat")
 	}
 	t.d.heard, t.d.rev, t.d.clear = t.now, m.Rev, m.Clear
+	t.tells = 0
 	if m.Mark.Boot != 0 || m.Mark.At != 0 {
 		t.srv.fromBeat(m.Mark, t.now)
 	}
