--- a/load.go
+++ b/load.go
@@ -21,6 +21,8 @@
 	Outcome = gate.Outcome
 	// ServerInfo describes a backend server to the gate.
 	ServerInfo = gate.ServerInfo
+	// Place is where a key is served and under which authority, for Gate.Follow.
+	Place = gate.Place
 	// GateStats are a gate's figures for operators.
 	GateStats = gate.Stats
 )
