--- a/internal/load/gate/hold.go
+++ b/internal/load/gate/hold.go
@@ -49,18 +49,6 @@
 	Epoch  ident.Epoch
 }
 
-// hold is the requests of a slice, or of a key owned apart from its slice,
-// between owners.
-type hold struct {
-	key     ident.Key // of the first request, to look the owner up
-	at      Place     // who refused it last
-	since   time.Time
-	refused time.Time // when it did
-	ask     time.Time // when one of those who wait goes and asks
-	pause   time.Duration
-	waiting []*Ticket // in the order in which they were asked
-}
-
 // Follow sets how the owner of a key is looked up. See [Core.Moved].
 func (c *Core) Follow(now time.Time, owner func(ident.Key) (Place, bool)) {
 	c.owner = owner
--- a/internal/load/gate/holds.go
+++ b/internal/load/gate/holds.go
@@ -7,6 +7,18 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
+// hold is the requests of a slice, or of a key owned apart from its slice,
+// between owners.
+type hold struct {
+	key     ident.Key // of the first request, to look the owner up
+	at      Place     // who refused it last
+	since   time.Time
+	refused time.Time // when it did
+	ask     time.Time // when one of those who wait goes and asks
+	pause   time.Duration
+	waiting []*Ticket // in the order in which they were asked
+}
+
 // holds is all holds of a service, by what they are of.
 type holds struct {
 	slices  map[ident.Slice]*hold
