--- a/internal/owner/seat/level_test.go
+++ b/internal/owner/seat/level_test.go
@@ -24,6 +24,9 @@
 			seeds.Check(t, func(rt *rapid.T) {
 				h := drawHistory(rt, checks)
 				h.opt.Level = time.Duration(rapid.IntRange(400, 3000).Draw(rt, "level")) * time.Millisecond
+				if rapid.Bool().Draw(rt, "joined") {
+					h.opt.Join = joined
+				}
 				w := h.play()
 				bad := append(w.Judge(), unserved(w)...)
 				assert.Assert(rt, len(bad) == 0, "%v level %v\n%s", h, h.opt.Level, strings.Join(bad, "\n"))
