--- a/internal/admin/demo/callers.go
+++ b/internal/admin/demo/callers.go
@@ -131,7 +131,7 @@
 	c.group.Go(func(context.Context) error {
 		for range lookupTries {
 			c.send(&a, http.MethodGet, path, nil)
-			if a.ok() || !pause(context.Background(), askAgain) {
+			if a.ok() || !group.Sleep(context.Background(), askAgain) {
 				return nil
 			}
 		}
@@ -149,7 +149,7 @@
 		const tries = 5
 		for range tries {
 			c.send(&a, http.MethodPost, path, []byte("load "+string(a.id)))
-			if a.ran != kinds.RanNo || !pause(context.Background(), time.Second) {
+			if a.ran != kinds.RanNo || !group.Sleep(context.Background(), time.Second) {
 				return
 			}
 		}
--- a/internal/admin/demo/site.go
+++ b/internal/admin/demo/site.go
@@ -245,7 +245,7 @@
 	defer cancel()
 	for _, d := range s.vms {
 		for d.Ready() != nil {
-			if !pause(ctx, 20*time.Millisecond) {
+			if !group.Sleep(ctx, 20*time.Millisecond) {
 				return kinds.Wrap(kinds.Internal, d.Ready(), "an entry VM does not become ready")
 			}
 		}
@@ -254,15 +254,3 @@
 }
 
 const readyWait = 10 * time.Second
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/admin/demo/story.go
+++ b/internal/admin/demo/story.go
@@ -144,7 +144,7 @@
 // story lets things happen: a server is lost, the rules change, servers drain,
 // many come at once, an entry VM leaves, and the platform's store goes away.
 func (s *site) story(ctx context.Context, e *evidence, c *callers, length time.Duration) error {
-	after := func(n int) { pause(ctx, length*time.Duration(n)/parts) }
+	after := func(n int) { group.Sleep(ctx, length*time.Duration(n)/parts) }
 	after(loseAt)
 	e.lost, e.lostAt = s.names[s.keyed.name][1], time.Now()
 	if err := s.origins[e.lost].Close(); err != nil {
@@ -170,7 +170,7 @@
 	c.burst()
 	after(leaveAt - burstAt)
 	c.long(len(s.vms) - 1)
-	pause(ctx, longWork/4)
+	group.Sleep(ctx, longWork/4)
 	s.leave(e)
 	after(downAt - leaveAt)
 	e.downAt = time.Now()
@@ -252,7 +252,7 @@
 func (r *revisions) run(ctx context.Context) error {
 	r.first = make([]map[ident.Revision]time.Time, len(r.site.vms))
 	r.last = make([]ident.Revision, len(r.site.vms))
-	for pause(ctx, 10*time.Millisecond) {
+	for group.Sleep(ctx, 10*time.Millisecond) {
 		for i, d := range r.site.vms {
 			r.look(i, d.State().Rules.Current().Rev)
 		}
--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -62,3 +63,15 @@
 	}
 	return err
 }
+
+// Sleep waits for d or until ctx ends, and reports whether ctx is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -150,7 +150,7 @@
 func (d *doors) retire(ctx context.Context) error {
 	d.in.Front.Closing()
 	d.in.Log.Info("shutting down", "flying", d.in.Front.Flying(), "notice", d.notice)
-	sleep(ctx, d.notice)
+	group.Sleep(ctx, d.notice)
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Limit.Drain.Duration)
 	defer cancel()
 	return d.callers.shut(ctx)
--- a/internal/edge/daemon/peers.go
+++ b/internal/edge/daemon/peers.go
@@ -195,7 +195,7 @@
 // reload looks at the files again and again.
 func (p *peers) reload(ctx context.Context, c config.Certs, store *certs.Store, last certs.PEM) error {
 	for ctx.Err() == nil {
-		sleep(ctx, reloadEvery)
+		group.Sleep(ctx, reloadEvery)
 		now, err := p.reloadOnce(c, store, last)
 		if err != nil {
 			p.log.Warn("keys and certificates not reloaded", "err", err)
@@ -223,12 +223,3 @@
 func same(a, b certs.PEM) bool {
 	return string(a.Cert) == string(b.Cert) && string(a.Key) == string(b.Key) && string(a.CA) == string(b.CA)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/front/flight.go
+++ b/internal/edge/front/flight.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -135,7 +136,7 @@
 			changed = svc.Changed()
 			svc.Gate.Moved()
 			all.divert(svc, true)
-			pause(ctx, grace)
+			group.Sleep(ctx, grace)
 		case <-look.C:
 		}
 		all.divert(svc, false)
@@ -147,12 +148,3 @@
 		fl.divert(svc.Silent(fl.server), patient)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
@@ -117,7 +118,7 @@
 		if err != nil && kinds.Of(err) != kinds.Conflict {
 			k.Log.Debug("bootstrap of a table", "service", svc, "err", err)
 		}
-		sleep(ctx, pause)
+		group.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -191,12 +192,3 @@
 	}
 	return tab, changed
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -222,7 +222,7 @@
 	for ctx.Err() == nil {
 		n.rules.Send(force.TickMsg{})
 		n.quorum.Send(quorum.TickMsg{})
-		sleep(ctx, tickRules)
+		group.Sleep(ctx, tickRules)
 	}
 	return nil
 }
@@ -230,16 +230,7 @@
 func (n *News) tickGossip(ctx context.Context) error {
 	for ctx.Err() == nil {
 		n.gossip.Send(gossip.TickMsg{})
-		sleep(ctx, gossip.Tick)
+		group.Sleep(ctx, gossip.Tick)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/news/news_test.go
+++ b/internal/edge/news/news_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/fake/objmem"
@@ -30,7 +31,7 @@
 
 func (s *sluggish) Get(ctx context.Context, name string) (object.Object, error) {
 	asked := time.Now()
-	sleep(ctx, 900*time.Millisecond)
+	group.Sleep(ctx, 900*time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
--- a/internal/edge/news/store.go
+++ b/internal/edge/news/store.go
@@ -28,7 +28,7 @@
 		if n.watching.Load() {
 			n.probe(ctx)
 		}
-		sleep(ctx, look)
+		group.Sleep(ctx, look)
 	}
 	return nil
 }
@@ -154,7 +154,7 @@
 		case kinds.Of(err) == kinds.Absent:
 			listed = false // the cursor is too old
 		}
-		sleep(ctx, pause)
+		group.Sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 	return nil
--- a/internal/edge/warden/vms.go
+++ b/internal/edge/warden/vms.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
@@ -79,7 +80,7 @@
 	asked := time.Now()
 	w.cast(id, note{Ping: true})
 	w.effect.Go(func(ctx context.Context) error {
-		sleep(ctx, probeWait)
+		group.Sleep(ctx, probeWait)
 		w.mu.Lock()
 		quiet := w.heard[id].Before(asked)
 		w.mu.Unlock()
@@ -88,15 +89,6 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (w *Warden) vmChanged(cmd roster.ChangeCmd[ident.VM]) {
 	w.mu.Lock()
 	if cmd.To == roster.Frozen {
--- a/internal/load/gate/types.go
+++ b/internal/load/gate/types.go
@@ -136,29 +136,28 @@
 
 // Stats are the gate's counters since its start, and its gauges.
 type Stats struct {
-	Started  uint64 // attempts sent to a server
-	Queued   uint64 // requests that had to wait
-	Refused  map[kinds.Kind]uint64
-	Retries  uint64
-	Hedges   uint64
-	Canceled uint64
-
-	Waiting  int // in the queues now
-	Held     int // waiting for a move now
-	Running  int // on backend servers now
-	Ejected  int // servers given no load
-	Overload bool
-	Servers  []ServerStats
+	Started  uint64                `json:"started"` // attempts sent to a server
+	Queued   uint64                `json:"queued"`  // requests that had to wait
+	Refused  map[kinds.Kind]uint64 `json:"refused"`
+	Retries  uint64                `json:"retries"`
+	Hedges   uint64                `json:"hedges"`
+	Canceled uint64                `json:"canceled"`
+	Waiting  int                   `json:"waiting"` // in the queues now
+	Held     int                   `json:"held"`    // waiting for a move now
+	Running  int                   `json:"running"` // on backend servers now
+	Ejected  int                   `json:"ejected"` // servers given no load
+	Overload bool                  `json:"overload"`
+	Servers  []ServerStats         `json:"servers"`
 }
 
 // ServerStats are the gauges of one backend server.
 type ServerStats struct {
-	Name    ident.Server
-	Running int
-	Limit   int
-	Waiting int
-	Latency time.Duration
-	State   string
+	Name    ident.Server  `json:"name"`
+	Running int           `json:"running"`
+	Limit   int           `json:"limit"`
+	Waiting int           `json:"waiting"`
+	Latency time.Duration `json:"latency"`
+	State   string        `json:"state"`
 }
 
 // Again returns the job as a further attempt of the gate's own, which avoids
--- a/internal/peer/link/receive.go
+++ b/internal/peer/link/receive.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/binary"
 	"io"
-	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -102,12 +101,3 @@
 		n.Handle(from, Kind(b[0]), b[1:])
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/link/send.go
+++ b/internal/peer/link/send.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/quic-go/quic-go"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/ring"
 )
@@ -43,7 +44,7 @@
 		if err := s.session(ctx, wait.Reset); err != nil && ctx.Err() == nil {
 			s.node.Log.Debug("peer", "vm", s.peer.ID, "err", err)
 		}
-		pause(ctx, wait.NextBackOff())
+		group.Sleep(ctx, wait.NextBackOff())
 	}
 	return nil
 }
--- a/internal/plat/srvcli/srvcli_test.go
+++ b/internal/plat/srvcli/srvcli_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/fake/origin"
@@ -79,6 +80,7 @@
 
 // host is one backend server with its listener.
 type host struct {
+	group.Group
 	origin *origin.Origin
 	web    *http.Server
 	done   chan struct{}
@@ -97,10 +99,11 @@
 	})}
 	l, done := d.pipes.Listen(at), d.done
 	d.web = web
-	go func() {
+	d.host.Go(func(context.Context) error {
 		defer close(done)
 		_ = web.Serve(l)
-	}()
+		return nil
+	})
 }
 
 func (h *host) shut(t *testing.T) {
@@ -256,11 +259,13 @@
 		mark := d.warm(t)
 		d.origin.Freeze(true)
 		calls := d.calls.Load()
-		broken := make(chan error)
-		go func() {
+		broken := make(chan error, 1)
+		var caller group.Group
+		caller.Go(func(context.Context) error {
 			_, err := d.Grant(t.Context(), at, grant(mark))
 			broken <- err
-		}()
+			return nil
+		})
 		synctest.Wait()
 		assert.NilError(t, d.web.Close())
 		assert.Equal(t, kinds.Of(<-broken), kinds.Ambiguous)
--- a/internal/rules/save/accept.go
+++ b/internal/rules/save/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -40,7 +41,7 @@
 	for ctx.Err() == nil {
 		at, err := seenAt(ctx, s)
 		if err != nil {
-			sleep(ctx)
+			group.Sleep(ctx, again)
 			continue
 		}
 		rec, err := Accepted(ctx, s)
@@ -53,7 +54,7 @@
 			}
 		}
 		if _, _, err = s.Watch(ctx, quorum.Object, at); err != nil {
-			sleep(ctx)
+			group.Sleep(ctx, again)
 		}
 	}
 	return quorum.Record{}, kinds.Wrap(kinds.Late, context.Cause(ctx), "wait until the rules are accepted")
@@ -65,12 +66,3 @@
 	_, at, err := s.List(ctx, quorum.Object)
 	return at, err
 }
-
-func sleep(ctx context.Context) {
-	t := time.NewTimer(again)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
