node/gossip, edge/warden: the watchers read the platform's list, others when it changed

Cause: every VM read the list each second: 926 bytes/s of an idle VM, and 520 calls a second of the platform at 520 VMs.

The watchers' pulses now name what they read by four bytes, with its age. A VM whose list is the same does not read; one that hears of another list, or not of two watchers within 2.5 s, reads for itself. Nobody believes another's list.

Ruled out: the list as a value of the exchange (it has no revision; two watchers that are answered differently would replace each other's for ever).

The bench of the exchange counts the reads of each size.

--- a/internal/admin/bench/peers.go
+++ b/internal/admin/bench/peers.go
@@ -19,12 +19,12 @@
 	if o.Quick {
 		sizes = sizes[:2]
 	}
-	t := Table{Head: []string{"VMs", "loss", "messages/s and VM", "bytes/s and VM", "busiest VM, bytes/s", "known everywhere p50", "p99", "worst", "missing", "watchers", "longest without news", "age of a load row"}}
+	t := Table{Head: []string{"VMs", "loss", "messages/s and VM", "bytes/s and VM", "busiest VM, bytes/s", "known everywhere p50", "p99", "worst", "missing", "watchers", "list reads/s, fleet", "longest without news", "age of a load row"}}
 	bytes, times := Line{Name: "bytes/s and VM"}, Line{Name: "known everywhere, worst (ms)"}
 	for _, r := range spread.Rows(sizes) {
 		t.Rows = append(t.Rows, []string{
 			fmt.Sprint(r.VMs), fmt.Sprintf("%.0f %%", 100*r.Loss), fmt.Sprintf("%.1f", r.Messages), fmt.Sprintf("%.0f", r.Mean), fmt.Sprintf("%.0f", r.Max),
-			r.P50.String(), r.P99.String(), r.Worst.String(), fmt.Sprint(r.Missing), fmt.Sprint(r.Watchers),
+			r.P50.String(), r.P99.String(), r.Worst.String(), fmt.Sprint(r.Missing), fmt.Sprint(r.Watchers), fmt.Sprintf("%.1f", r.Reads),
 			r.Gap.Round(time.Millisecond).String(), r.LoadAge.Round(time.Millisecond).String(),
 		})
 		name := fmt.Sprintf("%d VMs, %.0f %% loss: ", r.VMs, 100*r.Loss)
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -195,6 +195,7 @@
 			h.Peers.heard.Store(new(w.Heard))
 			a.Keeper.OnAnswer(w.Answered)
 			a.News.OnViews(w.Views)
+			a.News.OnList(w.ReadList)
 			return nil
 		},
 		OnStop: func(context.Context) error { return w.Close() },
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -60,6 +60,7 @@
 	watchers *follower
 
 	views atomic.Pointer[func(gossip.ViewsCmd)]
+	read  atomic.Pointer[func()]
 
 	seen atomic.Uint64 // version of the rules object that was handed on
 }
@@ -106,6 +107,12 @@
 // OnViews says who is told what the other VMs say.
 func (n *News) OnViews(f func(gossip.ViewsCmd)) { n.views.Store(&f) }
 
+// OnList says who reads the platform's list of VMs when it is time to.
+func (n *News) OnList(f func()) { n.read.Store(&f) }
+
+// Listed tells what this VM read of that list, and when it asked.
+func (n *News) Listed(msg gossip.ListedMsg) { n.gossip.Send(msg) }
+
 // Watching reports whether this VM watches the store for the others.
 func (n *News) Watching() bool { return n.watching.Load() }
 
@@ -140,6 +147,10 @@
 		if tell := n.views.Load(); tell != nil {
 			(*tell)(cmd)
 		}
+	case gossip.ReadListCmd:
+		if read := n.read.Load(); read != nil {
+			(*read)()
+		}
 	case gossip.LoadCmd:
 		if n.Loads != nil {
 			n.Loads(cmd.Rows)
--- a/internal/edge/warden/warden.go
+++ b/internal/edge/warden/warden.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"slices"
@@ -13,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
@@ -28,7 +31,6 @@
 
 // Periods of looking at the surroundings.
 const (
-	listEvery = time.Second            // the platform's list
 	tickEvery = 100 * time.Millisecond // of the rosters
 	callEvery = 250 * time.Millisecond // what callers received
 	tellEvery = time.Second            // loads and suspicions, to peers and seats
@@ -67,6 +69,8 @@
 	servers *loop.Loop // roster of backend servers
 	homes   map[ident.Server]home
 
+	reads sync.Mutex // one reading of the list at a time
+
 	mu     sync.Mutex
 	list   []vmlist.VM
 	frozen map[ident.VM]bool
@@ -101,13 +105,13 @@
 
 // Start begins to watch.
 func (w *Warden) Start() {
+	defer w.ReadList() // the exchange asked before there was anybody to read
 	w.vms = loop.New(roster.New[ident.VM](roster.Config{}), loop.RunnerFunc(w.runVMs))
 	w.servers = loop.New(roster.New[ident.Server](roster.Config{}), loop.RunnerFunc(w.runServers))
 	for _, duty := range []struct {
 		period time.Duration
 		do     func(context.Context)
 	}{
-		{listEvery, w.readList},
 		{tickEvery, w.tick},
 		{callEvery, w.tellCalls},
 		{tellEvery, w.tellLoads},
@@ -139,11 +143,23 @@
 	w.servers.Send(roster.TickMsg{})
 }
 
+// ReadList reads the platform's list, without waiting for it. The exchange says
+// when.
+func (w *Warden) ReadList() {
+	w.effect.Go(func(ctx context.Context) error {
+		w.reads.Lock()
+		defer w.reads.Unlock()
+		w.readList(ctx)
+		return nil
+	})
+}
+
 // readList reads the platform's list. This VM counts itself as live whatever a
 // lagging list says, unless it is said to leave: it is what runs this line.
 func (w *Warden) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
 	defer cancel()
+	asked := time.Now()
 	list, err := w.VMs.VMs(ctx)
 	if err != nil {
 		w.Log.Debug("VM list", "err", err)
@@ -151,11 +167,13 @@
 			return
 		}
 		list = nil
+	} else {
+		w.News.Listed(gossip.ListedMsg{Sum: sumOf(list), Asked: asked})
 	}
 	if !slices.ContainsFunc(list, func(vm vmlist.VM) bool { return vm.ID == w.VM }) {
 		list = append(list, vmlist.VM{ID: w.VM, Centre: w.Centre, Addr: w.Addr(), State: vmlist.Live})
 	}
-	slices.SortFunc(list, func(a, b vmlist.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(list, byName)
 	w.mu.Lock()
 	same := slices.Equal(w.list, list)
 	w.list = list
@@ -168,6 +186,18 @@
 	}
 }
 
+func byName(a, b vmlist.VM) int { return strings.Compare(string(a.ID), string(b.ID)) }
+
+// sumOf names a list by four bytes, the same on all VMs whatever its order.
+func sumOf(list []vmlist.VM) uint32 {
+	list = slices.SortedFunc(slices.Values(list), byName)
+	h := xxhash.New()
+	for _, vm := range list {
+		fmt.Fprintf(h, "%q %q %v %v\n", vm.ID, vm.Centre, vm.Addr, vm.State) // never fails
+	}
+	return max(1, uint32(h.Sum64()))
+}
+
 func (w *Warden) listed() []vmlist.VM {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -147,7 +147,12 @@
 	heardAt time.Time
 
 	lists []*peerList // the present one first
-	say   SayMsg
+	// listed is what this VM read last of the platform's list, and asksList when
+	// it was last to read.
+	listed   listed
+	asksList time.Time
+
+	say SayMsg
 
 	pulsed time.Time
 	asked  time.Time // when a pulse of ours last wanted answers
@@ -202,6 +207,8 @@
 		m.report(now, msg.Rows)
 	case SayMsg:
 		m.onSay(now, msg)
+	case ListedMsg:
+		m.onListed(msg)
 	case PacketMsg:
 		return m, m.packet(now, msg.From, msg.Packet)
 	case TickMsg:
@@ -301,6 +308,7 @@
 	}
 	cmds = append(cmds, m.ackDue(now)...)
 	cmds = append(cmds, m.newsUp()...)
+	cmds = append(cmds, m.readList(now)...)
 	return append(cmds, m.refetch(now)...)
 }
 
--- a/internal/node/gossip/packet.go
+++ b/internal/node/gossip/packet.go
@@ -44,6 +44,9 @@
 	// List and Turn say how the tree is laid; see newTree.
 	List uint32 `cbor:"10,keyasint,omitempty"`
 	Turn int    `cbor:"11,keyasint,omitempty"`
+	// Read names the platform's list as the root read it Old milliseconds ago.
+	Read uint32 `cbor:"12,keyasint,omitempty"`
+	Old  int64  `cbor:"13,keyasint,omitempty"`
 }
 
 // Ack goes up the tree and counts the VMs that a pulse reached, with what they
@@ -163,7 +166,7 @@
 func (p Packet) sane() bool {
 	switch {
 	case p.Pulse != nil:
-		return p.Pulse.Age >= 0 && p.Pulse.Turn >= 0 && p.Pulse.Turn < Watchers && p.Pulse.Heard >= 0 && saneHeads(p.Pulse.Heads) && (p.Pulse.View == nil || saneView(p.Pulse.View))
+		return p.Pulse.Age >= 0 && p.Pulse.Turn >= 0 && p.Pulse.Turn < Watchers && p.Pulse.Old >= 0 && p.Pulse.Heard >= 0 && saneHeads(p.Pulse.Heads) && (p.Pulse.View == nil || saneView(p.Pulse.View))
 	case p.Ack != nil:
 		return p.Ack.N >= 0 && (p.Ack.View == nil || saneView(p.Ack.View))
 	case p.News != nil:
--- a/internal/node/gossip/pulse.go
+++ b/internal/node/gossip/pulse.go
@@ -27,6 +27,8 @@
 	newsAt time.Time
 	unsent bool
 
+	listed listed // what it read of the platform's list
+
 	turn int      // of its tree; see newTree
 	from ident.VM // who sent its latest pulse here: the way up
 }
@@ -97,6 +99,9 @@
 	if r.got != nil && r.of < p.Seq {
 		p.Back, p.View = p.Seq-r.of, m.collected(now, r, l.sum)
 	}
+	if m.listed.sum != 0 {
+		p.Read, p.Old = m.listed.sum, now.Sub(m.listed.at).Milliseconds()
+	}
 	p.Ask = now.Sub(m.asked) >= Period
 	r.turn = m.turnOf(now)
 	r.at, r.seq, p.Turn = now, p.Seq, r.turn
@@ -161,7 +166,9 @@
 	if at := now.Add(-age); at.After(m.storeAt) {
 		m.storeAt = at
 	}
-	m.noteHeard(now, p.Heard, age-p.Age)
+	late := age - p.Age
+	r.listed = listed{sum: p.Read, at: now.Add(-late - time.Duration(min(p.Old, longAgo))*time.Millisecond)}
+	m.noteHeard(now, p.Heard, late)
 	r.from = from
 	l := m.listBy(p.List)
 	if l == nil {
@@ -171,7 +178,7 @@
 	if p.Ask {
 		cmds = append(cmds, m.startCount(now, l, r, p)...)
 	}
-	if p.View != nil && age-p.Age <= lateWord && p.Back <= uint64(wordFor/time.Millisecond) {
+	if p.View != nil && late <= lateWord && p.Back <= uint64(wordFor/time.Millisecond) {
 		if s := m.unpack(p.View, p.List); s.list != nil {
 			cmds = append(cmds, m.onView(now, r, s))
 		}
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -51,6 +51,7 @@
 	Worst    time.Duration `json:"worst"`
 	Missing  int           `json:"missing"` // VMs that never got the last revision
 	Watchers int           `json:"watchers"`
+	Reads    float64       `json:"reads"` // of the platform's list a second, by all VMs
 	LoadAge  time.Duration `json:"age"`   // of a load row at a VM, on average
 	Blind    int           `json:"blind"` // VMs that at the end see neither store nor most peers
 	Gap      time.Duration `json:"gap"`   // longest time that a VM went without news of the store or most peers
--- a/internal/node/spread/world.go
+++ b/internal/node/spread/world.go
@@ -70,6 +70,8 @@
 	raw   []byte
 	made  map[ident.Revision]time.Time
 	whole int
+	list  uint32 // names the platform's list
+	reads int    // of it
 
 	ticked func(*node)                 // if set, called with each tick of a VM
 	told   func(*node, loop.Cmd)       // if set, told of the commands that are no packets
@@ -91,7 +93,7 @@
 	start := time.Date(2026, 10, 1, 6, 0, 0, 0, time.UTC)
 	r := &run{
 		Config: c, rnd: rand.New(rand.NewPCG(c.Seed, uint64(c.VMs))), now: start, start: start,
-		byVM: map[ident.VM]*node{}, made: map[ident.Revision]time.Time{}, raw: make([]byte, c.Value),
+		byVM: map[ident.VM]*node{}, made: map[ident.Revision]time.Time{}, raw: make([]byte, c.Value), list: 1,
 	}
 	for i := range r.raw {
 		r.raw[i] = byte(r.rnd.Uint32())
@@ -207,6 +209,7 @@
 		return
 	}
 	old.dead = true
+	r.list++
 	n := r.add(len(r.all))
 	r.tell(n, gossip.PeersMsg{Live: r.live()})
 	r.after(r.Lag, r.tellPeers)
@@ -226,6 +229,9 @@
 			r.send(n, c)
 		case gossip.WatchCmd:
 			n.watch = c.On
+		case gossip.ReadListCmd:
+			r.reads++
+			r.after(0, func() { r.tell(n, gossip.ListedMsg{Sum: r.list, Asked: r.now}) })
 		case gossip.ValueCmd:
 			n.got[c.Head.Rev] = r.now
 		case gossip.LoadCmd:
@@ -268,7 +274,7 @@
 }
 
 func (r *run) row() Row {
-	row := Row{VMs: r.VMs, Loss: r.Loss, Whole: float64(r.whole)}
+	row := Row{VMs: r.VMs, Loss: r.Loss, Whole: float64(r.whole), Reads: float64(r.reads) / r.Length.Seconds()}
 	var times []time.Duration
 	var age, ages time.Duration
 	for _, n := range r.all {
