A server that stands by, in the daemon: stand = true

Cause: the seat could lend a lost server's keys in an outage, but no entry VM would have sent their requests there, since the table names the lost one until the store is back; and the daemon had no setting for it.

The holder's word travels through the exchange and lies over the table in the request path until the seat says otherwise or a later epoch does. Orders and reads go to the server that they name, and a read names the seat. The loan of each slice is recorded like a move. Ruled out: hints that expire by time (an outage has no length, and a wrong one costs a refused request only).

Test under three whole VMs: a server lost in an outage of the store. Before (stand = false): its keys were not served within 30 s, when the test was ended. After: all keys through all VMs, 6 of 6 runs under the race detector, and none noticed the store's return.

--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -109,6 +109,7 @@
 		k.must(!names[string(s.Name)], path+".name", "is used by another service")
 		names[string(s.Name)] = true
 		k.must(s.Divided || s.Slices == 0, path+".slices", "needs divided = true")
+		k.must(s.Divided || !s.Stand, path+".stand", "needs divided = true")
 		for n, v := range s.Servers {
 			at := fmt.Sprintf("%s.server[%d]", path, n)
 			k.must(!servers[string(v.Name)], at+".name", "is used by another server")
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -60,7 +60,10 @@
 	Slices uint32 `toml:"slices" validate:"max=65536"`
 	// Checks says that the backend servers refuse orders with an old fence.
 	// False is the careful default: they obey whoever asks.
-	Checks  bool     `toml:"checks"`
+	Checks bool `toml:"checks"`
+	// Stand lets another backend server have a lost one's keys while the store is
+	// down. The backend servers must keep a lease for each seat that orders name.
+	Stand   bool     `toml:"stand"`
 	Weight  Weight   `toml:"weight"`
 	Servers []Server `toml:"server" validate:"dive"`
 }
--- a/internal/edge/daemon/wire.go
+++ b/internal/edge/daemon/wire.go
@@ -208,14 +208,14 @@
 func newNews(lc fx.Lifecycle, cfg config.Config, a hands, k *keeper.Keeper) *news.News {
 	n := news.New(news.Options{
 		Self:  gossip.Peer{VM: cfg.VM, Centre: cfg.Centre},
-		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table,
+		Store: a.Store, Book: &a.State.Rules, Peers: mail{a.Peers, link.Gossip}, Tables: k.Table, Lends: k.Lent,
 		Loads:   func(rows []gossip.Row) { weigh(a.State, rows) },
 		Confirm: mail{a.Peers, link.Rules},
 		Timeout: cfg.Platform.Timeout.Duration, Log: a.Log,
 	})
 	a.Peers.on(link.Gossip, n.Handle)
 	a.Peers.on(link.Rules, n.HandleConfirm)
-	k.OnTable(keeper.Tables{Newer: n.Wrote, Moved: n.Tell})
+	k.OnTable(keeper.Tables{Newer: n.Wrote, Moved: n.Tell, Lent: n.Lend})
 	closes(lc, n)
 	return n
 }
--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -78,6 +79,8 @@
 		log.Info("seat given up", "epoch", cmd.Epoch, "why", cmd.Why)
 	case seat.AloneCmd:
 		log.Warn("renewing as deputy: the holder is silent", "epoch", cmd.Epoch)
+	case seat.StandCmd:
+		k.lend(c, cmd)
 	case seat.DrainedCmd:
 		log.Info("server drained")
 	case seat.LeftCmd:
@@ -145,16 +148,24 @@
 	if cmd.Revoke {
 		send = k.Control.Revoke
 	}
+	to, ok := k.chairBeside(c, cmd.Order.Server)
+	if !ok {
+		return seat.ReplyMsg{Order: cmd, Kind: kinds.Down}
+	}
 	sent := time.Now()
-	reply, err := send(ctx, c.cfg.control, cmd.Order)
-	k.heard(c, reply.Word, time.Since(sent), err)
+	reply, err := send(ctx, to.cfg.control, cmd.Order)
+	k.heard(to, reply.Word, time.Since(sent), err)
 	return seat.ReplyMsg{Order: cmd, Reply: reply, Kind: unanswered(err)}
 }
 
 func (k *Keeper) readServer(ctx context.Context, c *chair, cmd seat.ReadServerCmd) loop.Msg {
+	to, ok := k.chairBeside(c, cmp.Or(cmd.To, c.srv))
+	if !ok {
+		return seat.ReplyMsg{Read: cmd, Kind: kinds.Down}
+	}
 	sent := time.Now()
-	reply, err := k.Control.Read(ctx, c.cfg.control, c.seatName.svc)
-	k.heard(c, reply.Word, time.Since(sent), err)
+	reply, err := k.Control.Read(ctx, to.cfg.control, c.seatName.svc, c.srv)
+	k.heard(to, reply.Word, time.Since(sent), err)
 	return seat.ReplyMsg{Read: cmd, Reply: reply, Kind: unanswered(err)}
 }
 
--- a/internal/edge/keeper/fleet_test.go
+++ b/internal/edge/keeper/fleet_test.go
@@ -175,7 +175,7 @@
 	return c.call(ctx, to, func(h *holder) server.Reply { return h.obey(o, true) })
 }
 
-func (c handset) Read(ctx context.Context, to netip.AddrPort, _ ident.Service) (server.Reply, error) {
+func (c handset) Read(ctx context.Context, to netip.AddrPort, _ ident.Service, _ ident.Server) (server.Reply, error) {
 	return c.call(ctx, to, func(h *holder) server.Reply { return h.reply(true, "") })
 }
 
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -102,6 +102,7 @@
 	loop *loop.Loop
 	once sync.Once // for left
 
+	lends  atomic.Uint32                  // hints given: lend.go
 	answer atomic.Pointer[func(loop.Msg)] // takes the outcome of a write: commit.go
 }
 
@@ -146,7 +147,7 @@
 		at := &serverAt{name: cfg.Name, control: cfg.Control, centre: cfg.Centre}
 		c := &chair{seatName: seatName{name, cfg.Name}, svc: svc, cfg: at}
 		model := seat.New(seat.Config{
-			Self: k.VM, Service: name, Server: cfg.Name, Checks: svc.Checks, Times: k.Times,
+			Self: k.VM, Service: name, Server: cfg.Name, Checks: svc.Checks, Times: k.Times, Stand: svc.Stand,
 		})
 		k.left.Add(1)
 		c.loop = loop.New(model, loop.RunnerFunc(func(ctx context.Context, cmd loop.Cmd, send func(loop.Msg)) {
--- a/internal/edge/keeper/keeper_test.go
+++ b/internal/edge/keeper/keeper_test.go
@@ -53,7 +53,7 @@
 	return c.at(to).Revoke(o), nil
 }
 
-func (c *control) Read(_ context.Context, to netip.AddrPort, _ ident.Service) (server.Reply, error) {
+func (c *control) Read(_ context.Context, to netip.AddrPort, _ ident.Service, _ ident.Server) (server.Reply, error) {
 	return c.at(to).Read(), nil
 }
 
--- a/internal/edge/keeper/level.go
+++ b/internal/edge/keeper/level.go
@@ -192,7 +192,7 @@
 func (k *Keeper) relieve(ctx context.Context, c *chair, holder ident.VM) {
 	ctx, cancel := context.WithTimeout(ctx, k.Times.Call)
 	defer cancel()
-	if _, err := k.Control.Read(ctx, c.cfg.control, c.seatName.svc); err != nil {
+	if _, err := k.Control.Read(ctx, c.cfg.control, c.seatName.svc, c.srv); err != nil {
 		return
 	}
 	k.Log.Info("seat taken over to even them out", "service", c.seatName.svc, "server", c.srv, "from", holder)
--- a/internal/edge/keeper/level_test.go
+++ b/internal/edge/keeper/level_test.go
@@ -179,11 +179,11 @@
 	return p.control.Revoke(ctx, to, o)
 }
 
-func (p partly) Read(ctx context.Context, to netip.AddrPort, svc ident.Service) (server.Reply, error) {
+func (p partly) Read(ctx context.Context, to netip.AddrPort, svc ident.Service, seat ident.Server) (server.Reply, error) {
 	if err := p.gone(to); err != nil {
 		return server.Reply{}, err
 	}
-	return p.control.Read(ctx, to, svc)
+	return p.control.Read(ctx, to, svc, seat)
 }
 
 // start adds a VM, and every VM hears of it.
--- a/internal/edge/keeper/tables.go
+++ b/internal/edge/keeper/tables.go
@@ -71,6 +71,8 @@
 	// the seats of the servers that were given keys, which nobody serves until
 	// they hear of it.
 	Moved func(svc ident.Service, rev ident.Revision, to []ident.VM)
+	// Lent takes the hints of this VM's own seats.
+	Lent func(Lend)
 }
 
 // OnTable says who is told.
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -18,6 +18,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/edge/keeper"
 	"hawthornfield.org/hawthornfield/internal/node/gossip"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -45,6 +46,7 @@
 	Peers   Sender
 	Tables  func(table.Table, object.Version) // told of each table; version zero from a peer
 	Loads   func([]gossip.Row)                // told of loads that peers read
+	Lends   func(keeper.Lend)                 // told of servers that stand by
 	Confirm Sender                            // carries what rules/quorum tells other VMs; nil: nobody is told
 	Timeout time.Duration                     // of one store call, watches apart
 	Log     *slog.Logger
@@ -193,6 +195,8 @@
 			return
 		}
 		n.tables(tab, 0)
+	case strings.HasPrefix(cmd.Head.Name, standPrefix):
+		n.onLend(cmd)
 	}
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -122,22 +122,70 @@
 // Owners says which backend server owns which key, and tells who waits for a
 // change. The zero value knows no owner.
 type Owners struct {
-	view atomic.Pointer[table.View]
+	view   atomic.Pointer[table.View]
+	stands atomic.Pointer[map[ident.Server]Stand] // nil: no server stands by
 
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
+// Stand says that another server has a lost one's keys, as its seat told under
+// an epoch; N orders what was told under one.
+type Stand struct {
+	Epoch ident.Epoch
+	N     uint16
+	To    ident.Server // empty: none has
+}
+
+// newer reports whether s was told after t.
+func (s Stand) newer(t Stand) bool {
+	return s.Epoch > t.Epoch || s.Epoch == t.Epoch && s.N > t.N
+}
+
+// SetStand notes who stands by for a server, and wakes those who wait for a
+// change. It holds until the seat says otherwise, or the table names a later
+// epoch of it: then somebody else answers for its keys.
+func (o *Owners) SetStand(lost ident.Server, s Stand) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := o.stands.Load()
+	if old != nil && !s.newer((*old)[lost]) {
+		return
+	}
+	next := map[ident.Server]Stand{lost: s}
+	if old != nil {
+		next = maps.Clone(*old)
+		next[lost] = s
+	}
+	o.stands.Store(&next)
+	o.wake()
+}
+
+// wake tells those who wait for a change. The caller holds mu.
+func (o *Owners) wake() {
+	if o.changed != nil {
+		close(o.changed)
+		o.changed = nil
+	}
+}
+
 // View returns the present table, nil before the first.
 func (o *Owners) View() *table.View { return o.view.Load() }
 
-// Owner finds the owner of a key.
+// Owner finds who serves a key: its owner by the table, or the server that
+// stands by for it.
 func (o *Owners) Owner(k ident.Key) (table.Owner, bool) {
 	v := o.view.Load()
 	if v == nil {
 		return table.Owner{}, false
 	}
-	return v.Owner(k)
+	owner, ok := v.Owner(k)
+	if stands := o.stands.Load(); stands != nil {
+		if s := (*stands)[owner.Server]; s.To != "" && s.Epoch == owner.Epoch {
+			owner.Server = s.To
+		}
+	}
+	return owner, ok
 }
 
 // Place is where a key is served, as the gate asks for it.
@@ -155,10 +203,7 @@
 		return false
 	}
 	o.view.Store(v)
-	if o.changed != nil {
-		close(o.changed)
-		o.changed = nil
-	}
+	o.wake()
 	return true
 }
 
--- a/internal/fake/origin/control.go
+++ b/internal/fake/origin/control.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 
@@ -15,7 +16,7 @@
 	mux.HandleFunc("POST "+srvcli.PathGrant, o.order(o.Grant))
 	mux.HandleFunc("POST "+srvcli.PathRevoke, o.order(o.Revoke))
 	mux.HandleFunc("GET "+srvcli.PathRead, func(w http.ResponseWriter, r *http.Request) {
-		o.answer(w, r, o.Read())
+		o.answer(w, r, o.ReadSeat(cmp.Or(ident.Server(r.FormValue("seat")), o.Server)))
 	})
 	mux.HandleFunc("GET "+srvcli.PathWord, func(w http.ResponseWriter, r *http.Request) {
 		o.answer(w, r, o.Word())
@@ -64,10 +65,13 @@
 }
 
 // Read says what the server holds under its own seat.
-func (o *Origin) Read() server.Reply {
+func (o *Origin) Read() server.Reply { return o.ReadSeat(o.Server) }
+
+// ReadSeat says what the server holds under a seat, as a stand-by too.
+func (o *Origin) ReadSeat(seat ident.Server) server.Reply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	reply := o.reply(o.Server)
+	reply := o.reply(seat)
 	reply.Done = true
 	return reply
 }
--- a/internal/fake/origin/origin_test.go
+++ b/internal/fake/origin/origin_test.go
@@ -40,7 +40,7 @@
 func TestServesOnlyWhatItsLeaseCovers(t *testing.T) {
 	o, at := launch(t, Config{Server: "s1", Keyed: true, Slices: 8, Checks: true})
 	var c srvcli.Client
-	held, err := c.Read(t.Context(), at, "look")
+	held, err := c.Read(t.Context(), at, "look", "")
 	assert.NilError(t, err)
 	mine := ident.SliceOf("scale-1", 8)
 	order := server.Order{
--- a/internal/plat/server/server.go
+++ b/internal/plat/server/server.go
@@ -97,8 +97,9 @@
 	// Revoke ends the lease of everything not in the order's set; an order with
 	// Full and no slices ends it all.
 	Revoke(ctx context.Context, to netip.AddrPort, o Order) (Reply, error)
-	// Read asks what the server holds, without changing it.
-	Read(ctx context.Context, to netip.AddrPort, svc ident.Service) (Reply, error)
+	// Read asks what the server holds under the authority that seat names (see
+	// Order.Seat), without changing it.
+	Read(ctx context.Context, to netip.AddrPort, svc ident.Service, seat ident.Server) (Reply, error)
 	// Word asks for the server's own word on its state and load.
 	Word(ctx context.Context, to netip.AddrPort) (Word, error)
 	// Drain asks the server to finish what it has and take nothing new.
--- a/internal/plat/srvcli/srvcli.go
+++ b/internal/plat/srvcli/srvcli.go
@@ -52,8 +52,9 @@
 }
 
 // Read asks what the server holds.
-func (c *Client) Read(ctx context.Context, to netip.AddrPort, svc ident.Service) (server.Reply, error) {
-	return do[server.Reply](ctx, c, to, http.MethodGet, PathRead+"?svc="+url.QueryEscape(string(svc)), nil)
+func (c *Client) Read(ctx context.Context, to netip.AddrPort, svc ident.Service, seat ident.Server) (server.Reply, error) {
+	query := url.Values{"svc": {string(svc)}, "seat": {string(seat)}}
+	return do[server.Reply](ctx, c, to, http.MethodGet, PathRead+"?"+query.Encode(), nil)
 }
 
 // Word asks for the server's own word on its state and load.
--- a/internal/plat/srvcli/srvcli_test.go
+++ b/internal/plat/srvcli/srvcli_test.go
@@ -150,7 +150,7 @@
 func TestARenewalAndAProbeCostLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDesk(keyed(false))
-		held, err := d.Read(t.Context(), at, "lookup")
+		held, err := d.Read(t.Context(), at, "lookup", "")
 		assert.NilError(t, err)
 		mark := held.Mark
 		order := func(o server.Order) func() error {
@@ -188,7 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDesk(keyed(true))
 		var renew int64
-		held, err := d.Read(t.Context(), at, "lookup")
+		held, err := d.Read(t.Context(), at, "lookup", "")
 		assert.NilError(t, err)
 		_, err = d.Grant(t.Context(), at, grant(held.Mark))
 		assert.NilError(t, err)
@@ -225,7 +225,7 @@
 				_, err := d.Grant(ctx, at, renewal(held))
 				cancel()
 				assert.Equal(t, kinds.Of(err), kinds.Ambiguous)
-				r, err := d.Read(t.Context(), at, "lookup")
+				r, err := d.Read(t.Context(), at, "lookup", "")
 				assert.NilError(t, err)
 				assert.Assert(t, r.Mark.Boot != held.Boot, "answered by the server that was lost")
 				_, err = d.Grant(t.Context(), at, grant(r.Mark))
@@ -240,10 +240,10 @@
 // warm makes the client know what the server takes, and returns a mark.
 func (d *desk) warm(t *testing.T) server.Mark {
 	for range 2 {
-		_, err := d.Read(t.Context(), at, "lookup")
+		_, err := d.Read(t.Context(), at, "lookup", "")
 		assert.NilError(t, err)
 	}
-	r, err := d.Read(t.Context(), at, "lookup")
+	r, err := d.Read(t.Context(), at, "lookup", "")
 	assert.NilError(t, err)
 	assert.Equal(t, d.dials.Load(), int64(2))
 	return r.Mark
@@ -274,7 +274,7 @@
 		// Nobody listens any more: this one certainly did nothing.
 		_, err := d.Grant(t.Context(), at, grant(mark))
 		assert.Equal(t, kinds.Of(err), kinds.Down)
-		_, err = d.Read(t.Context(), at, "lookup")
+		_, err = d.Read(t.Context(), at, "lookup", "")
 		assert.Equal(t, kinds.Of(err), kinds.Down)
 		d.close(t)
 	})
@@ -294,7 +294,7 @@
 			var c srvcli.Client
 			_, err := c.Grant(t.Context(), to, renewal(server.Mark{Boot: 1}))
 			assert.Equal(t, kinds.Of(err), kinds.Ambiguous, "%s %q", name, body)
-			_, err = c.Read(t.Context(), to, "lookup")
+			_, err = c.Read(t.Context(), to, "lookup", "")
 			assert.Equal(t, kinds.Of(err), kinds.Malformed, "%s %q", name, body)
 			assert.NilError(t, c.Close())
 			web.Close()
