--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -11,11 +11,11 @@
 // refer to them as "rule n". The grounds of the periods are in package lease.
 //
 // Seat is a pure loop.Model: it is told the time, and returns effects as
-// values. Its files each have one concern: take.go wins the authority, bar.go
-// keeps the table's side of it, order.go and reply.go talk to the server,
-// move.go and free.go give keys away, lost.go notices a lost server, stand.go
-// and guard.go let another one stand by for it, deputy.go and yield.go are about
-// the other members, leave.go ends it.
+// values. Its files each have one concern: take.go wins the authority, keep.go
+// keeps and ends it, bar.go has the table's side of it, order.go and reply.go
+// talk to the server, move.go and free.go give keys away, lost.go notices a lost
+// server, stand.go and guard.go let another one stand by for it, deputy.go and
+// yield.go are about the other members, leave.go hands it over.
 package seat
 
 import (
