plat/srvcli: the test lets net/http offer a new connection before it counts

Cause: net/http hands a fresh HTTP/2 connection to the call that dialled it, and puts it where others find it a moment later, from the dialling goroutine. Ruled out: the client forgetting a host that answers (no call failed).

--- a/internal/plat/srvcli/srvcli_test.go
+++ b/internal/plat/srvcli/srvcli_test.go
@@ -242,6 +242,9 @@
 	for range 2 {
 		_, err := d.Read(t.Context(), at, "lookup", "")
 		assert.NilError(t, err)
+		// net/http hands a new HTTP/2 connection to the call that dialled it and
+		// offers it to others a moment later; a call in between dials another.
+		synctest.Wait()
 	}
 	r, err := d.Read(t.Context(), at, "lookup", "")
 	assert.NilError(t, err)
