--- a/internal/edge/daemon/fault_test.go
+++ b/internal/edge/daemon/fault_test.go
@@ -38,6 +38,20 @@
 	})
 }
 
+// deputised reports whether the seat of each of the three lookup servers has a
+// holder and a deputy.
+func (s *site) deputised() bool {
+	n := 0
+	for _, d := range s.vms {
+		for _, seat := range d.Status().Seats {
+			if seat.Authority == "holding" && seat.Deputy != "" {
+				n++
+			}
+		}
+	}
+	return n == 3
+}
+
 // An entry VM that holds seats is replaced during the day. The servers whose
 // authority it held must not lose their leases meanwhile, or every replacement
 // would be a second of blank screens.
@@ -49,17 +63,7 @@
 	for _, d := range s.vms {
 		until(t, "all keys served", serves(t, d))
 	}
-	until(t, "every seat has a deputy", func() bool {
-		n := 0
-		for _, d := range s.vms {
-			for _, seat := range d.Status().Seats {
-				if seat.Authority == "holding" && seat.Deputy != "" {
-					n++
-				}
-			}
-		}
-		return n == 3
-	})
+	until(t, "every seat has a deputy", s.deputised)
 	leaver, others := s.vms[0], s.vms[1:]
 	for i, d := range s.vms {
 		if len(d.Keeper().Held()) > len(leaver.Keeper().Held()) {
--- a/internal/edge/daemon/stand_test.go
+++ b/internal/edge/daemon/stand_test.go
@@ -27,17 +27,7 @@
 	for _, d := range s.vms {
 		until(t, "all keys served", serves(t, d))
 	}
-	until(t, "every seat has a deputy that answers", func() bool {
-		n := 0
-		for _, d := range s.vms {
-			for _, seat := range d.Status().Seats {
-				if seat.Authority == "holding" && seat.Deputy != "" {
-					n++
-				}
-			}
-		}
-		return n == 3
-	})
+	until(t, "every seat has a deputy", s.deputised)
 	svc, _ := s.vms[0].State().Service("lookup")
 	s.api.Outage(true)
 	lost := s.origins["lookup-1"]
