Rules split by weight and match a prefix; services and header names may come from a platform

Cause: a rule named one service, services and servers were fixed by the settings, and the headers were constants of the relay; a platform whose services and instances come and go, and whose callers speak other headers, could not be served. Short answers are taken whole before their caller gets the first byte, so that a server that breaks off can be told or repeated. A refusal after an attempt that may have run no longer promises 'not run'.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -38,7 +38,7 @@
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
 	in := &paced{Reader: x.r.Body, rc: http.NewResponseController(x.w), pace: x.f.Limit.Slow.Duration}
-	if size < 0 || size > smallBody {
+	if size < 0 || size > x.f.Hold {
 		x.body.stream = in
 		return nil
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -41,6 +41,7 @@
 	key  ident.Key
 	by   time.Time
 	sent bool // the header of an answer has been written to the caller
+	ran  bool // an attempt that brought no answer may have run
 
 	flight *flight // the attempt under way, in a service divided by key
 	first  flight
@@ -60,7 +61,7 @@
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	err := x.run()
+	err := x.truthful(x.run())
 	x.finish(err)
 	if err != nil && x.sent {
 		// A normal return would end a chunked answer properly, and the caller
@@ -69,6 +70,16 @@
 	}
 }
 
+// truthful keeps a refusal of the last attempt from promising what an earlier one
+// may have done: a request that was sent once and then refused elsewhere may have
+// run, and a caller that is told otherwise repeats what is done already.
+func (x *exchange) truthful(err error) error {
+	if x.ran && !x.sent && kinds.Of(err).Answer().Ran == kinds.RanNo {
+		return kinds.Wrap(kinds.Unknown, err, "an earlier attempt may have run")
+	}
+	return err
+}
+
 func (x *exchange) run() error {
 	if err := x.identify(); err != nil {
 		return err
@@ -89,7 +100,7 @@
 
 // identify names the request and its caller.
 func (x *exchange) identify() error {
-	id := x.r.Header.Get(relay.HeaderID)
+	id := x.r.Header.Get(x.f.Names.ID)
 	x.named = id != ""
 	if !x.named {
 		id = x.f.prefix + strconv.FormatUint(x.f.serial.Add(1), 36)
@@ -124,7 +135,7 @@
 	errNoRule   = kinds.New(kinds.NoRule, "no rule matches")
 	errDenied   = kinds.New(kinds.Denied, "a rule denies the request")
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
-	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller, in the header "+relay.HeaderID)
+	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
 )
 
@@ -137,18 +148,22 @@
 	rules, ok := book.Current(), false
 	x.note.Rev = rules.Rev
 	req := match.Request{
-		Service: ident.Service(x.r.Header.Get(relay.HeaderService)),
+		Service: ident.Service(x.header(x.f.Names.Service)),
 		Method:  x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery,
 		Header: x.r.Header, Caller: x.note.Caller, Centre: x.f.Centre,
 	}
 	if x.rule, ok = rules.Set.Match(&req); !ok {
 		return errNoRule
 	}
-	x.note.Rule, x.note.Service = x.rule.Name, x.rule.Then.Service
+	x.note.Rule = x.rule.Name
 	if x.rule.Then.Deny {
 		return errDenied
 	}
-	if x.svc, ok = x.f.State.Service(x.rule.Then.Service); !ok {
+	x.note.Service = x.rule.Then.Service
+	if len(x.rule.Then.Split) > 0 {
+		x.note.Service = x.rule.Then.Target(x.f.turn(x.rule.Name))
+	}
+	if x.svc, ok = x.f.State.Service(x.note.Service); !ok {
 		return errService
 	}
 	var err error
@@ -156,19 +171,30 @@
 		return err
 	}
 	x.note.Key = x.key
+	if x.svc.Divided && x.f.Asked != nil {
+		x.f.Asked(x.svc.Name, x.key)
+	}
 	if x.svc.Divided && x.key == "" {
 		return kinds.New(kinds.Internal, "rule "+x.rule.Name+" reads no key for a divided service")
 	}
 	return x.deadline()
 }
 
+// header reads one of the system's own headers, empty when it has no name.
+func (x *exchange) header(name string) string {
+	if name == "" {
+		return ""
+	}
+	return x.r.Header.Get(name)
+}
+
 // deadline takes the earliest of the caller's, the rule's and the default.
 func (x *exchange) deadline() error {
 	left := x.f.Limit.Request.Duration
 	if x.rule.Then.Deadline > 0 {
 		left = x.rule.Then.Deadline
 	}
-	if text := x.r.Header.Get(relay.HeaderDeadline); text != "" {
+	if text := x.header(x.f.Names.Deadline); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
 			return kinds.Wrap(kinds.BadRequest, err, "the deadline is malformed")
@@ -272,12 +298,13 @@
 		after = hint
 	}
 	h := x.w.Header()
-	h.Set(kinds.HeaderRan, string(x.note.Ran))
-	h.Set(relay.HeaderID, string(x.note.ID))
+	if x.f.Names.Ran != "" {
+		h.Set(x.f.Names.Ran, string(x.note.Ran))
+	}
+	h.Set(x.f.Names.ID, string(x.note.ID))
 	h.Set("Content-Type", "application/json")
 	if after > 0 {
-		seconds := int64((after + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", x.f.After(after))
 	}
 	x.w.WriteHeader(a.Status)
 	_, _ = x.w.Write(refusal{Kind: k.String(), Text: a.Text, Ran: x.note.Ran, ID: x.note.ID}.json())
--- a/internal/edge/front/flight.go
+++ b/internal/edge/front/flight.go
@@ -108,16 +108,33 @@
 
 // Start begins to follow the owners of keys. Close ends it.
 func (f *Front) Start() {
-	f.flights = map[ident.Service]*flights{}
-	for name, svc := range f.State.Services() {
+	for _, svc := range f.State.Services() {
 		if svc.Divided {
-			f.flights[name] = &flights{}
-			svc.Gate.Follow(svc.Place)
-			f.group.Go(func(ctx context.Context) error { return f.follow(ctx, svc, f.flights[name]) })
+			f.Follow(svc)
 		}
 	}
 }
 
+// Follow begins to follow the owners of a divided service's keys, for a service
+// that became known after Start. A second call for a service does nothing.
+func (f *Front) Follow(svc *state.Service) {
+	all := &flights{}
+	if _, twice := f.flights.LoadOrStore(svc.Name, all); twice {
+		return
+	}
+	svc.Gate.Follow(svc.Place)
+	f.group.Go(func(ctx context.Context) error { return f.follow(ctx, svc, all) })
+}
+
+// flightsOf returns the attempts under way of a divided service.
+func (f *Front) flightsOf(svc ident.Service) *flights {
+	all, ok := f.flights.Load(svc)
+	if !ok {
+		all, _ = f.flights.LoadOrStore(svc, &flights{})
+	}
+	return all.(*flights)
+}
+
 // Close ends what Start began, and waits.
 func (f *Front) Close() error { return f.group.Close() }
 
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -24,7 +24,7 @@
 
 // forward makes attempts until one is answered, or none may follow.
 func (x *exchange) forward(ctx context.Context) error {
-	if x.svc.Divided {
+	if x.svc.Divided && x.key != "" {
 		return x.toOwner(ctx)
 	}
 	pass, err := x.svc.Gate.Enter(ctx, x.job(""))
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	fl := x.newFlight(owner.Server, cancel)
-	all := x.f.flights[x.svc.Name]
+	all := x.f.flightsOf(x.svc.Name)
 	all.add(fl)
 	defer all.remove(fl)
 	x.flight = fl
@@ -249,8 +249,11 @@
 	}
 	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, &relay.Meta{
 		ID: x.note.ID, Caller: x.note.Caller, Service: x.svc.Name,
-		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.by,
+		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.by, Server: owner.Server,
 	})
+	if err == nil {
+		err = x.whole(answer)
+	}
 	if err == nil && x.flight != nil && !x.flight.lands() {
 		answer.Close()
 		return nil, x.overtaken()
@@ -258,6 +261,31 @@
 	return answer, err
 }
 
+// holdAnswer is up to where an answer is taken whole before its caller gets the
+// first byte of it. A server that breaks off is then noticed while the caller can
+// still be told so, or the request be sent again; larger answers are streamed.
+const holdAnswer = 64 << 10
+
+// report hands a server's own word on its load to the gate.
+func (x *exchange) report(s ident.Server, h http.Header) {
+	if x.f.Names.Load == nil {
+		return
+	}
+	if load, ok := x.f.Names.Load(h); ok {
+		x.svc.Gate.Report(s, load, 0)
+	}
+}
+
+// whole takes a short answer in.
+func (x *exchange) whole(answer *relay.Answer) error {
+	x.report(answer.Server(), answer.Header())
+	if err := answer.Hold(holdAnswer); err != nil {
+		answer.Close()
+		return err
+	}
+	return nil
+}
+
 // overtaken is for an answer that began in the moment in which its attempt was
 // ended: its body would break off.
 func (x *exchange) overtaken() error {
@@ -275,11 +303,13 @@
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
 	if fail.Sent && !fail.Refused {
+		x.ran = true
 		x.cancel(pass.Server())
 	}
 	switch {
 	case fail.Refused:
 		x.svc.Called(pass.Server(), true)
+		x.report(pass.Server(), fail.Header)
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
 		x.svc.Called(pass.Server(), false)
 	}
@@ -295,7 +325,7 @@
 // nameOf is the request id as the value of a header.
 func (x *exchange) nameOf() []string {
 	if x.named {
-		return x.r.Header[relay.HeaderID][:1:1]
+		return x.r.Header[x.f.Names.ID][:1:1]
 	}
 	return []string{string(x.note.ID)}
 }
@@ -306,7 +336,7 @@
 	x.sent = true
 	x.svc.Called(pass.Server(), true)
 	x.note.Status = answer.Status()
-	x.w.Header()[relay.HeaderID] = x.nameOf()
+	x.w.Header()[x.f.Names.ID] = x.nameOf()
 	w, end := x.drain(answer.Length())
 	n, err := answer.Copy(w)
 	end()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -7,9 +7,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,9 +73,19 @@
 
 	// Identify names the caller; nil takes IdentifyHeader.
 	Identify func(*http.Request) ident.Caller
+	// Names are the headers spoken, the relay's; the zero value is the system's own.
+	Names relay.Names
+	// Hold is up to where a body is read whole before the request asks for a place,
+	// in bytes; zero takes smallBody.
+	Hold int64
+	// After renders Retry-After; nil rounds up to whole seconds, as RFC 9110 has it.
+	After func(time.Duration) string
+	// Asked, if set, hears of each request for a key of a divided service.
+	Asked func(svc ident.Service, key ident.Key)
 
 	group   group.Group
-	flights map[ident.Service]*flights // of the services divided by key
+	flights sync.Map // ident.Service -> *flights, of the services divided by key
+	turns   sync.Map // name of a rule -> *atomic.Uint64, its requests
 	closing atomic.Bool
 	flying  atomic.Int64
 	serial  atomic.Uint64
@@ -85,6 +97,15 @@
 	if f.Identify == nil {
 		f.Identify = IdentifyHeader
 	}
+	if f.Names.Refused == nil {
+		f.Names = relay.OwnNames()
+	}
+	if f.Hold <= 0 {
+		f.Hold = smallBody
+	}
+	if f.After == nil {
+		f.After = wholeSeconds
+	}
 	// Two starts of one VM name never give the same request id.
 	f.prefix = string(f.VM) + "-" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-"
 	gin.SetMode(gin.ReleaseMode)
@@ -95,6 +116,23 @@
 	return engine
 }
 
+// wholeSeconds renders a pause rounded up, the only form that RFC 9110 knows.
+func wholeSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// turn counts a rule's requests from a random number on, so that VMs that start
+// together do not all begin a split with the same part.
+func (f *Front) turn(rule string) uint64 {
+	n, ok := f.turns.Load(rule)
+	if !ok {
+		first := &atomic.Uint64{}
+		first.Store(rand.Uint64())
+		n, _ = f.turns.LoadOrStore(rule, first)
+	}
+	return n.(*atomic.Uint64).Add(1)
+}
+
 // writer sends the status at once. gin otherwise keeps it back, and puts its
 // own text into an answer with status 404 and no body.
 type writer struct{ gin.ResponseWriter }
--- a/internal/edge/relay/copy.go
+++ b/internal/edge/relay/copy.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -23,7 +24,7 @@
 func (a *Answer) Copy(w http.ResponseWriter) (int64, error) {
 	defer a.Close()
 	h := w.Header()
-	copyAnswer(h, a.resp.Header)
+	copyAnswer(h, a.resp.Header, a.names.Ran)
 	for name := range a.resp.Trailer {
 		h.Add("Trailer", name)
 	}
@@ -37,6 +38,32 @@
 	return n, nil
 }
 
+// Hold takes in a body of up to most bytes. A body that is longer, or has a
+// trailer, stays to be streamed. The error says that the server broke off: the
+// caller has seen nothing of the answer yet.
+func (a *Answer) Hold(most int64) error {
+	streams := a.resp.ContentLength < 0 && !a.names.Endless // it may be a stream of news
+	if a.resp.ContentLength > most || streams || len(a.resp.Trailer) > 0 || a.resp.Body == http.NoBody {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(a.resp.Body, most+1))
+	if err != nil {
+		return &Failure{Kind: kinds.Truncated, Sent: true, err: err}
+	}
+	if int64(len(b)) > most {
+		a.resp.Body = joined{io.MultiReader(bytes.NewReader(b), a.resp.Body), a.resp.Body}
+		return nil
+	}
+	a.held = b
+	return a.resp.Body.Close()
+}
+
+// joined reads what was taken in already and then the rest.
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
 // copyTrailer sets what the server sent after the body. Names that were not
 // announced need net/http's prefix to be sent at all.
 func (a *Answer) copyTrailer(h http.Header, announced int) {
@@ -50,6 +77,10 @@
 }
 
 func (a *Answer) copyBody(w http.ResponseWriter) (int64, error) {
+	if a.held != nil {
+		n, err := w.Write(a.held)
+		return int64(n), kinds.Wrap(kinds.Canceled, err, "write answer")
+	}
 	if a.resp.Body == http.NoBody {
 		return 0, nil
 	}
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -19,9 +20,51 @@
 	HeaderDeadline = "Hawthorn-Deadline" // milliseconds left
 )
 
-// ours are the headers that only the system may set. A caller that sends one
-// could otherwise claim a key that the rule did not read.
-var ours = []string{HeaderID, HeaderCaller, HeaderKey, HeaderService, HeaderSlice, HeaderFence, HeaderDeadline}
+// Names are the headers by which a platform's callers and backend servers speak of
+// what the system adds, and how they are read. An empty name is neither sent nor
+// read. The zero value of Names stands for the system's own, see OwnNames.
+type Names struct {
+	ID       string // request id
+	Caller   string // who sent it
+	Key      string // key that a divided service owns
+	Service  string // service that the request names, or was sent to
+	Slice    string // slice of the key
+	Fence    string // epoch under which the owner was found
+	Deadline string // milliseconds left
+	Server   string // the one server that may run the request
+	Ran      string // the promise in the system's own answers
+
+	// Refused reports whether an answer says that the server ran nothing.
+	Refused func(status int, h http.Header) bool
+	// Load reads a server's own word on its load: requests running and waiting.
+	Load func(h http.Header) (load int, ok bool)
+	// Endless says that an answer may end with its connection. One whose connection
+	// was reset is not whole; one whose connection was closed in order is.
+	Endless bool
+	// Echoes says that every answer repeats the request's id, so that one without
+	// it belongs to no request.
+	Echoes bool
+	// Kept are the headers of the system's own that the caller sends and that reach
+	// the server as they are.
+	Kept []string
+}
+
+// OwnNames are the headers of the system's own interface.
+func OwnNames() Names {
+	return Names{
+		ID: HeaderID, Caller: HeaderCaller, Key: HeaderKey, Service: HeaderService,
+		Slice: HeaderSlice, Fence: HeaderFence, Deadline: HeaderDeadline, Ran: kinds.HeaderRan,
+		Refused: func(status int, h http.Header) bool {
+			return kinds.Ran(h.Get(kinds.HeaderRan)) == kinds.RanNo && status >= http.StatusBadRequest
+		},
+	}
+}
+
+// own lists the headers that only the system may set.
+func (n *Names) own() []string {
+	all := []string{n.ID, n.Caller, n.Key, n.Service, n.Slice, n.Fence, n.Deadline, n.Server}
+	return slices.DeleteFunc(all, func(name string) bool { return name == "" || slices.Contains(n.Kept, name) })
+}
 
 // hop are the headers that concern one connection only, by RFC 9110, section
 // 7.6.1, and the older ones that are still in use.
@@ -48,13 +91,15 @@
 // The headers that make net/http think that a request may be sent twice.
 var replayHints = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
-// outHeader makes the header for the backend server.
+// outHeader makes the header for the backend server. A caller that sends a header
+// that only the system may set, ours, could otherwise claim a key that the rule
+// did not read.
 //
 // net/http repeats a request without a body, on another connection, when it
 // carries an idempotency key. The permit would stop the second attempt; to keep
 // it from being tried at all, the key travels under its lower-case spelling,
 // which is the same header to the server and unknown to net/http.
-func outHeader(in http.Header, meta *Meta) http.Header {
+func outHeader(in http.Header, names *Names, ours []string, meta *Meta) http.Header {
 	h := make(http.Header, len(in)+len(ours))
 	for name, values := range in {
 		h[name] = values
@@ -73,7 +118,7 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = noAgent
 	}
-	meta.set(h)
+	meta.set(h, names)
 	return h
 }
 
@@ -81,10 +126,10 @@
 var noAgent = []string{""}
 
 // copyAnswer copies a backend server's header to the caller's answer.
-func copyAnswer(dst, src http.Header) {
+func copyAnswer(dst, src http.Header, ran string) {
 	for name, values := range src {
 		dst[name] = values
 	}
 	stripHop(dst)
-	delete(dst, kinds.HeaderRan)
+	delete(dst, ran)
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -37,6 +37,7 @@
 	Dial   time.Duration // longest wait for a new connection to open
 	Idle   time.Duration // idle connections are closed after this
 	Header int64         // largest header of an answer, in bytes
+	Names  Names         // headers spoken; the zero value is OwnNames
 	// Open opens connections; nil means TCP. Tests hand in connections in memory.
 	Open func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 }
@@ -44,7 +45,8 @@
 // Relay sends requests. Make one with New; all methods may be called from any
 // goroutine.
 type Relay struct {
-	cfg Config
+	cfg  Config
+	ours []string
 
 	mu    sync.RWMutex
 	lines map[netip.AddrPort]*line
@@ -68,13 +70,16 @@
 	if cfg.Header <= 0 {
 		cfg.Header = DefaultHeader
 	}
+	if cfg.Names.Refused == nil {
+		cfg.Names = OwnNames()
+	}
 	if cfg.Open == nil {
 		var d net.Dialer
 		cfg.Open = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", to.String())
 		}
 	}
-	return &Relay{cfg: cfg, lines: map[netip.AddrPort]*line{}}
+	return &Relay{cfg: cfg, ours: cfg.Names.own(), lines: map[netip.AddrPort]*line{}}
 }
 
 // Close closes idle connections. Requests in flight are not touched.
@@ -158,26 +163,32 @@
 	Slice    ident.Slice
 	Epoch    ident.Epoch
 	Deadline time.Time
+	Server   ident.Server // the one that may run it
 }
 
 // set writes the headers. Their values share one array: a slice of its own for
 // each was a tenth of what the request path allocated.
-func (m *Meta) set(h http.Header) {
-	all := make([]string, 0, len(ours))
+func (m *Meta) set(h http.Header, names *Names) {
+	const most = 8 // headers below
+	all := make([]string, 0, most)
 	put := func(name, value string) {
+		if name == "" {
+			return
+		}
 		all = append(all, value)
 		h[name] = all[len(all)-1 : len(all) : len(all)]
 	}
-	put(HeaderID, string(m.ID))
-	put(HeaderCaller, string(m.Caller))
-	put(HeaderService, string(m.Service))
+	put(names.ID, string(m.ID))
+	put(names.Caller, string(m.Caller))
+	put(names.Service, string(m.Service))
+	put(names.Server, string(m.Server))
 	if m.Key != "" {
-		put(HeaderKey, string(m.Key))
-		put(HeaderSlice, strconv.FormatUint(uint64(m.Slice), 10))
-		put(HeaderFence, ident.Fence{Epoch: m.Epoch}.String())
+		put(names.Key, string(m.Key))
+		put(names.Slice, strconv.FormatUint(uint64(m.Slice), 10))
+		put(names.Fence, ident.Fence{Epoch: m.Epoch}.String())
 	}
 	if !m.Deadline.IsZero() {
-		put(HeaderDeadline, strconv.FormatInt(max(time.Until(m.Deadline).Milliseconds(), 0), 10))
+		put(names.Deadline, strconv.FormatInt(max(time.Until(m.Deadline).Milliseconds(), 0), 10))
 	}
 }
 
@@ -186,6 +197,9 @@
 // closed, never used again.
 type Answer struct {
 	resp   *http.Response
+	names  *Names
+	server ident.Server
+	held   []byte // the whole body, when Hold found its end
 	cancel context.CancelCauseFunc
 	First  time.Duration // from sending to the header's arrival
 }
@@ -196,6 +210,12 @@
 // Length is the length of the body, -1 if it is not known.
 func (a *Answer) Length() int64 { return a.resp.ContentLength }
 
+// Server is the one that the request was meant for.
+func (a *Answer) Server() ident.Server { return a.server }
+
+// Header is the answer's header as the server sent it. Treat it as read-only.
+func (a *Answer) Header() http.Header { return a.resp.Header }
+
 // Close abandons what was not read.
 func (a *Answer) Close() error {
 	a.cancel(nil)
@@ -221,16 +241,16 @@
 	a.trace.GotConn = a.gotConn
 	l := r.line(to)
 	start := time.Now()
-	resp, err := l.transport.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, l.host, meta)) //nolint:bodyclose // Answer.Close does
+	resp, err := l.transport.RoundTrip(r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, l.host, meta)) //nolint:bodyclose // Answer.Close does
 	if err != nil {
 		sent := a.end()
 		err = failure(ctx, err, sent)
 		cancel(nil)
 		return nil, err
 	}
-	a.answer = Answer{resp: resp, cancel: cancel, First: time.Since(start)}
+	a.answer = Answer{resp: resp, names: &r.cfg.Names, server: meta.Server, cancel: cancel, First: time.Since(start)}
 	answer := &a.answer
-	if err := check(resp, in.Method, meta.ID); err != nil {
+	if err := r.cfg.Names.check(resp, in.Method, meta.ID); err != nil {
 		answer.Close()
 		return nil, err
 	}
@@ -238,7 +258,7 @@
 }
 
 // outgoing makes the request for the backend server.
-func outgoing(ctx context.Context, in *http.Request, body io.Reader, host string, meta *Meta) *http.Request {
+func (r *Relay) outgoing(ctx context.Context, in *http.Request, body io.Reader, host string, meta *Meta) *http.Request {
 	out := new(http.Request).WithContext(ctx)
 	out.Method, out.Host = in.Method, in.Host
 	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
@@ -246,7 +266,7 @@
 		Scheme: "http", Host: host,
 		Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery,
 	}
-	out.Header = outHeader(in.Header, meta)
+	out.Header = outHeader(in.Header, &r.cfg.Names, r.ours, meta)
 	if body != nil && in.ContentLength != 0 {
 		out.Body, out.ContentLength, out.Trailer = io.NopCloser(body), in.ContentLength, in.Trailer
 	}
@@ -270,8 +290,9 @@
 // Failure is an attempt without a usable answer.
 type Failure struct {
 	Kind    kinds.Kind
-	Sent    bool // some byte of the request may have reached the server
-	Refused bool // the server said that it ran nothing
+	Sent    bool        // some byte of the request may have reached the server
+	Refused bool        // the server said that it ran nothing
+	Header  http.Header // of the answer that said so
 	err     error
 }
 
@@ -294,15 +315,17 @@
 // the request in the answer let us see it. An answer whose end is the end of
 // its connection looks the same whole and cut off, so it cannot be passed on as
 // whole.
-func check(resp *http.Response, method string, id ident.Request) error {
-	if kinds.Ran(resp.Header.Get(kinds.HeaderRan)) == kinds.RanNo && resp.StatusCode >= http.StatusBadRequest {
-		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused}
+func (n *Names) check(resp *http.Response, method string, id ident.Request) error {
+	got := resp.Header.Get(n.ID)
+	foreign := got != string(id) && (got != "" || n.Echoes)
+	if n.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Header: resp.Header}
 	}
-	if got := resp.Header.Get(HeaderID); got != "" && got != string(id) {
+	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errOther}
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if unframed && method != http.MethodHead {
+	if unframed && method != http.MethodHead && !n.Endless {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errEndless}
 	}
 	return nil
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -23,26 +23,45 @@
 // State is one entry VM's view of the system. Make one with New.
 type State struct {
 	Rules    force.Book
-	services map[ident.Service]*Service
+	services atomic.Pointer[map[ident.Service]*Service]
 }
 
 // New makes the state for the services of the settings.
 func New(list []config.Service) *State {
-	s := &State{services: make(map[ident.Service]*Service, len(list))}
+	s := &State{}
+	all := make(map[ident.Service]*Service, len(list))
 	for _, svc := range list {
-		s.services[svc.Name] = newService(svc)
+		all[svc.Name] = newService(svc)
 	}
+	s.services.Store(&all)
 	return s
 }
 
+// Put adds a service that became known while running, and returns it; a service
+// of that name that is there already stays.
+func (s *State) Put(cfg config.Service) *Service {
+	for {
+		old := s.services.Load()
+		if svc, ok := (*old)[cfg.Name]; ok {
+			return svc
+		}
+		svc := newService(cfg)
+		next := maps.Clone(*old)
+		next[cfg.Name] = svc
+		if s.services.CompareAndSwap(old, &next) {
+			return svc
+		}
+	}
+}
+
 // Service finds a service by its name.
 func (s *State) Service(name ident.Service) (*Service, bool) {
-	svc, ok := s.services[name]
+	svc, ok := (*s.services.Load())[name]
 	return svc, ok
 }
 
 // Services lists all services. Treat the map as read-only.
-func (s *State) Services() map[ident.Service]*Service { return s.services }
+func (s *State) Services() map[ident.Service]*Service { return *s.services.Load() }
 
 // Service is one group of backend servers, as the request path sees it.
 type Service struct {
@@ -52,18 +71,18 @@
 
 	addrs  atomic.Pointer[map[ident.Server]netip.AddrPort]
 	silent sync.Map // ident.Server -> struct{}
-	calls  map[ident.Server]*calls
+	calls  sync.Map // ident.Server -> *calls
 }
 
 // calls counts attempts at one server since the last look.
 type calls struct{ good, bad atomic.Int64 }
 
 func newService(cfg config.Service) *Service {
-	s := &Service{Service: cfg, calls: make(map[ident.Server]*calls, len(cfg.Servers))}
+	s := &Service{Service: cfg}
 	addrs := make(map[ident.Server]netip.AddrPort, len(cfg.Servers))
 	for _, srv := range cfg.Servers {
 		addrs[srv.Name] = srv.Data
-		s.calls[srv.Name] = &calls{}
+		s.calls.Store(srv.Name, &calls{})
 	}
 	s.addrs.Store(&addrs)
 	return s
@@ -82,6 +101,21 @@
 	s.addrs.Store(&addrs)
 }
 
+// SetAddrs replaces the addresses of all backend servers, for a service whose
+// servers come and go.
+func (s *Service) SetAddrs(addrs map[ident.Server]netip.AddrPort) {
+	for name := range addrs {
+		s.calls.LoadOrStore(name, &calls{})
+	}
+	s.calls.Range(func(name, _ any) bool {
+		if _, listed := addrs[name.(ident.Server)]; !listed {
+			s.calls.Delete(name)
+		}
+		return true
+	})
+	s.addrs.Store(&addrs)
+}
+
 // Silent reports whether a backend server has not answered for a while.
 func (s *Service) Silent(name ident.Server) bool {
 	_, silent := s.silent.Load(name)
@@ -100,35 +134,58 @@
 // Called notes one attempt at a server: whether any answer came, be it a
 // refusal or an error. It is a witness of the server's state.
 func (s *Service) Called(name ident.Server, answered bool) {
-	c := s.calls[name]
+	c, known := s.calls.Load(name)
 	switch {
-	case c == nil:
+	case !known:
 	case answered:
-		c.good.Add(1)
+		c.(*calls).good.Add(1)
 	default:
-		c.bad.Add(1)
+		c.(*calls).bad.Add(1)
 	}
 }
 
 // TakeCalls returns the attempts noted since the last time.
 func (s *Service) TakeCalls(name ident.Server) (good, bad int) {
-	c := s.calls[name]
-	if c == nil {
+	c, known := s.calls.Load(name)
+	if !known {
 		return 0, 0
 	}
-	return int(c.good.Swap(0)), int(c.bad.Swap(0))
+	return int(c.(*calls).good.Swap(0)), int(c.(*calls).bad.Swap(0))
 }
 
 // Owners says which backend server owns which key, and tells who waits for a
 // change. The zero value knows no owner.
 type Owners struct {
 	view   atomic.Pointer[table.View]
+	finder atomic.Pointer[Finder]                 // takes the place of view when set
 	stands atomic.Pointer[map[ident.Server]Stand] // nil: no server stands by
 
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
+// Finder finds the owner of a key. It must be quick and safe for concurrent use.
+type Finder interface {
+	Owner(k ident.Key) (table.Owner, bool)
+}
+
+// SetFinder makes another look-up than the table of slices answer for owners, and
+// wakes those who wait for a change.
+func (o *Owners) SetFinder(f Finder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.finder.Store(&f)
+	o.wake()
+}
+
+// Finder returns the look-up that was set, nil before the first.
+func (o *Owners) Finder() Finder {
+	if f := o.finder.Load(); f != nil {
+		return *f
+	}
+	return nil
+}
+
 // Stand says that another server has a lost one's keys, as its seat told under
 // an epoch; N orders what was told under one.
 type Stand struct {
@@ -175,6 +232,9 @@
 // Owner finds who serves a key: its owner by the table, or the server that
 // stands by for it.
 func (o *Owners) Owner(k ident.Key) (table.Owner, bool) {
+	if f := o.finder.Load(); f != nil {
+		return (*f).Owner(k)
+	}
 	v := o.view.Load()
 	if v == nil {
 		return table.Owner{}, false
--- a/internal/rules/match/check.go
+++ b/internal/rules/match/check.go
@@ -1,6 +1,7 @@
 package match
 
 import (
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -153,6 +154,8 @@
 		c.add("when.path", reason(err))
 	}
 	c.rule.path = p
+	c.addIf(w.Prefix != "" && !(strings.HasPrefix(w.Prefix, "/") && strings.HasSuffix(w.Prefix, "/")),
+		"when.prefix", "a prefix begins and ends with a slash")
 	for _, s := range w.Service {
 		c.checkService("when.service", s)
 	}
@@ -195,10 +198,24 @@
 func (c *checker) checkTarget() {
 	t := &c.rule.Then
 	if t.Deny {
-		c.addIf(*t != Then{Deny: true}, "then.deny", "a rule that denies says nothing else")
+		c.addIf(!reflect.DeepEqual(*t, Then{Deny: true}), "then.deny", "a rule that denies says nothing else")
 		return
 	}
-	c.checkService("then.service", t.Service)
+	if len(t.Split) == 0 {
+		c.checkService("then.service", t.Service)
+		return
+	}
+	c.addIf(t.Service != "", "then.service", "a rule that splits names no service beside")
+	c.checkSplit(t.Split)
+}
+
+func (c *checker) checkSplit(parts []Part) {
+	total := uint64(0)
+	for _, p := range parts {
+		c.checkService("then.split", p.Service)
+		total += uint64(p.Weight)
+	}
+	c.addIf(total == 0, "then.split", "some part has a weight above zero")
 }
 
 func (c *checker) checkKey() {
--- a/internal/rules/match/hide.go
+++ b/internal/rules/match/hide.go
@@ -1,6 +1,9 @@
 package match
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // checkHidden finds rules that can never match because one earlier rule takes
 // every request that they would take. An operator who added such a rule would
@@ -38,6 +41,7 @@
 		listCovers(a.Centre, b.Centre, false) &&
 		listCovers(a.Caller, b.Caller, true) &&
 		listCovers(a.Host, b.Host, true) &&
+		strings.HasPrefix(b.Prefix, a.Prefix) &&
 		r.path.covers(&o.path) &&
 		headerCovers(a.Header, b.Header)
 }
--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -56,19 +56,25 @@
 // Values of Host, Caller and Header may hold one star, which stands for any
 // text, the empty one included.
 type When struct {
-	Service []ident.Service   `cbor:"service,omitempty" json:"service,omitempty"`
-	Method  []string          `cbor:"method,omitempty" json:"method,omitempty"`
-	Host    []string          `cbor:"host,omitempty" json:"host,omitempty"`
-	Path    string            `cbor:"path,omitempty" json:"path,omitempty"`
-	Header  map[string]string `cbor:"header,omitempty" json:"header,omitempty"`
-	Caller  []ident.Caller    `cbor:"caller,omitempty" json:"caller,omitempty"`
-	Centre  []ident.Centre    `cbor:"centre,omitempty" json:"centre,omitempty"`
+	Service []ident.Service `cbor:"service,omitempty" json:"service,omitempty"`
+	Method  []string        `cbor:"method,omitempty" json:"method,omitempty"`
+	Host    []string        `cbor:"host,omitempty" json:"host,omitempty"`
+	Path    string          `cbor:"path,omitempty" json:"path,omitempty"`
+	// Prefix is what the escaped path begins with, byte for byte; it begins and
+	// ends with a slash.
+	Prefix string            `cbor:"prefix,omitempty" json:"prefix,omitempty"`
+	Header map[string]string `cbor:"header,omitempty" json:"header,omitempty"`
+	Caller []ident.Caller    `cbor:"caller,omitempty" json:"caller,omitempty"`
+	Centre []ident.Centre    `cbor:"centre,omitempty" json:"centre,omitempty"`
 }
 
 // Then is the decision of a rule. Zero values leave a choice to the daemon's
 // settings, except for Retry, Hedge, Durable and Once, where zero means none.
 type Then struct {
 	Service ident.Service `cbor:"service,omitempty" json:"service,omitempty"`
+	// Split shares the rule's requests out among several services in proportion
+	// to their weights; Service is then empty.
+	Split []Part `cbor:"split,omitempty" json:"split,omitempty"`
 	// Deny refuses the request; a rule that denies names no service.
 	Deny bool `cbor:"deny,omitempty" json:"deny,omitempty"`
 	// Key says where the key stands: "path:NAME", "header:NAME" or
--- a/internal/rules/match/parse.go
+++ b/internal/rules/match/parse.go
@@ -89,6 +89,7 @@
 	Method  []string          `toml:"method,omitempty"`
 	Host    []string          `toml:"host,omitempty"`
 	Path    string            `toml:"path,omitempty"`
+	Prefix  string            `toml:"prefix,omitempty"`
 	Header  map[string]string `toml:"header,omitempty"`
 	Caller  []ident.Caller    `toml:"caller,omitempty"`
 	Centre  []ident.Centre    `toml:"centre,omitempty"`
@@ -96,6 +97,7 @@
 
 type thenDoc struct {
 	Service    ident.Service `toml:"service,omitempty"`
+	Split      []partDoc     `toml:"split,omitempty,inline"`
 	Deny       bool          `toml:"deny,omitempty"`
 	Key        string        `toml:"key,omitempty"`
 	Class      Class         `toml:"class,omitempty"`
@@ -111,6 +113,11 @@
 	Keep       keep.Word     `toml:"keep,omitempty"`
 }
 
+type partDoc struct {
+	Service ident.Service `toml:"service"`
+	Weight  uint32        `toml:"weight"`
+}
+
 // rule converts a document; bad is called for each duration that is none.
 func (d ruleDoc) rule(bad func(field string)) Rule {
 	t := d.Then
@@ -125,7 +132,7 @@
 		return v
 	}
 	return Rule{Name: d.Name, When: When(d.When), Then: Then{
-		Service: t.Service, Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
+		Service: t.Service, Split: convert[Part](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
 		Deadline: span("then.deadline", t.Deadline), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: span("then.hedge", t.Hedge), Queue: t.Queue, Wait: span("then.wait", t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
@@ -135,13 +142,25 @@
 func docOf(r *Rule) ruleDoc {
 	t := r.Then
 	return ruleDoc{Name: r.Name, When: whenDoc(r.When), Then: thenDoc{
-		Service: t.Service, Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
+		Service: t.Service, Split: convert[partDoc](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
 		Deadline: text(t.Deadline), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: text(t.Hedge), Queue: t.Queue, Wait: text(t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
 	}}
 }
 
+// convert turns parts into their form in the file, and back.
+func convert[To, From Part | partDoc](parts []From) []To {
+	if len(parts) == 0 {
+		return nil
+	}
+	all := make([]To, len(parts))
+	for i, p := range parts {
+		all[i] = To(p)
+	}
+	return all
+}
+
 func text(d time.Duration) string {
 	if d == 0 {
 		return ""
--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -181,7 +181,8 @@
 // holds compares every condition in full.
 func (r *Rule) holds(req *Request, p *parts) bool {
 	w := &r.When
-	return r.path.match(p) &&
+	return strings.HasPrefix(req.Path, w.Prefix) &&
+		r.path.match(p) &&
 		among(w.Service, req.Service) &&
 		among(w.Method, req.Method) &&
 		among(w.Centre, req.Centre) &&
