--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -11,10 +11,12 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/daemon"
+	"hawthornfield.org/hawthornfield/internal/edge/host"
 	"hawthornfield.org/hawthornfield/internal/plat/objcli"
 	"hawthornfield.org/hawthornfield/internal/rules/force"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 	"hawthornfield.org/hawthornfield/internal/rules/save"
+	"hawthornfield.org/hawthornfield/platform"
 )
 
 const serveHelp = `Runs one entry VM until SIGTERM or SIGINT, and then shuts down gracefully: it says
@@ -24,7 +26,7 @@
 
 type serveCmd struct {
 	app      *app
-	Settings string `short:"c" long:"settings" value-name:"FILE" required:"yes" description:"settings"`
+	Settings string `short:"c" long:"settings" value-name:"FILE" description:"settings; without it those of the platform that started the process"`
 }
 
 // Execute serves until the context ends.
@@ -32,6 +34,12 @@
 	if err := noMore(args); err != nil {
 		return err
 	}
+	if path, ok := platform.SettingsPath(); ok && c.Settings == "" {
+		return c.join(path)
+	}
+	if c.Settings == "" {
+		return kinds.New(kinds.BadRequest, "say which settings: -c FILE")
+	}
 	cfg, err := config.Load(c.Settings)
 	if err != nil {
 		return err
@@ -59,6 +67,21 @@
 	return d.Close()
 }
 
+// join runs an entry VM on the platform that started the process.
+func (c *serveCmd) join(path string) error {
+	cfg, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(c.app.out, nil))
+	h := host.New(cfg, platform.New(cfg.Store), log)
+	if err := h.Start(c.app.ctx); err != nil {
+		return errors.Join(err, h.Close())
+	}
+	<-c.app.ctx.Done()
+	return h.Close()
+}
+
 // firstRules reads the rules that the settings bring along, if any, and checks
 // them against the services.
 func firstRules(cfg config.Config) ([]match.Rule, error) {
--- a/internal/core/loop/loop.go
+++ b/internal/core/loop/loop.go
@@ -64,6 +64,7 @@
 	inbox   *ring.Ring[Msg]
 	answers answers
 	runner  Runner
+	clock   func() time.Time
 
 	mu    sync.RWMutex
 	model Model
@@ -75,13 +76,24 @@
 // for some hundred times.
 const DefaultInbox = 128
 
+// Option changes how a Loop works.
+type Option func(*Loop)
+
+// WithClock sets the clock that the module is told the time by; the runtime's
+// otherwise.
+func WithClock(now func() time.Time) Option { return func(l *Loop) { l.clock = now } }
+
 // New starts a loop over the model.
-func New(m Model, r Runner) *Loop {
+func New(m Model, r Runner, opts ...Option) *Loop {
 	l := &Loop{
 		inbox:   ring.New[Msg](DefaultInbox, ring.Block),
 		answers: answers{more: make(chan struct{}, 1)},
 		runner:  r,
 		model:   m,
+		clock:   time.Now,
+	}
+	for _, opt := range opts {
+		opt(l)
 	}
 	l.group.Go(l.run)
 	return l
@@ -130,7 +142,7 @@
 
 func (l *Loop) step(ctx context.Context, msg Msg) {
 	l.mu.Lock()
-	next, cmds := l.model.Update(time.Now(), msg)
+	next, cmds := l.model.Update(l.clock(), msg)
 	l.model = next
 	l.mu.Unlock()
 	for _, cmd := range cmds {
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -335,6 +335,9 @@
 func (x *exchange) passOn(pass gate.Pass, answer *relay.Answer) (gate.Outcome, error) {
 	x.sent = true
 	x.svc.Called(pass.Server(), true)
+	if x.f.Answered != nil {
+		x.f.Answered(pass.Server(), answer.First)
+	}
 	x.note.Status = answer.Status()
 	x.w.Header()[x.f.Names.ID] = x.nameOf()
 	w, end := x.drain(answer.Length())
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -83,6 +83,9 @@
 	// Asked, if set, hears of each request for a key of a divided service.
 	Asked func(svc ident.Service, key ident.Key)
 
+	// Answered, if set, hears how long a server took to begin its answer.
+	Answered func(s ident.Server, took time.Duration)
+
 	group   group.Group
 	flights sync.Map // ident.Service -> *flights, of the services divided by key
 	turns   sync.Map // name of a rule -> *atomic.Uint64, its requests
--- /dev/null
+++ b/internal/edge/host/book.go
@@ -0,0 +1,219 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/front"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// book keeps the rules in force: from the store's watch, or from another VM where
+// the store is out of reach. Older ones than those known never come back.
+type book struct {
+	group group.Group
+	parts bookParts
+	mu    sync.Mutex
+	now   feed.Rules
+}
+
+type bookParts struct {
+	fx.In
+	Platform Platform
+	State    *state.State
+	Front    *front.Front
+	Board    *hub.Board
+	Fleet    *fleet
+	Log      *slog.Logger
+}
+
+func newBook(lc fx.Lifecycle, p bookParts) *book {
+	b := &book{parts: p}
+	kind, _, _ := strings.Cut(p.Platform.Rules, "/")
+	w := &watcher{
+		prefix: kind + "/", board: p.Board, fresh: p.Platform.Store, stale: p.Platform.Lagging, log: p.Log,
+		listed: func(all []object.Object, _ object.Cursor) {
+			for _, o := range all {
+				b.object(o)
+			}
+		},
+		changed: func(all []object.Change, _ object.Cursor) {
+			for _, c := range all {
+				b.object(c.Object)
+			}
+		},
+	}
+	duties(lc, &b.group, w.run)
+	return b
+}
+
+func (b *book) object(o object.Object) {
+	if o.Name == b.parts.Platform.Rules && o.Version != 0 {
+		b.take(hub.Raw{Rev: uint64(o.Version), Data: o.Value}, "store")
+	}
+}
+
+// take puts rules in force if they are newer.
+func (b *book) take(raw hub.Raw, from string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if raw.Rev <= uint64(b.now.Rev) {
+		return
+	}
+	rules, err := b.parts.Platform.Decode.Rules(ident.Revision(raw.Rev), raw.Data)
+	if err == nil {
+		var set *match.Set
+		if set, err = match.Compile(rules.List); err == nil {
+			b.apply(rules, set)
+		}
+	}
+	if err != nil {
+		b.parts.Log.Error("rules refused", "rev", raw.Rev, "from", from, "err", err)
+		return
+	}
+	b.parts.Board.SetRules(raw)
+	b.parts.Log.Info("rules in force", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List))
+}
+
+func (b *book) apply(rules feed.Rules, set *match.Set) {
+	b.now = rules
+	for _, s := range rules.Services {
+		b.service(s)
+	}
+	b.parts.Fleet.apply(rules.Services)
+	snap := &force.Snapshot{Record: &force.Record{}, Set: set}
+	snap.Rev = rules.Rev
+	book := &b.parts.State.Rules
+	book.Apply(snap)
+	book.SetState(force.Serve)
+}
+
+// queue bounds the requests that wait for one service on one VM: a second's worth.
+const queue = 256
+
+func (b *book) service(s feed.Service) {
+	if _, ok := b.parts.State.Service(s.Name); ok {
+		return
+	}
+	svc := b.parts.State.Put(config.Service{Name: s.Name, Divided: s.Divided})
+	svc.Gate = gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue})
+	b.group.Go(func(ctx context.Context) error {
+		<-ctx.Done()
+		return svc.Gate.Close()
+	})
+	if s.Divided {
+		b.parts.Front.Follow(svc)
+	}
+}
+
+// watcher follows one kind of objects: list, watch from there, and list again when
+// the place is lost.
+type watcher struct {
+	prefix  string
+	board   *hub.Board
+	fresh   object.Store
+	stale   object.Store
+	log     *slog.Logger
+	listed  func([]object.Object, object.Cursor)
+	changed func([]object.Change, object.Cursor)
+	down    func()
+	pause   func(n int) time.Duration // after n changes, before the next watch
+	failed  int
+}
+
+// Pauses of a watcher.
+const (
+	firstPause = 250 * time.Millisecond
+	lastPause  = 2 * time.Second
+)
+
+// store is the linearizable one on the VM that leads, which tells the others, and
+// the cheaper one elsewhere.
+func (w *watcher) store() object.Store {
+	if _, leads := w.board.Lease(); leads {
+		return w.fresh
+	}
+	return w.stale
+}
+
+func (w *watcher) run(ctx context.Context) error {
+	first := true
+	for ctx.Err() == nil {
+		store := w.store()
+		if first {
+			store = w.fresh
+		}
+		all, at, err := store.List(ctx, w.prefix)
+		if err != nil {
+			w.trouble(ctx, "list", err)
+			continue
+		}
+		first = false
+		w.well()
+		w.listed(all, at)
+		w.follow(ctx, at)
+	}
+	return nil
+}
+
+// follow watches until the place is lost.
+func (w *watcher) follow(ctx context.Context, at object.Cursor) {
+	for ctx.Err() == nil {
+		all, next, err := w.store().Watch(ctx, w.prefix, at)
+		switch {
+		case kinds.Of(err) == kinds.Absent:
+			return // the history is gone
+		case err != nil:
+			w.trouble(ctx, "watch", err)
+			continue
+		}
+		w.well()
+		at = next
+		if len(all) > 0 {
+			w.changed(all, at)
+			group.Sleep(ctx, gather)
+		}
+	}
+}
+
+// gather is the pause after a change before the next watch: servers that start or
+// leave together then cost one call and not one each. It is small beside the two
+// seconds within which a change must be acted upon.
+const gather = 150 * time.Millisecond
+
+func (w *watcher) trouble(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if w.failed == 0 {
+		w.log.Warn("store lost", "what", what, "kind", w.prefix, "err", err)
+		if w.down != nil {
+			w.down()
+		}
+	}
+	pause := min(firstPause<<min(w.failed, 4), lastPause)
+	w.failed++
+	group.Sleep(ctx, pause)
+}
+
+func (w *watcher) well() {
+	if w.failed > 0 {
+		w.log.Info("store regained", "kind", w.prefix, "failed", w.failed)
+	}
+	w.failed = 0
+}
--- /dev/null
+++ b/internal/edge/host/counts.go
@@ -0,0 +1,73 @@
+package host
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/owner/deal"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// counts are what this VM saw of keys and servers since the leader was last told.
+type counts struct {
+	mu    sync.Mutex
+	cells map[ident.Service]hub.Cells
+	sums  map[ident.Server]deal.Sum
+}
+
+func newCounts() *counts {
+	return &counts{cells: map[ident.Service]hub.Cells{}, sums: map[ident.Server]deal.Sum{}}
+}
+
+// asked notes a request for a key.
+func (c *counts) asked(svc ident.Service, key ident.Key) {
+	cell, ok := stripe.CellOf(key)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cells[svc] == nil {
+		c.cells[svc] = hub.Cells{}
+	}
+	c.cells[svc][cell]++
+}
+
+// answered notes how long a server took.
+func (c *counts) answered(s ident.Server, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := c.sums[s]
+	sum.N++
+	sum.Took += took
+	c.sums[s] = sum
+}
+
+// take returns what was counted and begins anew.
+func (c *counts) take() (map[ident.Service]hub.Cells, map[ident.Server]deal.Sum) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cells, sums := c.cells, c.sums
+	c.cells, c.sums = map[ident.Service]hub.Cells{}, map[ident.Server]deal.Sum{}
+	return cells, sums
+}
+
+// back puts what could not be told back.
+func (c *counts) back(cells map[ident.Service]hub.Cells, sums map[ident.Server]deal.Sum) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for svc, all := range cells {
+		for cell, n := range c.cells[svc] {
+			all[cell] += n
+		}
+		c.cells[svc] = all
+	}
+	for s, sum := range sums {
+		have := c.sums[s]
+		c.sums[s] = deal.Sum{N: have.N + sum.N, Took: have.Took + sum.Took}
+	}
+	maps.DeleteFunc(c.cells, func(_ ident.Service, all hub.Cells) bool { return len(all) == 0 })
+}
--- /dev/null
+++ b/internal/edge/host/courier.go
@@ -0,0 +1,166 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// courier asks the leader for news, again and again, and puts them in place. While
+// no leader is known or reached, it asks the other VMs.
+type courier struct {
+	group  group.Group
+	p      courierParts
+	client *hub.Client
+
+	life   string // of the leader whose numbers follow
+	seqs   map[ident.Service]uint64
+	others []netip.AddrPort // where VMs were, as the leader said
+	next   int
+	lost   bool
+}
+
+type courierParts struct {
+	fx.In
+	Config Config
+	Board  *hub.Board
+	Reign  *reign
+	Fleet  *fleet
+	Book   *book
+	State  *state.State
+	Counts *counts
+	Log    *slog.Logger
+}
+
+func newCourier(lc fx.Lifecycle, p courierParts) *courier {
+	c := &courier{p: p, client: hub.NewClient(), seqs: map[ident.Service]uint64{}, others: p.Config.Seeds}
+	duties(lc, &c.group, c.run)
+	return c
+}
+
+// Pauses between questions.
+const (
+	leadPause = 200 * time.Millisecond // while this VM leads
+	failPause = 100 * time.Millisecond // after a question that came to nothing
+)
+
+func (c *courier) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease, leads := c.p.Board.Lease()
+		switch {
+		case leads:
+			c.p.Fleet.share(c.p.Board.VMs(time.Now()))
+			group.Sleep(ctx, leadPause)
+		case !c.ask(ctx, lease):
+			c.askOther(ctx)
+			group.Sleep(ctx, failPause)
+		}
+	}
+	return nil
+}
+
+// question is what the leader needs to know, and what this VM has.
+func (c *courier) question() *hub.Ask {
+	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Life: c.life, Seqs: c.seqs}
+	a.Rules, a.Servers = c.p.Board.Revs()
+	a.Cells, a.Sums = c.p.Counts.take()
+	return a
+}
+
+// ask asks the leader, and reports whether it answered as one.
+func (c *courier) ask(ctx context.Context, lease lead.Lease) bool {
+	if lease.Life == "" || lease.Holder == c.p.Config.VM {
+		return false
+	}
+	a := c.question()
+	n, err := c.client.Ask(ctx, lease.Addr, a)
+	if err != nil || !n.Leads {
+		c.p.Counts.back(a.Cells, a.Sums)
+		if !c.lost && ctx.Err() == nil {
+			c.p.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
+		}
+		c.lost = true
+		if err == nil && n.Lease.Epoch == lease.Epoch {
+			c.p.Reign.loop.Send(lead.LostMsg{Epoch: lease.Epoch})
+		}
+		c.take(n)
+		return false
+	}
+	if c.lost {
+		c.p.Log.Info("leader regained", "holder", n.Lease.Holder, "epoch", n.Lease.Epoch)
+	}
+	c.lost = false
+	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch})
+	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
+	c.take(n)
+	c.meet(n.VMs)
+	c.apply(n)
+	return true
+}
+
+// take takes in what any VM may tell.
+func (c *courier) take(n hub.News) {
+	if n.Lease.Life != "" {
+		c.p.Reign.loop.Send(lead.SeeMsg{Lease: n.Lease})
+	}
+	if n.Rules != nil {
+		c.p.Book.take(*n.Rules, "peer")
+	}
+	if n.Servers != nil {
+		c.p.Fleet.take(*n.Servers)
+	}
+}
+
+// meet remembers where the other VMs are.
+func (c *courier) meet(vms []string) {
+	var all []netip.AddrPort
+	for _, text := range vms {
+		if at, err := netip.ParseAddrPort(text); err == nil && at != c.p.Config.Peers {
+			all = append(all, at)
+		}
+	}
+	c.p.Fleet.share(len(all) + 2) // the leader and this VM beside them
+	if len(all) > 0 {
+		c.others = all
+	}
+}
+
+// apply puts newer owners of keys in place.
+func (c *courier) apply(n hub.News) {
+	if n.Lease.Life != c.life {
+		c.life, c.seqs = n.Lease.Life, map[ident.Service]uint64{}
+	}
+	for name, change := range n.Changes {
+		svc, ok := c.p.State.Service(name)
+		if !ok {
+			continue
+		}
+		old, _ := svc.Finder().(*stripe.View)
+		svc.SetFinder(old.Apply(change.Epoch, change.Seq, change.Full, change.Spans))
+		c.seqs[name] = change.Seq
+	}
+}
+
+// askOther asks another VM who leads, and for rules and servers that are newer.
+func (c *courier) askOther(ctx context.Context) {
+	if len(c.others) == 0 {
+		return
+	}
+	c.next++
+	at := c.others[c.next%len(c.others)]
+	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
+	a.Rules, a.Servers = c.p.Board.Revs()
+	if n, err := c.client.Ask(ctx, at, a); err == nil {
+		c.take(n)
+	}
+}
--- /dev/null
+++ b/internal/edge/host/doors.go
@@ -0,0 +1,127 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/front"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+)
+
+// Bounds of the listeners, for what the operator's limits do not say.
+const (
+	headerWait = 10 * time.Second
+	callerIdle = 90 * time.Second
+	// notice is how long the balancer needs to see that a VM takes no more: it asks
+	// each second, and takes a VM out after two answers.
+	notice = 2500 * time.Millisecond
+)
+
+// doors are the listeners.
+type doors struct {
+	p                                  doorParts
+	callers, operators, peers, metrics door
+}
+
+type doorParts struct {
+	fx.In
+	Front   *front.Front
+	State   *state.State
+	Board   *hub.Board
+	Meter   *meter.Meter
+	Reign   *reign
+	Courier *courier
+	Fleet   *fleet
+	Book    *book
+	Log     *slog.Logger
+}
+
+func newDoors(lc fx.Lifecycle, cfg Config, p doorParts) *doors {
+	d := &doors{p: p}
+	quiet := slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)
+	serve := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle, ErrorLog: quiet}
+	}
+	d.callers.web = serve(p.Front.Handler())
+	d.peers.web = serve(p.Board.Handler(p.Reign.heard))
+	d.metrics.web = serve(p.Meter.Handler())
+	d.operators.web = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	for _, one := range []struct {
+		door *door
+		at   netip.AddrPort
+		stop func(context.Context) error
+	}{
+		{&d.peers, cfg.Peers, d.peers.end}, {&d.metrics, cfg.Metrics, d.metrics.end},
+		{&d.operators, cfg.Operators, d.operators.end}, {&d.callers, cfg.Callers, d.retire},
+	} {
+		lc.Append(fx.Hook{OnStart: func(context.Context) error { return one.door.open(one.at) }, OnStop: one.stop})
+	}
+	return d
+}
+
+// retire takes leave of callers: say not ready, let somebody else lead, let the
+// balancer notice while everything is still served, finish what is in flight.
+func (d *doors) retire(ctx context.Context) error {
+	d.p.Front.Closing()
+	d.p.Reign.leave()
+	d.p.Log.Info("shutting down", "flying", d.p.Front.Flying(), "notice", notice)
+	group.Sleep(ctx, notice)
+	return d.callers.shut(ctx)
+}
+
+// door is one HTTP listener.
+type door struct {
+	web  *http.Server
+	done group.Group
+}
+
+func (d *door) open(at netip.AddrPort) error {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		return kinds.Wrap(kinds.Down, err, "listen on "+at.String())
+	}
+	d.done.Go(func(context.Context) error {
+		if err := d.web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// end breaks off what is open: nobody's request is on it.
+func (d *door) end(context.Context) error {
+	_ = d.web.Close()
+	return d.done.Close()
+}
+
+// shut stops accepting, waits for what is in flight until ctx ends, and then
+// breaks off what is left.
+func (d *door) shut(ctx context.Context) error {
+	err := d.web.Shutdown(ctx)
+	if err != nil {
+		_ = d.web.Close()
+		err = kinds.Wrap(kinds.Late, err, "requests were still in flight")
+	}
+	if e := d.done.Close(); err == nil {
+		err = e
+	}
+	return err
+}
--- /dev/null
+++ b/internal/edge/host/fleet.go
@@ -0,0 +1,238 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/node/census"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// fleet keeps which backend servers there are, and tells the gates.
+type fleet struct {
+	group group.Group
+	plat  Platform
+	state *state.State
+	board *hub.Board
+	log   *slog.Logger
+
+	mu       sync.Mutex
+	census   census.Census[feed.Server]
+	services map[ident.Service]feed.Service
+	vms      int
+	onChange func([]feed.Server)
+	rev      uint64
+	logged   map[ident.Server]bool // malformed entries that were named
+}
+
+func newFleet(lc fx.Lifecycle, p Platform, s *state.State, b *hub.Board, log *slog.Logger) *fleet {
+	f := &fleet{plat: p, state: s, board: b, log: log, services: map[ident.Service]feed.Service{}, vms: 1, logged: map[ident.Server]bool{}}
+	w := &watcher{
+		prefix: p.Servers, board: b, fresh: p.Store, stale: p.Lagging, log: log,
+		listed: f.listed, changed: f.changed, down: f.down,
+	}
+	duties(lc, &f.group, w.run, f.expire)
+	return f
+}
+
+func (f *fleet) down() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.census.Down()
+}
+
+func (f *fleet) listed(all []object.Object, at object.Cursor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []census.Entry[feed.Server]
+	for _, o := range all {
+		if e, ok := f.decode(o); ok {
+			list = append(list, e)
+		}
+	}
+	if f.census.List(time.Now(), uint64(at), list) {
+		f.publish(uint64(at))
+	}
+}
+
+func (f *fleet) changed(all []object.Change, at object.Cursor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.census.Up(now)
+	news := false
+	for _, c := range all {
+		e, ok := f.decode(c.Object)
+		if c.Version == 0 || !ok {
+			news = f.census.Remove(now, e.Name, uint64(at)) || news
+			continue
+		}
+		news = f.census.Put(e) || news
+	}
+	if news {
+		f.publish(uint64(at))
+	}
+}
+
+// decode reads an entry. One that cannot be read names no server.
+func (f *fleet) decode(o object.Object) (census.Entry[feed.Server], bool) {
+	name := strings.TrimPrefix(o.Name, f.plat.Servers)
+	e := census.Entry[feed.Server]{Name: ident.Server(name), Rev: uint64(o.Version)}
+	if o.Version == 0 {
+		return e, false
+	}
+	srv, err := f.plat.Decode.Server(name, o.Value)
+	if err != nil {
+		if !f.logged[e.Name] {
+			f.logged[e.Name] = true
+			f.log.Warn("entry names no server", "server", name, "rev", e.Rev, "err", err)
+		}
+		return e, false
+	}
+	e.Value, e.Going = srv, srv.Leaving
+	return e, true
+}
+
+// expire drops what stayed missing after the store's return.
+func (f *fleet) expire(ctx context.Context) error {
+	const every = 200 * time.Millisecond
+	for group.Sleep(ctx, every) {
+		f.mu.Lock()
+		if f.census.Expire(time.Now()) {
+			f.publish(f.rev)
+		}
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+// take takes in the list that another VM told.
+func (f *fleet) take(l hub.ServerList) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Rev <= f.rev {
+		return
+	}
+	list := make([]census.Entry[feed.Server], len(l.List))
+	for i, s := range l.List {
+		list[i] = census.Entry[feed.Server]{Name: s.Name, Rev: l.Rev, Value: s, Going: s.Leaving}
+	}
+	if f.census.List(time.Now(), l.Rev, list) {
+		f.publish(l.Rev)
+	}
+}
+
+// publish hands the servers to the gates, the other VMs and the leader's deal. The
+// caller holds mu.
+func (f *fleet) publish(rev uint64) {
+	f.rev = max(f.rev, rev)
+	var list []feed.Server
+	for _, e := range f.census.All() {
+		list = append(list, e.Value)
+	}
+	f.log.Info("servers", "rev", f.rev, "count", len(list))
+	f.board.SetServers(hub.ServerList{Rev: f.rev, List: list})
+	f.spread(list)
+	if f.onChange != nil {
+		f.onChange(list)
+	}
+}
+
+// spread tells each gate its servers. The caller holds mu.
+func (f *fleet) spread(list []feed.Server) {
+	infos := map[ident.Service][]gate.ServerInfo{}
+	addrs := map[ident.Service]map[ident.Server]netip.AddrPort{}
+	for _, s := range list {
+		svc := f.services[s.Service]
+		infos[s.Service] = append(infos[s.Service], gate.ServerInfo{
+			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving,
+		})
+		if addrs[s.Service] == nil {
+			addrs[s.Service] = map[ident.Server]netip.AddrPort{}
+		}
+		addrs[s.Service][s.Name] = s.Addr
+	}
+	for name := range f.services {
+		svc, ok := f.state.Service(name)
+		if !ok {
+			continue
+		}
+		if addrs[name] == nil {
+			addrs[name] = map[ident.Server]netip.AddrPort{}
+		}
+		svc.SetAddrs(addrs[name])
+		svc.Gate.SetServers(infos[name])
+	}
+}
+
+// apply takes in the services of the rules in force.
+func (f *fleet) apply(all []feed.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range all {
+		f.services[s.Name] = s
+		if svc, ok := f.state.Service(s.Name); ok {
+			svc.Gate.SetShare(f.vms, 0)
+		}
+	}
+	f.spread(f.list())
+	if f.onChange != nil {
+		f.onChange(f.list())
+	}
+}
+
+func (f *fleet) list() []feed.Server {
+	var list []feed.Server
+	for _, e := range f.census.All() {
+		list = append(list, e.Value)
+	}
+	return list
+}
+
+// share notes how many VMs share the servers.
+func (f *fleet) share(vms int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if vms == f.vms {
+		return
+	}
+	f.vms = vms
+	for _, svc := range f.state.Services() {
+		svc.Gate.SetShare(vms, 0)
+	}
+}
+
+// follow sets who hears of each change of the servers, beginning with those known.
+func (f *fleet) follow(on func([]feed.Server)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onChange = on
+	if on != nil {
+		on(f.list())
+	}
+}
+
+// divided lists the services that are divided by key.
+func (f *fleet) divided() []ident.Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []ident.Service
+	for name, s := range f.services {
+		if s.Divided {
+			all = append(all, name)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/edge/host/host.go
@@ -0,0 +1,225 @@
+// Package host is one entry VM on a platform that lists backend servers and rules
+// in its store: the callers' front end, the exchange with other VMs, and, on the
+// VM that leads, the orders for keys. It wires decisions to their effects; what
+// the platform calls things is its adapter's.
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/front"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
+)
+
+// Config is what a VM learns from its settings.
+type Config struct {
+	VM        ident.VM
+	Centre    ident.Centre
+	Callers   netip.AddrPort // requests
+	Operators netip.AddrPort // readiness
+	Peers     netip.AddrPort // other entry VMs
+	Metrics   netip.AddrPort
+	Store     netip.AddrPort
+	Seeds     []netip.AddrPort // some other VMs, which may be gone
+	History   time.Duration    // how far back the store's watches reach
+	Bounds    Bounds
+}
+
+// Bounds are what the platform promises and demands.
+type Bounds struct {
+	Drain       time.Duration // a server that leaves gets nothing later than this after it said so
+	Grace       time.Duration // from the signal to stop until the process is killed
+	Apply       time.Duration // rules are in force everywhere within this
+	HoldMax     time.Duration // longest grant
+	RetryWindow time.Duration
+	RetryRatio  float64 // repeats allowed in a window, as a part of the requests
+	RetrySlack  float64 // and beside them
+}
+
+// Platform is what the adapter brings.
+type Platform struct {
+	Store   object.Store // linearizable
+	Lagging object.Store // cheaper; lists and watches may be seconds behind
+	Decode  feed.Platform
+	Orders  feed.Orders
+	Names   relay.Names
+	After   func(time.Duration) string
+	Servers string // kind of the servers' entries, with its slash
+	Rules   string // object that holds the rules
+	Own     string // kind of the system's own objects, with its slash
+}
+
+// Host is one entry VM. Make one with New.
+type Host struct {
+	cfg  Config
+	plat Platform
+	log  *slog.Logger
+	app  *fx.App
+	d    *doors
+}
+
+// New prepares a VM. It opens nothing before Start.
+func New(cfg Config, p Platform, log *slog.Logger) *Host {
+	return &Host{cfg: cfg, plat: p, log: log}
+}
+
+// Times of starting and stopping.
+const (
+	startWait = 15 * time.Second
+	// stopReserve is what is left of the grace for the process's own end.
+	stopReserve = 500 * time.Millisecond
+)
+
+// Start wires the parts, opens the listeners and starts all duties.
+func (h *Host) Start(ctx context.Context) error {
+	h.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return quiet{h.log} }),
+		fx.Supply(h.cfg, h.plat, h.log),
+		fx.StartTimeout(startWait), fx.StopTimeout(h.stopWait()),
+		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newCourier, newDoors),
+		fx.Invoke(func(d *doors) { h.d = d }),
+	)
+	if err := h.app.Err(); err != nil {
+		return err
+	}
+	h.log.Info("start", "vm", h.cfg.VM, "centre", h.cfg.Centre, "callers", h.cfg.Callers, "peers", h.cfg.Peers)
+	return h.app.Start(ctx)
+}
+
+func (h *Host) stopWait() time.Duration { return max(h.cfg.Bounds.Grace-stopReserve, time.Second) }
+
+// Close shuts down gracefully and waits.
+func (h *Host) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), h.stopWait())
+	defer cancel()
+	err := h.app.Stop(ctx)
+	h.log.Info("stop", "vm", h.cfg.VM)
+	return err
+}
+
+// Ready returns nil when requests can be served, and why not otherwise.
+func (h *Host) Ready() error { return h.d.ready() }
+
+// quiet passes on only fx's failures.
+type quiet struct{ log *slog.Logger }
+
+// LogEvent logs a failure of the wiring.
+func (q quiet) LogEvent(e fxevent.Event) {
+	switch e := e.(type) {
+	case *fxevent.OnStartExecuted:
+		q.failed("start", e.CallerName, e.Err)
+	case *fxevent.OnStopExecuted:
+		q.failed("stop", e.CallerName, e.Err)
+	case *fxevent.Invoked:
+		q.failed("invoke", e.FunctionName, e.Err)
+	}
+}
+
+func (q quiet) failed(what, who string, err error) {
+	if err != nil {
+		q.log.Error(what, "part", who, "err", err)
+	}
+}
+
+// closer is a part that is closed when the VM stops.
+type closer interface{ Close() error }
+
+func closes(lc fx.Lifecycle, c closer) {
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+}
+
+// duties starts goroutines when the VM starts and ends them when it stops.
+func duties(lc fx.Lifecycle, g *group.Group, all ...func(context.Context) error) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, duty := range all {
+				g.Go(duty)
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error { return g.Close() },
+	})
+}
+
+func newMeter(lc fx.Lifecycle, cfg Config) *meter.Meter {
+	m := meter.New(cfg.VM)
+	closes(lc, m)
+	return m
+}
+
+func newRecord(lc fx.Lifecycle, cfg Config, log *slog.Logger) *record.Writer {
+	w := record.New(cfg.VM, log)
+	closes(lc, w)
+	return w
+}
+
+func newState() *state.State { return state.New(nil) }
+
+func newBoard() *hub.Board { return hub.NewBoard() }
+
+// dial is the longest wait for a connection to a backend server within a region.
+const dial = 400 * time.Millisecond
+
+// idle is below the shortest time after which a server closes an idle connection,
+// or requests would meet the close.
+const idle = 4 * time.Second
+
+func newRelay(lc fx.Lifecycle, p Platform) *relay.Relay {
+	r := relay.New(relay.Config{Names: p.Names, Dial: dial, Idle: idle})
+	closes(lc, r)
+	return r
+}
+
+// mostHeld is up to where a body is read whole before its request asks for a place:
+// it can then be sent elsewhere after a refusal, and a caller that sends slowly
+// holds no server's slot.
+const mostHeld = 1 << 20
+
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *counts) *front.Front {
+	f := &front.Front{
+		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m,
+		Limit: config.Limit{Request: config.SpanOf(defaultRequest)},
+		Names: p.Names, Hold: mostHeld, After: p.After, Asked: c.asked, Answered: c.answered,
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { f.Start(); return nil },
+		OnStop:  func(context.Context) error { return f.Close() },
+	})
+	return f
+}
+
+// defaultRequest bounds a request whose rule and caller name no time.
+const defaultRequest = 30 * time.Second
+
+// ready says why requests should not be sent here, or nil.
+func (d *doors) ready() error {
+	if d.p.Front.IsClosing() {
+		return kinds.New(kinds.Closing, "shutting down")
+	}
+	if d.p.State.Rules.State() != force.Serve {
+		return kinds.New(kinds.Down, "no rules yet")
+	}
+	for name, svc := range d.p.State.Services() {
+		if svc.Divided && svc.Finder() == nil {
+			return kinds.New(kinds.NoOwner, "owners of keys not known yet: "+string(name))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/host/reign.go
@@ -0,0 +1,350 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/owner/deal"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// tickEvery is how often the decisions are told the time.
+const tickEvery = 50 * time.Millisecond
+
+// leaseName is the object that says who leads.
+const leaseName = "lead"
+
+// reign runs the decision who leads and, while this VM does, the deals of all
+// divided services.
+type reign struct {
+	group group.Group
+	cfg   Config
+	plat  Platform
+	board *hub.Board
+	fleet *fleet
+	state *state.State
+	count *counts
+	log   *slog.Logger
+	loop  *loop.Loop
+
+	mu    sync.Mutex
+	deals map[ident.Service]*loop.Loop
+	seq   uint64
+}
+
+func newReign(lc fx.Lifecycle, cfg Config, p Platform, b *hub.Board, f *fleet, s *state.State, c *counts, log *slog.Logger) *reign {
+	r := &reign{cfg: cfg, plat: p, board: b, fleet: f, state: s, count: c, log: log, deals: map[ident.Service]*loop.Loop{}}
+	life := string(cfg.VM) + "-" + strconv.FormatUint(rand.Uint64(), 36)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			model := lead.New(tick.Now(), cfg.VM, life, cfg.Peers)
+			r.loop = loop.New(model, loop.RunnerFunc(r.run), loop.WithClock(tick.Now))
+			r.fleet.follow(r.hosts)
+			r.group.Go(r.ticks)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			r.leave()
+			r.fleet.follow(nil)
+			err := r.group.Close()
+			r.endDeals()
+			_ = r.loop.Close()
+			return err
+		},
+	})
+	return r
+}
+
+// leave stops leading for good, so that another VM takes over at once.
+func (r *reign) leave() { r.loop.Send(lead.LeaveMsg{}) }
+
+// model returns the decision's present state.
+func (r *reign) model() lead.Model { return r.loop.Model().(lead.Model) }
+
+func (r *reign) ticks(ctx context.Context) error {
+	for group.Sleep(ctx, tickEvery) {
+		r.loop.Send(lead.TickMsg{})
+		m := r.model()
+		if m.Stage() != lead.Lead {
+			continue
+		}
+		r.begin()
+		auth := deal.Authority{
+			Epoch: m.Lease().Epoch, Until: m.Until(), Bar: m.Bar(), Long: m.Troubled(tick.Now()),
+		}
+		for _, l := range r.all() {
+			l.Send(deal.TickMsg{Authority: auth})
+		}
+		r.report()
+	}
+	return nil
+}
+
+// report hands what this VM saw itself to the deals.
+func (r *reign) report() {
+	cells, sums := r.count.take()
+	r.loads(cells, sums)
+}
+
+func (r *reign) loads(cells map[ident.Service]hub.Cells, sums map[ident.Server]deal.Sum) {
+	if len(cells) == 0 && len(sums) == 0 {
+		return
+	}
+	for svc, l := range r.all() {
+		l.Send(deal.LoadMsg{Cells: cells[svc], Servers: sums})
+	}
+}
+
+// heard takes in what another VM told as it asked.
+func (r *reign) heard(a *hub.Ask) {
+	if _, leads := r.board.Lease(); leads {
+		r.loads(a.Cells, a.Sums)
+	}
+}
+
+func (r *reign) all() map[ident.Service]*loop.Loop {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[ident.Service]*loop.Loop, len(r.deals))
+	for svc, l := range r.deals {
+		all[svc] = l
+	}
+	return all
+}
+
+// begin starts the deals of divided services that have none yet.
+func (r *reign) begin() {
+	for _, svc := range r.fleet.divided() {
+		r.mu.Lock()
+		_, runs := r.deals[svc]
+		if !runs {
+			r.deals[svc] = loop.New(deal.New(), &dealer{r: r, svc: svc}, loop.WithClock(tick.Now))
+		}
+		r.mu.Unlock()
+		if !runs {
+			r.fleet.follow(r.hosts)
+		}
+	}
+}
+
+func (r *reign) endDeals() {
+	r.mu.Lock()
+	ended := r.deals
+	r.deals = map[ident.Service]*loop.Loop{}
+	r.mu.Unlock()
+	for _, l := range ended {
+		_ = l.Close()
+	}
+}
+
+// hosts tells the deals which servers there are.
+func (r *reign) hosts(list []feed.Server) {
+	for svc, l := range r.all() {
+		var hosts []deal.Host
+		for _, s := range list {
+			if s.Service == svc {
+				hosts = append(hosts, deal.Host{Name: s.Name, Addr: s.Addr, Born: s.Born, Slots: s.Slots, Leaving: s.Leaving, Cold: s.Cold})
+			}
+		}
+		l.Send(deal.HostsMsg{Hosts: hosts})
+	}
+}
+
+// run carries out what the decision who leads wants.
+func (r *reign) run(_ context.Context, cmd loop.Cmd, send func(loop.Msg)) {
+	switch cmd := cmd.(type) {
+	case lead.ReadCmd:
+		r.group.Go(func(ctx context.Context) error { send(r.read(ctx)); return nil })
+	case lead.WriteCmd:
+		r.group.Go(func(ctx context.Context) error { send(r.write(ctx, cmd)); return nil })
+	case lead.ChangeCmd:
+		r.change(cmd)
+	}
+}
+
+func (r *reign) read(ctx context.Context) lead.ReadMsg {
+	msg := lead.ReadMsg{Asked: tick.Now()}
+	o, err := r.plat.Store.Get(ctx, r.plat.Own+leaseName)
+	msg.Kind, msg.Version = kinds.Of(err), o.Version
+	if err == nil && json.Unmarshal(o.Value, &msg.Lease) != nil {
+		r.log.Error("the lease cannot be read; it will be written anew", "rev", o.Version)
+	}
+	return msg
+}
+
+func (r *reign) write(ctx context.Context, cmd lead.WriteCmd) lead.WroteMsg {
+	msg := lead.WroteMsg{Asked: tick.Now(), Lease: cmd.Lease}
+	b, err := json.Marshal(cmd.Lease)
+	if err != nil {
+		msg.Kind = kinds.Internal
+		return msg
+	}
+	msg.Version, err = r.plat.Store.Put(ctx, r.plat.Own+leaseName, b, cmd.Old)
+	msg.Kind = kinds.Of(err)
+	if err != nil {
+		r.log.Warn("lease not written", "epoch", cmd.Lease.Epoch, "old", cmd.Old, "err", err)
+	}
+	return msg
+}
+
+// change takes in who leads now.
+func (r *reign) change(cmd lead.ChangeCmd) {
+	leads := cmd.Stage == lead.Lead
+	r.log.Info("lead", "stage", cmd.Stage, "holder", cmd.Lease.Holder, "epoch", cmd.Lease.Epoch, "why", cmd.Why)
+	r.board.SetLease(cmd.Lease, leads)
+	if !leads {
+		r.group.Go(func(context.Context) error { r.endDeals(); return nil })
+	}
+}
+
+// dealer carries out what the deal of one service wants.
+type dealer struct {
+	r   *reign
+	svc ident.Service
+}
+
+func (d *dealer) name() string { return d.r.plat.Own + "keys-" + string(d.svc) }
+
+// Run carries out a command.
+func (d *dealer) Run(ctx context.Context, cmd loop.Cmd, send func(loop.Msg)) {
+	r := d.r
+	switch cmd := cmd.(type) {
+	case deal.ReadCmd:
+		r.group.Go(func(context.Context) error { send(d.read(ctx)); return nil })
+	case deal.WriteCmd:
+		r.group.Go(func(context.Context) error { send(d.write(ctx, cmd)); return nil })
+	case deal.OrderCmd:
+		r.group.Go(func(context.Context) error { send(d.order(ctx, cmd)); return nil })
+	case deal.ServedCmd:
+		r.serve(d.svc, cmd)
+	case deal.NoteCmd:
+		r.log.Info(cmd.What, "service", d.svc, "server", cmd.Server, "former", cmd.Former, "rows", cmd.Rows, "why", cmd.Why)
+	}
+}
+
+// serve publishes who serves what, here and for those who ask.
+func (r *reign) serve(svc ident.Service, cmd deal.ServedCmd) {
+	r.mu.Lock()
+	r.seq++
+	seq := r.seq
+	r.mu.Unlock()
+	view := r.board.Publish(svc, hub.Change{Epoch: cmd.Epoch, Seq: seq, Full: cmd.Full, Spans: cmd.Changes})
+	if s, ok := r.state.Service(svc); ok {
+		s.SetFinder(view)
+	}
+}
+
+func (d *dealer) read(ctx context.Context) deal.ReadMsg {
+	o, err := d.r.plat.Store.Get(ctx, d.name())
+	msg := deal.ReadMsg{Version: o.Version, Kind: kinds.Of(err)}
+	if err == nil {
+		if msg.Table, err = stripe.Decode(o.Value); err != nil {
+			msg.Kind = kinds.Of(err)
+			d.r.log.Error("table cannot be read", "service", d.svc, "rev", o.Version, "err", err)
+		}
+	}
+	return msg
+}
+
+func (d *dealer) write(ctx context.Context, cmd deal.WriteCmd) deal.WroteMsg {
+	b, err := cmd.Table.Encode()
+	if err != nil {
+		return deal.WroteMsg{Kind: kinds.Of(err)}
+	}
+	version, err := d.r.plat.Store.Put(ctx, d.name(), b, cmd.Old)
+	if err != nil {
+		d.r.log.Warn("table not written", "service", d.svc, "old", cmd.Old, "err", err)
+	}
+	return deal.WroteMsg{Version: version, Kind: kinds.Of(err)}
+}
+
+// Times of orders.
+const (
+	// grantWait is beyond what a healthy server's answer takes by a factor of fifty.
+	grantWait = 400 * time.Millisecond
+	// releaseWait covers work that is still running on the keys.
+	releaseWait = 2 * time.Second
+	// releasesAtOnce bounds the connections that releases take from requests.
+	releasesAtOnce = 4
+)
+
+func (d *dealer) order(ctx context.Context, cmd deal.OrderCmd) deal.OrderedMsg {
+	msg := deal.OrderedMsg{Server: cmd.Server, Born: cmd.Born}
+	if len(cmd.Orders) > 0 && cmd.Orders[0].Release {
+		msg.Done = d.releases(ctx, cmd)
+		return msg
+	}
+	for _, o := range cmd.Orders {
+		done := deal.Done{Order: o, Sent: tick.Now()}
+		if !done.Sent.Before(cmd.Until) {
+			break
+		}
+		grant := feed.Grant{Span: o.Span, Fence: o.Fence, Hold: o.Hold, Token: o.Token}
+		done.Kind = kinds.Of(d.call(ctx, grantWait, func(ctx context.Context) error {
+			return d.r.plat.Orders.Grant(ctx, cmd.Addr, grant)
+		}))
+		msg.Done = append(msg.Done, done)
+		if done.Kind != kinds.None && done.Kind != kinds.Fenced {
+			break
+		}
+	}
+	return msg
+}
+
+func (d *dealer) call(ctx context.Context, wait time.Duration, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return do(ctx)
+}
+
+// releases takes keys back, several spans at a time: each answer waits for the work
+// that runs on its keys.
+func (d *dealer) releases(ctx context.Context, cmd deal.OrderCmd) []deal.Done {
+	all := make([]deal.Done, len(cmd.Orders))
+	next := make(chan int, len(cmd.Orders))
+	for i := range cmd.Orders {
+		next <- i
+	}
+	close(next)
+	var g group.Group
+	for range releasesAtOnce {
+		g.Go(func(context.Context) error {
+			for i := range next {
+				all[i] = d.release(ctx, cmd, cmd.Orders[i])
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return all
+}
+
+func (d *dealer) release(ctx context.Context, cmd deal.OrderCmd, o deal.Order) deal.Done {
+	done := deal.Done{Order: o, Sent: tick.Now(), Kind: kinds.Down}
+	if !done.Sent.Before(cmd.Until) {
+		return done
+	}
+	err := d.call(ctx, releaseWait, func(ctx context.Context) error {
+		var err error
+		done.Given, err = d.r.plat.Orders.Release(ctx, cmd.Addr, o.Span, o.Fence)
+		return err
+	})
+	done.Kind = kinds.Of(err)
+	return done
+}
--- /dev/null
+++ b/internal/edge/hub/board.go
@@ -0,0 +1,259 @@
+// Package hub is the exchange between entry VMs: each asks the leader for news,
+// the question waits until there is some, and it carries what the leader needs to
+// know. It costs a message each way a half second for each VM, and no list of
+// members: whoever asks is one.
+//
+// A VM that is cut off from the store alone learns the rules, the servers and the
+// owners of keys in this way within a second.
+package hub
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/owner/deal"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// Times and bounds of the exchange.
+const (
+	// Wait is how long a question waits for news. Two a second keep the leader's
+	// silence short, and a question is some hundred bytes.
+	Wait = 400 * time.Millisecond
+	// Gone is how long a VM that asks no more counts as one.
+	Gone = 2 * time.Second
+	// keptChanges is how many changes of owners are kept, so that whoever was away
+	// for a moment gets the difference and not the whole.
+	keptChanges = 64
+)
+
+// Raw is something that the store holds, as it stands there.
+type Raw struct {
+	Rev  uint64          `json:"rev"`
+	Data json.RawMessage `json:"data"`
+}
+
+// Change is what changed in who serves a service's keys.
+type Change struct {
+	Epoch uint64          `json:"epoch"`
+	Seq   uint64          `json:"seq"`
+	Full  bool            `json:"full,omitempty"`
+	Spans []stripe.Served `json:"spans"`
+}
+
+// Ask is a question to the leader, with what its sender knows.
+type Ask struct {
+	VM      ident.VM                  `json:"vm"`
+	Addr    string                    `json:"addr"` // where the sender is asked
+	Life    string                    `json:"life"` // of the leader whose numbers follow
+	Seqs    map[ident.Service]uint64  `json:"seqs,omitempty"`
+	Rules   uint64                    `json:"rules"`
+	Servers uint64                    `json:"servers"`
+	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
+	Sums    map[ident.Server]deal.Sum `json:"sums,omitempty"`
+}
+
+// Cells counts requests by cell of the key space.
+type Cells map[uint16]uint32
+
+// News is the answer.
+type News struct {
+	Lease   lead.Lease               `json:"lease"`
+	Leads   bool                     `json:"leads"` // the one who answers is the leader
+	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
+	VMs     []string                 `json:"vms"`   // where the VMs are asked
+	Changes map[ident.Service]Change `json:"changes,omitempty"`
+	Rules   *Raw                     `json:"rules,omitempty"`
+	Servers *ServerList              `json:"servers,omitempty"`
+}
+
+// ServerList is the servers as of a place in the store's sequence of changes.
+type ServerList struct {
+	Rev  uint64        `json:"rev"`
+	List []feed.Server `json:"list"`
+}
+
+// Board holds what this VM knows and others may ask for. The zero value is not
+// usable: see NewBoard.
+type Board struct {
+	mu      sync.Mutex
+	lease   lead.Lease
+	leads   bool
+	rules   Raw
+	servers ServerList
+	views   map[ident.Service]*history
+	asked   map[ident.VM]asker
+	more    chan struct{} // closed at the next change
+}
+
+type asker struct {
+	addr string
+	at   time.Time
+}
+
+// history is who serves a service's keys, and how that came about lately.
+type history struct {
+	view    *stripe.View
+	changes []Change
+}
+
+// NewBoard makes an empty board.
+func NewBoard() *Board {
+	return &Board{views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+}
+
+func (b *Board) wake() {
+	close(b.more)
+	b.more = make(chan struct{})
+}
+
+// SetLease notes who leads, and whether this VM does.
+func (b *Board) SetLease(l lead.Lease, leads bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leads && !leads || !b.leads && leads {
+		b.views = map[ident.Service]*history{}
+	}
+	b.lease, b.leads = l, leads
+	b.wake()
+}
+
+// Lease returns who leads, and whether this VM does.
+func (b *Board) Lease() (lead.Lease, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lease, b.leads
+}
+
+// SetRules notes newer rules and reports whether they are.
+func (b *Board) SetRules(r Raw) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Rev <= b.rules.Rev {
+		return false
+	}
+	b.rules = r
+	b.wake()
+	return true
+}
+
+// SetServers notes a newer list of servers and reports whether it is.
+func (b *Board) SetServers(l ServerList) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Rev <= b.servers.Rev {
+		return false
+	}
+	b.servers = l
+	b.wake()
+	return true
+}
+
+// Revs returns the revisions of the rules and of the servers known here.
+func (b *Board) Revs() (rules, servers uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rules.Rev, b.servers.Rev
+}
+
+// Publish tells all who ask what changed in who serves a service, and returns the
+// view after it.
+func (b *Board) Publish(svc ident.Service, c Change) *stripe.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.views[svc]
+	if h == nil || c.Full {
+		h = &history{}
+		b.views[svc] = h
+	}
+	h.view = h.view.Apply(c.Epoch, c.Seq, c.Full, c.Spans)
+	h.changes = append(h.changes, c)
+	if len(h.changes) > keptChanges {
+		h.changes = h.changes[1:]
+	}
+	b.wake()
+	return h.view
+}
+
+// VMs counts the VMs that asked lately, this one included.
+func (b *Board) VMs(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 1
+	for vm, a := range b.asked {
+		if now.Sub(a.at) > Gone {
+			delete(b.asked, vm)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// note remembers who asks.
+func (b *Board) note(now time.Time, a *Ask) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked[a.VM] = asker{addr: a.Addr, at: now}
+}
+
+// look returns the news for an asker, whether they are any, and what to wait for.
+func (b *Board) look(now time.Time, a *Ask) (News, bool, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := News{Lease: b.lease, Leads: b.leads}
+	any := !b.leads
+	if b.rules.Rev > a.Rules {
+		r := b.rules
+		n.Rules, any = &r, true
+	}
+	if b.servers.Rev > a.Servers {
+		l := b.servers
+		n.Servers, any = &l, true
+	}
+	if !b.leads {
+		return n, true, nil
+	}
+	for svc, h := range b.views {
+		if c, ok := h.since(a, svc, b.lease.Life); ok {
+			if n.Changes == nil {
+				n.Changes = map[ident.Service]Change{}
+			}
+			n.Changes[svc], any = c, true
+		}
+	}
+	for vm, other := range b.asked {
+		if now.Sub(other.at) > Gone {
+			continue
+		}
+		n.VMs = append(n.VMs, other.addr)
+		if vm < a.VM {
+			n.Rank++
+		}
+	}
+	return n, any, b.more
+}
+
+// since joins what changed after what an asker knows.
+func (h *history) since(a *Ask, svc ident.Service, life string) (Change, bool) {
+	have := a.Seqs[svc]
+	if a.Life == life && have == h.view.Seq {
+		return Change{}, false
+	}
+	out := Change{Epoch: h.view.Epoch, Seq: h.view.Seq}
+	if a.Life != life || have < h.changes[0].Seq {
+		out.Full, out.Spans = true, h.view.Spans()
+		return out, true
+	}
+	for _, c := range h.changes {
+		if c.Seq > have {
+			out.Full = out.Full || c.Full
+			out.Spans = append(out.Spans, c.Spans...)
+		}
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/node/census/census.go
@@ -0,0 +1,138 @@
+// Package census keeps which backend servers there are, where each writes an entry
+// of its own into the platform's store.
+//
+// An entry that lapses means that its server has ended, except when the store was
+// away: then entries lapse because nobody could renew them. Taken at its word, the
+// list of the first second after an outage would have every server gone. So what is
+// missing then stays listed until its server had the time to come back.
+package census
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// Back is how long a server that lives and reaches the store needs to be listed
+// again after the store's return. The platform says about two seconds.
+const Back = 2200 * time.Millisecond
+
+// Entry is one server's entry. Rev orders what is said of it.
+type Entry[T any] struct {
+	Name  ident.Server
+	Rev   uint64
+	Value T
+	// Going says that the server itself said that it leaves: its absence needs no
+	// second look.
+	Going bool
+}
+
+// Census is what is known of servers. The zero value knows none.
+type Census[T any] struct {
+	all  map[ident.Server]*row[T]
+	rev  uint64    // of the last whole list
+	away bool      // the store does not answer
+	back time.Time // when it last answered again
+}
+
+type row[T any] struct {
+	Entry[T]
+	missing time.Time // the entry counts as gone from then on; zero while it is there
+}
+
+// Down notes that the store does not answer.
+func (c *Census[T]) Down() { c.away = true }
+
+// Up notes that the store answers.
+func (c *Census[T]) Up(now time.Time) {
+	if c.away {
+		c.away, c.back = false, now
+	}
+}
+
+// patience is how long what is missing now stays listed.
+func (c *Census[T]) patience(now time.Time) time.Duration {
+	if c.back.IsZero() || now.Sub(c.back) >= Back {
+		return 0
+	}
+	return Back
+}
+
+// List takes in the whole list as of a revision. It reports whether anything
+// changed.
+func (c *Census[T]) List(now time.Time, rev uint64, list []Entry[T]) bool {
+	c.Up(now)
+	if rev < c.rev {
+		return false
+	}
+	c.rev = rev
+	here := make(map[ident.Server]bool, len(list))
+	changed := false
+	for _, e := range list {
+		here[e.Name] = true
+		changed = c.Put(e) || changed
+	}
+	for name, r := range c.all {
+		if !here[name] && r.missing.IsZero() {
+			changed = c.lose(now, name) || changed
+		}
+	}
+	return changed
+}
+
+// Put takes in one entry that is new or was rewritten.
+func (c *Census[T]) Put(e Entry[T]) bool {
+	if c.all == nil {
+		c.all = map[ident.Server]*row[T]{}
+	}
+	old := c.all[e.Name]
+	if old != nil && old.Rev >= e.Rev && old.missing.IsZero() {
+		return false
+	}
+	c.all[e.Name] = &row[T]{Entry: e}
+	return true
+}
+
+// Remove takes in that an entry was removed as of a revision.
+func (c *Census[T]) Remove(now time.Time, name ident.Server, rev uint64) bool {
+	c.Up(now)
+	r := c.all[name]
+	if r == nil || rev < r.Rev || !r.missing.IsZero() {
+		return false
+	}
+	return c.lose(now, name)
+}
+
+func (c *Census[T]) lose(now time.Time, name ident.Server) bool {
+	r := c.all[name]
+	if wait := c.patience(now); wait > 0 && !r.Going {
+		r.missing = now.Add(wait)
+		return false
+	}
+	delete(c.all, name)
+	return true
+}
+
+// Expire drops what was missing for too long, and reports whether it did.
+func (c *Census[T]) Expire(now time.Time) bool {
+	dropped := false
+	for name, r := range c.all {
+		if !r.missing.IsZero() && !now.Before(r.missing) {
+			delete(c.all, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// All lists the servers that count as there, by name.
+func (c *Census[T]) All() []Entry[T] {
+	list := make([]Entry[T], 0, len(c.all))
+	for _, r := range c.all {
+		list = append(list, r.Entry)
+	}
+	slices.SortFunc(list, func(a, b Entry[T]) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/internal/owner/deal/deal.go
@@ -0,0 +1,429 @@
+// Package deal deals the keys of one service out to its backend servers, where
+// servers take ranges of keys under fences and for a time that counts from the
+// arrival of the order. It is the leader's part of ownership; see package lead
+// for who that is.
+//
+// # One owner for each key
+//
+// Every change of an owner is first agreed, by a conditional update of the table,
+// and only then carried out. Carrying it out is: take the keys back from the
+// former owner under the new fence, and give them to the next one when the former
+// has said that no work on them is left. Where it does not answer, the next owner
+// waits until every grant that anybody may have sent has run out. Three things
+// make that certain:
+//
+//   - A server that released keys under a fence refuses every older grant, so
+//     whoever still renews by an older table is refused.
+//   - A grant counts from its arrival, so one that is obeyed late has less time
+//     left and never more.
+//   - Whoever gives orders may do so only until the end of its authority, and
+//     looks at the clock right before it sends. A new leader therefore knows until
+//     when the one before may have renewed (Authority.Bar).
+//
+// Renewing what is agreed needs no agreement, so a leader that is replaced while it
+// still renews does no harm, and the next one goes on at once.
+package deal
+
+import (
+	"net/netip"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Times of grants.
+const (
+	// Hold is how long a grant lasts in calm times. A server that is lost keeps its
+	// keys from others for as long; a change of the leader must fit into what is
+	// left after Renew.
+	Hold = 4 * time.Second
+	// LongHold is how long a grant lasts while the store does not confirm the lead:
+	// nobody can take over then, and the keys stay served until it is back. The
+	// platform allows 10 s; the rest is for servers whose clocks run slow.
+	LongHold = 9500 * time.Millisecond
+	// Renew is the pause between two renewals of the same grant.
+	Renew = 1300 * time.Millisecond
+	// slow is how much longer than asked a grant may last on a server's clock, in
+	// parts of a thousand. The platform says 20.
+	slow = 25
+	// margin covers an order's way and the coarseness of clocks.
+	margin = 150 * time.Millisecond
+	// again is the pause before a server that did not answer is tried again.
+	again = 300 * time.Millisecond
+	// Silent is for how long a server must fail to answer before its keys go
+	// elsewhere. They come free no sooner than Hold after their last renewal.
+	Silent = 700 * time.Millisecond
+	// tidy is how long a finished move waits to be written down: the next change
+	// mostly takes it along.
+	tidy = 500 * time.Millisecond
+)
+
+// Authority says until when this VM may give orders, and until when a leader
+// before it may still.
+type Authority struct {
+	Epoch uint64
+	Until time.Time
+	Bar   time.Time
+	// Long asks for grants that outlast an absence of the store.
+	Long bool
+}
+
+// Host is a backend server that may own keys.
+type Host struct {
+	Name    ident.Server
+	Addr    netip.AddrPort
+	Born    int64
+	Slots   int
+	Leaving bool
+	Cold    time.Duration
+}
+
+// Messages.
+type (
+	// TickMsg passes time, with the authority as it is now.
+	TickMsg struct{ Authority }
+	// HostsMsg lists the servers that the platform lists.
+	HostsMsg struct{ Hosts []Host }
+	// LoadMsg reports requests and answers since the last report.
+	LoadMsg struct {
+		Cells   map[uint16]uint32 // requests by cell
+		Servers map[ident.Server]Sum
+	}
+	// ReadMsg answers a ReadCmd; Version zero means that there is no table.
+	ReadMsg struct {
+		Table   stripe.Table
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// WroteMsg answers a WriteCmd.
+	WroteMsg struct {
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// OrderedMsg answers an OrderCmd. Orders that were not sent are missing.
+	OrderedMsg struct {
+		Server ident.Server
+		Born   int64
+		Done   []Done
+	}
+)
+
+// Sum adds up what was observed of a server's answers.
+type Sum struct {
+	N    uint32        `json:"n"`
+	Took time.Duration `json:"took"`
+}
+
+// Order is one order for a span of keys: a grant, or a release.
+type Order struct {
+	stripe.Span
+	Fence   uint64
+	Release bool
+	Hold    time.Duration
+	Token   string
+}
+
+// Done is what became of an order. Sent is the time right before it was sent.
+type Done struct {
+	Order
+	Sent  time.Time
+	Kind  kinds.Kind
+	Given string // the token that a release brought
+}
+
+// Commands.
+type (
+	// ReadCmd reads the table.
+	ReadCmd struct{}
+	// WriteCmd writes the table if its version is still Old.
+	WriteCmd struct {
+		Table stripe.Table
+		Old   object.Version
+	}
+	// OrderCmd gives a server orders, each only before Until. Grants go one after
+	// the other, and end with the first that is not answered.
+	OrderCmd struct {
+		Server ident.Server
+		Born   int64
+		Addr   netip.AddrPort
+		Until  time.Time
+		Orders []Order
+	}
+	// ServedCmd says who serves what from now on.
+	ServedCmd struct {
+		Epoch, Seq uint64
+		Full       bool
+		Changes    []stripe.Served
+	}
+	// NoteCmd is a change of belief, for the log.
+	NoteCmd struct {
+		What   string
+		Server ident.Server
+		Former ident.Server
+		Rows   int
+		Why    string
+	}
+)
+
+// phase is how far a row's owner has its keys.
+type phase uint8
+
+const (
+	vacant   phase = iota // nobody owns it yet
+	freeing               // the former owner has not given it back
+	granting              // the owner may be given it
+	granted               // the owner has it
+)
+
+// state is what this leader knows of a row beside the table.
+type state struct {
+	phase phase
+	until time.Time    // every grant to the owner has run out then; zero: none was sent
+	free  time.Time    // the former owner has it no longer then, whatever it says
+	token string       // what the former owner said as it gave the keys back
+	told  ident.Server // who serves it, as it was last said
+}
+
+// peer is what this leader knows of a server.
+type peer struct {
+	Host
+	listed   bool
+	silent   time.Time // since when it has not answered; zero when it does
+	busy     bool      // grants are on their way
+	freeing  bool      // releases are on their way
+	renewAt  time.Time
+	pauseTo  time.Time
+	freeAt   time.Time // releases are tried again then
+	speed    float64   // relative to the others, as answers show; zero when unknown
+	seconds  float64   // of recent answers
+	answers  float64
+	listedAt time.Time
+}
+
+// Model is the decision. Make one with New for each time that this VM leads.
+type Model struct {
+	auth    Authority
+	table   stripe.Table
+	version object.Version
+	loaded  bool
+	calling bool
+	writing *draft
+	callAt  time.Time
+	dirty   time.Time // since when the table here differs from the stored one
+	rows    []state
+	peers   map[ident.Server]*peer
+	loads   loads
+	planAt  time.Time
+	seq     uint64
+	told    bool // a full view was given
+	known   bool // servers are known
+}
+
+// draft is a table on its way to the store, and what its rows begin with.
+type draft struct {
+	table stripe.Table
+	rows  []state
+	notes []NoteCmd
+}
+
+// New makes the deal of one service for a leader.
+func New() *Model { return &Model{peers: map[ident.Server]*peer{}} }
+
+// Update takes in a message. The model changes in place and returns itself: a copy
+// of a thousand rows for each message would cost more than the decision.
+func (m *Model) Update(now time.Time, msg loop.Msg) (loop.Model, []loop.Cmd) {
+	var out []loop.Cmd
+	switch msg := msg.(type) {
+	case TickMsg:
+		m.authorize(msg.Authority)
+	case HostsMsg:
+		m.list(now, msg.Hosts)
+	case LoadMsg:
+		m.loads.add(now, msg)
+		m.learn(msg)
+		return m, nil
+	case ReadMsg:
+		out = m.read(now, msg)
+	case WroteMsg:
+		out = m.wrote(now, msg)
+	case OrderedMsg:
+		out = m.ordered(now, msg)
+	}
+	if !now.Before(m.auth.Until) {
+		return m, out
+	}
+	out = append(out, m.store(now)...)
+	if m.loaded {
+		out = append(out, m.orders(now)...)
+		out = append(out, m.served()...)
+	}
+	return m, out
+}
+
+// authorize takes in what this VM may do. When grants become long, all are renewed
+// at once: the short ones would run out one after the other meanwhile.
+func (m *Model) authorize(a Authority) {
+	if a.Long && !m.auth.Long {
+		for _, p := range m.peers {
+			p.renewAt = time.Time{}
+		}
+	}
+	m.auth = a
+}
+
+// store reads the table once, and writes it when it should change.
+func (m *Model) store(now time.Time) []loop.Cmd {
+	if m.calling || now.Before(m.callAt) {
+		return nil
+	}
+	if !m.loaded {
+		m.calling = true
+		return []loop.Cmd{ReadCmd{}}
+	}
+	d := m.plan(now)
+	if d == nil {
+		return nil
+	}
+	m.calling, m.writing, m.dirty = true, d, time.Time{}
+	d.table.Epoch = m.auth.Epoch
+	return []loop.Cmd{WriteCmd{Table: d.table, Old: m.version}}
+}
+
+// read takes in the stored table. What this leader knew of its rows is kept where
+// the row is the same.
+func (m *Model) read(now time.Time, msg ReadMsg) []loop.Cmd {
+	m.calling = false
+	switch {
+	case msg.Kind == kinds.Absent:
+		msg.Table = stripe.NewTable()
+	case msg.Kind != kinds.None:
+		m.callAt = now.Add(again)
+		return nil
+	}
+	old, rows := m.table, m.rows
+	m.table, m.version = msg.Table.Clone(), msg.Version
+	m.rows = make([]state, len(m.table.Rows))
+	for i, r := range m.table.Rows {
+		if j := old.Find(r.First); j < len(old.Rows) && old.Rows[j] == r {
+			m.rows[i] = rows[j]
+			continue
+		}
+		m.rows[i] = m.inherit(r)
+	}
+	first := !m.loaded
+	m.loaded, m.writing = true, nil
+	if first && msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
+		// Written once more, the table refuses whatever the leader before still
+		// has on its way.
+		m.dirty = now.Add(-tidy)
+	}
+	return []loop.Cmd{NoteCmd{What: "table read", Rows: len(m.table.Rows)}}
+}
+
+// inherit is what is known of a row that another leader wrote: its owner may have
+// been given it, and the former owner may have been renewed until the bar.
+func (m *Model) inherit(r stripe.Row) state {
+	s := state{until: lapse(m.auth.Bar, LongHold)}
+	switch {
+	case r.Owner == "":
+		s.phase = vacant
+	case r.From != "":
+		s.phase = freeing
+		s.free = s.until
+	default:
+		s.phase = granting // the same grant again is a renewal
+	}
+	return s
+}
+
+// lapse is when a grant that was sent then has certainly run out.
+func lapse(sent time.Time, hold time.Duration) time.Time {
+	return sent.Add(hold + hold*slow/1000 + margin)
+}
+
+func (m *Model) wrote(now time.Time, msg WroteMsg) []loop.Cmd {
+	m.calling = false
+	d := m.writing
+	m.writing = nil
+	switch {
+	case d == nil:
+		return nil
+	case msg.Kind == kinds.None:
+		m.version = msg.Version
+		return m.adopt(d)
+	case msg.Kind == kinds.Conflict, msg.Kind == kinds.Ambiguous, msg.Kind == kinds.Absent:
+		// Another leader wrote, or this VM's own write was done and its answer lost:
+		// what is stored counts.
+		m.loaded = false
+		m.callAt = now.Add(again / 4)
+	default:
+		m.callAt = now.Add(again)
+	}
+	m.planAt = time.Time{}
+	return nil
+}
+
+// adopt puts a draft that was agreed in place. Orders may have been answered since
+// it was made, so a row that it does not change keeps what is known now.
+func (m *Model) adopt(d *draft) []loop.Cmd {
+	old, rows := m.table, m.rows
+	for i, r := range d.table.Rows {
+		j := old.Find(r.First)
+		was := old.Rows[j]
+		if was.Owner == r.Owner && was.Fence == r.Fence && was.Born == r.Born {
+			d.rows[i] = rows[j]
+			d.table.Rows[i].From = was.From
+			continue
+		}
+		// The former owner may have been renewed while the draft was on its way.
+		s := &d.rows[i]
+		s.told = rows[j].told
+		if s.phase == freeing {
+			s.free = later(s.free, rows[j].until)
+		} else {
+			s.until = later(s.until, rows[j].until)
+		}
+	}
+	m.table, m.rows = d.table, d.rows
+	out := make([]loop.Cmd, len(d.notes))
+	for i, n := range d.notes {
+		out[i] = n
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// list takes in the servers that the platform lists.
+func (m *Model) list(now time.Time, hosts []Host) {
+	m.known = m.known || len(hosts) > 0
+	for _, p := range m.peers {
+		p.listed = false
+	}
+	for _, h := range hosts {
+		p := m.peers[h.Name]
+		if p == nil {
+			p = &peer{listedAt: now}
+			m.peers[h.Name] = p
+		}
+		if p.Born != h.Born {
+			p.silent, p.pauseTo = time.Time{}, time.Time{}
+		}
+		p.Host, p.listed = h, true
+	}
+	m.planAt = time.Time{}
+}
+
+// takes reports whether a server may be given keys.
+func (p *peer) takes(now time.Time) bool {
+	return p.listed && !p.Leaving && (p.silent.IsZero() || now.Sub(p.silent) < Silent)
+}
--- /dev/null
+++ b/internal/owner/deal/loads.go
@@ -0,0 +1,120 @@
+package deal
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/owner/place"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// halfLife of what is remembered of requests: a hot key shows within a second, and
+// a dozen requests are enough not to mistake chance for it.
+const halfLife = 1500 * time.Millisecond
+
+// loads counts requests by cell, older ones for less.
+type loads struct {
+	cells [stripe.Keys / stripe.Cell]float64
+	sums  [stripe.Keys/stripe.Cell + 1]float64 // of the cells before; made when asked for
+	fresh bool
+	at    time.Time
+}
+
+func (l *loads) add(now time.Time, msg LoadMsg) {
+	l.age(now)
+	for cell, n := range msg.Cells {
+		if int(cell) < len(l.cells) {
+			l.cells[cell] += float64(n)
+		}
+	}
+	l.fresh = false
+}
+
+// age lets what was counted fade.
+func (l *loads) age(now time.Time) {
+	passed := now.Sub(l.at)
+	if l.at.IsZero() || passed <= 0 {
+		l.at = later(l.at, now)
+		return
+	}
+	keep := math.Exp2(-passed.Seconds() / halfLife.Seconds())
+	for i := range l.cells {
+		l.cells[i] *= keep
+	}
+	l.at, l.fresh = now, false
+}
+
+// perSecond turns a count that halves each halfLife into a rate.
+const perSecond = math.Ln2 / float64(halfLife) * float64(time.Second)
+
+// of returns the requests a second for a span.
+func (l *loads) of(now time.Time, s stripe.Span) float64 {
+	l.sum(now)
+	return (l.sums[int(s.Last)/stripe.Cell+1] - l.sums[int(s.First)/stripe.Cell]) * perSecond
+}
+
+func (l *loads) total(now time.Time) float64 {
+	l.sum(now)
+	return l.sums[len(l.cells)] * perSecond
+}
+
+// sumEvery spares adding up for each row of a plan.
+const sumEvery = 100 * time.Millisecond
+
+func (l *loads) sum(now time.Time) {
+	if l.fresh && now.Sub(l.at) < sumEvery {
+		return
+	}
+	l.age(now)
+	for i, n := range l.cells {
+		l.sums[i+1] = l.sums[i] + n
+	}
+	l.fresh = true
+}
+
+// Bounds of a server's speed, as answers show it: queueing looks like slowness, and
+// a server must not be left without keys because of a bad second.
+const (
+	slowest   = 0.35
+	fastest   = 2.0
+	fadeSpeed = 0.9
+	fewest    = 8 // answers before a speed is believed
+)
+
+// learn takes in how long servers took to answer.
+func (m *Model) learn(msg LoadMsg) {
+	for name, sum := range msg.Servers {
+		p := m.peers[name]
+		if p == nil || sum.N == 0 {
+			continue
+		}
+		p.seconds = p.seconds*fadeSpeed + sum.Took.Seconds()
+		p.answers = p.answers*fadeSpeed + float64(sum.N)
+	}
+	var means []float64
+	for _, p := range m.peers {
+		if p.listed && p.answers >= fewest {
+			means = append(means, p.seconds/p.answers)
+		}
+	}
+	if len(means) == 0 {
+		return
+	}
+	slices.Sort(means)
+	middle := means[len(means)/2]
+	for _, p := range m.peers {
+		if p.answers >= fewest {
+			p.speed = min(max(middle/(p.seconds/p.answers), slowest), fastest)
+		}
+	}
+}
+
+// weight is a server's capacity relative to the others.
+func (m *Model) weight(p *peer) float64 { return float64(max(p.Slots, 1)) * cmp.Or(p.speed, 1) }
+
+func sortServers(all []place.Server) {
+	slices.SortFunc(all, func(a, b place.Server) int { return cmp.Compare[ident.Server](a.ID, b.ID) })
+}
--- /dev/null
+++ b/internal/owner/deal/orders.go
@@ -0,0 +1,185 @@
+package deal
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// orders gives what is due now: releases, grants, renewals.
+func (m *Model) orders(now time.Time) []loop.Cmd {
+	releases := map[ident.Server][]Order{}
+	grants := map[ident.Server][]Order{}
+	for i := range m.rows {
+		r, s := &m.table.Rows[i], &m.rows[i]
+		if s.phase == freeing && !now.Before(s.free) {
+			m.freed(r, s, "")
+			m.soil(now)
+		}
+		switch s.phase {
+		case freeing:
+			if p := m.peers[r.From]; p != nil && !p.freeing && !now.Before(p.freeAt) {
+				releases[r.From] = append(releases[r.From], Order{Span: r.Span, Fence: r.Fence, Release: true})
+			}
+		case granting, granted:
+			if p := m.peers[r.Owner]; p != nil && p.due(now, s.phase) {
+				grants[r.Owner] = append(grants[r.Owner], m.grant(r, s))
+			}
+		}
+	}
+	var out []loop.Cmd
+	for name, list := range releases {
+		p := m.peers[name]
+		p.freeing = true
+		out = append(out, m.order(p, list))
+	}
+	for name, list := range grants {
+		out = append(out, m.give(now, m.peers[name], list))
+	}
+	return out
+}
+
+// due reports whether a grant in a phase should go out to the server now. Between
+// renewals only rows that it does not have yet do.
+func (p *peer) due(now time.Time, s phase) bool {
+	if p.busy || now.Before(p.pauseTo) {
+		return false
+	}
+	return s == granting || !now.Before(p.renewAt)
+}
+
+func (m *Model) grant(r *stripe.Row, s *state) Order {
+	o := Order{Span: r.Span, Fence: r.Fence, Hold: Hold, Token: s.token}
+	if m.auth.Long {
+		o.Hold = LongHold
+	}
+	return o
+}
+
+func (m *Model) order(p *peer, list []Order) OrderCmd {
+	return OrderCmd{Server: p.Name, Born: p.Born, Addr: p.Addr, Until: m.auth.Until, Orders: list}
+}
+
+// give sends the grants that are due to one server. To a server that does not
+// answer goes one grant at a time: each may be obeyed without an answer, and would
+// keep its keys from others for a hold more.
+func (m *Model) give(now time.Time, p *peer, list []Order) OrderCmd {
+	if !p.silent.IsZero() {
+		list = list[:1]
+	}
+	if !now.Before(p.renewAt) {
+		p.renewAt = now.Add(Renew)
+	}
+	p.busy = true
+	return m.order(p, list)
+}
+
+// freed notes that a row's former owner has it no longer.
+func (m *Model) freed(r *stripe.Row, s *state, token string) {
+	s.phase, s.token, s.until = granting, token, time.Time{}
+	r.From = ""
+}
+
+// ordered takes in what became of orders.
+func (m *Model) ordered(now time.Time, msg OrderedMsg) []loop.Cmd {
+	p := m.peers[msg.Server]
+	if p == nil {
+		return nil
+	}
+	if len(msg.Done) == 0 || !msg.Done[0].Release {
+		p.busy = false
+	} else {
+		p.freeing = false
+	}
+	var out []loop.Cmd
+	answered := false
+	for _, d := range msg.Done {
+		if d.Release {
+			m.released(now, p, d)
+			continue
+		}
+		out = append(out, m.gave(now, p, msg.Born, d)...)
+		answered = answered || d.Kind == kinds.None || d.Kind == kinds.Fenced
+	}
+	if answered && !p.silent.IsZero() {
+		p.silent, p.renewAt = time.Time{}, time.Time{}
+		out = append(out, NoteCmd{What: "server answers again", Server: p.Name})
+	}
+	return out
+}
+
+// released takes in the answer to a release.
+func (m *Model) released(now time.Time, p *peer, d Done) {
+	r, s := m.row(d.Order)
+	if d.Kind != kinds.None {
+		p.freeAt = now.Add(again)
+		return
+	}
+	if r == nil || s.phase != freeing || r.From != p.Name {
+		return
+	}
+	m.freed(r, s, d.Given)
+	m.soil(now)
+}
+
+// soil notes that the table here says more than the stored one.
+func (m *Model) soil(now time.Time) {
+	if m.dirty.IsZero() {
+		m.dirty = now
+	}
+}
+
+// row finds the row that an order was for, if it is still the same.
+func (m *Model) row(o Order) (*stripe.Row, *state) {
+	i := m.table.Find(o.First)
+	if i >= len(m.table.Rows) || m.table.Rows[i].Span != o.Span || m.table.Rows[i].Fence != o.Fence {
+		return nil, nil
+	}
+	return &m.table.Rows[i], &m.rows[i]
+}
+
+// gave takes in the answer to a grant.
+func (m *Model) gave(now time.Time, p *peer, born int64, d Done) []loop.Cmd {
+	if d.Kind != kinds.Down {
+		// Obeyed or not, it may be: whoever owns these keys next waits for it.
+		m.mayHave(p, d)
+	}
+	r, s := m.row(d.Order)
+	same := r != nil && r.Owner == p.Name && (s.phase == granting || s.phase == granted)
+	switch d.Kind {
+	case kinds.None:
+		if same && born == r.Born {
+			s.phase, s.token = granted, ""
+		}
+	case kinds.Fenced, kinds.Malformed:
+		if same {
+			s.phase = vacant // the next plan gives it a fence above
+			m.planAt = time.Time{}
+		}
+		return []loop.Cmd{NoteCmd{What: "grant refused", Server: p.Name, Rows: 1, Why: d.Kind.String()}}
+	default:
+		p.pauseTo = now.Add(again)
+		if p.silent.IsZero() {
+			p.silent = now
+			return []loop.Cmd{NoteCmd{What: "server does not answer", Server: p.Name, Why: d.Kind.String()}}
+		}
+	}
+	return nil
+}
+
+// mayHave notes a grant on every row that it covers and whose keys the server has,
+// or has not given back.
+func (m *Model) mayHave(p *peer, d Done) {
+	for i := m.table.Find(d.First); i < len(m.table.Rows) && m.table.Rows[i].First <= d.Last; i++ {
+		r, s := &m.table.Rows[i], &m.rows[i]
+		switch {
+		case r.Owner == p.Name:
+			s.until = later(s.until, lapse(d.Sent, d.Hold))
+		case r.From == p.Name && s.phase == freeing:
+			s.free = later(s.free, lapse(d.Sent, d.Hold))
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/deal/plan.go
@@ -0,0 +1,213 @@
+package deal
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/place"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// Settings of planning.
+const (
+	// planEvery is the pause between two plans. Loads are reported twice a second.
+	planEvery = 500 * time.Millisecond
+	// budgetShare is the part of the rows that one plan may move for balance.
+	budgetShare = 1.0 / 32
+	// band is how far above the mean a server's load may be before keys move, and
+	// how far below it before it gets some.
+	bandHigh, bandLow = 0.15, 0.3
+	// splitAt is the part of a server's fair load from which a row is cut further.
+	splitAt = 0.12
+	// enough is how many requests a second make loads worth planning by.
+	enough = 20.0
+	// coldRamp is the part of its capacity that a server which has just started is
+	// taken to have.
+	coldRamp = 0.6
+)
+
+// plan drafts the next table, or returns nil when nothing should change.
+func (m *Model) plan(now time.Time) *draft {
+	if !m.known || now.Before(m.planAt) {
+		return m.tidied(now)
+	}
+	m.planAt = now.Add(planEvery)
+	d := &draft{table: m.table.Clone(), rows: append([]state(nil), m.rows...)}
+	changed := m.cut(now, d)
+	changed = m.renew(now, d) || changed
+	changed = m.move(now, d) || changed
+	if !changed {
+		return m.tidied(now)
+	}
+	return d
+}
+
+// tidied writes down moves that are finished.
+func (m *Model) tidied(now time.Time) *draft {
+	if m.dirty.IsZero() || now.Sub(m.dirty) < tidy {
+		return nil
+	}
+	return &draft{table: m.table.Clone(), rows: append([]state(nil), m.rows...)}
+}
+
+// cut splits rows that are busy by themselves. Their pieces keep owner and fence,
+// so nothing is taken back or given anew.
+func (m *Model) cut(now time.Time, d *draft) bool {
+	total := m.loads.total(now)
+	if total < enough {
+		return false
+	}
+	takers := 0
+	for _, p := range m.peers {
+		if p.takes(now) {
+			takers++
+		}
+	}
+	most := total / float64(max(takers, 1)) * splitAt
+	changed := false
+	for i := 0; i < len(d.table.Rows); i++ {
+		for m.loads.of(now, d.table.Rows[i].Span) > most && d.table.Split(i) {
+			pieces := []state{d.rows[i]}
+			for len(d.rows)+len(pieces)-1 < len(d.table.Rows) {
+				pieces = append(pieces, d.rows[i])
+			}
+			d.rows = append(d.rows[:i:i], append(pieces, d.rows[i+1:]...)...)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// renew gives a higher fence to rows whose owner has started again since, and to
+// those whose grant was refused because of their fence.
+func (m *Model) renew(now time.Time, d *draft) bool {
+	changed := false
+	for i := range d.table.Rows {
+		r, s := &d.table.Rows[i], &d.rows[i]
+		p := m.peers[r.Owner]
+		if p == nil || !p.takes(now) || s.phase == freeing {
+			continue
+		}
+		if r.Born == p.Born && s.phase != vacant {
+			continue
+		}
+		r.Born, r.Fence = p.Born, d.table.Fence()
+		s.phase, s.token = granting, ""
+		changed = true
+	}
+	return changed
+}
+
+// move gives rows other owners: those of servers that are gone, leave or are
+// silent, and those that balance the load.
+func (m *Model) move(now time.Time, d *draft) bool {
+	in := m.input(now, d)
+	moves := place.Plan(in)
+	notes := map[[2]ident.Server]*NoteCmd{}
+	changed := false
+	for _, mv := range moves {
+		i := int(mv.Slice)
+		r, s := &d.table.Rows[i], &d.rows[i]
+		to := m.peers[mv.To]
+		if s.phase == freeing || to == nil {
+			continue // it is on its way already
+		}
+		m.hand(r, s, to, d.table.Fence())
+		changed = true
+		key := [2]ident.Server{mv.From, mv.To}
+		if notes[key] == nil {
+			notes[key] = &NoteCmd{What: "keys move", Server: mv.To, Former: mv.From, Why: string(mv.Why)}
+		}
+		notes[key].Rows++
+	}
+	for _, n := range notes {
+		d.notes = append(d.notes, *n)
+	}
+	return changed
+}
+
+// hand makes a server the owner of a row.
+func (m *Model) hand(r *stripe.Row, s *state, to *peer, fence uint64) {
+	former := m.peers[r.Owner]
+	dead := former != nil && former.listed && former.Born != r.Born
+	switch {
+	case r.Owner == "" || dead:
+		*s = state{phase: granting, told: s.told}
+		r.From = ""
+	default:
+		*s = state{phase: freeing, free: s.until, told: s.told}
+		r.From = r.Owner
+	}
+	r.Owner, r.Born, r.Fence = to.Name, to.Born, fence
+}
+
+// input is what the planner needs to know.
+func (m *Model) input(now time.Time, d *draft) place.Input {
+	in := place.Input{
+		Owners: make([]ident.Server, len(d.table.Rows)),
+		Band:   place.Band{High: bandHigh, Low: bandLow, Budget: int(float64(len(d.table.Rows)) * budgetShare)},
+	}
+	for i, r := range d.table.Rows {
+		in.Owners[i] = r.Owner
+	}
+	for _, p := range m.peers {
+		s := place.Server{ID: p.Name, Weight: m.weight(p), Takes: p.takes(now), Ramp: 1}
+		if p.Cold > 0 && now.Sub(p.listedAt) < p.Cold {
+			s.Ramp = coldRamp
+		}
+		in.Servers = append(in.Servers, s)
+	}
+	sortServers(in.Servers)
+	if m.loads.total(now) >= enough {
+		in.Loads = make([]float64, len(d.table.Rows))
+		for i, r := range d.table.Rows {
+			in.Loads[i] = m.loads.of(now, r.Span) + m.loads.total(now)*idleShare*float64(r.Len())/stripe.Keys
+		}
+	} else {
+		in.Band.Budget = 0
+	}
+	return in
+}
+
+// idleShare is the part of the load that is taken to lie evenly on all keys, so
+// that rows which nobody asked for lately still spread.
+const idleShare = 0.05
+
+// served says what changed in who serves what.
+func (m *Model) served() []loop.Cmd {
+	var changes []stripe.Served
+	for i := range m.rows {
+		r, s := &m.table.Rows[i], &m.rows[i]
+		to := m.serves(r, s)
+		if m.told && s.told == to {
+			continue
+		}
+		s.told = to
+		if n := len(changes); n > 0 && changes[n-1].Server == to && changes[n-1].Last+1 == r.First {
+			changes[n-1].Last = r.Last
+			continue
+		}
+		changes = append(changes, stripe.Served{Span: r.Span, Server: to})
+	}
+	if len(changes) == 0 {
+		return nil
+	}
+	m.seq++
+	full := !m.told
+	m.told = true
+	return []loop.Cmd{ServedCmd{Epoch: m.auth.Epoch, Seq: m.seq, Full: full, Changes: changes}}
+}
+
+// serves is who serves a row now: nobody while it is taken back or not given yet. A
+// row that a leader before gave out is taken to be served while it is renewed.
+func (m *Model) serves(r *stripe.Row, s *state) ident.Server {
+	switch {
+	case s.phase == granted:
+		return r.Owner
+	case s.phase == granting && !s.until.IsZero():
+		return r.Owner
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/owner/lead/lead.go
@@ -0,0 +1,333 @@
+// Package lead decides which VM leads: the one that gives orders for keys, and
+// that the others ask for news.
+//
+// The lead is a small object in the store, won and kept by conditional updates.
+// Leading needs the store every few seconds; being replaced needs nothing from
+// the one replaced. A new leader only goes on with what is agreed and may do so at
+// once, since renewing the same grants twice harms nobody. What it must not do at
+// once is to take keys from an owner that does not answer: the leader before may
+// still renew them until its term ends. [Model.Bar] says until when.
+//
+// The module is a pure update: it is told the time and what happened, and returns
+// the effects that it wants.
+package lead
+
+import (
+	"net/netip"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Times of the lead.
+const (
+	// Beat is how often the leader renews its lead: some twenty writes in half a
+	// minute, while Term bridges a store that is away for two of them.
+	Beat = 1500 * time.Millisecond
+	// Term is how long a leader may give orders after its lead was last confirmed,
+	// counted from the sending of that call.
+	Term = 4 * time.Second
+	// Silence is how long a leader may be unheard before somebody takes over. The
+	// others ask it twice a second, so two questions in a row came to nothing.
+	Silence = 900 * time.Millisecond
+	// Step separates the attempts of those who could take over.
+	Step = 150 * time.Millisecond
+	// Shy is how long a VM that was replaced waits before it takes over again: two
+	// that cannot hear each other would otherwise replace each other all the time.
+	Shy = 5 * time.Second
+	// again is the pause before a store call that failed is made again.
+	again = 250 * time.Millisecond
+	// mostFails bounds how often that pause doubles: a call each two seconds still
+	// notices the store's return soon.
+	mostFails = 4
+	// Margin covers what passes between a look at the clock and the effect.
+	Margin = 200 * time.Millisecond
+)
+
+// Lease is the stored lead.
+type Lease struct {
+	Epoch  uint64         `json:"epoch"` // rises with each change of the leader
+	Holder ident.VM       `json:"holder"`
+	Life   string         `json:"life"` // of the holder's process
+	Addr   netip.AddrPort `json:"addr"` // where the others ask it
+	Beats  uint64         `json:"beats"`
+}
+
+// Stage is where a VM stands.
+type Stage string
+
+// The stages.
+const (
+	Follow Stage = "follow"
+	Claim  Stage = "claim" // a claim is on its way to the store
+	Lead   Stage = "lead"
+)
+
+// Messages.
+type (
+	// TickMsg passes time.
+	TickMsg struct{}
+	// HeardMsg says that the leader of an epoch answered.
+	HeardMsg struct{ Epoch uint64 }
+	// LostMsg says that the leader of an epoch says that it goes, or refuses to talk.
+	LostMsg struct{ Epoch uint64 }
+	// SeeMsg tells of a lease that another VM knows.
+	SeeMsg struct{ Lease Lease }
+	// RankMsg says how many VMs go first when somebody must take over.
+	RankMsg struct{ N int }
+	// ReadMsg answers a ReadCmd; Version zero means that there is no lease.
+	ReadMsg struct {
+		Asked   time.Time
+		Lease   Lease
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// WroteMsg answers a WriteCmd.
+	WroteMsg struct {
+		Asked   time.Time
+		Lease   Lease
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// LeaveMsg ends leading for good: the process stops.
+	LeaveMsg struct{}
+)
+
+// Commands.
+type (
+	// ReadCmd reads the lease.
+	ReadCmd struct{}
+	// WriteCmd writes the lease if its version is still Old.
+	WriteCmd struct {
+		Lease Lease
+		Old   object.Version
+	}
+	// ChangeCmd says that the leader, or what this VM may do, has changed.
+	ChangeCmd struct {
+		Stage Stage
+		Lease Lease
+		Why   string
+	}
+)
+
+// Model is the decision. Make one with New.
+type Model struct {
+	self    Lease // holder, life and address of this VM
+	stage   Stage
+	lease   Lease
+	version object.Version
+	rank    int
+	leaving bool
+
+	heard   time.Time // the leader answered, or was seen to be another one
+	lost    bool      // the leader said that it goes
+	shy     time.Time // not before this
+	since   time.Time // leads since
+	sure    time.Time // sending of the last call that confirmed the lead
+	calling bool
+	callAt  time.Time // next store call
+	doubt   bool      // the last write may have been done
+	fails   int       // reads in a row that came to nothing
+}
+
+// New makes a VM that knows of no leader.
+func New(now time.Time, vm ident.VM, life string, addr netip.AddrPort) Model {
+	return Model{self: Lease{Holder: vm, Life: life, Addr: addr}, stage: Follow, heard: now, callAt: now}
+}
+
+// Stage returns where this VM stands.
+func (m Model) Stage() Stage { return m.stage }
+
+// Lease returns the lease as far as it is known.
+func (m Model) Lease() Lease { return m.lease }
+
+// Until is the end of this VM's authority; zero when it does not lead.
+func (m Model) Until() time.Time {
+	if m.stage != Lead {
+		return time.Time{}
+	}
+	return m.sure.Add(Term)
+}
+
+// Bar is until when a leader before this one may still give orders.
+func (m Model) Bar() time.Time { return m.since.Add(Term + Margin) }
+
+// Troubled reports whether the store has not confirmed the lead when it should
+// have.
+func (m Model) Troubled(now time.Time) bool {
+	return m.stage == Lead && now.Sub(m.sure) > Beat+2*again
+}
+
+// Update takes in a message.
+func (m Model) Update(now time.Time, msg loop.Msg) (loop.Model, []loop.Cmd) {
+	switch msg := msg.(type) {
+	case TickMsg:
+		return m.tick(now)
+	case HeardMsg:
+		return m.hear(now, msg), nil
+	case LostMsg:
+		m.lost = m.lost || msg.Epoch == m.lease.Epoch && m.stage == Follow
+	case SeeMsg:
+		return m.see(now, msg)
+	case RankMsg:
+		m.rank = msg.N
+	case ReadMsg:
+		return m.read(now, msg)
+	case WroteMsg:
+		return m.wrote(now, msg)
+	case LeaveMsg:
+		m.leaving = true
+		return m.rest(now, "leaving")
+	}
+	return m, nil
+}
+
+func (m Model) hear(now time.Time, msg HeardMsg) Model {
+	if msg.Epoch >= m.lease.Epoch && m.stage != Lead {
+		m.heard, m.lost = now, false
+	}
+	return m
+}
+
+// see takes in a newer lease that another VM told of, which is all that a VM learns
+// while it does not reach the store. Its version is read when it is needed.
+func (m Model) see(now time.Time, msg SeeMsg) (loop.Model, []loop.Cmd) {
+	if msg.Lease.Epoch <= m.lease.Epoch || m.stage == Lead || msg.Lease.Life == m.self.Life {
+		return m, nil
+	}
+	m.lease, m.version, m.heard, m.lost = msg.Lease, 0, now, false
+	return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: "another VM told"}}
+}
+
+func (m Model) tick(now time.Time) (loop.Model, []loop.Cmd) {
+	if m.stage == Lead && !now.Before(m.Until()) {
+		return m.rest(now, "the store did not confirm the lead within its term")
+	}
+	if m.calling || now.Before(m.callAt) || m.leaving {
+		return m, nil
+	}
+	switch {
+	case m.stage == Lead && m.doubt:
+		return m.ask()
+	case m.stage == Lead:
+		next := m.lease
+		next.Beats++
+		return m.write(next)
+	case m.lease.Life == "" && m.version == 0, m.overdue(now):
+		return m.ask()
+	}
+	return m, nil
+}
+
+// overdue reports whether the leader has been silent for so long that it is this
+// VM's turn to take over.
+func (m Model) overdue(now time.Time) bool {
+	wait := Silence
+	if m.lost {
+		wait = 0
+	}
+	return !now.Before(m.heard.Add(wait+time.Duration(m.rank)*Step)) && !now.Before(m.shy)
+}
+
+func (m Model) ask() (loop.Model, []loop.Cmd) {
+	m.calling = true
+	return m, []loop.Cmd{ReadCmd{}}
+}
+
+func (m Model) write(l Lease) (loop.Model, []loop.Cmd) {
+	m.calling = true
+	return m, []loop.Cmd{WriteCmd{Lease: l, Old: m.version}}
+}
+
+// read takes in the stored lease.
+func (m Model) read(now time.Time, msg ReadMsg) (loop.Model, []loop.Cmd) {
+	m.calling = false
+	if msg.Kind != kinds.None && msg.Kind != kinds.Absent {
+		m.fails = min(m.fails+1, mostFails)
+		m.callAt = now.Add(again << m.fails / 2)
+		return m, nil
+	}
+	m.fails = 0
+	moved := msg.Lease.Life != m.lease.Life || msg.Lease.Epoch != m.lease.Epoch
+	known := m.version != 0
+	m.lease, m.version, m.doubt = msg.Lease, msg.Version, false
+	switch {
+	case m.lease.Life == m.self.Life && m.lease.Life != "":
+		return m.confirm(now, msg.Asked)
+	case m.stage == Lead:
+		return m.deposed(now)
+	case m.leaving:
+		return m, nil
+	case moved && msg.Version != 0:
+		// Somebody else leads since: it gets its time to be heard.
+		m.stage, m.heard, m.lost = Follow, now, false
+		return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: "another VM leads"}}
+	case !known && msg.Version != 0:
+		m.heard = now
+		return m, nil
+	case m.version != 0 && !m.overdue(now):
+		return m, nil
+	}
+	return m.claim()
+}
+
+func (m Model) claim() (loop.Model, []loop.Cmd) {
+	next := m.self
+	next.Epoch = m.lease.Epoch + 1
+	m.stage = Claim
+	return m.write(next)
+}
+
+// confirm notes that the store named this VM after the call that was sent then.
+func (m Model) confirm(now, asked time.Time) (loop.Model, []loop.Cmd) {
+	began := m.stage != Lead
+	m.stage, m.sure, m.doubt = Lead, asked, false
+	m.callAt = now.Add(Beat)
+	if m.leaving {
+		return m.rest(now, "leaving")
+	}
+	if !began {
+		return m, nil
+	}
+	m.since = now
+	return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the claim"}}
+}
+
+func (m Model) wrote(now time.Time, msg WroteMsg) (loop.Model, []loop.Cmd) {
+	m.calling = false
+	switch msg.Kind {
+	case kinds.None:
+		m.lease, m.version = msg.Lease, msg.Version
+		return m.confirm(now, msg.Asked)
+	case kinds.Conflict:
+		// It may be this VM's own write whose answer was lost: the store tells.
+		m.calling = true
+		return m, []loop.Cmd{ReadCmd{}}
+	default:
+		m.doubt = m.stage == Lead
+		m.callAt = now.Add(again)
+		if m.stage == Claim {
+			m.stage = Follow
+		}
+		return m, nil
+	}
+}
+
+func (m Model) deposed(now time.Time) (loop.Model, []loop.Cmd) {
+	m.stage, m.heard, m.lost = Follow, now, false
+	m.shy = now.Add(Shy)
+	return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: "another VM took over"}}
+}
+
+// rest stops leading without knowing of another leader.
+func (m Model) rest(now time.Time, why string) (loop.Model, []loop.Cmd) {
+	if m.stage != Lead {
+		return m, nil
+	}
+	m.stage, m.heard, m.shy = Follow, now, now
+	m.callAt = now.Add(again)
+	return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: why}}
+}
--- /dev/null
+++ b/internal/owner/stripe/table.go
@@ -0,0 +1,178 @@
+// Package stripe says which backend server owns which keys where keys are numbers
+// and servers take them in ranges.
+//
+// The pattern it answers is that busy keys lie next to each other: one large range
+// for each server would give all of them to one. The key space is therefore cut
+// into stripes that are dealt out in turn, and a stripe that is busy by itself is
+// cut further. A [Table] is the agreed value, one object in the store for each
+// service; the request path reads a [View], which answers without a lock.
+package stripe
+
+import (
+	"encoding/json"
+	"slices"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// Sizes of the key space.
+const (
+	Keys = 1 << 16 // keys are the numbers below it
+	// Width is how many keys a stripe has to begin with. 64 keys make 1,024 stripes:
+	// two hundred neighbouring busy keys fall on four servers before anybody has
+	// noticed that they are busy, and renewing all stripes costs one core in a
+	// hundred at a renewal each 1.3 s.
+	Width = 64
+	// Cell is the narrowest stripe that a busy one is cut into.
+	Cell = 4
+	// MostRows bounds a table, and with it what renewals cost.
+	MostRows = 2048
+)
+
+// Span is a run of keys, both ends included.
+type Span struct {
+	First uint16 `json:"first"`
+	Last  uint16 `json:"last"`
+}
+
+// Len is how many keys a span holds.
+func (s Span) Len() int { return int(s.Last) - int(s.First) + 1 }
+
+// Row is one stripe and its owner.
+type Row struct {
+	Span
+	Owner ident.Server // empty: nobody yet
+	Born  int64        // the owner's life that has the keys
+	Fence uint64       // under which it has them
+	// From is the owner before, as long as it is not certain that it has given the
+	// keys back.
+	From ident.Server
+}
+
+// Table is the agreed ownership of one service's keys. Rows cover all keys in
+// their order. Treat a table as read-only: edits work on a Clone.
+type Table struct {
+	Epoch uint64 // of the leader who wrote it
+	Top   uint64 // highest fence ever used; fences only rise
+	Rows  []Row
+}
+
+// NewTable cuts the key space into stripes without owners.
+func NewTable() Table {
+	t := Table{Rows: make([]Row, 0, Keys/Width)}
+	for first := 0; first < Keys; first += Width {
+		t.Rows = append(t.Rows, Row{Span: Span{First: uint16(first), Last: uint16(first + Width - 1)}})
+	}
+	return t
+}
+
+// Clone returns a table whose rows may be changed.
+func (t Table) Clone() Table {
+	t.Rows = slices.Clone(t.Rows)
+	return t
+}
+
+// Fence returns the next fence, above all that were ever used.
+func (t *Table) Fence() uint64 {
+	t.Top++
+	return t.Top
+}
+
+// Find returns the index of the row that holds a key.
+func (t *Table) Find(key uint16) int {
+	i, _ := slices.BinarySearchFunc(t.Rows, key, func(r Row, k uint16) int {
+		switch {
+		case r.Last < k:
+			return -1
+		case r.First > k:
+			return 1
+		}
+		return 0
+	})
+	return i
+}
+
+// Split cuts row i into pieces of a quarter, no narrower than a cell. The pieces
+// keep its owner and its fence. It reports whether it could.
+func (t *Table) Split(i int) bool {
+	r := t.Rows[i]
+	const parts = 4
+	width := max(r.Len()/parts, Cell)
+	if r.Len() <= Cell || len(t.Rows)+parts > MostRows {
+		return false
+	}
+	var pieces []Row
+	for first := int(r.First); first <= int(r.Last); first += width {
+		piece := r
+		piece.Span = Span{First: uint16(first), Last: uint16(min(first+width-1, int(r.Last)))}
+		pieces = append(pieces, piece)
+	}
+	t.Rows = slices.Replace(t.Rows, i, i+1, pieces...)
+	return true
+}
+
+// document is a table's form in the store: a row is first key, owner, life, fence,
+// former owner; owners are indexes from one, lives go with owners.
+type document struct {
+	Epoch   uint64         `json:"epoch"`
+	Top     uint64         `json:"top"`
+	Servers []ident.Server `json:"servers"`
+	Rows    [][5]int64     `json:"rows"`
+}
+
+// Encode renders a table for the store.
+func (t Table) Encode() ([]byte, error) {
+	d := document{Epoch: t.Epoch, Top: t.Top, Rows: make([][5]int64, len(t.Rows))}
+	index := map[ident.Server]int64{}
+	of := func(s ident.Server) int64 {
+		if s == "" {
+			return 0
+		}
+		if index[s] == 0 {
+			d.Servers = append(d.Servers, s)
+			index[s] = int64(len(d.Servers))
+		}
+		return index[s]
+	}
+	for i, r := range t.Rows {
+		d.Rows[i] = [5]int64{int64(r.First), of(r.Owner), r.Born, int64(r.Fence), of(r.From)}
+	}
+	b, err := json.Marshal(d)
+	return b, kinds.Wrap(kinds.Internal, err, "encode table")
+}
+
+// Decode reads what Encode wrote. A table that does not cover all keys in order
+// is Malformed.
+func Decode(b []byte) (Table, error) {
+	var d document
+	if err := json.Unmarshal(b, &d); err != nil {
+		return Table{}, kinds.Wrap(kinds.Malformed, err, "decode table")
+	}
+	t := Table{Epoch: d.Epoch, Top: d.Top, Rows: make([]Row, len(d.Rows))}
+	last := int64(Keys)
+	for i := len(d.Rows) - 1; i >= 0; i-- {
+		r := d.Rows[i]
+		if r[0] < 0 || r[0] >= last || !d.knows(r[1]) || !d.knows(r[4]) || uint64(r[3]) > d.Top {
+			return Table{}, kinds.New(kinds.Malformed, "decode table: bad row")
+		}
+		t.Rows[i] = Row{
+			Span: Span{First: uint16(r[0]), Last: uint16(last - 1)}, Born: r[2], Fence: uint64(r[3]),
+			Owner: d.server(r[1]), From: d.server(r[4]),
+		}
+		last = r[0]
+	}
+	if last != 0 {
+		return Table{}, kinds.New(kinds.Malformed, "decode table: keys without a row")
+	}
+	return t, nil
+}
+
+func (d *document) knows(i int64) bool { return i >= 0 && i <= int64(len(d.Servers)) }
+
+func (d *document) server(i int64) ident.Server {
+	if i == 0 {
+		return ""
+	}
+	return d.Servers[i-1]
+}
--- /dev/null
+++ b/internal/owner/stripe/view.go
@@ -0,0 +1,99 @@
+package stripe
+
+import (
+	"strconv"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/owner/table"
+)
+
+// Served says which server serves a span now; an empty Server that none does,
+// because its keys are between two owners.
+type Served struct {
+	Span
+	Server ident.Server `json:"server"`
+}
+
+// View answers which server serves a key now. It differs from the table while
+// keys move: the former owner serves until it is asked to give them back, and the
+// next one only once it has them. A View never changes: Apply makes another. The
+// zero View has no owner for any key.
+type View struct {
+	Epoch uint64
+	Seq   uint64
+	cells [Keys / Cell]uint16 // index of the server plus one
+	names []ident.Server
+	index map[ident.Server]uint16
+}
+
+// Apply returns the view after changes. A full one begins with nothing.
+func (v *View) Apply(epoch, seq uint64, full bool, changes []Served) *View {
+	next := &View{}
+	if !full && v != nil {
+		*next = *v
+	}
+	next.Epoch, next.Seq = epoch, seq
+	names := append([]ident.Server(nil), next.names...)
+	index := make(map[ident.Server]uint16, len(names))
+	for i, name := range names {
+		index[name] = uint16(i + 1)
+	}
+	for _, c := range changes {
+		at := uint16(0)
+		if c.Server != "" {
+			if index[c.Server] == 0 {
+				names = append(names, c.Server)
+				index[c.Server] = uint16(len(names))
+			}
+			at = index[c.Server]
+		}
+		for cell := int(c.First) / Cell; cell <= int(c.Last)/Cell; cell++ {
+			next.cells[cell] = at
+		}
+	}
+	next.names, next.index = names, index
+	return next
+}
+
+// Owner finds the server of a key, a number in decimal. It does not allocate.
+func (v *View) Owner(k ident.Key) (table.Owner, bool) {
+	if v == nil {
+		return table.Owner{}, false
+	}
+	n, err := strconv.ParseUint(string(k), 10, 16)
+	if err != nil {
+		return table.Owner{}, false
+	}
+	cell := int(n) / Cell
+	o := table.Owner{Slice: ident.Slice(cell), Epoch: ident.Epoch(v.Epoch)}
+	at := v.cells[cell]
+	if at == 0 {
+		return o, false
+	}
+	o.Server = v.names[at-1]
+	return o, true
+}
+
+// CellOf returns the cell of a key, and false for what is no key.
+func CellOf(k ident.Key) (uint16, bool) {
+	n, err := strconv.ParseUint(string(k), 10, 16)
+	return uint16(n / Cell), err == nil
+}
+
+// Spans lists who serves what, for a reader who has nothing yet.
+func (v *View) Spans() []Served {
+	var all []Served
+	for i, at := range v.cells {
+		first, last := uint16(i*Cell), uint16(i*Cell+Cell-1)
+		name := ident.Server("")
+		if at > 0 {
+			name = v.names[at-1]
+		}
+		if n := len(all); n > 0 && all[n-1].Server == name {
+			all[n-1].Last = last
+			continue
+		}
+		all = append(all, Served{Span: Span{First: first, Last: last}, Server: name})
+	}
+	return all
+}
