--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -57,6 +57,9 @@
 	// Silent is for how long a server must fail to answer before its keys go
 	// elsewhere. They come free no sooner than Hold after their last renewal.
 	Silent = 700 * time.Millisecond
+	// settle is how long a leader that knows no servers yet waits for more after the
+	// first. Within it the servers of a system that starts whole are listed.
+	settle = time.Second
 	// tidy is how long a finished move waits to be written down: the next change
 	// mostly takes it along.
 	tidy = 500 * time.Millisecond
@@ -221,6 +224,9 @@
 	seq     uint64
 	told    bool // a full view was given
 	known   bool // servers are known
+	// settleAt is when servers that start together are all listed: dealt out before,
+	// the whole key space would go to the first.
+	settleAt time.Time
 }
 
 // draft is a table on its way to the store, and what its rows begin with.
@@ -405,7 +411,9 @@
 
 // list takes in the servers that the platform lists.
 func (m *Model) list(now time.Time, hosts []Host) {
-	m.known = m.known || len(hosts) > 0
+	if !m.known && len(hosts) > 0 {
+		m.known, m.settleAt = true, now.Add(settle)
+	}
 	for _, p := range m.peers {
 		p.listed = false
 	}
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -15,7 +15,7 @@
 	grants := map[ident.Server][]Order{}
 	for i := range m.rows {
 		r, s := &m.table.Rows[i], &m.rows[i]
-		if s.phase == freeing && !now.Before(s.free) {
+		if s.phase == freeing && !now.Before(s.free) && !m.flying(r.From) {
 			m.freed(r, s, "")
 			m.soil(now)
 		}
@@ -42,6 +42,13 @@
 	return out
 }
 
+// flying reports whether grants are on their way to a server: until it is known
+// when they were sent, nobody can say when they have run out.
+func (m *Model) flying(s ident.Server) bool {
+	p := m.peers[s]
+	return p != nil && p.busy
+}
+
 // due reports whether a grant in a phase should go out to the server now. Between
 // renewals only rows that it does not have yet do.
 func (p *peer) due(now time.Time, s phase) bool {
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -29,7 +29,7 @@
 
 // plan drafts the next table, or returns nil when nothing should change.
 func (m *Model) plan(now time.Time) *draft {
-	if !m.known || now.Before(m.planAt) {
+	if now.Before(m.settleAt) || now.Before(m.planAt) || !m.known {
 		return m.tidied(now)
 	}
 	m.planAt = now.Add(planEvery)
@@ -159,13 +159,15 @@
 		in.Servers = append(in.Servers, s)
 	}
 	sortServers(in.Servers)
-	if m.loads.total(now) >= enough {
+	if total := m.loads.total(now); total >= enough {
 		in.Loads = make([]float64, len(d.table.Rows))
 		for i, r := range d.table.Rows {
-			in.Loads[i] = m.loads.of(now, r.Span) + m.loads.total(now)*idleShare*float64(r.Len())/stripe.Keys
+			in.Loads[i] = m.loads.of(now, r.Span) + total*idleShare*float64(r.Len())/stripe.Keys
 		}
 	} else {
-		in.Band.Budget = 0
+		// Nobody asks, so nobody waits for keys that move: all may, and then lie
+		// evenly when somebody does.
+		in.Band.Budget = len(d.table.Rows)
 	}
 	return in
 }
