A VM that begins to lead watches afresh; repeats at keys without an owner are charged

Cause: requests held for a key whose server was gone asked its address each 40 ms, where another service's server now answered 421: 663 arrivals beyond the first in 10 s, 328 allowed.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 
 type bookParts struct {
 	fx.In
+	Config   Config
 	Platform Platform
 	State    *state.State
 	Front    *front.Front
@@ -106,12 +108,24 @@
 // queue bounds the requests that wait for one service on one VM: a second's worth.
 const queue = 256
 
+const (
+	// extraPart is what is taken of the attempts beyond the first that the platform
+	// allows: VMs that join or leave divide the rest differently for a moment.
+	extraPart = 0.8
+	// askPause is how often a key without news of its owner is asked for. The leader
+	// tells of moves within milliseconds; what it does not tell of is a lease that ran
+	// out and was given again.
+	askPause = 250 * time.Millisecond
+)
+
 func (b *book) service(s feed.Service) {
 	if _, ok := b.parts.State.Service(s.Name); ok {
 		return
 	}
 	svc := b.parts.State.Put(config.Service{Name: s.Name, Divided: s.Divided})
-	svc.Gate = gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue})
+	svc.Gate = gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue, Ask: askPause, Extra: gate.Extra{
+		Share: b.parts.Config.Bounds.RetryRatio * extraPart, Burst: b.parts.Config.Bounds.RetrySlack * extraPart,
+	}})
 	b.group.Go(func(ctx context.Context) error {
 		<-ctx.Done()
 		return svc.Gate.Close()
@@ -174,8 +188,10 @@
 // follow watches until the place is lost.
 func (w *watcher) follow(ctx context.Context, at object.Cursor) {
 	for ctx.Err() == nil {
-		all, next, err := w.store().Watch(ctx, w.prefix, at)
+		all, next, err := w.wait(ctx, at)
 		switch {
+		case errors.Is(err, errTurned):
+			return // from now on the other store is watched; begin with its list
 		case kinds.Of(err) == kinds.Absent:
 			return // the history is gone
 		case err != nil:
@@ -191,6 +207,23 @@
 	}
 }
 
+// errTurned ends a watch because this VM began or ceased to lead.
+var errTurned = errors.New("the lead changed")
+
+// wait watches until something changed or this VM begins or ceases to lead: a watch
+// that lags, begun before, would go on for seconds on the VM that all others rely on.
+func (w *watcher) wait(ctx context.Context, at object.Cursor) ([]object.Change, object.Cursor, error) {
+	turn := w.board.Turn()
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(turn, cancel)()
+	all, next, err := w.store().Watch(inner, w.prefix, at)
+	if err != nil && turn.Err() != nil && ctx.Err() == nil {
+		return nil, 0, errTurned
+	}
+	return all, next, err
+}
+
 // gather is the pause after a change before the next watch: servers that start or
 // leave together then cost one call and not one each. It is small beside the two
 // seconds within which a change must be acted upon.
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -8,6 +8,7 @@
 package hub
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
 	"time"
@@ -88,6 +89,8 @@
 	views   map[ident.Service]*history
 	asked   map[ident.VM]asker
 	more    chan struct{} // closed at the next change
+	turn    context.Context
+	turned  context.CancelFunc
 }
 
 type asker struct {
@@ -103,7 +106,9 @@
 
 // NewBoard makes an empty board.
 func NewBoard() *Board {
-	return &Board{views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+	b := &Board{views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+	b.turn, b.turned = context.WithCancel(context.Background())
+	return b
 }
 
 func (b *Board) wake() {
@@ -115,8 +120,10 @@
 func (b *Board) SetLease(l lead.Lease, leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.leads && !leads || !b.leads && leads {
+	if b.leads != leads {
 		b.views = map[ident.Service]*history{}
+		b.turned()
+		b.turn, b.turned = context.WithCancel(context.Background())
 	}
 	b.lease, b.leads = l, leads
 	b.wake()
@@ -129,6 +136,13 @@
 	return b.lease, b.leads
 }
 
+// Turn returns a context that ends when this VM begins or ceases to lead.
+func (b *Board) Turn() context.Context {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.turn
+}
+
 // SetRules notes newer rules and reports whether they are.
 func (b *Board) SetRules(r Raw) bool {
 	b.mu.Lock()
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -21,6 +21,19 @@
 	Queue    int           // most requests waiting in one queue; zero is the queue's default
 	Held     int           // most requests waiting for moves; zero is DefaultHeld
 	Seed     uint64        // of the random choices; zero takes a fresh one
+	// Extra bounds the attempts beyond the first of all VMs together: a share of the
+	// requests, and a burst that the VMs divide. Zero leaves it to package retry.
+	Extra Extra
+	// Ask is the pause between two requests that go and ask whether the owner of a
+	// key takes them yet. Zero suits backend servers that are asked for nothing, see
+	// firstAsk; where each attempt is counted and owners are told at once, more.
+	Ask time.Duration
+}
+
+// Extra is a bound on attempts beyond the first.
+type Extra struct {
+	Share float64
+	Burst float64
 }
 
 // Defaults of Config.
--- a/internal/load/gate/hold.go
+++ b/internal/load/gate/hold.go
@@ -72,6 +72,9 @@
 // hold keeps a request whose owner did not take it.
 func (c *Core) hold(now time.Time, t *Ticket) Verdict {
 	h := c.holds.open(now, &t.Job)
+	if h.refused.IsZero() && c.cfg.Ask > 0 {
+		h.ask = now.Add(c.cfg.Ask)
+	}
 	h.at, h.refused = t.Job.place(), now
 	return c.keep(now, h, t)
 }
@@ -97,14 +100,17 @@
 // it goes and asks itself, if it is time.
 func (c *Core) meet(now time.Time, h *hold, t *Ticket) Verdict {
 	if len(h.waiting) == 0 && h.at.Server != "" && !now.Before(h.ask) {
-		h.asking(now)
+		h.asking(now, c.cfg.Ask)
 		return c.route(now, t)
 	}
 	return c.keep(now, h, t)
 }
 
-func (h *hold) asking(now time.Time) {
-	h.pause = min(2*h.pause, lastAsk)
+// mayAgain charges a request that is sent once more, where that is bounded.
+func (c *Core) mayAgain() bool { return c.cfg.Extra.Burst == 0 || c.budget.Again() }
+
+func (h *hold) asking(now time.Time, least time.Duration) {
+	h.pause = max(min(2*h.pause, lastAsk), least)
 	h.ask = now.Add(h.pause)
 }
 
@@ -181,7 +187,7 @@
 	for _, s := range c.servers {
 		all = append(all, c.astray(s)...)
 	}
-	c.release(now, all)
+	c.release(now, all, true)
 }
 
 // empty takes all requests out of a hold.
@@ -214,13 +220,19 @@
 	return all
 }
 
-// release sends requests to the present owners of their keys.
-func (c *Core) release(now time.Time, all []*Ticket) {
+// release sends requests to the present owners of their keys. One that was sent
+// before is charged for it when its owner moved; one that goes and asks was charged
+// already.
+func (c *Core) release(now time.Time, all []*Ticket, moved bool) {
 	slices.SortStableFunc(all, func(a, b *Ticket) int { return a.Job.asked.Compare(b.Job.asked) })
 	for _, t := range all {
 		if p, ok := c.lookup(t.Job.Key); ok {
 			t.Job.settle(p)
 		}
+		if moved && t.Job.again && !c.mayAgain() {
+			c.decide(t, kinds.Moving, c.hint(0))
+			continue
+		}
 		c.send(now, t)
 	}
 }
@@ -247,7 +259,7 @@
 	} else {
 		delete(c.holds.slices, t.Job.Slice)
 	}
-	c.release(now, all)
+	c.release(now, all, true)
 }
 
 // askSoon moves the next tick to when one of a hold goes and asks.
@@ -269,7 +281,11 @@
 	var all []*Ticket
 	c.holds.each(func(h *hold) bool {
 		if len(h.waiting) > 0 && h.at.Server != "" && !now.Before(h.ask) {
-			h.asking(now)
+			h.asking(now, c.cfg.Ask)
+			if h.waiting[0].Job.again && !c.mayAgain() {
+				c.askSoon(h)
+				return true
+			}
 			t := h.waiting[0]
 			c.holds.remove(t)
 			all = append(all, t)
@@ -277,5 +293,5 @@
 		c.askSoon(h)
 		return len(h.waiting) > 0 || now.Sub(h.ask) < forget
 	})
-	c.release(now, all)
+	c.release(now, all, false)
 }
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -189,6 +189,9 @@
 // SetShare says how many entry VMs share the servers, and which this one is.
 func (c *Core) SetShare(now time.Time, n, index int) {
 	c.share = sizes.Share{VMs: max(n, 1), Index: max(index, 0)}
+	if x := c.cfg.Extra; x.Burst > 0 {
+		c.budget.Bound(x.Share, x.Burst/float64(c.share.VMs))
+	}
 	for _, s := range c.servers {
 		s.pool.Share(now, s.info.Conns, c.share.VMs)
 	}
--- a/internal/load/retry/retry.go
+++ b/internal/load/retry/retry.go
@@ -21,6 +21,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -57,6 +58,8 @@
 // Budget bounds the retries and hedges of one service. The zero value starts
 // empty; New starts full.
 type Budget struct {
+	share   float64 // earned by each first attempt; zero is Share
+	burst   float64 // most that is saved up; zero is Burst
 	retries float64
 	hedges  float64
 	latency float64 // estimate of the quantile, seconds
@@ -65,9 +68,30 @@
 // New returns a full budget.
 func New() Budget { return Budget{retries: Burst, hedges: Burst} }
 
+// Bound sets what a first attempt earns and how much is saved up at most. Within
+// any span of time the attempts beyond the first then stay below the burst and the
+// share of the requests in it.
+func (b *Budget) Bound(share, burst float64) {
+	if b.burst == 0 {
+		b.retries = burst
+	}
+	b.share, b.burst = share, burst
+	b.retries = min(b.retries, burst)
+}
+
+// Again charges one more attempt of a request that certainly did not run, and
+// reports whether there was anything left to charge.
+func (b *Budget) Again() bool {
+	if b.retries < 1 {
+		return false
+	}
+	b.retries--
+	return true
+}
+
 // First earns for a first attempt.
 func (b *Budget) First() {
-	b.retries = min(b.retries+Share, Burst)
+	b.retries = min(b.retries+cmp.Or(b.share, Share), cmp.Or(b.burst, Burst))
 	b.hedges = min(b.hedges+HedgeShare, Burst)
 }
 
