The leader's watches are short

Cause: when the store drops its history it leaves a waiting watch open without a word; the leader's waited 14 s for the configuration. Ruled out: the cheap watch (the leader's was the linearizable one in the log).

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -240,6 +240,9 @@
 		}
 	}
 	pause := min(firstPause<<min(w.failed, 4), lastPause)
+	if w.failed == 0 {
+		pause = 0 // a watch that was dropped is no outage
+	}
 	w.failed++
 	group.Sleep(ctx, pause)
 }
