An old list of servers brings nobody back; SIGHUP reloads instead of ending the process

Cause: a cheap list that lagged by seconds listed a server again that had said it leaves and had gone; the census compared entries, but had forgotten the one that was removed. The new test failed first.

--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/config"
@@ -78,8 +81,34 @@
 	if err := h.Start(c.app.ctx); err != nil {
 		return errors.Join(err, h.Close())
 	}
-	<-c.app.ctx.Done()
-	return h.Close()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+			c.reload(path, cfg, log)
+		case <-c.app.ctx.Done():
+			if c.app.release != nil {
+				c.app.release() // a second signal ends the process
+			}
+			return h.Close()
+		}
+	}
+}
+
+// reload reads the settings again after a signal. Nothing in them can change while
+// the process runs: addresses are open and the rest follows from the store.
+func (c *serveCmd) reload(path string, old host.Config, log *slog.Logger) {
+	cfg, err := platform.Load(path)
+	switch {
+	case err != nil:
+		log.Warn("settings not reloaded", "err", err)
+	case !reflect.DeepEqual(cfg, old):
+		log.Warn("settings changed; they take effect at the next start")
+	default:
+		log.Info("settings reloaded, nothing changed")
+	}
 }
 
 // firstRules reads the rules that the settings bring along, if any, and checks
--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -32,9 +32,10 @@
 // Census is what is known of servers. The zero value knows none.
 type Census[T any] struct {
 	all  map[ident.Server]*row[T]
-	rev  uint64    // of the last whole list
-	away bool      // the store does not answer
-	back time.Time // when it last answered again
+	seen uint64                  // the latest place in the store's sequence that anything told of
+	left map[ident.Server]uint64 // when servers that are gone were removed
+	away bool                    // the store does not answer
+	back time.Time               // when it last answered again
 }
 
 type row[T any] struct {
@@ -64,10 +65,10 @@
 // changed.
 func (c *Census[T]) List(now time.Time, rev uint64, list []Entry[T]) bool {
 	c.Up(now)
-	if rev < c.rev {
-		return false
+	if rev < c.seen {
+		return false // a list that lags would bring back who has left since
 	}
-	c.rev = rev
+	c.seen = rev
 	here := make(map[ident.Server]bool, len(list))
 	changed := false
 	for _, e := range list {
@@ -76,7 +77,7 @@
 	}
 	for name, r := range c.all {
 		if !here[name] && r.missing.IsZero() {
-			changed = c.lose(now, name) || changed
+			changed = c.lose(now, name, rev) || changed
 		}
 	}
 	return changed
@@ -88,9 +89,10 @@
 		c.all = map[ident.Server]*row[T]{}
 	}
 	old := c.all[e.Name]
-	if old != nil && old.Rev >= e.Rev && old.missing.IsZero() {
+	if old != nil && old.Rev >= e.Rev && old.missing.IsZero() || e.Rev <= c.left[e.Name] {
 		return false
 	}
+	c.seen = max(c.seen, e.Rev)
 	c.all[e.Name] = &row[T]{Entry: e}
 	return true
 }
@@ -102,15 +104,24 @@
 	if r == nil || rev < r.Rev || !r.missing.IsZero() {
 		return false
 	}
-	return c.lose(now, name)
+	c.seen = max(c.seen, rev)
+	return c.lose(now, name, rev)
 }
 
-func (c *Census[T]) lose(now time.Time, name ident.Server) bool {
+// mostLeft bounds what is remembered of servers that are gone. Forgotten ones could
+// only come back by a list that lags behind thousands of removals.
+const mostLeft = 4096
+
+func (c *Census[T]) lose(now time.Time, name ident.Server, rev uint64) bool {
 	r := c.all[name]
 	if wait := c.patience(now); wait > 0 && !r.Going {
 		r.missing = now.Add(wait)
 		return false
 	}
+	if c.left == nil || len(c.left) >= mostLeft {
+		c.left = map[ident.Server]uint64{}
+	}
+	c.left[name] = rev
 	delete(c.all, name)
 	return true
 }
--- /dev/null
+++ b/internal/node/census/census_test.go
@@ -0,0 +1,75 @@
+package census
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(name ident.Server, rev uint64, going bool) Entry[string] {
+	return Entry[string]{Name: name, Rev: rev, Going: going}
+}
+
+func names(c *Census[string]) []ident.Server {
+	var all []ident.Server
+	for _, e := range c.All() {
+		all = append(all, e.Name)
+	}
+	return all
+}
+
+// The store drops its history and answers cheap lists from some seconds ago. A
+// server that said it leaves, and has left since, stands in such a list as if
+// nothing had happened. Taken in, it would get requests for as long as the list
+// lags: the platform counts each of them as sent to a server that has gone.
+func TestAnOldListBringsNobodyBack(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false), entry("b", 4, false)})
+	assert.Assert(t, c.Put(entry("a", 12, true)))
+	assert.Assert(t, c.Remove(start, "a", 15))
+	assert.Assert(t, !c.List(start, 11, []Entry[string]{entry("a", 3, false), entry("b", 4, false)}))
+	assert.DeepEqual(t, names(&c), []ident.Server{"b"})
+	assert.Assert(t, !c.Put(entry("a", 12, true)), "a watch that begins at the old list tells old news")
+	assert.DeepEqual(t, names(&c), []ident.Server{"b"})
+	assert.Assert(t, c.Put(entry("a", 16, false)), "it has started again since")
+}
+
+// The store is away for longer than entries last. As it comes back it lists nobody,
+// and the servers need two seconds to be listed again; all requests of those
+// seconds would be refused although every server is well.
+func TestServersOutlastAnOutageOfTheStore(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false), entry("b", 4, false), entry("c", 5, true)})
+	c.Down()
+	back := start.Add(8 * time.Second)
+	assert.Assert(t, c.List(back, 20, nil), "one that said it leaves is not waited for")
+	assert.DeepEqual(t, names(&c), []ident.Server{"a", "b"})
+	c.Put(entry("a", 21, false))
+	assert.Assert(t, !c.Expire(back.Add(Back-time.Millisecond)))
+	assert.Assert(t, c.Expire(back.Add(Back)))
+	assert.DeepEqual(t, names(&c), []ident.Server{"a"})
+}
+
+// The watch goes on over the outage and tells one removal after the other.
+func TestRemovalsRightAfterAnOutageWaitToo(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false), entry("b", 4, false)})
+	c.Down()
+	back := start.Add(8 * time.Second)
+	assert.Assert(t, !c.Remove(back, "a", 12))
+	assert.DeepEqual(t, names(&c), []ident.Server{"a", "b"})
+	assert.Assert(t, c.Remove(back.Add(Back), "b", 13), "later removals count at once")
+}
+
+func TestARemovalInCalmTimesCountsAtOnce(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false)})
+	assert.Assert(t, c.Remove(start, "a", 11))
+	assert.Assert(t, !c.Remove(start, "a", 11))
+	assert.Equal(t, len(c.All()), 0)
+}
