--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -176,7 +176,7 @@
 func (x *exchange) jobAt(owner table.Owner) gate.Job {
 	j := x.job(owner.Server)
 	j.Epoch, j.Hot = owner.Epoch, owner.Hot
-	j.Patience = cmp.Or(x.rule.Then.Wait, defaultPatience)
+	j.Patience = cmp.Or(x.rule.Then.Wait, x.f.Patience)
 	return j
 }
 
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -78,6 +78,9 @@
 	// Hold is up to where a body is read whole before the request asks for a place,
 	// in bytes; zero takes smallBody.
 	Hold int64
+	// Patience bounds the wait for a key's owner where the rule does not say; zero
+	// takes defaultPatience.
+	Patience time.Duration
 	// After renders Retry-After; nil rounds up to whole seconds, as RFC 9110 has it.
 	After func(time.Duration) string
 	// Asked, if set, hears of each request for a key of a divided service.
@@ -106,6 +109,9 @@
 	if f.Hold <= 0 {
 		f.Hold = smallBody
 	}
+	if f.Patience <= 0 {
+		f.Patience = defaultPatience
+	}
 	if f.After == nil {
 		f.After = wholeSeconds
 	}
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -10,6 +10,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/hub"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -60,6 +61,7 @@
 		switch {
 		case leads:
 			c.p.Fleet.share(c.p.Board.VMs(time.Now()))
+			c.askFormer(ctx)
 			group.Sleep(ctx, leadPause)
 		case !c.ask(ctx, lease):
 			c.askOther(ctx)
@@ -90,7 +92,7 @@
 			c.p.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
 		c.lost = true
-		if err == nil && n.Lease.Epoch == lease.Epoch {
+		if err == nil && c.ended(n, lease) {
 			c.p.Reign.loop.Send(lead.LostMsg{Epoch: lease.Epoch})
 		}
 		c.take(n)
@@ -108,6 +110,31 @@
 	return true
 }
 
+// ended tells the decision who leads when the holder of a lease gives no orders any
+// more: it says that it does not lead, or its VM runs another process.
+func (c *courier) ended(n hub.News, lease lead.Lease) bool {
+	rests := n.Life == lease.Life && !n.Leads && n.Lease.Epoch >= lease.Epoch
+	replaced := n.VM == lease.Holder && n.Life != lease.Life
+	if !rests && !replaced {
+		return false
+	}
+	c.p.Reign.loop.Send(lead.EndedMsg{Epoch: lease.Epoch})
+	return true
+}
+
+// askFormer asks whoever led before this VM whether it has ended: until it is known
+// to have, keys of servers that do not answer must wait for its term.
+func (c *courier) askFormer(ctx context.Context) {
+	lease, may := c.p.Reign.model().Former(tick.Now())
+	if !may {
+		return
+	}
+	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
+	if n, err := c.client.Ask(ctx, lease.Addr, a); err == nil {
+		c.ended(n, lease)
+	}
+}
+
 // take takes in what any VM may tell.
 func (c *courier) take(n hub.News) {
 	if n.Lease.Life != "" {
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"go.uber.org/fx"
@@ -172,7 +174,9 @@
 
 func newState() *state.State { return state.New(nil) }
 
-func newBoard() *hub.Board { return hub.NewBoard() }
+func newBoard(cfg Config) *hub.Board {
+	return hub.NewBoard(cfg.VM, string(cfg.VM)+"-"+strconv.FormatUint(rand.Uint64(), 36))
+}
 
 // dial is the longest wait for a connection to a backend server within a region.
 const dial = 400 * time.Millisecond
@@ -196,7 +200,7 @@
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m,
 		Limit: config.Limit{Request: config.SpanOf(defaultRequest)},
-		Names: p.Names, Hold: mostHeld, After: p.After, Asked: c.asked, Answered: c.answered,
+		Names: p.Names, Hold: mostHeld, Patience: patience, After: p.After, Asked: c.asked, Answered: c.answered,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { f.Start(); return nil },
@@ -205,6 +209,12 @@
 	return f
 }
 
+// patience is how long a request waits for its key to get an owner. A planned move
+// takes as long as the work that runs on the keys, a third of a second at most times;
+// the move after a loss takes seconds, and its requests are better told at once when
+// to come back.
+const patience = 400 * time.Millisecond
+
 // defaultRequest bounds a request whose rule and caller name no time.
 const defaultRequest = 30 * time.Second
 
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -50,10 +48,9 @@
 
 func newReign(lc fx.Lifecycle, cfg Config, p Platform, b *hub.Board, f *fleet, s *state.State, c *counts, log *slog.Logger) *reign {
 	r := &reign{cfg: cfg, plat: p, board: b, fleet: f, state: s, count: c, log: log, deals: map[ident.Service]*loop.Loop{}}
-	life := string(cfg.VM) + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			model := lead.New(tick.Now(), cfg.VM, life, cfg.Peers)
+			model := lead.New(tick.Now(), cfg.VM, b.Life(), cfg.Peers)
 			r.loop = loop.New(model, loop.RunnerFunc(r.run), loop.WithClock(tick.Now))
 			r.fleet.follow(r.hosts)
 			r.group.Go(r.ticks)
@@ -64,7 +61,9 @@
 			r.fleet.follow(nil)
 			err := r.group.Close()
 			r.endDeals()
-			_ = r.loop.Close()
+			if r.loop != nil {
+				_ = r.loop.Close()
+			}
 			return err
 		},
 	})
@@ -72,7 +71,11 @@
 }
 
 // leave stops leading for good, so that another VM takes over at once.
-func (r *reign) leave() { r.loop.Send(lead.LeaveMsg{}) }
+func (r *reign) leave() {
+	if r.loop != nil { // it is made as the VM starts, which may have failed before
+		r.loop.Send(lead.LeaveMsg{})
+	}
+}
 
 // model returns the decision's present state.
 func (r *reign) model() lead.Model { return r.loop.Model().(lead.Model) }
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -63,6 +63,8 @@
 
 // News is the answer.
 type News struct {
+	VM      ident.VM                 `json:"vm"`   // who answers
+	Life    string                   `json:"life"` // its process
 	Lease   lead.Lease               `json:"lease"`
 	Leads   bool                     `json:"leads"` // the one who answers is the leader
 	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
@@ -81,6 +83,8 @@
 // Board holds what this VM knows and others may ask for. The zero value is not
 // usable: see NewBoard.
 type Board struct {
+	vm      ident.VM
+	life    string
 	mu      sync.Mutex
 	lease   lead.Lease
 	leads   bool
@@ -104,9 +108,9 @@
 	changes []Change
 }
 
-// NewBoard makes an empty board.
-func NewBoard() *Board {
-	b := &Board{views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+// NewBoard makes the empty board of one process of a VM.
+func NewBoard(vm ident.VM, life string) *Board {
+	b := &Board{vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
 	b.turn, b.turned = context.WithCancel(context.Background())
 	return b
 }
@@ -129,6 +133,9 @@
 	b.wake()
 }
 
+// Life returns the name of this process, which no other process has.
+func (b *Board) Life() string { return b.life }
+
 // Lease returns who leads, and whether this VM does.
 func (b *Board) Lease() (lead.Lease, bool) {
 	b.mu.Lock()
@@ -219,7 +226,7 @@
 func (b *Board) look(now time.Time, a *Ask) (News, bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := News{Lease: b.lease, Leads: b.leads}
+	n := News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads}
 	any := !b.leads
 	if b.rules.Rev > a.Rules {
 		r := b.rules
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -186,6 +186,7 @@
 type state struct {
 	phase phase
 	until time.Time    // every grant to the owner has run out then; zero: none was sent
+	older bool         // a leader before may have renewed it too, until the bar
 	free  time.Time    // the former owner has it no longer then, whatever it says
 	token string       // what the former owner said as it gave the keys back
 	told  ident.Server // who serves it, as it was last said
@@ -333,19 +334,26 @@
 // inherit is what is known of a row that another leader wrote: its owner may have
 // been given it, and the former owner may have been renewed until the bar.
 func (m *Model) inherit(r stripe.Row) state {
-	s := state{until: lapse(m.auth.Bar, LongHold)}
+	s := state{older: true}
 	switch {
 	case r.Owner == "":
 		s.phase = vacant
 	case r.From != "":
 		s.phase = freeing
-		s.free = s.until
 	default:
 		s.phase = granting // the same grant again is a renewal
 	}
 	return s
 }
 
+// free is when a row's former owner has it no longer, whatever it says.
+func (m *Model) free(s *state) time.Time {
+	if s.older {
+		return later(s.free, lapse(m.auth.Bar, LongHold))
+	}
+	return s.free
+}
+
 // lapse is when a grant that was sent then has certainly run out.
 func lapse(sent time.Time, hold time.Duration) time.Time {
 	return sent.Add(hold + hold*slow/1000 + margin)
@@ -393,6 +401,7 @@
 		} else {
 			s.until = later(s.until, rows[j].until)
 		}
+		s.older = s.older || rows[j].older && r.From != ""
 	}
 	m.table, m.rows = d.table, d.rows
 	out := make([]loop.Cmd, len(d.notes))
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -15,7 +15,7 @@
 	grants := map[ident.Server][]Order{}
 	for i := range m.rows {
 		r, s := &m.table.Rows[i], &m.rows[i]
-		if s.phase == freeing && !now.Before(s.free) && !m.flying(r.From) {
+		if s.phase == freeing && !now.Before(m.free(s)) && !m.flying(r.From) {
 			m.freed(r, s, "")
 			m.soil(now)
 		}
@@ -86,7 +86,7 @@
 
 // freed notes that a row's former owner has it no longer.
 func (m *Model) freed(r *stripe.Row, s *state, token string) {
-	s.phase, s.token, s.until = granting, token, time.Time{}
+	s.phase, s.token, s.until, s.older = granting, token, time.Time{}, false
 	r.From = ""
 }
 
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -104,7 +104,7 @@
 func (m *Model) move(now time.Time, d *draft) bool {
 	in := m.input(now, d)
 	moves := place.Plan(in)
-	notes := map[[2]ident.Server]*NoteCmd{}
+	notes := map[[2]string]*NoteCmd{} // by former owner and reason
 	changed := false
 	for _, mv := range moves {
 		i := int(mv.Slice)
@@ -115,9 +115,9 @@
 		}
 		m.hand(r, s, to, d.table.Fence())
 		changed = true
-		key := [2]ident.Server{mv.From, mv.To}
+		key := [2]string{string(mv.From), string(mv.Why)}
 		if notes[key] == nil {
-			notes[key] = &NoteCmd{What: "keys move", Server: mv.To, Former: mv.From, Why: string(mv.Why)}
+			notes[key] = &NoteCmd{What: "keys move", Former: mv.From, Why: string(mv.Why)}
 		}
 		notes[key].Rows++
 	}
@@ -136,7 +136,7 @@
 		*s = state{phase: granting, told: s.told}
 		r.From = ""
 	default:
-		*s = state{phase: freeing, free: s.until, told: s.told}
+		*s = state{phase: freeing, free: s.until, older: s.older, told: s.told}
 		r.From = r.Owner
 	}
 	r.Owner, r.Born, r.Fence = to.Name, to.Born, fence
@@ -207,7 +207,7 @@
 	switch {
 	case s.phase == granted:
 		return r.Owner
-	case s.phase == granting && !s.until.IsZero():
+	case s.phase == granting && (s.older || !s.until.IsZero()):
 		return r.Owner
 	default:
 		return ""
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -28,8 +28,10 @@
 	// minute, while Term bridges a store that is away for two of them.
 	Beat = 1500 * time.Millisecond
 	// Term is how long a leader may give orders after its lead was last confirmed,
-	// counted from the sending of that call.
-	Term = 4 * time.Second
+	// counted from the sending of that call. It outlasts the store's usual absences,
+	// so that the leader who knows what it granted is still there when the store is
+	// back. What a long term costs is in [Model.Bar].
+	Term = 10 * time.Second
 	// Silence is how long a leader may be unheard before somebody takes over. The
 	// others ask it twice a second, so two questions in a row came to nothing.
 	Silence = 900 * time.Millisecond
@@ -72,7 +74,7 @@
 	TickMsg struct{}
 	// HeardMsg says that the leader of an epoch answered.
 	HeardMsg struct{ Epoch uint64 }
-	// LostMsg says that the leader of an epoch says that it goes, or refuses to talk.
+	// LostMsg says that the leader of an epoch says that it leads no longer.
 	LostMsg struct{ Epoch uint64 }
 	// SeeMsg tells of a lease that another VM knows.
 	SeeMsg struct{ Lease Lease }
@@ -92,6 +94,9 @@
 		Version object.Version
 		Kind    kinds.Kind
 	}
+	// EndedMsg says that the leader of an epoch gives no orders any more: it says so
+	// itself, or its VM runs another process now.
+	EndedMsg struct{ Epoch uint64 }
 	// LeaveMsg ends leading for good: the process stops.
 	LeaveMsg struct{}
 )
@@ -125,7 +130,9 @@
 	heard   time.Time // the leader answered, or was seen to be another one
 	lost    bool      // the leader said that it goes
 	shy     time.Time // not before this
-	since   time.Time // leads since
+	bar     time.Time // until when a leader before this one may give orders
+	former  Lease     // who led before this VM
+	ended   uint64    // the leaders up to this epoch give no orders any more
 	sure    time.Time // sending of the last call that confirmed the lead
 	calling bool
 	callAt  time.Time // next store call
@@ -152,8 +159,15 @@
 	return m.sure.Add(Term)
 }
 
-// Bar is until when a leader before this one may still give orders.
-func (m Model) Bar() time.Time { return m.since.Add(Term + Margin) }
+// Bar is until when a leader before this one may still give orders: for a term
+// after this VM's claim, unless it is known to have ended before. Keys of a server
+// that does not answer wait for it.
+func (m Model) Bar() time.Time { return m.bar }
+
+// Former returns who led before, and whether it may still give orders.
+func (m Model) Former(now time.Time) (Lease, bool) {
+	return m.former, m.stage == Lead && m.former.Life != "" && now.Before(m.bar)
+}
 
 // Troubled reports whether the store has not confirmed the lead when it should
 // have.
@@ -178,13 +192,26 @@
 		return m.read(now, msg)
 	case WroteMsg:
 		return m.wrote(now, msg)
+	case EndedMsg:
+		return m.end(now, msg), nil
 	case LeaveMsg:
 		m.leaving = true
+		if m.Troubled(now) {
+			return m, nil // nobody can take over while the store is away
+		}
 		return m.rest(now, "leaving")
 	}
 	return m, nil
 }
 
+func (m Model) end(now time.Time, msg EndedMsg) Model {
+	m.ended = max(m.ended, msg.Epoch)
+	if m.stage == Lead && msg.Epoch == m.former.Epoch && now.Add(Margin).Before(m.bar) {
+		m.bar = now.Add(Margin)
+	}
+	return m
+}
+
 func (m Model) hear(now time.Time, msg HeardMsg) Model {
 	if msg.Epoch >= m.lease.Epoch && m.stage != Lead {
 		m.heard, m.lost = now, false
@@ -277,7 +304,7 @@
 func (m Model) claim() (loop.Model, []loop.Cmd) {
 	next := m.self
 	next.Epoch = m.lease.Epoch + 1
-	m.stage = Claim
+	m.stage, m.former = Claim, m.lease
 	return m.write(next)
 }
 
@@ -292,7 +319,10 @@
 	if !began {
 		return m, nil
 	}
-	m.since = now
+	m.bar = now.Add(Term + Margin)
+	if m.former.Epoch <= m.ended {
+		m.bar = now.Add(Margin)
+	}
 	return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the claim"}}
 }
 
@@ -328,6 +358,7 @@
 		return m, nil
 	}
 	m.stage, m.heard, m.shy = Follow, now, now
+	m.ended = max(m.ended, m.lease.Epoch)
 	m.callAt = now.Add(again)
 	return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: why}}
 }
