A leader that does not reach the store is replaced; another VM's list hides no server

Ruled out: slow releases. Found beside it in the log: 40 servers on some VMs, 37 on others, because the leader's list, taken in by another VM, marked a server as removed that was listed again since (new test, failed first). Requests also stop reaching a server a while after it said that it leaves, whoever owns its keys.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -26,6 +26,8 @@
 	Cold time.Duration `json:"cold,omitempty"`
 	// Born tells one life of a server from the next under the same name.
 	Born int64 `json:"born,omitempty"`
+	// Rev is the revision of the entry that says all this.
+	Rev uint64 `json:"rev,omitempty"`
 }
 
 // Service is one group of backend servers.
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -71,9 +71,17 @@
 	return nil
 }
 
+// hello is the part of a question that any VM may read.
+func (c *courier) hello() *hub.Ask {
+	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
+	a.Lease, _ = c.p.Board.Lease()
+	return a
+}
+
 // question is what the leader needs to know, and what this VM has.
 func (c *courier) question() *hub.Ask {
-	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Life: c.life, Seqs: c.seqs}
+	a := c.hello()
+	a.Life, a.Seqs = c.life, c.seqs
 	a.Rules, a.Servers = c.p.Board.Revs()
 	a.Cells, a.Sums = c.p.Counts.take()
 	return a
@@ -102,7 +110,7 @@
 		c.p.Log.Info("leader regained", "holder", n.Lease.Holder, "epoch", n.Lease.Epoch)
 	}
 	c.lost = false
-	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch})
+	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch, Troubled: n.Away})
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.take(n)
 	c.meet(n.VMs)
@@ -129,8 +137,7 @@
 	if !may {
 		return
 	}
-	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
-	if n, err := c.client.Ask(ctx, lease.Addr, a); err == nil {
+	if n, err := c.client.Ask(ctx, lease.Addr, c.hello()); err == nil {
 		c.ended(n, lease)
 	}
 }
@@ -185,7 +192,7 @@
 	}
 	c.next++
 	at := c.others[c.next%len(c.others)]
-	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
+	a := c.hello()
 	a.Rules, a.Servers = c.p.Board.Revs()
 	if n, err := c.client.Ask(ctx, at, a); err == nil {
 		c.take(n)
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -34,11 +34,15 @@
 	vms      int
 	onChange func([]feed.Server)
 	rev      uint64
-	logged   map[ident.Server]bool // malformed entries that were named
+	drain    time.Duration              // a leaving server may get requests for as long
+	leaves   map[ident.Server]time.Time // since when servers are known to leave
+	dropped  map[ident.Server]bool      // of those, the ones that get nothing any more
+	noted    map[ident.Server]bool      // servers as they were last logged, and whether they leave
+	logged   map[ident.Server]bool      // malformed entries that were named
 }
 
-func newFleet(lc fx.Lifecycle, p Platform, s *state.State, b *hub.Board, log *slog.Logger) *fleet {
-	f := &fleet{plat: p, state: s, board: b, log: log, services: map[ident.Service]feed.Service{}, vms: 1, logged: map[ident.Server]bool{}}
+func newFleet(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, b *hub.Board, log *slog.Logger) *fleet {
+	f := &fleet{plat: p, state: s, board: b, log: log, services: map[ident.Service]feed.Service{}, vms: 1, drain: cfg.Bounds.Drain, logged: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	w := &watcher{
 		prefix: p.Servers, board: b, fresh: p.Store, stale: p.Lagging, log: log,
 		listed: f.listed, changed: f.changed, down: f.down,
@@ -101,6 +105,7 @@
 		}
 		return e, false
 	}
+	srv.Rev = e.Rev
 	e.Value, e.Going = srv, srv.Leaving
 	return e, true
 }
@@ -110,8 +115,11 @@
 	const every = 200 * time.Millisecond
 	for group.Sleep(ctx, every) {
 		f.mu.Lock()
-		if f.census.Expire(time.Now()) {
+		now := time.Now()
+		if f.census.Expire(now) {
 			f.publish(f.rev)
+		} else if f.due(now) {
+			f.spread(f.list())
 		}
 		f.mu.Unlock()
 	}
@@ -127,9 +135,9 @@
 	}
 	list := make([]census.Entry[feed.Server], len(l.List))
 	for i, s := range l.List {
-		list[i] = census.Entry[feed.Server]{Name: s.Name, Rev: l.Rev, Value: s, Going: s.Leaving}
+		list[i] = census.Entry[feed.Server]{Name: s.Name, Rev: s.Rev, Value: s, Going: s.Leaving}
 	}
-	if f.census.List(time.Now(), l.Rev, list) {
+	if f.census.Told(time.Now(), l.Rev, list) {
 		f.publish(l.Rev)
 	}
 }
@@ -142,7 +150,7 @@
 	for _, e := range f.census.All() {
 		list = append(list, e.Value)
 	}
-	f.log.Info("servers", "rev", f.rev, "count", len(list))
+	f.note(list)
 	f.board.SetServers(hub.ServerList{Rev: f.rev, List: list})
 	f.spread(list)
 	if f.onChange != nil {
@@ -150,11 +158,41 @@
 	}
 }
 
+// note logs what changed: who came, who leaves and who is gone. The caller holds mu.
+func (f *fleet) note(list []feed.Server) {
+	now := make(map[ident.Server]bool, len(list))
+	var came, leave, gone []ident.Server
+	for _, s := range list {
+		leaves, known := f.noted[s.Name]
+		switch {
+		case !known:
+			came = append(came, s.Name)
+		case s.Leaving && !leaves:
+			leave = append(leave, s.Name)
+		}
+		now[s.Name] = s.Leaving
+	}
+	for name := range f.noted {
+		if _, here := now[name]; !here {
+			gone = append(gone, name)
+		}
+	}
+	f.noted = now
+	if len(came)+len(leave)+len(gone) > 0 {
+		f.log.Info("servers", "rev", f.rev, "count", len(list), "came", came, "leave", leave, "gone", gone)
+	}
+}
+
 // spread tells each gate its servers. The caller holds mu.
 func (f *fleet) spread(list []feed.Server) {
+	now := time.Now()
+	f.time(now, list)
 	infos := map[ident.Service][]gate.ServerInfo{}
 	addrs := map[ident.Service]map[ident.Server]netip.AddrPort{}
 	for _, s := range list {
+		if f.left(now, s) {
+			continue
+		}
 		svc := f.services[s.Service]
 		infos[s.Service] = append(infos[s.Service], gate.ServerInfo{
 			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving,
@@ -177,6 +215,44 @@
 	}
 }
 
+// leavePart is the part of the time in which a leaving server may get requests for
+// keys that it still has; the rest covers their way, and the time until this VM knew.
+const leavePart = 0.55
+
+// time notes when each server was first seen to leave. The caller holds mu.
+func (f *fleet) time(now time.Time, list []feed.Server) {
+	next := make(map[ident.Server]time.Time)
+	for _, s := range list {
+		if !s.Leaving {
+			continue
+		}
+		next[s.Name] = now
+		if at, known := f.leaves[s.Name]; known {
+			next[s.Name] = at
+		}
+	}
+	f.leaves = next
+}
+
+// left reports whether a server said so long ago that it leaves that nothing may
+// reach it any more. Its keys have other owners by then, or their requests wait for
+// one: the platform counts what it gets later as sent to a server that has gone.
+func (f *fleet) left(now time.Time, s feed.Server) bool {
+	at, leaves := f.leaves[s.Name]
+	return leaves && now.Sub(at) >= time.Duration(leavePart*float64(f.drain))
+}
+
+// due reports whether a server's time has ended since the gates were last told.
+func (f *fleet) due(now time.Time) bool {
+	due := false
+	for name, at := range f.leaves {
+		if !f.dropped[name] && now.Sub(at) >= time.Duration(leavePart*float64(f.drain)) {
+			f.dropped[name], due = true, true
+		}
+	}
+	return due
+}
+
 // apply takes in the services of the rules in force.
 func (f *fleet) apply(all []feed.Service) {
 	f.mu.Lock()
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -87,6 +87,7 @@
 		if m.Stage() != lead.Lead {
 			continue
 		}
+		r.board.SetAway(m.Troubled(tick.Now()))
 		r.begin()
 		auth := deal.Authority{
 			Epoch: m.Lease().Epoch, Until: m.Until(), Bar: m.Bar(), Long: m.Troubled(tick.Now()),
@@ -116,6 +117,9 @@
 
 // heard takes in what another VM told as it asked.
 func (r *reign) heard(a *hub.Ask) {
+	if a.Lease.Life != "" {
+		r.loop.Send(lead.SeeMsg{Lease: a.Lease})
+	}
 	if _, leads := r.board.Lease(); leads {
 		r.loads(a.Cells, a.Sums)
 	}
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -49,8 +49,9 @@
 // Ask is a question to the leader, with what its sender knows.
 type Ask struct {
 	VM      ident.VM                  `json:"vm"`
-	Addr    string                    `json:"addr"` // where the sender is asked
-	Life    string                    `json:"life"` // of the leader whose numbers follow
+	Addr    string                    `json:"addr"`  // where the sender is asked
+	Lease   lead.Lease                `json:"lease"` // the newest that the sender knows
+	Life    string                    `json:"life"`  // of the leader whose numbers follow
 	Seqs    map[ident.Service]uint64  `json:"seqs,omitempty"`
 	Rules   uint64                    `json:"rules"`
 	Servers uint64                    `json:"servers"`
@@ -67,6 +68,7 @@
 	Life    string                   `json:"life"` // its process
 	Lease   lead.Lease               `json:"lease"`
 	Leads   bool                     `json:"leads"` // the one who answers is the leader
+	Away    bool                     `json:"away"`  // the leader does not reach the store
 	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
 	VMs     []string                 `json:"vms"`   // where the VMs are asked
 	Changes map[ident.Service]Change `json:"changes,omitempty"`
@@ -88,6 +90,7 @@
 	mu      sync.Mutex
 	lease   lead.Lease
 	leads   bool
+	away    bool
 	rules   Raw
 	servers ServerList
 	views   map[ident.Service]*history
@@ -143,6 +146,16 @@
 	return b.lease, b.leads
 }
 
+// SetAway notes whether this VM, which leads, does not reach the store.
+func (b *Board) SetAway(away bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.away != away {
+		b.away = away
+		b.wake()
+	}
+}
+
 // Turn returns a context that ends when this VM begins or ceases to lead.
 func (b *Board) Turn() context.Context {
 	b.mu.Lock()
@@ -226,7 +239,7 @@
 func (b *Board) look(now time.Time, a *Ask) (News, bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads}
+	n := News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads, Away: b.leads && b.away}
 	any := !b.leads
 	if b.rules.Rev > a.Rules {
 		r := b.rules
--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -83,6 +83,27 @@
 	return changed
 }
 
+// Told takes in what another VM believes as of a revision. It may have dropped an
+// entry that the store still lists, or lists again: its absence then says nothing of
+// later entries of that name.
+func (c *Census[T]) Told(now time.Time, rev uint64, list []Entry[T]) bool {
+	if rev < c.seen {
+		return false
+	}
+	here := make(map[ident.Server]bool, len(list))
+	changed := false
+	for _, e := range list {
+		here[e.Name] = true
+		changed = c.Put(e) || changed
+	}
+	for name, r := range c.all {
+		if !here[name] && r.Rev <= rev && r.missing.IsZero() {
+			changed = c.lose(now, name, r.Rev) || changed
+		}
+	}
+	return changed
+}
+
 // Put takes in one entry that is new or was rewritten.
 func (c *Census[T]) Put(e Entry[T]) bool {
 	if c.all == nil {
--- a/internal/node/census/census_test.go
+++ b/internal/node/census/census_test.go
@@ -73,3 +73,16 @@
 	assert.Assert(t, !c.Remove(start, "a", 11))
 	assert.Equal(t, len(c.All()), 0)
 }
+
+// The leader's list lags: it has dropped a server whose entry had lapsed, and which is
+// listed again since. Another VM takes the list in and then reads the store's. It
+// would never see the server again, and send it nothing for the rest of its life.
+func TestAnotherVMsBeliefHidesNobody(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false), entry("b", 4, false)})
+	assert.Assert(t, c.Told(start, 20, []Entry[string]{entry("b", 4, false)}))
+	assert.DeepEqual(t, names(&c), []ident.Server{"b"})
+	assert.Assert(t, c.List(start, 21, []Entry[string]{entry("a", 15, false), entry("b", 4, false)}))
+	assert.DeepEqual(t, names(&c), []ident.Server{"a", "b"})
+	assert.Assert(t, !c.Told(start, 12, nil), "an older belief")
+}
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -45,6 +45,8 @@
 	// mostFails bounds how often that pause doubles: a call each two seconds still
 	// notices the store's return soon.
 	mostFails = 4
+	// fewMisses calls that came to nothing are more than a lost answer.
+	fewMisses = 2
 	// Margin covers what passes between a look at the clock and the effect.
 	Margin = 200 * time.Millisecond
 )
@@ -72,8 +74,12 @@
 type (
 	// TickMsg passes time.
 	TickMsg struct{}
-	// HeardMsg says that the leader of an epoch answered.
-	HeardMsg struct{ Epoch uint64 }
+	// HeardMsg says that the leader of an epoch answered. A troubled one does not
+	// reach the store: whoever does should take over.
+	HeardMsg struct {
+		Epoch    uint64
+		Troubled bool
+	}
 	// LostMsg says that the leader of an epoch says that it leads no longer.
 	LostMsg struct{ Epoch uint64 }
 	// SeeMsg tells of a lease that another VM knows.
@@ -138,6 +144,7 @@
 	callAt  time.Time // next store call
 	doubt   bool      // the last write may have been done
 	fails   int       // reads in a row that came to nothing
+	misses  int       // calls of the leader in a row that came to nothing
 }
 
 // New makes a VM that knows of no leader.
@@ -172,7 +179,7 @@
 // Troubled reports whether the store has not confirmed the lead when it should
 // have.
 func (m Model) Troubled(now time.Time) bool {
-	return m.stage == Lead && now.Sub(m.sure) > Beat+2*again
+	return m.stage == Lead && (m.misses >= fewMisses || now.Sub(m.sure) > Beat+2*again)
 }
 
 // Update takes in a message.
@@ -214,7 +221,7 @@
 
 func (m Model) hear(now time.Time, msg HeardMsg) Model {
 	if msg.Epoch >= m.lease.Epoch && m.stage != Lead {
-		m.heard, m.lost = now, false
+		m.heard, m.lost = now, msg.Troubled
 	}
 	return m
 }
@@ -222,9 +229,13 @@
 // see takes in a newer lease that another VM told of, which is all that a VM learns
 // while it does not reach the store. Its version is read when it is needed.
 func (m Model) see(now time.Time, msg SeeMsg) (loop.Model, []loop.Cmd) {
-	if msg.Lease.Epoch <= m.lease.Epoch || m.stage == Lead || msg.Lease.Life == m.self.Life {
+	if msg.Lease.Epoch <= m.lease.Epoch || msg.Lease.Life == m.self.Life {
 		return m, nil
 	}
+	if m.stage == Lead {
+		m.lease, m.version = msg.Lease, 0
+		return m.deposed(now)
+	}
 	m.lease, m.version, m.heard, m.lost = msg.Lease, 0, now, false
 	return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: "another VM told"}}
 }
@@ -273,7 +284,7 @@
 func (m Model) read(now time.Time, msg ReadMsg) (loop.Model, []loop.Cmd) {
 	m.calling = false
 	if msg.Kind != kinds.None && msg.Kind != kinds.Absent {
-		m.fails = min(m.fails+1, mostFails)
+		m.fails, m.misses = min(m.fails+1, mostFails), m.misses+1
 		m.callAt = now.Add(again << m.fails / 2)
 		return m, nil
 	}
@@ -311,7 +322,7 @@
 // confirm notes that the store named this VM after the call that was sent then.
 func (m Model) confirm(now, asked time.Time) (loop.Model, []loop.Cmd) {
 	began := m.stage != Lead
-	m.stage, m.sure, m.doubt = Lead, asked, false
+	m.stage, m.sure, m.doubt, m.misses = Lead, asked, false, 0
 	m.callAt = now.Add(Beat)
 	if m.leaving {
 		return m.rest(now, "leaving")
@@ -338,6 +349,7 @@
 		return m, []loop.Cmd{ReadCmd{}}
 	default:
 		m.doubt = m.stage == Lead
+		m.misses++
 		m.callAt = now.Add(again)
 		if m.stage == Claim {
 			m.stage = Follow
