--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -185,11 +185,13 @@
 // state is what this leader knows of a row beside the table.
 type state struct {
 	phase phase
-	until time.Time    // every grant to the owner has run out then; zero: none was sent
-	older bool         // a leader before may have renewed it too, until the bar
-	free  time.Time    // the former owner has it no longer then, whatever it says
-	token string       // what the former owner said as it gave the keys back
-	told  ident.Server // who serves it, as it was last said
+	until time.Time // every grant to the owner has run out then; zero: none was sent
+	older bool      // a leader before may have granted it to the owner too, until the bar
+	free  time.Time // the same for the former owner, while it has not given the keys back
+	// olderFree says that a leader before may have granted it to the former owner.
+	olderFree bool
+	token     string       // what the former owner said as it gave the keys back
+	told      ident.Server // who serves it, as it was last said
 }
 
 // peer is what this leader knows of a server.
@@ -224,6 +226,7 @@
 	planAt  time.Time
 	seq     uint64
 	told    bool // a full view was given
+	flaw    flaw // always flawNone outside tests
 	known   bool // servers are known
 	// settleAt is when servers that start together are all listed: dealt out before,
 	// the whole key space would go to the first.
@@ -264,7 +267,7 @@
 		return m, out
 	}
 	out = append(out, m.store(now)...)
-	if m.loaded {
+	if m.loaded && (m.table.Epoch == m.auth.Epoch || m.flaw == flawStale) {
 		out = append(out, m.orders(now)...)
 		out = append(out, m.served()...)
 	}
@@ -291,12 +294,18 @@
 		m.calling = true
 		return []loop.Cmd{ReadCmd{}}
 	}
+	if m.table.Epoch > m.auth.Epoch {
+		return nil // another VM leads, and this one has not heard of it yet
+	}
 	d := m.plan(now)
 	if d == nil {
 		return nil
 	}
 	m.calling, m.writing, m.dirty = true, d, time.Time{}
 	d.table.Epoch = m.auth.Epoch
+	if m.flaw == flawStale {
+		m.adopt(d)
+	}
 	return []loop.Cmd{WriteCmd{Table: d.table, Old: m.version}}
 }
 
@@ -315,17 +324,24 @@
 	m.table, m.version = msg.Table.Clone(), msg.Version
 	m.rows = make([]state, len(m.table.Rows))
 	for i, r := range m.table.Rows {
-		if j := old.Find(r.First); j < len(old.Rows) && old.Rows[j] == r {
+		j := old.Find(r.First)
+		if j < len(old.Rows) && old.Rows[j] == r {
 			m.rows[i] = rows[j]
 			continue
 		}
 		m.rows[i] = m.inherit(r)
+		if j < len(old.Rows) {
+			// The stored change may be this VM's own, whose answer was lost: what it
+			// granted before still binds.
+			m.rows[i].until = rows[j].until
+			m.rows[i].free = later(rows[j].free, rows[j].until)
+		}
 	}
-	first := !m.loaded
 	m.loaded, m.writing = true, nil
-	if first && msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
-		// Written once more, the table refuses whatever the leader before still
-		// has on its way.
+	if msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
+		// Written once more, the table refuses whatever the leader before still has
+		// on its way. Renewing before that would be seen by nobody: the one before
+		// could move keys and wait for its own grants alone.
 		m.dirty = now.Add(-tidy)
 	}
 	return []loop.Cmd{NoteCmd{What: "table read", Rows: len(m.table.Rows)}}
@@ -339,7 +355,7 @@
 	case r.Owner == "":
 		s.phase = vacant
 	case r.From != "":
-		s.phase = freeing
+		s.phase, s.olderFree = freeing, true
 	default:
 		s.phase = granting // the same grant again is a renewal
 	}
@@ -348,7 +364,10 @@
 
 // free is when a row's former owner has it no longer, whatever it says.
 func (m *Model) free(s *state) time.Time {
-	if s.older {
+	if m.flaw == flawWait {
+		return time.Time{}
+	}
+	if s.olderFree && m.flaw != flawBar {
 		return later(s.free, lapse(m.auth.Bar, LongHold))
 	}
 	return s.free
@@ -401,7 +420,9 @@
 		} else {
 			s.until = later(s.until, rows[j].until)
 		}
-		s.older = s.older || rows[j].older && r.From != ""
+		if s.phase == freeing {
+			s.olderFree = s.olderFree || rows[j].older
+		}
 	}
 	m.table, m.rows = d.table, d.rows
 	out := make([]loop.Cmd, len(d.notes))
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -1,6 +1,8 @@
 package deal
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -25,19 +27,22 @@
 				releases[r.From] = append(releases[r.From], Order{Span: r.Span, Fence: r.Fence, Release: true})
 			}
 		case granting, granted:
-			if p := m.peers[r.Owner]; p != nil && p.due(now, s.phase) {
+			// A later life of the server gets a fence of its own first: under this one
+			// nobody would wait for what it was given.
+			if p := m.peers[r.Owner]; p != nil && p.due(now, s.phase) && p.Born == r.Born {
 				grants[r.Owner] = append(grants[r.Owner], m.grant(r, s))
 			}
 		}
 	}
 	var out []loop.Cmd
-	for name, list := range releases {
+	// In a fixed order, so that the same messages always give the same commands.
+	for _, name := range slices.Sorted(maps.Keys(releases)) {
 		p := m.peers[name]
 		p.freeing = true
-		out = append(out, m.order(p, list))
+		out = append(out, m.order(p, releases[name]))
 	}
-	for name, list := range grants {
-		out = append(out, m.give(now, m.peers[name], list))
+	for _, name := range slices.Sorted(maps.Keys(grants)) {
+		out = append(out, m.give(now, m.peers[name], grants[name]))
 	}
 	return out
 }
@@ -46,7 +51,7 @@
 // when they were sent, nobody can say when they have run out.
 func (m *Model) flying(s ident.Server) bool {
 	p := m.peers[s]
-	return p != nil && p.busy
+	return p != nil && p.busy && m.flaw != flawFlying
 }
 
 // due reports whether a grant in a phase should go out to the server now. Between
@@ -86,7 +91,7 @@
 
 // freed notes that a row's former owner has it no longer.
 func (m *Model) freed(r *stripe.Row, s *state, token string) {
-	s.phase, s.token, s.until, s.older = granting, token, time.Time{}, false
+	s.phase, s.token, s.free, s.olderFree = granting, token, time.Time{}, false
 	r.From = ""
 }
 
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -129,16 +129,15 @@
 
 // hand makes a server the owner of a row.
 func (m *Model) hand(r *stripe.Row, s *state, to *peer, fence uint64) {
-	former := m.peers[r.Owner]
-	dead := former != nil && former.listed && former.Born != r.Born
-	switch {
-	case r.Owner == "" || dead:
+	if r.Owner == "" {
 		*s = state{phase: granting, told: s.told}
-		r.From = ""
-	default:
-		*s = state{phase: freeing, free: s.until, older: s.older, told: s.told}
+	} else {
+		*s = state{phase: freeing, free: s.until, olderFree: s.older, told: s.told}
 		r.From = r.Owner
 	}
+	if m.flaw == flawFence {
+		fence = r.Fence
+	}
 	r.Owner, r.Born, r.Fence = to.Name, to.Born, fence
 }
 
--- /dev/null
+++ b/internal/owner/deal/world_test.go
@@ -0,0 +1,372 @@
+package deal
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// world plays one service's servers, the store and two VMs that lead one after the
+// other, on a clock of its own. Whether keys had one owner is judged from what the
+// servers themselves obeyed.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	events  []event
+	n       int
+	table   []byte
+	version object.Version
+	storeOK bool
+	calm    bool // no order and no write goes wrong by itself
+	servers []*backend
+	leaders []*leader
+	broken  string
+	trace   []string // what happened, for whoever reads a failure
+	flaw    flaw
+}
+
+func (w *world) note(format string, args ...any) {
+	at := fmt.Sprintf("%8.3f ", float64(w.now.UnixMilli()%1_000_000)/1000)
+	w.trace = append(w.trace, at+fmt.Sprintf(format, args...))
+}
+
+type event struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+const (
+	wide  = stripe.Keys / rowsHere
+	delay = time.Millisecond
+	// rowsHere keeps histories short; the module does not care.
+	rowsHere = 16
+)
+
+// backend is a server as the platform describes it. What it obeys is kept by row of
+// the test's table, since nothing here is cut further.
+type backend struct {
+	name   ident.Server
+	born   int64
+	up     bool
+	silent bool
+	listed bool
+	leaves bool
+	seen   [rowsHere]uint64
+	fence  [rowsHere]uint64
+	until  [rowsHere]time.Time
+	work   [rowsHere]time.Time // when the work on these keys ends
+}
+
+// leader is a VM's part. Frozen, it neither gets messages nor sends orders.
+type leader struct {
+	w      *world
+	model  *Model
+	auth   Authority
+	alive  bool
+	cut    map[ident.Server]bool
+	frozen time.Time
+}
+
+func newWorld(t *rapid.T, f flaw) *world {
+	w := &world{t: t, now: time.Unix(1_000_000, 0), storeOK: true, flaw: f}
+	for i := range 4 {
+		w.servers = append(w.servers, &backend{name: ident.Server(fmt.Sprintf("s%d", i)), born: 1, up: true, listed: true})
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.n++
+	w.events = append(w.events, event{w.now.Add(d), w.n, do})
+}
+
+// run plays until a time.
+func (w *world) run(until time.Time) {
+	for {
+		if len(w.events) == 0 {
+			break
+		}
+		i := 0
+		for j := range w.events {
+			a, b := w.events[j], w.events[i]
+			if cmp.Or(a.at.Compare(b.at), cmp.Compare(a.n, b.n)) < 0 {
+				i = j
+			}
+		}
+		e := w.events[i]
+		if e.at.After(until) || w.broken != "" {
+			break
+		}
+		w.events = slices.Delete(w.events, i, i+1)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// lead makes another VM the leader. The one before is not told, and goes on until
+// the end of its term.
+func (w *world) lead() *leader {
+	epoch := uint64(len(w.leaders) + 1)
+	l := &leader{w: w, model: New(), alive: true, cut: map[ident.Server]bool{}}
+	l.model.flaw = w.flaw
+	l.auth = Authority{Epoch: epoch, Until: w.now.Add(lead.Term), Bar: w.now}
+	if epoch > 1 {
+		l.auth.Bar = w.now.Add(lead.Term + lead.Margin)
+	}
+	w.leaders = append(w.leaders, l)
+	w.note("all rows: VM %d leads", epoch)
+	l.hosts()
+	l.tick()
+	return l
+}
+
+func (l *leader) newest() bool { return l.w.leaders[len(l.w.leaders)-1] == l }
+
+func (l *leader) tick() {
+	if !l.alive {
+		return
+	}
+	w := l.w
+	if l.newest() && w.storeOK && !l.isFrozen() {
+		l.auth.Until = w.now.Add(lead.Term)
+	}
+	l.auth.Long = !w.storeOK
+	l.tell(TickMsg{l.auth})
+	w.after(50*time.Millisecond, l.tick)
+}
+
+func (l *leader) isFrozen() bool { return l.w.now.Before(l.frozen) }
+
+func (l *leader) hosts() {
+	var all []Host
+	for _, s := range l.w.servers {
+		if s.listed {
+			all = append(all, Host{Name: s.name, Addr: netip.AddrPort{}, Born: s.born, Slots: 4, Leaving: s.leaves})
+		}
+	}
+	l.tell(HostsMsg{all})
+}
+
+// tell hands a message over; one that meets a frozen VM waits for it.
+func (l *leader) tell(msg loop.Msg) {
+	if !l.alive {
+		return
+	}
+	if l.isFrozen() {
+		l.w.after(l.frozen.Sub(l.w.now)+delay, func() { l.tell(msg) })
+		return
+	}
+	_, cmds := l.model.Update(l.w.now, msg)
+	for _, c := range cmds {
+		l.do(c)
+	}
+}
+
+func (l *leader) do(cmd loop.Cmd) {
+	w := l.w
+	switch cmd := cmd.(type) {
+	case ReadCmd:
+		w.after(2*delay, func() { l.tell(w.read()) })
+	case WriteCmd:
+		w.after(2*delay, func() { l.write(cmd) })
+	case OrderCmd:
+		w.after(delay, func() { l.order(cmd, nil) })
+	}
+}
+
+func (w *world) read() ReadMsg {
+	switch {
+	case !w.storeOK:
+		return ReadMsg{Kind: kinds.Down}
+	case w.version == 0:
+		t := stripe.Table{}
+		for i := range rowsHere {
+			t.Rows = append(t.Rows, stripe.Row{Span: stripe.Span{First: uint16(i * wide), Last: uint16(i*wide + wide - 1)}})
+		}
+		return ReadMsg{Table: t, Version: 0}
+	}
+	t, err := stripe.Decode(w.table)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return ReadMsg{Table: t, Version: w.version}
+}
+
+// write updates the table. Its answer may be lost, and it may be done seconds later.
+func (l *leader) write(cmd WriteCmd) {
+	w := l.w
+	put := func() kinds.Kind {
+		if w.version != cmd.Old {
+			return kinds.Conflict
+		}
+		b, err := cmd.Table.Encode()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.table, w.version = b, w.version+1
+		for i, r := range cmd.Table.Rows {
+			w.note("row %d agreed by %d as of %d: %s fence %d from %q", i, l.auth.Epoch, w.version, r.Owner, r.Fence, r.From)
+		}
+		return kinds.None
+	}
+	fate := w.fate(19, "write")
+	switch {
+	case !w.storeOK:
+		l.tell(WroteMsg{Kind: kinds.Down})
+	case fate == 0:
+		put()
+		l.tell(WroteMsg{Kind: kinds.Ambiguous})
+	case fate == 1:
+		w.after(time.Duration(rapid.IntRange(1, 5).Draw(w.t, "late"))*time.Second, func() { put() })
+		l.tell(WroteMsg{Kind: kinds.Ambiguous})
+	default:
+		k := put()
+		l.tell(WroteMsg{Version: w.version, Kind: k})
+	}
+}
+
+// order sends the orders of a command: releases at once, grants one by one.
+func (l *leader) order(cmd OrderCmd, done []Done) {
+	w := l.w
+	if !l.alive {
+		return
+	}
+	if l.isFrozen() {
+		w.after(l.frozen.Sub(w.now)+delay, func() { l.order(cmd, done) })
+		return
+	}
+	if len(done) == len(cmd.Orders) || !w.now.Before(cmd.Until) {
+		l.tell(OrderedMsg{Server: cmd.Server, Born: cmd.Born, Done: done})
+		return
+	}
+	o := cmd.Orders[len(done)]
+	sent := w.now
+	w.send(l, cmd.Server, o, func(k kinds.Kind, token string) {
+		done = append(done, Done{Order: o, Sent: sent, Kind: k, Given: token})
+		if !o.Release && k != kinds.None && k != kinds.Fenced {
+			l.tell(OrderedMsg{Server: cmd.Server, Born: cmd.Born, Done: done})
+			return
+		}
+		l.order(cmd, done)
+	})
+}
+
+// fate draws what becomes of a call: the first numbers mean harm.
+func (w *world) fate(most int, what string) int {
+	if w.calm {
+		return most
+	}
+	return rapid.IntRange(0, most).Draw(w.t, what)
+}
+
+const orderWait = 400 * time.Millisecond
+
+// send carries one order: it may not arrive, its answer may be lost, or it may be
+// obeyed seconds after it arrived.
+func (w *world) send(l *leader, name ident.Server, o Order, answer func(kinds.Kind, string)) {
+	s := w.server(name)
+	lost := func() { w.after(orderWait, func() { answer(kinds.Ambiguous, "") }) }
+	fate := w.fate(39, "order")
+	switch {
+	case !s.up && !s.silent:
+		w.after(delay, func() { answer(kinds.Down, "") })
+	case !s.up, s.silent, l.cut[name]:
+		lost()
+	case fate == 0:
+		arrived, born := w.now.Add(delay), s.born
+		w.after(time.Duration(rapid.IntRange(2, 12).Draw(w.t, "late"))*time.Second, func() {
+			if s.up && s.born == born {
+				s.obey(w, o, arrived)
+			}
+		})
+		lost()
+	case fate == 1:
+		w.after(delay, func() { s.obey(w, o, w.now) })
+		lost()
+	default:
+		w.after(delay, func() {
+			k, ends := s.obey(w, o, w.now)
+			w.after(ends.Sub(w.now)+delay, func() { answer(k, "token") })
+		})
+	}
+}
+
+func (w *world) server(name ident.Server) *backend {
+	i := slices.IndexFunc(w.servers, func(s *backend) bool { return s.name == name })
+	return w.servers[i]
+}
+
+// obey does what an order says, as of its arrival, and returns when it answers.
+func (s *backend) obey(w *world, o Order, arrived time.Time) (kinds.Kind, time.Time) {
+	first, last := int(o.First)/wide, int(o.Last)/wide
+	w.note("row %d at %s: release %v fence %d hold %v, arrived %v ago, seen %d", first, s.name, o.Release, o.Fence, o.Hold, w.now.Sub(arrived), s.seen[first])
+	ends := w.now
+	for i := first; i <= last; i++ {
+		if !o.Release && s.seen[i] > o.Fence {
+			return kinds.Fenced, w.now
+		}
+	}
+	for i := first; i <= last; i++ {
+		s.seen[i] = max(s.seen[i], o.Fence)
+		if o.Release {
+			s.until[i] = time.Time{}
+			if s.work[i].After(ends) {
+				ends = s.work[i]
+			}
+			continue
+		}
+		s.fence[i] = o.Fence
+		s.until[i] = arrived.Add(o.Hold + o.Hold*20/1000)
+		w.judge(s, i)
+	}
+	return kinds.None, ends
+}
+
+// judge looks for another server that holds a row at the moment in which one gets
+// it, and for a fence that is not above those of others.
+func (w *world) judge(s *backend, row int) {
+	if !s.until[row].After(w.now) {
+		return
+	}
+	for _, o := range w.servers {
+		if o == s || !o.up {
+			continue
+		}
+		if o.until[row].After(w.now) || o.work[row].After(w.now) {
+			w.broken = fmt.Sprintf("row %d at %s (fence %d) and at %s (fence %d), until %v, now %v",
+				row, s.name, s.fence[row], o.name, o.fence[row], o.until[row], w.now)
+		}
+		if o.seen[row] >= s.fence[row] && o.fence[row] >= s.fence[row] {
+			w.broken = fmt.Sprintf("row %d: fence %d at %s is not above %d at %s", row, s.fence[row], s.name, o.fence[row], o.name)
+		}
+	}
+}
+
+// restart gives a server another life under its name: it knows no keys and no fences.
+func (s *backend) restart(at int64) {
+	*s = backend{name: s.name, born: at, up: true, listed: true}
+}
+
+// owned counts the rows that some server holds now.
+func (w *world) owned() int {
+	n := 0
+	for i := range rowsHere {
+		if slices.ContainsFunc(w.servers, func(s *backend) bool { return s.up && s.until[i].After(w.now) }) {
+			n++
+		}
+	}
+	return n
+}
