--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -53,12 +53,10 @@
 	}
 }
 
-// patience is how long what is missing now stays listed.
-func (c *Census[T]) patience(now time.Time) time.Duration {
-	if c.back.IsZero() || now.Sub(c.back) >= Back {
-		return 0
-	}
-	return Back
+// returning reports whether the store is back for so short a time that servers may
+// be missing which live.
+func (c *Census[T]) returning(now time.Time) bool {
+	return !c.back.IsZero() && now.Sub(c.back) < Back
 }
 
 // List takes in the whole list as of a revision. It reports whether anything
@@ -135,8 +133,8 @@
 
 func (c *Census[T]) lose(now time.Time, name ident.Server, rev uint64) bool {
 	r := c.all[name]
-	if wait := c.patience(now); wait > 0 && !r.Going {
-		r.missing = now.Add(wait)
+	if c.returning(now) && !r.Going {
+		r.missing = c.back.Add(Back)
 		return false
 	}
 	if c.left == nil || len(c.left) >= mostLeft {
--- a/internal/node/census/census_test.go
+++ b/internal/node/census/census_test.go
@@ -66,6 +66,19 @@
 	assert.Assert(t, c.Remove(back.Add(Back), "b", 13), "later removals count at once")
 }
 
+// A server leaves without notice a second after the store is back. Waiting the whole
+// time for it once more would send it requests for longer than the platform allows.
+func TestARemovalAfterAnOutageWaitsNoLongerThanTheReturn(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false)})
+	c.Down()
+	back := start.Add(8 * time.Second)
+	c.Up(back)
+	assert.Assert(t, !c.Remove(back.Add(time.Second), "a", 12))
+	assert.Assert(t, c.Expire(back.Add(Back)))
+	assert.Equal(t, len(c.All()), 0)
+}
+
 func TestARemovalInCalmTimesCountsAtOnce(t *testing.T) {
 	var c Census[string]
 	c.List(start, 10, []Entry[string]{entry("a", 3, false)})
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -167,10 +167,11 @@
 			s.phase, s.token = granted, ""
 		}
 	case kinds.Fenced, kinds.Malformed:
-		if same {
-			s.phase = vacant // the next plan gives it a fence above
-			m.planAt = time.Time{}
+		if !same {
+			return nil // its keys were taken back meanwhile
 		}
+		s.phase = vacant // the next plan gives it a fence above
+		m.planAt = time.Time{}
 		return []loop.Cmd{NoteCmd{What: "grant refused", Server: p.Name, Rows: 1, Why: d.Kind.String()}}
 	default:
 		p.pauseTo = now.Add(again)
