--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -18,8 +18,12 @@
 	// band is how far above the mean a server's load may be before keys move, and
 	// how far below it before it gets some.
 	bandHigh, bandLow = 0.15, 0.3
-	// splitAt is the part of a server's fair load from which a row is cut further.
-	splitAt = 0.12
+	// splitAt is the part of a server's fair load from which a row is cut further: a
+	// server with a few such rows cannot be relieved by moving the others.
+	splitAt = 0.3
+	// splitCount is how many requests remembered make a row busy. Fewer are chance:
+	// cut at two, a thousand rows were used up by it before a hot key came.
+	splitCount = 8
 	// enough is how many requests a second make loads worth planning by.
 	enough = 20.0
 	// coldRamp is the part of its capacity that a server which has just started is
@@ -64,7 +68,7 @@
 			takers++
 		}
 	}
-	most := total / float64(max(takers, 1)) * splitAt
+	most := max(total/float64(max(takers, 1))*splitAt, splitCount*perSecond)
 	changed := false
 	for i := 0; i < len(d.table.Rows); i++ {
 		for m.loads.of(now, d.table.Rows[i].Span) > most && d.table.Split(i) {
@@ -76,6 +80,9 @@
 			changed = true
 		}
 	}
+	if changed {
+		d.notes = append(d.notes, NoteCmd{What: "busy keys cut", Rows: len(d.table.Rows)})
+	}
 	return changed
 }
 
