Bands of the key deal are as wide as chance makes loads; speeds are averaged over seconds

Cause: with some ten remembered requests for each server a band of a sixth moved keys at every plan, and speeds forgot by messages instead of by time, within half a second.

--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -24,7 +24,7 @@
 const (
 	// Wait is how long a question waits for news. Two a second keep the leader's
 	// silence short, and a question is some hundred bytes.
-	Wait = 400 * time.Millisecond
+	Wait = 300 * time.Millisecond
 	// Gone is how long a VM that asks no more counts as one.
 	Gone = 2 * time.Second
 	// keptChanges is how many changes of owners are kept, so that whoever was away
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -224,6 +224,7 @@
 	peers   map[ident.Server]*peer
 	loads   loads
 	planAt  time.Time
+	learnAt time.Time
 	seq     uint64
 	told    bool // a full view was given
 	flaw    flaw // always flawNone outside tests
@@ -254,7 +255,7 @@
 		m.list(now, msg.Hosts)
 	case LoadMsg:
 		m.loads.add(now, msg)
-		m.learn(msg)
+		m.learn(now, msg)
 		return m, nil
 	case ReadMsg:
 		out = m.read(now, msg)
--- a/internal/owner/deal/loads.go
+++ b/internal/owner/deal/loads.go
@@ -78,22 +78,31 @@
 // Bounds of a server's speed, as answers show it: queueing looks like slowness, and
 // a server must not be left without keys because of a bad second.
 const (
-	slowest   = 0.35
-	fastest   = 2.0
-	fadeSpeed = 0.9
-	fewest    = 8 // answers before a speed is believed
+	slowest = 0.35
+	fastest = 2.0
+	fewest  = 12 // answers before a speed is believed
+	// speedLife is how long it takes until answers count for half: a server gives some
+	// ten answers a second, and their times vary as much as their mean.
+	speedLife = 4 * time.Second
 )
 
 // learn takes in how long servers took to answer.
-func (m *Model) learn(msg LoadMsg) {
-	for name, sum := range msg.Servers {
-		p := m.peers[name]
-		if p == nil || sum.N == 0 {
-			continue
-		}
-		p.seconds = p.seconds*fadeSpeed + sum.Took.Seconds()
-		p.answers = p.answers*fadeSpeed + float64(sum.N)
+func (m *Model) learn(now time.Time, msg LoadMsg) {
+	keep := 1.0
+	if !m.learnAt.IsZero() {
+		keep = math.Exp2(-now.Sub(m.learnAt).Seconds() / speedLife.Seconds())
+	}
+	m.learnAt = now
+	for name, p := range m.peers {
+		sum := msg.Servers[name]
+		p.seconds = p.seconds*keep + sum.Took.Seconds()
+		p.answers = p.answers*keep + float64(sum.N)
 	}
+}
+
+// speeds compares the servers' answers. A server of which little is known keeps the
+// speed that it was last seen to have.
+func (m *Model) speeds() {
 	var means []float64
 	for _, p := range m.peers {
 		if p.listed && p.answers >= fewest {
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -1,6 +1,7 @@
 package deal
 
 import (
+	"math"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -11,19 +12,25 @@
 
 // Settings of planning.
 const (
-	// planEvery is the pause between two plans. Loads are reported twice a second.
-	planEvery = 500 * time.Millisecond
+	// planEvery is the pause between two plans. Loads are reported three times a second.
+	planEvery = 300 * time.Millisecond
 	// budgetShare is the part of the rows that one plan may move for balance.
-	budgetShare = 1.0 / 32
-	// band is how far above the mean a server's load may be before keys move, and
-	// how far below it before it gets some.
+	budgetShare = 1.0 / 16
+	// bandHigh and bandLow are how far above the mean a server's load may be before
+	// keys move, and how far below it before it gets some.
 	bandHigh, bandLow = 0.15, 0.3
+	// chance is how many deviations from the mean a server's count of requests must
+	// be before it is more than chance. With ten requests remembered for each server,
+	// bands of a sixth moved all keys three times in half a minute for nothing.
+	chance = 2.5
+	// bandMost keeps a server that is nearly idle, or has twice its share, worth a move.
+	bandMost = 0.9
 	// splitAt is the part of a server's fair load from which a row is cut further: a
 	// server with a few such rows cannot be relieved by moving the others.
-	splitAt = 0.3
+	splitAt = 0.25
 	// splitCount is how many requests remembered make a row busy. Fewer are chance:
 	// cut at two, a thousand rows were used up by it before a hot key came.
-	splitCount = 8
+	splitCount = 5
 	// enough is how many requests a second make loads worth planning by.
 	enough = 20.0
 	// coldRamp is the part of its capacity that a server which has just started is
@@ -150,9 +157,10 @@
 
 // input is what the planner needs to know.
 func (m *Model) input(now time.Time, d *draft) place.Input {
+	m.speeds()
 	in := place.Input{
 		Owners: make([]ident.Server, len(d.table.Rows)),
-		Band:   place.Band{High: bandHigh, Low: bandLow, Budget: int(float64(len(d.table.Rows)) * budgetShare)},
+		Band:   m.band(now, len(d.table.Rows)),
 	}
 	for i, r := range d.table.Rows {
 		in.Owners[i] = r.Owner
@@ -178,6 +186,22 @@
 	return in
 }
 
+// band is how uneven loads may be: as much as chance makes them.
+func (m *Model) band(now time.Time, rows int) place.Band {
+	takers := 0
+	for _, p := range m.peers {
+		if p.takes(now) {
+			takers++
+		}
+	}
+	each := m.loads.total(now) / perSecond / float64(max(takers, 1))
+	noise := chance / math.Sqrt(max(each, 1))
+	return place.Band{
+		High: min(max(bandHigh, noise), bandMost), Low: min(max(bandLow, noise), bandMost),
+		Budget: int(float64(rows) * budgetShare),
+	}
+}
+
 // idleShare is the part of the load that is taken to lie evenly on all keys, so
 // that rows which nobody asked for lately still spread.
 const idleShare = 0.05
