An unanswered write stops no renewal; a leader that regains the store keeps its lead

And as the store came back another VM took over from the leader in the quarter of a second before it renewed its lead.

--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -44,7 +44,7 @@
 	// LongHold is how long a grant lasts while the store does not confirm the lead:
 	// nobody can take over then, and the keys stay served until it is back. The
 	// platform allows 10 s; the rest is for servers whose clocks run slow.
-	LongHold = 9500 * time.Millisecond
+	LongHold = 7 * time.Second
 	// Renew is the pause between two renewals of the same grant.
 	Renew = 1300 * time.Millisecond
 	// slow is how much longer than asked a grant may last on a server's clock, in
@@ -215,7 +215,8 @@
 	auth    Authority
 	table   stripe.Table
 	version object.Version
-	loaded  bool
+	loaded  bool // the table is known
+	stale   bool // the stored one may be another: it is read before the next write
 	calling bool
 	writing *draft
 	callAt  time.Time
@@ -291,7 +292,7 @@
 	if m.calling || now.Before(m.callAt) {
 		return nil
 	}
-	if !m.loaded {
+	if !m.loaded || m.stale {
 		m.calling = true
 		return []loop.Cmd{ReadCmd{}}
 	}
@@ -338,7 +339,7 @@
 			m.rows[i].free = later(rows[j].free, rows[j].until)
 		}
 	}
-	m.loaded, m.writing = true, nil
+	m.loaded, m.stale, m.writing = true, false, nil
 	if msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
 		// Written once more, the table refuses whatever the leader before still has
 		// on its way. Renewing before that would be seen by nobody: the one before
@@ -390,9 +391,10 @@
 		m.version = msg.Version
 		return m.adopt(d)
 	case msg.Kind == kinds.Conflict, msg.Kind == kinds.Ambiguous, msg.Kind == kinds.Absent:
-		// Another leader wrote, or this VM's own write was done and its answer lost:
-		// what is stored counts.
-		m.loaded = false
+		// Another leader wrote, or this VM's own write was done and its answer lost.
+		// What was agreed before is renewed until it is known: whoever takes keys over
+		// asks their owner first, or waits for all that may have been granted.
+		m.stale = true
 		m.callAt = now.Add(again / 4)
 	default:
 		m.callAt = now.Add(again)
--- a/internal/owner/deal/history_test.go
+++ b/internal/owner/deal/history_test.go
@@ -133,6 +133,9 @@
 		w.calm = true
 		w.lead()
 		w.run(w.now.Add(3 * time.Second))
+		w.servers[1].leaves, w.loseWrite = true, true
+		w.leaders[0].hosts() // its keys should move; the store's last answer is lost
+		w.run(w.now.Add(20 * time.Millisecond))
 		w.storeOK = false
 		for range 80 {
 			w.run(w.now.Add(100 * time.Millisecond))
--- a/internal/owner/deal/world_test.go
+++ b/internal/owner/deal/world_test.go
@@ -29,11 +29,13 @@
 	version object.Version
 	storeOK bool
 	calm    bool // no order and no write goes wrong by itself
-	servers []*backend
-	leaders []*leader
-	broken  string
-	trace   []string // what happened, for whoever reads a failure
-	flaw    flaw
+	// loseWrite loses the answer of the next write, which is done.
+	loseWrite bool
+	servers   []*backend
+	leaders   []*leader
+	broken    string
+	trace     []string // what happened, for whoever reads a failure
+	flaw      flaw
 }
 
 func (w *world) note(format string, args ...any) {
@@ -226,7 +228,8 @@
 	switch {
 	case !w.storeOK:
 		l.tell(WroteMsg{Kind: kinds.Down})
-	case fate == 0:
+	case fate == 0 || w.loseWrite:
+		w.loseWrite = false
 		put()
 		l.tell(WroteMsg{Kind: kinds.Ambiguous})
 	case fate == 1:
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -47,6 +47,9 @@
 	mostFails = 4
 	// fewMisses calls that came to nothing are more than a lost answer.
 	fewMisses = 2
+	// Regain is how long a leader that did not reach the store has to renew its lead
+	// once others reach it: it tries each quarter of a second.
+	Regain = 700 * time.Millisecond
 	// Margin covers what passes between a look at the clock and the effect.
 	Margin = 200 * time.Millisecond
 )
@@ -133,13 +136,16 @@
 	rank    int
 	leaving bool
 
-	heard   time.Time // the leader answered, or was seen to be another one
-	lost    bool      // the leader said that it goes
-	shy     time.Time // not before this
-	bar     time.Time // until when a leader before this one may give orders
-	former  Lease     // who led before this VM
-	ended   uint64    // the leaders up to this epoch give no orders any more
-	sure    time.Time // sending of the last call that confirmed the lead
+	heard   time.Time      // the leader answered, or was seen to be another one
+	lost    bool           // the leader said that it goes, or is away
+	away    bool           // the leader said that it does not reach the store
+	seen    object.Version // of the lease while the leader was away
+	seenAt  time.Time      // when that version was first read
+	shy     time.Time      // not before this
+	bar     time.Time      // until when a leader before this one may give orders
+	former  Lease          // who led before this VM
+	ended   uint64         // the leaders up to this epoch give no orders any more
+	sure    time.Time      // sending of the last call that confirmed the lead
 	calling bool
 	callAt  time.Time // next store call
 	doubt   bool      // the last write may have been done
@@ -221,7 +227,7 @@
 
 func (m Model) hear(now time.Time, msg HeardMsg) Model {
 	if msg.Epoch >= m.lease.Epoch && m.stage != Lead {
-		m.heard, m.lost = now, msg.Troubled
+		m.heard, m.lost, m.away = now, msg.Troubled, msg.Troubled
 	}
 	return m
 }
@@ -249,7 +255,7 @@
 	}
 	switch {
 	case m.stage == Lead && m.doubt:
-		return m.ask()
+		return m.ask() // each time after the same pause: keys depend on it
 	case m.stage == Lead:
 		next := m.lease
 		next.Beats++
@@ -285,7 +291,10 @@
 	m.calling = false
 	if msg.Kind != kinds.None && msg.Kind != kinds.Absent {
 		m.fails, m.misses = min(m.fails+1, mostFails), m.misses+1
-		m.callAt = now.Add(again << m.fails / 2)
+		m.callAt = now.Add(again)
+		if m.stage != Lead {
+			m.callAt = now.Add(again << m.fails / 2)
+		}
 		return m, nil
 	}
 	m.fails = 0
@@ -308,10 +317,26 @@
 		return m, nil
 	case m.version != 0 && !m.overdue(now):
 		return m, nil
+	case m.away && !m.unmoved(now, msg.Version):
+		return m, nil
 	}
 	return m.claim()
 }
 
+// unmoved reports whether the lease was read before and has not been renewed for a
+// while. A leader that says it does not reach the store may reach it again in the
+// same moment as this VM does; it knows what it granted, and should go on.
+func (m *Model) unmoved(now time.Time, v object.Version) bool {
+	if m.seen != v {
+		m.seen, m.seenAt = v, now
+	}
+	if now.Sub(m.seenAt) >= Regain {
+		return true
+	}
+	m.callAt = now.Add(Regain / 2)
+	return false
+}
+
 func (m Model) claim() (loop.Model, []loop.Cmd) {
 	next := m.self
 	next.Epoch = m.lease.Epoch + 1
