Term of 6 s; a leader that rests keeps what it knows of its grants

A leader lost for good, and a server lost soon after, cost that server's keys a term and a long grant: 17 s, now 13.

--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -215,7 +215,9 @@
 	leads := cmd.Stage == lead.Lead
 	r.log.Info("lead", "stage", cmd.Stage, "holder", cmd.Lease.Holder, "epoch", cmd.Lease.Epoch, "why", cmd.Why)
 	r.board.SetLease(cmd.Lease, leads)
-	if !leads {
+	// A leader that only rests, because the store does not confirm it, keeps what it
+	// knows of its grants: it goes on when the store is back, if nobody else leads then.
+	if !leads && cmd.Lease.Life != r.board.Life() {
 		r.group.Go(func(context.Context) error { r.endDeals(); return nil })
 	}
 }
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -127,8 +127,10 @@
 func (b *Board) SetLease(l lead.Lease, leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.leads != leads {
+	if b.lease.Life != l.Life || b.lease.Epoch != l.Epoch {
 		b.views = map[ident.Service]*history{}
+	}
+	if b.leads != leads {
 		b.turned()
 		b.turn, b.turned = context.WithCancel(context.Background())
 	}
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -28,10 +28,10 @@
 	// minute, while Term bridges a store that is away for two of them.
 	Beat = 1500 * time.Millisecond
 	// Term is how long a leader may give orders after its lead was last confirmed,
-	// counted from the sending of that call. It outlasts the store's usual absences,
-	// so that the leader who knows what it granted is still there when the store is
-	// back. What a long term costs is in [Model.Bar].
-	Term = 10 * time.Second
+	// counted from the sending of that call. Longer, the keys of a server that is lost
+	// just after the leader wait longer, see [Model.Bar]; shorter, keys lapse in an
+	// absence of the store that this and a long grant together bridge, 11 s.
+	Term = 6 * time.Second
 	// Silence is how long a leader may be unheard before somebody takes over. The
 	// others ask it twice a second, so two questions in a row came to nothing.
 	Silence = 900 * time.Millisecond
@@ -144,6 +144,7 @@
 	shy     time.Time      // not before this
 	bar     time.Time      // until when a leader before this one may give orders
 	former  Lease          // who led before this VM
+	led     uint64         // the epoch that this VM leads, or led last
 	ended   uint64         // the leaders up to this epoch give no orders any more
 	sure    time.Time      // sending of the last call that confirmed the lead
 	calling bool
@@ -355,6 +356,10 @@
 	if !began {
 		return m, nil
 	}
+	if m.led == m.lease.Epoch {
+		return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the lead again"}}
+	}
+	m.led = m.lease.Epoch
 	m.bar = now.Add(Term + Margin)
 	if m.former.Epoch <= m.ended {
 		m.bar = now.Add(Margin)
