--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -67,13 +67,14 @@
 // Orders gives orders for keys to backend servers. Errors carry kind Fenced when
 // the server has obeyed a higher fence on one of the keys, Malformed when it does
 // not understand, Down when the order certainly did not reach it, and Ambiguous
-// when it may be obeyed now or seconds later.
+// when it may be obeyed now or seconds later. Kind Misrouted says that another server
+// has the address now, which obeyed nothing.
 type Orders interface {
 	// Grant gives keys or renews a grant that was given before.
-	Grant(ctx context.Context, to netip.AddrPort, g Grant) error
+	Grant(ctx context.Context, to netip.AddrPort, s ident.Server, g Grant) error
 	// Release takes keys back. It returns when no work on them is left, with the
 	// token for the next owner.
-	Release(ctx context.Context, to netip.AddrPort, s stripe.Span, fence uint64) (token string, err error)
+	Release(ctx context.Context, to netip.AddrPort, s ident.Server, keys stripe.Span, fence uint64) (token string, err error)
 }
 
 // Platform decodes what a platform's store holds.
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -306,7 +306,7 @@
 		}
 		grant := feed.Grant{Span: o.Span, Fence: o.Fence, Hold: o.Hold, Token: o.Token}
 		done.Kind = kinds.Of(d.call(ctx, grantWait, func(ctx context.Context) error {
-			return d.r.plat.Orders.Grant(ctx, cmd.Addr, grant)
+			return d.r.plat.Orders.Grant(ctx, cmd.Addr, cmd.Server, grant)
 		}))
 		msg.Done = append(msg.Done, done)
 		if done.Kind != kinds.None && done.Kind != kinds.Fenced {
@@ -351,7 +351,7 @@
 	}
 	err := d.call(ctx, releaseWait, func(ctx context.Context) error {
 		var err error
-		done.Given, err = d.r.plat.Orders.Release(ctx, cmd.Addr, o.Span, o.Fence)
+		done.Given, err = d.r.plat.Orders.Release(ctx, cmd.Addr, cmd.Server, o.Span, o.Fence)
 		return err
 	})
 	done.Kind = kinds.Of(err)
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -105,7 +105,13 @@
 	if cfg.Open == nil {
 		var d net.Dialer
 		cfg.Open = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", to.String())
+			c, err := d.DialContext(ctx, "tcp", to.String())
+			if tcp, ok := c.(*net.TCPConn); ok {
+				// Reset when it is closed: a request that nobody waits for any more, held
+				// up by a cut, would otherwise reach its server as the cut heals.
+				err = tcp.SetLinger(0)
+			}
+			return c, err
 		}
 	}
 	return &Relay{cfg: cfg, ours: cfg.Names.own(), lines: map[netip.AddrPort]*line{}}
