--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -286,7 +287,10 @@
 // Times of orders.
 const (
 	// grantWait is beyond what a healthy server's answer takes by a factor of fifty.
-	grantWait = 400 * time.Millisecond
+	grantWait = 250 * time.Millisecond
+	// grantsAtOnce keeps a server that leaves some orders unanswered from holding up
+	// the renewal of its other keys.
+	grantsAtOnce = 3
 	// releaseWait covers work that is still running on the keys.
 	releaseWait = 2 * time.Second
 	// releasesAtOnce bounds the connections that releases take from requests.
@@ -299,21 +303,64 @@
 		msg.Done = d.releases(ctx, cmd)
 		return msg
 	}
-	for _, o := range cmd.Orders {
-		done := deal.Done{Order: o, Sent: tick.Now()}
-		if !done.Sent.Before(cmd.Until) {
-			break
+	msg.Done = d.grants(ctx, cmd)
+	return msg
+}
+
+// grants gives keys, a few spans at a time, until too many in a row are not answered:
+// each may be obeyed without an answer, and keeps its keys from others.
+func (d *dealer) grants(ctx context.Context, cmd deal.OrderCmd) []deal.Done {
+	var mu sync.Mutex
+	var all []deal.Done
+	missed := 0
+	d.each(len(cmd.Orders), grantsAtOnce, func(i int) bool {
+		done := d.grant(ctx, cmd, cmd.Orders[i])
+		mu.Lock()
+		defer mu.Unlock()
+		if done.Sent.IsZero() {
+			return false
 		}
-		grant := feed.Grant{Span: o.Span, Fence: o.Fence, Hold: o.Hold, Token: o.Token}
-		done.Kind = kinds.Of(d.call(ctx, grantWait, func(ctx context.Context) error {
-			return d.r.plat.Orders.Grant(ctx, cmd.Addr, cmd.Server, grant)
-		}))
-		msg.Done = append(msg.Done, done)
-		if done.Kind != kinds.None && done.Kind != kinds.Fenced {
-			break
+		all = append(all, done)
+		missed++
+		if done.Kind == kinds.None || done.Kind == kinds.Fenced {
+			missed = 0
 		}
+		return missed < deal.Misses && done.Kind != kinds.Misrouted
+	})
+	return all
+}
+
+// grant gives one span, if the authority still lasts.
+func (d *dealer) grant(ctx context.Context, cmd deal.OrderCmd, o deal.Order) deal.Done {
+	done := deal.Done{Order: o}
+	now := tick.Now()
+	if !now.Before(cmd.Until) {
+		return done
 	}
-	return msg
+	done.Sent = now
+	grant := feed.Grant{Span: o.Span, Fence: o.Fence, Hold: o.Hold, Token: o.Token}
+	done.Kind = kinds.Of(d.call(ctx, grantWait, func(ctx context.Context) error {
+		return d.r.plat.Orders.Grant(ctx, cmd.Addr, cmd.Server, grant)
+	}))
+	return done
+}
+
+// each does something for the first n numbers, some at a time, until it says that it
+// is enough.
+func (d *dealer) each(n, atOnce int, do func(i int) bool) {
+	var next atomic.Int64
+	var g group.Group
+	for range min(atOnce, n) {
+		g.Go(func(context.Context) error {
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				if !do(i) {
+					next.Store(int64(n))
+				}
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
 }
 
 func (d *dealer) call(ctx context.Context, wait time.Duration, do func(context.Context) error) error {
@@ -326,21 +373,10 @@
 // that runs on its keys.
 func (d *dealer) releases(ctx context.Context, cmd deal.OrderCmd) []deal.Done {
 	all := make([]deal.Done, len(cmd.Orders))
-	next := make(chan int, len(cmd.Orders))
-	for i := range cmd.Orders {
-		next <- i
-	}
-	close(next)
-	var g group.Group
-	for range releasesAtOnce {
-		g.Go(func(context.Context) error {
-			for i := range next {
-				all[i] = d.release(ctx, cmd, cmd.Orders[i])
-			}
-			return nil
-		})
-	}
-	_ = g.Wait()
+	d.each(len(all), releasesAtOnce, func(i int) bool {
+		all[i] = d.release(ctx, cmd, cmd.Orders[i])
+		return true
+	})
 	return all
 }
 
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -54,6 +54,14 @@
 	margin = 150 * time.Millisecond
 	// again is the pause before a server that did not answer is tried again.
 	again = 300 * time.Millisecond
+	// Misses is how many grants in a row a server may leave unanswered before it counts
+	// as one that does not answer. Servers that lose every second answer go on.
+	Misses = 5
+	// probes is how many grants are tried at once on such a server.
+	probes = 3
+	// roughFor is how long a server that left some grants unanswered gets long ones:
+	// several renewals may be lost in a row.
+	roughFor = 5 * time.Second
 	// Silent is for how long a server must fail to answer before its keys go
 	// elsewhere. They come free no sooner than Hold after their last renewal.
 	Silent = 700 * time.Millisecond
@@ -203,6 +211,8 @@
 	freeing  bool      // releases are on their way
 	renewAt  time.Time
 	pauseTo  time.Time
+	rough    time.Time // until then it is taken to lose answers
+	gone     bool      // another server has its address
 	freeAt   time.Time // releases are tried again then
 	speed    float64   // relative to the others, as answers show; zero when unknown
 	seconds  float64   // of recent answers
@@ -457,7 +467,7 @@
 			m.peers[h.Name] = p
 		}
 		if p.Born != h.Born {
-			p.silent, p.pauseTo = time.Time{}, time.Time{}
+			p.silent, p.pauseTo, p.gone = time.Time{}, time.Time{}, false
 		}
 		p.Host, p.listed = h, true
 	}
@@ -466,5 +476,5 @@
 
 // takes reports whether a server may be given keys.
 func (p *peer) takes(now time.Time) bool {
-	return p.listed && !p.Leaving && (p.silent.IsZero() || now.Sub(p.silent) < Silent)
+	return p.listed && !p.gone && !p.Leaving && (p.silent.IsZero() || now.Sub(p.silent) < Silent)
 }
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -30,7 +30,7 @@
 			// A later life of the server gets a fence of its own first: under this one
 			// nobody would wait for what it was given.
 			if p := m.peers[r.Owner]; p != nil && p.due(now, s.phase) && p.Born == r.Born {
-				grants[r.Owner] = append(grants[r.Owner], m.grant(r, s))
+				grants[r.Owner] = append(grants[r.Owner], m.grant(now, p, r, s))
 			}
 		}
 	}
@@ -63,9 +63,9 @@
 	return s == granting || !now.Before(p.renewAt)
 }
 
-func (m *Model) grant(r *stripe.Row, s *state) Order {
+func (m *Model) grant(now time.Time, p *peer, r *stripe.Row, s *state) Order {
 	o := Order{Span: r.Span, Fence: r.Fence, Hold: Hold, Token: s.token}
-	if m.auth.Long {
+	if m.auth.Long || now.Before(p.rough) {
 		o.Hold = LongHold
 	}
 	return o
@@ -76,11 +76,11 @@
 }
 
 // give sends the grants that are due to one server. To a server that does not
-// answer goes one grant at a time: each may be obeyed without an answer, and would
-// keep its keys from others for a hold more.
+// answer go a few at a time: each may be obeyed without an answer, and would keep its
+// keys from others for a hold more.
 func (m *Model) give(now time.Time, p *peer, list []Order) OrderCmd {
 	if !p.silent.IsZero() {
-		list = list[:1]
+		list = list[:min(len(list), probes)]
 	}
 	if !now.Before(p.renewAt) {
 		p.renewAt = now.Add(Renew)
@@ -107,26 +107,46 @@
 		p.freeing = false
 	}
 	var out []loop.Cmd
-	answered := false
+	answered, missed := 0, 0
 	for _, d := range msg.Done {
 		if d.Release {
 			m.released(now, p, d)
 			continue
 		}
 		out = append(out, m.gave(now, p, msg.Born, d)...)
-		answered = answered || d.Kind == kinds.None || d.Kind == kinds.Fenced
+		if d.Kind == kinds.None || d.Kind == kinds.Fenced {
+			answered++
+		} else {
+			missed++
+		}
+	}
+	return append(out, m.heard(now, p, answered, missed)...)
+}
+
+// heard judges a server by how many of its grants were answered.
+func (m *Model) heard(now time.Time, p *peer, answered, missed int) []loop.Cmd {
+	switch {
+	case answered > 0 && missed > 0:
+		p.rough, p.pauseTo = now.Add(roughFor), now.Add(again/2)
+	case missed > 0:
+		p.pauseTo = now.Add(again)
 	}
-	if answered && !p.silent.IsZero() {
+	switch {
+	case answered > 0 && !p.silent.IsZero():
 		p.silent, p.renewAt = time.Time{}, time.Time{}
-		out = append(out, NoteCmd{What: "server answers again", Server: p.Name})
+		return []loop.Cmd{NoteCmd{What: "server answers again", Server: p.Name}}
+	case answered == 0 && missed > 0 && p.silent.IsZero():
+		p.silent = now
+		return []loop.Cmd{NoteCmd{What: "server does not answer", Server: p.Name}}
 	}
-	return out
+	return nil
 }
 
-// released takes in the answer to a release.
+// released takes in the answer to a release. A server whose address another one has
+// has ended, and its keys with it.
 func (m *Model) released(now time.Time, p *peer, d Done) {
 	r, s := m.row(d.Order)
-	if d.Kind != kinds.None {
+	if d.Kind != kinds.None && d.Kind != kinds.Misrouted {
 		p.freeAt = now.Add(again)
 		return
 	}
@@ -155,7 +175,7 @@
 
 // gave takes in the answer to a grant.
 func (m *Model) gave(now time.Time, p *peer, born int64, d Done) []loop.Cmd {
-	if d.Kind != kinds.Down {
+	if d.Kind != kinds.Down && d.Kind != kinds.Misrouted {
 		// Obeyed or not, it may be: whoever owns these keys next waits for it.
 		m.mayHave(p, d)
 	}
@@ -173,11 +193,15 @@
 		s.phase = vacant // the next plan gives it a fence above
 		m.planAt = time.Time{}
 		return []loop.Cmd{NoteCmd{What: "grant refused", Server: p.Name, Rows: 1, Why: d.Kind.String()}}
+	case kinds.Misrouted:
+		m.planAt = time.Time{}
+		if !p.gone {
+			p.gone = true
+			return []loop.Cmd{NoteCmd{What: "another server has the address", Server: p.Name}}
+		}
 	default:
-		p.pauseTo = now.Add(again)
-		if p.silent.IsZero() {
-			p.silent = now
-			return []loop.Cmd{NoteCmd{What: "server does not answer", Server: p.Name, Why: d.Kind.String()}}
+		if same {
+			s.phase = granting // tried again soon, and not only at the next renewal
 		}
 	}
 	return nil
