--- a/imports_test.go
+++ b/imports_test.go
@@ -4,6 +4,7 @@
 	"go/parser"
 	"go/token"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,3 +63,25 @@
 
 // measures names the packages that measure their area with stand-ins.
 var measures = map[string]bool{"owner/trial": true, "edge/trial": true}
+
+// platformNames are words that only the users' platform speaks. A name that stands
+// beside its translation somewhere else is a second translation, which nobody finds
+// when the platform changes.
+var platformNames = regexp.MustCompile(`X-Attempt-Id|X-Time-Remaining|X-Server-Seal|X-Expected-Instance|X-Instance-|` +
+	`X-Not-Executed|X-Shard-Key|X-Handover|staleOk|waitMs|storeRevision|trafficSplit|pathPrefix|warmupLeftS|holdS|` +
+	`HAWTHORNFIELD_SETTINGS|internalPortRange`)
+
+// The adapter grows into the product, or the product into the adapter, one
+// convenient name or import at a time.
+func TestOnlyTheAdapterKnowsThePlatform(t *testing.T) {
+	for _, path := range files(t, ".go") {
+		slash := filepath.ToSlash(path)
+		if strings.HasPrefix(slash, "platform/") || slash == "imports_test.go" {
+			continue
+		}
+		found := platformNames.FindString(read(t, path))
+		assert.Assert(t, found == "", "%s speaks of %s", path, found)
+		knows := strings.Contains(read(t, path), modulePath+"/platform"+`"`)
+		assert.Assert(t, !knows || strings.HasPrefix(slash, "internal/admin/"), "%s imports the adapter", path)
+	}
+}
--- /dev/null
+++ b/internal/owner/lead/lead_test.go
@@ -0,0 +1,260 @@
+package lead
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// world is a store and some VMs on one clock.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	lease   Lease
+	version object.Version
+	vms     []*vm
+	away    bool // the store answers nobody
+	lose    bool // it does what it is asked, and the answer is lost
+}
+
+type vm struct {
+	w      *world
+	name   ident.VM
+	model  Model
+	cut    bool // does not reach the store
+	deaf   bool // does not reach the leader
+	frozen bool
+	later  []func()
+}
+
+func newWorld(t *rapid.T, n int) *world {
+	w := &world{t: t, now: time.Unix(1000, 0)}
+	for i := range n {
+		v := &vm{w: w, name: ident.VM(rune('a' + i))}
+		v.start("1")
+		w.vms = append(w.vms, v)
+	}
+	return w
+}
+
+func (v *vm) start(life string) {
+	v.model = New(v.w.now, v.name, string(v.name)+life, netip.AddrPort{})
+	v.later = nil
+}
+
+func (v *vm) tell(msg loop.Msg) {
+	next, cmds := v.model.Update(v.w.now, msg)
+	v.model = next.(Model)
+	for _, c := range cmds {
+		v.do(c)
+	}
+}
+
+func (v *vm) do(cmd loop.Cmd) {
+	w, asked := v.w, v.w.now
+	unreached := w.away || v.cut
+	switch cmd := cmd.(type) {
+	case ReadCmd:
+		msg := ReadMsg{Asked: asked, Lease: w.lease, Version: w.version}
+		if w.version == 0 {
+			msg.Kind = kinds.Absent
+		}
+		if unreached || w.lose {
+			msg = ReadMsg{Asked: asked, Kind: kinds.Down}
+		}
+		v.later = append(v.later, func() { v.tell(msg) })
+	case WriteCmd:
+		msg := WroteMsg{Asked: asked, Lease: cmd.Lease}
+		switch {
+		case unreached:
+			msg.Kind = kinds.Ambiguous
+		case cmd.Old != w.version:
+			msg.Kind = kinds.Conflict
+		default:
+			w.version++
+			w.lease = cmd.Lease
+			msg.Version = w.version
+			if w.lose {
+				msg = WroteMsg{Asked: asked, Lease: cmd.Lease, Kind: kinds.Ambiguous}
+			}
+		}
+		v.later = append(v.later, func() { v.tell(msg) })
+	}
+}
+
+// run plays for a while, in steps of 50 ms. Followers ask the leader every third of a
+// second.
+func (w *world) run(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for n := 0; d > 0; d -= step {
+		w.now = w.now.Add(step)
+		n++
+		for i, v := range w.vms {
+			if v.frozen {
+				continue
+			}
+			answers := v.later
+			v.later = nil
+			for _, f := range answers {
+				f()
+			}
+			v.tell(TickMsg{})
+			if n%6 == 0 {
+				w.ask(i, v)
+			}
+		}
+	}
+}
+
+func (w *world) ask(rank int, v *vm) {
+	leader := w.find(v.model.Lease().Holder)
+	if leader == nil || leader == v || leader.frozen || v.deaf || leader.deaf {
+		return
+	}
+	l := leader.model
+	v.tell(SeeMsg{l.Lease()})
+	switch {
+	case l.Stage() == Lead && l.Lease().Epoch == v.model.Lease().Epoch:
+		v.tell(HeardMsg{Epoch: l.Lease().Epoch, Troubled: l.Troubled(w.now)})
+		v.tell(RankMsg{rank})
+		leader.tell(SeeMsg{v.model.Lease()})
+	case l.Lease().Epoch == v.model.Lease().Epoch:
+		v.tell(EndedMsg{l.Lease().Epoch})
+		v.tell(LostMsg{l.Lease().Epoch})
+	}
+}
+
+func (w *world) find(name ident.VM) *vm {
+	for _, v := range w.vms {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// leaders lists those that may give orders now.
+func (w *world) leaders() []*vm {
+	var all []*vm
+	for _, v := range w.vms {
+		if w.now.Before(v.model.Until()) {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+// VMs freeze, start again, lose the store or each other, and the store loses answers.
+// A leader may be replaced while it still gives orders; the next one must know until
+// when, or it would give keys away that the other still renews.
+func TestANewLeaderKnowsHowLongTheOldOneMayGoOn(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3)
+		for range rapid.IntRange(2, 12).Draw(t, "faults") {
+			v := w.vms[rapid.IntRange(0, 2).Draw(t, "vm")]
+			switch rapid.IntRange(0, 6).Draw(t, "fault") {
+			case 0:
+				v.cut = !v.cut
+			case 1:
+				v.deaf = !v.deaf
+			case 2:
+				v.frozen = !v.frozen
+			case 3:
+				v.start("x" + string(rune('0'+len(w.lease.Life))))
+			case 4:
+				w.away = !w.away
+			case 5:
+				w.lose = !w.lose
+			case 6:
+				v.tell(LeaveMsg{})
+				v.start("y" + string(rune('0'+len(w.lease.Life))))
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				w.run(50 * time.Millisecond)
+				w.check()
+			}
+		}
+	})
+}
+
+// check compares each pair of leaders: the bar of the later one covers the other.
+func (w *world) check() {
+	all := w.leaders()
+	for _, a := range all {
+		for _, b := range all {
+			if a.model.Lease().Epoch < b.model.Lease().Epoch {
+				assert.Assert(w.t, !a.model.Until().After(b.model.Bar()),
+					"%s leads until %v, %s takes it for ended at %v", a.name, a.model.Until(), b.name, b.model.Bar())
+			}
+			assert.Assert(w.t, a == b || a.model.Lease().Epoch != b.model.Lease().Epoch, "two leaders of one epoch")
+		}
+	}
+}
+
+// A leader's process is killed. Nobody renews grants until another VM leads, and they
+// last four seconds.
+func TestALostLeaderIsReplacedWithinTwoSeconds(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 4)
+		w.run(3 * time.Second)
+		lost := w.find(w.lease.Holder)
+		assert.Equal(t, lost.model.Stage(), Lead)
+		lost.frozen = true
+		w.run(2 * time.Second)
+		assert.Assert(t, w.lease.Holder != lost.name)
+		assert.Equal(t, w.find(w.lease.Holder).model.Stage(), Lead)
+	})
+}
+
+// The store turns the leader away and serves the others. Keys of a server that leaves
+// must move within two seconds, and the leader can agree on nothing.
+func TestALeaderWithoutTheStoreIsReplacedByOneWithIt(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3)
+		w.run(3 * time.Second)
+		old := w.find(w.lease.Holder)
+		old.cut = true
+		w.run(5 * time.Second)
+		assert.Assert(t, w.lease.Holder != old.name)
+		assert.Equal(t, old.model.Stage(), Follow)
+	})
+}
+
+// The store is away from everybody for a while. The one who leads knows what it
+// granted, and is still the leader afterwards.
+func TestALeaderOutlastsAnAbsenceOfTheStore(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3)
+		w.run(3 * time.Second)
+		holder, epoch := w.lease.Holder, w.lease.Epoch
+		w.away = true
+		w.run(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second)
+		w.away = false
+		w.run(2 * time.Second)
+		assert.Equal(t, w.lease.Holder, holder)
+		assert.Equal(t, w.lease.Epoch, epoch)
+	})
+}
+
+// A leader that shuts down says so, and does not make the others wait for its silence.
+func TestALeaderThatLeavesIsReplacedAtOnce(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3)
+		w.run(3 * time.Second)
+		old := w.find(w.lease.Holder)
+		old.tell(LeaveMsg{})
+		w.run(900 * time.Millisecond)
+		assert.Assert(t, w.lease.Holder != old.name)
+		next := w.find(w.lease.Holder)
+		assert.Assert(t, !next.model.Bar().After(w.now.Add(Margin)), "it said that it has ended")
+	})
+}
--- /dev/null
+++ b/internal/owner/stripe/table_test.go
@@ -0,0 +1,128 @@
+package stripe
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+func drawTable(t *rapid.T) Table {
+	tab := NewTable()
+	tab.Epoch = rapid.Uint64Range(0, 1<<40).Draw(t, "epoch")
+	names := []ident.Server{"", "a", "b", "c"}
+	for range rapid.IntRange(0, 30).Draw(t, "splits") {
+		tab.Split(rapid.IntRange(0, len(tab.Rows)-1).Draw(t, "row"))
+	}
+	for i := range tab.Rows {
+		if i%17 == 0 {
+			r := &tab.Rows[i]
+			r.Owner = rapid.SampledFrom(names).Draw(t, "owner")
+			r.From = rapid.SampledFrom(names).Draw(t, "from")
+			r.Born = rapid.Int64Range(0, 1<<41).Draw(t, "born")
+			r.Fence = tab.Fence()
+		}
+	}
+	return tab
+}
+
+func TestATableComesBackAsItWasWritten(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		tab := drawTable(t)
+		b, err := tab.Encode()
+		assert.NilError(t, err)
+		back, err := Decode(b)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, tab)
+	})
+}
+
+func TestRowsCoverEveryKeyOnce(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		tab := drawTable(t)
+		next := 0
+		for _, r := range tab.Rows {
+			assert.Equal(t, int(r.First), next)
+			assert.Assert(t, r.Len() >= Cell && r.Len()%Cell == 0)
+			next = int(r.Last) + 1
+		}
+		assert.Equal(t, next, Keys)
+		key := rapid.Uint16().Draw(t, "key")
+		r := tab.Rows[tab.Find(key)]
+		assert.Assert(t, r.First <= key && key <= r.Last)
+	})
+}
+
+// Another program, or a slip of this one, wrote a table with a hole. Read as it
+// stands, the keys in the hole would have no owner and nobody would notice.
+func TestATableWithAHoleIsRefused(t *testing.T) {
+	for _, text := range []string{
+		``, `{}`, `{"rows":[]}`, `{"rows":[[4,0,0,0,0]]}`, `{"rows":[[0,1,0,0,0]]}`,
+		`{"rows":[[0,0,0,0,0],[0,0,0,0,0]]}`, `{"rows":[[0,0,0,9,0]],"top":3}`, `{"rows":[[0,0,0,0,0],[70000,0,0,0,0]]}`,
+	} {
+		_, err := Decode([]byte(text))
+		assert.Assert(t, err != nil, text)
+	}
+	_, err := Decode([]byte(`{"rows":[[0,0,0,0,0]]}`))
+	assert.NilError(t, err)
+}
+
+func TestATableStaysWithinItsBound(t *testing.T) {
+	tab := NewTable()
+	for i := 0; i < len(tab.Rows); i++ {
+		for tab.Split(i) {
+			continue
+		}
+	}
+	assert.Assert(t, len(tab.Rows) <= MostRows)
+}
+
+// A VM hears of changes as differences, misses some and gets the whole. It must see
+// the same owners as one that heard everything.
+func TestDifferencesAndTheWholeAgree(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		var all *View
+		for seq := range uint64(rapid.IntRange(1, 10).Draw(t, "changes")) {
+			first := rapid.Uint16Range(0, Keys/Cell-2).Draw(t, "first")
+			last := rapid.Uint16Range(first, Keys/Cell-1).Draw(t, "last")
+			name := rapid.SampledFrom([]ident.Server{"", "a", "b", "c"}).Draw(t, "server")
+			span := Span{First: first * Cell, Last: last*Cell + Cell - 1}
+			all = all.Apply(1, seq+1, false, []Served{{Span: span, Server: name}})
+		}
+		var whole *View
+		whole = whole.Apply(1, all.Seq, true, all.Spans())
+		key := ident.Key(strconv.Itoa(int(rapid.Uint16().Draw(t, "key"))))
+		a, okA := all.Owner(key)
+		b, okB := whole.Owner(key)
+		assert.Equal(t, okA, okB)
+		assert.Equal(t, a.Server, b.Server)
+	})
+}
+
+func TestWhatIsNoKeyHasNoOwner(t *testing.T) {
+	var v *View
+	v = v.Apply(1, 1, true, []Served{{Span: Span{First: 0, Last: 65535}, Server: "a"}})
+	for _, k := range []ident.Key{"", "-1", "65536", "x", "1.5", " 1"} {
+		_, ok := v.Owner(k)
+		assert.Assert(t, !ok, k)
+	}
+	o, ok := v.Owner("65535")
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Server, ident.Server("a"))
+	var none *View
+	_, ok = none.Owner("1")
+	assert.Assert(t, !ok)
+}
+
+func BenchmarkOwner(b *testing.B) {
+	var v *View
+	v = v.Apply(1, 1, true, []Served{{Span: Span{First: 0, Last: 65535}, Server: "a"}})
+	b.ReportAllocs()
+	for b.Loop() {
+		v.Owner("12345")
+	}
+}
