--- a/internal/admin/cmds/app.go
+++ b/internal/admin/cmds/app.go
@@ -150,6 +150,7 @@
 	add(rules.AddCommand("history", "show who changed the rules and when", historyHelp, &historyCmd{app: a}))
 	add(p.AddCommand("report", "who received what, when, why, under whose rule", reportHelp, &reportCmd{app: a}))
 	add(p.AddCommand("owners", "which server owns what now", ownersHelp, &ownersCmd{app: a}))
+	add(p.AddCommand("explain", "one request's story, from the logs of all VMs", explainHelp, &explainCmd{app: a}))
 	add(p.AddCommand("demo", "see it work, in one process", demoHelp, &demoCmd{app: a}))
 	measure := add(p.AddCommand("bench", "run the measurements", benchHelp, &benchCmd{app: a}))
 	measure.SubcommandsOptional = true
--- /dev/null
+++ b/internal/admin/cmds/explain_test.go
@@ -0,0 +1,44 @@
+package cmds
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const twoVMs = `host-1 {"time":"2026-05-16T01:00:01Z","level":"INFO","msg":"rules in force","rev":3}
+not a line
+host-1 {"time":"2026-05-16T01:00:02Z","level":"INFO","msg":"rules in force","rev":9}
+host-2 {"time":"2026-05-16T01:00:02.5Z","level":"WARN","msg":"store lost","kind":"servers/"}
+host-2 {"time":"2026-05-16T01:00:04Z","level":"INFO","msg":"decision","id":"a1","vm":"host-2","kind":"moving","code":503,"took":410000000}
+host-1 {"time":"2026-05-16T01:00:03Z","level":"INFO","msg":"decision","id":"a2","vm":"host-1","code":200}
+host-2 {"time":"2026-05-16T01:00:05Z","level":"INFO","msg":"store regained","kind":"servers/"}
+`
+
+// A caller complains of one answer. Whoever looks for its cause has the logs of all
+// VMs and the request's id, and needs to see what the VM that answered believed then,
+// not what it learned later or what others believed.
+func TestExplainTellsWhatTheDecidingVMBelieved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "all.log")
+	assert.NilError(t, os.WriteFile(path, []byte(twoVMs), 0o600))
+	var out, errs bytes.Buffer
+	assert.Equal(t, Main(t.Context(), []string{"explain", "a1", path}, &out, &errs), ExitOK, errs.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2, out.String())
+	assert.Assert(t, strings.Contains(lines[0], "store lost"))
+	assert.Assert(t, strings.Contains(lines[1], "took=410ms"))
+	assert.Assert(t, strings.Contains(lines[1], "kind=moving"))
+}
+
+func TestExplainSaysWhenNothingIsKnown(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "all.log")
+	assert.NilError(t, os.WriteFile(path, []byte(twoVMs), 0o600))
+	var out, errs bytes.Buffer
+	assert.Assert(t, Main(t.Context(), []string{"explain", "zz", path}, &out, &errs) != ExitOK)
+	assert.Assert(t, strings.Contains(errs.String(), "no line speaks of zz"))
+	assert.Assert(t, Main(t.Context(), []string{"explain", "zz", path + "x"}, &out, &errs) != ExitOK)
+}
--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/audit/lines"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/daemon"
@@ -76,7 +77,9 @@
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewJSONHandler(c.app.out, nil))
+	out := lines.New(slog.NewJSONHandler(c.app.out, nil), 0)
+	defer out.Close()
+	log := slog.New(out.Handler())
 	h := host.New(cfg, platform.New(cfg.Store), log)
 	if err := h.Start(c.app.ctx); err != nil {
 		return errors.Join(err, h.Close())
--- a/internal/audit/record/record_test.go
+++ b/internal/audit/record/record_test.go
@@ -104,3 +104,23 @@
 		w.write(d)
 	}
 }
+
+// A VM serves a thousand requests a second. A line for each would cost more than the
+// requests; without a rule that says which are left out and how many, a reader would
+// take the log for the whole.
+func TestPlainDecisionsAreSummedAboveARate(t *testing.T) {
+	var out bytes.Buffer
+	w := New("vm-1", slog.New(slog.NewJSONHandler(&out, nil)), WithRate(10))
+	start := time.Unix(1000, 0)
+	for i := range 100 {
+		d := Decision{Sort: Route, ID: "a", At: start.Add(time.Duration(i) * time.Millisecond), Status: 200, Tries: 1}
+		if i%20 == 0 {
+			d.Kind = "busy"
+		}
+		assert.Assert(t, w.Record(d))
+	}
+	assert.NilError(t, w.Close())
+	assert.Equal(t, strings.Count(out.String(), `"msg":"decision"`), 15)
+	assert.Equal(t, strings.Count(out.String(), `"kind":"busy"`), 5)
+	assert.Assert(t, strings.Contains(out.String(), `"msg":"plain decisions summed","count":85`), out.String())
+}
--- a/internal/audit/record/writer.go
+++ b/internal/audit/record/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -43,8 +44,13 @@
 	ring  *ring.Ring[Decision]
 	sinks []Sink
 	quiet bool
+	rate  int // plain decisions that get a line of their own, a second; zero: all
 	group group.Group
 
+	second time.Time // the present second of the rate; the writing duty's own
+	inIt   int       // plain lines in it
+	summed uint64    // plain decisions without a line since the last sum
+
 	told    uint64    // losses already reported; the writing duty's own
 	toldAt  time.Time // when
 	written atomic.Uint64
@@ -64,6 +70,11 @@
 // WithoutLines hands decisions to the sinks only and logs nothing but losses.
 func WithoutLines() Option { return func(w *Writer) { w.quiet = true } }
 
+// WithRate gives only n plain decisions a second a line of their own, and sums up the
+// others in one line a second. Plain is a request that was answered at its first
+// attempt and without a fault of the server. Sinks get all decisions.
+func WithRate(n int) Option { return func(w *Writer) { w.rate = n } }
+
 // New starts a writer for one VM. A nil log uses [slog.Default].
 func New(vm ident.VM, log *slog.Logger, opts ...Option) *Writer {
 	if log == nil {
@@ -134,6 +145,7 @@
 		}
 		w.write(d)
 	}
+	w.sum(time.Now())
 	w.report(time.Now())
 	return err
 }
@@ -167,13 +179,40 @@
 }
 
 func (w *Writer) write(d Decision) {
-	if !w.quiet {
+	if !w.quiet && w.lineFor(&d) {
 		w.log.LogAttrs(context.Background(), slog.LevelInfo, "decision", append(d.attrs(), slog.Time("at", d.At))...)
 	}
 	w.hand(d)
 	w.written.Add(1)
 }
 
+// lineFor decides whether a decision gets a line of its own. Failures, repeats and
+// moves always do.
+func (w *Writer) lineFor(d *Decision) bool {
+	plain := d.Sort == Route && d.Kind == "" && d.Tries <= 1 && d.Status < http.StatusInternalServerError
+	if w.rate <= 0 || !plain {
+		return true
+	}
+	if d.At.Sub(w.second) >= time.Second {
+		w.sum(d.At)
+	}
+	w.inIt++
+	if w.inIt <= w.rate {
+		return true
+	}
+	w.summed++
+	return false
+}
+
+// sum begins another second, and says how many plain decisions the last ones had
+// without a line.
+func (w *Writer) sum(now time.Time) {
+	if w.summed > 0 {
+		w.log.LogAttrs(context.Background(), slog.LevelInfo, "plain decisions summed", slog.Uint64("count", w.summed))
+	}
+	w.second, w.inIt, w.summed = now, 0, 0
+}
+
 func (w *Writer) hand(d Decision) {
 	for _, s := range w.sinks {
 		s.Take(d)
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -42,6 +42,7 @@
 	Meter   *meter.Meter
 	Reign   *reign
 	Courier *courier
+	Gauges  *gauges
 	Fleet   *fleet
 	Book    *book
 	Log     *slog.Logger
--- /dev/null
+++ b/internal/edge/host/gauges.go
@@ -0,0 +1,99 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+)
+
+// gaugeEvery is how often the gauges are brought up to date: more often than anybody
+// reads them, and cheap.
+const gaugeEvery = time.Second
+
+// gauges brings what the parts know of themselves to the metrics. Counters of requests
+// are kept where requests end, see package meter.
+type gauges struct {
+	group group.Group
+	p     gaugeParts
+}
+
+type gaugeParts struct {
+	fx.In
+	Platform Platform
+	Meter    *meter.Meter
+	Reign    *reign
+	Board    *hub.Board
+	State    *state.State
+	Record   *record.Writer
+}
+
+func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
+	g := &gauges{p: p}
+	duties(lc, &g.group, g.run)
+	return g
+}
+
+func (g *gauges) run(ctx context.Context) error {
+	for group.Sleep(ctx, gaugeEvery) {
+		g.lead(tick.Now())
+		g.calls()
+		for name, svc := range g.p.State.Services() {
+			g.gate(string(name), svc.Gate.Stats())
+		}
+		g.set("decisions_left_out", float64(g.p.Record.Lost()))
+	}
+	return nil
+}
+
+func (g *gauges) set(name string, v float64) { g.p.Meter.Gauge(name).Update(v) }
+
+// lead tells whether this VM leads, for how long it may without the store, and how
+// many VMs there are.
+func (g *gauges) lead(now time.Time) {
+	m := g.p.Reign.model()
+	leads, left := 0.0, 0.0
+	if m.Stage() == lead.Lead {
+		leads, left = 1, m.Until().Sub(now).Seconds()
+	}
+	g.set("leads", leads)
+	g.set("lead_left_seconds", left)
+	g.set("lead_epoch", float64(m.Lease().Epoch))
+	g.set("vms", float64(g.p.Board.VMs(time.Now())))
+	rules, servers := g.p.Board.Revs()
+	g.set("rules_rev", float64(rules))
+	g.set("servers_rev", float64(servers))
+}
+
+// calls counts what was asked of the store.
+func (g *gauges) calls() {
+	if g.p.Platform.Calls == nil {
+		return
+	}
+	for kind, n := range g.p.Platform.Calls() {
+		g.p.Meter.Tagged(map[string]string{"call": kind}).Gauge("store_calls").Update(float64(n))
+	}
+}
+
+// gate tells how full a service is, and what its gate did.
+func (g *gauges) gate(svc string, s gate.Stats) {
+	scope := g.p.Meter.Tagged(map[string]string{"service": svc})
+	scope.Gauge("gate_waiting").Update(float64(s.Waiting))
+	scope.Gauge("gate_held").Update(float64(s.Held))
+	scope.Gauge("gate_running").Update(float64(s.Running))
+	scope.Gauge("gate_ejected").Update(float64(s.Ejected))
+	scope.Gauge("gate_retries").Update(float64(s.Retries))
+	scope.Gauge("gate_budget").Update(s.Budget)
+	for k, n := range s.Refused {
+		g.p.Meter.Tagged(map[string]string{"service": svc, "kind": k.String()}).Gauge("gate_refused").Update(float64(n))
+	}
+}
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -66,12 +66,15 @@
 	Servers string // kind of the servers' entries, with its slash
 	Rules   string // object that holds the rules
 	Own     string // kind of the system's own objects, with its slash
+	// Calls counts the calls to the store by kind; nil when nobody counts.
+	Calls func() map[string]int64
 }
 
 // Host is one entry VM. Make one with New.
 type Host struct {
 	cfg  Config
 	plat Platform
+	base plain
 	log  *slog.Logger
 	app  *fx.App
 	d    *doors
@@ -79,9 +82,12 @@
 
 // New prepares a VM. It opens nothing before Start.
 func New(cfg Config, p Platform, log *slog.Logger) *Host {
-	return &Host{cfg: cfg, plat: p, log: log}
+	return &Host{cfg: cfg, plat: p, base: plain{log}, log: log.With("vm", cfg.VM)}
 }
 
+// plain is the log without the VM's name, for decisions, which name it themselves.
+type plain struct{ *slog.Logger }
+
 // Times of starting and stopping.
 const (
 	startWait = 15 * time.Second
@@ -93,15 +99,15 @@
 func (h *Host) Start(ctx context.Context) error {
 	h.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return quiet{h.log} }),
-		fx.Supply(h.cfg, h.plat, h.log),
+		fx.Supply(h.cfg, h.plat, h.base, h.log),
 		fx.StartTimeout(startWait), fx.StopTimeout(h.stopWait()),
-		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newCourier, newDoors),
+		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newCourier, newGauges, newDoors),
 		fx.Invoke(func(d *doors) { h.d = d }),
 	)
 	if err := h.app.Err(); err != nil {
 		return err
 	}
-	h.log.Info("start", "vm", h.cfg.VM, "centre", h.cfg.Centre, "callers", h.cfg.Callers, "peers", h.cfg.Peers)
+	h.log.Info("start", "centre", h.cfg.Centre, "callers", h.cfg.Callers, "peers", h.cfg.Peers)
 	return h.app.Start(ctx)
 }
 
@@ -112,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.stopWait())
 	defer cancel()
 	err := h.app.Stop(ctx)
-	h.log.Info("stop", "vm", h.cfg.VM)
+	h.log.Info("stop")
 	return err
 }
 
@@ -166,8 +172,12 @@
 	return m
 }
 
-func newRecord(lc fx.Lifecycle, cfg Config, log *slog.Logger) *record.Writer {
-	w := record.New(cfg.VM, log)
+// plainLines is how many plain decisions a second get a line of their own: all of a
+// usual day, a few in a hundred of the busiest.
+const plainLines = 60
+
+func newRecord(lc fx.Lifecycle, cfg Config, log plain) *record.Writer {
+	w := record.New(cfg.VM, log.Logger, record.WithRate(plainLines))
 	closes(lc, w)
 	return w
 }
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -73,6 +73,7 @@
 	s.Waiting, s.Held, s.Running = c.waiting, c.holds.n, c.running
 	s.Ejected = c.panel.Ejected()
 	s.Overload = c.Overload()
+	s.Budget = c.budget.Left()
 	for _, srv := range c.servers {
 		s.Servers = append(s.Servers, srv.stats(now))
 	}
--- a/internal/load/gate/types.go
+++ b/internal/load/gate/types.go
@@ -149,6 +149,7 @@
 	Running  int                   `json:"running"` // on backend servers now
 	Ejected  int                   `json:"ejected"` // servers given no load
 	Overload bool                  `json:"overload"`
+	Budget   float64               `json:"budget"` // retries left
 	Servers  []ServerStats         `json:"servers"`
 }
 
--- a/internal/load/retry/retry.go
+++ b/internal/load/retry/retry.go
@@ -89,6 +89,9 @@
 	return true
 }
 
+// Left is how many retries the budget has.
+func (b *Budget) Left() float64 { return b.retries }
+
 // First earns for a first attempt.
 func (b *Budget) First() {
 	b.retries = min(b.retries+cmp.Or(b.share, Share), cmp.Or(b.burst, Burst))
