--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -55,9 +55,14 @@
 	Why     string         `cbor:"why,omitempty" json:"why,omitempty"`   // one sentence
 	Took    time.Duration  `cbor:"took,omitempty" json:"took,omitempty"` // arrival to answer
 	Tries   int            `cbor:"tries,omitempty" json:"tries,omitempty"`
-	Count   uint64         `cbor:"count,omitempty" json:"count,omitempty"` // for Lost and Skip
-	Keep    keep.Word      `cbor:"keep,omitempty" json:"keep,omitempty"`   // of the rule; in the journal for Skip alone
-	Skip    bool           `cbor:"-" json:"-"`                             // the rule leaves it out of the journal
+	// Of a refusal: how many requests of this VM ran and waited where it was to go, and
+	// how many may run there.
+	Busy  int       `cbor:"busy,omitempty" json:"busy,omitempty"`
+	Most  int       `cbor:"most,omitempty" json:"most,omitempty"`
+	Queue int       `cbor:"queue,omitempty" json:"queue,omitempty"`
+	Count uint64    `cbor:"count,omitempty" json:"count,omitempty"` // for Lost and Skip
+	Keep  keep.Word `cbor:"keep,omitempty" json:"keep,omitempty"`   // of the rule; in the journal for Skip alone
+	Skip  bool      `cbor:"-" json:"-"`                             // the rule leaves it out of the journal
 }
 
 // LogValue groups the fields that are set, so that a line stays short.
@@ -95,6 +100,9 @@
 		all = append(all, slog.Duration("took", d.Took))
 	}
 	number("tries", uint64(max(d.Tries, 0)))
+	number("busy", uint64(max(d.Busy, 0)))
+	number("most", uint64(max(d.Most, 0)))
+	number("queue", uint64(max(d.Queue, 0)))
 	number("count", d.Count)
 	text("keep", string(d.Keep))
 	return all
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -266,6 +266,7 @@
 		}
 	}
 	x.settle()
+	x.sight(err)
 	if err != nil && !x.sent {
 		x.note.Status = x.refuse(err)
 	}
@@ -281,6 +282,20 @@
 	}
 }
 
+// sight notes what the gate saw when it refused the request: without it a reader of
+// the log knows that it was refused, and not whether rightly.
+func (x *exchange) sight(err error) {
+	var refused *gate.Refusal
+	if x.svc == nil || !errors.As(err, &refused) {
+		return
+	}
+	if owner, ok := x.svc.Owner(x.key); x.svc.Divided && ok {
+		x.note.Server = owner.Server
+	}
+	s := x.svc.Gate.Look(x.note.Server)
+	x.note.Busy, x.note.Most, x.note.Queue = s.Running, s.Most, s.Waiting
+}
+
 // safe reports whether a method asks for nothing to be changed (RFC 9110, 9.2.1).
 func safe(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/load/retry"
 	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
@@ -80,6 +81,18 @@
 	return s
 }
 
+// Look returns what decides about requests for a server, see [Gate.Look].
+func (c *Core) Look(now time.Time, name ident.Server) Sight {
+	if s := c.byName[name]; s != nil {
+		v := Sight{Running: s.running, Most: s.most(now)}
+		if s.own != nil {
+			v.Waiting = s.own.len()
+		}
+		return v
+	}
+	return Sight{Running: c.running, Most: int(c.width[sizes.Short]), Waiting: c.any.len()}
+}
+
 func (s *server) stats(now time.Time) ServerStats {
 	n := 0
 	if s.own != nil {
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -179,6 +179,22 @@
 	return g.core.HedgeAfter()
 }
 
+// Sight is what the gate sees of where a request was to go: of its key's owner, or of
+// all servers together.
+type Sight struct {
+	Running int // requests of this VM there
+	Most    int // as many may run there
+	Waiting int // requests of this VM that wait for a place there
+}
+
+// Look returns what decides about requests for a server's keys now, or, for the empty
+// name, about those that may go anywhere.
+func (g *Gate) Look(s ident.Server) Sight {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Look(time.Now(), s)
+}
+
 // Stats returns the gate's counters and gauges.
 func (g *Gate) Stats() Stats {
 	g.mu.Lock()
