--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -32,7 +32,10 @@
 	told   int        // load in the last report
 	toldAt time.Time
 	turn   turn
-	own    *lanes // requests for the keys it owns
+	own    *lanes        // requests for the keys it owns
+	work   time.Duration // of one request, without the wait for others
+	pace   time.Duration // pause between two requests for its keys while others crowd it
+	paceAt time.Time     // the next one may start
 }
 
 // lanes returns the queues for the server's keys, made at the first use.
@@ -60,7 +63,7 @@
 	if s.kind == sizes.Short {
 		running -= s.long
 	}
-	return !s.gone && running < s.most(now) && s.running < s.pool.Most(now)
+	return !s.gone && running < s.most(now) && s.running < s.pool.Most(now) && !now.Before(s.paceAt)
 }
 
 // room reports whether a request that may go anywhere may go here.
@@ -80,6 +83,7 @@
 	}
 	s.health.Sent(now, expect)
 	s.pool.Use(now)
+	s.paceAt = now.Add(s.pace)
 }
 
 // learn takes in what became of an attempt.
@@ -100,6 +104,7 @@
 		s.health.Gone()
 	case o.Refused:
 		s.fault = kinds.Busy
+		c.paceOut(s)
 		c.learnRefused(now, s, t, took)
 	case o.Kind == kinds.None:
 		c.learnAnswer(now, s, t, took)
@@ -125,6 +130,7 @@
 
 func (c *Core) learnAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
 	typical := c.typical(t.long).Seconds()
+	s.learnWork(now, took)
 	c.seen[t.long]++
 	c.mix.Observe(t.Job.Size, uint8(t.Job.Class), took)
 	s.limit[t.long].Observe(now, took)
@@ -202,6 +208,7 @@
 func (c *Core) Report(now time.Time, name ident.Server, load int, age time.Duration) {
 	if s := c.byName[name]; s != nil {
 		s.told, s.toldAt = load, now.Add(-age)
+		c.paceBy(s, load)
 		s.load.Report(now, load, age, c.typical(sizes.Short))
 		s.limit[s.kind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
