--- a/internal/load/gate/near_test.go
+++ b/internal/load/gate/near_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 // Uploads of sixty kilobytes go to whichever server is next in turn. Two of three
@@ -62,3 +63,26 @@
 		}
 	}
 }
+
+// A server has ended and one of another service has its address. Whoever is sent there
+// is turned away, until its entry lapses seconds later.
+func TestAServerWhoseAddressAnswersForAnotherIsLeftAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewCore(Config{Seed: 1})
+	c.SetServers(now, []ServerInfo{{Name: "a", Slots: 4, Conns: 100}, {Name: "b", Slots: 4, Conns: 100}})
+	c.SetShare(now, 1, 0)
+	turned := 0
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		c.Tick(now)
+		tk := &Ticket{Job: Job{Deadline: now.Add(time.Second)}, wake: make(chan struct{}, 1)}
+		assert.Equal(t, c.Offer(now, tk), Start)
+		o := Outcome{Latency: 10 * time.Millisecond}
+		if tk.Server() == "b" {
+			turned++
+			o = Outcome{Kind: kinds.Misrouted, Refused: true}
+		}
+		c.Done(now, tk, o)
+	}
+	assert.Equal(t, turned, 1)
+}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -12,6 +12,11 @@
 	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
+// endedFor is how long a server whose address answered for another one is not chosen:
+// its entry lapses within a few seconds. Without it each VM sends a part of its
+// requests to where they are turned away, and spends the budget for repeats on them.
+const endedFor = 5 * time.Second
+
 // paceFollow averages about ten answers, as the health judgement does.
 const paceFollow = 0.1
 
@@ -24,18 +29,19 @@
 	long    int
 	kind    sizes.Kind // which kind's latency the limit follows now
 
-	limit  [sizes.Kinds]limit.Limit
-	load   pick.Load
-	health health.Server
-	pool   conns.Pool
-	fault  kinds.Kind // of the last attempt that came to nothing, as callers are told
-	told   int        // load in the last report
-	toldAt time.Time
-	turn   turn
-	own    *lanes        // requests for the keys it owns
-	work   time.Duration // of one request, without the wait for others
-	pace   time.Duration // pause between two requests for its keys while others crowd it
-	paceAt time.Time     // the next one may start
+	limit   [sizes.Kinds]limit.Limit
+	load    pick.Load
+	health  health.Server
+	pool    conns.Pool
+	fault   kinds.Kind // of the last attempt that came to nothing, as callers are told
+	told    int        // load in the last report
+	toldAt  time.Time
+	turn    turn
+	own     *lanes        // requests for the keys it owns
+	work    time.Duration // of one request, without the wait for others
+	pace    time.Duration // pause between two requests for its keys while others crowd it
+	paceAt  time.Time     // the next one may start
+	endedTo time.Time     // its address answered for another server; not chosen until then
 }
 
 // lanes returns the queues for the server's keys, made at the first use.
@@ -68,7 +74,7 @@
 
 // room reports whether a request that may go anywhere may go here.
 func (s *server) room(now time.Time) bool {
-	if s.gone || s.info.Drain {
+	if s.gone || s.info.Drain || now.Before(s.endedTo) {
 		return false
 	}
 	allowed := min(s.limit[s.kind].Max(), s.pool.Most(now))
@@ -100,6 +106,9 @@
 		took = now.Sub(t.at)
 	}
 	switch {
+	case o.Kind == kinds.Misrouted && t.Job.Server == "":
+		s.endedTo = now.Add(endedFor)
+		s.health.Gone()
 	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted:
 		s.health.Gone()
 	case o.Refused:
