--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -146,7 +146,6 @@
 	listed  func([]object.Object, object.Cursor)
 	changed func([]object.Change, object.Cursor)
 	down    func()
-	pause   func(n int) time.Duration // after n changes, before the next watch
 	failed  int
 }
 
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -69,8 +69,10 @@
 		at   netip.AddrPort
 		stop func(context.Context) error
 	}{
-		{&d.peers, cfg.Peers, d.peers.end}, {&d.metrics, cfg.Metrics, d.metrics.end},
-		{&d.operators, cfg.Operators, d.operators.end}, {&d.callers, cfg.Callers, d.retire},
+		{&d.peers, cfg.Peers, d.peers.end},
+		{&d.metrics, cfg.Metrics, d.metrics.end},
+		{&d.operators, cfg.Operators, d.operators.end},
+		{&d.callers, cfg.Callers, d.retire},
 	} {
 		lc.Append(fx.Hook{OnStart: func(context.Context) error { return one.door.open(one.at) }, OnStop: one.stop})
 	}
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -237,31 +237,52 @@
 	b.asked[a.VM] = asker{addr: a.Addr, at: now}
 }
 
-// look returns the news for an asker, whether they are any, and what to wait for.
-func (b *Board) look(now time.Time, a *Ask) (News, bool, <-chan struct{}) {
+// look returns the news for an asker, whether they are worth an answer now, and what
+// to wait for otherwise.
+func (b *Board) look(now time.Time, a *Ask) (n News, worth bool, more <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads, Away: b.leads && b.away}
-	any := !b.leads
+	n = News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads, Away: b.leads && b.away}
+	worth = b.stored(a, &n)
+	if !b.leads {
+		return n, true, nil // it has nothing to wait for here
+	}
+	worth = b.owners(a, &n) || worth
+	b.others(now, a, &n)
+	return n, worth, b.more
+}
+
+// stored adds what the store holds and the asker does not know yet. The caller holds
+// mu, here and below.
+func (b *Board) stored(a *Ask, n *News) bool {
 	if b.rules.Rev > a.Rules {
 		r := b.rules
-		n.Rules, any = &r, true
+		n.Rules = &r
 	}
 	if b.servers.Rev > a.Servers {
 		l := b.servers
-		n.Servers, any = &l, true
-	}
-	if !b.leads {
-		return n, true, nil
+		n.Servers = &l
 	}
+	return n.Rules != nil || n.Servers != nil
+}
+
+// owners adds what changed in who serves what.
+func (b *Board) owners(a *Ask, n *News) bool {
 	for svc, h := range b.views {
-		if c, ok := h.since(a, svc, b.lease.Life); ok {
-			if n.Changes == nil {
-				n.Changes = map[ident.Service]Change{}
-			}
-			n.Changes[svc], any = c, true
+		c, ok := h.since(a, svc, b.lease.Life)
+		if !ok {
+			continue
 		}
+		if n.Changes == nil {
+			n.Changes = map[ident.Service]Change{}
+		}
+		n.Changes[svc] = c
 	}
+	return n.Changes != nil
+}
+
+// others adds who else asks, and how many of them go before the asker.
+func (b *Board) others(now time.Time, a *Ask, n *News) {
 	for vm, other := range b.asked {
 		if now.Sub(other.at) > Gone {
 			continue
@@ -271,7 +292,6 @@
 			n.Rank++
 		}
 	}
-	return n, any, b.more
 }
 
 // since joins what changed after what an asker knows.
--- a/internal/edge/hub/serve.go
+++ b/internal/edge/hub/serve.go
@@ -50,8 +50,8 @@
 	timer := time.NewTimer(Wait)
 	defer timer.Stop()
 	for {
-		n, any, more := b.look(time.Now(), a)
-		if any {
+		n, worth, more := b.look(time.Now(), a)
+		if worth {
 			return n
 		}
 		select {
--- a/internal/load/gate/near_test.go
+++ b/internal/load/gate/near_test.go
@@ -17,8 +17,10 @@
 	now := time.Unix(1000, 0)
 	c := NewCore(Config{Seed: 1, Centre: "here"})
 	c.SetServers(now, []ServerInfo{
-		{Name: "a", Centre: "here", Slots: 4, Conns: 100}, {Name: "b", Centre: "there", Slots: 4, Conns: 100},
-		{Name: "c", Centre: "here", Slots: 4, Conns: 100}, {Name: "d", Centre: "there", Slots: 4, Conns: 100},
+		{Name: "a", Centre: "here", Slots: 4, Conns: 100},
+		{Name: "b", Centre: "there", Slots: 4, Conns: 100},
+		{Name: "c", Centre: "here", Slots: 4, Conns: 100},
+		{Name: "d", Centre: "there", Slots: 4, Conns: 100},
 	})
 	c.SetShare(now, 1, 0)
 	went := map[ident.Server]int{}
@@ -36,7 +38,7 @@
 			c.Done(now, tk, Outcome{Latency: took})
 		}
 	}
-	warm(t, c, &now)
+	warm(c, &now)
 	serve(0, "")
 	assert.Equal(t, went["b"]+went["d"], 0, "equal servers: all stay near")
 	clear(went)
@@ -48,7 +50,7 @@
 }
 
 // warm fills all servers at once, so that something is known of each.
-func warm(t *testing.T, c *Core, now *time.Time) {
+func warm(c *Core, now *time.Time) {
 	for range 10 {
 		var all []*Ticket
 		for range 12 {
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -113,7 +113,7 @@
 			m.released(now, p, d)
 			continue
 		}
-		out = append(out, m.gave(now, p, msg.Born, d)...)
+		out = append(out, m.gave(p, msg.Born, d)...)
 		if d.Kind == kinds.None || d.Kind == kinds.Fenced {
 			answered++
 		} else {
@@ -174,7 +174,7 @@
 }
 
 // gave takes in the answer to a grant.
-func (m *Model) gave(now time.Time, p *peer, born int64, d Done) []loop.Cmd {
+func (m *Model) gave(p *peer, born int64, d Done) []loop.Cmd {
 	if d.Kind != kinds.Down && d.Kind != kinds.Misrouted {
 		// Obeyed or not, it may be: whoever owns these keys next waits for it.
 		m.mayHave(p, d)
--- a/internal/owner/deal/world_test.go
+++ b/internal/owner/deal/world_test.go
@@ -96,10 +96,7 @@
 
 // run plays until a time.
 func (w *world) run(until time.Time) {
-	for {
-		if len(w.events) == 0 {
-			break
-		}
+	for len(w.events) > 0 {
 		i := 0
 		for j := range w.events {
 			a, b := w.events[j], w.events[i]
--- a/internal/rules/match/check.go
+++ b/internal/rules/match/check.go
@@ -154,7 +154,7 @@
 		c.add("when.path", reason(err))
 	}
 	c.rule.path = p
-	c.addIf(w.Prefix != "" && !(strings.HasPrefix(w.Prefix, "/") && strings.HasSuffix(w.Prefix, "/")),
+	c.addIf(w.Prefix != "" && (!strings.HasPrefix(w.Prefix, "/") || !strings.HasSuffix(w.Prefix, "/")),
 		"when.prefix", "a prefix begins and ends with a slash")
 	for _, s := range w.Service {
 		c.checkService("when.service", s)
