--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -71,12 +72,18 @@
 	return d.Close()
 }
 
+// collectAt makes the garbage collector run when the heap has grown by half since the
+// last time. The VMs are small, memory is paid for, and collecting some megabytes takes
+// less than a thousandth of a core.
+const collectAt = 50
+
 // join runs an entry VM on the platform that started the process.
 func (c *serveCmd) join(path string) error {
 	cfg, err := platform.Load(path)
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectAt)
 	out := lines.New(slog.NewJSONHandler(c.app.out, nil), 0)
 	defer out.Close()
 	log := slog.New(out.Handler())
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -70,7 +70,7 @@
 	settle = time.Second
 	// tidy is how long a finished move waits to be written down: the next change
 	// mostly takes it along.
-	tidy = 500 * time.Millisecond
+	tidy = 2 * time.Second
 )
 
 // Authority says until when this VM may give orders, and until when a leader
@@ -235,6 +235,7 @@
 	peers   map[ident.Server]*peer
 	loads   loads
 	planAt  time.Time
+	evenAt  time.Time // keys may move for balance again, if no server is far above the others
 	learnAt time.Time
 	seq     uint64
 	told    bool // a full view was given
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -14,6 +14,11 @@
 const (
 	// planEvery is the pause between two plans. Loads are reported three times a second.
 	planEvery = 300 * time.Millisecond
+	// evenEvery is the pause between two plans that move keys only to even loads out.
+	// Each costs two writes to the store, and nobody waits for them.
+	evenEvery = 1500 * time.Millisecond
+	// hotTimes is how many times the mean load a server has when it cannot wait.
+	hotTimes = 1.9
 	// budgetShare is the part of the rows that one plan may move for balance.
 	budgetShare = 1.0 / 16
 	// bandHigh and bandLow are how far above the mean a server's load may be before
@@ -121,6 +126,9 @@
 	notes := map[[2]string]*NoteCmd{} // by former owner and reason
 	changed := false
 	for _, mv := range moves {
+		if mv.Why == place.Excess || mv.Why == place.Fill {
+			m.evenAt = now.Add(evenEvery)
+		}
 		i := int(mv.Slice)
 		r, s := &d.table.Rows[i], &d.rows[i]
 		to := m.peers[mv.To]
@@ -178,6 +186,9 @@
 		for i, r := range d.table.Rows {
 			in.Loads[i] = m.loads.of(now, r.Span) + total*idleShare*float64(r.Len())/stripe.Keys
 		}
+		if now.Before(m.evenAt) && !m.hot(in) {
+			in.Band.Budget = 0
+		}
 	} else {
 		// Nobody asks, so nobody waits for keys that move: all may, and then lie
 		// evenly when somebody does.
@@ -186,6 +197,28 @@
 	return in
 }
 
+// hot reports whether some server has so much more than its part of the load that
+// its keys should move now.
+func (m *Model) hot(in place.Input) bool {
+	loads := make(map[ident.Server]float64, len(in.Servers))
+	total, capacity := 0.0, 0.0
+	for i, owner := range in.Owners {
+		loads[owner] += in.Loads[i]
+		total += in.Loads[i]
+	}
+	for _, s := range in.Servers {
+		if s.Takes {
+			capacity += s.Weight * s.Ramp
+		}
+	}
+	for _, s := range in.Servers {
+		if loads[s.ID] > hotTimes*total*s.Weight*s.Ramp/max(capacity, 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // band is how uneven loads may be: as much as chance makes them.
 func (m *Model) band(now time.Time, rows int) place.Band {
 	takers := 0
