--- /dev/null
+++ b/internal/edge/hub/hub_test.go
@@ -0,0 +1,170 @@
+package hub
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+var all = stripe.Span{First: 0, Last: stripe.Keys - 1}
+
+func launch(t *testing.T, b *Board) (netip.AddrPort, func() []Ask) {
+	var mu sync.Mutex
+	var heard []Ask
+	web := httptest.NewServer(b.Handler(func(a *Ask) {
+		mu.Lock()
+		defer mu.Unlock()
+		heard = append(heard, *a)
+	}))
+	t.Cleanup(web.Close)
+	at, err := netip.ParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	assert.NilError(t, err)
+	return at, func() []Ask {
+		mu.Lock()
+		defer mu.Unlock()
+		return heard
+	}
+}
+
+func leader() *Board {
+	b := NewBoard("vm-1", "vm-1-a")
+	b.SetLease(lead.Lease{Epoch: 3, Holder: "vm-1", Life: "vm-1-a"}, true)
+	return b
+}
+
+// A VM is cut off from the store alone. It must learn of rules, servers and owners
+// from the leader, and as they change, not at its next question.
+func TestNewsReachAWaitingVMAtOnce(t *testing.T) {
+	b := leader()
+	b.SetRules(Raw{Rev: 7, Data: []byte(`{"a":1}`)})
+	at, heard := launch(t, b)
+	c := NewClient()
+	n, err := c.Ask(t.Context(), at, &Ask{VM: "vm-2", Addr: "10.0.0.2:1", Rules: 7})
+	assert.NilError(t, err, "after the wait, with nothing new")
+	assert.Assert(t, n.Leads && n.Rules == nil && n.Changes == nil)
+	assert.Equal(t, len(heard()), 1)
+
+	type answer struct {
+		n   News
+		err error
+	}
+	got := make(chan answer, 1)
+	asked := time.Now()
+	web := sync.WaitGroup{}
+	web.Go(func() {
+		n, err := c.Ask(t.Context(), at, &Ask{VM: "vm-2", Rules: 7, Life: "vm-1-a"})
+		got <- answer{n, err}
+	})
+	for len(heard()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	b.Publish("lookup", Change{Epoch: 3, Seq: 1, Full: true, Spans: []stripe.Served{{Span: all, Server: "s1"}}})
+	a := <-got
+	web.Wait()
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.n.Changes["lookup"].Spans[0].Server, ident.Server("s1"))
+	assert.Assert(t, time.Since(asked) < 10*Wait)
+}
+
+// One that missed some changes gets the difference, one that missed too many or knew
+// another leader gets the whole.
+func TestWhoWasAwayCatchesUp(t *testing.T) {
+	b := leader()
+	var want *stripe.View
+	for seq := range uint64(keptChanges + 10) {
+		name := ident.Server("s" + string(rune('a'+seq%20)))
+		span := stripe.Span{First: uint16(seq * 64), Last: uint16(seq*64 + 63)}
+		want = b.Publish("lookup", Change{Epoch: 3, Seq: seq + 1, Full: seq == 0, Spans: []stripe.Served{{Span: span, Server: name}}})
+	}
+	for _, ask := range []Ask{
+		{VM: "x", Life: "vm-1-a", Seqs: map[ident.Service]uint64{"lookup": keptChanges}},
+		{VM: "x", Life: "vm-1-a", Seqs: map[ident.Service]uint64{"lookup": 2}},
+		{VM: "x", Life: "another", Seqs: map[ident.Service]uint64{"lookup": keptChanges + 10}},
+		{VM: "x"},
+	} {
+		n, worth, _ := b.look(time.Now(), &ask)
+		assert.Assert(t, worth)
+		c := n.Changes["lookup"]
+		assert.Equal(t, c.Full, ask.Life != "vm-1-a" || ask.Seqs["lookup"] == 2)
+		assert.Equal(t, c.Seq, uint64(keptChanges+10))
+		if c.Full {
+			var v *stripe.View
+			assert.DeepEqual(t, v.Apply(c.Epoch, c.Seq, true, c.Spans).Spans(), want.Spans())
+		}
+	}
+	_, worth, _ := b.look(time.Now(), &Ask{VM: "x", Life: "vm-1-a", Seqs: map[ident.Service]uint64{"lookup": keptChanges + 10}})
+	assert.Assert(t, !worth)
+}
+
+// A VM that starts while the store is away asks whomever it knows. One that does not
+// lead tells what it has at once, and who does.
+func TestAnyVMTellsWhatItKnows(t *testing.T) {
+	b := NewBoard("vm-2", "vm-2-a")
+	b.SetLease(lead.Lease{Epoch: 3, Holder: "vm-1", Life: "vm-1-a"}, false)
+	b.SetRules(Raw{Rev: 7, Data: []byte(`{}`)})
+	b.SetServers(ServerList{Rev: 9})
+	n, worth, _ := b.look(time.Now(), &Ask{VM: "vm-3"})
+	assert.Assert(t, worth && !n.Leads)
+	assert.Equal(t, n.Rules.Rev, uint64(7))
+	assert.Equal(t, n.Servers.Rev, uint64(9))
+	assert.Equal(t, n.Lease.Holder, ident.VM("vm-1"))
+	assert.Equal(t, n.Life, "vm-2-a")
+}
+
+func TestOlderNewsAreRefused(t *testing.T) {
+	b := leader()
+	assert.Assert(t, b.SetRules(Raw{Rev: 7}))
+	assert.Assert(t, !b.SetRules(Raw{Rev: 7}))
+	assert.Assert(t, !b.SetRules(Raw{Rev: 6}))
+	assert.Assert(t, b.SetServers(ServerList{Rev: 2}))
+	assert.Assert(t, !b.SetServers(ServerList{Rev: 1}))
+}
+
+// Who goes first when the leader is lost follows from the names of those who ask, so
+// that all agree on it without talking.
+func TestRanksFollowFromNames(t *testing.T) {
+	b := leader()
+	now := time.Now()
+	for _, vm := range []ident.VM{"c", "a", "b"} {
+		b.note(now, &Ask{VM: vm, Addr: string(vm)})
+	}
+	for vm, rank := range map[ident.VM]int{"a": 0, "b": 1, "c": 2} {
+		n, _, _ := b.look(now, &Ask{VM: vm})
+		assert.Equal(t, n.Rank, rank)
+		assert.Equal(t, len(n.VMs), 3)
+	}
+	assert.Equal(t, b.VMs(now), 4)
+	assert.Equal(t, b.VMs(now.Add(2*Gone)), 1)
+}
+
+// The leader's machine has no power: nobody answers, and nothing resets the
+// connection. The question must end, or nobody would ever take over.
+func TestAQuestionEnds(t *testing.T) {
+	b := leader()
+	at, _ := launch(t, b)
+	_ = at
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	_, err := NewClient().Ask(t.Context(), nobody, &Ask{VM: "x"})
+	assert.Equal(t, kinds.Of(err), kinds.Down)
+}
+
+// Turn tells watchers that this VM leads now, so that they ask the store afresh.
+func TestTurnEndsWhenTheLeadChanges(t *testing.T) {
+	b := NewBoard("vm-1", "a")
+	turn := b.Turn()
+	b.SetLease(lead.Lease{Epoch: 1, Holder: "vm-2"}, false)
+	assert.NilError(t, turn.Err(), "it followed before, too")
+	b.SetLease(lead.Lease{Epoch: 2, Holder: "vm-1"}, true)
+	assert.Assert(t, turn.Err() != nil)
+	assert.NilError(t, b.Turn().Err())
+}
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -70,7 +70,8 @@
 	s.pace = min(max(2*s.pace, time.Duration(firstPace*float64(even))), even)
 }
 
-// paceOut takes in that a server turned a request away.
+// paceOut takes in that a server turned a request away, or broke its connection: some
+// reset what they have no room for.
 func (c *Core) paceOut(s *server) {
 	if c.many(s) {
 		s.pace = c.evenPace(s)
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -118,6 +118,7 @@
 	case o.Kind == kinds.None:
 		c.learnAnswer(now, s, t, took)
 	default:
+		c.paceOut(s)
 		s.fault = kinds.NoServer
 		s.load.Observe(now, took, true)
 		s.health.Done(now, 0, true)
