--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -23,14 +24,15 @@
 const (
 	headerWait = 10 * time.Second
 	callerIdle = 90 * time.Second
-	// notice is how long the balancer needs to see that a VM takes no more: it asks
-	// each second, and takes a VM out after two answers.
-	notice = 2500 * time.Millisecond
+	// DefaultNotice is for a balancer that asks each second and takes a VM out after two
+	// answers.
+	DefaultNotice = 2500 * time.Millisecond
 )
 
 // doors are the listeners.
 type doors struct {
 	p                                  doorParts
+	notice                             time.Duration
 	callers, operators, peers, metrics door
 }
 
@@ -49,7 +51,7 @@
 }
 
 func newDoors(lc fx.Lifecycle, cfg Config, p doorParts) *doors {
-	d := &doors{p: p}
+	d := &doors{p: p, notice: cfg.Notice}
 	quiet := slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)
 	serve := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle, ErrorLog: quiet}
@@ -84,6 +86,7 @@
 func (d *doors) retire(ctx context.Context) error {
 	d.p.Front.Closing()
 	d.p.Reign.leave()
+	notice := cmp.Or(d.notice, DefaultNotice)
 	d.p.Log.Info("shutting down", "flying", d.p.Front.Flying(), "notice", notice)
 	group.Sleep(ctx, notice)
 	return d.callers.shut(ctx)
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -42,6 +42,7 @@
 	Seeds     []netip.AddrPort // some other VMs, which may be gone
 	History   time.Duration    // how far back the store's watches reach
 	Bounds    Bounds
+	Notice    time.Duration // how long the balancer needs to see that a VM leaves; zero is DefaultNotice
 }
 
 // Bounds are what the platform promises and demands.
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The load pattern is one hot key while many entry VMs share its owner. A VM's limit
 // never falls below one request, or it would be starved; but sixty-nine VMs with one
@@ -37,7 +40,8 @@
 
 // evenPace is the pause that gives each VM the same part of what a server can do.
 func (c *Core) evenPace(s *server) time.Duration {
-	return s.work * time.Duration(c.share.VMs) / time.Duration(max(s.info.Slots, 1))
+	work := cmp.Or(s.work, c.typical(s.kind)) // it may have answered others only
+	return work * time.Duration(c.share.VMs) / time.Duration(max(s.info.Slots, 1))
 }
 
 // learnWork takes in how long an answer took. What the server reported with it tells
