--- a/internal/load/retry/retry_test.go
+++ b/internal/load/retry/retry_test.go
@@ -69,3 +69,30 @@
 	assert.Assert(t, allowed <= Burst+50)
 	assert.Assert(t, !b.MayHedge(false, false, time.Second))
 }
+
+// Ten VMs repeat what was lost, each within its own count, and a platform counts all of
+// them together in any ten seconds. More than it allows breaks its rule, however
+// well each VM behaved.
+func TestABudgetIsSharedByWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, burst, vms = 0.16, 46.0, 10
+		all := make([]Budget, vms)
+		for i := range all {
+			all[i] = New()
+			all[i].Bound(share, burst/vms)
+		}
+		asked, again := 0, 0
+		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
+			b := &all[rapid.IntRange(0, vms-1).Draw(t, "vm")]
+			if rapid.Bool().Draw(t, "first") {
+				b.First()
+				asked++
+				continue
+			}
+			if b.Again() {
+				again++
+			}
+		}
+		assert.Assert(t, float64(again) <= burst+share*float64(asked), "%d of %d", again, asked)
+	})
+}
