--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/keeper"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/edge/warden"
@@ -148,7 +149,7 @@
 // wait until the VM is ready: see Ready. Call it once.
 func (d *Daemon) Start(ctx context.Context) error {
 	d.app = fx.New(
-		fx.WithLogger(func() fxevent.Logger { return quiet{d.opts.log} }),
+		fx.WithLogger(func() fxevent.Logger { return door.Quiet{Log: d.opts.log} }),
 		fx.Supply(d.cfg, d.opts),
 		fx.StartTimeout(startWait),
 		fx.StopTimeout(d.stopWait()),
@@ -183,10 +184,10 @@
 }
 
 // Callers returns the address that callers' requests are taken on.
-func (d *Daemon) Callers() netip.AddrPort { return d.parts.Doors.callers.addr() }
+func (d *Daemon) Callers() netip.AddrPort { return d.parts.Doors.callers.Addr() }
 
 // Operators returns the address of the operators' listener.
-func (d *Daemon) Operators() netip.AddrPort { return d.parts.Doors.operators.addr() }
+func (d *Daemon) Operators() netip.AddrPort { return d.parts.Doors.operators.Addr() }
 
 // Peers returns the address of the exchange with other entry VMs, the zero
 // value when there is none.
@@ -208,25 +209,3 @@
 
 // Keeper returns the authority over backend servers, for moves and drains.
 func (d *Daemon) Keeper() *keeper.Keeper { return d.parts.Keeper }
-
-// quiet passes on only fx's failures: its own account of the wiring would
-// drown the log of decisions.
-type quiet struct{ log *slog.Logger }
-
-// LogEvent logs a failure of the wiring.
-func (q quiet) LogEvent(e fxevent.Event) {
-	switch e := e.(type) {
-	case *fxevent.OnStartExecuted:
-		q.failed("start", e.CallerName, e.Err)
-	case *fxevent.OnStopExecuted:
-		q.failed("stop", e.CallerName, e.Err)
-	case *fxevent.Invoked:
-		q.failed("invoke", e.FunctionName, e.Err)
-	}
-}
-
-func (q quiet) failed(what, who string, err error) {
-	if err != nil {
-		q.log.Error(what, "part", who, "err", err)
-	}
-}
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"go.uber.org/fx"
@@ -16,7 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/keeper"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
@@ -58,56 +55,13 @@
 	return f
 }
 
-// door is one HTTP listener.
-type door struct {
-	web  *http.Server
-	l    net.Listener
-	done group.Group
-}
-
-func (d *door) open(at netip.AddrPort) error {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
-	if err != nil {
-		return kinds.Wrap(kinds.Down, err, "listen on "+at.String())
-	}
-	d.l = l
-	d.done.Go(func(context.Context) error {
-		if err := d.web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	return nil
-}
-
-func (d *door) addr() netip.AddrPort {
-	if d.l == nil {
-		return netip.AddrPort{}
-	}
-	return d.l.Addr().(*net.TCPAddr).AddrPort()
-}
-
-// shut stops accepting, waits for what is in flight until ctx ends, and then
-// breaks off what is left.
-func (d *door) shut(ctx context.Context) error {
-	err := d.web.Shutdown(ctx)
-	if err != nil {
-		_ = d.web.Close()
-		err = kinds.Wrap(kinds.Late, err, "requests were still in flight")
-	}
-	if e := d.done.Close(); err == nil {
-		err = e
-	}
-	return err
-}
-
 // doors are the listeners for callers and operators.
 type doors struct {
 	in        doorParts
 	cfg       config.Config
 	notice    time.Duration
-	callers   door
-	operators door
+	callers   door.Door
+	operators door.Door
 }
 
 type doorParts struct {
@@ -126,20 +80,20 @@
 func newDoors(lc fx.Lifecycle, cfg config.Config, o *options, a doorParts) *doors {
 	d := &doors{in: a, cfg: cfg, notice: o.notice}
 	quiet := slog.NewLogLogger(a.Log.Handler(), slog.LevelDebug)
-	d.callers.web = &http.Server{
+	d.callers.Web = &http.Server{
 		Handler: a.Front.Handler(), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
 		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
 	}
-	d.operators.web = &http.Server{
+	d.operators.Web = &http.Server{
 		Handler: d.routes(o.routes), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
 		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
 	}
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return d.operators.open(cfg.Listen.Operators) },
-		OnStop:  d.operators.shut,
+		OnStart: func(context.Context) error { return d.operators.Open(cfg.Listen.Operators) },
+		OnStop:  d.operators.Shut,
 	})
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return d.callers.open(cfg.Listen.Callers) },
+		OnStart: func(context.Context) error { return d.callers.Open(cfg.Listen.Callers) },
 		OnStop:  d.retire,
 	})
 	return d
@@ -153,5 +107,5 @@
 	group.Sleep(ctx, d.notice)
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Limit.Drain.Duration)
 	defer cancel()
-	return d.callers.shut(ctx)
+	return d.callers.Shut(ctx)
 }
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -13,7 +11,7 @@
 	"go.uber.org/fx"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/hub"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
@@ -33,7 +31,7 @@
 type doors struct {
 	p                                  doorParts
 	notice                             time.Duration
-	callers, operators, peers, metrics door
+	callers, operators, peers, metrics door.Door
 }
 
 type doorParts struct {
@@ -56,10 +54,10 @@
 	serve := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle, ErrorLog: quiet}
 	}
-	d.callers.web = serve(p.Front.Handler())
-	d.peers.web = serve(p.Board.Handler(p.Reign.heard))
-	d.metrics.web = serve(p.Meter.Handler())
-	d.operators.web = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	d.callers.Web = serve(p.Front.Handler())
+	d.peers.Web = serve(p.Board.Handler(p.Reign.heard))
+	d.metrics.Web = serve(p.Meter.Handler())
+	d.operators.Web = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if err := d.ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
@@ -67,16 +65,16 @@
 		w.WriteHeader(http.StatusOK)
 	}))
 	for _, one := range []struct {
-		door *door
+		door *door.Door
 		at   netip.AddrPort
 		stop func(context.Context) error
 	}{
-		{&d.peers, cfg.Peers, d.peers.end},
-		{&d.metrics, cfg.Metrics, d.metrics.end},
-		{&d.operators, cfg.Operators, d.operators.end},
+		{&d.peers, cfg.Peers, d.peers.End},
+		{&d.metrics, cfg.Metrics, d.metrics.End},
+		{&d.operators, cfg.Operators, d.operators.End},
 		{&d.callers, cfg.Callers, d.retire},
 	} {
-		lc.Append(fx.Hook{OnStart: func(context.Context) error { return one.door.open(one.at) }, OnStop: one.stop})
+		lc.Append(fx.Hook{OnStart: func(context.Context) error { return one.door.Open(one.at) }, OnStop: one.stop})
 	}
 	return d
 }
@@ -89,45 +87,5 @@
 	notice := cmp.Or(d.notice, DefaultNotice)
 	d.p.Log.Info("shutting down", "flying", d.p.Front.Flying(), "notice", notice)
 	group.Sleep(ctx, notice)
-	return d.callers.shut(ctx)
-}
-
-// door is one HTTP listener.
-type door struct {
-	web  *http.Server
-	done group.Group
-}
-
-func (d *door) open(at netip.AddrPort) error {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
-	if err != nil {
-		return kinds.Wrap(kinds.Down, err, "listen on "+at.String())
-	}
-	d.done.Go(func(context.Context) error {
-		if err := d.web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	return nil
-}
-
-// end breaks off what is open: nobody's request is on it.
-func (d *door) end(context.Context) error {
-	_ = d.web.Close()
-	return d.done.Close()
-}
-
-// shut stops accepting, waits for what is in flight until ctx ends, and then
-// breaks off what is left.
-func (d *door) shut(ctx context.Context) error {
-	err := d.web.Shutdown(ctx)
-	if err != nil {
-		_ = d.web.Close()
-		err = kinds.Wrap(kinds.Late, err, "requests were still in flight")
-	}
-	if e := d.done.Close(); err == nil {
-		err = e
-	}
-	return err
+	return d.callers.Shut(ctx)
 }
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -20,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/hub"
@@ -42,6 +43,7 @@
 	Seeds     []netip.AddrPort // some other VMs, which may be gone
 	History   time.Duration    // how far back the store's watches reach
 	Bounds    Bounds
+	Unknown   []string      // fields of the settings that were passed over
 	Notice    time.Duration // how long the balancer needs to see that a VM leaves; zero is DefaultNotice
 }
 
@@ -99,7 +101,7 @@
 // Start wires the parts, opens the listeners and starts all duties.
 func (h *Host) Start(ctx context.Context) error {
 	h.app = fx.New(
-		fx.WithLogger(func() fxevent.Logger { return quiet{h.log} }),
+		fx.WithLogger(func() fxevent.Logger { return door.Quiet{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.base, h.log),
 		fx.StartTimeout(startWait), fx.StopTimeout(h.stopWait()),
 		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newCourier, newGauges, newDoors),
@@ -108,6 +110,9 @@
 	if err := h.app.Err(); err != nil {
 		return err
 	}
+	if len(h.cfg.Unknown) > 0 {
+		h.log.Info("settings passed over", "fields", h.cfg.Unknown)
+	}
 	h.log.Info("start", "centre", h.cfg.Centre, "callers", h.cfg.Callers, "peers", h.cfg.Peers)
 	return h.app.Start(ctx)
 }
@@ -126,27 +131,6 @@
 // Ready returns nil when requests can be served, and why not otherwise.
 func (h *Host) Ready() error { return h.d.ready() }
 
-// quiet passes on only fx's failures.
-type quiet struct{ log *slog.Logger }
-
-// LogEvent logs a failure of the wiring.
-func (q quiet) LogEvent(e fxevent.Event) {
-	switch e := e.(type) {
-	case *fxevent.OnStartExecuted:
-		q.failed("start", e.CallerName, e.Err)
-	case *fxevent.OnStopExecuted:
-		q.failed("stop", e.CallerName, e.Err)
-	case *fxevent.Invoked:
-		q.failed("invoke", e.FunctionName, e.Err)
-	}
-}
-
-func (q quiet) failed(what, who string, err error) {
-	if err != nil {
-		q.log.Error(what, "part", who, "err", err)
-	}
-}
-
 // closer is a part that is closed when the VM stops.
 type closer interface{ Close() error }
 
--- /dev/null
+++ b/internal/owner/deal/agree.go
@@ -0,0 +1,164 @@
+package deal
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// store reads the table once, and writes it when it should change.
+func (m *Model) store(now time.Time) []loop.Cmd {
+	if m.calling || now.Before(m.callAt) {
+		return nil
+	}
+	if !m.loaded || m.stale {
+		m.calling = true
+		return []loop.Cmd{ReadCmd{}}
+	}
+	if m.table.Epoch > m.auth.Epoch {
+		return nil // another VM leads, and this one has not heard of it yet
+	}
+	d := m.plan(now)
+	if d == nil {
+		return nil
+	}
+	m.calling, m.writing, m.dirty = true, d, time.Time{}
+	d.table.Epoch = m.auth.Epoch
+	if m.flaw == flawStale {
+		m.adopt(d)
+	}
+	return []loop.Cmd{WriteCmd{Table: d.table, Old: m.version}}
+}
+
+// read takes in the stored table. What this leader knew of its rows is kept where
+// the row is the same.
+func (m *Model) read(now time.Time, msg ReadMsg) []loop.Cmd {
+	m.calling = false
+	switch {
+	case msg.Kind == kinds.Absent:
+		msg.Table = stripe.NewTable()
+	case msg.Kind != kinds.None:
+		m.callAt = now.Add(again)
+		return nil
+	}
+	old, rows := m.table, m.rows
+	m.table, m.version = msg.Table.Clone(), msg.Version
+	m.rows = make([]state, len(m.table.Rows))
+	for i, r := range m.table.Rows {
+		j := old.Find(r.First)
+		if j < len(old.Rows) && old.Rows[j] == r {
+			m.rows[i] = rows[j]
+			continue
+		}
+		m.rows[i] = m.inherit(r)
+		if j < len(old.Rows) {
+			// The stored change may be this VM's own, whose answer was lost: what it
+			// granted before still binds.
+			m.rows[i].until = rows[j].until
+			m.rows[i].free = later(rows[j].free, rows[j].until)
+		}
+	}
+	m.loaded, m.stale, m.writing = true, false, nil
+	if msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
+		// Written once more, the table refuses whatever the leader before still has
+		// on its way. Renewing before that would be seen by nobody: the one before
+		// could move keys and wait for its own grants alone.
+		m.dirty = now.Add(-tidy)
+	}
+	return []loop.Cmd{NoteCmd{What: "table read", Rows: len(m.table.Rows)}}
+}
+
+// inherit is what is known of a row that another leader wrote: its owner may have
+// been given it, and the former owner may have been renewed until the bar.
+func (m *Model) inherit(r stripe.Row) state {
+	s := state{older: true}
+	switch {
+	case r.Owner == "":
+		s.phase = vacant
+	case r.From != "":
+		s.phase, s.olderFree = freeing, true
+	default:
+		s.phase = granting // the same grant again is a renewal
+	}
+	return s
+}
+
+// free is when a row's former owner has it no longer, whatever it says.
+func (m *Model) free(s *state) time.Time {
+	if m.flaw == flawWait {
+		return time.Time{}
+	}
+	if s.olderFree && m.flaw != flawBar {
+		return later(s.free, lapse(m.auth.Bar, LongHold))
+	}
+	return s.free
+}
+
+// lapse is when a grant that was sent then has certainly run out.
+func lapse(sent time.Time, hold time.Duration) time.Time {
+	return sent.Add(hold + hold*slow/1000 + margin)
+}
+
+func (m *Model) wrote(now time.Time, msg WroteMsg) []loop.Cmd {
+	m.calling = false
+	d := m.writing
+	m.writing = nil
+	switch {
+	case d == nil:
+		return nil
+	case msg.Kind == kinds.None:
+		m.version = msg.Version
+		return m.adopt(d)
+	case msg.Kind == kinds.Conflict, msg.Kind == kinds.Ambiguous, msg.Kind == kinds.Absent:
+		// Another leader wrote, or this VM's own write was done and its answer lost.
+		// What was agreed before is renewed until it is known: whoever takes keys over
+		// asks their owner first, or waits for all that may have been granted.
+		m.stale = true
+		m.callAt = now.Add(again / 4)
+	default:
+		m.callAt = now.Add(again)
+	}
+	m.planAt = time.Time{}
+	return nil
+}
+
+// adopt puts a draft that was agreed in place. Orders may have been answered since
+// it was made, so a row that it does not change keeps what is known now.
+func (m *Model) adopt(d *draft) []loop.Cmd {
+	old, rows := m.table, m.rows
+	for i, r := range d.table.Rows {
+		j := old.Find(r.First)
+		was := old.Rows[j]
+		if was.Owner == r.Owner && was.Fence == r.Fence && was.Born == r.Born {
+			d.rows[i] = rows[j]
+			d.table.Rows[i].From = was.From
+			continue
+		}
+		// The former owner may have been renewed while the draft was on its way.
+		s := &d.rows[i]
+		s.told = rows[j].told
+		if s.phase == freeing {
+			s.free = later(s.free, rows[j].until)
+		} else {
+			s.until = later(s.until, rows[j].until)
+		}
+		if s.phase == freeing {
+			s.olderFree = s.olderFree || rows[j].older
+		}
+	}
+	m.table, m.rows = d.table, d.rows
+	out := make([]loop.Cmd, len(d.notes))
+	for i, n := range d.notes {
+		out[i] = n
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/owner/lead/msg.go
@@ -0,0 +1,83 @@
+package lead
+
+import (
+	"net/netip"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Lease is the stored lead.
+type Lease struct {
+	Epoch  uint64         `json:"epoch"` // rises with each change of the leader
+	Holder ident.VM       `json:"holder"`
+	Life   string         `json:"life"` // of the holder's process
+	Addr   netip.AddrPort `json:"addr"` // where the others ask it
+	Beats  uint64         `json:"beats"`
+}
+
+// Stage is where a VM stands.
+type Stage string
+
+// The stages.
+const (
+	Follow Stage = "follow"
+	Claim  Stage = "claim" // a claim is on its way to the store
+	Lead   Stage = "lead"
+)
+
+// Messages.
+type (
+	// TickMsg passes time.
+	TickMsg struct{}
+	// HeardMsg says that the leader of an epoch answered. A troubled one does not
+	// reach the store: whoever does should take over.
+	HeardMsg struct {
+		Epoch    uint64
+		Troubled bool
+	}
+	// LostMsg says that the leader of an epoch says that it leads no longer.
+	LostMsg struct{ Epoch uint64 }
+	// SeeMsg tells of a lease that another VM knows.
+	SeeMsg struct{ Lease Lease }
+	// RankMsg says how many VMs go first when somebody must take over.
+	RankMsg struct{ N int }
+	// ReadMsg answers a ReadCmd; Version zero means that there is no lease.
+	ReadMsg struct {
+		Asked   time.Time
+		Lease   Lease
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// WroteMsg answers a WriteCmd.
+	WroteMsg struct {
+		Asked   time.Time
+		Lease   Lease
+		Version object.Version
+		Kind    kinds.Kind
+	}
+	// EndedMsg says that the leader of an epoch gives no orders any more: it says so
+	// itself, or its VM runs another process now.
+	EndedMsg struct{ Epoch uint64 }
+	// LeaveMsg ends leading for good: the process stops.
+	LeaveMsg struct{}
+)
+
+// Commands.
+type (
+	// ReadCmd reads the lease.
+	ReadCmd struct{}
+	// WriteCmd writes the lease if its version is still Old.
+	WriteCmd struct {
+		Lease Lease
+		Old   object.Version
+	}
+	// ChangeCmd says that the leader, or what this VM may do, has changed.
+	ChangeCmd struct {
+		Stage Stage
+		Lease Lease
+		Why   string
+	}
+)
