host: readiness, once given, is not taken back by a divided service without servers

Cause: the VM called itself unready while any divided service had no map; a service the operator adds, or one whose servers are all away, would turn every VM unready at once. Ruled out: hiding the service from the check for good, which would send callers to a VM that has not yet read its first map. Before: the new test finds the VM unready. After: ready stays, requests of the service itself are answered at once as before.

--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -30,6 +31,7 @@
 // doors are the listeners.
 type doors struct {
 	p                                  doorParts
+	been                               atomic.Bool // ready
 	notice                             time.Duration
 	callers, operators, peers, metrics door.Door
 }
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -277,6 +278,13 @@
 	return list
 }
 
+// lists reports whether a service has servers.
+func (f *fleet) lists(svc ident.Service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.list(), func(s feed.Server) bool { return s.Service == svc })
+}
+
 // share notes how many VMs share the servers.
 func (f *fleet) share(vms int) {
 	f.mu.Lock()
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -213,7 +213,9 @@
 // defaultRequest bounds a request whose rule and caller name no time.
 const defaultRequest = 30 * time.Second
 
-// ready says why requests should not be sent here, or nil.
+// ready says why requests should not be sent here, or nil. A VM that was ready once
+// stays so: a service that the operator adds has no owners of keys for a moment, and
+// all VMs at once would turn callers of the others away.
 func (d *doors) ready() error {
 	if d.p.Front.IsClosing() {
 		return kinds.New(kinds.Closing, "shutting down")
@@ -221,10 +223,14 @@
 	if d.p.State.Rules.State() != force.Serve {
 		return kinds.New(kinds.Down, "no rules yet")
 	}
+	if d.been.Load() {
+		return nil
+	}
 	for name, svc := range d.p.State.Services() {
-		if svc.Divided && svc.Finder() == nil {
+		if svc.Divided && svc.Finder() == nil && d.p.Fleet.lists(name) {
 			return kinds.New(kinds.NoOwner, "owners of keys not known yet: "+string(name))
 		}
 	}
+	d.been.Store(true)
 	return nil
 }
--- a/internal/edge/host/host_test.go
+++ b/internal/edge/host/host_test.go
@@ -108,3 +108,20 @@
 	})
 	assert.NilError(t, h.Close())
 }
+
+// The operator adds a service that is divided by key, whose servers are still to come.
+// Callers of the other services must not be turned away by all VMs because of it.
+func TestANewServiceMakesNoVMUnready(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rules("/lookup/")
+	w.serve("ledger", "r1")
+	h := w.start(0)
+	w.within(patient, "ready without a server of the divided service", w.ready(0))
+	w.serve("lookup", "l1")
+	w.within(patient, "served", func() bool {
+		assert.NilError(t, h.Ready())
+		status, _ := w.get(0, "/lookup/7", "1")
+		return status == http.StatusOK
+	})
+	assert.NilError(t, h.Close())
+}
