record: failures have a stated rate of lines too; what a second's lines cost is measured

Cause: only plain decisions were summed; a flood of refusals wrote a line each and could push the lines about beliefs out of the ring. Before: 1,000 refusals in 0.1 s gave 1,000 lines (the new test); after: 100 and the count of the rest. Ruled out: a larger ring, which only moves the flood.

--- a/internal/audit/record/record_test.go
+++ b/internal/audit/record/record_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -124,3 +125,56 @@
 	assert.Equal(t, strings.Count(out.String(), `"kind":"busy"`), 5)
 	assert.Assert(t, strings.Contains(out.String(), `"msg":"plain decisions summed","count":85`), out.String())
 }
+
+// Servers are away and every request is refused, thousands a second. With a line for
+// each, the lines that say why, those about what the VM believes, find no room.
+func TestAFloodOfFailuresLeavesRoomAndSaysHowMany(t *testing.T) {
+	var out bytes.Buffer
+	w := New("vm-1", slog.New(slog.NewJSONHandler(&out, nil)), WithRate(10))
+	start := time.Unix(1000, 0)
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * 100 * time.Microsecond)
+		assert.Assert(t, w.Record(Decision{Sort: Route, ID: "a", At: at, Status: 503, Kind: "busy"}))
+	}
+	assert.NilError(t, w.Close())
+	assert.Equal(t, strings.Count(out.String(), `"msg":"decision"`), 100)
+	assert.Assert(t, strings.Contains(out.String(), `"msg":"failures summed","count":900`), out.String())
+}
+
+// counted counts the bytes that go to a reader.
+type counted struct{ n int }
+
+func (c *counted) Write(p []byte) (int, error) {
+	c.n += len(p)
+	return len(p), nil
+}
+
+// BenchmarkSecond is what a second's lines cost at two rates of requests, of which one
+// in a hundred fails: the processor time of the writing duty, and bytes.
+func BenchmarkSecond(b *testing.B) {
+	for _, rate := range []int{40, 1000} {
+		b.Run(strconv.Itoa(rate), func(b *testing.B) {
+			var out counted
+			w := &Writer{log: slog.New(slog.NewJSONHandler(&out, nil)), rate: 60}
+			d := Decision{
+				Sort: Route, ID: "0c5f3d5d5c1e4b6f", VM: "vm-1", Key: "scale-70811", Rule: "receipts", Service: "ledger",
+				Rev: 12, Server: "ledger-3", Epoch: 4, Caller: "office-17", Status: 200, Tries: 1, Took: 12 * time.Millisecond,
+			}
+			at := time.Unix(1000, 0)
+			seconds := 0
+			for b.Loop() {
+				seconds++
+				for i := range rate {
+					d.At = at.Add(time.Duration(i) * time.Second / time.Duration(rate))
+					d.Kind = ""
+					if i%100 == 99 {
+						d.Kind = "busy"
+					}
+					w.write(d)
+				}
+				at = at.Add(time.Second)
+			}
+			b.ReportMetric(float64(out.n)/float64(seconds), "B/s")
+		})
+	}
+}
--- a/internal/audit/record/writer.go
+++ b/internal/audit/record/writer.go
@@ -48,8 +48,8 @@
 	group group.Group
 
 	second time.Time // the present second of the rate; the writing duty's own
-	inIt   int       // plain lines in it
-	summed uint64    // plain decisions without a line since the last sum
+	plain  tally     // plain decisions in it
+	fault  tally     // all others
 
 	told    uint64    // losses already reported; the writing duty's own
 	toldAt  time.Time // when
@@ -70,9 +70,31 @@
 // WithoutLines hands decisions to the sinks only and logs nothing but losses.
 func WithoutLines() Option { return func(w *Writer) { w.quiet = true } }
 
-// WithRate gives only n plain decisions a second a line of their own, and sums up the
-// others in one line a second. Plain is a request that was answered at its first
-// attempt and without a fault of the server. Sinks get all decisions.
+// tally counts the decisions of a second that had a line, and those that had none.
+type tally struct {
+	inIt   int
+	summed uint64
+}
+
+// take reports whether one more decision gets a line, of n a second.
+func (t *tally) take(n int) bool {
+	t.inIt++
+	if t.inIt <= n {
+		return true
+	}
+	t.summed++
+	return false
+}
+
+// faultLines is how many lines a second failures get for each that plain decisions
+// get: a failure is worth ten successes to whoever reads, and a flood of refusals
+// still leaves room for the lines about what the VM believes.
+const faultLines = 10
+
+// WithRate gives only n plain decisions a second a line of their own, and ten times as
+// many of the others; what is above that is summed up in a line a second for each of
+// the two. Plain is a request that was answered at its first attempt and without a
+// fault of the server. Sinks get all decisions.
 func WithRate(n int) Option { return func(w *Writer) { w.rate = n } }
 
 // New starts a writer for one VM. A nil log uses [slog.Default].
@@ -186,31 +208,32 @@
 	w.written.Add(1)
 }
 
-// lineFor decides whether a decision gets a line of its own. Failures, repeats and
-// moves always do.
+// lineFor decides whether a decision gets a line of its own.
 func (w *Writer) lineFor(d *Decision) bool {
-	plain := d.Sort == Route && d.Kind == "" && d.Tries <= 1 && d.Status < http.StatusInternalServerError
-	if w.rate <= 0 || !plain {
+	if w.rate <= 0 {
 		return true
 	}
 	if d.At.Sub(w.second) >= time.Second {
 		w.sum(d.At)
 	}
-	w.inIt++
-	if w.inIt <= w.rate {
-		return true
+	if d.Sort == Route && d.Kind == "" && d.Tries <= 1 && d.Status < http.StatusInternalServerError {
+		return w.plain.take(w.rate)
 	}
-	w.summed++
-	return false
+	return w.fault.take(faultLines * w.rate)
 }
 
-// sum begins another second, and says how many plain decisions the last ones had
-// without a line.
+// sum begins another second, and says how many decisions the last one had without a
+// line.
 func (w *Writer) sum(now time.Time) {
-	if w.summed > 0 {
-		w.log.LogAttrs(context.Background(), slog.LevelInfo, "plain decisions summed", slog.Uint64("count", w.summed))
+	w.tell(slog.LevelInfo, "plain decisions summed", w.plain.summed)
+	w.tell(slog.LevelWarn, "failures summed", w.fault.summed)
+	w.second, w.plain, w.fault = now, tally{}, tally{}
+}
+
+func (w *Writer) tell(l slog.Level, what string, n uint64) {
+	if n > 0 {
+		w.log.LogAttrs(context.Background(), l, what, slog.Uint64("count", n))
 	}
-	w.second, w.inIt, w.summed = now, 0, 0
 }
 
 func (w *Writer) hand(d Decision) {
