hub: an answer names eight VMs and their count, not all of them

Cause: each answer listed where every VM is asked, three times a second to each: 520 VMs make some 35 KB/s a VM and 18 MB/s at the leader. Ruled out: asking less often, which makes the leader's silence longer.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -113,6 +113,7 @@
 	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch, Troubled: n.Away})
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.take(n)
+	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
 	c.apply(n)
 	return true
@@ -163,7 +164,6 @@
 			all = append(all, at)
 		}
 	}
-	c.p.Fleet.share(len(all) + 2) // the leader and this VM beside them
 	if len(all) > 0 {
 		c.others = all
 	}
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -30,6 +30,10 @@
 	// keptChanges is how many changes of owners are kept, so that whoever was away
 	// for a moment gets the difference and not the whole.
 	keptChanges = 64
+	// mostTold is how many other VMs an answer names. Whoever loses the leader asks
+	// them in turn, and needs one that knows the next; with all of them in every
+	// answer the exchange would grow with the square of the fleet.
+	mostTold = 8
 )
 
 // Raw is something that the store holds, as it stands there.
@@ -70,7 +74,8 @@
 	Leads   bool                     `json:"leads"` // the one who answers is the leader
 	Away    bool                     `json:"away"`  // the leader does not reach the store
 	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
-	VMs     []string                 `json:"vms"`   // where the VMs are asked
+	Count   int                      `json:"count"` // how many VMs ask, the asker included
+	VMs     []string                 `json:"vms"`   // where some of them are asked
 	Changes map[ident.Service]Change `json:"changes,omitempty"`
 	Rules   *Raw                     `json:"rules,omitempty"`
 	Servers *ServerList              `json:"servers,omitempty"`
@@ -281,13 +286,17 @@
 	return n.Changes != nil
 }
 
-// others adds who else asks, and how many of them go before the asker.
+// others adds how many VMs ask, where some of them are, others each time, and how
+// many of them go before the asker.
 func (b *Board) others(now time.Time, a *Ask, n *News) {
 	for vm, other := range b.asked {
 		if now.Sub(other.at) > Gone {
 			continue
 		}
-		n.VMs = append(n.VMs, other.addr)
+		n.Count++
+		if vm != a.VM && len(n.VMs) < mostTold {
+			n.VMs = append(n.VMs, other.addr)
+		}
 		if vm < a.VM {
 			n.Rank++
 		}
