deal: grants are no longer than the platform allows

Cause: the settings' longest grant was read and never used. A platform with a bound under 4 s would refuse every grant, one under 7 s all grants as soon as the store is away. Ruled out: asking a server and shortening after a refusal, which leaves keys without an owner first. Before: no key has an owner in the new test; after: all have, with bounds from 1 s on.

--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -140,7 +140,7 @@
 		r.mu.Lock()
 		_, runs := r.deals[svc]
 		if !runs {
-			r.deals[svc] = loop.New(deal.New(), &dealer{r: r, svc: svc}, loop.WithClock(tick.Now))
+			r.deals[svc] = loop.New(deal.New(deal.WithMost(r.cfg.Bounds.HoldMax)), &dealer{r: r, svc: svc}, loop.WithClock(tick.Now))
 		}
 		r.mu.Unlock()
 		if !runs {
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -6,8 +6,8 @@
 )
 
 // The load pattern is one hot key while many entry VMs share its owner. A VM's limit
-// never falls below one request, or it would be starved; but sixty-nine VMs with one
-// request each are sixty-nine on a server with two slots and a queue of eight. It
+// never falls below one request, or it would be starved; but a hundred VMs with one
+// request each are a hundred on a server with two slots and a queue of eight. It
 // refuses most of them, or resets their connections, and nobody can say any more
 // whether those ran. So while a server reports that as many wait there as it has
 // slots, each VM also spaces its requests, up to its even part of what the server can
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -45,6 +45,8 @@
 	LongHold = 7 * time.Second
 	// Renew is the pause between two renewals of the same grant.
 	Renew = 1300 * time.Millisecond
+	// renewals of a grant at least fit into it, however short the platform wants it.
+	renewals = 3
 	// slow is how much longer than asked a grant may last on a server's clock, in
 	// parts of a thousand. The platform says 20.
 	slow = 25
@@ -129,9 +131,10 @@
 	evenAt  time.Time // keys may move for balance again, if no server is far above the others
 	learnAt time.Time
 	seq     uint64
-	told    bool // a full view was given
-	flaw    flaw // always flawNone outside tests
-	known   bool // servers are known
+	told    bool          // a full view was given
+	most    time.Duration // longest grant that servers accept; zero: all that are sent here
+	flaw    flaw          // always flawNone outside tests
+	known   bool          // servers are known
 	// settleAt is when servers that start together are all listed: dealt out before,
 	// the whole key space would go to the first.
 	settleAt time.Time
@@ -144,8 +147,29 @@
 	notes []NoteCmd
 }
 
+// Option changes how a Model works.
+type Option func(*Model)
+
+// WithMost bounds how long a grant may last. A platform refuses longer ones, all of
+// them, and no key would be served. Zero bounds nothing.
+func WithMost(d time.Duration) Option { return func(m *Model) { m.most = d } }
+
 // New makes the deal of one service for a leader.
-func New() *Model { return &Model{peers: map[ident.Server]*peer{}} }
+func New(opts ...Option) *Model {
+	m := &Model{peers: map[ident.Server]*peer{}}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// bounded returns how long a grant may last that should last so long.
+func (m *Model) bounded(d time.Duration) time.Duration {
+	if m.most <= 0 {
+		return d
+	}
+	return min(d, m.most)
+}
 
 // Update takes in a message. The model changes in place and returns itself: a copy
 // of a thousand rows for each message would cost more than the decision.
--- a/internal/owner/deal/history_test.go
+++ b/internal/owner/deal/history_test.go
@@ -144,6 +144,27 @@
 	})
 }
 
+// A platform allows shorter grants than this product would give, and refuses longer
+// ones whole. Without heed no key has an owner, or none as soon as the store is away
+// and grants become long; with grants no longer than a renewal's pause, keys would
+// have no owner between two of them.
+func TestGrantsAreNoLongerThanThePlatformAllows(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, flawNone)
+		w.calm = true
+		w.most = time.Duration(rapid.IntRange(1000, 8000).Draw(t, "most")) * time.Millisecond
+		w.lead()
+		w.run(w.now.Add(3 * time.Second))
+		assert.Equal(t, w.owned(), rowsHere)
+		w.storeOK = false
+		for range 40 {
+			w.run(w.now.Add(100 * time.Millisecond))
+			assert.Equal(t, w.owned(), rowsHere)
+		}
+		assert.Equal(t, w.broken, "")
+	})
+}
+
 // A server leaves in good order. Its keys have other owners well within the two
 // seconds for which it may still be asked.
 func TestALeavingServersKeysMoveWithinASecond(t *testing.T) {
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -64,9 +64,9 @@
 }
 
 func (m *Model) grant(now time.Time, p *peer, r *stripe.Row, s *state) Order {
-	o := Order{Span: r.Span, Fence: r.Fence, Hold: Hold, Token: s.token}
+	o := Order{Span: r.Span, Fence: r.Fence, Hold: m.bounded(Hold), Token: s.token}
 	if m.auth.Long || now.Before(p.rough) {
-		o.Hold = LongHold
+		o.Hold = m.bounded(LongHold)
 	}
 	return o
 }
@@ -83,7 +83,7 @@
 		list = list[:min(len(list), probes)]
 	}
 	if !now.Before(p.renewAt) {
-		p.renewAt = now.Add(Renew)
+		p.renewAt = now.Add(min(Renew, m.bounded(Hold)/renewals))
 	}
 	p.busy = true
 	return m.order(p, list)
--- a/internal/owner/deal/world_test.go
+++ b/internal/owner/deal/world_test.go
@@ -31,11 +31,13 @@
 	calm    bool // no order and no write goes wrong by itself
 	// loseWrite loses the answer of the next write, which is done.
 	loseWrite bool
-	servers   []*backend
-	leaders   []*leader
-	broken    string
-	trace     []string // what happened, for whoever reads a failure
-	flaw      flaw
+	// most is the longest grant that servers accept; zero accepts all.
+	most    time.Duration
+	servers []*backend
+	leaders []*leader
+	broken  string
+	trace   []string // what happened, for whoever reads a failure
+	flaw    flaw
 }
 
 func (w *world) note(format string, args ...any) {
@@ -119,7 +121,7 @@
 // the end of its term.
 func (w *world) lead() *leader {
 	epoch := uint64(len(w.leaders) + 1)
-	l := &leader{w: w, model: New(), alive: true, cut: map[ident.Server]bool{}}
+	l := &leader{w: w, model: New(WithMost(w.most)), alive: true, cut: map[ident.Server]bool{}}
 	l.model.flaw = w.flaw
 	l.auth = Authority{Epoch: epoch, Until: w.now.Add(lead.Term), Bar: w.now}
 	if epoch > 1 {
@@ -312,6 +314,9 @@
 // obey does what an order says, as of its arrival, and returns when it answers.
 func (s *backend) obey(w *world, o Order, arrived time.Time) (kinds.Kind, time.Time) {
 	first, last := int(o.First)/wide, int(o.Last)/wide
+	if w.most > 0 && o.Hold > w.most {
+		return kinds.Malformed, w.now
+	}
 	w.note("row %d at %s: release %v fence %d hold %v, arrived %v ago, seen %d", first, s.name, o.Release, o.Fence, o.Hold, w.now.Sub(arrived), s.seen[first])
 	ends := w.now
 	for i := first; i <= last; i++ {
