host: a newer list without news counts as known; questions have a least turn

A VM that is told a newer list of servers which says nothing new kept its older place, so it was answered with the list at once, again and again, until the next change. Any other news that a VM cannot take in, rules it cannot read for one, would do the same; so turns have a least time, too.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -53,11 +53,17 @@
 const (
 	leadPause = 200 * time.Millisecond // while this VM leads
 	failPause = 100 * time.Millisecond // after a question that came to nothing
+	// leastTurn is the least time from one question to the next. Whatever this VM
+	// cannot take in, for example rules that it cannot read, is answered again at once;
+	// without a least time both VMs would do nothing else. News wait this long at most,
+	// and only behind other news.
+	leastTurn = 20 * time.Millisecond
 )
 
 func (c *courier) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		lease, leads := c.p.Board.Lease()
+		next := time.Now().Add(leastTurn)
 		switch {
 		case leads:
 			c.p.Fleet.share(c.p.Board.VMs(time.Now()))
@@ -66,6 +72,8 @@
 		case !c.ask(ctx, lease):
 			c.askOther(ctx)
 			group.Sleep(ctx, failPause)
+		default:
+			group.Sleep(ctx, time.Until(next))
 		}
 	}
 	return nil
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -140,7 +140,18 @@
 	}
 	if f.census.Told(time.Now(), l.Rev, list) {
 		f.publish(l.Rev)
+		return
 	}
+	f.pass(l.Rev)
+}
+
+// pass notes that a newer list held no news. Without it this VM goes on saying that it
+// knows the older one, and is answered with the newer at once, each time: as many
+// questions as fit into a second, seen as processor time and as bytes between data
+// centres. The caller holds mu.
+func (f *fleet) pass(rev uint64) {
+	f.rev = rev
+	f.board.SetServers(hub.ServerList{Rev: rev, List: f.list()})
 }
 
 // publish hands the servers to the gates, the other VMs and the leader's deal. The
