host: a watcher rests after a forgotten place, and starts from what the leader tells

Besides, each VM began with two lists at the full price, tried for the lead at the same moment, and woke for each event that the leader tells it anyway.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"strings"
 	"sync"
@@ -13,7 +12,6 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/hub"
@@ -49,6 +47,7 @@
 	kind, _, _ := strings.Cut(p.Platform.Rules, "/")
 	w := &watcher{
 		prefix: kind + "/", board: p.Board, fresh: p.Platform.Store, stale: p.Platform.Lagging, log: p.Log,
+		told: func() bool { rules, _ := p.Board.Revs(); return rules > 0 },
 		listed: func(all []object.Object, _ object.Cursor) {
 			for _, o := range all {
 				b.object(o)
@@ -134,121 +133,3 @@
 		b.parts.Front.Follow(svc)
 	}
 }
-
-// watcher follows one kind of objects: list, watch from there, and list again when
-// the place is lost.
-type watcher struct {
-	prefix  string
-	board   *hub.Board
-	fresh   object.Store
-	stale   object.Store
-	log     *slog.Logger
-	listed  func([]object.Object, object.Cursor)
-	changed func([]object.Change, object.Cursor)
-	down    func()
-	failed  int
-}
-
-// Pauses of a watcher.
-const (
-	firstPause = 250 * time.Millisecond
-	lastPause  = 2 * time.Second
-)
-
-// store is the linearizable one on the VM that leads, which tells the others, and
-// the cheaper one elsewhere.
-func (w *watcher) store() object.Store {
-	if _, leads := w.board.Lease(); leads {
-		return w.fresh
-	}
-	return w.stale
-}
-
-func (w *watcher) run(ctx context.Context) error {
-	first := true
-	for ctx.Err() == nil {
-		store := w.store()
-		if first {
-			store = w.fresh
-		}
-		all, at, err := store.List(ctx, w.prefix)
-		if err != nil {
-			w.trouble(ctx, "list", err)
-			continue
-		}
-		first = false
-		w.well()
-		w.listed(all, at)
-		w.follow(ctx, at)
-	}
-	return nil
-}
-
-// follow watches until the place is lost.
-func (w *watcher) follow(ctx context.Context, at object.Cursor) {
-	for ctx.Err() == nil {
-		all, next, err := w.wait(ctx, at)
-		switch {
-		case errors.Is(err, errTurned):
-			return // from now on the other store is watched; begin with its list
-		case kinds.Of(err) == kinds.Absent:
-			return // the history is gone
-		case err != nil:
-			w.trouble(ctx, "watch", err)
-			continue
-		}
-		w.well()
-		at = next
-		if len(all) > 0 {
-			w.changed(all, at)
-			group.Sleep(ctx, gather)
-		}
-	}
-}
-
-// errTurned ends a watch because this VM began or ceased to lead.
-var errTurned = errors.New("the lead changed")
-
-// wait watches until something changed or this VM begins or ceases to lead: a watch
-// that lags, begun before, would go on for seconds on the VM that all others rely on.
-func (w *watcher) wait(ctx context.Context, at object.Cursor) ([]object.Change, object.Cursor, error) {
-	turn := w.board.Turn()
-	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(turn, cancel)()
-	all, next, err := w.store().Watch(inner, w.prefix, at)
-	if err != nil && turn.Err() != nil && ctx.Err() == nil {
-		return nil, 0, errTurned
-	}
-	return all, next, err
-}
-
-// gather is the pause after a change before the next watch: servers that start or
-// leave together then cost one call and not one each. It is small beside the two
-// seconds within which a change must be acted upon.
-const gather = 150 * time.Millisecond
-
-func (w *watcher) trouble(ctx context.Context, what string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if w.failed == 0 {
-		w.log.Warn("store lost", "what", what, "kind", w.prefix, "err", err)
-		if w.down != nil {
-			w.down()
-		}
-	}
-	pause := min(firstPause<<min(w.failed, 4), lastPause)
-	if w.failed == 0 {
-		pause = 0 // a watch that was dropped is no outage
-	}
-	w.failed++
-	group.Sleep(ctx, pause)
-}
-
-func (w *watcher) well() {
-	if w.failed > 0 {
-		w.log.Info("store regained", "kind", w.prefix, "failed", w.failed)
-	}
-	w.failed = 0
-}
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -125,6 +125,9 @@
 	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
 	c.apply(n)
+	if !n.Away {
+		c.p.Board.SetTold(time.Now())
+	}
 	return true
 }
 
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -48,6 +48,7 @@
 	f := &fleet{plat: p, state: s, board: b, log: log, services: map[ident.Service]feed.Service{}, vms: 1, drain: cfg.Bounds.Drain, logged: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	w := &watcher{
 		prefix: p.Servers, board: b, fresh: p.Store, stale: p.Lagging, log: log,
+		told:   func() bool { _, servers := b.Revs(); return servers > 0 },
 		listed: f.listed, changed: f.changed, down: f.down,
 	}
 	duties(lc, &f.group, w.run, f.expire)
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 // tickEvery is how often the decisions are told the time.
 const tickEvery = 50 * time.Millisecond
 
+// mostDelay bounds the chance delay before a VM that starts looks who leads. The first
+// of ten looks after some 20 ms; a claim takes as long.
+const mostDelay = 200 * time.Millisecond
+
 // leaseName is the object that says who leads.
 const leaseName = "lead"
 
@@ -49,7 +54,7 @@
 	r := &reign{cfg: cfg, plat: p, board: b, fleet: f, state: s, count: c, log: log, deals: map[ident.Service]*loop.Loop{}}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			model := lead.New(tick.Now(), cfg.VM, b.Life(), cfg.Peers)
+			model := lead.New(tick.Now(), cfg.VM, b.Life(), cfg.Peers, lead.WithDelay(rand.N(mostDelay)))
 			r.loop = loop.New(model, loop.RunnerFunc(r.run), loop.WithClock(tick.Now))
 			r.fleet.follow(r.hosts)
 			r.group.Go(r.ticks)
--- /dev/null
+++ b/internal/edge/host/watch.go
@@ -0,0 +1,192 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// watcher follows one kind of objects: list, watch from there, and list again when
+// the place is lost.
+//
+// The VM that leads watches the store closely and tells the others. They watch too,
+// the cheaper way, for the moment in which the leader is cut off and nobody has
+// noticed yet.
+type watcher struct {
+	prefix  string
+	board   *hub.Board
+	fresh   object.Store
+	stale   object.Store
+	log     *slog.Logger
+	told    func() bool // another VM told what is watched here
+	listed  func([]object.Object, object.Cursor)
+	changed func([]object.Change, object.Cursor)
+	down    func()
+	failed  int // calls in a row that came to nothing
+	lost    int // lists in a row whose place was forgotten at once
+}
+
+// Pauses of a watcher.
+const (
+	firstPause = 250 * time.Millisecond
+	lastPause  = 2 * time.Second
+	// tellWait is how long a VM that starts waits for the leader to tell it what it
+	// would otherwise ask the store for, at the full price and all VMs at once.
+	tellWait = 400 * time.Millisecond
+	tellPoll = 20 * time.Millisecond
+	// gather is the pause after a change before the next watch: servers that start or
+	// leave together then cost one call and not one each. It is small beside the two
+	// seconds within which a change must be acted upon.
+	gather = 150 * time.Millisecond
+	// gatherTold is the same on a VM whom the leader tells of changes at once. Its own
+	// watch is for the second in which the leader is silent and still taken to lead.
+	gatherTold = 800 * time.Millisecond
+)
+
+// store is the linearizable one on the VM that leads, which tells the others, and
+// the cheaper one elsewhere.
+func (w *watcher) store() object.Store {
+	if _, leads := w.board.Lease(); leads {
+		return w.fresh
+	}
+	return w.stale
+}
+
+// first is where the first list comes from. A list that lags would do harm only to a
+// VM that knows nothing newer.
+func (w *watcher) first(ctx context.Context) object.Store {
+	for end := time.Now().Add(tellWait); time.Now().Before(end); {
+		if _, leads := w.board.Lease(); leads {
+			return w.fresh
+		}
+		if w.board.Told(time.Now()) && w.told() {
+			return w.stale
+		}
+		if !group.Sleep(ctx, tellPoll) {
+			break
+		}
+	}
+	return w.fresh
+}
+
+func (w *watcher) run(ctx context.Context) error {
+	store := w.first(ctx)
+	for ctx.Err() == nil {
+		all, at, err := store.List(ctx, w.prefix)
+		if err != nil {
+			w.trouble(ctx, "list", err)
+			continue
+		}
+		w.well()
+		w.listed(all, at)
+		w.follow(ctx, at)
+		w.rest(ctx)
+		store = w.store()
+	}
+	return nil
+}
+
+// follow watches until the place is lost.
+func (w *watcher) follow(ctx context.Context, at object.Cursor) {
+	w.lost++
+	for ctx.Err() == nil {
+		all, next, err := w.wait(ctx, at)
+		switch {
+		case errors.Is(err, errTurned):
+			w.lost = 0
+			return // from now on the other store is watched; begin with its list
+		case kinds.Of(err) == kinds.Absent:
+			return // the history is gone
+		case err != nil:
+			w.trouble(ctx, "watch", err)
+			continue
+		}
+		w.well()
+		w.lost = 0
+		at = next
+		if len(all) > 0 {
+			w.changed(all, at)
+			w.gather(ctx)
+		}
+	}
+}
+
+// rest waits before the next list when the place of the last one was forgotten before
+// anything could be watched from it. A store that drops its history goes on answering
+// cheap lists from before that for seconds; without a pause each VM would list and
+// watch as fast as it can, a hundred calls a second, until they catch up.
+func (w *watcher) rest(ctx context.Context) {
+	if w.lost == 0 {
+		return
+	}
+	most := lastPause
+	if _, leads := w.board.Lease(); leads {
+		most = firstPause
+	}
+	w.pause(ctx, min(firstPause<<min(w.lost-1, 4), most))
+}
+
+func (w *watcher) gather(ctx context.Context) {
+	if w.board.Told(time.Now()) {
+		w.pause(ctx, gatherTold)
+		return
+	}
+	w.pause(ctx, gather)
+}
+
+// pause waits, but no longer than until this VM begins or ceases to lead: all others
+// rely on what the new leader sees.
+func (w *watcher) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(w.board.Turn(), cancel)()
+	group.Sleep(ctx, d)
+}
+
+// errTurned ends a watch because this VM began or ceased to lead.
+var errTurned = errors.New("the lead changed")
+
+// wait watches until something changed or this VM begins or ceases to lead: a watch
+// that lags, begun before, would go on for seconds on the VM that all others rely on.
+func (w *watcher) wait(ctx context.Context, at object.Cursor) ([]object.Change, object.Cursor, error) {
+	turn := w.board.Turn()
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(turn, cancel)()
+	all, next, err := w.store().Watch(inner, w.prefix, at)
+	if err != nil && turn.Err() != nil && ctx.Err() == nil {
+		return nil, 0, errTurned
+	}
+	return all, next, err
+}
+
+func (w *watcher) trouble(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if w.failed == 0 {
+		w.log.Warn("store lost", "what", what, "kind", w.prefix, "err", err)
+		if w.down != nil {
+			w.down()
+		}
+	}
+	pause := min(firstPause<<min(w.failed, 4), lastPause)
+	if w.failed == 0 {
+		pause = 0 // a watch that was dropped is no outage
+	}
+	w.failed++
+	w.pause(ctx, pause)
+}
+
+func (w *watcher) well() {
+	if w.failed > 0 {
+		w.log.Info("store regained", "kind", w.prefix, "failed", w.failed)
+	}
+	w.failed = 0
+}
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -86,6 +86,7 @@
 	views   map[ident.Service]*history
 	asked   map[ident.VM]asker
 	more    chan struct{} // closed at the next change
+	told    time.Time     // the leader last told its news, and reached the store
 	turn    context.Context
 	turned  context.CancelFunc
 }
@@ -138,6 +139,20 @@
 	return b.lease, b.leads
 }
 
+// SetTold notes that a leader which reaches the store told this VM all its news.
+func (b *Board) SetTold(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = now
+}
+
+// Told reports whether this VM knows what the leader knows.
+func (b *Board) Told(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.leads && !b.told.IsZero() && now.Sub(b.told) < Wait+answerWait
+}
+
 // SetAway notes whether this VM, which leads, does not reach the store.
 func (b *Board) SetAway(away bool) {
 	b.mu.Lock()
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -81,9 +81,23 @@
 	misses  int       // calls of the leader in a row that came to nothing
 }
 
+// Option changes how a Model begins.
+type Option func(*Model)
+
+// WithDelay lets a VM wait before its first look at the store. Where all VMs start at
+// once, each with another delay, the first has the lead before most others look, and
+// they need not try for it: that would be two store calls of each for nothing.
+func WithDelay(d time.Duration) Option {
+	return func(m *Model) { m.callAt = m.callAt.Add(d) }
+}
+
 // New makes a VM that knows of no leader.
-func New(now time.Time, vm ident.VM, life string, addr netip.AddrPort) Model {
-	return Model{self: Lease{Holder: vm, Life: life, Addr: addr}, stage: Follow, heard: now, callAt: now}
+func New(now time.Time, vm ident.VM, life string, addr netip.AddrPort, opts ...Option) Model {
+	m := Model{self: Lease{Holder: vm, Life: life, Addr: addr}, stage: Follow, heard: now, callAt: now}
+	for _, opt := range opts {
+		opt(&m)
+	}
+	return m
 }
 
 // Stage returns where this VM stands.
