Strong VMs lead, and orders go out a few at a time

Cause: after all VMs of the grown basin lost power, the lead changed each second (epochs 3, 4, 5, 6 at 32.1, 33.1, 34.1, 35.0 s): whoever led had 0.16 of a processor, sent renewals for 2,047 stripes at once, found 928 times a server silent that was well, since its own queues took longer than the time-out, and answered the others too late to be heard. Six of 82 VMs have 0.8 of a processor.

A VM says how much processor it may use; stronger ones look earlier, go first when somebody must take over, and a leader makes way for one that is half as strong again.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -81,7 +81,7 @@
 
 // hello is the part of a question that any VM may read.
 func (c *courier) hello() *hub.Ask {
-	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String()}
+	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Power: c.p.Config.Power}
 	a.Lease, _ = c.p.Board.Lease()
 	return a
 }
--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -127,6 +127,7 @@
 // grant gives one span, if the authority still lasts.
 func (d *dealer) grant(ctx context.Context, cmd deal.OrderCmd, o deal.Order) deal.Done {
 	done := deal.Done{Order: o}
+	defer d.r.pace.begin(ctx)()
 	now := tick.Now()
 	if !now.Before(cmd.Until) {
 		return done
@@ -175,6 +176,7 @@
 }
 
 func (d *dealer) release(ctx context.Context, cmd deal.OrderCmd, o deal.Order) deal.Done {
+	defer d.r.pace.begin(ctx)()
 	done := deal.Done{Order: o, Sent: tick.Now(), Kind: kinds.Down}
 	if !done.Sent.Before(cmd.Until) {
 		return done
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -43,6 +43,7 @@
 	Seeds     []netip.AddrPort // some other VMs, which may be gone
 	History   time.Duration    // how far back the store's watches reach
 	Bounds    Bounds
+	Power     float64       // processors that this VM may use, in parts of one; zero: not known
 	Unknown   []string      // fields of the settings that were passed over
 	Notice    time.Duration // how long the balancer needs to see that a VM leaves; zero is DefaultNotice
 }
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -25,9 +26,27 @@
 // tickEvery is how often the decisions are told the time.
 const tickEvery = 50 * time.Millisecond
 
-// mostDelay bounds the chance delay before a VM that starts looks who leads. The first
-// of ten looks after some 20 ms; a claim takes as long.
-const mostDelay = 200 * time.Millisecond
+// Delays before a VM that starts looks who leads.
+const (
+	// mostDelay bounds the part that is left to chance. The first of ten looks after
+	// some 10 ms; a claim takes as long.
+	mostDelay = 100 * time.Millisecond
+	// weakDelay is the part that a VM with one processor waits; one with a fifth of it
+	// waits five times as long. A VM that leads renews thousands of grants a second,
+	// which can be more than a small one does beside its requests.
+	weakDelay = 40 * time.Millisecond
+	// unknownPower stands for a VM that does not know what it may use.
+	unknownPower = 1
+)
+
+// delay is how long this VM waits before it looks who leads.
+func delay(power float64) time.Duration {
+	return rand.N(mostDelay) + time.Duration(float64(weakDelay)/cmp.Or(power, unknownPower))
+}
+
+// muchStronger is how many times more a VM must be able to do than the one that leads
+// for the lead to change hands.
+const muchStronger = 1.5
 
 // leaseName is the object that says who leads.
 const leaseName = "lead"
@@ -45,6 +64,8 @@
 	log   *slog.Logger
 	loop  *loop.Loop
 
+	pace pacer // of orders
+
 	mu    sync.Mutex
 	deals map[ident.Service]*loop.Loop
 	seq   uint64
@@ -54,7 +75,7 @@
 	r := &reign{cfg: cfg, plat: p, board: b, fleet: f, state: s, count: c, log: log, deals: map[ident.Service]*loop.Loop{}}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			model := lead.New(tick.Now(), cfg.VM, b.Life(), cfg.Peers, lead.WithDelay(rand.N(mostDelay)))
+			model := lead.New(tick.Now(), cfg.VM, b.Life(), cfg.Peers, lead.WithDelay(delay(cfg.Power)))
 			r.loop = loop.New(model, loop.RunnerFunc(r.run), loop.WithClock(tick.Now))
 			r.fleet.follow(r.hosts)
 			r.group.Go(r.ticks)
@@ -92,6 +113,9 @@
 			continue
 		}
 		r.board.SetAway(m.Troubled(tick.Now()))
+		if r.board.Stronger(time.Now(), r.cfg.Power*muchStronger, lead.Reign) {
+			r.loop.Send(lead.YieldMsg{})
+		}
 		r.begin()
 		auth := deal.Authority{
 			Epoch: m.Lease().Epoch, Until: m.Until(), Bar: m.Bar(), Long: m.Troubled(tick.Now()),
--- a/internal/edge/hub/board.go
+++ b/internal/edge/hub/board.go
@@ -50,6 +50,7 @@
 	Seqs    map[ident.Service]uint64  `json:"seqs,omitempty"`
 	Rules   uint64                    `json:"rules"`
 	Servers uint64                    `json:"servers"`
+	Power   float64                   `json:"power,omitempty"` // processors that the sender may use
 	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
 	Sums    map[ident.Server]deal.Sum `json:"sums,omitempty"`
 }
@@ -92,8 +93,10 @@
 }
 
 type asker struct {
-	addr string
-	at   time.Time
+	addr  string
+	power float64
+	since time.Time // it has asked all the while
+	at    time.Time
 }
 
 // history is who serves a service's keys, and how that came about lately.
@@ -235,11 +238,28 @@
 	return n
 }
 
+// Stronger reports whether some VM has asked for a while and may use more processors
+// than so many.
+func (b *Board) Stronger(now time.Time, power float64, while time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.asked {
+		if a.power > power && now.Sub(a.at) <= Gone && now.Sub(a.since) >= while {
+			return true
+		}
+	}
+	return false
+}
+
 // note remembers who asks.
 func (b *Board) note(now time.Time, a *Ask) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.asked[a.VM] = asker{addr: a.Addr, at: now}
+	since := now
+	if old, known := b.asked[a.VM]; known && now.Sub(old.at) <= Gone {
+		since = old.since
+	}
+	b.asked[a.VM] = asker{addr: a.Addr, power: a.Power, since: since, at: now}
 }
 
 // look returns the news for an asker, whether they are worth an answer now, and what
@@ -297,7 +317,7 @@
 		if vm != a.VM && len(n.VMs) < mostTold {
 			n.VMs = append(n.VMs, other.addr)
 		}
-		if vm < a.VM {
+		if other.power > a.Power || other.power == a.Power && vm < a.VM {
 			n.Rank++
 		}
 	}
--- a/internal/edge/hub/hub_test.go
+++ b/internal/edge/hub/hub_test.go
@@ -151,6 +151,28 @@
 	assert.Equal(t, b.VMs(now.Add(2*Gone)), 1)
 }
 
+// VMs differ in what they can do. One that is strong goes first whatever its name, or
+// the lead would fall to one that is too weak to renew all grants in time.
+func TestTheStrongestGoesFirst(t *testing.T) {
+	b := leader()
+	now := time.Now()
+	for vm, power := range map[ident.VM]float64{"a": 0.16, "b": 0.16, "z": 0.8} {
+		b.note(now, &Ask{VM: vm, Addr: string(vm), Power: power})
+	}
+	for vm, want := range map[ident.VM]struct {
+		power float64
+		rank  int
+	}{"z": {0.8, 0}, "a": {0.16, 1}, "b": {0.16, 2}} {
+		n, _, _ := b.look(now, &Ask{VM: vm, Power: want.power})
+		assert.Equal(t, n.Rank, want.rank, string(vm))
+	}
+	later := now.Add(Gone)
+	assert.Assert(t, !b.Stronger(later, 0.16, time.Hour), "not for long enough")
+	assert.Assert(t, b.Stronger(later, 0.16, time.Second))
+	assert.Assert(t, !b.Stronger(later, 0.8, time.Second))
+	assert.Assert(t, !b.Stronger(later.Add(1), 0.16, time.Second), "it asks no more")
+}
+
 // Hundreds of VMs ask several times a second. If each answer named all of them, the
 // exchange alone would fill the leader's network, and each VM's share of it.
 func TestAnAnswerDoesNotGrowWithTheFleet(t *testing.T) {
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -40,6 +40,9 @@
 	// Shy is how long a VM that was replaced waits before it takes over again: two
 	// that cannot hear each other would otherwise replace each other all the time.
 	Shy = 5 * time.Second
+	// Reign is the least time for which a VM leads before it makes way for a stronger
+	// one: a change costs three store calls and a kilobyte or ten to each VM.
+	Reign = 5 * time.Second
 	// again is the pause before a store call that failed is made again.
 	again = 250 * time.Millisecond
 	// mostFails bounds how often that pause doubles: a call each two seconds still
@@ -71,6 +74,7 @@
 	shy     time.Time      // not before this
 	bar     time.Time      // until when a leader before this one may give orders
 	former  Lease          // who led before this VM
+	began   time.Time      // this VM leads since
 	led     uint64         // the epoch that this VM leads, or led last
 	ended   uint64         // the leaders up to this epoch give no orders any more
 	sure    time.Time      // sending of the last call that confirmed the lead
@@ -149,6 +153,8 @@
 		return m.wrote(now, msg)
 	case EndedMsg:
 		return m.end(now, msg), nil
+	case YieldMsg:
+		return m.yield(now)
 	case LeaveMsg:
 		m.leaving = true
 		if m.Troubled(now) {
@@ -159,6 +165,19 @@
 	return m, nil
 }
 
+// yield makes way for a VM that leads better. Only a leader that the store confirms
+// does, since nobody can take over otherwise, and one that has led for a while: two
+// that yield to each other would do nothing else.
+func (m Model) yield(now time.Time) (loop.Model, []loop.Cmd) {
+	if m.stage != Lead || m.Troubled(now) || now.Sub(m.began) < Reign {
+		return m, nil
+	}
+	next, cmds := m.rest(now, "a stronger VM is there")
+	m = next.(Model)
+	m.shy = now.Add(Shy)
+	return m, cmds
+}
+
 func (m Model) end(now time.Time, msg EndedMsg) Model {
 	m.ended = max(m.ended, msg.Epoch)
 	if m.stage == Lead && msg.Epoch == m.former.Epoch && now.Add(Margin).Before(m.bar) {
@@ -300,7 +319,7 @@
 	if m.led == m.lease.Epoch {
 		return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the lead again"}}
 	}
-	m.led = m.lease.Epoch
+	m.led, m.began = m.lease.Epoch, now
 	m.bar = now.Add(Term + Margin)
 	if m.former.Epoch <= m.ended {
 		m.bar = now.Add(Margin)
--- a/internal/owner/lead/lead_test.go
+++ b/internal/owner/lead/lead_test.go
@@ -258,3 +258,31 @@
 		assert.Assert(t, !next.model.Bar().After(w.now.Add(Margin)), "it said that it has ended")
 	})
 }
+
+// The first VM that started leads, and a much stronger one is there. The weak one makes
+// way once it has led for a while, but not while the store is away: then nobody could
+// take over, and all keys would lapse.
+func TestAWeakLeaderMakesWay(t *testing.T) {
+	start := time.Unix(1000, 0)
+	leads := func() Model {
+		m := New(start, "vm-1", "vm-1-a", netip.AddrPort{})
+		next, _ := m.Update(start, TickMsg{})
+		next, _ = next.(Model).Update(start, ReadMsg{Asked: start, Kind: kinds.Absent})
+		next, _ = next.(Model).Update(start, WroteMsg{Asked: start, Lease: Lease{Epoch: 1, Holder: "vm-1", Life: "vm-1-a"}, Version: 3})
+		return next.(Model)
+	}
+	m := leads()
+	assert.Equal(t, m.Stage(), Lead)
+	early, _ := m.Update(start.Add(Reign/2), YieldMsg{})
+	assert.Equal(t, early.(Model).Stage(), Lead, "it began a moment ago")
+	away, _ := m.Update(start.Add(Reign), YieldMsg{})
+	assert.Equal(t, away.(Model).Stage(), Lead, "the store did not confirm the lead lately")
+
+	m.sure = start.Add(Reign)
+	next, cmds := m.Update(start.Add(Reign), YieldMsg{})
+	m = next.(Model)
+	assert.Equal(t, m.Stage(), Follow)
+	assert.Equal(t, len(cmds), 1)
+	assert.Assert(t, !m.overdue(start.Add(Reign+Shy/2)), "it does not take the lead back at once")
+	assert.Assert(t, m.overdue(start.Add(Reign+Shy)), "it does when nobody else takes it")
+}
--- a/internal/owner/lead/msg.go
+++ b/internal/owner/lead/msg.go
@@ -61,6 +61,8 @@
 	// EndedMsg says that the leader of an epoch gives no orders any more: it says so
 	// itself, or its VM runs another process now.
 	EndedMsg struct{ Epoch uint64 }
+	// YieldMsg says that another VM would lead better than this one.
+	YieldMsg struct{}
 	// LeaveMsg ends leading for good: the process stops.
 	LeaveMsg struct{}
 )
