--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -84,7 +84,7 @@
 	grantWait = 250 * time.Millisecond
 	// grantsAtOnce keeps a server that leaves some orders unanswered from holding up
 	// the renewal of its other keys.
-	grantsAtOnce = 3
+	grantsAtOnce = 2
 	// releaseWait covers work that is still running on the keys.
 	releaseWait = 2 * time.Second
 	// releasesAtOnce bounds the connections that releases take from requests.
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -43,8 +43,10 @@
 	// nobody can take over then, and the keys stay served until it is back. The
 	// platform allows 10 s; the rest is for servers whose clocks run slow.
 	LongHold = 7 * time.Second
-	// Renew is the pause between two renewals of the same grant.
-	Renew = 1300 * time.Millisecond
+	// Renew is the pause between two renewals of the same grant. Shorter ones fill the
+	// leader's network link with hardly anything else; longer ones leave less than
+	// 2 s in which the next leader may come.
+	Renew = 1600 * time.Millisecond
 	// renewals of a grant at least fit into it, however short the platform wants it.
 	renewals = 3
 	// slow is how much longer than asked a grant may last on a server's clock, in
--- a/internal/owner/stripe/table.go
+++ b/internal/owner/stripe/table.go
@@ -22,7 +22,7 @@
 	// Width is how many keys a stripe has to begin with. 64 keys make 1,024 stripes:
 	// two hundred neighbouring busy keys fall on four servers before anybody has
 	// noticed that they are busy, and renewing all stripes costs one core in a
-	// hundred at a renewal each 1.3 s.
+	// hundred at a renewal each 1.6 s.
 	Width = 64
 	// Cell is the narrowest stripe that a busy one is cut into.
 	Cell = 4
