gate: warm servers are preferred only where turns would leave connections idle

Cause: with a warm server always preferred, a VM that has few servers kept to the first one for good and never learned that another is better. Ruled out: the random first turn. Now a warm one is taken only while fewer requests were sent in 3 s than there are servers to choose from.

--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -94,6 +94,8 @@
 	judgeAt time.Time
 	running int
 	waiting int
+	sent    float64 // requests sent lately, as of sentAt; see recent
+	sentAt  time.Time
 
 	ready []*Ticket
 	stats Stats
@@ -228,6 +230,7 @@
 	if t.long == sizes.Long && t.Job.Server != "" {
 		c.useTurn(now, s)
 	}
+	c.sent, c.sentAt = c.recent(now)+1, now
 	s.start(now, t.long, c.expected(t.long))
 	c.running++
 	c.stats.Started++
