front: the operator's limits on headers and bodies are enforced, and change while running

Cause: limits of the configuration were read and used by nothing. 431 for headers, 413 for bodies, both before anything is sent. Ruled out: net/http's own bound on headers, which cannot change while it serves. Test failing first: 200 in place of 431 and 413 (no way to set them).

--- a/internal/core/kinds/kinds.go
+++ b/internal/core/kinds/kinds.go
@@ -23,7 +23,8 @@
 const (
 	None       Kind = iota // no failure
 	BadRequest             // the caller's request cannot be understood
-	TooLarge               // headers or body beyond the configured limit
+	TooLarge               // a body beyond the configured limit
+	LongHeader             // headers beyond the configured limit
 	NoRule                 // no rule matches the request
 	Denied                 // a rule or a missing identity forbids the request
 	Busy                   // refused by admission: full, or over a fair share
@@ -83,6 +84,7 @@
 	None:       {"none", Answer{http.StatusOK, RanYes, "", 0}},
 	BadRequest: {"bad_request", Answer{http.StatusBadRequest, RanNo, "the request is malformed", 0}},
 	TooLarge:   {"too_large", Answer{http.StatusRequestEntityTooLarge, RanNo, "the request exceeds a size limit", 0}},
+	LongHeader: {"long_header", Answer{http.StatusRequestHeaderFieldsTooLarge, RanNo, "the headers exceed a size limit", 0}},
 	NoRule:     {"no_rule", Answer{http.StatusNotFound, RanNo, "no rule matches this request", 0}},
 	Denied:     {"denied", Answer{http.StatusForbidden, RanNo, "the request is not allowed", 0}},
 	Busy:       {"busy", Answer{http.StatusTooManyRequests, RanNo, "the service is full, come back later", time.Second}},
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -31,13 +31,13 @@
 	if size == 0 || x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	if limit := x.f.Limit.Body; limit > 0 {
+	if limit := x.f.limits().Body; limit > 0 {
 		if size > limit {
 			return errTooLarge
 		}
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
-	in := &paced{Reader: x.r.Body, rc: http.NewResponseController(x.w), pace: x.f.Limit.Slow.Duration}
+	in := &paced{Reader: x.r.Body, rc: http.NewResponseController(x.w), pace: x.f.limits().Slow.Duration}
 	if size < 0 || size > x.f.Hold {
 		x.body.stream = in
 		return nil
@@ -123,7 +123,7 @@
 // drain returns where to write an answer of a length, -1 if it is not known, and
 // what ends the writing.
 func (x *exchange) drain(length int64) (http.ResponseWriter, func()) {
-	pace := readPaces * x.f.Limit.Slow.Duration
+	pace := readPaces * x.f.limits().Slow.Duration
 	if pace <= 0 || length >= 0 && length <= instant {
 		return x.w, func() {}
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -86,6 +86,9 @@
 	if err := x.identify(); err != nil {
 		return err
 	}
+	if limit := x.f.limits().Header; limit > 0 && headerSize(x.r) > limit {
+		return errHeader
+	}
 	if err := x.route(); err != nil {
 		return err
 	}
@@ -118,6 +121,19 @@
 	return nil
 }
 
+// headerSize is how many bytes the headers took on the wire, the request line and the
+// host included.
+func headerSize(r *http.Request) int {
+	const between = 4 // colon, space, end of line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + between + len("Host") + len(r.Host) + between
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + between
+		}
+	}
+	return n
+}
+
 // plain accepts short printable ASCII without spaces, the only names that are
 // safe in a header, a log line and the name of an object.
 func plain(s string) bool {
@@ -139,6 +155,7 @@
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
 	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
+	errHeader   = kinds.New(kinds.LongHeader, "the headers exceed the limit")
 )
 
 // route matches the rule and reads the key.
@@ -192,7 +209,7 @@
 
 // deadline takes the earliest of the caller's, the rule's and the default.
 func (x *exchange) deadline() error {
-	left := x.f.Limit.Request.Duration
+	left := x.f.limits().Request.Duration
 	if x.rule.Then.Deadline > 0 {
 		left = x.rule.Then.Deadline
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -90,6 +90,7 @@
 	// waited there: what it tells then is the server's speed and not its queue.
 	Answered func(s ident.Server, took time.Duration)
 
+	limit   atomic.Pointer[config.Limit] // in place of Limit, once set
 	group   group.Group
 	flights sync.Map // ident.Service -> *flights, of the services divided by key
 	turns   sync.Map // name of a rule -> *atomic.Uint64, its requests
@@ -99,6 +100,17 @@
 	prefix  string
 }
 
+// SetLimit changes the bounds on what callers may send, from the next request on.
+func (f *Front) SetLimit(l config.Limit) { f.limit.Store(&l) }
+
+// limits are the bounds in force.
+func (f *Front) limits() *config.Limit {
+	if l := f.limit.Load(); l != nil {
+		return l
+	}
+	return &f.Limit
+}
+
 // Handler returns the front end as a gin engine.
 func (f *Front) Handler() http.Handler {
 	if f.Identify == nil {
--- /dev/null
+++ b/internal/edge/front/limit_test.go
@@ -0,0 +1,37 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// The operator lowers what callers may send while the VM runs. From the next request
+// on, whoever sends more is told so, and nothing of it reaches a backend server; the
+// others notice nothing.
+func TestLimitsChangeWhileRunning(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		send := func(header, body int) int {
+			r := w.request("POST", "/lab/x", strings.NewReader(strings.Repeat("x", body)))
+			r.Header.Set("X-Note", strings.Repeat("x", header))
+			resp, _, err := w.do(r)
+			assert.NilError(t, err)
+			return resp.StatusCode
+		}
+		assert.Equal(t, send(3000, 3000), http.StatusOK)
+		w.front.SetLimit(config.Limit{Header: 2000, Body: 2000, Request: w.front.Limit.Request})
+		assert.Equal(t, send(3000, 10), kinds.LongHeader.Answer().Status)
+		assert.Equal(t, send(10, 3000), kinds.TooLarge.Answer().Status)
+		assert.Equal(t, send(1000, 2000), http.StatusOK)
+		ran := 0
+		for _, o := range w.origins {
+			ran += len(o.Record.All())
+		}
+		assert.Equal(t, ran, 2, "only what was within the limits")
+	})
+}
--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -93,6 +93,9 @@
 
 func (b *book) apply(rules feed.Rules, set *match.Set) {
 	b.now = rules
+	b.parts.Front.SetLimit(config.Limit{
+		Header: rules.Limits.Header, Body: rules.Limits.Body, Request: config.SpanOf(defaultRequest),
+	})
 	for _, s := range rules.Services {
 		b.service(s)
 	}
