deal: a leader that cannot keep up gives longer grants, half as often

Cause: with 82 VMs of 0.16 of a processor and 10 Mbit/s, all as weak, each leader lost the lead after some 2 s: its round of 1,400 to 2,047 grants each 1.6 s takes more than its processor, and the others do not hear from it in time. Ruled out: a stronger VM (there is none). A VM whose grants wait in its own queue for more than a second a server gives grants of 7 s each 2.3 s for the next 10 s, and cuts no rows meanwhile.

Test: grants of 7 s after a late round, 4 s again when it keeps up.

--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -127,8 +127,10 @@
 // grant gives one span, if the authority still lasts.
 func (d *dealer) grant(ctx context.Context, cmd deal.OrderCmd, o deal.Order) deal.Done {
 	done := deal.Done{Order: o}
+	due := tick.Now()
 	defer d.r.pace.begin(ctx)()
 	now := tick.Now()
+	done.Waited = now.Sub(due)
 	if !now.Before(cmd.Until) {
 		return done
 	}
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -47,6 +47,16 @@
 	// leader's network link with hardly anything else; longer ones leave less than
 	// 2 s in which the next leader may come.
 	Renew = 1600 * time.Millisecond
+	// RenewRare is that pause while this VM cannot keep up, with long grants: it halves
+	// what renewing costs, and a lost server's keys wait for up to LongHold.
+	RenewRare = 2 * Renew
+	// tardy is how long all grants of one server together may wait in this VM's own
+	// queue. More, and the VM is too weak for the usual pace: renewals would come later
+	// with each round until they run out, and it answers the other VMs too late to be
+	// taken for alive. Two of a server's grants wait at a time.
+	tardy = time.Second
+	// strainFor is how long a VM that was late goes on at the slower pace.
+	strainFor = 10 * time.Second
 	// renewals of a grant at least fit into it, however short the platform wants it.
 	renewals = 3
 	// slow is how much longer than asked a grant may last on a server's clock, in
@@ -132,6 +142,7 @@
 	planAt  time.Time
 	evenAt  time.Time // keys may move for balance again, if no server is far above the others
 	learnAt time.Time
+	strain  time.Time // until then this VM counts as too weak for the usual pace
 	seq     uint64
 	told    bool          // a full view was given
 	most    time.Duration // longest grant that servers accept; zero: all that are sent here
@@ -165,6 +176,9 @@
 	return m
 }
 
+// strained reports whether this VM could not send its grants in time lately.
+func (m *Model) strained(now time.Time) bool { return now.Before(m.strain) }
+
 // bounded returns how long a grant may last that should last so long.
 func (m *Model) bounded(d time.Duration) time.Duration {
 	if m.most <= 0 {
--- a/internal/owner/deal/msg.go
+++ b/internal/owner/deal/msg.go
@@ -75,12 +75,14 @@
 	Token   string
 }
 
-// Done is what became of an order. Sent is the time right before it was sent.
+// Done is what became of an order. Sent is the time right before it was sent, Waited how
+// long it waited for others in this VM's own queue.
 type Done struct {
 	Order
-	Sent  time.Time
-	Kind  kinds.Kind
-	Given string // the token that a release brought
+	Sent   time.Time
+	Waited time.Duration
+	Kind   kinds.Kind
+	Given  string // the token that a release brought
 }
 
 // Commands.
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -65,12 +65,20 @@
 
 func (m *Model) grant(now time.Time, p *peer, r *stripe.Row, s *state) Order {
 	o := Order{Span: r.Span, Fence: r.Fence, Hold: m.bounded(Hold), Token: s.token}
-	if m.auth.Long || now.Before(p.rough) {
+	if m.auth.Long || now.Before(p.rough) || m.strained(now) {
 		o.Hold = m.bounded(LongHold)
 	}
 	return o
 }
 
+// pause is the time until the next renewal of a server's grants.
+func (m *Model) pause(now time.Time) time.Duration {
+	if m.strained(now) {
+		return min(RenewRare, m.bounded(LongHold)/renewals)
+	}
+	return min(Renew, m.bounded(Hold)/renewals)
+}
+
 func (m *Model) order(p *peer, list []Order) OrderCmd {
 	return OrderCmd{Server: p.Name, Born: p.Born, Addr: p.Addr, Until: m.auth.Until, Orders: list}
 }
@@ -83,7 +91,7 @@
 		list = list[:min(len(list), probes)]
 	}
 	if !now.Before(p.renewAt) {
-		p.renewAt = now.Add(min(Renew, m.bounded(Hold)/renewals))
+		p.renewAt = now.Add(m.pause(now))
 	}
 	p.busy = true
 	return m.order(p, list)
@@ -108,11 +116,13 @@
 	}
 	var out []loop.Cmd
 	answered, missed := 0, 0
+	waited := time.Duration(0)
 	for _, d := range msg.Done {
 		if d.Release {
 			m.released(now, p, d)
 			continue
 		}
+		waited += d.Waited
 		out = append(out, m.gave(p, msg.Born, d)...)
 		if d.Kind == kinds.None || d.Kind == kinds.Fenced {
 			answered++
@@ -120,9 +130,23 @@
 			missed++
 		}
 	}
+	out = append(out, m.waited(now, p, waited)...)
 	return append(out, m.heard(now, p, answered, missed)...)
 }
 
+// waited takes in how long the grants of one server waited in this VM's own queue.
+func (m *Model) waited(now time.Time, p *peer, d time.Duration) []loop.Cmd {
+	if d < tardy {
+		return nil
+	}
+	before := m.strained(now)
+	m.strain = now.Add(strainFor)
+	if before {
+		return nil
+	}
+	return []loop.Cmd{NoteCmd{What: "grants go out late", Server: p.Name, Rows: len(m.rows), Why: "they waited here for " + d.String()}}
+}
+
 // heard judges a server by how many of its grants were answered.
 func (m *Model) heard(now time.Time, p *peer, answered, missed int) []loop.Cmd {
 	switch {
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -71,7 +71,7 @@
 // so nothing is taken back or given anew.
 func (m *Model) cut(now time.Time, d *draft) bool {
 	total := m.loads.total(now)
-	if total < enough {
+	if total < enough || m.strained(now) {
 		return false
 	}
 	takers := 0
