--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -14,7 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -37,7 +37,7 @@
 	Platform Platform
 	State    *state.State
 	Front    *front.Front
-	Board    *hub.Board
+	Board    *query.Board
 	Fleet    *fleet
 	Log      *slog.Logger
 }
@@ -65,12 +65,12 @@
 
 func (b *book) object(o object.Object) {
 	if o.Name == b.parts.Platform.Rules && o.Version != 0 {
-		b.take(hub.Raw{Rev: uint64(o.Version), Data: o.Value}, "store")
+		b.take(query.Raw{Rev: uint64(o.Version), Data: o.Value}, "store")
 	}
 }
 
 // take puts rules in force if they are newer.
-func (b *book) take(raw hub.Raw, from string) {
+func (b *book) take(raw query.Raw, from string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if raw.Rev <= uint64(b.now.Rev) {
--- a/internal/edge/host/counts.go
+++ b/internal/edge/host/counts.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
 )
@@ -14,12 +14,12 @@
 // counts are what this VM saw of keys and servers since the leader was last told.
 type counts struct {
 	mu    sync.Mutex
-	cells map[ident.Service]hub.Cells
+	cells map[ident.Service]query.Cells
 	sums  map[ident.Server]deal.Sum
 }
 
 func newCounts() *counts {
-	return &counts{cells: map[ident.Service]hub.Cells{}, sums: map[ident.Server]deal.Sum{}}
+	return &counts{cells: map[ident.Service]query.Cells{}, sums: map[ident.Server]deal.Sum{}}
 }
 
 // asked notes a request for a key.
@@ -31,7 +31,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cells[svc] == nil {
-		c.cells[svc] = hub.Cells{}
+		c.cells[svc] = query.Cells{}
 	}
 	c.cells[svc][cell]++
 }
@@ -47,16 +47,16 @@
 }
 
 // take returns what was counted and begins anew.
-func (c *counts) take() (map[ident.Service]hub.Cells, map[ident.Server]deal.Sum) {
+func (c *counts) take() (map[ident.Service]query.Cells, map[ident.Server]deal.Sum) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cells, sums := c.cells, c.sums
-	c.cells, c.sums = map[ident.Service]hub.Cells{}, map[ident.Server]deal.Sum{}
+	c.cells, c.sums = map[ident.Service]query.Cells{}, map[ident.Server]deal.Sum{}
 	return cells, sums
 }
 
 // back puts what could not be told back.
-func (c *counts) back(cells map[ident.Service]hub.Cells, sums map[ident.Server]deal.Sum) {
+func (c *counts) back(cells map[ident.Service]query.Cells, sums map[ident.Server]deal.Sum) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for svc, all := range cells {
@@ -69,5 +69,5 @@
 		have := c.sums[s]
 		c.sums[s] = deal.Sum{N: have.N + sum.N, Took: have.Took + sum.Took}
 	}
-	maps.DeleteFunc(c.cells, func(_ ident.Service, all hub.Cells) bool { return len(all) == 0 })
+	maps.DeleteFunc(c.cells, func(_ ident.Service, all query.Cells) bool { return len(all) == 0 })
 }
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -11,7 +11,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
@@ -22,7 +22,7 @@
 type courier struct {
 	group  group.Group
 	p      courierParts
-	client *hub.Client
+	client *query.Client
 
 	life   string // of the leader whose numbers follow
 	seqs   map[ident.Service]uint64
@@ -34,7 +34,7 @@
 type courierParts struct {
 	fx.In
 	Config Config
-	Board  *hub.Board
+	Board  *query.Board
 	Reign  *reign
 	Fleet  *fleet
 	Book   *book
@@ -44,7 +44,7 @@
 }
 
 func newCourier(lc fx.Lifecycle, p courierParts) *courier {
-	c := &courier{p: p, client: hub.NewClient(), seqs: map[ident.Service]uint64{}, others: p.Config.Seeds}
+	c := &courier{p: p, client: query.NewClient(), seqs: map[ident.Service]uint64{}, others: p.Config.Seeds}
 	duties(lc, &c.group, c.run)
 	return c
 }
@@ -80,14 +80,14 @@
 }
 
 // hello is the part of a question that any VM may read.
-func (c *courier) hello() *hub.Ask {
-	a := &hub.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Power: c.p.Config.Power}
+func (c *courier) hello() *query.Ask {
+	a := &query.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Power: c.p.Config.Power}
 	a.Lease, _ = c.p.Board.Lease()
 	return a
 }
 
 // question is what the leader needs to know, and what this VM has.
-func (c *courier) question() *hub.Ask {
+func (c *courier) question() *query.Ask {
 	a := c.hello()
 	a.Life, a.Seqs = c.life, c.seqs
 	a.Rules, _ = c.p.Board.Revs()
@@ -133,7 +133,7 @@
 
 // ended tells the decision who leads when the holder of a lease gives no orders any
 // more: it says that it does not lead, or its VM runs another process.
-func (c *courier) ended(n hub.News, lease lead.Lease) bool {
+func (c *courier) ended(n query.News, lease lead.Lease) bool {
 	rests := n.Life == lease.Life && !n.Leads && n.Lease.Epoch >= lease.Epoch
 	replaced := n.VM == lease.Holder && n.Life != lease.Life
 	if !rests && !replaced {
@@ -156,7 +156,7 @@
 }
 
 // take takes in what any VM may tell.
-func (c *courier) take(n hub.News) {
+func (c *courier) take(n query.News) {
 	if n.Lease.Life != "" {
 		c.p.Reign.loop.Send(lead.SeeMsg{Lease: n.Lease})
 	}
@@ -182,7 +182,7 @@
 }
 
 // apply puts newer owners of keys in place.
-func (c *courier) apply(n hub.News) {
+func (c *courier) apply(n query.News) {
 	if n.Lease.Life != c.life {
 		c.life, c.seqs = n.Lease.Life, map[ident.Service]uint64{}
 	}
--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -12,7 +12,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
 )
@@ -48,7 +48,7 @@
 	r.seq++
 	seq := r.seq
 	r.mu.Unlock()
-	view := r.board.Publish(svc, hub.Change{Epoch: cmd.Epoch, Seq: seq, Full: cmd.Full, Spans: cmd.Changes})
+	view := r.board.Publish(svc, query.Change{Epoch: cmd.Epoch, Seq: seq, Full: cmd.Full, Spans: cmd.Changes})
 	if s, ok := r.state.Service(svc); ok {
 		s.SetFinder(view)
 	}
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -14,8 +14,8 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 )
 
@@ -40,7 +40,7 @@
 	fx.In
 	Front   *front.Front
 	State   *state.State
-	Board   *hub.Board
+	Board   *query.Board
 	Meter   *meter.Meter
 	Reign   *reign
 	Courier *courier
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -14,7 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/node/census"
@@ -26,7 +26,7 @@
 	group group.Group
 	plat  Platform
 	state *state.State
-	board *hub.Board
+	board *query.Board
 	log   *slog.Logger
 
 	mu       sync.Mutex
@@ -44,7 +44,7 @@
 	logged   map[ident.Server]bool      // malformed entries that were named
 }
 
-func newFleet(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, b *hub.Board, log *slog.Logger) *fleet {
+func newFleet(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, b *query.Board, log *slog.Logger) *fleet {
 	f := &fleet{plat: p, state: s, board: b, log: log, services: map[ident.Service]feed.Service{}, vms: 1, drain: cfg.Bounds.Drain, logged: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	w := &watcher{
 		prefix: p.Servers, board: b, fresh: p.Store, stale: p.Lagging, log: log,
@@ -131,7 +131,7 @@
 }
 
 // take takes in the list that another VM told, or the part of it that changed.
-func (f *fleet) take(l hub.ServerList) {
+func (f *fleet) take(l query.ServerList) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l.Rev < f.rev || l.Rev == f.rev && (l.Part || !f.doubt) {
@@ -153,7 +153,7 @@
 	} else {
 		f.pass(l.Rev)
 	}
-	f.doubt = l.Part && l.Rev == f.rev && l.Sum != hub.SumOf(f.list())
+	f.doubt = l.Part && l.Rev == f.rev && l.Sum != query.SumOf(f.list())
 }
 
 // wholeEvery is the least time between two questions for the whole list: a VM may
@@ -180,7 +180,7 @@
 // centres. The caller holds mu.
 func (f *fleet) pass(rev uint64) {
 	f.rev = rev
-	f.board.SetServers(hub.ServerList{Rev: rev, List: f.list()})
+	f.board.SetServers(query.ServerList{Rev: rev, List: f.list()})
 }
 
 // publish hands the servers to the gates, the other VMs and the leader's deal. The
@@ -192,7 +192,7 @@
 		list = append(list, e.Value)
 	}
 	f.note(list)
-	f.board.SetServers(hub.ServerList{Rev: f.rev, List: list})
+	f.board.SetServers(query.ServerList{Rev: f.rev, List: list})
 	f.spread(list)
 	if f.onChange != nil {
 		f.onChange(list)
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -9,8 +9,8 @@
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -32,7 +32,7 @@
 	Platform Platform
 	Meter    *meter.Meter
 	Reign    *reign
-	Board    *hub.Board
+	Board    *query.Board
 	State    *state.State
 	Record   *record.Writer
 }
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -23,8 +23,8 @@
 	"hawthornfield.org/hawthornfield/internal/edge/door"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -170,8 +170,8 @@
 
 func newState() *state.State { return state.New(nil) }
 
-func newBoard(cfg Config) *hub.Board {
-	return hub.NewBoard(cfg.VM, string(cfg.VM)+"-"+strconv.FormatUint(rand.Uint64(), 36))
+func newBoard(cfg Config) *query.Board {
+	return query.NewBoard(cfg.VM, string(cfg.VM)+"-"+strconv.FormatUint(rand.Uint64(), 36))
 }
 
 // dial is the longest wait for a connection to a backend server within a region.
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -17,7 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -57,7 +57,7 @@
 	group group.Group
 	cfg   Config
 	plat  Platform
-	board *hub.Board
+	board *query.Board
 	fleet *fleet
 	state *state.State
 	count *counts
@@ -71,7 +71,7 @@
 	seq   uint64
 }
 
-func newReign(lc fx.Lifecycle, cfg Config, p Platform, b *hub.Board, f *fleet, s *state.State, c *counts, log *slog.Logger) *reign {
+func newReign(lc fx.Lifecycle, cfg Config, p Platform, b *query.Board, f *fleet, s *state.State, c *counts, log *slog.Logger) *reign {
 	r := &reign{cfg: cfg, plat: p, board: b, fleet: f, state: s, count: c, log: log, deals: map[ident.Service]*loop.Loop{}}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -134,7 +134,7 @@
 	r.loads(cells, sums)
 }
 
-func (r *reign) loads(cells map[ident.Service]hub.Cells, sums map[ident.Server]deal.Sum) {
+func (r *reign) loads(cells map[ident.Service]query.Cells, sums map[ident.Server]deal.Sum) {
 	if len(cells) == 0 && len(sums) == 0 {
 		return
 	}
@@ -144,7 +144,7 @@
 }
 
 // heard takes in what another VM told as it asked.
-func (r *reign) heard(a *hub.Ask) {
+func (r *reign) heard(a *query.Ask) {
 	if a.Lease.Life != "" {
 		r.loop.Send(lead.SeeMsg{Lease: a.Lease})
 	}
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -8,7 +8,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -20,7 +20,7 @@
 // noticed yet.
 type watcher struct {
 	prefix  string
-	board   *hub.Board
+	board   *query.Board
 	fresh   object.Store
 	stale   object.Store
 	log     *slog.Logger
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -11,7 +11,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/edge/hub"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -49,7 +49,7 @@
 	}
 }
 
-func newWatcher(b *hub.Board, fresh, stale object.Store) *watcher {
+func newWatcher(b *query.Board, fresh, stale object.Store) *watcher {
 	return &watcher{
 		prefix: "servers/", board: b, fresh: fresh, stale: stale, log: slog.New(slog.DiscardHandler),
 		told:   func() bool { return true },
@@ -72,7 +72,7 @@
 func TestAForgetfulStoreIsNotAskedAllTheTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &forgetful{until: time.Now().Add(10 * time.Second)}
-		board := hub.NewBoard("vm-2", "a")
+		board := query.NewBoard("vm-2", "a")
 		board.SetTold(time.Now())
 		watchFor(t, newWatcher(board, nil, store), 20*time.Second, func() {})
 		assert.Assert(t, store.lists <= 9, "%d lists", store.lists)
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		stale := &forgetful{until: time.Now().Add(time.Hour)}
 		fresh := &forgetful{}
-		board := hub.NewBoard("vm-2", "a")
+		board := query.NewBoard("vm-2", "a")
 		board.SetTold(time.Now())
 		watchFor(t, newWatcher(board, fresh, stale), 50*time.Millisecond, func() {
 			time.Sleep(4 * time.Second)
@@ -104,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, told := range []bool{true, false} {
 			fresh, stale := &forgetful{}, &forgetful{}
-			board := hub.NewBoard("vm-2", "a")
+			board := query.NewBoard("vm-2", "a")
 			watchFor(t, newWatcher(board, fresh, stale), time.Second, func() {
 				if told {
 					time.Sleep(100 * time.Millisecond)
--- a/internal/edge/hub/board.go
+++ b/internal/edge/query/board.go
@@ -1,11 +1,11 @@
-// Package hub is the exchange between entry VMs: each asks the leader for news,
+// Package query is the exchange between entry VMs: each asks the leader for news,
 // the question waits until there is some, and it carries what the leader needs to
 // know. It costs a message each way a half second for each VM, and no list of
 // members: whoever asks is one.
 //
 // A VM that is cut off from the store alone learns the rules, the servers and the
 // owners of keys in this way within a second.
-package hub
+package query
 
 import (
 	"context"
--- a/internal/edge/hub/change.go
+++ b/internal/edge/query/change.go
@@ -1,4 +1,4 @@
-package hub
+package query
 
 import (
 	"encoding/json"
--- a/internal/edge/hub/list.go
+++ b/internal/edge/query/list.go
@@ -1,4 +1,4 @@
-package hub
+package query
 
 import (
 	"github.com/cespare/xxhash/v2"
