lead: a VM that starts looks who leads at once, and claims later

Cause: the delay that spreads claims held back the first look at the store too, and a VM waited 0.4 s to be told rules by a leader that was not there. Ruled out: the store (4 ms a call).

--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -26,10 +26,10 @@
 // tickEvery is how often the decisions are told the time.
 const tickEvery = 50 * time.Millisecond
 
-// Delays before a VM that starts looks who leads.
+// Delays before a VM that starts claims the lead.
 const (
-	// mostDelay bounds the part that is left to chance. The first of ten looks after
-	// some 10 ms; a claim takes as long.
+	// mostDelay bounds the part that is left to chance. The first of ten claims after
+	// some 10 ms, and that takes as long.
 	mostDelay = 100 * time.Millisecond
 	// weakDelay is the part that a VM with one processor waits; one with a fifth of it
 	// waits five times as long. A VM that leads renews thousands of grants a second,
@@ -39,7 +39,7 @@
 	unknownPower = 1
 )
 
-// delay is how long this VM waits before it looks who leads.
+// delay is how long this VM waits before it claims the lead.
 func delay(power float64) time.Duration {
 	return rand.N(mostDelay) + time.Duration(float64(weakDelay)/cmp.Or(power, unknownPower))
 }
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -37,8 +37,9 @@
 	firstPause = 250 * time.Millisecond
 	lastPause  = 2 * time.Second
 	// tellWait is how long a VM that starts waits for the leader to tell it what it
-	// would otherwise ask the store for, at the full price and all VMs at once.
-	tellWait = 400 * time.Millisecond
+	// would otherwise ask the store for, at the full price and all VMs at once. A leader
+	// that is there answers within some 20 ms; where there is none, all callers wait.
+	tellWait = 100 * time.Millisecond
 	tellPoll = 20 * time.Millisecond
 	// gather is the pause after a change before the next watch: servers that start or
 	// leave together then cost one call and not one each. It is small beside the two
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -107,7 +107,7 @@
 			board := query.NewBoard("vm-2", "a")
 			watchFor(t, newWatcher(board, fresh, stale), time.Second, func() {
 				if told {
-					time.Sleep(100 * time.Millisecond)
+					time.Sleep(tellWait / 2)
 					board.SetTold(time.Now())
 				}
 			})
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -88,11 +88,11 @@
 // Option changes how a Model begins.
 type Option func(*Model)
 
-// WithDelay lets a VM wait before its first look at the store. Where all VMs start at
-// once, each with another delay, the first has the lead before most others look, and
-// they need not try for it: that would be two store calls of each for nothing.
+// WithDelay lets a VM wait before it claims the lead; it looks who leads at once. Where
+// all VMs start together, each with another delay, the first has the lead before the
+// others may try for it, which would cost two store calls of each for nothing.
 func WithDelay(d time.Duration) Option {
-	return func(m *Model) { m.callAt = m.callAt.Add(d) }
+	return func(m *Model) { m.shy = m.callAt.Add(d) }
 }
 
 // New makes a VM that knows of no leader.
@@ -280,6 +280,9 @@
 		return m, nil
 	case m.away && !m.unmoved(now, msg.Version):
 		return m, nil
+	case now.Before(m.shy):
+		m.callAt = m.shy
+		return m, nil
 	}
 	return m.claim()
 }
--- a/internal/owner/lead/lead_test.go
+++ b/internal/owner/lead/lead_test.go
@@ -286,3 +286,23 @@
 	assert.Assert(t, !m.overdue(start.Add(Reign+Shy/2)), "it does not take the lead back at once")
 	assert.Assert(t, m.overdue(start.Add(Reign+Shy)), "it does when nobody else takes it")
 }
+
+// All VMs are killed and start again. Each must learn at once whether somebody leads
+// still, and only the claims are spread: a VM that does not look waits for nothing, and
+// its callers with it.
+func TestAVMThatStartsLooksAtOnceAndClaimsLater(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := New(start, "vm-1", "vm-1-a", netip.AddrPort{}, WithDelay(time.Second))
+	next, cmds := m.Update(start, TickMsg{})
+	assert.DeepEqual(t, cmds, []loop.Cmd{ReadCmd{}})
+	next, cmds = next.Update(start, ReadMsg{Asked: start, Kind: kinds.Absent})
+	assert.Equal(t, len(cmds), 0, "nobody leads, and it is not its turn")
+	next, cmds = next.Update(start.Add(time.Second/2), TickMsg{})
+	assert.Equal(t, len(cmds), 0)
+	at := start.Add(time.Second)
+	next, cmds = next.Update(at, TickMsg{})
+	assert.DeepEqual(t, cmds, []loop.Cmd{ReadCmd{}})
+	next, cmds = next.Update(at, ReadMsg{Asked: at, Kind: kinds.Absent})
+	assert.Equal(t, len(cmds), 1)
+	assert.Equal(t, next.(Model).Stage(), Claim)
+}
