census: a VM that the store alone turned away believes the leader that the store was there

Cause: a removal within 2.2 s of a VM's own return to the store was taken for an entry that lapsed in an outage, whoever told it. The same grace followed each dropped watch: the first failed call counted as an outage, and its end was noted only with the next change.

Ruled out: the leader's word (it had dropped the server within 92 ms); the width of ranges, limits and nearness, which only shifted the moments.

Now the leader says for how long the store has answered it without a break; servers have their time from then on. Silence below 1.5 s lapses no entry and is no outage. Tests: TestADroppedCallIsNoOutage failed on the former rule (run with it); the witness tests name what was not there before.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -121,6 +121,7 @@
 	c.lost = false
 	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch, Troubled: n.Away})
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
+	c.p.Fleet.witness(n.Steady) // first: it decides how a list without some servers is read
 	c.take(n)
 	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -49,7 +49,7 @@
 	w := &watcher{
 		prefix: p.Servers, board: b, fresh: p.Store, stale: p.Lagging, log: log,
 		told:   func() bool { _, servers := b.Revs(); return servers > 0 },
-		listed: f.listed, changed: f.changed, down: f.down,
+		listed: f.listed, changed: f.changed, down: f.down, up: f.up,
 	}
 	duties(lc, &f.group, w.run, f.expire)
 	return f
@@ -61,6 +61,29 @@
 	f.census.Down()
 }
 
+// up notes that the store answered.
+func (f *fleet) up() {
+	now := time.Now()
+	f.board.SetTouch(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.census.Up(now)
+}
+
+// witness takes in for how long the store has answered another VM without a break.
+func (f *fleet) witness(steady time.Duration) {
+	if steady <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.census.Witness(now, now.Add(-steady)) {
+		f.log.Info("the store was there while this VM did not reach it", "rev", f.rev, "steady", steady)
+		f.publish(f.rev)
+	}
+}
+
 func (f *fleet) listed(all []object.Object, at object.Cursor) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -28,8 +28,9 @@
 	listed  func([]object.Object, object.Cursor)
 	changed func([]object.Change, object.Cursor)
 	down    func()
-	failed  int // calls in a row that came to nothing
-	lost    int // lists in a row whose place was forgotten at once
+	up      func() // the store answered, whether or not with news
+	failed  int    // calls in a row that came to nothing
+	lost    int    // lists in a row whose place was forgotten at once
 }
 
 // Pauses of a watcher.
@@ -190,4 +191,7 @@
 		w.log.Info("store regained", "kind", w.prefix, "failed", w.failed)
 	}
 	w.failed = 0
+	if w.up != nil {
+		w.up()
+	}
 }
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -60,11 +60,14 @@
 
 // News is the answer.
 type News struct {
-	VM      ident.VM                 `json:"vm"`   // who answers
-	Life    string                   `json:"life"` // its process
-	Lease   lead.Lease               `json:"lease"`
-	Leads   bool                     `json:"leads"` // the one who answers is the leader
-	Away    bool                     `json:"away"`  // the leader does not reach the store
+	VM    ident.VM   `json:"vm"`   // who answers
+	Life  string     `json:"life"` // its process
+	Lease lead.Lease `json:"lease"`
+	Leads bool       `json:"leads"` // the one who answers is the leader
+	Away  bool       `json:"away"`  // the leader does not reach the store
+	// Steady is for how long the store has answered the leader without a break; zero
+	// where it does not know.
+	Steady  time.Duration            `json:"steady,omitempty"`
 	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
 	Count   int                      `json:"count"` // how many VMs ask, the asker included
 	VMs     []string                 `json:"vms"`   // where some of them are asked
@@ -88,6 +91,7 @@
 	asked   map[ident.VM]asker
 	more    chan struct{} // closed at the next change
 	told    time.Time     // the leader last told its news, and reached the store
+	touch   touch
 	turn    context.Context
 	turned  context.CancelFunc
 }
@@ -272,6 +276,7 @@
 	if !b.leads {
 		return n, true, nil // it has nothing to wait for here
 	}
+	n.Steady = b.touch.steady(now)
 	worth = b.owners(a, &n) || worth
 	b.others(now, a, &n)
 	return n, worth, b.more
--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -15,9 +15,18 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
-// Back is how long a server that lives and reaches the store needs to be listed
-// again after the store's return. The platform says about two seconds.
-const Back = 2200 * time.Millisecond
+// Times of an outage of the store.
+const (
+	// Back is how long a server that lives and reaches the store needs to be listed
+	// again after the store's return. The platform says about two seconds.
+	Back = 2200 * time.Millisecond
+	// Brief is the longest silence of the store that lapses nobody's entry: a server
+	// writes its own each 0.87 s, and it lapses after three such times of silence, 2.6 s.
+	// A call that the store drops is no outage: waiting for Back after each of those
+	// would send requests to a server that left just then for longer than the platform
+	// allows, 2 s.
+	Brief = 1500 * time.Millisecond
+)
 
 // Entry is one server's entry. Rev orders what is said of it.
 type Entry[T any] struct {
@@ -35,7 +44,8 @@
 	seen uint64                  // the latest place in the store's sequence that anything told of
 	left map[ident.Server]uint64 // when servers that are gone were removed
 	away bool                    // the store does not answer
-	back time.Time               // when it last answered again
+	at   time.Time               // when it last answered
+	back time.Time               // since when it has answered again after an outage
 }
 
 type row[T any] struct {
@@ -48,9 +58,32 @@
 
 // Up notes that the store answers.
 func (c *Census[T]) Up(now time.Time) {
-	if c.away {
-		c.away, c.back = false, now
+	if c.away && now.Sub(c.at) >= Brief {
+		c.back = now
+	}
+	c.away, c.at = false, now
+}
+
+// Witness takes in that another VM has been in touch with the store since a time,
+// without a break. It reports whether servers are gone by that.
+//
+// A VM that the store alone turned away for some seconds cannot tell this from an
+// outage by itself: it would go on sending requests to a server that left meanwhile
+// until Back after its own return, 0.2 s longer than the platform allows. Servers that
+// live have been listed again since Back after the first moment in which the store
+// answered anybody.
+func (c *Census[T]) Witness(now, since time.Time) bool {
+	if !since.Before(c.back) {
+		return false
+	}
+	early := c.back.Sub(since)
+	c.back = since
+	for _, r := range c.all {
+		if !r.missing.IsZero() {
+			r.missing = r.missing.Add(-early)
+		}
 	}
+	return c.Expire(now)
 }
 
 // returning reports whether the store is back for so short a time that servers may
--- a/internal/node/census/census_test.go
+++ b/internal/node/census/census_test.go
@@ -111,3 +111,49 @@
 	assert.Assert(t, !c.ToldPart(start, 13, nil, []ident.Server{"b"}), "older than what is known")
 	assert.DeepEqual(t, names(&c), []ident.Server{"b", "c"})
 }
+
+// The store turns one VM away for seven seconds and serves the others. It returns, and
+// a moment before a server left without notice. The VM takes the absence for what an
+// outage does to entries, and goes on sending the server requests until 2.2 s after its
+// own return: the platform counts those from 2 s after it accepted the leaving. Another
+// VM has been in touch with the store all the while, and says so.
+func TestAVMThatAloneWasTurnedAwayBelievesAWitness(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false), entry("b", 4, false)})
+	c.Down()
+	back := start.Add(7 * time.Second)
+	c.Up(back)
+	assert.Assert(t, !c.Told(back.Add(200*time.Millisecond), 12, []Entry[string]{entry("b", 4, false)}), "no proof yet")
+	assert.DeepEqual(t, names(&c), []ident.Server{"a", "b"})
+	assert.Assert(t, c.Witness(back.Add(200*time.Millisecond), back.Add(-5*time.Second)))
+	assert.DeepEqual(t, names(&c), []ident.Server{"b"})
+	assert.Assert(t, c.Told(back.Add(time.Second), 14, nil), "what leaves from now on is gone at once")
+	assert.Equal(t, len(c.All()), 0)
+}
+
+// The store was away for all. Whoever it answered first says since when, and servers
+// have their time from then on, not from the moment at which this VM came to it.
+func TestAWitnessOfTheReturnShortensTheWaitAndDoesNotEndIt(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false)})
+	c.Down()
+	back := start.Add(8 * time.Second)
+	assert.Assert(t, !c.List(back, 12, nil))
+	assert.Assert(t, !c.Witness(back.Add(100*time.Millisecond), back.Add(-time.Second)))
+	assert.DeepEqual(t, names(&c), []ident.Server{"a"})
+	assert.Assert(t, !c.Witness(back.Add(200*time.Millisecond), back.Add(time.Millisecond)), "who came later knows less")
+	assert.Assert(t, !c.Expire(back.Add(Back-time.Second-time.Millisecond)))
+	assert.Assert(t, c.Expire(back.Add(Back-time.Second)))
+}
+
+// The store drops a watch, and answers the next call. Right after it a server leaves
+// without notice. Nobody's entry can have lapsed in so short a time, so the server is
+// gone at once; it would get requests for 2.2 s.
+func TestADroppedCallIsNoOutage(t *testing.T) {
+	var c Census[string]
+	c.List(start, 10, []Entry[string]{entry("a", 3, false)})
+	c.Down()
+	c.Up(start.Add(Brief - time.Millisecond))
+	assert.Assert(t, c.Remove(start.Add(Brief), "a", 12))
+	assert.Equal(t, len(c.All()), 0)
+}
