ahead: lookups behind others on a connection are worked on at once

Cause: net/http reads a connection's next request after the answer to the one before. A pipelined lookup waited unread for all before it, reached its server with less time than its work takes, and no log line had the time.

Ruled out: a server of our own, a second door (docs/design/ahead.md).

The time unread is taken off what is handed on and stands in the log.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -49,11 +49,13 @@
 	Server  ident.Server   `cbor:"server,omitempty" json:"server,omitempty"`
 	Former  ident.Server   `cbor:"former,omitempty" json:"former,omitempty"` // owner before, for Place
 	Epoch   ident.Epoch    `cbor:"epoch,omitempty" json:"epoch,omitempty"`
-	Kind    string         `cbor:"kind,omitempty" json:"kind,omitempty"` // name of a kinds.Kind; the number may differ between versions
-	Ran     kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`   // what the caller was promised
-	Status  int            `cbor:"code,omitempty" json:"code,omitempty"` // HTTP status that the caller got
-	Why     string         `cbor:"why,omitempty" json:"why,omitempty"`   // one sentence
-	Took    time.Duration  `cbor:"took,omitempty" json:"took,omitempty"` // arrival to answer
+	Kind    string         `cbor:"kind,omitempty" json:"kind,omitempty"`     // name of a kinds.Kind; the number may differ between versions
+	Ran     kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`       // what the caller was promised
+	Status  int            `cbor:"code,omitempty" json:"code,omitempty"`     // HTTP status that the caller got
+	Why     string         `cbor:"why,omitempty" json:"why,omitempty"`       // one sentence
+	Took    time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`     // arrival to answer
+	Unread  time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"` // part of took in which it waited behind others on its connection
+	Ahead   bool           `cbor:"ahead,omitempty" json:"ahead,omitempty"`   // worked on before those before it on its connection were answered
 	Tries   int            `cbor:"tries,omitempty" json:"tries,omitempty"`
 	// Of a refusal: how many requests of this VM ran and waited where it was to go, and
 	// how many may run there.
@@ -69,7 +71,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 func (d *Decision) attrs() []slog.Attr {
-	all := make([]slog.Attr, 0, 20)
+	all := make([]slog.Attr, 0, 22)
 	text := func(name, v string) {
 		if v != "" {
 			all = append(all, slog.String(name, v))
@@ -99,6 +101,12 @@
 	if d.Took != 0 {
 		all = append(all, slog.Duration("took", d.Took))
 	}
+	if d.Unread != 0 {
+		all = append(all, slog.Duration("unread", d.Unread))
+	}
+	if d.Ahead {
+		all = append(all, slog.Bool("ahead", true))
+	}
 	number("tries", uint64(max(d.Tries, 0)))
 	number("busy", uint64(max(d.Busy, 0)))
 	number("most", uint64(max(d.Most, 0)))
--- a/internal/edge/daemon/doors.go
+++ b/internal/edge/daemon/doors.go
@@ -84,6 +84,7 @@
 		Handler: a.Front.Handler(), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
 		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
 	}
+	d.callers.Ahead = a.Front.Ahead()
 	d.operators.Web = &http.Server{
 		Handler: d.routes(o.routes), ReadHeaderTimeout: cfg.Limit.Slow.Duration,
 		IdleTimeout: cfg.Limit.Idle.Duration, MaxHeaderBytes: cfg.Limit.Header, ErrorLog: quiet,
--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -15,11 +15,15 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/ahead"
 )
 
 // Door is one HTTP listener. Set Web before Open.
 type Door struct {
-	Web  *http.Server
+	Web *http.Server
+	// Ahead, if set, reads the connections ahead, see package ahead.
+	Ahead *ahead.Reader
+
 	l    net.Listener
 	done group.Group
 }
@@ -31,8 +35,13 @@
 		return kinds.Wrap(kinds.Down, err, "listen on "+at.String())
 	}
 	d.l = l
+	var in net.Listener = l
+	if d.Ahead != nil {
+		in = d.Ahead.Listen(l)
+		d.Web.ConnContext = ahead.Context
+	}
 	d.done.Go(func(context.Context) error {
-		if err := d.Web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.Web.Serve(in); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -51,21 +60,32 @@
 // Shut stops accepting, waits for what is in flight until ctx ends, and then breaks off
 // what is left.
 func (d *Door) Shut(ctx context.Context) error {
+	if d.Ahead != nil {
+		d.Ahead.Drain(ctx)
+	}
 	err := d.Web.Shutdown(ctx)
 	if err != nil {
 		_ = d.Web.Close()
 		err = kinds.Wrap(kinds.Late, err, "requests were still in flight")
 	}
-	if e := d.done.Close(); err == nil {
+	if e := d.end(); err == nil {
 		err = e
 	}
 	return err
 }
 
+// end waits for all that the door started.
+func (d *Door) end() error {
+	if d.Ahead != nil {
+		_ = d.Ahead.Close() // its duties report nothing
+	}
+	return d.done.Close()
+}
+
 // End breaks off what is open: for doors that no caller's request comes through.
 func (d *Door) End(context.Context) error {
 	_ = d.Web.Close()
-	return d.done.Close()
+	return d.end()
 }
 
 // Quiet passes on only the wiring's failures: its own account would drown the log of
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -14,6 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/keep"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/ahead"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
@@ -34,6 +35,7 @@
 	w    http.ResponseWriter // out
 	r    *http.Request
 	body body
+	line *ahead.Conn // nil where the connection is not read ahead, or the request was
 
 	note record.Decision
 	rule *match.Rule
@@ -53,25 +55,61 @@
 	named  bool         // the caller itself chose the request id
 }
 
-// serve takes one request along the line.
+// serve takes one request along the line, or passes on what was started of it already.
 func (f *Front) serve(w gin.ResponseWriter, r *http.Request) {
-	f.flying.Add(1)
-	defer f.flying.Add(-1)
-	x := &exchange{f: f, out: writer{w}, r: r}
-	x.w = &x.out
-	x.note = record.Decision{Sort: record.Route, At: time.Now(), VM: f.VM}
-	if f.closing.Load() {
+	line := ahead.From(r.Context())
+	run, came := line.Begin(r)
+	defer line.End()
+	if f.closing.Load() && !line.Behind() {
 		w.Header().Set("Connection", "close")
 	}
-	err := x.truthful(x.run())
-	x.finish(err)
-	if err != nil && x.sent {
+	if run != nil && run.Deliver(&writer{w}) {
+		return
+	}
+	x := f.exchange(r, came)
+	x.out, x.line = writer{w}, line
+	x.w = &x.out
+	if _, broken := x.answer(); broken {
 		// A normal return would end a chunked answer properly, and the caller
 		// would take the part that arrived for the whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// serveAhead serves a request that is not the first one of its connection that is not
+// answered yet. It declines what must run once at most: its answer may never reach the
+// caller, if one before it breaks the connection off.
+func (f *Front) serveAhead(w http.ResponseWriter, r *http.Request, at time.Time) (ok, broken bool) {
+	x := f.exchange(r, at)
+	x.w, x.note.Ahead = w, true
+	return x.answer()
+}
+
+// exchange begins a request. It came at a time at which nobody read it yet, or now.
+func (f *Front) exchange(r *http.Request, came time.Time) *exchange {
+	now := time.Now()
+	x := &exchange{f: f, r: r}
+	x.note = record.Decision{Sort: record.Route, At: now, VM: f.VM}
+	if !came.IsZero() {
+		x.note.At, x.note.Unread = came, now.Sub(came)
+	}
+	return x
+}
+
+// answer takes the request along the line. It reports whether that was done at all, and
+// whether the answer broke off.
+func (x *exchange) answer() (ok, broken bool) {
+	x.f.flying.Add(1)
+	defer x.f.flying.Add(-1)
+	err := x.run()
+	if errors.Is(err, errInTurn) {
+		return false, false
+	}
+	err = x.truthful(err)
+	x.finish(err)
+	return true, err != nil && x.sent
+}
+
 // truthful keeps a refusal of the last attempt from promising what an earlier one
 // may have done: a request that was sent once and then refused elsewhere may have
 // run, and a caller that is told otherwise repeats what is done already.
@@ -92,8 +130,12 @@
 	if err := x.route(); err != nil {
 		return err
 	}
+	if x.note.Ahead && !x.rule.Then.Idempotent {
+		return errInTurn
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.by)
 	defer cancel()
+	x.line.Leave(cancel)
 	if err := x.takeBody(); err != nil {
 		return err
 	}
@@ -155,6 +197,7 @@
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
 	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
+	errInTurn   = kinds.New(kinds.Internal, "the request is served in its turn")
 	errHeader   = kinds.New(kinds.LongHeader, "the headers exceed the limit")
 )
 
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -22,6 +22,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/ahead"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 )
@@ -138,6 +139,13 @@
 	return engine
 }
 
+// Ahead returns what reads callers' connections ahead for the handler: further lookups on
+// a connection are worked on before the first is answered. None are begun once the front
+// end is closing.
+func (f *Front) Ahead() *ahead.Reader {
+	return &ahead.Reader{Serve: f.serveAhead, May: func() bool { return !f.IsClosing() }}
+}
+
 // wholeSeconds renders a pause rounded up, the only form that RFC 9110 knows.
 func wholeSeconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -57,6 +57,7 @@
 		return &http.Server{Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle, ErrorLog: quiet}
 	}
 	d.callers.Web = serve(p.Front.Handler())
+	d.callers.Ahead = p.Front.Ahead()
 	d.peers.Web = serve(p.Board.Handler(p.Reign.heard))
 	d.metrics.Web = serve(p.Meter.Handler())
 	d.operators.Web = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
