gate: a far server is taken where it saves its caller more than the aim

What a server looks like differs by more than that by chance, and no caller is better off for 20 ms of an aim of 200.

A near server is taken unless the best one anywhere is expected to save more than that, or half of the near one's attempts fail.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -178,7 +178,7 @@
 func (x *exchange) job(owner ident.Server) gate.Job {
 	return gate.Job{
 		Service: x.svc.Name, Caller: x.note.Caller, Key: x.key, Slice: x.note.Slice,
-		Class: class(x.rule.Then.Class), Server: owner, Deadline: x.by, Size: x.size(), Bytes: x.r.ContentLength,
+		Class: class(x.rule.Then.Class), Server: owner, Deadline: x.by, Aim: x.rule.Then.Aim, Size: x.size(), Bytes: x.r.ContentLength,
 		Idempotent: x.rule.Then.Idempotent,
 	}
 }
--- a/internal/load/gate/near_test.go
+++ b/internal/load/gate/near_test.go
@@ -49,6 +49,45 @@
 	assert.Assert(t, went["a"]+went["c"] > 150, "for a large body they are still the better choice: %v", went)
 }
 
+// A lookup is wanted within 200 ms. The near servers take 60 ms and the far ones 25: each
+// byte that crosses is paid for, and no caller is better off for it. Then callers move
+// here, the near servers take 400 ms, and only the far ones still answer in time.
+func TestAFarServerIsTakenWhereItSavesMoreThanTheAim(t *testing.T) {
+	for _, one := range []struct {
+		near   time.Duration
+		leaves bool
+	}{{60 * time.Millisecond, false}, {150 * time.Millisecond, false}, {400 * time.Millisecond, true}} {
+		now := time.Unix(1000, 0)
+		c := NewCore(Config{Seed: 1, Centre: "here"})
+		c.SetServers(now, []ServerInfo{
+			{Name: "a", Centre: "here", Slots: 4, Conns: 100},
+			{Name: "b", Centre: "there", Slots: 4, Conns: 100},
+			{Name: "c", Centre: "here", Slots: 4, Conns: 100},
+			{Name: "d", Centre: "there", Slots: 4, Conns: 100},
+		})
+		c.SetShare(now, 1, 0)
+		warm(c, &now)
+		far := 0
+		for range 200 {
+			now = now.Add(20 * time.Millisecond)
+			c.Tick(now)
+			tk := &Ticket{Job: Job{Deadline: now.Add(time.Second), Aim: 200 * time.Millisecond}, wake: make(chan struct{}, 1)}
+			assert.Equal(t, c.Offer(now, tk), Start)
+			took := one.near
+			if tk.Server() == "b" || tk.Server() == "d" {
+				took = 25 * time.Millisecond
+				far++
+			}
+			c.Done(now, tk, Outcome{Latency: took})
+		}
+		if one.leaves {
+			assert.Assert(t, far > 150, "%v: %d far", one.near, far)
+		} else {
+			assert.Assert(t, far < 10, "%v: %d far", one.near, far)
+		}
+	}
+}
+
 // warm fills all servers at once, so that something is known of each.
 func warm(c *Core, now *time.Time) {
 	for range 10 {
--- a/internal/load/gate/place.go
+++ b/internal/load/gate/place.go
@@ -25,22 +25,45 @@
 	if i < 0 {
 		return nil
 	}
-	if n := c.near.Two(c.rng, skip, c.score); n >= 0 && n != skip && c.score(n) <= c.score(i)*farCost(t.Job.Bytes) {
+	if n := c.near.Two(c.rng, skip, c.score); n >= 0 && n != skip && c.stays(t, n, i) {
 		i = n
 	}
 	return c.servers[c.warmer(now, i, skip)]
 }
 
+// stays reports whether a request goes to a server in this data centre, and not to the
+// one that is the best anywhere.
+//
+// A way between data centres costs a request 3 ms, which nobody notices, and its bytes
+// are paid for: a lookup's answer of 5 KB costs its users a third of what it is worth to
+// them where bytes are dear. So what a far server saves its caller is measured by the
+// time within which the answer is wanted. Near servers that take twice as long, or are
+// busy for the moment, still serve in time; ones that are overrun, because callers moved
+// here or most servers of this data centre left, do not.
+//
+// Gains 0.049 of a day's worth where bytes are dear (0.666 -> 0.715 over 18 days, nearGain
+// alone before).
+func (c *Core) stays(t *Ticket, near, best int) bool {
+	n, b := &c.servers[near].load, &c.servers[best].load
+	if t.Job.Aim > 0 && n.Fails() <= mostFails && n.Answer()-b.Answer() <= t.Job.Aim {
+		return true
+	}
+	return c.score(near) <= c.score(best)*farCost(t.Job.Bytes)
+}
+
 // Preference for servers in the own data centre.
 const (
 	// nearGain is how much worse a near server may look and still be taken for a small
-	// request. Half a step of queueing is some tens of milliseconds; a way between
-	// data centres costs 3 ms, and its bytes are paid for.
+	// request that nobody named an aim for. Half a step of queueing is some tens of
+	// milliseconds; a way between data centres costs 3 ms, and its bytes are paid for.
 	nearGain = 1.4
 	// bulkGain is the same for a request whose body is bulk bytes or more: sending it
 	// elsewhere costs as much as a fifth of what such an upload is worth to its users.
 	bulkGain = 3.0
 	bulk     = 16 << 10
+	// mostFails is the share of a near server's attempts that may fail: beyond half of
+	// them, an answer's time says nothing of what a request there can expect.
+	mostFails = 0.5
 )
 
 // farCost is how many times worse a near server may be than one elsewhere.
--- a/internal/load/gate/types.go
+++ b/internal/load/gate/types.go
@@ -34,6 +34,9 @@
 	Server ident.Server
 	// Deadline is when the caller stops waiting; zero takes Config.Deadline.
 	Deadline time.Time
+	// Aim is how soon after it was asked an answer serves its caller fully; zero where
+	// nobody said.
+	Aim time.Duration
 	// Patience bounds the wait for the key to get an owner; zero waits until
 	// the deadline.
 	Patience time.Duration
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -99,6 +99,9 @@
 	return time.Duration(l.answer * float64(time.Second))
 }
 
+// Fails is the recent share of attempts that failed.
+func (l *Load) Fails() float64 { return l.fails }
+
 // Latency is the average latency observed, Penalty included.
 func (l *Load) Latency() time.Duration {
 	if l.latency == 0 {
--- a/internal/rules/match/check.go
+++ b/internal/rules/match/check.go
@@ -238,6 +238,8 @@
 func (c *checker) checkLimits() {
 	t := &c.rule.Then
 	c.addIf(t.Deadline < 0 || t.Deadline > MaxDeadline, "then.deadline", "outside 0 to "+MaxDeadline.String())
+	c.addIf(t.Aim < 0, "then.aim", "is negative")
+	c.addIf(t.Deadline > 0 && t.Aim > t.Deadline, "then.aim", "is longer than the deadline")
 	c.addIf(t.Retry < 0 || t.Retry > MaxRetry, "then.retry", "outside 0 to "+strconv.Itoa(MaxRetry))
 	c.addIf(t.Queue < 0 || t.Queue > MaxQueue, "then.queue", "outside 0 to "+strconv.Itoa(MaxQueue))
 	c.addIf(t.Wait < 0, "then.wait", "is negative")
--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -85,6 +85,9 @@
 	Size  Size   `cbor:"size,omitempty" json:"size,omitempty"`
 	// Deadline bounds the whole request, counted from its arrival.
 	Deadline time.Duration `cbor:"deadline,omitempty" json:"deadline,omitempty"`
+	// Aim is the time within which an answer is worth its full value to the caller; a
+	// later one still is worth something. Zero: the caller's deadline alone counts.
+	Aim time.Duration `cbor:"aim,omitempty" json:"aim,omitempty"`
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool `cbor:"idem,omitempty" json:"idem,omitempty"`
 	// Retry is how often the request may be sent again.
--- a/internal/rules/match/match_test.go
+++ b/internal/rules/match/match_test.go
@@ -254,6 +254,8 @@
 		{Rule{Name: "a", Then: Then{Service: "lookup", Key: "query"}}, "then.key"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deny: true}}, "then.deny"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deadline: time.Hour}}, "then.deadline"},
+		{Rule{Name: "a", Then: Then{Service: "lab", Aim: -1}}, "then.aim"},
+		{Rule{Name: "a", Then: Then{Service: "lab", Deadline: 1, Aim: 2}}, "then.aim"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Retry: 9}}, "then.retry"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Queue: -1}}, "then.queue"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deadline: 1, Wait: 2}}, "then.wait"},
--- a/internal/rules/match/parse.go
+++ b/internal/rules/match/parse.go
@@ -103,6 +103,7 @@
 	Class      Class         `toml:"class,omitempty"`
 	Size       Size          `toml:"size,omitempty"`
 	Deadline   string        `toml:"deadline,omitempty"`
+	Aim        string        `toml:"aim,omitempty"`
 	Idempotent bool          `toml:"idempotent,omitempty"`
 	Retry      int           `toml:"retry,omitempty"`
 	Hedge      string        `toml:"hedge,omitempty"`
@@ -133,7 +134,7 @@
 	}
 	return Rule{Name: d.Name, When: When(d.When), Then: Then{
 		Service: t.Service, Split: convert[Part](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
-		Deadline: span("then.deadline", t.Deadline), Idempotent: t.Idempotent, Retry: t.Retry,
+		Deadline: span("then.deadline", t.Deadline), Aim: span("then.aim", t.Aim), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: span("then.hedge", t.Hedge), Queue: t.Queue, Wait: span("then.wait", t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
 	}}
@@ -143,7 +144,7 @@
 	t := r.Then
 	return ruleDoc{Name: r.Name, When: whenDoc(r.When), Then: thenDoc{
 		Service: t.Service, Split: convert[partDoc](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
-		Deadline: text(t.Deadline), Idempotent: t.Idempotent, Retry: t.Retry,
+		Deadline: text(t.Deadline), Aim: text(t.Aim), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: text(t.Hedge), Queue: t.Queue, Wait: text(t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
 	}}
