logs and metrics: where a request's time went, near or far, and bytes by cause

Whether a late lookup had waited on its connection, here, on the way or at its server could not be told, nor what a server had said of its load, nor what control sends.

Now: unread, wait, first, far, bytes, load and its age in each decision; histograms of wait and first, far_bytes, control_bytes{orders, exchange, store}.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -56,6 +56,12 @@
 	Took    time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`     // arrival to answer
 	Unread  time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"` // part of took in which it waited behind others on its connection
 	Ahead   bool           `cbor:"ahead,omitempty" json:"ahead,omitempty"`   // worked on before those before it on its connection were answered
+	Wait    time.Duration  `cbor:"wait,omitempty" json:"wait,omitempty"`     // part of took in which it waited here for a place at a server
+	First   time.Duration  `cbor:"first,omitempty" json:"first,omitempty"`   // from sending to the first byte of the last attempt's answer: way and server
+	Far     bool           `cbor:"far,omitempty" json:"far,omitempty"`       // the server is in another data centre
+	Load    int            `cbor:"load,omitempty" json:"load,omitempty"`     // the server's own word on requests there, as known when it was chosen
+	Age     time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`       // of that word
+	Bytes   int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // of the bodies, both ways
 	Tries   int            `cbor:"tries,omitempty" json:"tries,omitempty"`
 	// Of a refusal: how many requests of this VM ran and waited where it was to go, and
 	// how many may run there.
@@ -71,7 +77,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 func (d *Decision) attrs() []slog.Attr {
-	all := make([]slog.Attr, 0, 22)
+	all := make([]slog.Attr, 0, 28)
 	text := func(name, v string) {
 		if v != "" {
 			all = append(all, slog.String(name, v))
@@ -101,12 +107,24 @@
 	if d.Took != 0 {
 		all = append(all, slog.Duration("took", d.Took))
 	}
-	if d.Unread != 0 {
-		all = append(all, slog.Duration("unread", d.Unread))
+	span := func(name string, v time.Duration) {
+		if v != 0 {
+			all = append(all, slog.Duration(name, v))
+		}
 	}
-	if d.Ahead {
-		all = append(all, slog.Bool("ahead", true))
+	flag := func(name string, v bool) {
+		if v {
+			all = append(all, slog.Bool(name, v))
+		}
 	}
+	span("unread", d.Unread)
+	flag("ahead", d.Ahead)
+	span("wait", d.Wait)
+	span("first", d.First)
+	flag("far", d.Far)
+	number("load", uint64(max(d.Load, 0)))
+	span("age", d.Age)
+	number("bytes", uint64(max(d.Bytes, 0)))
 	number("tries", uint64(max(d.Tries, 0)))
 	number("busy", uint64(max(d.Busy, 0)))
 	number("most", uint64(max(d.Most, 0)))
--- a/internal/edge/front/ahead_test.go
+++ b/internal/edge/front/ahead_test.go
@@ -55,6 +55,8 @@
 		d := w.log.last()
 		assert.Assert(t, d.Unread >= 90*time.Millisecond, "its wait is in the log: %v", d.Unread)
 		assert.Assert(t, !d.Ahead)
+		one := w.log.all[0]
+		assert.Assert(t, one.First >= 100*time.Millisecond && one.First <= one.Took, "time at the server: %v of %v", one.First, one.Took)
 		assert.Assert(t, w.log.all[0].Ahead != w.log.all[1].Ahead, "the second lookup")
 	})
 }
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -27,7 +27,9 @@
 	if x.svc.Divided && x.key != "" {
 		return x.toOwner(ctx)
 	}
+	asked := time.Now()
 	pass, err := x.svc.Gate.Enter(ctx, x.job(""))
+	x.waited(asked)
 	if err != nil {
 		return err
 	}
@@ -42,7 +44,7 @@
 			pass.Done(outcome)
 			return err
 		}
-		next, ok := pass.Retry(ctx, outcome)
+		next, ok := x.retry(ctx, pass, outcome)
 		if !ok {
 			return err
 		}
@@ -50,6 +52,15 @@
 	}
 }
 
+// waited adds the time since a place was asked for to what the request waited here.
+func (x *exchange) waited(asked time.Time) { x.note.Wait += time.Since(asked) }
+
+// retry asks for a place for another attempt.
+func (x *exchange) retry(ctx context.Context, pass gate.Pass, o gate.Outcome) (gate.Pass, bool) {
+	defer x.waited(time.Now())
+	return pass.Retry(ctx, o)
+}
+
 // repeats is how often the request may be tried again. What never left this VM
 // may try another server once, whatever the rule says: it is not sent again.
 func (x *exchange) repeats(err error) int {
@@ -85,12 +96,14 @@
 			pass.Done(outcome)
 			return failed
 		case reroutable(failed):
+			asked := time.Now()
 			pass, err = pass.Await(ctx, outcome)
+			x.waited(asked)
 		case outcome.Refused || x.note.Tries > x.rule.Then.Retry:
 			pass.Done(outcome)
 			return failed
 		default:
-			next, ok := pass.Retry(ctx, outcome)
+			next, ok := x.retry(ctx, pass, outcome)
 			if !ok {
 				return failed
 			}
@@ -103,6 +116,7 @@
 // enterOwner asks for a place at the key's owner. The gate can know less than
 // the table: a server that it does not list yet is waited for like a move.
 func (x *exchange) enterOwner(ctx context.Context) (gate.Pass, error) {
+	defer x.waited(time.Now())
 	owner, ok := x.owner()
 	if !ok {
 		return x.svc.Gate.Await(ctx, x.jobAt(owner))
@@ -220,6 +234,8 @@
 ) (out gate.Outcome, err error) {
 	x.note.Tries++
 	x.note.Server = pass.Server()
+	sight := x.svc.Gate.Look(pass.Server())
+	x.note.Far, x.note.Load, x.note.Age = sight.Far, sight.Load, sight.Age
 	to, ok := x.svc.Addr(pass.Server())
 	if !ok {
 		return gate.Outcome{Kind: kinds.NoServer}, errNoAddr
@@ -360,6 +376,7 @@
 	n, err := answer.Copy(w)
 	end()
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.First, Bytes: n + max(x.r.ContentLength, 0)}
+	x.note.First, x.note.Bytes = answer.First, out.Bytes
 	if err != nil {
 		x.cancel(pass.Server())
 	}
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"hawthornfield.org/hawthornfield/internal/audit/record"
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
@@ -35,6 +36,7 @@
 	Board    *query.Board
 	State    *state.State
 	Record   *record.Writer
+	Courier  *courier
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -47,6 +49,7 @@
 	for group.Sleep(ctx, gaugeEvery) {
 		g.lead(tick.Now())
 		g.calls()
+		g.bytes()
 		for name, svc := range g.p.State.Services() {
 			g.gate(string(name), svc.Gate.Stats())
 		}
@@ -84,6 +87,17 @@
 	}
 }
 
+// bytes tells what control sends and receives, by cause.
+func (g *gauges) bytes() {
+	tell := func(cause string, f *flow.Flow) {
+		g.p.Meter.Tagged(map[string]string{"cause": cause}).Gauge("control_bytes").Update(float64(f.Bytes()))
+	}
+	tell("exchange", &g.p.Courier.client.Flow)
+	for cause, f := range g.p.Platform.Bytes {
+		tell(cause, f)
+	}
+}
+
 // gate tells how full a service is, and what its gate did.
 func (g *gauges) gate(svc string, s gate.Stats) {
 	scope := g.p.Meter.Tagged(map[string]string{"service": svc})
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -17,6 +17,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/config"
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -72,6 +73,8 @@
 	Own     string // kind of the system's own objects, with its slash
 	// Calls counts the calls to the store by kind; nil when nobody counts.
 	Calls func() map[string]int64
+	// Bytes are what goes to the store and to backend servers for control, by cause.
+	Bytes map[string]*flow.Flow
 }
 
 // Host is one entry VM. Make one with New.
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -41,6 +41,9 @@
 type answer struct {
 	count tally.Counter
 	took  tally.Histogram
+	wait  tally.Histogram // in this VM's queues
+	first tally.Histogram // way and server
+	far   tally.Counter   // bytes of bodies that crossed between data centres
 }
 
 // New makes the metrics of one VM.
@@ -71,9 +74,19 @@
 	a := v.(*answer)
 	a.count.Inc(1)
 	a.took.RecordDuration(d.Took)
+	a.wait.RecordDuration(d.Wait)
+	if d.First > 0 {
+		a.first.RecordDuration(d.First)
+	}
+	if d.Far {
+		a.far.Inc(d.Bytes)
+	}
 }
 
 func (m *Meter) answer(k answerKey) *answer {
 	scope := m.Tagged(map[string]string{"service": string(k.service), "kind": k.kind})
-	return &answer{count: scope.Counter("answers"), took: scope.Histogram("took", buckets)}
+	return &answer{
+		count: scope.Counter("answers"), took: scope.Histogram("took", buckets),
+		wait: scope.Histogram("wait", buckets), first: scope.Histogram("first", buckets), far: scope.Counter("far_bytes"),
+	}
 }
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
@@ -65,18 +66,23 @@
 }
 
 // Client asks other VMs.
-type Client struct{ web *http.Client }
+type Client struct {
+	flow.Flow // of its questions and their answers
+	web       *http.Client
+}
 
 // NewClient makes a client. Each question has a connection of its own kept, and
 // every wait has an end: a connection can go silent for good.
 func NewClient() *Client {
 	dial := net.Dialer{Timeout: dialWait, KeepAlive: -1}
-	return &Client{web: &http.Client{
+	c := &Client{}
+	c.web = &http.Client{
 		Timeout: Wait + answerWait,
 		Transport: &http.Transport{
-			DialContext: dial.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+			DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 		},
-	}}
+	}
+	return c
 }
 
 // Ask asks one VM. The error carries kind Down.
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -88,6 +88,10 @@
 		if s.own != nil {
 			v.Waiting = s.own.len()
 		}
+		if !s.toldAt.IsZero() {
+			v.Load, v.Age = s.told, now.Sub(s.toldAt)
+		}
+		v.Far = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
 	return Sight{Running: c.running, Most: int(c.width[sizes.Short]), Waiting: c.any.len()}
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -182,9 +182,12 @@
 // Sight is what the gate sees of where a request was to go: of its key's owner, or of
 // all servers together.
 type Sight struct {
-	Running int // requests of this VM there
-	Most    int // as many may run there
-	Waiting int // requests of this VM that wait for a place there
+	Running int           // requests of this VM there
+	Most    int           // as many may run there
+	Waiting int           // requests of this VM that wait for a place there
+	Load    int           // the server's last word on requests running and waiting there
+	Age     time.Duration // of that word; zero if there was none
+	Far     bool          // it is in another data centre
 }
 
 // Look returns what decides about requests for a server's keys now, or, for the empty
