lead: a leader that says again that it has no store does not put off its replacement

Cause: a leader cut off from the store goes on answering questions three times a second and says so each time. The turn to take over was counted from its last answer, 150 ms later for each VM that goes before; from the third on it never came. With the first two VMs cut off beside the leader nobody took over until its term ended, 5 s later, and nobody heard of new rules meanwhile: the other VMs' cheap watches lagged behind a store that dropped its history.

TestALeaderWithoutTheStoreIsReplacedWhoeverIsCutOffBesideIt fails on the former with two cut off beside it.

--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -185,10 +185,17 @@
 	return m
 }
 
+// hear takes in an answer of the leader. One that says again that it does not reach the
+// store does not put off whose turn it is to take over: it answers more often than the
+// turns of all VMs take, and those that go first may be cut off as it is.
 func (m Model) hear(now time.Time, msg HeardMsg) Model {
-	if msg.Epoch >= m.lease.Epoch && m.stage != Lead {
-		m.heard, m.lost, m.away = now, msg.Troubled, msg.Troubled
+	if msg.Epoch < m.lease.Epoch || m.stage == Lead {
+		return m
 	}
+	if !msg.Troubled || !m.away {
+		m.heard = now
+	}
+	m.lost, m.away = msg.Troubled, msg.Troubled
 	return m
 }
 
--- a/internal/owner/lead/lead_test.go
+++ b/internal/owner/lead/lead_test.go
@@ -229,6 +229,26 @@
 	})
 }
 
+// The leader and the VMs that would go first in its place are cut off from the store, all
+// at once. It goes on answering, and says that it does not reach the store. If the others'
+// turn began anew with each of its answers, it would never come for those that go later
+// than one answer follows the other: nobody hears of the operator's new rules until the
+// leader's term ends, five seconds on.
+func TestALeaderWithoutTheStoreIsReplacedWhoeverIsCutOffBesideIt(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 10)
+		w.run(3 * time.Second)
+		old := w.find(w.lease.Holder)
+		old.cut = true
+		beside := rapid.IntRange(0, 6).Draw(t, "beside")
+		for _, v := range w.vms[:beside] {
+			v.cut = true
+		}
+		w.run(Beat + 3*time.Second)
+		assert.Assert(t, w.lease.Holder != old.name, "%d cut off beside it", beside)
+	})
+}
+
 // The store is away from everybody for a while. The one who leads knows what it
 // granted, and is still the leader afterwards.
 func TestALeaderOutlastsAnAbsenceOfTheStore(t *testing.T) {
