host: two failing tests of rules that the store accepted and no VM has in force

Callers of routes that an operator had just added got 404 from every VM, for good; a VM that starts then turns everybody away.

--- /dev/null
+++ b/internal/edge/host/book_test.go
@@ -0,0 +1,62 @@
+package host
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/rules/match"
+)
+
+// grown are rules as an operator has them who has added many: receipts, and so many
+// more prefixes of the same service.
+func grown(more int) feed.Rules {
+	to := match.Then{Service: "ledger", Deadline: 5 * time.Second}
+	r := feed.Rules{
+		List:     []match.Rule{{Name: "receipt", When: match.When{Prefix: "/receipt/"}, Then: to}},
+		Services: []feed.Service{{Name: "ledger", Conns: 50}},
+	}
+	for i := range more {
+		name := "added-" + strconv.Itoa(i)
+		r.List = append(r.List, match.Rule{Name: name, When: match.When{Prefix: "/" + name + "/"}, Then: to})
+	}
+	return r
+}
+
+// manyRules is beyond what any of the operators has, and what one value of the store
+// holds: a megabyte, at some 150 bytes a rule.
+const manyRules = 7000
+
+// An operator adds routes for years. The store accepts each version, but from some
+// number of rules on every VM keeps the version before: callers of the routes that were
+// just added are told 404, "no rule matches", a final answer, by all VMs and for good.
+func TestRulesThatTheStoreAcceptedAreInForceHoweverManyTheyAre(t *testing.T) {
+	w := newWorld(t, 1)
+	w.store.write("config/main", grown(10))
+	w.serve("ledger", "r1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	w.store.write("config/main", grown(manyRules))
+	w.within(patient, "a rule that was added is in force", func() bool {
+		status, _ := w.get(0, "/added-"+strconv.Itoa(manyRules-1)+"/1", "")
+		return status == http.StatusOK
+	})
+	assert.NilError(t, h.Close())
+}
+
+// A VM is replaced after the operator has added many rules. It knows none before, so it
+// keeps none: it turns every caller away, and nobody can say until when.
+func TestAVMThatStartsWithManyRulesServes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.store.write("config/main", grown(manyRules))
+	w.serve("ledger", "r1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	status, _ := w.get(0, "/receipt/1", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.NilError(t, h.Close())
+}
