host: rules that the store accepted are in force, whatever an author may write here

Callers of routes that an operator had just added got 404 from every VM, for good, as soon as the configuration held 4,097 of them; a VM that was replaced afterwards had no rules and turned everybody away.

Cause: a VM compiled what the store had accepted with the check made for authors (number of rules, names, hidden rules, bounds of time), and kept the revision before when it failed. Class: a second acceptance at the place of use. Evidence: "rules refused, more than 4096 rules" on the VMs whose log reaches back so far; every later decision by the revision before; the bytes of both later versions had arrived.

match.Accept refuses nothing: faults go into the log, bounds are clamped, and a rule that demands what this program does not know keeps its place and answers 503, not run. The bounds stay where rules are written (hawthorn check, edits).

Before: both tests of the host fail on every run (404 after 20 s with 7,001 rules; never ready). After: the host's tests pass in 7.5 s, both in it.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -223,6 +223,9 @@
 		return errNoRule
 	}
 	x.note.Rule = x.rule.Name
+	if err := x.rule.Check(); err != nil {
+		return err
+	}
 	if x.rule.Then.Deny {
 		return errDenied
 	}
--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -81,24 +81,27 @@
 	start := time.Now()
 	b.hear(start, ident.Revision(raw.Rev))
 	rules, err := b.parts.Platform.Decode.Rules(ident.Revision(raw.Rev), raw.Data)
-	if err == nil {
-		var set *match.Set
-		if set, err = match.Compile(rules.List); err == nil {
-			b.apply(rules, set)
-		}
-	}
 	if err != nil {
 		b.bad++
 		b.parts.Log.Error("rules refused", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List),
 			"bytes", len(raw.Data), "took", time.Since(start), "kept", b.now.Rev, "err", err)
 		return
 	}
+	// The store has accepted them, so they are in force, whatever this VM thinks of them.
+	set, faults := match.Accept(rules.List)
+	b.apply(rules, set)
 	b.parts.Board.SetRules(raw)
 	b.parts.Log.Info("rules in force", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List),
 		"bytes", len(raw.Data), "took", time.Since(start), "known", time.Since(b.came))
+	for _, f := range faults[:min(len(faults), mostFaults)] {
+		b.parts.Log.Warn("rule has a fault", "rev", raw.Rev, "rule", f.Rule, "field", f.Field, "fault", f.Text, "of", len(faults))
+	}
 	b.came = time.Time{}
 }
 
+// mostFaults bounds the lines about one revision.
+const mostFaults = 5
+
 // hear notes that a revision exists. The caller holds mu.
 func (b *book) hear(now time.Time, rev ident.Revision) {
 	if b.came.IsZero() {
--- a/internal/edge/host/book_test.go
+++ b/internal/edge/host/book_test.go
@@ -34,6 +34,10 @@
 // An operator adds routes for years. The store accepts each version, but from some
 // number of rules on every VM keeps the version before: callers of the routes that were
 // just added are told 404, "no rule matches", a final answer, by all VMs and for good.
+//
+// The VMs checked the whole list again as if they were to accept it, with the bounds
+// that help an author: 4,096 rules. The evidence was one line on each VM, "rules
+// refused: more than 4096 rules", after which every decision named the revision before.
 func TestRulesThatTheStoreAcceptedAreInForceHoweverManyTheyAre(t *testing.T) {
 	w := newWorld(t, 1)
 	w.store.write("config/main", grown(10))
--- /dev/null
+++ b/internal/rules/match/accept.go
@@ -0,0 +1,52 @@
+package match
+
+import "hawthornfield.org/hawthornfield/internal/core/kinds"
+
+// Accept builds a Set from rules that were accepted elsewhere: by the store, or by
+// another version of this program. Unlike [Compile] it refuses nothing, because a VM
+// cannot turn down what is in force everywhere else: if it kept the rules before, it
+// would tell callers of the new ones that nothing is there for them, for good, and
+// start with no rules at all after its next restart.
+//
+// What an author would have been told comes back as faults, for the log. A rule that
+// cannot be followed as it stands holds its place in the order all the same, so that
+// its requests do not fall to a later rule; [Rule.Check] says why it can't be followed.
+func Accept(rules []Rule) (*Set, Faults) {
+	own := cloneRules(rules)
+	c := &checker{}
+	for i := range own {
+		c.rule, c.index = &own[i], i
+		from := len(c.faults)
+		c.checkRule()
+		own[i].settle(c.faults[from:])
+	}
+	return newSet(own), c.faults
+}
+
+// settle makes a rule with faults safe to hold: what only bounds it is brought within
+// bounds, and what it must promise and this program does not know keeps it from being
+// followed.
+func (r *Rule) settle(faults Faults) {
+	t := &r.Then
+	t.Retry = min(max(t.Retry, 0), MaxRetry)
+	t.Queue = min(max(t.Queue, 0), MaxQueue)
+	t.Wait = max(t.Wait, 0)
+	if !t.Idempotent {
+		t.Hedge = 0 // a hedge would run the request twice
+	}
+	for _, f := range faults {
+		switch f.Field {
+		case "when.path", "then.key", "then.split", "then.durable", "then.once":
+			r.fault = f.Field + " " + f.Text
+		}
+	}
+}
+
+// Check returns nil when the rule can be followed. Otherwise the error, of kind Newer,
+// says what stands in the way: its requests are told to come back, and run nowhere.
+func (r *Rule) Check() error {
+	if r.fault == "" {
+		return nil
+	}
+	return kinds.New(kinds.Newer, "rule "+r.Name+" cannot be followed here: "+r.fault)
+}
--- /dev/null
+++ b/internal/rules/match/accept_test.go
@@ -0,0 +1,86 @@
+package match
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+// What an author may write follows from this program's version; what was accepted
+// does not. Where a VM turns down accepted rules because an author could not have
+// written them here, it goes on by the rules before, and callers see them.
+func TestAcceptRefusesNothingThatAnAuthorIsRefused(t *testing.T) {
+	many := make([]Rule, MaxRules+1)
+	for i := range many {
+		name := "r" + strconv.Itoa(i)
+		many[i] = Rule{Name: name, When: When{Prefix: "/" + name + "/"}, Then: Then{Service: "ledger"}}
+	}
+	odd := []Rule{
+		{Name: "a name with spaces", When: When{Prefix: "/odd"}, Then: Then{Service: "ledger", Retry: 99, Wait: -1}},
+		{Name: "hidden", When: When{Prefix: "/odd/below/"}, Then: Then{Service: "ledger"}},
+		{Name: "hidden", When: When{Host: []string{"a*b*c"}}, Then: Then{Service: "ledger", Deadline: -1, Hedge: 1}},
+	}
+	for _, rules := range [][]Rule{many, odd} {
+		_, err := Compile(rules)
+		assert.Assert(t, err != nil, "an author is told")
+		set, _ := Accept(rules)
+		assert.Equal(t, len(set.Rules()), len(rules))
+		for i := range set.Rules() {
+			assert.NilError(t, set.Rules()[i].Check())
+		}
+	}
+	set, faults := Accept(odd)
+	assert.Assert(t, len(faults) >= 5, "%v", faults)
+	r, ok := set.Match(&Request{Path: "/odd/below/x"})
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Name, "a name with spaces")
+	assert.Equal(t, r.Then.Retry, MaxRetry)
+	assert.Equal(t, set.Rules()[2].Then.Hedge.String(), "0s", "what must run once at most is not sent twice")
+}
+
+// A rule that demands what this program does not know keeps its place: its requests are
+// told to come back, and do not fall to a later rule that was never meant for them.
+func TestARuleThatCannotBeFollowedKeepsItsPlace(t *testing.T) {
+	for _, r := range []Rule{
+		{Name: "path", When: When{Path: "no slash"}, Then: Then{Service: "ledger"}},
+		{Name: "key", Then: Then{Service: "ledger", Key: "cookie:ward"}},
+		{Name: "split", Then: Then{Split: []Part{{Service: "ledger"}}}},
+		{Name: "durable", Then: Then{Service: "ledger", Durable: "twice"}},
+		{Name: "once", Then: Then{Service: "ledger", Once: "ever"}},
+	} {
+		set, faults := Accept([]Rule{r, {Name: "rest", Then: Then{Service: "lookup"}}})
+		assert.Equal(t, len(faults), 1)
+		got, ok := set.Match(&Request{Path: "/receipt/1"})
+		assert.Assert(t, ok)
+		assert.Equal(t, got.Name, r.Name)
+		err := got.Check()
+		assert.Equal(t, kinds.Of(err), kinds.Newer, "%v", err)
+		assert.Equal(t, kinds.Of(err).Answer().Ran, kinds.RanNo)
+		rest, ok := set.Match(&Request{Path: "/receipt/1", Service: "other"})
+		assert.Assert(t, ok)
+		assert.Equal(t, rest.Name, r.Name)
+	}
+}
+
+// Rules that an author may write mean the same, whoever accepted them.
+func TestAcceptAgreesWithCompile(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		set := compileSeen(t, drawRules(t, 40))
+		accepted, faults := Accept(set.Rules())
+		assert.Equal(t, len(faults), 0, "%v", faults)
+		for range 20 {
+			req := drawRequest(t)
+			want, wanted := set.Match(req)
+			got, ok := accepted.Match(req)
+			assert.Equal(t, ok, wanted)
+			if ok {
+				assert.Equal(t, got.Name, want.Name)
+			}
+		}
+	})
+}
--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -46,7 +46,8 @@
 	When When   `cbor:"when" json:"when"`
 	Then Then   `cbor:"then" json:"then"`
 
-	path path // compiled form of When.Path
+	path  path   // compiled form of When.Path
+	fault string // why it cannot be followed, empty when it can
 }
 
 // When holds the conditions of a rule. All given conditions must hold; of the
@@ -142,7 +143,8 @@
 	OnceStore Once = "store" // by a conditional create in the object API
 )
 
-// Bounds on a rule, by which a mistyped limit is found before it is accepted.
+// Bounds on what an author writes, by which a mistyped limit is found before it is
+// accepted. They bind nobody afterwards, see [Accept].
 const (
 	MaxRules    = 4096
 	MaxKey      = 1024             // bytes of a key
--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -84,6 +84,11 @@
 	if err := checkAll(own, newChecker(opts)); err != nil {
 		return nil, err
 	}
+	return newSet(own), nil
+}
+
+// newSet indexes rules that were checked.
+func newSet(own []Rule) *Set {
 	n := len(own)
 	s := &Set{rules: own}
 	s.service = newAxis(n, func(i int) []ident.Service { return own[i].When.Service })
@@ -91,7 +96,7 @@
 	s.caller = newAxis(n, func(i int) []ident.Caller { return exact(own[i].When.Caller) })
 	s.centre = newAxis(n, func(i int) []ident.Centre { return own[i].When.Centre })
 	s.first = newAxis(n, func(i int) []string { return own[i].path.first() })
-	return s, nil
+	return s
 }
 
 // cloneRules copies what Compile rewrites: the compiled path, and the names of
