front: no final answer under rules that may be old

Callers of a route that an operator had just added were told 404 (and callers of what only the new rules allow 403, 400, 413, 431) by a VM that had heard of newer rules and was without them, or that heard neither the store nor the leader. These answers are final: the client does not ask again, though another VM, or the same one a moment later, serves it.

A VM now decides so only while it knows that its rules are the newest: the leader, whose own watch of the store does not lag, says with each answer for how long after the question its rules may be taken for that, and the time ends before rules accepted a moment later must be in force anywhere. Otherwise the kind is behind: 503, not run, come back in 0.5 s. Holds on the daemon's own way to its rules too, for revisions that peers speak of.

--- a/internal/core/kinds/kinds.go
+++ b/internal/core/kinds/kinds.go
@@ -26,6 +26,7 @@
 	TooLarge               // a body beyond the configured limit
 	LongHeader             // headers beyond the configured limit
 	NoRule                 // no rule matches the request
+	Behind                 // the rules here may be old, and by them the request is at fault
 	Denied                 // a rule or a missing identity forbids the request
 	Busy                   // refused by admission: full, or over a fair share
 	Late                   // the deadline cannot be met, or passed while queued
@@ -86,6 +87,7 @@
 	TooLarge:   {"too_large", Answer{http.StatusRequestEntityTooLarge, RanNo, "the request exceeds a size limit", 0}},
 	LongHeader: {"long_header", Answer{http.StatusRequestHeaderFieldsTooLarge, RanNo, "the headers exceed a size limit", 0}},
 	NoRule:     {"no_rule", Answer{http.StatusNotFound, RanNo, "no rule matches this request", 0}},
+	Behind:     {"behind", Answer{http.StatusServiceUnavailable, RanNo, "newer rules may allow this request", 500 * time.Millisecond}},
 	Denied:     {"denied", Answer{http.StatusForbidden, RanNo, "the request is not allowed", 0}},
 	Busy:       {"busy", Answer{http.StatusTooManyRequests, RanNo, "the service is full, come back later", time.Second}},
 	Late:       {"late", Answer{http.StatusServiceUnavailable, RanNo, "the deadline cannot be met", time.Second}},
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -33,7 +33,7 @@
 	}
 	if limit := x.f.limits().Body; limit > 0 {
 		if size > limit {
-			return errTooLarge
+			return x.doubt(errTooLarge)
 		}
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -14,6 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/keep"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/ahead"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -127,7 +128,7 @@
 		return err
 	}
 	if limit := x.f.limits().Header; limit > 0 && headerSize(x.r) > limit {
-		return errHeader
+		return x.doubt(errHeader)
 	}
 	if err := x.route(); err != nil {
 		return err
@@ -210,24 +211,21 @@
 		return errNoRules
 	}
 	rules, ok := book.Current(), false
-	x.note.Rev = rules.Rev
-	if newest := book.Newest(); newest > rules.Rev {
-		x.note.Newest = newest
-	}
+	x.noteRev()
 	req := match.Request{
 		Service: ident.Service(x.header(x.f.Names.Service)),
 		Method:  x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery,
 		Header: x.r.Header, Caller: x.note.Caller, Centre: x.f.Centre,
 	}
 	if x.rule, ok = rules.Set.Match(&req); !ok {
-		return errNoRule
+		return x.doubt(errNoRule)
 	}
 	x.note.Rule = x.rule.Name
 	if err := x.rule.Check(); err != nil {
 		return err
 	}
 	if x.rule.Then.Deny {
-		return errDenied
+		return x.doubt(errDenied)
 	}
 	x.note.Service = x.rule.Then.Service
 	if len(x.rule.Then.Split) > 0 {
@@ -238,7 +236,7 @@
 	}
 	var err error
 	if x.key, err = match.KeyOf(x.rule, &req); err != nil {
-		return err
+		return x.doubt(err)
 	}
 	x.note.Key = x.key
 	if x.svc.Divided && x.f.Asked != nil {
@@ -250,6 +248,26 @@
 	return x.deadline()
 }
 
+// noteRev notes the revision decided by, and the newest that exists where that is another.
+func (x *exchange) noteRev() {
+	book := &x.f.State.Rules
+	x.note.Rev = book.Current().Rev
+	if newest := book.Newest(); newest > x.note.Rev {
+		x.note.Newest = newest
+	}
+}
+
+// doubt takes an answer by which the rules put the caller at fault. Callers never ask
+// again after one, so while the rules here may be old it becomes one after which they
+// do, and another VM or a later moment may serve them.
+func (x *exchange) doubt(final error) error {
+	if why := x.f.State.Rules.Doubt(tick.Now()); why != nil {
+		x.noteRev()
+		return kinds.Wrap(kinds.Behind, final, why.Error())
+	}
+	return final
+}
+
 // header reads one of the system's own headers, empty when it has no name.
 func (x *exchange) header(name string) string {
 	if name == "" {
--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"strings"
@@ -12,6 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/query"
@@ -46,10 +48,16 @@
 
 func newBook(lc fx.Lifecycle, p bookParts) *book {
 	b := &book{parts: p}
+	p.State.Rules.Vouch(tick.Now()) // until the store or the leader has said more
 	kind, _, _ := strings.Cut(p.Platform.Rules, "/")
 	w := &watcher{
 		prefix: kind + "/", board: p.Board, fresh: p.Platform.Store, stale: p.Platform.Lagging, log: p.Log,
 		told: func() bool { rules, _ := p.Board.Revs(); return rules > 0 },
+		newest: func(at time.Time) {
+			until := at.Add(sureFor(p.Config.Bounds.Apply))
+			p.State.Rules.Vouch(until)
+			p.Board.SetSure(until)
+		},
 		listed: func(all []object.Object, _ object.Cursor) {
 			for _, o := range all {
 				b.object(o)
@@ -65,6 +73,20 @@
 	return b
 }
 
+const (
+	// usualApply is within what time accepted rules are in force everywhere, where the
+	// platform does not say.
+	usualApply = 2 * time.Second
+	// sureMargin is left for the answer's own way to the caller.
+	sureMargin = 200 * time.Millisecond
+)
+
+// sureFor is for how long rules that were the newest may be taken for that: what is
+// accepted a moment later need not be in force anywhere before this time is over.
+func sureFor(apply time.Duration) time.Duration {
+	return max(cmp.Or(apply, usualApply)-sureMargin, sureMargin)
+}
+
 func (b *book) object(o object.Object) {
 	if o.Name == b.parts.Platform.Rules && o.Version != 0 {
 		b.take(query.Raw{Rev: uint64(o.Version), Data: o.Value}, "store")
@@ -102,6 +124,9 @@
 // mostFaults bounds the lines about one revision.
 const mostFaults = 5
 
+// has reports whether a revision or a newer one is in force.
+func (b *book) has(rev uint64) bool { return uint64(b.parts.State.Rules.Current().Rev) >= rev }
+
 // hear notes that a revision exists. The caller holds mu.
 func (b *book) hear(now time.Time, rev ident.Revision) {
 	if b.came.IsZero() {
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -102,6 +102,7 @@
 		return false
 	}
 	a := c.question()
+	asked := tick.Now()
 	n, err := c.client.Ask(ctx, lease.Addr, a)
 	if err != nil || !n.Leads {
 		c.p.Counts.back(a.Cells, a.Sums)
@@ -123,6 +124,7 @@
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.p.Fleet.witness(n.Steady) // first: it decides how a list without some servers is read
 	c.take(n)
+	c.sure(asked, n)
 	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
 	c.apply(n)
@@ -169,6 +171,14 @@
 	}
 }
 
+// sure takes in for how long the leader's rules are the newest. The time counts from the
+// question: when the answer was written nobody here knows.
+func (c *courier) sure(asked time.Time, n query.News) {
+	if n.Rules == nil || c.p.Book.has(n.Rules.Rev) {
+		c.p.State.Rules.Vouch(asked.Add(n.Sure))
+	}
+}
+
 // meet remembers where the other VMs are.
 func (c *courier) meet(vms []string) {
 	var all []netip.AddrPort
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -8,6 +8,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -28,9 +29,10 @@
 	listed  func([]object.Object, object.Cursor)
 	changed func([]object.Change, object.Cursor)
 	down    func()
-	up      func() // the store answered, whether or not with news
-	failed  int    // calls in a row that came to nothing
-	lost    int    // lists in a row whose place was forgotten at once
+	up      func()             // the store answered, whether or not with news
+	newest  func(at time.Time) // the store said at this time, and does not lag, that there is nothing newer
+	failed  int                // calls in a row that came to nothing
+	lost    int                // lists in a row whose place was forgotten at once
 }
 
 // Pauses of a watcher.
@@ -80,6 +82,7 @@
 func (w *watcher) run(ctx context.Context) error {
 	store := w.first(ctx)
 	for ctx.Err() == nil {
+		asked := tick.Now()
 		all, at, err := store.List(ctx, w.prefix)
 		if err != nil {
 			w.trouble(ctx, "list", err)
@@ -87,6 +90,7 @@
 		}
 		w.well()
 		w.listed(all, at)
+		w.knows(store, asked)
 		w.follow(ctx, at)
 		w.rest(ctx)
 		store = w.store()
@@ -98,7 +102,8 @@
 func (w *watcher) follow(ctx context.Context, at object.Cursor) {
 	w.lost++
 	for ctx.Err() == nil {
-		all, next, err := w.wait(ctx, at)
+		store := w.store()
+		all, next, err := w.wait(ctx, store, at)
 		switch {
 		case errors.Is(err, errTurned):
 			w.lost = 0
@@ -112,8 +117,12 @@
 		w.well()
 		w.lost = 0
 		at = next
+		answered := tick.Now()
 		if len(all) > 0 {
 			w.changed(all, at)
+		}
+		w.knows(store, answered.Add(-answerLag))
+		if len(all) > 0 {
 			w.gather(ctx)
 		}
 	}
@@ -156,18 +165,28 @@
 
 // wait watches until something changed or this VM begins or ceases to lead: a watch
 // that lags, begun before, would go on for seconds on the VM that all others rely on.
-func (w *watcher) wait(ctx context.Context, at object.Cursor) ([]object.Change, object.Cursor, error) {
+func (w *watcher) wait(ctx context.Context, store object.Store, at object.Cursor) ([]object.Change, object.Cursor, error) {
 	turn := w.board.Turn()
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(turn, cancel)()
-	all, next, err := w.store().Watch(inner, w.prefix, at)
+	all, next, err := store.Watch(inner, w.prefix, at)
 	if err != nil && turn.Err() != nil && ctx.Err() == nil {
 		return nil, 0, errTurned
 	}
 	return all, next, err
 }
 
+// answerLag is how old a watch's answer may be as it arrives from a slow store.
+const answerLag = 300 * time.Millisecond
+
+// knows passes on that all that the store held at a time is known here now.
+func (w *watcher) knows(store object.Store, at time.Time) {
+	if w.newest != nil && store == w.fresh {
+		w.newest(at)
+	}
+}
+
 func (w *watcher) trouble(ctx context.Context, what string, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/edge/news/news.go
+++ b/internal/edge/news/news.go
@@ -143,6 +143,7 @@
 		n.post(cmd)
 	case gossip.HeadCmd:
 		if cmd.Head.Name == force.Current {
+			n.Book.Hear(cmd.Head.Rev)
 			n.rules.Send(force.HeardMsg{From: cmd.From, Rev: cmd.Head.Rev, Sum: cmd.Head.Sum})
 		}
 	case gossip.ValueCmd:
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -53,6 +53,8 @@
 	Power   float64                   `json:"power,omitempty"` // processors that the sender may use
 	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
 	Sums    map[ident.Server]deal.Sum `json:"sums,omitempty"`
+
+	came time.Time // by the boot clock
 }
 
 // Cells counts requests by cell of the key space.
@@ -67,7 +69,10 @@
 	Away  bool       `json:"away"`  // the leader does not reach the store
 	// Steady is for how long the store has answered the leader without a break; zero
 	// where it does not know.
-	Steady  time.Duration            `json:"steady,omitempty"`
+	Steady time.Duration `json:"steady,omitempty"`
+	// Sure is for how long after the question came the rules of the one who answers may
+	// be taken for the newest that the store holds; zero where it cannot tell.
+	Sure    time.Duration            `json:"sure,omitempty"`
 	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
 	Count   int                      `json:"count"` // how many VMs ask, the asker included
 	VMs     []string                 `json:"vms"`   // where some of them are asked
@@ -92,6 +97,7 @@
 	more    chan struct{} // closed at the next change
 	told    time.Time     // the leader last told its news, and reached the store
 	touch   touch
+	sure    time.Time // by the boot clock: the rules here are the newest until then
 	turn    context.Context
 	turned  context.CancelFunc
 }
@@ -177,6 +183,14 @@
 	return b.turn
 }
 
+// SetSure notes until when, by the boot clock, the rules known here may be taken for the
+// newest that the store holds.
+func (b *Board) SetSure(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sure = until
+}
+
 // SetRules notes newer rules and reports whether they are.
 func (b *Board) SetRules(r Raw) bool {
 	b.mu.Lock()
@@ -277,6 +291,7 @@
 		return n, true, nil // it has nothing to wait for here
 	}
 	n.Steady = b.touch.steady(now)
+	n.Sure = max(b.sure.Sub(a.came), 0)
 	worth = b.owners(a, &n) || worth
 	b.others(now, a, &n)
 	return n, worth, b.more
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -14,6 +14,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 )
 
 const (
@@ -39,6 +40,7 @@
 			c.Status(http.StatusBadRequest)
 			return
 		}
+		a.came = tick.Now()
 		b.note(time.Now(), &a)
 		heard(&a)
 		c.JSON(http.StatusOK, b.wait(c.Request.Context(), &a))
--- a/internal/rules/force/book.go
+++ b/internal/rules/force/book.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 // Book hands the rules in force to the request path without a lock. The zero
@@ -12,6 +14,7 @@
 	snap  atomic.Pointer[Snapshot]
 	state atomic.Uint32
 	heard atomic.Uint64
+	sure  atomic.Pointer[time.Time]
 }
 
 // Current returns the rules in force. It never returns nil.
@@ -58,3 +61,32 @@
 func (b *Book) Newest() ident.Revision {
 	return max(ident.Revision(b.heard.Load()), b.Current().Rev)
 }
+
+// Vouch notes that the rules in force may be taken for the newest until a moment.
+func (b *Book) Vouch(until time.Time) {
+	for {
+		old := b.sure.Load()
+		if old != nil && !until.After(*old) || b.sure.CompareAndSwap(old, &until) {
+			return
+		}
+	}
+}
+
+var (
+	errBehind = kinds.New(kinds.Behind, "a newer revision exists and is not in force here")
+	errUnsure = kinds.New(kinds.Behind, "this VM cannot know whether a newer revision exists")
+)
+
+// Doubt returns nil while the rules in force may be taken for the newest. Otherwise a
+// request that they turn away may be one that is allowed, and whoever sent it must not
+// be told that the fault is its own. Where nobody ever vouched the second reason does
+// not count: there [Serve] ends instead.
+func (b *Book) Doubt(now time.Time) error {
+	if b.Newest() > b.Current().Rev {
+		return errBehind
+	}
+	if until := b.sure.Load(); until != nil && now.After(*until) {
+		return errUnsure
+	}
+	return nil
+}
--- a/internal/rules/force/book_test.go
+++ b/internal/rules/force/book_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 // A VM hears of a revision before it can put it in force, and of older ones afterwards.
@@ -19,3 +22,23 @@
 	assert.Assert(t, b.Apply(&Snapshot{Record: &Record{Rev: 9}}))
 	assert.Equal(t, int(b.Newest()), 9)
 }
+
+// A VM may tell a caller that nothing is there for its request while it knows that its
+// rules are the newest. What it learned a moment ago never shortens what it knows, and a
+// newer revision that it hears of ends it at once.
+func TestRulesAreInDoubtOnceNobodyVouchesForThem(t *testing.T) {
+	var b Book
+	assert.Assert(t, b.Apply(&Snapshot{Record: &Record{Rev: 3}}))
+	assert.NilError(t, b.Doubt(t0), "nobody vouches on this platform")
+	b.Vouch(t0.Add(2 * time.Second))
+	b.Vouch(t0.Add(time.Second))
+	assert.NilError(t, b.Doubt(t0.Add(2*time.Second)))
+	late := t0.Add(2*time.Second + time.Millisecond)
+	assert.Equal(t, kinds.Of(b.Doubt(late)), kinds.Behind)
+	b.Vouch(late)
+	assert.NilError(t, b.Doubt(late))
+	b.Hear(4)
+	assert.Equal(t, kinds.Of(b.Doubt(t0)), kinds.Behind)
+	assert.Assert(t, b.Apply(&Snapshot{Record: &Record{Rev: 4}}))
+	assert.NilError(t, b.Doubt(t0))
+}
