front: a fault of our own is answered and recorded

A request that met a fault of the program itself (kind internal) was answered 404, "404 page not found": final, without a decision in the log, a count, or the promise that nothing ran.

Cause: the word by which a request that was begun ahead waits for its turn was an error of kind internal, errors.Is takes errors of one kind for the same, and whatever has that kind was dropped as "in its turn". It has no kind now.

Before: the test fails with 404 and no decision. After: 500 with its line; the package passes.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -200,10 +200,14 @@
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
 	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
-	errInTurn   = kinds.New(kinds.Internal, "the request is served in its turn")
 	errHeader   = kinds.New(kinds.LongHeader, "the headers exceed the limit")
 )
 
+// errInTurn is no failure and reaches no caller. It has no kind: errors of one kind are
+// the same to errors.Is, and every fault of our own would be taken for it, dropped
+// without an answer or a line in the log.
+var errInTurn = errors.New("the request is served in its turn")
+
 // route matches the rule and reads the key.
 func (x *exchange) route() error {
 	book := &x.f.State.Rules
