host: a service is listed with its gate

While new rules brought a service, whoever went through all services in that moment (the metrics, a change in the number of VMs) met it without a gate, and the process ended; its callers' requests were cut off.

Cause: the service was put into the list first and got its gate afterwards. It now comes with it.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -179,13 +179,13 @@
 	if _, ok := b.parts.State.Service(s.Name); ok {
 		return
 	}
-	svc := b.parts.State.Put(config.Service{Name: s.Name, Divided: s.Divided})
-	svc.Gate = gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue, Ask: askPause, Centre: b.parts.Config.Centre, Extra: gate.Extra{
+	g := gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue, Ask: askPause, Centre: b.parts.Config.Centre, Extra: gate.Extra{
 		Share: b.parts.Config.Bounds.RetryRatio * extraPart, Burst: b.parts.Config.Bounds.RetrySlack * extraPart,
 	}})
+	svc := b.parts.State.Put(config.Service{Name: s.Name, Divided: s.Divided}, g)
 	b.group.Go(func(ctx context.Context) error {
 		<-ctx.Done()
-		return svc.Gate.Close()
+		return g.Close()
 	})
 	if s.Divided {
 		b.parts.Front.Follow(svc)
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -37,15 +37,17 @@
 	return s
 }
 
-// Put adds a service that became known while running, and returns it; a service
-// of that name that is there already stays.
-func (s *State) Put(cfg config.Service) *Service {
+// Put adds a service that became known while running, with its gate, and returns it; a
+// service of that name that is there already stays. The gate comes with it because a
+// service is used by others from the moment at which it is listed.
+func (s *State) Put(cfg config.Service, g *gate.Gate) *Service {
 	for {
 		old := s.services.Load()
 		if svc, ok := (*old)[cfg.Name]; ok {
 			return svc
 		}
 		svc := newService(cfg)
+		svc.Gate = g
 		next := maps.Clone(*old)
 		next[cfg.Name] = svc
 		if s.services.CompareAndSwap(old, &next) {
