--- a/internal/edge/daemon/status.go
+++ b/internal/edge/daemon/status.go
@@ -73,7 +73,7 @@
 		return kinds.New(kinds.Down, "rules: "+s.String())
 	}
 	for name, svc := range d.in.State.Services() {
-		if svc.Divided && svc.View() == nil {
+		if svc.Divided() && svc.View() == nil {
 			return kinds.New(kinds.NoOwner, "no table yet for "+string(name))
 		}
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -243,10 +243,10 @@
 		return x.doubt(err)
 	}
 	x.note.Key = x.key
-	if x.svc.Divided && x.f.Asked != nil {
+	if x.svc.Divided() && x.f.Asked != nil {
 		x.f.Asked(x.svc.Name, x.key)
 	}
-	if x.svc.Divided && x.key == "" {
+	if x.svc.Divided() && x.key == "" {
 		return kinds.New(kinds.Internal, "rule "+x.rule.Name+" reads no key for a divided service")
 	}
 	return x.deadline()
@@ -379,7 +379,7 @@
 	if x.svc == nil || !errors.As(err, &refused) {
 		return
 	}
-	if owner, ok := x.svc.Owner(x.key); x.svc.Divided && ok {
+	if owner, ok := x.svc.Owner(x.key); x.svc.Divided() && ok {
 		x.note.Server = owner.Server
 	}
 	s := x.svc.Gate.Look(x.note.Server)
--- a/internal/edge/front/flight.go
+++ b/internal/edge/front/flight.go
@@ -109,7 +109,7 @@
 // Start begins to follow the owners of keys. Close ends it.
 func (f *Front) Start() {
 	for _, svc := range f.State.Services() {
-		if svc.Divided {
+		if svc.Divided() {
 			f.Follow(svc)
 		}
 	}
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -25,7 +25,7 @@
 
 // forward makes attempts until one is answered, or none may follow.
 func (x *exchange) forward(ctx context.Context) error {
-	if x.svc.Divided && x.key != "" {
+	if x.svc.Divided() && x.key != "" {
 		return x.toOwner(ctx)
 	}
 	asked := time.Now()
--- a/internal/edge/front/world_test.go
+++ b/internal/edge/front/world_test.go
@@ -111,7 +111,7 @@
 		infos := []gate.ServerInfo{}
 		for _, s := range svc.Servers {
 			infos = append(infos, gate.ServerInfo{Name: s.Name, Slots: 2, Conns: 10})
-			o := origin.New(origin.Config{Service: svc.Name, Server: s.Name, Keyed: svc.Divided, Slices: 8, Slots: 2, Queue: 2})
+			o := origin.New(origin.Config{Service: svc.Name, Server: s.Name, Keyed: svc.Divided(), Slices: 8, Slots: 2, Queue: 2})
 			o.Serve(w.net.Listen(s.Data))
 			w.origins[s.Name] = o
 		}
--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -157,8 +157,12 @@
 	b.parts.Fleet.apply(rules.Services)
 	snap := &force.Snapshot{Record: &force.Record{}, Set: set}
 	snap.Rev = rules.Rev
+	// A rule that reads no key must never meet a service that is divided: so the services
+	// that no longer are go first, and those that now are come last.
+	b.divide(rules.Services, false)
 	book := &b.parts.State.Rules
 	book.Apply(snap)
+	b.divide(rules.Services, true)
 	book.SetState(force.Serve)
 }
 
@@ -182,12 +186,23 @@
 	g := gate.New(gate.Config{Service: s.Name, Queue: queue, Held: queue, Ask: askPause, Centre: b.parts.Config.Centre, Extra: gate.Extra{
 		Share: b.parts.Config.Bounds.RetryRatio * extraPart, Burst: b.parts.Config.Bounds.RetrySlack * extraPart,
 	}})
-	svc := b.parts.State.Put(config.Service{Name: s.Name, Divided: s.Divided}, g)
+	b.parts.State.Put(config.Service{Name: s.Name}, g)
 	b.group.Go(func(ctx context.Context) error {
 		<-ctx.Done()
 		return g.Close()
 	})
-	if s.Divided {
-		b.parts.Front.Follow(svc)
+}
+
+// divide notes which services are divided by key.
+func (b *book) divide(all []feed.Service, on bool) {
+	for _, s := range all {
+		svc, ok := b.parts.State.Service(s.Name)
+		if !ok || s.Divided != on {
+			continue
+		}
+		if on {
+			b.parts.Front.Follow(svc)
+		}
+		svc.SetDivided(on)
 	}
 }
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -231,7 +231,7 @@
 		return nil
 	}
 	for name, svc := range d.p.State.Services() {
-		if svc.Divided && svc.Finder() == nil && d.p.Fleet.lists(name) {
+		if svc.Divided() && svc.Finder() == nil && d.p.Fleet.lists(name) {
 			return kinds.New(kinds.NoOwner, "owners of keys not known yet: "+string(name))
 		}
 	}
--- a/internal/edge/keeper/keeper.go
+++ b/internal/edge/keeper/keeper.go
@@ -125,7 +125,7 @@
 		gone:    map[ident.VM]bool{},
 	}
 	for name, svc := range o.State.Services() {
-		if svc.Divided {
+		if svc.Divided() {
 			k.addService(name, svc)
 		}
 	}
--- a/internal/edge/mover/mover.go
+++ b/internal/edge/mover/mover.go
@@ -95,7 +95,7 @@
 	}
 	m := &Mover{vm: vm, log: log, books: map[ident.Service]*book{}}
 	for name, svc := range st.Services() {
-		if svc.Divided {
+		if svc.Divided() {
 			m.books[name] = &book{svc: svc, own: newCounts(svc.Slices), parts: map[ident.VM]part{}}
 		}
 	}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -71,6 +71,7 @@
 	Gate *gate.Gate
 	Owners
 
+	divided atomic.Bool
 	addrs  atomic.Pointer[map[ident.Server]netip.AddrPort]
 	silent sync.Map // ident.Server -> struct{}
 	calls  sync.Map // ident.Server -> *calls
@@ -81,6 +82,7 @@
 
 func newService(cfg config.Service) *Service {
 	s := &Service{Service: cfg}
+	s.divided.Store(cfg.Divided)
 	addrs := make(map[ident.Server]netip.AddrPort, len(cfg.Servers))
 	for _, srv := range cfg.Servers {
 		addrs[srv.Name] = srv.Data
@@ -90,6 +92,14 @@
 	return s
 }
 
+// Divided reports whether the service is divided by key now. It takes the place of the
+// field of the settings, which says how the service began: rules that are put in force
+// later may divide it, or no longer.
+func (s *Service) Divided() bool { return s.divided.Load() }
+
+// SetDivided notes whether the service is divided by key.
+func (s *Service) SetDivided(on bool) { s.divided.Store(on) }
+
 // Addr returns where a backend server takes requests.
 func (s *Service) Addr(name ident.Server) (netip.AddrPort, bool) {
 	a, ok := (*s.addrs.Load())[name]
--- a/internal/edge/warden/servers.go
+++ b/internal/edge/warden/servers.go
@@ -139,7 +139,7 @@
 		s := w.is[srv.Name]
 		all[i] = gate.ServerInfo{
 			Name: srv.Name, Centre: srv.Centre, Slots: srv.Slots, Conns: srv.Conns,
-			Cold: s.cold, Drain: s.out() && !svc.Divided,
+			Cold: s.cold, Drain: s.out() && !svc.Divided(),
 		}
 	}
 	w.mu.Unlock()
