--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -72,9 +72,9 @@
 	Owners
 
 	divided atomic.Bool
-	addrs  atomic.Pointer[map[ident.Server]netip.AddrPort]
-	silent sync.Map // ident.Server -> struct{}
-	calls  sync.Map // ident.Server -> *calls
+	addrs   atomic.Pointer[map[ident.Server]netip.AddrPort]
+	silent  sync.Map // ident.Server -> struct{}
+	calls   sync.Map // ident.Server -> *calls
 }
 
 // calls counts attempts at one server since the last look.
