platform, host: a watch that brings too much ends in a list

Versions of a large configuration that came faster than a VM took them in made its watch answer with more than four megabytes. Cut off there, the answer was taken for malformed and asked for again from the same place, so the VM kept its old rules until the store forgot the history, up to 20 s.

An answer beyond its bound says so (too_large), and after it, or one that makes no sense, the VM lists: that has the newest of each object alone.

--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -110,6 +110,11 @@
 			return // from now on the other store is watched; begin with its list
 		case kinds.Of(err) == kinds.Absent:
 			return // the history is gone
+		case kinds.Of(err) == kinds.TooLarge || kinds.Of(err) == kinds.Malformed:
+			// The answer would be the same each time, until the store forgets what it
+			// holds. A list has the newest of each object alone.
+			w.trouble(ctx, "watch", err)
+			return
 		case err != nil:
 			w.trouble(ctx, "watch", err)
 			continue
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -120,3 +120,36 @@
 		}
 	})
 }
+
+// crowded is a store that holds more versions of one object than a watch may bring.
+type crowded struct {
+	object.Store
+	lists int
+}
+
+func (s *crowded) List(ctx context.Context, _ string) ([]object.Object, object.Cursor, error) {
+	s.lists++
+	return []object.Object{{Name: "config/main", Version: object.Version(s.lists)}}, 1, briefly(ctx)
+}
+
+func (s *crowded) Watch(ctx context.Context, _ string, _ object.Cursor) ([]object.Change, object.Cursor, error) {
+	if err := briefly(ctx); err != nil {
+		return nil, 0, err
+	}
+	return nil, 0, kinds.New(kinds.TooLarge, "store answer")
+}
+
+// Versions of the rules come faster than a VM can take them in, and its watch would have
+// to bring all of them at once, which is too much. A VM that asked for the same again kept
+// its old rules until the store forgot the history; one that lists has the newest at once.
+func TestAWatchThatIsTooLargeEndsInAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &crowded{}
+		var newest object.Version
+		w := newWatcher(query.NewBoard("vm-1", "life"), s, s)
+		w.listed = func(all []object.Object, _ object.Cursor) { newest = all[0].Version }
+		watchFor(t, w, 10*time.Second, func() {})
+		assert.Assert(t, newest >= 5, "lists: %d", s.lists)
+		assert.Assert(t, s.lists <= 50, "lists without a pause: %d", s.lists)
+	})
+}
