host: two failing tests of rules that crowd out all other news of the leader

Callers of routes that were just added got 404 from VMs which the leader told of them seconds late, and the VMs reported the leader as lost although it answered. A revision of some 4,200 routes travels whole in the answer of the leader to each VM, and an answer whose end is late is thrown away with all that it holds.

--- /dev/null
+++ b/internal/edge/host/thin_test.go
@@ -0,0 +1,243 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
+	"hawthornfield.org/hawthornfield/internal/owner/lead"
+	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+)
+
+// link is a network link with a rate that all connections share. It counts what leaves.
+type link struct {
+	net.Listener
+	rate float64 // bytes a second
+
+	mu   sync.Mutex
+	free time.Time // all that was written before has left by then
+	sent int
+}
+
+// packet is how much one connection sends before the next has its turn, in bytes.
+const packet = 1500
+
+// pass waits until a packet has left.
+func (l *link) pass(n int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	l.sent += n
+	left := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(left))
+}
+
+func (l *link) bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+func (l *link) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return pacedConn{c, l}, err
+}
+
+type pacedConn struct {
+	net.Conn
+	link *link
+}
+
+func (c pacedConn) Write(b []byte) (int, error) {
+	sent := 0
+	for len(b) > 0 {
+		n := min(len(b), packet)
+		c.link.pass(n)
+		n, err := c.Conn.Write(b[:n])
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+		b = b[n:]
+	}
+	return sent, nil
+}
+
+// thin is a VM that leads and does nothing else, behind a link with a rate.
+type thin struct {
+	*query.Board
+	link *link
+	seq  uint64
+}
+
+const thinEpoch = 7
+
+// lead lets a VM behind such a link hold the lead.
+func (w *world) lead(rate float64) *thin {
+	at := free(w.t)
+	l, err := net.Listen("tcp", at.String())
+	assert.NilError(w.t, err)
+	board := query.NewBoard("leader", "leader-1")
+	lease := lead.Lease{Epoch: thinEpoch, Holder: "leader", Life: "leader-1", Addr: at}
+	board.SetLease(lease, true)
+	th := &thin{Board: board, link: &link{Listener: l, rate: rate}}
+	web := &http.Server{Handler: board.Handler(func(*query.Ask) {})}
+	var g group.Group
+	g.Go(func(context.Context) error { _ = web.Serve(th.link); return nil })
+	w.t.Cleanup(func() {
+		_ = web.Close()
+		_ = g.Close()
+	})
+	w.store.write("own/"+leaseName, lease)
+	return th
+}
+
+// move gives all keys of a service to a server, in a change of its own.
+func (th *thin) move(to ident.Server) uint64 {
+	th.seq++
+	th.Publish("lookup", query.Change{
+		Epoch: thinEpoch, Seq: th.seq, Full: th.seq == 1,
+		Spans: []stripe.Served{{Span: stripe.Span{First: 0, Last: stripe.Keys - 1}, Server: to}},
+	})
+	return th.seq
+}
+
+// moved reports whether VM i knows of a change of owners.
+func (w *world) moved(i int, seq uint64) func() bool {
+	return func() bool {
+		svc, ok := w.vms[i].d.p.State.Service("lookup")
+		if !ok {
+			return false
+		}
+		view, _ := svc.Finder().(*stripe.View)
+		return view != nil && view.Seq == seq
+	}
+}
+
+// newRev is above what the store of a test gives out.
+const newRev = 1 << 20
+
+// manyRoutes is a configuration of some 4,200 routes as the store holds it, 0.7 MB of
+// text with names that do not repeat. Only a handful are rules that a VM compiles: what
+// these tests ask is how the text travels.
+func manyRoutes(t *testing.T) query.Raw {
+	const routes, chars = 4200, "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = chars[rand.IntN(len(chars))]
+		}
+		return string(b)
+	}
+	var text strings.Builder
+	for range routes {
+		fmt.Fprintf(&text, "r-%s: host: %s.example, pathPrefix: /%s/, service: %s, kind: idempotent, timeoutS: 2, targetLatencyS: 0.25, maxAttempts: 3, priority: 1, owner: team-%s; ",
+			name(7), name(6), name(8), name(7), name(2))
+	}
+	rules := struct {
+		feed.Rules
+		Text string
+	}{grown(10), text.String()}
+	b, err := json.Marshal(rules)
+	assert.NilError(t, err)
+	return query.Raw{Rev: newRev, Data: b}
+}
+
+// inForce is within which rules that the store accepted must be in force on every VM
+// that others reach.
+const inForce = 2500 * time.Millisecond
+
+// An operator adds routes while a VM cannot reach the store, and the leader's link has
+// little room: 2 Mbit/s for this VM. The rules alone fill it for seconds. If they travel
+// in the answer that also tells who owns which keys, the answer is broken off as late
+// and asked for again, from its beginning, for as long as the link is thin: callers of
+// the new routes are told 404, requests go to servers that gave their keys away, and the
+// VM believes that its leader is gone.
+func TestNewsGoOnWhileManyRulesArrive(t *testing.T) {
+	w := newWorld(t, 1)
+	var log bytes.Buffer
+	w.log = slog.New(slog.NewTextHandler(&log, nil))
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	leader := w.lead(250_000)
+	leader.move("l1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	w.ways[0].bar(true)
+	time.Sleep(query.Wait) // questions from before
+
+	leader.SetRules(manyRoutes(t))
+	told := time.Now()
+	came := time.Duration(0)
+	for time.Since(told) < 2*inForce {
+		seq := leader.move("l1")
+		w.within(time.Second, "a change of owners is known", w.moved(0, seq))
+		if rev, _ := h.d.p.Board.Revs(); rev == newRev && came == 0 {
+			came = time.Since(told)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Assert(t, came > 0 && came < inForce, "rules in force after %v", came)
+	assert.NilError(t, h.Close())
+	assert.Assert(t, !strings.Contains(log.String(), "leader lost"), "%s", log.String())
+}
+
+// An operator adds routes, the store turns many VMs away, and all of them ask the leader
+// at once. If each gets the rules from it, they share its link: it sends the same text
+// for seconds, and no VM has them in time. It is to send a few copies, and the VMs that
+// have one pass it on.
+func TestTheLeaderSendsFewCopiesOfTheRules(t *testing.T) {
+	vms, copies := 40, 4
+	if testing.Short() {
+		vms = 10
+	}
+	w := newWorld(t, vms)
+	w.rules("/lookup/")
+	leader := w.lead(12_500_000)
+	for i := range vms {
+		w.start(i)
+	}
+	for i := range vms {
+		w.within(patient, "ready", w.ready(i))
+		w.ways[i].bar(true)
+	}
+	time.Sleep(query.Wait)
+
+	raw := manyRoutes(t)
+	before := leader.link.bytes()
+	leader.SetRules(raw)
+	told := time.Now()
+	for i, h := range w.vms {
+		w.within(inForce-time.Since(told), fmt.Sprintf("rules in force on VM %d", i), func() bool {
+			rev, _ := h.d.p.Board.Revs()
+			return rev == newRev
+		})
+	}
+	took, sent := time.Since(told), leader.link.bytes()-before
+	t.Logf("%d VMs have %d bytes of rules after %v; the leader sent %d bytes", vms, len(raw.Data), took, sent)
+	assert.Assert(t, sent < copies*len(raw.Data), "the leader sent %d bytes", sent)
+	var g group.Group
+	for _, h := range w.vms {
+		g.Go(func(context.Context) error { return h.Close() })
+	}
+	assert.NilError(t, g.Wait())
+}
--- a/internal/edge/host/world_test.go
+++ b/internal/edge/host/world_test.go
@@ -219,6 +219,7 @@
 	vms   []*Host
 	ways  []*gateway
 	cfgs  []Config
+	log   *slog.Logger // of the VMs
 }
 
 // Grant gives keys to the server at an address.
@@ -240,7 +241,7 @@
 }
 
 func newWorld(t *testing.T, vms int) *world {
-	w := &world{t: t, store: newStore(), back: map[netip.AddrPort]*backend{}}
+	w := &world{t: t, store: newStore(), back: map[netip.AddrPort]*backend{}, log: slog.New(slog.DiscardHandler)}
 	for range vms {
 		w.cfgs = append(w.cfgs, Config{
 			VM: ident.VM("vm-" + strconv.Itoa(len(w.cfgs)+1)), Centre: "here",
@@ -309,7 +310,7 @@
 	h := New(cfg, Platform{
 		Store: way, Lagging: way, Decode: decoder{}, Orders: w, Names: names,
 		Servers: "servers/", Rules: "config/main", Own: "own/",
-	}, slog.New(slog.DiscardHandler))
+	}, w.log)
 	assert.NilError(w.t, h.Start(w.t.Context()))
 	w.vms, w.ways = append(w.vms, h), append(w.ways, way)
 	return h
