host, query: rules travel apart from the news, and from any VM that has them

Callers of routes that were just added got 404 for seconds from VMs that the leader had told of them, and those VMs reported their leader as lost although it answered.

Cause: the answer to every VM's question carried the newest rules whole, 0.5 to 1 MB for some thousand routes. All VMs ask at once, so the leader's link had to carry them once for each, the answer with all other news in it came later than the 0.8 s that it is waited for, was thrown away, and was asked for again from its beginning. What a VM could not put in force was even sent again for good, up to fifty times a second.

The answer now names the newest revision. A duty of its own fetches it, first from who named it and then from the others in random order, unless the VM's own watch of the store brings it within 0.2 s. A VM sends rules to three others at a time, compressed once per revision (or as it got them), and turns the rest away at once; its place is free when the asker has everything. A question tells the newest revision that its sender knows to exist, so nothing is answered at once for the sake of rules that are on their way or were refused. Answers of VMs of the version before, with rules in them, are still read.

Without the bound on VMs served at once TestTheLeaderSendsFewCopiesOfTheRules fails, without the wait for the asker TestAPlaceIsTakenUntilTheRulesHaveArrived.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -99,6 +99,15 @@
 	b.came = time.Time{}
 }
 
+// named notes that another VM has a revision.
+func (b *book) named(rev ident.Revision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rev > b.now.Rev {
+		b.hear(time.Now(), rev)
+	}
+}
+
 // hear notes that a revision exists. The caller holds mu.
 func (b *book) hear(now time.Time, rev ident.Revision) {
 	if b.came.IsZero() {
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -38,6 +38,7 @@
 	Reign  *reign
 	Fleet  *fleet
 	Book   *book
+	Fetch  *fetcher
 	State  *state.State
 	Counts *counts
 	Log    *slog.Logger
@@ -54,9 +55,8 @@
 	leadPause = 200 * time.Millisecond // while this VM leads
 	failPause = 100 * time.Millisecond // after a question that came to nothing
 	// leastTurn is the least time from one question to the next. Whatever this VM
-	// cannot take in, for example rules that it cannot read, is answered again at once;
-	// without a least time both VMs would do nothing else. News wait this long at most,
-	// and only behind other news.
+	// cannot take in is answered again at once; without a least time both VMs would do
+	// nothing else. News wait this long at most, and only behind other news.
 	leastTurn = 20 * time.Millisecond
 )
 
@@ -83,6 +83,7 @@
 func (c *courier) hello() *query.Ask {
 	a := &query.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Power: c.p.Config.Power}
 	a.Lease, _ = c.p.Board.Lease()
+	a.Rules = uint64(c.p.State.Rules.Newest())
 	return a
 }
 
@@ -90,7 +91,6 @@
 func (c *courier) question() *query.Ask {
 	a := c.hello()
 	a.Life, a.Seqs = c.life, c.seqs
-	a.Rules, _ = c.p.Board.Revs()
 	a.Servers = c.p.Fleet.known(time.Now())
 	a.Cells, a.Sums = c.p.Counts.take()
 	return a
@@ -112,7 +112,7 @@
 		if err == nil && c.ended(n, lease) {
 			c.p.Reign.loop.Send(lead.LostMsg{Epoch: lease.Epoch})
 		}
-		c.take(n)
+		c.take(n, lease.Addr)
 		return false
 	}
 	if c.lost {
@@ -122,7 +122,7 @@
 	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch, Troubled: n.Away})
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.p.Fleet.witness(n.Steady) // first: it decides how a list without some servers is read
-	c.take(n)
+	c.take(n, lease.Addr)
 	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
 	c.apply(n)
@@ -157,10 +157,13 @@
 }
 
 // take takes in what any VM may tell.
-func (c *courier) take(n query.News) {
+func (c *courier) take(n query.News, from netip.AddrPort) {
 	if n.Lease.Life != "" {
 		c.p.Reign.loop.Send(lead.SeeMsg{Lease: n.Lease})
 	}
+	if n.Newest > 0 {
+		c.p.Fetch.name(n.Newest, from)
+	}
 	if n.Rules != nil {
 		c.p.Book.take(*n.Rules, "peer")
 	}
@@ -179,6 +182,7 @@
 	}
 	if len(all) > 0 {
 		c.others = all
+		c.p.Fetch.meet(all)
 	}
 }
 
@@ -198,7 +202,7 @@
 	}
 }
 
-// askOther asks another VM who leads, and for rules and servers that are newer.
+// askOther asks another VM who leads, for servers that are newer, and which rules it has.
 func (c *courier) askOther(ctx context.Context) {
 	if len(c.others) == 0 {
 		return
@@ -206,8 +210,8 @@
 	c.next++
 	at := c.others[c.next%len(c.others)]
 	a := c.hello()
-	a.Rules, a.Servers = c.p.Board.Revs()
+	_, a.Servers = c.p.Board.Revs()
 	if n, err := c.client.Ask(ctx, at, a); err == nil {
-		c.take(n)
+		c.take(n, at)
 	}
 }
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -37,6 +37,7 @@
 	State    *state.State
 	Record   *record.Writer
 	Courier  *courier
+	Fetch    *fetcher
 	Book     *book
 }
 
@@ -105,6 +106,7 @@
 		g.p.Meter.Tagged(map[string]string{"cause": cause}).Gauge("control_bytes").Update(float64(f.Bytes()))
 	}
 	tell("exchange", &g.p.Courier.client.Flow)
+	tell("rules", &g.p.Fetch.client.Flow)
 	for cause, f := range g.p.Platform.Bytes {
 		tell(cause, f)
 	}
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -108,7 +108,7 @@
 		fx.WithLogger(func() fxevent.Logger { return door.Quiet{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.base, h.log),
 		fx.StartTimeout(startWait), fx.StopTimeout(h.stopWait()),
-		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newCourier, newGauges, newDoors),
+		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newFetcher, newCourier, newGauges, newDoors),
 		fx.Invoke(func(d *doors) { h.d = d }),
 	)
 	if err := h.app.Err(); err != nil {
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -9,10 +9,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -35,12 +36,6 @@
 	mostTold = 8
 )
 
-// Raw is something that the store holds, as it stands there.
-type Raw struct {
-	Rev  uint64          `json:"rev"`
-	Data json.RawMessage `json:"data"`
-}
-
 // Ask is a question to the leader, with what its sender knows.
 type Ask struct {
 	VM      ident.VM                  `json:"vm"`
@@ -48,7 +43,7 @@
 	Lease   lead.Lease                `json:"lease"` // the newest that the sender knows
 	Life    string                    `json:"life"`  // of the leader whose numbers follow
 	Seqs    map[ident.Service]uint64  `json:"seqs,omitempty"`
-	Rules   uint64                    `json:"rules"`
+	Rules   uint64                    `json:"rules"` // newest revision that the sender knows to exist
 	Servers uint64                    `json:"servers"`
 	Power   float64                   `json:"power,omitempty"` // processors that the sender may use
 	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
@@ -72,8 +67,10 @@
 	Count   int                      `json:"count"` // how many VMs ask, the asker included
 	VMs     []string                 `json:"vms"`   // where some of them are asked
 	Changes map[ident.Service]Change `json:"changes,omitempty"`
-	Rules   *Raw                     `json:"rules,omitempty"`
-	Servers *ServerList              `json:"servers,omitempty"`
+	Newest  uint64                   `json:"newest,omitempty"` // revision of the rules that may be asked for here
+	// Rules are what a VM of an earlier version, which names no newest revision, sends.
+	Rules   *Raw        `json:"rules,omitempty"`
+	Servers *ServerList `json:"servers,omitempty"`
 }
 
 // Board holds what this VM knows and others may ask for. The zero value is not
@@ -85,7 +82,10 @@
 	lease   lead.Lease
 	leads   bool
 	away    bool
-	rules   Raw
+	rules   *parcel
+	came    context.Context // ends when rules newer than those come
+	next    context.CancelFunc
+	sending *semaphore.Weighted // of rules to other VMs
 	servers listing
 	views   map[ident.Service]*history
 	asked   map[ident.VM]asker
@@ -111,8 +111,12 @@
 
 // NewBoard makes the empty board of one process of a VM.
 func NewBoard(vm ident.VM, life string) *Board {
-	b := &Board{vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+	b := &Board{
+		vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{}),
+		rules: &parcel{}, sending: semaphore.NewWeighted(mostSent),
+	}
 	b.turn, b.turned = context.WithCancel(context.Background())
+	b.came, b.next = context.WithCancel(context.Background())
 	return b
 }
 
@@ -184,11 +188,20 @@
 	if r.Rev <= b.rules.Rev {
 		return false
 	}
-	b.rules = r
+	b.rules = &parcel{Raw: r}
+	b.next()
+	b.came, b.next = context.WithCancel(context.Background())
 	b.wake()
 	return true
 }
 
+// Came returns a context that ends when newer rules are known than now.
+func (b *Board) Came() context.Context {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.came
+}
+
 // SetServers notes a newer list of servers and reports whether it is.
 func (b *Board) SetServers(l ServerList) bool {
 	b.mu.Lock()
@@ -282,18 +295,16 @@
 	return n, worth, b.more
 }
 
-// stored adds what the store holds and the asker does not know yet. The caller holds
-// mu, here and below.
+// stored adds what the store holds, and reports whether the asker does not know it yet.
+// One that knows newer rules to exist and still fetches them has nothing to be told, and
+// would ask again at once. The caller holds mu, here and below.
 func (b *Board) stored(a *Ask, n *News) bool {
-	if b.rules.Rev > a.Rules {
-		r := b.rules
-		n.Rules = &r
-	}
+	n.Newest = b.rules.Rev
 	if b.servers.now.Rev > a.Servers {
 		l := b.servers.since(a.Servers)
 		n.Servers = &l
 	}
-	return n.Rules != nil || n.Servers != nil
+	return n.Newest > a.Rules || n.Servers != nil
 }
 
 // owners adds what changed in who serves what.
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -18,8 +18,8 @@
 
 const (
 	askPath = "/news"
-	// mostBytes bounds a message: a list of some hundreds of servers and a
-	// configuration of a thousand routes.
+	// mostBytes bounds a message: the whole list of some thousand servers and all owners
+	// of keys, and from a VM of an earlier version the rules.
 	mostBytes = 8 << 20
 	// dialWait is for VMs within a region.
 	dialWait = 300 * time.Millisecond
@@ -43,6 +43,7 @@
 		heard(&a)
 		c.JSON(http.StatusOK, b.wait(c.Request.Context(), &a))
 	})
+	engine.GET(rulesPath, b.send)
 	return engine
 }
 
@@ -76,18 +77,17 @@
 func NewClient() *Client {
 	dial := net.Dialer{Timeout: dialWait, KeepAlive: -1}
 	c := &Client{}
-	c.web = &http.Client{
-		Timeout: Wait + answerWait,
-		Transport: &http.Transport{
-			DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
-		},
-	}
+	c.web = &http.Client{Transport: &http.Transport{
+		DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+	}}
 	return c
 }
 
 // Ask asks one VM. The error carries kind Down.
 func (c *Client) Ask(ctx context.Context, at netip.AddrPort, a *Ask) (News, error) {
 	var n News
+	ctx, cancel := context.WithTimeout(ctx, Wait+answerWait)
+	defer cancel()
 	b, err := json.Marshal(a)
 	if err != nil {
 		return n, kinds.Wrap(kinds.Internal, err, "encode question")
