query, host: an answer that has begun is word from the leader

VMs reported their leader as lost while its answer was on its way, threw away what they had of it and asked again, also where no rules were in it: after a change of the lead, a long list of servers over a thin link never arrived.

Cause: one time-out, 0.8 s, for the whole answer with its body. A fault of the leader shows as silence; how long an answer takes follows from its size and the link.

The answer must begin within the 0.8 s; its body may pause for a second, and question and answer end after three. The leader's epoch and whether it reaches the store stand in the header, and reach the decision who leads as soon as the answer begins and while bytes come, so a VM does not take the lead from a leader that talks to it. The news count as of the beginning. The leader goes on counting a VM that reads.

Without the repeated word the VM takes the lead (TestALargeAnswerIsNoSilence fails); without the total, the silence or the counting the tests of the exchange fail.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	a := c.question()
-	n, err := c.client.Ask(ctx, lease.Addr, a)
+	n, err := c.client.Ask(ctx, lease.Addr, a, c.hear)
 	if err != nil || !n.Leads {
 		c.p.Counts.back(a.Cells, a.Sums)
 		if !c.lost && ctx.Err() == nil {
@@ -119,7 +119,7 @@
 		c.p.Log.Info("leader regained", "holder", n.Lease.Holder, "epoch", n.Lease.Epoch)
 	}
 	c.lost = false
-	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: n.Lease.Epoch, Troubled: n.Away})
+	c.hear(query.Word{Epoch: n.Lease.Epoch, Away: n.Away}) // one of an earlier version says it at the end only
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.p.Fleet.witness(n.Steady) // first: it decides how a list without some servers is read
 	c.take(n, lease.Addr)
@@ -127,11 +127,16 @@
 	c.meet(n.VMs)
 	c.apply(n)
 	if !n.Away {
-		c.p.Board.SetTold(time.Now())
+		c.p.Board.SetTold(n.Begun)
 	}
 	return true
 }
 
+// hear takes in the word of a leader whose answer has begun.
+func (c *courier) hear(w query.Word) {
+	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: w.Epoch, Troubled: w.Away})
+}
+
 // ended tells the decision who leads when the holder of a lease gives no orders any
 // more: it says that it does not lead, or its VM runs another process.
 func (c *courier) ended(n query.News, lease lead.Lease) bool {
@@ -151,7 +156,7 @@
 	if !may {
 		return
 	}
-	if n, err := c.client.Ask(ctx, lease.Addr, c.hello()); err == nil {
+	if n, err := c.client.Ask(ctx, lease.Addr, c.hello(), nil); err == nil {
 		c.ended(n, lease)
 	}
 }
@@ -211,7 +216,7 @@
 	at := c.others[c.next%len(c.others)]
 	a := c.hello()
 	_, a.Servers = c.p.Board.Revs()
-	if n, err := c.client.Ask(ctx, at, a); err == nil {
+	if n, err := c.client.Ask(ctx, at, a, nil); err == nil {
 		c.take(n, at)
 	}
 }
--- a/internal/edge/host/thin_test.go
+++ b/internal/edge/host/thin_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -266,3 +267,43 @@
 	assert.NilError(t, h.Close())
 	assert.Assert(t, !strings.Contains(log.String(), "rules fetched"), "%s", log.String())
 }
+
+// The leader changes, and tells each VM all servers: 0.16 MB over what its link leaves
+// for this VM, half a Mbit/s, which takes over two seconds. An answer that
+// comes is word from the leader. If its end decides, the VM breaks it off, asks again from
+// the beginning, never knows who owns which keys, and takes the lead from a leader that
+// is there: all VMs are then told everything once more.
+func TestALargeAnswerIsNoSilence(t *testing.T) {
+	w := newWorld(t, 1)
+	var log bytes.Buffer
+	w.log = slog.New(slog.NewTextHandler(&log, nil))
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	leader := w.lead(70_000)
+	leader.move("l1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+
+	list := query.ServerList{Rev: newRev}
+	for i := range 1400 {
+		list.List = append(list.List, feed.Server{
+			Name: ident.Server(fmt.Sprintf("i-%010d", i)), Service: "ledger", Addr: netip.MustParseAddrPort("10.1.2.3:8000"),
+			Centre: "here", Slots: 4, Born: int64(i), Rev: uint64(i),
+		})
+	}
+	text, err := json.Marshal(list)
+	assert.NilError(t, err)
+	leader.SetServers(list)
+	told := time.Now()
+	w.within(patient, "all servers are known", func() bool {
+		_, servers := h.d.p.Board.Revs()
+		return servers == newRev
+	})
+	t.Logf("%d bytes took %v", len(text), time.Since(told))
+	assert.Assert(t, time.Since(told) > query.Gone, "the answer was slow")
+	seq := leader.move("l1")
+	w.within(time.Second, "the next change of owners is known", w.moved(0, seq))
+	assert.Equal(t, w.leads(), -1)
+	assert.NilError(t, h.Close())
+	assert.Assert(t, !strings.Contains(log.String(), "leader lost"), "%s", log.String())
+}
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -71,6 +71,9 @@
 	// Rules are what a VM of an earlier version, which names no newest revision, sends.
 	Rules   *Raw        `json:"rules,omitempty"`
 	Servers *ServerList `json:"servers,omitempty"`
+
+	// Begun is when the answer began to arrive: its news are of that time.
+	Begun time.Time `json:"-"`
 }
 
 // Board holds what this VM knows and others may ask for. The zero value is not
@@ -100,7 +103,7 @@
 	addr  string
 	power float64
 	since time.Time // it has asked all the while
-	at    time.Time
+	at    time.Time // it asked last, or has read the answer by then
 }
 
 // history is who serves a service's keys, and how that came about lately.
@@ -150,11 +153,12 @@
 	return b.lease, b.leads
 }
 
-// SetTold notes that a leader which reaches the store told this VM all its news.
-func (b *Board) SetTold(now time.Time) {
+// SetTold notes that a leader which reaches the store told this VM all its news, as of
+// a time.
+func (b *Board) SetTold(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.told = now
+	b.told = at
 }
 
 // Told reports whether this VM knows what the leader knows.
@@ -279,6 +283,18 @@
 	b.asked[a.VM] = asker{addr: a.Addr, power: a.Power, since: since, at: now}
 }
 
+// busy notes that an asker may read its answer until a time. It asks nothing meanwhile
+// and counts all the same: with fewer VMs counted, each would take more of the
+// connections that a server allows to all of them.
+func (b *Board) busy(until time.Time, vm ident.VM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a, known := b.asked[vm]; known {
+		a.at = until
+		b.asked[vm] = a
+	}
+}
+
 // look returns the news for an asker, whether they are worth an answer now, and what
 // to wait for otherwise.
 func (b *Board) look(now time.Time, a *Ask) (n News, worth bool, more <-chan struct{}) {
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -23,11 +23,23 @@
 	mostBytes = 8 << 20
 	// dialWait is for VMs within a region.
 	dialWait = 300 * time.Millisecond
-	// answerWait is how much longer than Wait an answer may take before the leader
-	// counts as silent.
+	// answerWait is how much longer than Wait an answer may take to begin before the
+	// leader counts as silent.
 	answerWait = 500 * time.Millisecond
+	// mostAnswer bounds a question and its whole answer: a leader that was cut off while
+	// much of its answer is still in the network's buffers is heard no longer than this.
+	mostAnswer = 3 * time.Second
+	// thinLink is what one VM gets of a leader's link at the least, in bytes a second:
+	// one of 10 Mbit/s whose other traffic leaves a quarter, among five that read much
+	// at once.
+	thinLink = 64 << 10
 )
 
+// reading is how long a VM may be busy with an answer of so many bytes, and not ask.
+func reading(size int) time.Duration {
+	return min(time.Duration(size)*time.Second/thinLink, mostAnswer)
+}
+
 // Handler answers questions. Heard is called with each of them.
 func (b *Board) Handler(heard func(*Ask)) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -41,12 +53,27 @@
 		}
 		b.note(time.Now(), &a)
 		heard(&a)
-		c.JSON(http.StatusOK, b.wait(c.Request.Context(), &a))
+		b.answer(c, &a)
 	})
 	engine.GET(rulesPath, b.send)
 	return engine
 }
 
+// answer sends the news to an asker.
+func (b *Board) answer(c *gin.Context, a *Ask) {
+	n := b.wait(c.Request.Context(), a)
+	body, err := json.Marshal(n)
+	if err != nil {
+		c.Status(http.StatusInternalServerError)
+		return
+	}
+	if w, ok := n.word(); ok {
+		w.write(c.Writer.Header())
+	}
+	b.busy(time.Now().Add(reading(len(body))), a.VM)
+	c.Data(http.StatusOK, gin.MIMEJSON, body)
+}
+
 // wait returns news for the asker, as soon as there are some or Wait is over.
 func (b *Board) wait(ctx context.Context, a *Ask) News {
 	timer := time.NewTimer(Wait)
@@ -83,10 +110,11 @@
 	return c
 }
 
-// Ask asks one VM. The error carries kind Down.
-func (c *Client) Ask(ctx context.Context, at netip.AddrPort, a *Ask) (News, error) {
+// Ask asks one VM. Heard is called with the word of a leader as soon as its answer
+// begins and, while it goes on, several times a second. The error carries kind Down.
+func (c *Client) Ask(ctx context.Context, at netip.AddrPort, a *Ask, heard func(Word)) (News, error) {
 	var n News
-	ctx, cancel := context.WithTimeout(ctx, Wait+answerWait)
+	ctx, cancel := context.WithTimeout(ctx, mostAnswer)
 	defer cancel()
 	b, err := json.Marshal(a)
 	if err != nil {
@@ -96,8 +124,8 @@
 	if err != nil {
 		return n, kinds.Wrap(kinds.Internal, err, "question")
 	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.web.Do(req)
+	req.Header.Set("Content-Type", gin.MIMEJSON)
+	resp, err := c.do(req, Wait+answerWait)
 	if err != nil {
 		return n, kinds.Wrap(kinds.Down, err, "ask "+at.String())
 	}
@@ -105,7 +133,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return n, kinds.New(kinds.Down, "ask "+at.String()+": "+resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, mostBytes)).Decode(&n); err != nil {
+	n.Begun = time.Now()
+	body := io.LimitReader(resp.Body, mostBytes)
+	if w, ok := readWord(resp.Header); ok && heard != nil {
+		body = &speaker{Reader: body, word: w, heard: heard}
+	}
+	if err := json.NewDecoder(body).Decode(&n); err != nil {
 		return n, kinds.Wrap(kinds.Down, err, "answer of "+at.String())
 	}
 	return n, nil
--- a/internal/edge/query/silent.go
+++ b/internal/edge/query/silent.go
@@ -15,6 +15,7 @@
 
 // do sends a request. Its answer must begin within a wait, and its body may then pause
 // for bodySilence: how long it takes as a whole follows from its size and the link.
+// Bound the whole by the request's context.
 func (c *Client) do(req *http.Request, wait time.Duration) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	timer := time.AfterFunc(wait, func() { cancel(errSilent) })
