--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -127,6 +127,15 @@
 // has reports whether a revision or a newer one is in force.
 func (b *book) has(rev uint64) bool { return uint64(b.parts.State.Rules.Current().Rev) >= rev }
 
+// named notes that another VM has a revision.
+func (b *book) named(rev ident.Revision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rev > b.now.Rev {
+		b.hear(time.Now(), rev)
+	}
+}
+
 // hear notes that a revision exists. The caller holds mu.
 func (b *book) hear(now time.Time, rev ident.Revision) {
 	if b.came.IsZero() {
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -9,10 +9,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -35,12 +36,6 @@
 	mostTold = 8
 )
 
-// Raw is something that the store holds, as it stands there.
-type Raw struct {
-	Rev  uint64          `json:"rev"`
-	Data json.RawMessage `json:"data"`
-}
-
 // Ask is a question to the leader, with what its sender knows.
 type Ask struct {
 	VM      ident.VM                  `json:"vm"`
@@ -48,7 +43,7 @@
 	Lease   lead.Lease                `json:"lease"` // the newest that the sender knows
 	Life    string                    `json:"life"`  // of the leader whose numbers follow
 	Seqs    map[ident.Service]uint64  `json:"seqs,omitempty"`
-	Rules   uint64                    `json:"rules"`
+	Rules   uint64                    `json:"rules"` // newest revision that the sender knows to exist
 	Servers uint64                    `json:"servers"`
 	Power   float64                   `json:"power,omitempty"` // processors that the sender may use
 	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
@@ -77,8 +72,13 @@
 	Count   int                      `json:"count"` // how many VMs ask, the asker included
 	VMs     []string                 `json:"vms"`   // where some of them are asked
 	Changes map[ident.Service]Change `json:"changes,omitempty"`
-	Rules   *Raw                     `json:"rules,omitempty"`
-	Servers *ServerList              `json:"servers,omitempty"`
+	Newest  uint64                   `json:"newest,omitempty"` // revision of the rules that may be asked for here
+	// Rules are what a VM of an earlier version, which names no newest revision, sends.
+	Rules   *Raw        `json:"rules,omitempty"`
+	Servers *ServerList `json:"servers,omitempty"`
+
+	// Begun is when the answer began to arrive: its news are of that time.
+	Begun time.Time `json:"-"`
 }
 
 // Board holds what this VM knows and others may ask for. The zero value is not
@@ -90,7 +90,10 @@
 	lease   lead.Lease
 	leads   bool
 	away    bool
-	rules   Raw
+	rules   *parcel
+	came    context.Context // ends when rules newer than those come
+	next    context.CancelFunc
+	sending *semaphore.Weighted // of rules to other VMs
 	servers listing
 	views   map[ident.Service]*history
 	asked   map[ident.VM]asker
@@ -106,7 +109,7 @@
 	addr  string
 	power float64
 	since time.Time // it has asked all the while
-	at    time.Time
+	at    time.Time // it asked last, or has read the answer by then
 }
 
 // history is who serves a service's keys, and how that came about lately.
@@ -117,8 +120,12 @@
 
 // NewBoard makes the empty board of one process of a VM.
 func NewBoard(vm ident.VM, life string) *Board {
-	b := &Board{vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{})}
+	b := &Board{
+		vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{}),
+		rules: &parcel{}, sending: semaphore.NewWeighted(mostSent),
+	}
 	b.turn, b.turned = context.WithCancel(context.Background())
+	b.came, b.next = context.WithCancel(context.Background())
 	return b
 }
 
@@ -152,11 +159,12 @@
 	return b.lease, b.leads
 }
 
-// SetTold notes that a leader which reaches the store told this VM all its news.
-func (b *Board) SetTold(now time.Time) {
+// SetTold notes that a leader which reaches the store told this VM all its news, as of
+// a time.
+func (b *Board) SetTold(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.told = now
+	b.told = at
 }
 
 // Told reports whether this VM knows what the leader knows.
@@ -198,11 +206,20 @@
 	if r.Rev <= b.rules.Rev {
 		return false
 	}
-	b.rules = r
+	b.rules = &parcel{Raw: r}
+	b.next()
+	b.came, b.next = context.WithCancel(context.Background())
 	b.wake()
 	return true
 }
 
+// Came returns a context that ends when newer rules are known than now.
+func (b *Board) Came() context.Context {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.came
+}
+
 // SetServers notes a newer list of servers and reports whether it is.
 func (b *Board) SetServers(l ServerList) bool {
 	b.mu.Lock()
@@ -280,6 +297,18 @@
 	b.asked[a.VM] = asker{addr: a.Addr, power: a.Power, since: since, at: now}
 }
 
+// busy notes that an asker may read its answer until a time. It asks nothing meanwhile
+// and counts all the same: with fewer VMs counted, each would take more of the
+// connections that a server allows to all of them.
+func (b *Board) busy(until time.Time, vm ident.VM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a, known := b.asked[vm]; known {
+		a.at = until
+		b.asked[vm] = a
+	}
+}
+
 // look returns the news for an asker, whether they are worth an answer now, and what
 // to wait for otherwise.
 func (b *Board) look(now time.Time, a *Ask) (n News, worth bool, more <-chan struct{}) {
@@ -297,18 +326,16 @@
 	return n, worth, b.more
 }
 
-// stored adds what the store holds and the asker does not know yet. The caller holds
-// mu, here and below.
+// stored adds what the store holds, and reports whether the asker does not know it yet.
+// One that knows newer rules to exist and still fetches them has nothing to be told, and
+// would ask again at once. The caller holds mu, here and below.
 func (b *Board) stored(a *Ask, n *News) bool {
-	if b.rules.Rev > a.Rules {
-		r := b.rules
-		n.Rules = &r
-	}
+	n.Newest = b.rules.Rev
 	if b.servers.now.Rev > a.Servers {
 		l := b.servers.since(a.Servers)
 		n.Servers = &l
 	}
-	return n.Rules != nil || n.Servers != nil
+	return n.Newest > a.Rules || n.Servers != nil
 }
 
 // owners adds what changed in who serves what.
