host: a VM that is told of new rules does not read them from the store as well

Callers waited while the configuration changed: every VM read each version whole from the store, up to a megabyte over links of 10 Mbit/s and with a fifth of a core, and got it from other VMs besides.

The leader's answer says up to which place in the store's changes its rules are the newest, and the watch goes on from there.

TestRulesThatTheStoreBringsAreNotFetched now waits until nobody vouches: what it holds is for that case.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -53,11 +53,12 @@
 	w := &watcher{
 		prefix: kind + "/", board: p.Board, fresh: p.Platform.Store, stale: p.Platform.Lagging, log: p.Log,
 		told: func() bool { rules, _ := p.Board.Revs(); return rules > 0 },
-		newest: func(at time.Time) {
+		newest: func(at time.Time, place object.Cursor) {
 			until := at.Add(sureFor(p.Config.Bounds.Apply))
 			p.State.Rules.Vouch(until)
-			p.Board.SetSure(until)
+			p.Board.SetSure(until, place)
 		},
+		rely: b.relies,
 		listed: func(all []object.Object, _ object.Cursor) {
 			for _, o := range all {
 				b.object(o)
@@ -73,6 +74,23 @@
 	return b
 }
 
+// fetchWait is for how long other VMs have to bring rules that the leader has named.
+const fetchWait = 400 * time.Millisecond
+
+// relies reports whether this VM gets new rules from other VMs, and up to which place in
+// the store's changes they are known. A watch of its own would bring each version whole,
+// up to a megabyte where the other VMs send a tenth of it: over a thin link callers wait
+// for a second behind that. It is for the time in which no leader vouches for the rules,
+// or the VMs do not bring what it names.
+func (b *book) relies(now time.Time) (object.Cursor, bool) {
+	if b.parts.Board.Told(now) && b.parts.State.Rules.Sure(tick.Now()) {
+		behind, _ := b.behind(now)
+		seen := b.parts.Board.Seen()
+		return seen, seen > 0 && behind < fetchWait
+	}
+	return 0, false
+}
+
 const (
 	// usualApply is within what time accepted rules are in force everywhere, where the
 	// platform does not say.
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -184,6 +184,7 @@
 func (c *courier) sure(asked time.Time, n query.News) {
 	if c.p.Book.has(n.Newest) {
 		c.p.State.Rules.Vouch(asked.Add(n.Sure))
+		c.p.Board.SetSeen(n.Seen)
 	}
 }
 
--- a/internal/edge/host/fetch.go
+++ b/internal/edge/host/fetch.go
@@ -87,7 +87,7 @@
 	began := time.Now()
 	held, want := f.wanted()
 	f.p.Book.named(ident.Revision(want))
-	if held > 0 {
+	if _, relies := f.p.Book.relies(began); held > 0 && !relies {
 		group.Sleep(ctx, headStart)
 	}
 	for ctx.Err() == nil {
--- a/internal/edge/host/thin_test.go
+++ b/internal/edge/host/thin_test.go
@@ -19,6 +19,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
@@ -243,8 +244,9 @@
 	assert.NilError(t, g.Wait())
 }
 
-// The store reaches a VM as soon as the leader does, as on most days. The VM takes the
-// rules from there and asks nobody, or each change would travel twice.
+// The leader does not vouch for the rules, so the VM watches the store itself, which
+// reaches it as soon as the leader does. The VM takes the rules from there and asks nobody,
+// or each change would travel twice.
 func TestRulesThatTheStoreBringsAreNotFetched(t *testing.T) {
 	w := newWorld(t, 1)
 	var log bytes.Buffer
@@ -255,6 +257,7 @@
 	leader.move("l1")
 	h := w.start(0)
 	w.within(patient, "ready", w.ready(0))
+	w.within(patient, "nobody vouches", func() bool { return !h.d.p.State.Rules.Sure(tick.Now()) })
 	w.rules("/new/")
 	o, err := w.ways[0].Get(t.Context(), "config/main")
 	assert.NilError(t, err)
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -29,10 +29,15 @@
 	listed  func([]object.Object, object.Cursor)
 	changed func([]object.Change, object.Cursor)
 	down    func()
-	up      func()             // the store answered, whether or not with news
-	newest  func(at time.Time) // the store said at this time, and does not lag, that there is nothing newer
-	failed  int                // calls in a row that came to nothing
-	lost    int                // lists in a row whose place was forgotten at once
+	up      func() // the store answered, whether or not with news
+	// newest takes in that all that the store held at a time is known here, and up to
+	// which place in its sequence of changes.
+	newest func(at time.Time, place object.Cursor)
+	// rely, where set, reports whether the leader tells all that this watch would bring,
+	// and up to which place it has.
+	rely   func(now time.Time) (object.Cursor, bool)
+	failed int // calls in a row that came to nothing
+	lost   int // lists in a row whose place was forgotten at once
 }
 
 // Pauses of a watcher.
@@ -82,26 +87,62 @@
 func (w *watcher) run(ctx context.Context) error {
 	store := w.first(ctx)
 	for ctx.Err() == nil {
-		asked := tick.Now()
-		all, at, err := store.List(ctx, w.prefix)
-		if err != nil {
-			w.trouble(ctx, "list", err)
-			continue
+		at, ok := w.lean()
+		if !ok {
+			at, ok = w.list(ctx, store)
+		}
+		if ok {
+			w.follow(ctx, at)
+			w.rest(ctx)
 		}
-		w.well()
-		w.listed(all, at)
-		w.knows(store, asked)
-		w.follow(ctx, at)
-		w.rest(ctx)
 		store = w.store()
 	}
 	return nil
 }
 
+func (w *watcher) list(ctx context.Context, store object.Store) (object.Cursor, bool) {
+	asked := tick.Now()
+	all, at, err := store.List(ctx, w.prefix)
+	if err != nil {
+		w.trouble(ctx, "list", err)
+		return 0, false
+	}
+	w.well()
+	w.listed(all, at)
+	w.knows(store, asked, at)
+	return at, true
+}
+
+// lean reports whether the leader's word makes the store's needless, and up to where.
+func (w *watcher) lean() (object.Cursor, bool) {
+	if w.rely == nil {
+		return 0, false
+	}
+	return w.rely(time.Now())
+}
+
+// leanPoll is how often a VM that relies on the leader looks whether it still may.
+const leanPoll = 100 * time.Millisecond
+
+// doze waits for as long as the leader's word makes this watch needless, and returns from
+// where it goes on afterwards.
+func (w *watcher) doze(ctx context.Context, at object.Cursor) object.Cursor {
+	for ctx.Err() == nil {
+		seen, ok := w.lean()
+		if !ok {
+			break
+		}
+		at = max(at, seen)
+		w.pause(ctx, leanPoll)
+	}
+	return at
+}
+
 // follow watches until the place is lost.
 func (w *watcher) follow(ctx context.Context, at object.Cursor) {
 	w.lost++
 	for ctx.Err() == nil {
+		at = w.doze(ctx, at)
 		store := w.store()
 		all, next, err := w.wait(ctx, store, at)
 		switch {
@@ -126,7 +167,7 @@
 		if len(all) > 0 {
 			w.changed(all, at)
 		}
-		w.knows(store, answered.Add(-answerLag))
+		w.knows(store, answered.Add(-answerLag), at)
 		if len(all) > 0 {
 			w.gather(ctx)
 		}
@@ -186,9 +227,9 @@
 const answerLag = 300 * time.Millisecond
 
 // knows passes on that all that the store held at a time is known here now.
-func (w *watcher) knows(store object.Store, at time.Time) {
+func (w *watcher) knows(store object.Store, at time.Time, place object.Cursor) {
 	if w.newest != nil && store == w.fresh {
-		w.newest(at)
+		w.newest(at, place)
 	}
 }
 
--- a/internal/edge/host/world_test.go
+++ b/internal/edge/host/world_test.go
@@ -44,6 +44,23 @@
 	*store
 	mu     sync.Mutex
 	barred bool
+	rules  int // versions of the rules that it brought
+}
+
+// brought counts the versions of the rules among what the store answers.
+func (g *gateway) brought(o object.Object) {
+	if o.Name != "config/main" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rules++
+}
+
+func (g *gateway) versions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rules
 }
 
 func (g *gateway) bar(on bool) {
@@ -125,6 +142,7 @@
 	for name, o := range g.objects {
 		if strings.HasPrefix(name, prefix) {
 			all = append(all, o)
+			g.brought(o)
 		}
 	}
 	return all, object.Cursor(g.rev), nil
@@ -143,6 +161,7 @@
 		for _, c := range g.log {
 			if c.At > after && strings.HasPrefix(c.Name, prefix) {
 				all = append(all, c)
+				g.brought(c.Object)
 			}
 		}
 		more, at := g.more, object.Cursor(g.rev)
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -18,6 +18,7 @@
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // Times and bounds of the exchange.
@@ -68,9 +69,10 @@
 	// Sure is for how long after the question came the rules of the one who answers may
 	// be taken for the newest that the store holds; zero where it cannot tell.
 	Sure    time.Duration            `json:"sure,omitempty"`
-	Rank    int                      `json:"rank"`  // how many go before the asker if somebody must take over
-	Count   int                      `json:"count"` // how many VMs ask, the asker included
-	VMs     []string                 `json:"vms"`   // where some of them are asked
+	Seen    object.Cursor            `json:"seen,omitempty"` // place in the store's changes up to which it knows the rules
+	Rank    int                      `json:"rank"`           // how many go before the asker if somebody must take over
+	Count   int                      `json:"count"`          // how many VMs ask, the asker included
+	VMs     []string                 `json:"vms"`            // where some of them are asked
 	Changes map[ident.Service]Change `json:"changes,omitempty"`
 	Newest  uint64                   `json:"newest,omitempty"` // revision of the rules that may be asked for here
 	// Rules are what a VM of an earlier version, which names no newest revision, sends.
@@ -101,6 +103,7 @@
 	told    time.Time     // the leader last told its news, and reached the store
 	touch   touch
 	sure    time.Time // by the boot clock: the rules here are the newest until then
+	seen    object.Cursor
 	turn    context.Context
 	turned  context.CancelFunc
 }
@@ -192,11 +195,25 @@
 }
 
 // SetSure notes until when, by the boot clock, the rules known here may be taken for the
-// newest that the store holds.
-func (b *Board) SetSure(until time.Time) {
+// newest that the store holds, and that they are as of a place in its changes.
+func (b *Board) SetSure(until time.Time, place object.Cursor) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sure = until
+	b.sure, b.seen = until, max(b.seen, place)
+}
+
+// SetSeen notes that the rules known here are the newest as of a place.
+func (b *Board) SetSeen(place object.Cursor) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seen = max(b.seen, place)
+}
+
+// Seen is up to which place in the store's changes the rules are known here.
+func (b *Board) Seen() object.Cursor {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
 }
 
 // SetRules notes newer rules and reports whether they are.
@@ -320,7 +337,7 @@
 		return n, true, nil // it has nothing to wait for here
 	}
 	n.Steady = b.touch.steady(now)
-	n.Sure = max(b.sure.Sub(a.came), 0)
+	n.Sure, n.Seen = max(b.sure.Sub(a.came), 0), b.seen
 	worth = b.owners(a, &n) || worth
 	b.others(now, a, &n)
 	return n, worth, b.more
--- a/internal/rules/force/book.go
+++ b/internal/rules/force/book.go
@@ -85,8 +85,14 @@
 	if b.Newest() > b.Current().Rev {
 		return errBehind
 	}
-	if until := b.sure.Load(); until != nil && now.After(*until) {
+	if !b.Sure(now) {
 		return errUnsure
 	}
 	return nil
 }
+
+// Sure reports whether somebody vouches for the rules in force, or nobody ever did.
+func (b *Book) Sure(now time.Time) bool {
+	until := b.sure.Load()
+	return until == nil || !now.After(*until)
+}
