--- a/internal/rules/match/bench_test.go
+++ b/internal/rules/match/bench_test.go
@@ -34,6 +34,76 @@
 	return rules
 }
 
+// prefixRules is a list in which each rule names a host and what the path begins
+// with, and nothing else: ten to a host.
+func prefixRules(n int) []Rule {
+	rules := make([]Rule, n)
+	for i := range rules {
+		id := strconv.Itoa(i)
+		rules[i] = Rule{Name: "r" + id, Then: Then{Service: "lookup"}}
+		rules[i].When = When{Host: []string{"site" + strconv.Itoa(i/10) + ".example"}, Prefix: "/part" + id + "/"}
+	}
+	return rules
+}
+
+// accepted indexes rules without the check, which bounds their number.
+func accepted(rules []Rule) *Set {
+	own := cloneRules(rules)
+	for i := range own {
+		own[i].path, _ = parsePath(own[i].When.Path)
+	}
+	return newSet(own)
+}
+
+func lastPrefix(n int) *Request {
+	return &Request{
+		Method: "GET", Host: "site" + strconv.Itoa((n-1)/10) + ".example",
+		Path: "/part" + strconv.Itoa(n-1) + "/scale-7", Caller: "grower-3",
+	}
+}
+
+func BenchmarkMatchPrefix(b *testing.B) {
+	for _, n := range []int{200, 4200, 8000} {
+		s, req := accepted(prefixRules(n)), lastPrefix(n)
+		b.Run("rules="+strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := s.Match(req); !ok {
+					b.Fatal("no match")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAccept is what a VM does when newer rules reach it, after decoding.
+func BenchmarkAccept(b *testing.B) {
+	for _, n := range []int{200, 4200, 8000} {
+		rules := prefixRules(n)
+		b.Run("rules="+strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				accepted(rules)
+			}
+		})
+	}
+}
+
+// BenchmarkCompile is what an author waits for: the check included.
+func BenchmarkCompile(b *testing.B) {
+	for _, n := range []int{200, 1000, 4096} {
+		rules := prefixRules(n)
+		b.Run("rules="+strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Compile(rules); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func TestMatchAllocatesNothing(t *testing.T) {
 	s, err := Compile(manyRules(200))
 	assert.NilError(t, err)
--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -84,6 +84,11 @@
 	if err := checkAll(own, newChecker(opts)); err != nil {
 		return nil, err
 	}
+	return newSet(own), nil
+}
+
+// newSet indexes rules that Compile has copied and checked.
+func newSet(own []Rule) *Set {
 	n := len(own)
 	s := &Set{rules: own}
 	s.service = newAxis(n, func(i int) []ident.Service { return own[i].When.Service })
@@ -91,7 +96,7 @@
 	s.caller = newAxis(n, func(i int) []ident.Caller { return exact(own[i].When.Caller) })
 	s.centre = newAxis(n, func(i int) []ident.Centre { return own[i].When.Centre })
 	s.first = newAxis(n, func(i int) []string { return own[i].path.first() })
-	return s, nil
+	return s
 }
 
 // cloneRules copies what Compile rewrites: the compiled path, and the names of
@@ -144,9 +149,19 @@
 // Match returns the first rule whose conditions all hold, and false when there
 // is none. The rule belongs to the set: treat it as read-only.
 func (s *Set) Match(req *Request) (*Rule, bool) {
-	if len(s.rules) == 0 || !safePath(req.Path) {
+	i, _ := s.find(req)
+	if i < 0 {
 		return nil, false
 	}
+	return &s.rules[i], true
+}
+
+// find returns the number of the first rule that holds, or -1, and how many rules
+// it compared in full.
+func (s *Set) find(req *Request) (rule, compared int) {
+	if len(s.rules) == 0 || !safePath(req.Path) {
+		return -1, 0
+	}
 	service := s.service.of(req.Service)
 	method := s.method.of(req.Method)
 	caller := s.caller.of(req.Caller)
@@ -160,13 +175,14 @@
 			left &= first[w]
 		}
 		for ; left != 0; left &= left - 1 {
-			r := &s.rules[w*wordBits+bits.TrailingZeros64(left)]
-			if r.holds(req, &p) {
-				return r, true
+			compared++
+			i := w*wordBits + bits.TrailingZeros64(left)
+			if s.rules[i].holds(req, &p) {
+				return i, compared
 			}
 		}
 	}
-	return nil, false
+	return -1, compared
 }
 
 // firstMask returns the mask of the path's first segment, or full when the
