--- a/internal/rules/match/index.go
+++ b/internal/rules/match/index.go
@@ -306,12 +306,8 @@
 // leading appends the segments with which each path of the rule begins, as the path
 // pattern or the prefix fixes more of them.
 func (r *Rule) leading(out []string) []string {
-	n := r.path.literals()
-	if n >= strings.Count(r.When.Prefix, "/")-1 {
-		for _, s := range r.path.segs[:n] {
-			out = append(out, s.text)
-		}
-		return out
+	if r.path.literals() >= strings.Count(r.When.Prefix, "/")-1 {
+		return r.path.literalTexts(out)
 	}
 	return prefixSegs(r.When.Prefix, out)
 }
@@ -325,6 +321,14 @@
 	return n
 }
 
+// literalTexts appends the segments before the first variable.
+func (p *path) literalTexts(out []string) []string {
+	for _, s := range p.segs[:p.literals()] {
+		out = append(out, s.text)
+	}
+	return out
+}
+
 // prefixSegs appends the whole segments of a prefix.
 func prefixSegs(prefix string, out []string) []string {
 	end := strings.LastIndexByte(prefix, '/')
