rules/match: a pattern that cannot be read holds no other paths up

A rule whose path pattern this program cannot read, accepted by another version, held for every path: it turned away the requests of all rules below it. It holds only where a path begins as the pattern plainly does.

Before: the test finds it for a path that has nothing in common with it. After: its own beginning alone.

--- a/internal/rules/match/accept.go
+++ b/internal/rules/match/accept.go
@@ -1,6 +1,10 @@
 package match
 
-import "hawthornfield.org/hawthornfield/internal/core/kinds"
+import (
+	"strings"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
 
 // Accept builds a Set from rules that were accepted elsewhere: by the store, or by
 // another version of this program. Unlike [Compile] it refuses nothing, because a VM
@@ -36,7 +40,10 @@
 	}
 	for _, f := range faults {
 		switch f.Field {
-		case "when.path", "then.key", "then.split", "then.durable", "then.once":
+		case "when.path":
+			r.fault = f.Field + " " + f.Text
+			r.When.Prefix = longer(r.When.Prefix, plainStart(r.When.Path))
+		case "then.key", "then.split", "then.durable", "then.once":
 			r.fault = f.Field + " " + f.Text
 		}
 	}
@@ -50,3 +57,20 @@
 	}
 	return kinds.New(kinds.Newer, "rule "+r.Name+" cannot be followed here: "+r.fault)
 }
+
+// plainStart is what each path that a pattern was meant for begins with, as far as that
+// can be told from a pattern that cannot be read. Without it the rule would hold for
+// every path, and turn away the requests of all rules below it.
+func plainStart(pattern string) string {
+	if i := strings.IndexAny(pattern, "{}*%?#"); i >= 0 {
+		pattern = pattern[:i]
+	}
+	return pattern[:strings.LastIndexByte(pattern, '/')+1]
+}
+
+func longer(a, b string) string {
+	if len(b) > len(a) {
+		return b
+	}
+	return a
+}
