host: rules are handed on before they are compiled

Each VM that gets rules passes them on to others, but only once it had compiled them, which takes a VM with a sixth of a core half a second; so a third of the VMs gave up waiting and read up to a megabyte from the store, behind which callers waited. What a VM could not read itself it did not pass on at all.

They are handed on as they come, and waited for 0.6 s.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -75,7 +75,7 @@
 }
 
 // fetchWait is for how long other VMs have to bring rules that the leader has named.
-const fetchWait = 400 * time.Millisecond
+const fetchWait = 600 * time.Millisecond
 
 // relies reports whether this VM gets new rules from other VMs, and up to which place in
 // the store's changes they are known. A watch of its own would bring each version whole,
--- a/internal/edge/host/fetch.go
+++ b/internal/edge/host/fetch.go
@@ -131,6 +131,9 @@
 		return
 	}
 	f.fetched(raw.Rev)
+	// Others may have them from here while this VM still compiles them, which takes a weak
+	// one half a second, and also where it cannot read them.
+	f.p.Board.SetRules(raw)
 	f.p.Log.Info("rules fetched", "rev", raw.Rev, "from", at, "bytes", n, "took", time.Since(began))
 	f.p.Book.take(raw, "peer")
 }
