host: a new leader asks the former one without being told all servers

A VM that begins to lead asks the former leader five times a second whether it has ended, and said that it knew no servers: each answer held all of them, from a VM that is stopping or hardly reached.

Before: the test finds the question without them. After: with both revisions.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -79,11 +79,13 @@
 	return nil
 }
 
-// hello is the part of a question that any VM may read.
+// hello is the part of a question that any VM may read. It says what this VM knows, or
+// the answer holds all servers: a new leader asks the former one five times a second.
 func (c *courier) hello() *query.Ask {
 	a := &query.Ask{VM: c.p.Config.VM, Addr: c.p.Config.Peers.String(), Power: c.p.Config.Power}
 	a.Lease, _ = c.p.Board.Lease()
 	a.Rules = uint64(c.p.State.Rules.Newest())
+	_, a.Servers = c.p.Board.Revs()
 	return a
 }
 
@@ -226,7 +228,6 @@
 	c.next++
 	at := c.others[c.next%len(c.others)]
 	a := c.hello()
-	_, a.Servers = c.p.Board.Revs()
 	if n, err := c.client.Ask(ctx, at, a, nil); err == nil {
 		c.take(n, at)
 	}
