host: a test waits for the server that it asks for later

TestAVMThatCannotKnowTheNewestRulesDoesNotSayThatNothingIsThere failed once on a busy machine, 503 in place of 200 for a receipt: the VM was cut off from the store before it had listed the server, which readiness does not wait for. Shown by leaving the server out: the same failure on each run. What it checks stays.

--- a/internal/edge/host/doubt_test.go
+++ b/internal/edge/host/doubt_test.go
@@ -22,6 +22,10 @@
 		status, _ := w.get(0, "/nobody/", "")
 		return status == http.StatusNotFound
 	})
+	w.within(patient, "the server is known", func() bool {
+		status, _ := w.get(0, "/receipt/1", "")
+		return status == http.StatusOK
+	})
 	w.ways[0].bar(true)
 	barred := time.Now()
 	w.within(patient, "no final answer any more", func() bool {
