front: only a divided part of a split needs the key

Callers without a key were told 400, finally, under a rule that splits its requests between a service divided by key and one that is not, also when the request had been given to the part that is not divided and serves it.

Cause: the key was demanded by the rule, not by the service chosen. Class: what was accepted elsewhere is refused as a whole. Now a key that is missing or unclear under a split is refused only where the chosen part is divided. A rule for one service keeps what its author demands.

Before: the new test fails with 400. After: 200 at the part that is not divided, 400 still at the one that is; package front green.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -238,18 +238,32 @@
 	if x.svc, ok = x.f.State.Service(x.note.Service); !ok {
 		return errService
 	}
-	var err error
-	if x.key, err = match.KeyOf(x.rule, &req); err != nil {
+	if err := x.readKey(&req); err != nil {
+		return err
+	}
+	return x.deadline()
+}
+
+// readKey reads the key that the rule asks for. A rule that splits asks for the sake of
+// the parts that are divided by key: the others serve requests without one, whose callers
+// would take a refusal for final.
+func (x *exchange) readKey(req *match.Request) error {
+	divided := x.svc.Divided() // once: newer rules may say otherwise in between
+	key, err := match.KeyOf(x.rule, req)
+	if err != nil && (divided || len(x.rule.Then.Split) == 0) {
 		return x.doubt(err)
 	}
-	x.note.Key = x.key
-	if x.svc.Divided() && x.f.Asked != nil {
+	x.key, x.note.Key = key, key
+	if !divided {
+		return nil
+	}
+	if x.f.Asked != nil {
 		x.f.Asked(x.svc.Name, x.key)
 	}
-	if x.svc.Divided() && x.key == "" {
+	if x.key == "" {
 		return kinds.New(kinds.Internal, "rule "+x.rule.Name+" reads no key for a divided service")
 	}
-	return x.deadline()
+	return nil
 }
 
 // noteRev notes the revision decided by, and the newest that exists where that is another.
