front: a caller's own time is taken in any notation of a number

Callers whose library sends the time that they will wait as 1500.0, 1500.25 or 1e4, or more of it than fits 32 bits, were told 400, finally, for requests that every backend server serves.

Cause: the header was parsed as a whole number of 32 bits. Class: what was accepted elsewhere is refused as a whole. Now any number is taken and clamped to the longest time; what is no number stays 400, since a guessed time may keep a request running for which nobody waits.

Before: the new test fails with 400 for all but the first notation. After: both new tests and package front pass.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -200,6 +201,7 @@
 	errService  = kinds.New(kinds.NoServer, "the rule's service is not configured here")
 	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
+	errTime     = kinds.New(kinds.BadRequest, "the caller's time is no number of milliseconds")
 	errHeader   = kinds.New(kinds.LongHeader, "the headers exceed the limit")
 )
 
@@ -301,11 +303,10 @@
 		left = x.rule.Then.Deadline
 	}
 	if text := x.header(x.f.Names.Deadline); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 32)
+		asked, err := timeLeft(text)
 		if err != nil {
-			return kinds.Wrap(kinds.BadRequest, err, "the deadline is malformed")
+			return err
 		}
-		asked := min(time.Duration(ms)*time.Millisecond, maxDeadline)
 		if left <= 0 || asked < left {
 			left = asked
 		}
@@ -317,6 +318,19 @@
 	return nil
 }
 
+// timeLeft reads a caller's own time, in milliseconds. Any notation of a number will do,
+// and more than the longest time counts as that: callers never ask again after a 400, and
+// what they mean is plain.
+func timeLeft(text string) (time.Duration, error) {
+	ms, err := strconv.ParseFloat(text, 64)
+	tooLong := errors.Is(err, strconv.ErrRange)
+	if err != nil && !tooLong || math.IsNaN(ms) || ms < 0 {
+		return 0, errTime
+	}
+	longest := float64(maxDeadline / time.Millisecond)
+	return time.Duration(min(ms, longest) * float64(time.Millisecond)), nil
+}
+
 // promise does what the rule demands before anything may run: a claim on the
 // request id, and a durable record.
 func (x *exchange) promise(ctx context.Context) error {
