front: a caller without time left is turned away at once

One whose caller was a few milliseconds over was told 400.

Cause: zero stood for two things, no bound and no time. Now a time of nothing or less is kind late: 503, not run, at once. Before: the new test fails with 200. After: it and package front pass.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -202,6 +202,7 @@
 	errNoID     = kinds.New(kinds.BadRequest, "the rule needs a request id from the caller")
 	errTooLarge = kinds.New(kinds.TooLarge, "the body exceeds the limit")
 	errTime     = kinds.New(kinds.BadRequest, "the caller's time is no number of milliseconds")
+	errOver     = kinds.New(kinds.Late, "the caller's time was over when its request came")
 	errHeader   = kinds.New(kinds.LongHeader, "the headers exceed the limit")
 )
 
@@ -307,6 +308,9 @@
 		if err != nil {
 			return err
 		}
+		if asked <= 0 {
+			return errOver
+		}
 		if left <= 0 || asked < left {
 			left = asked
 		}
@@ -319,16 +323,16 @@
 }
 
 // timeLeft reads a caller's own time, in milliseconds. Any notation of a number will do,
-// and more than the longest time counts as that: callers never ask again after a 400, and
-// what they mean is plain.
+// more than the longest time counts as that, and less than none as none: callers never
+// ask again after a 400, and what they mean is plain.
 func timeLeft(text string) (time.Duration, error) {
 	ms, err := strconv.ParseFloat(text, 64)
 	tooLong := errors.Is(err, strconv.ErrRange)
-	if err != nil && !tooLong || math.IsNaN(ms) || ms < 0 {
+	if err != nil && !tooLong || math.IsNaN(ms) {
 		return 0, errTime
 	}
 	longest := float64(maxDeadline / time.Millisecond)
-	return time.Duration(min(ms, longest) * float64(time.Millisecond)), nil
+	return time.Duration(min(max(ms, 0), longest) * float64(time.Millisecond)), nil
 }
 
 // promise does what the rule demands before anything may run: a claim on the
