rules/match: a port in a host pattern is ignored, as in a request

Callers of a route whose host was written with a port got 404 from every VM, for good: the port was cut off the request's host and not off the pattern, so no request could match, and no check said so.

Class: both sides of a comparison in different forms. Patterns are now brought into the form of requests where they are copied, by the same function. Before: the new test fails for b.example:8443. After: it and the packages under rules pass.

--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -37,7 +37,9 @@
 		w.Header = canonicalHeader(w.Header)
 		w.Host = slices.Clone(w.Host)
 		for j, h := range w.Host {
-			w.Host[j] = strings.Map(lowerRune, h)
+			// A request's host is compared without its port: a pattern with one would
+			// never match, and its callers be told 404.
+			w.Host[j] = strings.Map(lowerRune, hostOnly(h))
 		}
 	}
 	return own
