rules/match: a prefix is compared in the form of a request's path

Callers of a route whose prefix holds letters that a path carries escaped (/ü/, which arrives as /%C3%BC/) got 404 from every VM, for good, and no check said so.

Class: both sides of a comparison in different forms. The prefix is now escaped where rules are copied, as net/url escapes a request's path; a prefix that is escaped already stays as it is.

--- a/internal/rules/match/form_test.go
+++ b/internal/rules/match/form_test.go
@@ -1,6 +1,7 @@
 package match
 
 import (
+	"net/url"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,3 +28,28 @@
 		assert.Assert(t, !ok, pattern)
 	}
 }
+
+// An operator writes a prefix with letters that a request's path carries escaped. Compared
+// as it stands it begins no path: its callers get 404 for good, and nobody is told why.
+func TestAPrefixIsComparedInTheFormOfARequestsPath(t *testing.T) {
+	for prefix, path := range map[string]string{
+		"/ü/":       "/%C3%BC/1",
+		"/%C3%BC/":  "/%C3%BC/1",
+		"/%c3%bc/":  "/%c3%bc/1",
+		"/a b/":     "/a%20b/1",
+		"/100%/":    "/100%25/1",
+		"/{x}/":     "/%7Bx%7D/1",
+		"/a;b=c,d/": "/a;b=c,d/1",
+		"/a%2Fb/":   "/a%2Fb/1",
+	} {
+		u, err := url.ParseRequestURI(path)
+		assert.NilError(t, err)
+		assert.Equal(t, u.EscapedPath(), path, "the form in which a request is compared")
+		set, err := Compile([]Rule{{Name: "r", When: When{Prefix: prefix}, Then: Then{Service: "ledger"}}})
+		assert.NilError(t, err, prefix)
+		_, ok := set.Match(&Request{Path: path})
+		assert.Assert(t, ok, prefix)
+		_, ok = set.Match(&Request{Path: "/other/1"})
+		assert.Assert(t, !ok, prefix)
+	}
+}
--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -64,8 +64,8 @@
 	Method  []string        `cbor:"method,omitempty" json:"method,omitempty"`
 	Host    []string        `cbor:"host,omitempty" json:"host,omitempty"`
 	Path    string          `cbor:"path,omitempty" json:"path,omitempty"`
-	// Prefix is what the escaped path begins with, byte for byte; it begins and
-	// ends with a slash.
+	// Prefix is what the path begins with; it begins and ends with a slash. What its
+	// author leaves unescaped counts as escaped, then the bytes are compared.
 	Prefix string            `cbor:"prefix,omitempty" json:"prefix,omitempty"`
 	Header map[string]string `cbor:"header,omitempty" json:"header,omitempty"`
 	Caller []ident.Caller    `cbor:"caller,omitempty" json:"caller,omitempty"`
--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/textproto"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -29,12 +30,13 @@
 func newSet(own []Rule) *Set { return &Set{rules: own, index: newIndex(own)} }
 
 // cloneRules copies what Compile rewrites: the compiled path, and the names of
-// headers and hosts in the form in which they are compared.
+// headers and hosts and the prefix in the form in which they are compared.
 func cloneRules(rules []Rule) []Rule {
 	own := slices.Clone(rules)
 	for i := range own {
 		w := &own[i].When
 		w.Header = canonicalHeader(w.Header)
+		w.Prefix = escaped(w.Prefix)
 		w.Host = slices.Clone(w.Host)
 		for j, h := range w.Host {
 			// A request's host is compared without its port: a pattern with one would
@@ -45,6 +47,17 @@
 	return own
 }
 
+// escaped brings a prefix into the form of a request's path. One that its author wrote
+// with letters or signs that a path carries escaped would begin no path at all.
+func escaped(prefix string) string {
+	plain, err := url.PathUnescape(prefix)
+	if err != nil {
+		plain = prefix // a percent sign that begins no escape
+	}
+	u := url.URL{Path: plain, RawPath: prefix}
+	return u.EscapedPath()
+}
+
 func canonicalHeader(h map[string]string) map[string]string {
 	if len(h) == 0 {
 		return nil
