platform: an odd field of an entry leaves the server

A server that is alive got no requests, and its callers found one place less, because one field of its entry was written in another way than usual: slots 4.0 or 5000, warmupLeftS "3" or 1e300 (a negative time then), a zone or a time of birth of another type.

Cause: the entry was decoded at once, and an error in any field dropped it. Class: what was accepted elsewhere is refused as a whole. What could not be read goes into the log, once for each server ("entry has a fault", in place of "entry names no server", which says now whether the server was taken).

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -28,6 +28,9 @@
 	Born int64 `json:"born,omitempty"`
 	// Rev is the revision of the entry that says all this.
 	Rev uint64 `json:"rev,omitempty"`
+	// Unread says which fields of the entry could not be read, for the log. The server
+	// is good all the same.
+	Unread string `json:"-"`
 }
 
 // Service is one group of backend servers.
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -41,7 +41,7 @@
 	leaves   map[ident.Server]time.Time // since when servers are known to leave
 	dropped  map[ident.Server]bool      // of those, the ones that get nothing any more
 	noted    map[ident.Server]bool      // servers as they were last logged, and whether they leave
-	logged   map[ident.Server]bool      // malformed entries that were named
+	logged   map[ident.Server]bool      // entries with a fault that were named
 }
 
 func newFleet(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, b *query.Board, log *slog.Logger) *fleet {
@@ -125,11 +125,15 @@
 		return e, false
 	}
 	srv, err := f.plat.Decode.Server(name, o.Value)
+	fault := srv.Unread
+	if err != nil {
+		fault = err.Error()
+	}
+	if fault != "" && !f.logged[e.Name] {
+		f.logged[e.Name] = true
+		f.log.Warn("entry has a fault", "server", name, "rev", e.Rev, "taken", err == nil, "fault", fault)
+	}
 	if err != nil {
-		if !f.logged[e.Name] {
-			f.logged[e.Name] = true
-			f.log.Warn("entry names no server", "server", name, "rev", e.Rev, "err", err)
-		}
 		return e, false
 	}
 	srv.Rev = e.Rev
