platform: an odd field of the configuration concerns nothing beside

Callers of every route that was new in a configuration would be told 404 by all VMs, for good, and a VM that started would have no rules at all, because one field of the document was written in another way than usual: maxHeaderBytes 16384.0, maxBodyBytes "", timeoutS "2", priority 1.0, sharded 0, a version "v7".

Cause: the document was decoded at once, and an error in any field refused it. Class: what was accepted elsewhere is refused as a whole. What cannot be read goes into the log and counts as what harms least:

- A route that does not say whose requests it takes, or where they go, keeps its place (match.Rule.Unread) and answers 503, "cannot be followed here".
- A limit stays as it was, where this VM knew one (feed.Limits.Or), else there is none.
None in any case would let callers send what servers cannot bear, and a small one would turn away what was allowed.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -40,7 +40,8 @@
 	Conns   int  // connections that each server accepts from all entry VMs together
 }
 
-// Limits bound what a caller may send, and how long it may take.
+// Limits bound what a caller may send, and how long it may take. Zero bounds nothing. A
+// negative limit could not be read, see [Limits.Or].
 type Limits struct {
 	Header int           // bytes of a request's headers
 	Body   int64         // bytes of a request's body
@@ -48,6 +49,23 @@
 	Idle   time.Duration // idle caller connections are closed after this
 }
 
+// Or takes the limits before for those that could not be read. No limit in their place
+// would let callers send what servers cannot bear, and a guessed one might turn away what
+// was always allowed. Where none was known either, there is none.
+func (l Limits) Or(before Limits) Limits {
+	return Limits{
+		Header: orBefore(l.Header, before.Header), Body: orBefore(l.Body, before.Body),
+		Slow: orBefore(l.Slow, before.Slow), Idle: orBefore(l.Idle, before.Idle),
+	}
+}
+
+func orBefore[T int | int64 | time.Duration](limit, before T) T {
+	if limit < 0 {
+		return before
+	}
+	return limit
+}
+
 // Rules are the rules in force, the services that they speak of, and the limits.
 type Rules struct {
 	Rev      ident.Revision // rises with each change
@@ -55,6 +73,7 @@
 	List     []match.Rule
 	Services []Service
 	Limits   Limits
+	Faults   match.Faults // what could not be read, for logs; the rest holds all the same
 }
 
 // Grant gives a span of keys to a backend server for a while, counted from its
@@ -85,6 +104,7 @@
 	// Servers decodes the entries of servers. One that cannot be read names no
 	// server and is returned among the bad.
 	Server(name string, value []byte) (Server, error)
-	// Rules decodes the rules in force.
+	// Rules decodes the rules in force. It fails only where no rule can be told from
+	// another: what cannot be read of one concerns that one alone.
 	Rules(rev ident.Revision, value []byte) (Rules, error)
 }
--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -133,6 +134,7 @@
 	b.parts.Board.SetRules(raw)
 	b.parts.Log.Info("rules in force", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List),
 		"bytes", len(raw.Data), "took", time.Since(start), "known", time.Since(b.came))
+	faults = slices.Concat(rules.Faults, faults)
 	for _, f := range faults[:min(len(faults), mostFaults)] {
 		b.parts.Log.Warn("rule has a fault", "rev", raw.Rev, "rule", f.Rule, "field", f.Field, "fault", f.Text, "of", len(faults))
 	}
@@ -174,6 +176,7 @@
 }
 
 func (b *book) apply(rules feed.Rules, set *match.Set) {
+	rules.Limits = rules.Limits.Or(b.now.Limits)
 	b.now = rules
 	b.parts.Front.SetLimit(config.Limit{
 		Header: rules.Limits.Header, Body: rules.Limits.Body, Request: config.SpanOf(defaultRequest),
--- a/internal/edge/host/book_test.go
+++ b/internal/edge/host/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,29 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.NilError(t, h.Close())
 }
+
+// A limit of newer rules cannot be read. Taken for none, callers would send what the
+// backend servers cannot bear; taken for a reason to keep the rules before, callers of the
+// new ones would be told 404. It stays as it was, and the rest is in force.
+func TestALimitThatCannotBeReadStaysInForce(t *testing.T) {
+	w := newWorld(t, 1)
+	rules := grown(0)
+	rules.Limits.Header = 2000
+	w.store.write("config/main", rules)
+	w.serve("ledger", "r1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	long := "/receipt/" + strings.Repeat("x", 2000)
+	status, _ := w.get(0, long, "")
+	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
+	rules = grown(1)
+	rules.Limits.Header = -1
+	w.store.write("config/main", rules)
+	w.within(patient, "the rule that was added is in force", func() bool {
+		status, _ := w.get(0, "/added-0/1", "")
+		return status == http.StatusOK
+	})
+	status, _ = w.get(0, long, "")
+	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
+	assert.NilError(t, h.Close())
+}
--- a/internal/rules/match/accept.go
+++ b/internal/rules/match/accept.go
@@ -21,6 +21,7 @@
 	for i := range own {
 		c.rule, c.index = &own[i], i
 		from := len(c.faults)
+		c.addIf(own[i].fault != "", "", own[i].fault)
 		c.checkRule()
 		own[i].settle(c.faults[from:])
 	}
@@ -38,6 +39,9 @@
 	if !t.Idempotent {
 		t.Hedge = 0 // a hedge would run the request twice
 	}
+	if r.fault != "" {
+		return
+	}
 	for _, f := range faults {
 		switch f.Field {
 		case "when.path":
@@ -49,6 +53,10 @@
 	}
 }
 
+// Unread marks a rule that stands for one that could not be read: it holds the place of
+// that one as far as this is known, and is not followed, see [Rule.Check].
+func (r *Rule) Unread(why string) { r.fault = why }
+
 // Check returns nil when the rule can be followed. Otherwise the error, of kind Newer,
 // says what stands in the way: its requests are told to come back, and run nowhere.
 func (r *Rule) Check() error {
--- a/internal/rules/match/accept_test.go
+++ b/internal/rules/match/accept_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// A rule was accepted elsewhere in a form that cannot be read here. What stands for it
+// holds its place: its requests are told to come back, and the log says why.
+func TestARuleThatWasNotReadKeepsItsPlace(t *testing.T) {
+	odd := Rule{Name: "odd", When: When{Prefix: "/receipt/"}}
+	odd.Unread("its target cannot be read")
+	set, faults := Accept([]Rule{odd, {Name: "rest", Then: Then{Service: "lookup"}}})
+	assert.Assert(t, len(faults) > 0 && faults[0].Text == "its target cannot be read", "%v", faults)
+	got, ok := set.Match(&Request{Path: "/receipt/1"})
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Name, "odd")
+	assert.Equal(t, kinds.Of(got.Check()), kinds.Newer)
+	assert.ErrorContains(t, got.Check(), "its target cannot be read")
+	rest, ok := set.Match(&Request{Path: "/other/1"})
+	assert.Assert(t, ok)
+	assert.NilError(t, rest.Check())
+}
+
 // Rules that an author may write mean the same, whoever accepted them.
 func TestAcceptAgreesWithCompile(t *testing.T) {
 	seeds.Check(t, func(t *rapid.T) {
