demo: who owned a key when is read from the store, not from the log of moves

The judge took the order of a key's owners from the routers' log of moves. A VM logs a move when it hears that the table has it: under a later revision than the move that followed, if it was slow, and never, if it lost its seat before the answer came.

The stand-in of the store now keeps each table with the moment of its write, and each run is compared with the table of its own moment. That is stricter: before, an owner might run after the next one had been named, as long as that one had not run yet, and the next one before it was named. The judge depends on no word of the router any more.

--- a/internal/admin/demo/judge.go
+++ b/internal/admin/demo/judge.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -9,7 +8,6 @@
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/fake/origin"
 )
 
 // Bounds that the promises name.
@@ -48,65 +46,45 @@
 }
 
 // oneOwner compares who ran each key's requests, by the servers' own record,
-// with the key's owners in their order: once another server has run a request
-// of a key, its former owner runs none.
+// with the table in the store at that moment: the server that the store then
+// named as the key's owner, and no other. An owner gives a key up before the
+// table names the next one, and the next one is told only after it, so the
+// store's moment lies between the last run of the one and the first of the
+// other.
+//
+// The store's own record gives the order, not the log of ownership: a VM logs a
+// move when it hears that the table has it, after others may have moved the key
+// on, and not at all when another VM has taken its seat over by then.
 func oneOwner(e *evidence) verdict {
 	v := verdict{promise: "a key has at most one owner at any moment"}
-	byKey := map[ident.Key][]origin.Served{}
 	for _, s := range e.served {
 		if s.Fence != (ident.Fence{}) {
-			byKey[s.Key] = append(byKey[s.Key], s)
-		}
-	}
-	for key, list := range byKey {
-		slices.SortStableFunc(list, func(a, b origin.Served) int { return a.At.Compare(b.At) })
-		owners := ownersOf(e, key, list[0].Server)
-		at := 0
-		for _, s := range list {
-			for at < len(owners) && owners[at] != s.Server {
-				at++
-			}
-			v.must(at < len(owners), "%s ran on %s out of the order of its owners %v", key, s.Server, owners)
-			if at == len(owners) {
-				break
-			}
+			owner := e.ownerAt(s.Key, s.At)
+			v.must(s.Server == owner, "%s ran %s on %s while %q owned it", s.Key, s.ID, s.Server, owner)
 		}
 	}
 	return v
 }
 
-// ownersOf lists a key's owners in the order of the table's revisions.
-func ownersOf(e *evidence, key ident.Key, first ident.Server) []ident.Server {
-	slice := ident.SliceOf(key, e.table.Slices())
-	owners := []ident.Server{first}
-	for _, m := range ordered(e.moves) {
-		if m.Key == key || m.Key == "" && m.Slice == slice {
-			if len(owners) == 1 {
-				owners[0] = m.Former
-			}
-			owners = append(owners, m.Server)
-		}
-	}
-	return owners
-}
-
-func ordered(moves []record.Decision) []record.Decision {
-	return slices.SortedStableFunc(slices.Values(moves), func(a, b record.Decision) int { return cmp.Compare(a.Rev, b.Rev) })
-}
-
-// survives looks for every acknowledged move in the table, after all entry VMs
-// are gone.
+// survives looks for every acknowledged move in what the store took, and whether
+// a later table took it back: one that was made from an older table would.
 func survives(e *evidence) verdict {
 	v := verdict{promise: "an acknowledged assignment survives"}
-	last := map[ident.Slice]record.Decision{}
-	for _, m := range ordered(e.moves) {
+	made := stepsOf(e.tables)
+	for _, m := range e.moves {
 		if m.Key == "" {
-			last[m.Slice] = m
+			v.must(made.take(m), "slice %d was given by %s to %s, and the store has no such table", m.Slice, m.Former, m.Server)
 		}
 	}
-	for slice, m := range last {
-		v.must(e.table.OwnerOf(slice) == m.Server, "slice %d was given to %s and belongs to %s", slice, m.Server, e.table.OwnerOf(slice))
+	for i := 1; i < len(e.tables); i++ {
+		older, newer := e.tables[i-1].Table, e.tables[i].Table
+		v.must(newer.Rev > older.Rev, "table revision %d came after %d", newer.Rev, older.Rev)
+		for _, row := range older.Rows {
+			now, _ := newer.Row(row.Name)
+			v.must(now.Rev >= row.Rev && now.Bar >= row.Bar, "revision %d was not made from %d: %s", newer.Rev, older.Rev, row.Name)
+		}
 	}
+	v.must(len(e.tables) > 0 && e.table.Digest() == e.tables[len(e.tables)-1].Digest(), "the last table is not the last that was written")
 	v.must(e.table.Rev >= e.seen, "VMs worked by table revision %d, the store has %d", e.seen, e.table.Rev)
 	for slice := range e.table.Slices() {
 		owner := e.table.OwnerOf(ident.Slice(slice))
--- a/internal/admin/demo/site.go
+++ b/internal/admin/demo/site.go
@@ -94,6 +94,7 @@
 		user: u, api: objapi.New(), record: &origin.Record{}, log: log,
 		origins: map[ident.Server]*origin.Origin{}, names: map[ident.Service][]ident.Server{},
 	}
+	s.api.Keep(tableName(u.keyed.name))
 	if err := s.platform(); err != nil {
 		return s, err
 	}
--- a/internal/admin/demo/story.go
+++ b/internal/admin/demo/story.go
@@ -57,6 +57,7 @@
 	edit     edit
 	moves    []record.Decision // from the ownership history, after all VMs are gone
 	table    table.Table       // in the store, after all VMs are gone
+	tables   []agreed          // all that the store took, in its order
 	seen     ident.Revision    // highest table revision that any VM worked by
 	report   *report.Report    // everything, read after all VMs are gone
 	vms      int
@@ -209,13 +210,16 @@
 			return err
 		}
 	}
-	o, err := s.store.Get(ctx, "table/"+string(s.keyed.name))
+	o, err := s.store.Get(ctx, tableName(s.keyed.name))
 	if err != nil {
 		return err
 	}
 	if e.table, err = table.Decode(o.Value); err != nil {
 		return err
 	}
+	if e.tables, err = tablesOf(s.api.Kept(tableName(s.keyed.name))); err != nil {
+		return err
+	}
 	if e.report, err = report.Run(ctx, s.store, report.Query{Author: s.authors(ctx)}); err != nil {
 		return err
 	}
@@ -227,6 +231,9 @@
 	return nil
 }
 
+// tableName is the object that holds a service's table.
+func tableName(svc ident.Service) string { return "table/" + string(svc) }
+
 // authors reads who put each revision of the rules in force.
 func (s *site) authors(ctx context.Context) func(ident.Revision) string {
 	known := map[ident.Revision]string{}
--- a/internal/fake/objapi/store.go
+++ b/internal/fake/objapi/store.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -31,6 +32,13 @@
 	dropped object.Cursor // changes up to here are forgotten
 	wake    chan struct{} // closed and replaced at each change
 	vms     map[ident.VM]vmlist.VM
+	kept    map[string][]Written
+}
+
+// Written is one value that an object had, and since when.
+type Written struct {
+	object.Object
+	At time.Time
 }
 
 func newMemory() *memory {
@@ -38,9 +46,24 @@
 		objects: map[string]object.Object{},
 		wake:    make(chan struct{}),
 		vms:     map[ident.VM]vmlist.VM{},
+		kept:    map[string][]Written{},
+	}
+}
+
+func (m *memory) keep(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept[name] == nil {
+		m.kept[name] = []Written{}
 	}
 }
 
+func (m *memory) written(name string) []Written {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.kept[name])
+}
+
 func (m *memory) get(name string) (object.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -63,6 +86,10 @@
 	m.last++
 	o := object.Object{Name: name, Version: m.last, Value: slices.Clone(value)}
 	m.objects[name] = o
+	if past, ok := m.kept[name]; ok {
+		// Before any reader can see the value: whoever acts on it does so later.
+		m.kept[name] = append(past, Written{o, time.Now()})
+	}
 	m.note(o)
 	return o.Version, nil
 }
--- a/internal/fake/origin/control.go
+++ b/internal/fake/origin/control.go
@@ -58,7 +58,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	why := o.admit(order)
-	if why == "" {
+	if why == "" && !o.ignores() {
 		o.seat(order.Seat).revoke(order, o.Slices)
 	}
 	return o.conclude(order, why)
--- a/internal/fake/origin/knobs.go
+++ b/internal/fake/origin/knobs.go
@@ -21,6 +21,7 @@
 	slow  time.Duration
 	cut   int
 	snap  int
+	deaf  bool
 	stats Stats
 }
 
@@ -64,6 +65,20 @@
 	k.snap = n
 }
 
+// Deaf makes the server say that it obeys revocations, and serve on what they take
+// from it. A checker that does not notice such a server proves nothing.
+func (k *knobs) Deaf(on bool) {
+	k.km.Lock()
+	defer k.km.Unlock()
+	k.deaf = on
+}
+
+func (k *knobs) ignores() bool {
+	k.km.Lock()
+	defer k.km.Unlock()
+	return k.deaf
+}
+
 // Stats returns the counts so far.
 func (k *knobs) Stats() Stats {
 	k.km.Lock()
