seat, commit: a move is logged under the table that made it

A key goes from a to b, and b gives it on to c. The VM that made the first move was slow and heard of it when its table was already the one of the second, and logged the first under that revision: the history of ownership then says that b gave the key away before it had it, and an operator who asks who had the key is told the wrong server.

The answer to a write names the revision that was written, also when the writer answers with a later table, as after the hub's word; a seat whose answer is lost names the first table in which it saw the move. The model of the proof now asks that the table under which a move is reported gives the key to its new owner: before, it asked only that the old one had lost it.

--- a/internal/fake/world/store.go
+++ b/internal/fake/world/store.go
@@ -134,7 +134,7 @@
 }
 
 // acknowledged checks that a reported move stands in the table that is said to
-// give it.
+// give it: the old owner has lost the key there, and nobody but the new one has it.
 func (s *Store) acknowledged(srv ident.Server, c seat.MovedCmd) {
 	t, ok := s.past[c.Rev]
 	if !ok {
@@ -145,6 +145,9 @@
 		if t.From(m) == srv && m.To != srv {
 			s.w.errorf("acknowledged move of slice %d %q from %s is lost", m.Slice, m.Key, srv)
 		}
+		if m.To != "" && t.From(m) != m.To {
+			s.w.errorf("move of slice %d %q from %s to %s reported under revision %d, where %s has it", m.Slice, m.Key, srv, m.To, c.Rev, t.From(m))
+		}
 	}
 	s.w.Count.Moves += len(c.Moves)
 }
--- a/internal/owner/commit/commit.go
+++ b/internal/owner/commit/commit.go
@@ -207,7 +207,7 @@
 		t.clashes = 0
 		t.learn(m.Cmd.Table, m.Version)
 		for _, e := range sent {
-			t.succeed(e, m.Cmd.Table, m.Version)
+			t.succeed(e, m.Cmd.Table.Rev, m.Cmd.Table, m.Version)
 		}
 	case m.Kind == kinds.Conflict:
 		if t.ver == m.Cmd.Old {
@@ -319,14 +319,15 @@
 	t.busy, t.lost = true, t.now.Add(2*t.cfg.Store)
 }
 
-// succeed tells whoever made the edit that tab contains it.
-func (t *turn) succeed(e item, tab table.Table, ver object.Version) {
+// succeed tells whoever made the edit that it was written as revision rev, and that
+// tab, which may be a later one, contains it.
+func (t *turn) succeed(e item, rev ident.Revision, tab table.Table, ver object.Version) {
 	if e.from != "" {
-		t.tellBack(e, true, tab.Rev)
+		t.tellBack(e, true, rev)
 		return
 	}
 	e.cmd.Table = tab
-	t.do(AnswerCmd{Server: e.cmd.Edit.Server, Msg: seat.TablePutMsg{Cmd: e.cmd, Version: ver}})
+	t.do(AnswerCmd{Server: e.cmd.Edit.Server, Msg: seat.TablePutMsg{Cmd: e.cmd, Version: ver, Rev: rev}})
 }
 
 func (t *turn) answer(e item, k kinds.Kind) {
--- a/internal/owner/commit/hub.go
+++ b/internal/owner/commit/hub.go
@@ -155,7 +155,7 @@
 	for _, d := range t.done {
 		switch {
 		case t.tab.Rev >= d.rev:
-			t.succeed(d.item, t.tab, t.ver)
+			t.succeed(d.item, d.rev, t.tab, t.ver)
 		case t.now.Sub(d.at) > t.cfg.Store:
 			t.answer(d.item, kinds.Ambiguous) // the seat reads it for itself
 		default:
--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -1,6 +1,7 @@
 package seat
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -70,6 +71,7 @@
 	}
 	if m.Table.Rev > t.tab.Rev || m.Version != 0 {
 		t.tab, t.tabVer = m.Table, m.Version
+		t.noteGiven(t.tab.Rev)
 	}
 	t.afterTable()
 }
@@ -119,6 +121,9 @@
 	switch m.Kind {
 	case kinds.None:
 		t.down, t.clashes = false, 0
+		if len(m.Cmd.Edit.Moves) > 0 && t.move == writing {
+			t.b.gave = cmp.Or(m.Rev, m.Cmd.Table.Rev)
+		}
 		if m.Cmd.Table.Rev < t.tab.Rev {
 			t.afterTable() // a later table, which contains the write, came before the answer
 			return
--- a/internal/owner/seat/cmd.go
+++ b/internal/owner/seat/cmd.go
@@ -88,7 +88,9 @@
 	}
 
 	// MovedCmd reports an acknowledged move: the table that gives it is
-	// confirmed by the store. It goes to the decision log.
+	// confirmed by the store. It goes to the decision log. Rev is the revision
+	// that was written, or the first one seen with the move in it when the
+	// write's answer was lost.
 	MovedCmd struct {
 		Moves []table.Move
 		Epoch ident.Epoch
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -35,6 +35,7 @@
 	rev   ident.Revision // table revision that the pending write would make
 	doubt bool           // a write may have taken effect
 	hung  bool           // an earlier write may still do so
+	gave  ident.Revision // first table known to have the moves; zero: none
 }
 
 func (t *turn) onMove(m MoveMsg) {
@@ -237,6 +238,7 @@
 func (t *turn) writeBatch() {
 	left := t.sensible(t.b.moves)
 	if len(left) == 0 {
+		t.noteGiven(t.tab.Rev)
 		t.written()
 		return
 	}
@@ -257,11 +259,21 @@
 	t.putTable(next, edit)
 }
 
+// noteGiven remembers the first table that has the batch's moves. By the time that
+// this seat can act on it, the next owner may have given the keys on: named by the
+// table of that moment, the later move would come first in the history of
+// ownership, and whoever asks there who had a key is told the wrong server.
+func (t *turn) noteGiven(rev ident.Revision) {
+	if t.move == writing && t.b.gave == 0 && len(t.sensible(t.b.moves)) == 0 {
+		t.b.gave = rev
+	}
+}
+
 // written ends the batch. A full grant from the new table follows: the server
 // may have held less than the set that it kept.
 func (t *turn) written() {
 	t.fire(moveChart, &t.move, "written")
-	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.tab.Rev})
+	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.b.gave})
 	if t.b.lost {
 		t.planAt = t.now // for what the server was given while it was lost
 	}
--- a/internal/owner/seat/move_test.go
+++ b/internal/owner/seat/move_test.go
@@ -1,11 +1,14 @@
 package seat
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 )
 
@@ -31,3 +34,45 @@
 	owner, _ := table.NewView(next).Owner(key)
 	assert.Equal(t, owner.Server, ident.Server("c"))
 }
+
+// A server is lost and its keys go to b, which is full at once and gives some of
+// them on to c. The VM that gave them to b was slow: when it hears that its write
+// took effect, the next one has already. If it names the table that it knows by
+// then, the history of ownership says that b gave a key away before it had it,
+// and whoever looks for the owner at some moment finds the wrong server.
+func TestAMoveIsReportedUnderTheTableThatGaveIt(t *testing.T) {
+	first, err := table.New("lookup", 1, "a", "b", "c")
+	assert.NilError(t, err)
+	first, err = first.Assigned(table.Move{To: "a"})
+	assert.NilError(t, err)
+	given, err := first.Moved("a", 0, table.Move{To: "b"})
+	assert.NilError(t, err)
+	on, err := given.Moved("b", 0, table.Move{To: "c"})
+	assert.NilError(t, err)
+	cmd := PutTableCmd{Table: given, Edit: table.Edit{Server: "a", Moves: []table.Move{{To: "b"}}}}
+	for name, answers := range map[string][]loop.Msg{
+		"answer after the next table": {TableMsg{Table: on}, TablePutMsg{Cmd: cmd, Version: 2, Rev: given.Rev}},
+		"the next table in the answer": {
+			TablePutMsg{Cmd: PutTableCmd{Table: on, Edit: cmd.Edit}, Version: 3, Rev: given.Rev},
+		},
+		"lost answer, seen in time": {
+			TableMsg{Table: given},
+			TableMsg{Table: on},
+			TablePutMsg{Cmd: cmd, Kind: kinds.Ambiguous},
+			TableMsg{Table: on, Version: 3},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := &turn{}
+			at.cfg.Server, at.auth, at.move = "a", holding, writing
+			at.tab, at.tabVer, at.tabBusy = first, 1, true
+			at.b = batch{moves: cmd.Edit.Moves, rev: given.Rev, doubt: true}
+			for _, m := range answers {
+				at.handle(m)
+			}
+			moved := slices.IndexFunc(at.cmds, func(c loop.Cmd) bool { _, ok := c.(MovedCmd); return ok })
+			assert.Assert(t, moved >= 0, "%v", at.cmds)
+			assert.Equal(t, at.cmds[moved].(MovedCmd).Rev, given.Rev)
+		})
+	}
+}
--- a/internal/owner/seat/msg.go
+++ b/internal/owner/seat/msg.go
@@ -98,6 +98,9 @@
 		Cmd     PutTableCmd
 		Version object.Version
 		Kind    kinds.Kind
+		// Rev is the revision that was written, when Cmd.Table is a later one that
+		// has the edit as well. Zero stands for the revision of Cmd.Table.
+		Rev ident.Revision
 	}
 
 	// ReplyMsg answers OrderCmd and ReadServerCmd. Kind is None, Ambiguous or
