seat: a move whose answer comes after the seat was lost is logged all the same

A VM gives keys to another server and loses the seat, or leaves, before the store's answer reaches it. The keys had moved and nobody said so: its successor finds them moved and has nothing to do. The history of ownership then names for these keys a server that gave them away. The VM that wrote the move now logs it when the answer comes, under the epoch of its write, once. It still does nothing else: the report of what is done needs no authority.

Not mended: a move whose answer is lost as well as its seat, or whose VM dies, is logged by nobody. Only the table knows of it.

--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -121,9 +121,7 @@
 	switch m.Kind {
 	case kinds.None:
 		t.down, t.clashes = false, 0
-		if len(m.Cmd.Edit.Moves) > 0 && t.move == writing {
-			t.b.gave = cmp.Or(m.Rev, m.Cmd.Table.Rev)
-		}
+		t.wrote(m.Cmd.Edit, cmp.Or(m.Rev, m.Cmd.Table.Rev))
 		if m.Cmd.Table.Rev < t.tab.Rev {
 			t.afterTable() // a later table, which contains the write, came before the answer
 			return
--- a/internal/owner/seat/leave.go
+++ b/internal/owner/seat/leave.go
@@ -1,8 +1,10 @@
 package seat
 
 import (
+	"cmp"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 )
 
@@ -83,10 +85,16 @@
 	t.promise(YieldMsg{From: t.d.holder, Below: t.d.epoch + 1})
 }
 
-// answerClosed still answers a request to yield: the sender waits for it.
+// answerClosed still answers a request to yield: the sender waits for it. And it
+// still reports a move whose answer came late.
 func (t *turn) answerClosed(msg loop.Msg) (loop.Model, []loop.Cmd) {
-	if m, ok := msg.(YieldMsg); ok {
+	switch m := msg.(type) {
+	case YieldMsg:
 		t.promise(m)
+	case TablePutMsg:
+		if m.Kind == kinds.None {
+			t.wrote(m.Cmd.Edit, cmp.Or(m.Rev, m.Cmd.Table.Rev))
+		}
 	}
 	return t.Seat, t.cmds
 }
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -35,6 +35,7 @@
 	rev   ident.Revision // table revision that the pending write would make
 	doubt bool           // a write may have taken effect
 	hung  bool           // an earlier write may still do so
+	edit  table.Edit     // of the newest write
 	gave  ident.Revision // first table known to have the moves; zero: none
 }
 
@@ -255,7 +256,7 @@
 		t.readTable()
 		return
 	}
-	t.b.rev, t.b.doubt = next.Rev, true
+	t.b.rev, t.b.doubt, t.b.edit = next.Rev, true, edit
 	t.putTable(next, edit)
 }
 
@@ -269,6 +270,25 @@
 	}
 }
 
+// wrote takes the store's word that an edit was written. Another VM may have taken
+// the seat over while the answer was on its way: the moves are in force, nobody
+// else was told so, and without a word from here the history of ownership would
+// name a server as the key's owner that had given it away.
+func (t *turn) wrote(e table.Edit, rev ident.Revision) {
+	switch {
+	case len(e.Moves) == 0:
+	case t.move == writing && sameEdit(t.b.edit, e):
+		t.b.gave = rev
+	case sameEdit(t.owed, e):
+		t.owed = table.Edit{}
+		t.do(MovedCmd{Moves: e.Moves, Epoch: e.Epoch, Rev: rev})
+	}
+}
+
+// sameEdit reports whether two edits with moves are one, or tries of one. Each that
+// takes effect gives its server's row a new revision.
+func sameEdit(a, b table.Edit) bool { return len(a.Moves) > 0 && a.Epoch == b.Epoch && a.Rev == b.Rev }
+
 // written ends the batch. A full grant from the new table follows: the server
 // may have held less than the set that it kept.
 func (t *turn) written() {
@@ -285,6 +305,9 @@
 // endBatch forgets a batch that was not written, or whose fate a successor will
 // see in the table.
 func (t *turn) endBatch() {
+	if t.move == writing && t.b.doubt {
+		t.owed = t.b.edit
+	}
 	if t.move != rest {
 		t.fire(moveChart, &t.move, "drop")
 	}
--- a/internal/owner/seat/move_test.go
+++ b/internal/owner/seat/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -66,7 +67,7 @@
 			at := &turn{}
 			at.cfg.Server, at.auth, at.move = "a", holding, writing
 			at.tab, at.tabVer, at.tabBusy = first, 1, true
-			at.b = batch{moves: cmd.Edit.Moves, rev: given.Rev, doubt: true}
+			at.b = batch{moves: cmd.Edit.Moves, rev: given.Rev, doubt: true, edit: cmd.Edit}
 			for _, m := range answers {
 				at.handle(m)
 			}
@@ -76,3 +77,51 @@
 		})
 	}
 }
+
+// A VM that gives keys to another server loses its seat, or leaves, while the
+// store's answer is on its way. The keys have moved; unless somebody says so, an
+// operator who looks for the owner is told the server that gave them away.
+func TestAMoveIsReportedAfterItsSeatWasLost(t *testing.T) {
+	tab, err := table.New("lookup", 1, "a", "b")
+	assert.NilError(t, err)
+	tab, err = tab.Assigned(table.Move{To: "a"})
+	assert.NilError(t, err)
+	tab, err = tab.Barred("a", 3)
+	assert.NilError(t, err)
+	row, _ := tab.Row("a")
+	for name, end := range map[string]func(*turn){
+		"another VM took it": func(at *turn) { at.step("fenced", "another VM took the seat over") },
+		"this VM leaves":     func(at *turn) { at.leaving = true; at.now = at.now.Add(2 * leavePatience); at.runLeave() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := &turn{Seat: New(Config{Server: "a"}), now: time.Unix(1000, 0)}
+			at.leaveAt = at.now
+			at.auth, at.move, at.epoch = holding, writing, 3
+			at.tab, at.tabVer = tab, 1
+			at.b.moves = []table.Move{{To: "b"}}
+			at.writeBatch()
+			put := at.cmds[0].(PutTableCmd)
+			end(at)
+			assert.Equal(t, at.move, rest)
+			reports := func(msg loop.Msg) (all []MovedCmd) {
+				_, cmds := at.Update(at.now, msg)
+				for _, c := range cmds {
+					if m, ok := c.(MovedCmd); ok {
+						all = append(all, m)
+					}
+				}
+				return all
+			}
+			other := put
+			other.Edit.Epoch++
+			assert.Equal(t, len(reports(TablePutMsg{Cmd: other, Version: 2})), 0, "the write of another batch")
+			assert.Equal(t, len(reports(TablePutMsg{Cmd: put, Kind: kinds.Ambiguous})), 0, "nobody knows")
+			done := TablePutMsg{Cmd: put, Version: 2, Rev: row.Rev + 7}
+			want := []MovedCmd{{Moves: []table.Move{{To: "b"}}, Epoch: 3, Rev: row.Rev + 7}}
+			assert.DeepEqual(t, reports(done), want)
+			next, _ := at.Update(at.now, done)
+			_, again := next.Update(at.now, done)
+			assert.Assert(t, !slices.ContainsFunc(again, func(c loop.Cmd) bool { _, ok := c.(MovedCmd); return ok }))
+		})
+	}
+}
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -107,6 +107,7 @@
 
 	move     chart.State // move.go
 	b        batch
+	owed     table.Edit // write of a batch that was dropped before its answer came
 	queue    []table.Move
 	lostPlan []table.Move
 	planAt   time.Time
