queue: a pause makes no standing queue

Lookups were answered 429 in an outage of the store, once in a demonstration on a busy machine. The store has no part in it: the VM or the server was paused for more than 100 ms while one request waited for the owner of its key. That one wait was longer than the interval by itself, so the queue called itself standing, and for half a second it turned away what had been held up by the pause and came all at once, to a server that was idle.

A gap in which nothing is served, longer than the interval and than four usual turns, says nothing of a standing queue: the count begins anew at its end.

--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -79,6 +79,7 @@
 	pass     float64
 	soonest  time.Time
 	short    time.Time // when a wait was last within Target
+	served   time.Time // when an item was last served, or came to an empty queue
 	full     time.Time // when something was last turned away
 	standing bool
 }
@@ -108,6 +109,9 @@
 
 // Push adds an item. The caller has checked Room.
 func (q *Queue[T]) Push(now time.Time, it *Item[T]) {
+	if q.n == 0 {
+		q.served = now
+	}
 	if q.n == 0 && !q.standing {
 		q.short = now
 	}
@@ -286,13 +290,26 @@
 // Full notes that something was turned away for want of room.
 func (q *Queue[T]) Full(now time.Time) { q.full = now }
 
+// pauseTurns is for how many usual turns nothing is served in a pause.
+const pauseTurns = 4
+
 // judge decides from the wait of a served item whether the queue is standing.
+//
+// While nothing is served at all, nothing is learned: this VM was paused, or the
+// server was, and its one wait is as long as the pause. The requests that were held
+// up meanwhile come all at once after it, to a server that is idle, and a queue that
+// took the pause for an overload would refuse most of them.
 func (q *Queue[T]) judge(now time.Time, wait time.Duration) {
+	paused := now.Sub(q.served) > max(Interval, pauseTurns*q.target())
+	q.served = now
 	if wait <= q.target() {
 		q.short = now
 		q.Calm(now)
 		return
 	}
+	if paused {
+		q.short = now
+	}
 	if now.Sub(q.short) > Interval {
 		q.standing = true
 		q.full = now
--- a/internal/load/queue/queue_test.go
+++ b/internal/load/queue/queue_test.go
@@ -106,6 +106,27 @@
 	assert.Assert(t, !q.Standing())
 }
 
+// The VM is paused for a moment, or the server is, while one request waits. The
+// requests that come after it find the server idle; a queue that took the pause
+// for an overload would turn them away for half a second.
+func TestAPauseMakesNoStandingQueue(t *testing.T) {
+	var q Queue[int]
+	one := func(from, to int) {
+		q.Push(at(from), &Item[int]{Rank: at(from), By: at(10_000)})
+		q.Pop(at(to))
+	}
+	one(100, 400)
+	assert.Assert(t, !q.Standing())
+	one(500, 800)
+	assert.Assert(t, !q.Standing(), "two pauses with an idle queue between them")
+	q.Push(at(1000), &Item[int]{Rank: at(1000), By: at(10_000)})
+	for ms := 1050; ms <= 1200; ms += 50 {
+		q.Push(at(ms), &Item[int]{Rank: at(ms), By: at(10_000)})
+		q.Pop(at(ms))
+	}
+	assert.Assert(t, q.Standing(), "waits of 50 ms for longer than the interval")
+}
+
 // Each item of one class can wait until its own time, and each turn takes as
 // long. Who must be told that it is too late is found by serving a copy of the
 // list in order: the others must stay, in their order, and only they count.
