demo: the requests come from 97 callers, as was meant, and not from two or three

The caller's name was made from the length of the request's id, which is the same for nearly all lookups. The number of callers is what a site has; no check changed.

--- a/internal/admin/demo/callers.go
+++ b/internal/admin/demo/callers.go
@@ -215,7 +215,7 @@
 		if a.within > 0 {
 			r.Header.Set(relay.HeaderDeadline, strconv.FormatInt(a.within.Milliseconds(), 10))
 		}
-		r.Header.Set(relay.HeaderCaller, "caller-"+strconv.Itoa(len(a.id)*7919%97))
+		r.Header.Set(relay.HeaderCaller, callerOf(a.id))
 		c.receive(a, r, len(body))
 	}
 	a.took = time.Since(a.start)
@@ -224,6 +224,15 @@
 	c.mu.Unlock()
 }
 
+// callerOf spreads the requests over as many callers as a small site has. All from
+// one would be a hot caller, who is held to a fair share and refused beyond it.
+func callerOf(id ident.Request) string {
+	const callers = 97
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return "caller-" + strconv.Itoa(int(h.Sum32()%callers))
+}
+
 // pick takes the entry VMs in turn and passes over those that are not ready.
 func (c *callers) pick() int {
 	n := len(c.site.vms)
--- /dev/null
+++ b/internal/admin/demo/callers_test.go
@@ -0,0 +1,24 @@
+package demo
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// If all requests name one caller, the demonstration's callers are held to one
+// caller's fair share as soon as a queue stands, and are refused where as many real
+// ones would be served.
+func TestRequestsComeFromManyCallers(t *testing.T) {
+	sent := map[string]int{}
+	for i := range 1000 {
+		sent[callerOf(ident.Request(fmt.Sprintf("scale-lookup-%d", 1000+i)))]++
+	}
+	assert.Assert(t, len(sent) > 90, "%d callers", len(sent))
+	for name, n := range sent {
+		assert.Assert(t, n < 50, "%s sent %d of 1000", name, n)
+	}
+}
