--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -35,6 +35,8 @@
 	rev   ident.Revision // table revision that the pending write would make
 	doubt bool           // a write may have taken effect
 	hung  bool           // an earlier write may still do so
+	edit  table.Edit     // of the newest write
+	gave  ident.Revision // first table known to have the moves; zero: none
 }
 
 func (t *turn) onMove(m MoveMsg) {
@@ -237,6 +239,7 @@
 func (t *turn) writeBatch() {
 	left := t.sensible(t.b.moves)
 	if len(left) == 0 {
+		t.noteGiven(t.tab.Rev)
 		t.written()
 		return
 	}
@@ -253,15 +256,44 @@
 		t.readTable()
 		return
 	}
-	t.b.rev, t.b.doubt = next.Rev, true
+	t.b.rev, t.b.doubt, t.b.edit = next.Rev, true, edit
 	t.putTable(next, edit)
 }
 
+// noteGiven remembers the first table that has the batch's moves. By the time that
+// this seat can act on it, the next owner may have given the keys on: named by the
+// table of that moment, the later move would come first in the history of
+// ownership, and whoever asks there who had a key is told the wrong server.
+func (t *turn) noteGiven(rev ident.Revision) {
+	if t.move == writing && t.b.gave == 0 && len(t.sensible(t.b.moves)) == 0 {
+		t.b.gave = rev
+	}
+}
+
+// wrote takes the store's word that an edit was written. Another VM may have taken
+// the seat over while the answer was on its way: the moves are in force, nobody
+// else was told so, and without a word from here the history of ownership would
+// name a server as the key's owner that had given it away.
+func (t *turn) wrote(e table.Edit, rev ident.Revision) {
+	switch {
+	case len(e.Moves) == 0:
+	case t.move == writing && sameEdit(t.b.edit, e):
+		t.b.gave = rev
+	case sameEdit(t.owed, e):
+		t.owed = table.Edit{}
+		t.do(MovedCmd{Moves: e.Moves, Epoch: e.Epoch, Rev: rev})
+	}
+}
+
+// sameEdit reports whether two edits with moves are one, or tries of one. Each that
+// takes effect gives its server's row a new revision.
+func sameEdit(a, b table.Edit) bool { return len(a.Moves) > 0 && a.Epoch == b.Epoch && a.Rev == b.Rev }
+
 // written ends the batch. A full grant from the new table follows: the server
 // may have held less than the set that it kept.
 func (t *turn) written() {
 	t.fire(moveChart, &t.move, "written")
-	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.tab.Rev})
+	t.do(MovedCmd{Moves: t.b.moves, Epoch: t.epoch, Rev: t.b.gave})
 	if t.b.lost {
 		t.planAt = t.now // for what the server was given while it was lost
 	}
@@ -273,6 +305,9 @@
 // endBatch forgets a batch that was not written, or whose fate a successor will
 // see in the table.
 func (t *turn) endBatch() {
+	if t.move == writing && t.b.doubt {
+		t.owed = t.b.edit
+	}
 	if t.move != rest {
 		t.fire(moveChart, &t.move, "drop")
 	}
