host, query: plainer names for how rules are fetched, and two sharper tests

The decision whom to ask is a pull with rounds, the header of a leader's answer its heartbeat. Rules that a VM cannot read are fetched and refused once, and its questions wait for news as usual: with the revision held instead of the one known in the question it fails. The test of rules that the store brings has the store come after the leader, so it fails without the head start. A paced link of the tests makes up for sleeps that last too long.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -119,7 +119,7 @@
 		c.p.Log.Info("leader regained", "holder", n.Lease.Holder, "epoch", n.Lease.Epoch)
 	}
 	c.lost = false
-	c.hear(query.Word{Epoch: n.Lease.Epoch, Away: n.Away}) // one of an earlier version says it at the end only
+	c.hear(query.Heartbeat{Epoch: n.Lease.Epoch, Away: n.Away}) // one of an earlier version says it at the end only
 	c.p.Reign.loop.Send(lead.RankMsg{N: n.Rank})
 	c.p.Fleet.witness(n.Steady) // first: it decides how a list without some servers is read
 	c.take(n, lease.Addr)
@@ -132,9 +132,9 @@
 	return true
 }
 
-// hear takes in the word of a leader whose answer has begun.
-func (c *courier) hear(w query.Word) {
-	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: w.Epoch, Troubled: w.Away})
+// hear takes in the heartbeat of a leader whose answer has begun.
+func (c *courier) hear(b query.Heartbeat) {
+	c.p.Reign.loop.Send(lead.HeardMsg{Epoch: b.Epoch, Troubled: b.Away})
 }
 
 // ended tells the decision who leads when the holder of a lease gives no orders any
--- a/internal/edge/host/fetch.go
+++ b/internal/edge/host/fetch.go
@@ -26,7 +26,7 @@
 	wake   chan struct{}
 
 	mu     sync.Mutex
-	errand errand
+	pull   pull
 	others []netip.AddrPort
 }
 
@@ -53,7 +53,7 @@
 func (f *fetcher) name(rev uint64, at netip.AddrPort) {
 	f.p.State.Rules.Hear(ident.Revision(rev))
 	f.mu.Lock()
-	news := f.errand.name(rev, at)
+	news := f.pull.name(rev, at)
 	f.mu.Unlock()
 	if !news {
 		return
@@ -105,10 +105,10 @@
 	held, _ = f.p.Board.Revs()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.errand.due(held) {
+	if !f.pull.due(held) {
 		return held, 0
 	}
-	return max(held, f.errand.done), f.errand.want
+	return max(held, f.pull.done), f.pull.want
 }
 
 // try asks one VM, and waits after one that has none to give. It ends as soon as newer
@@ -123,8 +123,8 @@
 		return
 	}
 	if err != nil {
-		pause, tour := f.failed()
-		if tour {
+		pause, roundEnds := f.failed()
+		if roundEnds {
 			f.p.Log.Warn("no VM sends rules", "rev", want, "held", held, "last", at, "took", time.Since(began), "err", err)
 		}
 		group.Sleep(ctx, pause/2+rand.N(pause))
@@ -138,17 +138,17 @@
 func (f *fetcher) next() netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.errand.next(f.others)
+	return f.pull.next(f.others)
 }
 
 func (f *fetcher) failed() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.errand.failed()
+	return f.pull.failed()
 }
 
 func (f *fetcher) fetched(rev uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.errand.fetched(rev)
+	f.pull.fetched(rev)
 }
--- a/internal/edge/host/errand_test.go
+++ b/internal/edge/host/pull_test.go
@@ -27,18 +27,18 @@
 	others := []netip.AddrPort{addr(1), addr(2), addr(3), addr(4), addr(5), addr(6), addr(7), addr(8)}
 	second := map[netip.AddrPort]int{}
 	for range 200 {
-		var e errand
+		var e pull
 		assert.Assert(t, e.name(7, addr(3)))
-		tour := []netip.AddrPort{e.next(others)}
-		assert.Equal(t, tour[0], addr(3), "who named it")
+		round := []netip.AddrPort{e.next(others)}
+		assert.Equal(t, round[0], addr(3), "who named it")
 		for range len(others) - 1 {
 			_, last := e.failed()
 			assert.Assert(t, !last)
-			tour = append(tour, e.next(others))
+			round = append(round, e.next(others))
 		}
-		second[tour[1]]++
-		slices.SortFunc(tour, netip.AddrPort.Compare)
-		assert.Assert(t, slices.Equal(tour, others), "each once: %v", tour)
+		second[round[1]]++
+		slices.SortFunc(round, netip.AddrPort.Compare)
+		assert.Assert(t, slices.Equal(round, others), "each once: %v", round)
 		_, last := e.failed()
 		assert.Assert(t, last)
 		assert.Equal(t, e.next(others), addr(3), "once more from the beginning")
@@ -48,13 +48,13 @@
 
 // Nobody has the rules any more that were named: the VM that did was lost with them. The
 // others are asked less and less often, but never less than each two seconds.
-func TestToursInVainGetRarer(t *testing.T) {
-	var e errand
+func TestRoundsThatFailGetRarer(t *testing.T) {
+	var e pull
 	e.name(7, addr(1))
 	for range 20 {
 		e.next(nil)
 		pause, last := e.failed()
-		assert.Assert(t, last && pause >= tourPause && pause <= lastPause, "%v", pause)
+		assert.Assert(t, last && pause >= roundPause && pause <= lastPause, "%v", pause)
 	}
 	e.next(nil)
 	pause, _ := e.failed()
@@ -62,7 +62,7 @@
 	assert.Assert(t, e.name(8, addr(2)))
 	assert.Equal(t, e.next(nil), addr(2))
 	pause, _ = e.failed()
-	assert.Equal(t, pause, tourPause, "newer rules are asked for at once")
+	assert.Equal(t, pause, roundPause, "newer rules are asked for at once")
 }
 
 func TestWhatIsToBeFetched(t *testing.T) {
@@ -78,14 +78,14 @@
 		{"fetched, and refused here", 7, 6, 7, false},
 		{"older ones were fetched", 7, 5, 6, true},
 	} {
-		var e errand
+		var e pull
 		if c.named > 0 {
 			e.name(c.named, addr(1))
 		}
 		e.fetched(c.got)
 		assert.Equal(t, e.due(c.held), c.due, c.name)
 	}
-	var e errand
+	var e pull
 	assert.Assert(t, e.name(7, addr(1)))
 	assert.Assert(t, !e.name(6, addr(2)), "an older one")
 	assert.Assert(t, !e.name(7, addr(3)), "the same")
@@ -135,7 +135,7 @@
 		s := spreading{has: map[netip.AddrPort]bool{addr(0): true}, busy: map[netip.AddrPort]int{}, asked: map[netip.AddrPort]int{}}
 		start := time.Now()
 		fetch := func(ctx context.Context, vm netip.AddrPort) {
-			var e errand
+			var e pull
 			e.name(7, addr(0))
 			for e.due(0) {
 				others := make([]netip.AddrPort, told)
--- a/internal/edge/host/thin_test.go
+++ b/internal/edge/host/thin_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,14 +36,18 @@
 	sent int
 }
 
-// packet is how much one connection sends before the next has its turn, in bytes.
-const packet = 1500
+const (
+	// packet is how much one connection sends before the next has its turn, in bytes.
+	packet = 1500
+	// wakeup is by how much a sleep may last too long without the link losing its rate.
+	wakeup = 50 * time.Millisecond
+)
 
 // pass waits until a packet has left.
 func (l *link) pass(n int) {
 	l.mu.Lock()
 	now := time.Now()
-	if l.free.Before(now) {
+	if l.free.Before(now.Add(-wakeup)) {
 		l.free = now
 	}
 	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
@@ -86,8 +91,9 @@
 // thin is a VM that leads and does nothing else, behind a link with a rate.
 type thin struct {
 	*query.Board
-	link *link
-	seq  uint64
+	link  *link
+	seq   uint64
+	asked atomic.Int64 // questions
 }
 
 const thinEpoch = 7
@@ -101,7 +107,7 @@
 	lease := lead.Lease{Epoch: thinEpoch, Holder: "leader", Life: "leader-1", Addr: at}
 	board.SetLease(lease, true)
 	th := &thin{Board: board, link: &link{Listener: l, rate: rate}}
-	web := &http.Server{Handler: board.Handler(func(*query.Ask) {})}
+	web := &http.Server{Handler: board.Handler(func(*query.Ask) { th.asked.Add(1) })}
 	var g group.Group
 	g.Go(func(context.Context) error { _ = web.Serve(th.link); return nil })
 	w.t.Cleanup(func() {
@@ -243,7 +249,7 @@
 	assert.NilError(t, g.Wait())
 }
 
-// The store reaches a VM as soon as the leader does, as on most days. The VM takes the
+// The store reaches a VM a moment after the leader, as on most days. The VM takes the
 // rules from there and asks nobody, or each change would travel twice.
 func TestRulesThatTheStoreBringsAreNotFetched(t *testing.T) {
 	w := newWorld(t, 1)
@@ -255,13 +261,15 @@
 	leader.move("l1")
 	h := w.start(0)
 	w.within(patient, "ready", w.ready(0))
+	w.store.mu.Lock()
+	next := w.store.rev + 1
+	w.store.mu.Unlock()
+	leader.SetRules(query.Raw{Rev: next, Data: []byte("{}")})
+	time.Sleep(headStart / 4)
 	w.rules("/new/")
-	o, err := w.ways[0].Get(t.Context(), "config/main")
-	assert.NilError(t, err)
-	leader.SetRules(query.Raw{Rev: uint64(o.Version), Data: o.Value})
 	w.within(patient, "new rules", func() bool {
 		rev, _ := h.d.p.Board.Revs()
-		return rev == uint64(o.Version)
+		return rev == next
 	})
 	time.Sleep(2 * headStart)
 	assert.NilError(t, h.Close())
@@ -307,3 +315,32 @@
 	assert.NilError(t, h.Close())
 	assert.Assert(t, !strings.Contains(log.String(), "leader lost"), "%s", log.String())
 }
+
+// The operator's rules cannot be put in force by this VM, for example because they are
+// for a later version. It keeps the ones before, and must not go on asking for what it
+// cannot use: its question would be answered at once, fifty times a second, by a leader
+// that has other VMs to answer.
+func TestRulesThatCannotBeReadAreFetchedOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	var log bytes.Buffer
+	w.log = slog.New(slog.NewTextHandler(&log, nil))
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	leader := w.lead(1_000_000)
+	leader.move("l1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	w.ways[0].bar(true)
+	leader.SetRules(query.Raw{Rev: newRev, Data: []byte(`"for a later version"`)})
+	w.within(patient, "the newest revision is known", func() bool {
+		return h.d.p.State.Rules.Newest() == newRev
+	})
+	asked := leader.asked.Load()
+	const while = 2 * time.Second
+	time.Sleep(while)
+	asked = leader.asked.Load() - asked
+	assert.Assert(t, asked <= int64(while/query.Wait)+1, "%d questions in %v", asked, while)
+	assert.NilError(t, h.Close())
+	assert.Equal(t, strings.Count(log.String(), "rules fetched"), 1, "%s", log.String())
+	assert.Equal(t, strings.Count(log.String(), "rules refused"), 1, "%s", log.String())
+}
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -85,9 +85,9 @@
 	lease   lead.Lease
 	leads   bool
 	away    bool
-	rules   *parcel
+	rules   *payload
 	came    context.Context // ends when rules newer than those come
-	next    context.CancelFunc
+	comes   context.CancelFunc
 	sending *semaphore.Weighted // of rules to other VMs
 	servers listing
 	views   map[ident.Service]*history
@@ -116,10 +116,10 @@
 func NewBoard(vm ident.VM, life string) *Board {
 	b := &Board{
 		vm: vm, life: life, views: map[ident.Service]*history{}, asked: map[ident.VM]asker{}, more: make(chan struct{}),
-		rules: &parcel{}, sending: semaphore.NewWeighted(mostSent),
+		rules: &payload{}, sending: semaphore.NewWeighted(mostSent),
 	}
 	b.turn, b.turned = context.WithCancel(context.Background())
-	b.came, b.next = context.WithCancel(context.Background())
+	b.came, b.comes = context.WithCancel(context.Background())
 	return b
 }
 
@@ -192,9 +192,9 @@
 	if r.Rev <= b.rules.Rev {
 		return false
 	}
-	b.rules = &parcel{Raw: r}
-	b.next()
-	b.came, b.next = context.WithCancel(context.Background())
+	b.rules = &payload{Raw: r}
+	b.comes()
+	b.came, b.comes = context.WithCancel(context.Background())
 	b.wake()
 	return true
 }
--- a/internal/edge/query/word_test.go
+++ b/internal/edge/query/heartbeat_test.go
@@ -37,8 +37,8 @@
 		f.serve(firstVM, b.Handler(func(*Ask) {}))
 		start, last := time.Now(), time.Now()
 		heard := 0
-		hear := func(w Word) {
-			assert.Equal(t, w, Word{Epoch: 3, Away: true})
+		hear := func(w Heartbeat) {
+			assert.Equal(t, w, Heartbeat{Epoch: 3, Away: true})
 			assert.Assert(t, time.Since(last) < lead.Silence/2, "after %v", time.Since(last))
 			heard, last = heard+1, time.Now()
 		}
@@ -47,7 +47,7 @@
 		assert.Equal(t, len(n.Servers.List), 1000)
 		assert.Assert(t, time.Since(start) > Wait+answerWait, "the answer was slow, but %v", time.Since(start))
 		assert.Assert(t, !n.Begun.Before(start) && n.Begun.Sub(start) < Wait, "its news are as old as its beginning")
-		assert.Assert(t, heard > 1 && time.Since(last) <= 2*wordEvery)
+		assert.Assert(t, heard > 1 && time.Since(last) <= 2*heartbeatEvery)
 
 		left := 20
 		start, last = time.Now(), time.Now()
@@ -73,7 +73,7 @@
 		b := crowded()
 		f.serve(firstVM, b.Handler(func(*Ask) { time.Sleep(time.Second) }))
 		start := time.Now()
-		_, err := f.client(nil).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, func(Word) { t.Error("heard") })
+		_, err := f.client(nil).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, func(Heartbeat) { t.Error("heard") })
 		assert.Equal(t, kinds.Of(err), kinds.Down)
 		assert.ErrorContains(t, err, errSilent.Error())
 		assert.Equal(t, time.Since(start), Wait+answerWait)
@@ -87,7 +87,7 @@
 		b := NewBoard("vm-3", "vm-3-a")
 		b.SetLease(lead.Lease{Epoch: 3, Holder: "vm-1", Life: "vm-1-a"}, false)
 		f.serve(firstVM, b.Handler(func(*Ask) {}))
-		n, err := f.client(nil).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, func(Word) { t.Error("heard") })
+		n, err := f.client(nil).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, func(Heartbeat) { t.Error("heard") })
 		assert.NilError(t, err)
 		assert.Assert(t, !n.Leads)
 	})
@@ -101,7 +101,7 @@
 		b := crowded()
 		f.serve(firstVM, b.Handler(func(*Ask) {}))
 		start := time.Now()
-		count := func(Word) {
+		count := func(Heartbeat) {
 			assert.Equal(t, b.VMs(time.Now()), 2, "after %v", time.Since(start))
 		}
 		_, err := f.client(func() time.Duration { return 40 * time.Millisecond }).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, count)
--- a/internal/edge/query/rules.go
+++ b/internal/edge/query/rules.go
@@ -56,15 +56,15 @@
 	bodySilence = time.Second
 )
 
-// parcel is rules to be sent to other VMs, compressed when the first asks for them: the
+// payload is rules to be sent to other VMs, compressed when the first asks for them: the
 // fast way, since VMs have a fifth of a core and callers wait meanwhile.
-type parcel struct {
+type payload struct {
 	Raw
 	once sync.Once
 }
 
 // pack returns the compressed rules.
-func (p *parcel) pack() []byte {
+func (p *payload) pack() []byte {
 	p.once.Do(func() {
 		if p.packed != nil {
 			return
@@ -79,7 +79,7 @@
 }
 
 // newer returns the rules known here if they are newer than a revision, or nil.
-func (b *Board) newer(after uint64) *parcel {
+func (b *Board) newer(after uint64) *payload {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.rules.Rev <= after {
--- a/internal/edge/query/rules_test.go
+++ b/internal/edge/query/rules_test.go
@@ -295,7 +295,7 @@
 	}
 	var packed int
 	for b.Loop() {
-		p := parcel{Raw: Raw{Data: text.Bytes()}}
+		p := payload{Raw: Raw{Data: text.Bytes()}}
 		packed = len(p.pack())
 	}
 	b.ReportMetric(float64(text.Len()), "bytes")
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -67,8 +67,8 @@
 		c.Status(http.StatusInternalServerError)
 		return
 	}
-	if w, ok := n.word(); ok {
-		w.write(c.Writer.Header())
+	if beat, ok := n.heartbeat(); ok {
+		beat.write(c.Writer.Header())
 	}
 	b.busy(time.Now().Add(reading(len(body))), a.VM)
 	c.Data(http.StatusOK, gin.MIMEJSON, body)
@@ -110,9 +110,9 @@
 	return c
 }
 
-// Ask asks one VM. Heard is called with the word of a leader as soon as its answer
-// begins and, while it goes on, several times a second. The error carries kind Down.
-func (c *Client) Ask(ctx context.Context, at netip.AddrPort, a *Ask, heard func(Word)) (News, error) {
+// Ask asks one VM. Heard is called with the heartbeat of a leader as soon as its
+// answer begins and, while it goes on, several times a second. The error carries kind Down.
+func (c *Client) Ask(ctx context.Context, at netip.AddrPort, a *Ask, heard func(Heartbeat)) (News, error) {
 	var n News
 	ctx, cancel := context.WithTimeout(ctx, mostAnswer)
 	defer cancel()
@@ -135,8 +135,8 @@
 	}
 	n.Begun = time.Now()
 	body := io.LimitReader(resp.Body, mostBytes)
-	if w, ok := readWord(resp.Header); ok && heard != nil {
-		body = &speaker{Reader: body, word: w, heard: heard}
+	if beat, ok := readHeartbeat(resp.Header); ok && heard != nil {
+		body = &heartbeatReader{Reader: body, beat: beat, heard: heard}
 	}
 	if err := json.NewDecoder(body).Decode(&n); err != nil {
 		return n, kinds.Wrap(kinds.Down, err, "answer of "+at.String())
