host: small rules are read from the store by every VM, as before

A VM that leaves new rules to the others learns that the leader is cut off from the store only when nobody vouches any more, up to 1.5 s later. With rules of 64 KB and more the time to accept them covers that; smaller ones cost a VM a few milliseconds to read, so it watches them itself.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -32,6 +32,7 @@
 	parts bookParts
 	mu    sync.Mutex
 	now   feed.Rules
+	size  int       // bytes of the rules in force, as the store holds them
 	came  time.Time // when the newest revision that is not in force was first heard of
 	bad   int64     // revisions that could not be put in force
 }
@@ -75,8 +76,14 @@
 	return b
 }
 
-// fetchWait is for how long other VMs have to bring rules that the leader has named.
-const fetchWait = 600 * time.Millisecond
+const (
+	// fetchWait is for how long other VMs have to bring rules that the leader has named.
+	fetchWait = 600 * time.Millisecond
+	// relyFrom is the size of rules, in bytes, from which a VM leaves them to the others.
+	// Smaller ones are read from the store in a few milliseconds, and a watch of one's own
+	// has them sooner where the leader alone is cut off from it.
+	relyFrom = 64 << 10
+)
 
 // relies reports whether this VM gets new rules from other VMs, and up to which place in
 // the store's changes they are known. A watch of its own would bring each version whole,
@@ -84,12 +91,18 @@
 // for a second behind that. It is for the time in which no leader vouches for the rules,
 // or the VMs do not bring what it names.
 func (b *book) relies(now time.Time) (object.Cursor, bool) {
-	if b.parts.Board.Told(now) && b.parts.State.Rules.Sure(tick.Now()) {
-		behind, _ := b.behind(now)
-		seen := b.parts.Board.Seen()
-		return seen, seen > 0 && behind < fetchWait
+	if !b.parts.Board.Told(now) || !b.parts.State.Rules.Sure(tick.Now()) {
+		return 0, false
 	}
-	return 0, false
+	behind, _ := b.behind(now)
+	seen := b.parts.Board.Seen()
+	return seen, seen > 0 && behind < fetchWait && b.large()
+}
+
+func (b *book) large() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.size >= relyFrom
 }
 
 const (
@@ -131,6 +144,7 @@
 	// The store has accepted them, so they are in force, whatever this VM thinks of them.
 	set, faults := match.Accept(rules.List)
 	b.apply(rules, set)
+	b.size = len(raw.Data)
 	b.parts.Board.SetRules(raw)
 	b.parts.Log.Info("rules in force", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List),
 		"bytes", len(raw.Data), "took", time.Since(start), "known", time.Since(b.came))
