lead, deal: a lost lease is written anew above the key tables

What callers saw: once the object that says who leads was removed or could not be read, every request for a key of a divided service was refused, for good and without a log line (25 s and more, until somebody removed the tables).

Cause: the next leader began at epoch 1, and a leader whose table stands at a higher epoch took it for another leader's, of which it would hear soon. Nobody was there to hear of. A leader that was well stood back for 5 s when its lease was removed, longer than grants last.

Now a deal says that a table is not its leader's to write (BehindCmd, logged), and the leader writes its lease anew with an epoch above, by a conditional update: where another VM leads, that fails and tells so. A leader that finds its lease lost writes it anew at the next tick. The table counts as another's also at the same epoch, if this VM has not written it: two VMs that know of no leader both begin at 1.

Why at most one owner holds: nobody can name the leader before, so no word that somebody has ended shortens the bar; it is a whole term after the raised epoch was confirmed, and keys of silent servers wait for the longest grant after it. The table is written once more under the new epoch before any order goes out.

--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -37,6 +37,8 @@
 		r.group.Go(func(context.Context) error { send(d.order(ctx, cmd)); return nil })
 	case deal.ServedCmd:
 		r.serve(d.svc, cmd)
+	case deal.BehindCmd:
+		r.behind(d.svc, cmd.Epoch)
 	case deal.NoteCmd:
 		r.log.Info(cmd.What, "service", d.svc, "server", cmd.Server, "former", cmd.Former, "rows", cmd.Rows, "why", cmd.Why)
 	}
--- a/internal/edge/host/reign.go
+++ b/internal/edge/host/reign.go
@@ -178,6 +178,13 @@
 	}
 }
 
+// behind tells the decision who leads that a key table is another leader's, of an epoch
+// that this VM's is not above.
+func (r *reign) behind(svc ident.Service, epoch uint64) {
+	r.log.Warn("the key table is another leader's", "service", svc, "table", epoch, "epoch", r.model().Lease().Epoch)
+	r.loop.Send(lead.RaiseMsg{Epoch: epoch})
+}
+
 func (r *reign) endDeals() {
 	r.mu.Lock()
 	ended := r.deals
@@ -218,6 +225,7 @@
 	o, err := r.plat.Store.Get(ctx, r.plat.Own+leaseName)
 	msg.Kind, msg.Version = kinds.Of(err), o.Version
 	if err == nil && json.Unmarshal(o.Value, &msg.Lease) != nil {
+		msg.Lease = lead.Lease{} // a part of it would name a leader that there never was
 		r.log.Error("the lease cannot be read; it will be written anew", "rev", o.Version)
 	}
 	return msg
--- a/internal/owner/deal/agree.go
+++ b/internal/owner/deal/agree.go
@@ -17,8 +17,9 @@
 		m.calling = true
 		return []loop.Cmd{ReadCmd{}}
 	}
-	if m.table.Epoch > m.auth.Epoch {
-		return nil // another VM leads, and this one has not heard of it yet
+	if m.behind() {
+		m.callAt = now.Add(again)
+		return []loop.Cmd{BehindCmd{Epoch: m.table.Epoch}}
 	}
 	d := m.plan(now)
 	if d == nil {
@@ -32,6 +33,14 @@
 	return []loop.Cmd{WriteCmd{Table: d.table, Old: m.version}}
 }
 
+// behind reports whether the table stands above this leader: at a higher epoch, or at
+// the same one without having been written by this VM. Leaders that begin after the
+// lease was lost, each at the first epoch, would take each other's tables for their own.
+func (m *Model) behind() bool {
+	return m.table.Epoch > m.auth.Epoch ||
+		m.table.Epoch == m.auth.Epoch && m.version != 0 && m.wroteAs != m.auth.Epoch && m.flaw != flawBehind
+}
+
 // read takes in the stored table. What this leader knew of its rows is kept where
 // the row is the same.
 func (m *Model) read(now time.Time, msg ReadMsg) []loop.Cmd {
@@ -110,7 +119,7 @@
 	case d == nil:
 		return nil
 	case msg.Kind == kinds.None:
-		m.version = msg.Version
+		m.version, m.wroteAs = msg.Version, d.table.Epoch
 		return m.adopt(d)
 	case msg.Kind == kinds.Conflict, msg.Kind == kinds.Ambiguous, msg.Kind == kinds.Absent:
 		// Another leader wrote, or this VM's own write was done and its answer lost.
@@ -118,6 +127,9 @@
 		// asks their owner first, or waits for all that may have been granted.
 		m.stale = true
 		m.callAt = now.Add(again / 4)
+		if msg.Kind == kinds.Ambiguous {
+			m.wroteAs = d.table.Epoch
+		}
 	default:
 		m.callAt = now.Add(again)
 	}
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -132,9 +132,10 @@
 	auth    Authority
 	table   stripe.Table
 	version object.Version
-	loaded  bool // the table is known
-	fresh   bool // nobody has had any key: the table is cut once servers are known
-	stale   bool // the stored one may be another: it is read before the next write
+	loaded  bool   // the table is known
+	fresh   bool   // nobody has had any key: the table is cut once servers are known
+	wroteAs uint64 // the last epoch under which this VM wrote the table, or may have
+	stale   bool   // the stored one may be another: it is read before the next write
 	calling bool
 	writing *draft
 	callAt  time.Time
@@ -196,7 +197,7 @@
 	var out []loop.Cmd
 	switch msg := msg.(type) {
 	case TickMsg:
-		m.authorize(msg.Authority)
+		m.authorize(now, msg.Authority)
 	case HostsMsg:
 		m.list(now, msg.Hosts)
 	case LoadMsg:
@@ -214,7 +215,7 @@
 		return m, out
 	}
 	out = append(out, m.store(now)...)
-	if m.loaded && (m.table.Epoch == m.auth.Epoch || m.flaw == flawStale) {
+	if m.loaded && (m.table.Epoch == m.auth.Epoch && !m.behind() || m.flaw == flawStale) {
 		out = append(out, m.orders(now)...)
 		out = append(out, m.served()...)
 	}
@@ -222,8 +223,14 @@
 }
 
 // authorize takes in what this VM may do. When grants become long, all are renewed
-// at once: the short ones would run out one after the other meanwhile.
-func (m *Model) authorize(a Authority) {
+// at once: the short ones would run out one after the other meanwhile. Under another
+// epoch the table is written once more before anything else, as by a new leader, and who
+// serves what is told as a whole: others take an epoch's first word for all of it.
+func (m *Model) authorize(now time.Time, a Authority) {
+	if m.loaded && a.Epoch != m.auth.Epoch {
+		m.dirty, m.told = now.Add(-tidy), false
+		m.callAt = now
+	}
 	if a.Long && !m.auth.Long {
 		for _, p := range m.peers {
 			p.renewAt = time.Time{}
--- a/internal/owner/deal/flaw.go
+++ b/internal/owner/deal/flaw.go
@@ -11,5 +11,6 @@
 	flawFlying      // forget grants that are still on their way
 	flawBar         // forget that a leader before may have renewed
 	flawFence       // give keys to the next owner under the fence of the last
+	flawBehind      // take another leader's table of the same epoch for one's own
 	flawStale       // act on a draft before the store has agreed to it
 )
--- a/internal/owner/deal/history_test.go
+++ b/internal/owner/deal/history_test.go
@@ -15,7 +15,7 @@
 func (w *world) fault() {
 	s := w.servers[rapid.IntRange(0, len(w.servers)-1).Draw(w.t, "server")]
 	l := w.leaders[len(w.leaders)-1]
-	kind := rapid.IntRange(0, 11).Draw(w.t, "fault")
+	kind := rapid.IntRange(0, 12).Draw(w.t, "fault")
 	w.note("all rows: fault %d at %s", kind, s.name)
 	switch kind {
 	case 0:
@@ -43,6 +43,8 @@
 		if row := rapid.IntRange(0, rowsHere-1).Draw(w.t, "row"); s.until[row].After(w.now) {
 			s.work[row] = w.now.Add(300 * time.Millisecond)
 		}
+	case 12:
+		w.leadUnaware()
 	case 11:
 		s.silent = !s.silent // it freezes, or thaws as if nothing had happened
 	}
@@ -91,7 +93,7 @@
 // proves nothing.
 func TestEverySafetyRuleIsNeeded(t *testing.T) {
 	names := map[flaw]string{
-		flawWait: "wait", flawFlying: "flying", flawBar: "bar", flawFence: "fence", flawStale: "stale",
+		flawWait: "wait", flawFlying: "flying", flawBar: "bar", flawFence: "fence", flawStale: "stale", flawBehind: "behind",
 	}
 	for f, name := range names {
 		t.Run(name, func(t *testing.T) {
@@ -165,6 +167,27 @@
 	})
 }
 
+// The lease is lost, and the next leader begins at the first epoch, below the table's.
+// Keys stay served: it says so until it has a higher one, and goes on from there.
+func TestALeaderBelowTheTablesEpochGoesOnUnderAHigherOne(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		w := newWorld(t, flawNone)
+		w.calm = true
+		w.lead()
+		w.lead()
+		w.run(w.now.Add(3 * time.Second))
+		for _, l := range w.leaders {
+			l.alive = false
+		}
+		w.leadUnaware()
+		for range 80 {
+			w.run(w.now.Add(100 * time.Millisecond))
+			assert.Equal(t, w.owned(), rowsHere)
+		}
+		assert.Equal(t, w.broken, "")
+	})
+}
+
 // A server leaves in good order. Its keys have other owners well within the two
 // seconds for which it may still be asked.
 func TestALeavingServersKeysMoveWithinASecond(t *testing.T) {
--- a/internal/owner/deal/msg.go
+++ b/internal/owner/deal/msg.go
@@ -109,6 +109,10 @@
 		Full       bool
 		Changes    []stripe.Served
 	}
+	// BehindCmd says that another leader wrote the table under an epoch that this one's
+	// is not above. Another VM leads, and this one has not heard of it yet; or the lease
+	// was lost, and its epochs began anew.
+	BehindCmd struct{ Epoch uint64 }
 	// NoteCmd is a change of belief, for the log.
 	NoteCmd struct {
 		What   string
--- a/internal/owner/deal/world_test.go
+++ b/internal/owner/deal/world_test.go
@@ -35,6 +35,7 @@
 	most    time.Duration
 	servers []*backend
 	leaders []*leader
+	epoch   uint64 // the highest that a leader had
 	broken  string
 	trace   []string // what happened, for whoever reads a failure
 	flaw    flaw
@@ -81,6 +82,7 @@
 	alive  bool
 	cut    map[ident.Server]bool
 	frozen time.Time
+	behind bool // its epoch is raised as soon as it says that the table's is higher
 }
 
 func newWorld(t *rapid.T, f flaw) *world {
@@ -120,7 +122,8 @@
 // lead makes another VM the leader. The one before is not told, and goes on until
 // the end of its term.
 func (w *world) lead() *leader {
-	epoch := uint64(len(w.leaders) + 1)
+	w.epoch++
+	epoch := w.epoch
 	l := &leader{w: w, model: New(WithMost(w.most)), alive: true, cut: map[ident.Server]bool{}}
 	l.model.flaw = w.flaw
 	l.auth = Authority{Epoch: epoch, Until: w.now.Add(lead.Term), Bar: w.now}
@@ -134,6 +137,31 @@
 	return l
 }
 
+// leadUnaware makes another VM the leader after the lease was lost: it knows of no
+// leader before it, so its first epoch is lower than the table's and its bar is no word
+// about the one before, which goes on until the end of its term.
+func (w *world) leadUnaware() {
+	l := &leader{w: w, model: New(WithMost(w.most)), alive: true, cut: map[ident.Server]bool{}, behind: true}
+	l.model.flaw = w.flaw
+	l.auth = Authority{Epoch: 1, Until: w.now.Add(lead.Term), Bar: w.now.Add(lead.Margin)}
+	w.leaders = append(w.leaders, l)
+	w.note("all rows: a VM leads that knows of none before")
+	l.hosts()
+	l.tick()
+}
+
+// raise gives an unaware leader an epoch above the table's, by a conditional update of
+// the lease that only the newest leader can make.
+func (l *leader) raise(epoch uint64) {
+	w := l.w
+	if !l.behind || !l.newest() || !w.storeOK || l.auth.Epoch > epoch {
+		return
+	}
+	w.epoch = max(w.epoch, epoch) + 1
+	w.note("all rows: VM %d leads as %d", l.auth.Epoch, w.epoch)
+	l.auth.Epoch, l.auth.Bar = w.epoch, w.now.Add(lead.Term+lead.Margin)
+}
+
 func (l *leader) newest() bool { return l.w.leaders[len(l.w.leaders)-1] == l }
 
 func (l *leader) tick() {
@@ -183,6 +211,8 @@
 		w.after(2*delay, func() { l.tell(w.read()) })
 	case WriteCmd:
 		w.after(2*delay, func() { l.write(cmd) })
+	case BehindCmd:
+		w.after(2*delay, func() { l.raise(cmd.Epoch) })
 	case OrderCmd:
 		w.after(delay, func() { l.order(cmd, nil) })
 	}
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -75,6 +75,8 @@
 	former  Lease          // who led before this VM
 	began   time.Time      // this VM leads since
 	led     uint64         // the epoch that this VM leads, or led last
+	top     uint64         // highest epoch that anything told of
+	raise   bool           // this VM leads under an epoch that is not above all others
 	ended   uint64         // the leaders up to this epoch give no orders any more
 	sure    time.Time      // sending of the last call that confirmed the lead
 	calling bool
@@ -150,6 +152,8 @@
 		return m.read(now, msg)
 	case WroteMsg:
 		return m.wrote(now, msg)
+	case RaiseMsg:
+		return m.behind(now, msg.Epoch), nil
 	case EndedMsg:
 		return m.end(now, msg), nil
 	case YieldMsg:
@@ -178,8 +182,8 @@
 }
 
 func (m Model) end(now time.Time, msg EndedMsg) Model {
-	m.ended = max(m.ended, msg.Epoch)
-	if m.stage == Lead && msg.Epoch == m.former.Epoch && now.Add(Margin).Before(m.bar) {
+	m.ended, m.top = max(m.ended, msg.Epoch), max(m.top, msg.Epoch)
+	if m.stage == Lead && m.former.Life != "" && msg.Epoch == m.former.Epoch && now.Add(Margin).Before(m.bar) {
 		m.bar = now.Add(Margin)
 	}
 	return m
@@ -205,6 +209,7 @@
 	if msg.Lease.Epoch <= m.lease.Epoch || msg.Lease.Life == m.self.Life {
 		return m, nil
 	}
+	m.top = max(m.top, msg.Lease.Epoch)
 	if m.stage == Lead {
 		m.lease, m.version = msg.Lease, 0
 		return m.deposed(now)
@@ -224,9 +229,7 @@
 	case m.stage == Lead && m.doubt:
 		return m.ask() // each time after the same pause: keys depend on it
 	case m.stage == Lead:
-		next := m.lease
-		next.Beats++
-		return m.write(next)
+		return m.renew()
 	case m.lease.Life == "" && m.version == 0, m.overdue(now):
 		return m.ask()
 	}
--- a/internal/owner/lead/lead_test.go
+++ b/internal/owner/lead/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,7 +21,11 @@
 	t       *rapid.T
 	now     time.Time
 	lease   Lease
-	version object.Version
+	version object.Version // zero: there is no lease
+	writes  object.Version // versions are never used twice
+	table   uint64         // the epoch of the key table
+	writer  string         // the life of the VM that wrote it
+	lives   int
 	vms     []*vm
 	away    bool // the store answers nobody
 	lose    bool // it does what it is asked, and the answer is lost
@@ -33,6 +38,7 @@
 	cut    bool // does not reach the store
 	deaf   bool // does not reach the leader
 	frozen bool
+	acts   uint64 // the epoch under which it last gave orders
 	later  []func()
 }
 
@@ -48,7 +54,7 @@
 
 func (v *vm) start(life string) {
 	v.model = New(v.w.now, v.name, string(v.name)+life, netip.AddrPort{})
-	v.later = nil
+	v.later, v.acts = nil, 0
 }
 
 func (v *vm) tell(msg loop.Msg) {
@@ -80,8 +86,8 @@
 		case cmd.Old != w.version:
 			msg.Kind = kinds.Conflict
 		default:
-			w.version++
-			w.lease = cmd.Lease
+			w.writes++
+			w.version, w.lease = w.writes, cmd.Lease
 			msg.Version = w.version
 			if w.lose {
 				msg = WroteMsg{Asked: asked, Lease: cmd.Lease, Kind: kinds.Ambiguous}
@@ -142,26 +148,55 @@
 	return nil
 }
 
-// leaders lists those that may give orders now.
+// life returns one that no process had before, as all processes have one of their own.
+func (w *world) life() string {
+	w.lives++
+	return "x" + strconv.Itoa(w.lives)
+}
+
+// leaders lists those that may give orders now. One whose epoch is not above that of a
+// key table which another wrote is told, and gives none unless it did before that.
 func (w *world) leaders() []*vm {
 	var all []*vm
 	for _, v := range w.vms {
-		if w.now.Before(v.model.Until()) {
-			all = append(all, v)
+		if !w.now.Before(v.model.Until()) {
+			continue
+		}
+		epoch, life := v.model.Lease().Epoch, v.model.Lease().Life
+		above := epoch > w.table || epoch == w.table && life == w.writer
+		if !above && v.acts != epoch {
+			if !v.frozen {
+				v.tell(RaiseMsg{w.table})
+			}
+			continue
+		}
+		if v.acts = epoch; above {
+			w.table, w.writer = epoch, life
 		}
+		all = append(all, v)
 	}
 	return all
 }
 
+// loseLease removes the lease, or makes it unreadable.
+func (w *world) loseLease(whole bool) {
+	w.lease, w.version = Lease{}, 0
+	if !whole {
+		w.writes++
+		w.version = w.writes
+	}
+}
+
 // VMs freeze, start again, lose the store or each other, and the store loses answers.
 // A leader may be replaced while it still gives orders; the next one must know until
-// when, or it would give keys away that the other still renews.
+// when, or it would give keys away that the other still renews. The lease is lost, too:
+// who claims the lead then may know of no leader before it.
 func TestANewLeaderKnowsHowLongTheOldOneMayGoOn(t *testing.T) {
 	seeds.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 3)
 		for range rapid.IntRange(2, 12).Draw(t, "faults") {
 			v := w.vms[rapid.IntRange(0, 2).Draw(t, "vm")]
-			switch rapid.IntRange(0, 6).Draw(t, "fault") {
+			switch rapid.IntRange(0, 7).Draw(t, "fault") {
 			case 0:
 				v.cut = !v.cut
 			case 1:
@@ -169,14 +204,16 @@
 			case 2:
 				v.frozen = !v.frozen
 			case 3:
-				v.start("x" + string(rune('0'+len(w.lease.Life))))
+				v.start(w.life())
 			case 4:
 				w.away = !w.away
 			case 5:
 				w.lose = !w.lose
 			case 6:
 				v.tell(LeaveMsg{})
-				v.start("y" + string(rune('0'+len(w.lease.Life))))
+				v.start(w.life())
+			case 7:
+				w.loseLease(rapid.Bool().Draw(t, "removed"))
 			}
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
 				w.run(50 * time.Millisecond)
@@ -265,6 +302,53 @@
 	})
 }
 
+// An operator removes the lease, or writes over it, and all VMs start again. The key
+// table stands at the epoch of a leader that none of them knows. Below it no key would
+// have an owner; and that leader may go on for its term, since nobody knows whether it
+// has ended.
+func TestALostLeaseIsWrittenAboveTheKeyTable(t *testing.T) {
+	for _, removed := range []bool{true, false} {
+		seeds.Check(t, func(t *rapid.T) {
+			w := newWorld(t, 3)
+			w.run(3 * time.Second)
+			w.table = rapid.Uint64Range(1, 1000).Draw(t, "table")
+			w.loseLease(removed)
+			for _, v := range w.vms {
+				v.start("2")
+			}
+			for n := 0; len(w.leaders()) == 0; n++ {
+				assert.Assert(t, n < 100, "nobody gives orders")
+				w.run(50 * time.Millisecond)
+			}
+			m := w.leaders()[0].model
+			assert.Assert(t, m.Lease().Epoch > 1 && m.Lease().Epoch >= w.table)
+			assert.Assert(t, m.Bar().After(w.now.Add(Term)))
+			before := m.Bar()
+			w.leaders()[0].tell(EndedMsg{m.Lease().Epoch - 1})
+			assert.Equal(t, w.leaders()[0].model.Bar(), before, "a word about one leader is none about all")
+		})
+	}
+}
+
+// The lease is removed while its leader is well. It has the lead again before another
+// could take it, and does not rest: grants last four seconds.
+func TestALeaderWritesItsLostLeaseAnew(t *testing.T) {
+	for _, removed := range []bool{true, false} {
+		seeds.Check(t, func(t *rapid.T) {
+			w := newWorld(t, 3)
+			w.run(3 * time.Second)
+			holder, epoch := w.lease.Holder, w.lease.Epoch
+			w.loseLease(removed)
+			for range 40 {
+				w.run(50 * time.Millisecond)
+				assert.Equal(t, w.find(holder).model.Stage(), Lead)
+			}
+			assert.Equal(t, w.lease.Holder, holder)
+			assert.Assert(t, w.lease.Epoch > epoch)
+		})
+	}
+}
+
 // A leader that shuts down says so, and does not make the others wait for its silence.
 func TestALeaderThatLeavesIsReplacedAtOnce(t *testing.T) {
 	seeds.Check(t, func(t *rapid.T) {
--- a/internal/owner/lead/msg.go
+++ b/internal/owner/lead/msg.go
@@ -61,6 +61,9 @@
 	// EndedMsg says that the leader of an epoch gives no orders any more: it says so
 	// itself, or its VM runs another process now.
 	EndedMsg struct{ Epoch uint64 }
+	// RaiseMsg tells of an epoch that another leader had. One that leads under the same
+	// or a lower one writes its lease anew, under an epoch above.
+	RaiseMsg struct{ Epoch uint64 }
 	// YieldMsg says that another VM would lead better than this one.
 	YieldMsg struct{}
 	// LeaveMsg ends leading for good: the process stops.
--- a/internal/owner/lead/store.go
+++ b/internal/owner/lead/store.go
@@ -30,6 +30,10 @@
 		return m, nil
 	}
 	m.fails = 0
+	m.top = max(m.top, msg.Lease.Epoch)
+	if m.stage == Lead && msg.Lease.Life == "" {
+		return m.restore(now, msg.Version), nil
+	}
 	moved := msg.Lease.Life != m.lease.Life || msg.Lease.Epoch != m.lease.Epoch
 	known := m.version != 0
 	m.lease, m.version, m.doubt = msg.Lease, msg.Version, false
@@ -40,7 +44,7 @@
 		return m.deposed(now)
 	case m.leaving:
 		return m, nil
-	case moved && msg.Version != 0:
+	case moved && msg.Lease.Life != "":
 		// Somebody else leads since: it gets its time to be heard.
 		m.stage, m.heard, m.lost = Follow, now, false
 		return m, []loop.Cmd{ChangeCmd{Stage: Follow, Lease: m.lease, Why: "another VM leads"}}
@@ -74,31 +78,87 @@
 
 func (m Model) claim() (loop.Model, []loop.Cmd) {
 	next := m.self
-	next.Epoch = m.lease.Epoch + 1
-	m.stage, m.former = Claim, m.lease
+	m.stage, m.former = Claim, m.before()
+	next.Epoch = m.top + 1
+	return m.write(next)
+}
+
+// before returns who led before this VM. Where the stored lease was removed, cannot be
+// read, or was written by a VM that did not know of the leaders before it, nobody can
+// say who: the lease that is returned then names an epoch and no life.
+func (m Model) before() Lease {
+	if m.lease.Life == "" || m.lease.Epoch < m.top {
+		return Lease{Epoch: m.top}
+	}
+	return m.lease
+}
+
+// renew writes the lease again, with a higher epoch if this VM must lead under one.
+func (m Model) renew() (loop.Model, []loop.Cmd) {
+	next := m.lease
+	next.Beats++
+	if m.raise {
+		m.former = Lease{Epoch: m.top}
+		next.Epoch = m.top + 1
+	}
 	return m.write(next)
 }
 
+// restore lets a leader write its lease anew that was removed, or cannot be read. Its
+// term goes on from the last confirmation, as without that.
+func (m Model) restore(now time.Time, v object.Version) Model {
+	m.version, m.doubt, m.raise, m.callAt = v, false, true, now
+	return m
+}
+
+// behind takes in that another leader had an epoch. Led on under one that is not above,
+// keys have no owner for good: what was agreed then is taken for that leader's.
+// The conditional update tells whether that one leads still.
+func (m Model) behind(now time.Time, epoch uint64) Model {
+	m.top = max(m.top, epoch)
+	if m.stage == Lead && m.lease.Epoch <= epoch && !m.raise {
+		m.raise, m.callAt = true, now
+	}
+	return m
+}
+
 // confirm notes that the store named this VM after the call that was sent then.
 func (m Model) confirm(now, asked time.Time) (loop.Model, []loop.Cmd) {
 	began := m.stage != Lead
 	m.stage, m.sure, m.doubt, m.misses = Lead, asked, false, 0
+	m.top = max(m.top, m.lease.Epoch)
+	m.raise = m.lease.Epoch < m.top || m.raise && m.led == m.lease.Epoch
 	m.callAt = now.Add(Beat)
+	if m.raise {
+		m.callAt = now
+	}
 	if m.leaving {
 		return m.rest(now, "leaving")
 	}
-	if !began {
+	same := m.led == m.lease.Epoch
+	switch {
+	case !began && same:
 		return m, nil
-	}
-	if m.led == m.lease.Epoch {
+	case same:
 		return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the lead again"}}
 	}
-	m.led, m.began = m.lease.Epoch, now
-	m.bar = now.Add(Term + Margin)
-	if m.former.Epoch <= m.ended {
-		m.bar = now.Add(Margin)
+	m.led, m.bar = m.lease.Epoch, m.barOf(now)
+	why := "the epoch was not above those of all leaders before"
+	if began {
+		m.began, why = now, "the store confirmed the claim"
+	}
+	return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: why}}
+}
+
+// barOf returns until when leaders before this one may give orders. One that nobody
+// can name may have been confirmed right before this VM, and nobody can say that it has
+// ended: only its term does.
+func (m Model) barOf(now time.Time) time.Time {
+	unnamed := m.former.Life == "" && m.former.Epoch > 0
+	if !unnamed && m.former.Epoch <= m.ended {
+		return now.Add(Margin)
 	}
-	return m, []loop.Cmd{ChangeCmd{Stage: Lead, Lease: m.lease, Why: "the store confirmed the claim"}}
+	return now.Add(Term + Margin)
 }
 
 func (m Model) wrote(now time.Time, msg WroteMsg) (loop.Model, []loop.Cmd) {
