census: the removals that came last are remembered

What callers saw: at the 4,097th removal since a VM started, it forgot all of them at once. A list or a watch that lagged by a moment then brought back a server that had just left, which got requests until the list caught up.

Cause: the bound on what is remembered threw away the whole map. It drops the older half by revision now, so a list must lag behind two thousand removals.

--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -193,14 +194,28 @@
 		r.missing = c.back.Add(Back)
 		return false
 	}
-	if c.left == nil || len(c.left) >= mostLeft {
+	if c.left == nil {
 		c.left = map[ident.Server]uint64{}
 	}
+	if len(c.left) >= mostLeft {
+		c.forget()
+	}
 	c.left[name] = rev
 	delete(c.all, name)
 	return true
 }
 
+// forget drops the older half of what is remembered of servers that are gone. Without
+// the later half a list that lags by a second brings back who has just left.
+func (c *Census[T]) forget() {
+	revs := slices.Sorted(maps.Values(c.left))
+	middle := revs[len(revs)/2]
+	maps.DeleteFunc(c.left, func(_ ident.Server, rev uint64) bool { return rev < middle })
+	if len(c.left) >= mostLeft { // the older half was removed as of one revision
+		maps.DeleteFunc(c.left, func(_ ident.Server, rev uint64) bool { return rev <= middle })
+	}
+}
+
 // Expire drops what was missing for too long, and reports whether it did.
 func (c *Census[T]) Expire(now time.Time) bool {
 	dropped := false
--- a/internal/node/census/census_test.go
+++ b/internal/node/census/census_test.go
@@ -1,6 +1,7 @@
 package census
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -39,6 +40,37 @@
 	assert.Assert(t, c.Put(entry("a", 16, false)), "it has started again since")
 }
 
+// Thousands of servers have come and gone since this VM started. At the next removal it
+// forgot them all, and a watch that begins at an old list brings back a server that left
+// a moment ago: it gets requests until the watch has caught up.
+func TestManyRemovalsBringNobodyBack(t *testing.T) {
+	var c Census[string]
+	rev := uint64(10)
+	name := func(i int) ident.Server { return ident.Server("s-" + strconv.Itoa(i)) }
+	for i := range 3 * mostLeft {
+		assert.Assert(t, c.Put(entry(name(i), rev, false)))
+		assert.Assert(t, c.Remove(start, name(i), rev+1))
+		for back := max(0, i-mostLeft/4); back <= i; back += mostLeft / 16 {
+			assert.Assert(t, !c.Put(entry(name(back), 10+2*uint64(back), false)), "%d came back after %d", back, i)
+		}
+		rev += 2
+	}
+	assert.Assert(t, len(c.left) <= mostLeft)
+}
+
+// A whole list without them removes thousands of servers as of one revision.
+func TestAsManyRemovalsInOneListAsAreRemembered(t *testing.T) {
+	var c Census[string]
+	var list []Entry[string]
+	for i := range mostLeft + 1 {
+		list = append(list, entry(ident.Server("s-"+strconv.Itoa(i)), 3, false))
+	}
+	c.List(start, 10, list)
+	assert.Assert(t, c.List(start, 11, nil))
+	assert.Equal(t, len(c.All()), 0)
+	assert.Assert(t, len(c.left) <= mostLeft)
+}
+
 // The store is away for longer than entries last. As it comes back it lists nobody,
 // and the servers need two seconds to be listed again; all requests of those
 // seconds would be refused although every server is well.
