stripe, deal: one bad row leaves the other keys their owners

What callers saw: a stored key table in which one row had a fence above the table's highest, or named a server that the table does not have, was refused as a whole. Every key of the service was without an owner, for good, and the leader read the table again three times a second with an error line each.

Cause: what the store holds was checked again as a whole where it is used, and turned down. Now the highest fence is raised to the rows'; a row that names nobody is lost: its keys come free a longest grant after the bar, and no sooner than that after it was read, since nobody can say who had them. No release shortens that, grants that this leader still has on their way are waited for, and the mark is stored so that the next leader waits as well. Keys without a row and fences that could not rise any more stay an error; such a table is read again each 3 s and logged once a version and half minute.

--- a/internal/edge/host/dealer.go
+++ b/internal/edge/host/dealer.go
@@ -15,12 +15,17 @@
 	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // dealer carries out what the deal of one service wants.
 type dealer struct {
 	r   *reign
 	svc ident.Service
+	// bad is the version that could not be read, and badAt when that was logged. Only
+	// reads use them, of which there is one at a time.
+	bad   object.Version
+	badAt time.Time
 }
 
 func (d *dealer) name() string { return d.r.plat.Own + "keys-" + string(d.svc) }
@@ -62,12 +67,30 @@
 	if err == nil {
 		if msg.Table, err = stripe.Decode(o.Value); err != nil {
 			msg.Kind = kinds.Of(err)
+		}
+		if n := msg.Table.Lost(); n > 0 {
+			d.r.log.Warn("the key table has rows that name nobody; their keys wait for all grants there may be", "service", d.svc, "rev", o.Version, "rows", n)
+		}
+		if err != nil && d.complains(o.Version) {
 			d.r.log.Error("table cannot be read", "service", d.svc, "rev", o.Version, "err", err)
 		}
 	}
 	return msg
 }
 
+// complainEvery is how often a table that cannot be read is logged, if it stays the same.
+const complainEvery = 30 * time.Second
+
+// complains reports whether a version of the table that cannot be read should be logged.
+func (d *dealer) complains(v object.Version) bool {
+	now := tick.Now()
+	if v == d.bad && now.Sub(d.badAt) < complainEvery {
+		return false
+	}
+	d.bad, d.badAt = v, now
+	return true
+}
+
 func (d *dealer) write(ctx context.Context, cmd deal.WriteCmd) deal.WroteMsg {
 	b, err := cmd.Table.Encode()
 	if err != nil {
--- a/internal/edge/host/lease_test.go
+++ b/internal/edge/host/lease_test.go
@@ -62,3 +62,21 @@
 		t.Fatal(err)
 	}
 }
+
+// A row of the stored table has a fence above the table's highest. The table was refused
+// as a whole and read again three times a second: no key of the service had an owner.
+func TestKeysAreServedAlthoughARowIsBad(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rules("/lookup/")
+	w.store.mu.Lock()
+	w.store.set("own/keys-lookup", []byte(`{"epoch":3,"top":5,"servers":["l1"],"rows":[[0,1,1,9,0],[32768,4,1,5,0]]}`))
+	w.store.mu.Unlock()
+	w.serve("lookup", "l1")
+	h := w.start(0)
+	for _, key := range []string{"4711", "40000"} {
+		w.within(patient, "served", func() bool { status, _ := w.get(0, "/lookup/7", key); return status == http.StatusOK })
+	}
+	if err := h.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/owner/deal/agree.go
+++ b/internal/owner/deal/agree.go
@@ -49,6 +49,9 @@
 	case msg.Kind == kinds.Absent:
 		msg.Table = stripe.NewTable(0)
 		m.fresh = true
+	case msg.Kind == kinds.Malformed:
+		m.callAt = now.Add(unread)
+		return nil
 	case msg.Kind != kinds.None:
 		m.callAt = now.Add(again)
 		return nil
@@ -69,6 +72,9 @@
 			m.rows[i].until = rows[j].until
 			m.rows[i].free = later(rows[j].free, rows[j].until)
 		}
+		if r.Lost {
+			m.lose(now, i, old, rows)
+		}
 	}
 	m.loaded, m.stale, m.writing = true, false, nil
 	if msg.Version != 0 && m.table.Epoch != m.auth.Epoch {
@@ -80,6 +86,31 @@
 	return []loop.Cmd{NoteCmd{What: "table read", Rows: len(m.table.Rows)}}
 }
 
+// lose waits for whoever had the keys of a row that names nobody: a leader before may
+// have renewed them until its end, and this one until now. Grants of this one may still
+// be on their way, so the owner that it knew is kept as the former one.
+func (m *Model) lose(now time.Time, i int, old stripe.Table, rows []state) {
+	r, s := &m.table.Rows[i], &m.rows[i]
+	if m.flaw == flawLost {
+		m.freed(r, s, "")
+		return
+	}
+	s.phase, s.olderFree = freeing, true
+	s.free = later(s.free, lapse(now, LongHold))
+	j := old.Find(r.First)
+	if j >= len(old.Rows) {
+		return
+	}
+	was := old.Rows[j]
+	if was.Lost && was.Owner == r.Owner && was.Fence == r.Fence && was.Born == r.Born {
+		*s, r.From = rows[j], was.From // known before, and waited for since
+		return
+	}
+	if r.From = was.Owner; r.From == "" {
+		r.From = was.From
+	}
+}
+
 // inherit is what is known of a row that another leader wrote: its owner may have
 // been given it, and the former owner may have been renewed until the bar.
 func (m *Model) inherit(r stripe.Row) state {
@@ -146,7 +177,7 @@
 		was := old.Rows[j]
 		if was.Owner == r.Owner && was.Fence == r.Fence && was.Born == r.Born {
 			d.rows[i] = rows[j]
-			d.table.Rows[i].From = was.From
+			d.table.Rows[i].From, d.table.Rows[i].Lost = was.From, was.Lost
 			continue
 		}
 		// The former owner may have been renewed while the draft was on its way.
--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -68,6 +68,9 @@
 	margin = 150 * time.Millisecond
 	// again is the pause before a server that did not answer is tried again.
 	again = 300 * time.Millisecond
+	// unread is the pause before a table that cannot be read is read again: somebody must
+	// put it right first.
+	unread = 3 * time.Second
 	// Misses is how many grants in a row a server may leave unanswered before it counts
 	// as one that does not answer. Servers that lose every second answer go on.
 	Misses = 5
--- a/internal/owner/deal/flaw.go
+++ b/internal/owner/deal/flaw.go
@@ -12,5 +12,6 @@
 	flawBar         // forget that a leader before may have renewed
 	flawFence       // give keys to the next owner under the fence of the last
 	flawBehind      // take another leader's table of the same epoch for one's own
+	flawLost        // give keys of a row that names nobody away at once
 	flawStale       // act on a draft before the store has agreed to it
 )
--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -23,7 +23,7 @@
 		}
 		switch s.phase {
 		case freeing:
-			if p := m.peers[r.From]; p != nil && !p.freeing && !now.Before(p.freeAt) {
+			if p := m.peers[r.From]; p != nil && !r.Lost && !p.freeing && !now.Before(p.freeAt) {
 				releases[r.From] = append(releases[r.From], Order{Span: r.Span, Fence: r.Fence, Release: true})
 			}
 		case granting, granted:
@@ -100,7 +100,10 @@
 // freed notes that a row's former owner has it no longer.
 func (m *Model) freed(r *stripe.Row, s *state, token string) {
 	s.phase, s.token, s.free, s.olderFree = granting, token, time.Time{}, false
-	r.From = ""
+	if r.Owner == "" {
+		s.phase = vacant
+	}
+	r.From, r.Lost = "", false
 }
 
 // ordered takes in what became of orders.
@@ -174,7 +177,7 @@
 		p.freeAt = now.Add(again)
 		return
 	}
-	if r == nil || s.phase != freeing || r.From != p.Name {
+	if r == nil || s.phase != freeing || r.From != p.Name || r.Lost {
 		return
 	}
 	m.freed(r, s, d.Given)
--- a/internal/owner/deal/world_test.go
+++ b/internal/owner/deal/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -270,6 +271,34 @@
 	}
 }
 
+// spoil makes one row of the stored table wrong, as another program could.
+func (w *world) spoil() {
+	var d struct {
+		Epoch   uint64         `json:"epoch"`
+		Top     uint64         `json:"top"`
+		Servers []ident.Server `json:"servers"`
+		Rows    [][5]int64     `json:"rows"`
+	}
+	if json.Unmarshal(w.table, &d) != nil {
+		return // there is none yet
+	}
+	row := &d.Rows[rapid.IntRange(0, len(d.Rows)-1).Draw(w.t, "row")]
+	switch rapid.IntRange(0, 2).Draw(w.t, "spoiled") {
+	case 0:
+		row[1] = 99
+	case 1:
+		row[4] = 99
+	case 2:
+		row[3] = int64(d.Top) + 5
+	}
+	b, err := json.Marshal(d)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.note("all rows: row at %d is %v", row[0], *row)
+	w.table, w.version = b, w.version+1
+}
+
 // order sends the orders of a command: releases at once, grants one by one.
 func (l *leader) order(cmd OrderCmd, done []Done) {
 	w := l.w
--- a/internal/owner/stripe/table.go
+++ b/internal/owner/stripe/table.go
@@ -59,6 +59,10 @@
 	// From is the owner before, as long as it is not certain that it has given the
 	// keys back.
 	From ident.Server
+	// Lost says that nobody can tell any more who had the keys: the stored row named a
+	// server that the table does not have. Whoever it was may hold them for as long as
+	// the longest grant.
+	Lost bool
 }
 
 // Table is the agreed ownership of one service's keys. Rows cover all keys in
@@ -94,6 +98,17 @@
 	return t.Top
 }
 
+// Lost counts the rows of which nobody can tell who had their keys.
+func (t Table) Lost() int {
+	n := 0
+	for _, r := range t.Rows {
+		if r.Lost {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns the index of the row that holds a key.
 func (t *Table) Find(key uint16) int {
 	i, _ := slices.BinarySearchFunc(t.Rows, key, func(r Row, k uint16) int {
@@ -151,14 +166,26 @@
 		return index[s]
 	}
 	for i, r := range t.Rows {
-		d.Rows[i] = [5]int64{int64(r.First), of(r.Owner), r.Born, int64(r.Fence), of(r.From)}
+		from := of(r.From)
+		if r.Lost {
+			from = lost
+		}
+		d.Rows[i] = [5]int64{int64(r.First), of(r.Owner), r.Born, int64(r.Fence), from}
 	}
 	b, err := json.Marshal(d)
 	return b, kinds.Wrap(kinds.Internal, err, "encode table")
 }
 
+// lost stands for a former owner that nobody can name.
+const lost = -1
+
+// mostFence bounds fences: above it, they could not rise for long enough.
+const mostFence = 1 << 62
+
 // Decode reads what Encode wrote. A table that does not cover all keys in order
-// is Malformed.
+// is Malformed. A row that is wrong by itself must not keep all other keys from their
+// owners: where it names a server that there is none of, it is Lost, and where its fence
+// is above the table's, the table's is raised.
 func Decode(b []byte) (Table, error) {
 	var d document
 	if err := json.Unmarshal(b, &d); err != nil {
@@ -168,13 +195,11 @@
 	last := int64(Keys)
 	for i := len(d.Rows) - 1; i >= 0; i-- {
 		r := d.Rows[i]
-		if r[0] < 0 || r[0] >= last || !d.knows(r[1]) || !d.knows(r[4]) || uint64(r[3]) > d.Top {
+		if r[0] < 0 || r[0] >= last || r[3] < 0 || r[3] > mostFence {
 			return Table{}, kinds.New(kinds.Malformed, "decode table: bad row")
 		}
-		t.Rows[i] = Row{
-			Span: Span{First: uint16(r[0]), Last: uint16(last - 1)}, Born: r[2], Fence: uint64(r[3]),
-			Owner: d.server(r[1]), From: d.server(r[4]),
-		}
+		t.Rows[i] = d.row(r, uint16(last-1))
+		t.Top = max(t.Top, t.Rows[i].Fence)
 		last = r[0]
 	}
 	if last != 0 {
@@ -183,6 +208,22 @@
 	return t, nil
 }
 
+// row reads one row that ends with a key.
+func (d *document) row(r [5]int64, last uint16) Row {
+	row := Row{Span: Span{First: uint16(r[0]), Last: last}, Fence: uint64(r[3])}
+	if !d.knows(r[1]) {
+		row.Lost = true
+		return row
+	}
+	row.Owner, row.Born = d.server(r[1]), r[2]
+	if !d.knows(r[4]) {
+		row.Lost = true
+		return row
+	}
+	row.From = d.server(r[4])
+	return row
+}
+
 func (d *document) knows(i int64) bool { return i >= 0 && i <= int64(len(d.Servers)) }
 
 func (d *document) server(i int64) ident.Server {
