stripe: a view names the right server after any number of them

What callers saw: once 65,536 servers had had keys under one leader, the next one's keys were said to be the first one's, to a server that turns every request for them away, until the next leader.

Cause: the view kept the names of all servers that ever had keys between two whole views, and numbered them in 16 bits. Names out of use are dropped when they are as many as those in use, from 256 on; at most 16,384 are in use, one a cell.

--- a/internal/owner/stripe/table_test.go
+++ b/internal/owner/stripe/table_test.go
@@ -133,6 +133,47 @@
 	})
 }
 
+// One VM leads for months while servers come and go, and the others hear of changes only.
+// Once there had been 65,536 servers, the next one's keys were said to be another
+// server's: every request for them was sent to one that does not have them.
+func TestAViewNamesTheRightServerAfterManyHadTheKeys(t *testing.T) {
+	const many = 1 << 16
+	var v *View
+	whole := func(i int) []Served {
+		return []Served{
+			{Span: Span{First: 0, Last: Keys/2 - 1}, Server: ident.Server("s-" + strconv.Itoa(i))},
+			{Span: Span{First: Keys / 2, Last: Keys - 1}, Server: "stays"},
+		}
+	}
+	v = v.Apply(1, 1, true, whole(0))
+	for i := 1; i <= many+1; i++ {
+		v = v.Apply(1, uint64(i)+1, false, whole(i)[:1])
+		if i%1000 != 0 && i < many-1 {
+			continue
+		}
+		a, ok := v.Owner("1")
+		assert.Assert(t, ok)
+		assert.Equal(t, a.Server, whole(i)[0].Server)
+		b, _ := v.Owner("65535")
+		assert.Equal(t, b.Server, ident.Server("stays"))
+	}
+	assert.Assert(t, len(v.names) <= fewNames)
+}
+
+// As many servers as there are cells have keys at once, which is more than are kept
+// without a look at whether they are in use.
+func TestAViewNamesAsManyServersAsThereAreCells(t *testing.T) {
+	var all []Served
+	for i := range Keys / Cell {
+		all = append(all, Served{Span: Span{First: uint16(i * Cell), Last: uint16(i*Cell + Cell - 1)}, Server: ident.Server("s-" + strconv.Itoa(i))})
+	}
+	var v *View
+	v = v.Apply(1, 1, true, all)
+	assert.DeepEqual(t, v.Spans(), all)
+	v = v.Apply(1, 2, false, []Served{{Span: Span{First: 0, Last: Keys - 1}, Server: "one"}})
+	assert.Equal(t, len(v.Spans()), 1)
+}
+
 func TestWhatIsNoKeyHasNoOwner(t *testing.T) {
 	var v *View
 	v = v.Apply(1, 1, true, []Served{{Span: Span{First: 0, Last: 65535}, Server: "a"}})
--- a/internal/owner/stripe/view.go
+++ b/internal/owner/stripe/view.go
@@ -1,6 +1,7 @@
 package stripe
 
 import (
+	"slices"
 	"strconv"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -24,8 +25,12 @@
 	cells [Keys / Cell]uint16 // index of the server plus one
 	names []ident.Server
 	index map[ident.Server]uint16
+	room  int // names that there may be before those out of use are dropped
 }
 
+// fewNames are kept without a look at whether they are still in use.
+const fewNames = 256
+
 // Apply returns the view after changes. A full one begins with nothing.
 func (v *View) Apply(epoch, seq uint64, full bool, changes []Served) *View {
 	next := &View{}
@@ -33,28 +38,56 @@
 		*next = *v
 	}
 	next.Epoch, next.Seq = epoch, seq
-	names := append([]ident.Server(nil), next.names...)
-	index := make(map[ident.Server]uint16, len(names))
-	for i, name := range names {
-		index[name] = uint16(i + 1)
+	next.names = slices.Clone(next.names)
+	next.index = make(map[ident.Server]uint16, len(next.names))
+	for i, name := range next.names {
+		next.index[name] = uint16(i + 1)
 	}
 	for _, c := range changes {
-		at := uint16(0)
-		if c.Server != "" {
-			if index[c.Server] == 0 {
-				names = append(names, c.Server)
-				index[c.Server] = uint16(len(names))
-			}
-			at = index[c.Server]
-		}
+		at := next.place(c.Server)
 		for cell := int(c.First) / Cell; cell <= int(c.Last)/Cell; cell++ {
 			next.cells[cell] = at
 		}
 	}
-	next.names, next.index = names, index
 	return next
 }
 
+// place returns the index of a server plus one, and zero for none. Servers that serve
+// nothing any more make room first: over a long lead they would become more than an
+// index can tell apart, and keys would be said to be another server's.
+func (v *View) place(s ident.Server) uint16 {
+	if s == "" {
+		return 0
+	}
+	if at := v.index[s]; at != 0 {
+		return at
+	}
+	if len(v.names) >= max(v.room, fewNames) {
+		v.compact()
+		v.room = 2 * len(v.names)
+	}
+	v.names = append(v.names, s)
+	v.index[s] = uint16(len(v.names))
+	return v.index[s]
+}
+
+// compact keeps the names of those servers only that serve some cell.
+func (v *View) compact() {
+	old := v.names
+	v.names, v.index = nil, map[ident.Server]uint16{}
+	for cell, at := range v.cells {
+		if at == 0 {
+			continue
+		}
+		name := old[at-1]
+		if v.index[name] == 0 {
+			v.names = append(v.names, name)
+			v.index[name] = uint16(len(v.names))
+		}
+		v.cells[cell] = v.index[name]
+	}
+}
+
 // Owner finds the server of a key, a number in decimal. It does not allocate.
 func (v *View) Owner(k ident.Key) (table.Owner, bool) {
 	if v == nil {
