deal: servers beyond the number of stripes are noted

What callers saw: of 3,000 servers of one divided service, 1,024 own keys (one stripe each; up to 2,048 once busy stripes are cut) and 1,976 get no request, while callers of the others wait or are refused. Nothing said so.

The leader's log says it now, once each time that servers become more than stripes. The bound itself stays: each stripe is an order each 1.6 s, and more of them are more than a leader should send; servers that took several ranges in one order would lift it.

--- a/internal/owner/deal/deal.go
+++ b/internal/owner/deal/deal.go
@@ -155,6 +155,8 @@
 	most    time.Duration // longest grant that servers accept; zero: all that are sent here
 	flaw    flaw          // always flawNone outside tests
 	known   bool          // servers are known
+	idle    int           // servers more than stripes, as of the last plan
+	notes   []NoteCmd     // what the next update says beside its commands
 	// settleAt is when servers that start together are all listed: dealt out before,
 	// the whole key space would go to the first.
 	settleAt time.Time
@@ -218,6 +220,10 @@
 		return m, out
 	}
 	out = append(out, m.store(now)...)
+	for _, n := range m.notes {
+		out = append(out, n)
+	}
+	m.notes = nil
 	if m.loaded && (m.table.Epoch == m.auth.Epoch && !m.behind() || m.flaw == flawStale) {
 		out = append(out, m.orders(now)...)
 		out = append(out, m.served()...)
--- a/internal/owner/deal/fresh_test.go
+++ b/internal/owner/deal/fresh_test.go
@@ -48,3 +48,42 @@
 		assert.Assert(t, wrote)
 	}
 }
+
+// A service has more servers than its key space has stripes. Those beyond own nothing
+// and get no request, while callers of the others wait; the log must say so, once.
+func TestMoreServersThanStripesAreNoted(t *testing.T) {
+	const servers = 3000
+	now := time.Unix(1000, 0)
+	m := New()
+	tick := TickMsg{Authority: Authority{Epoch: 1, Until: now.Add(time.Hour), Bar: now}}
+	tell := func(msg loop.Msg) []loop.Cmd { _, cmds := m.Update(now, msg); return cmds }
+	tell(tick)
+	tell(ReadMsg{Kind: kinds.Absent})
+	var hosts []Host
+	for n := range servers {
+		hosts = append(hosts, Host{
+			Name: ident.Server("s" + strconv.Itoa(n)), Addr: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1, Slots: 2,
+		})
+	}
+	tell(HostsMsg{Hosts: hosts})
+	notes, held := 0, map[ident.Server]bool{}
+	for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		cmds := tell(tick)
+		for _, c := range cmds {
+			switch c := c.(type) {
+			case WriteCmd:
+				for _, r := range c.Table.Rows {
+					held[r.Owner] = true
+				}
+				tell(WroteMsg{Version: 1})
+			case NoteCmd:
+				if c.What == "servers without keys" {
+					notes++
+					assert.Equal(t, c.Why, "1976 servers more than stripes")
+				}
+			}
+		}
+	}
+	assert.Equal(t, len(held), 1024)
+	assert.Equal(t, notes, 1)
+}
--- a/internal/owner/deal/plan.go
+++ b/internal/owner/deal/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -57,12 +58,34 @@
 	changed := m.cut(now, d)
 	changed = m.renew(now, d) || changed
 	changed = m.move(now, d) || changed
+	m.crowd(now, d)
 	if !changed {
 		return m.tidied(now)
 	}
 	return d
 }
 
+// takers counts the servers that may be given keys.
+func (m *Model) takers(now time.Time) int {
+	n := 0
+	for _, p := range m.peers {
+		if p.takes(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// crowd notes when there are more servers than stripes. Those beyond get no request of
+// this service, however busy the others are, and nothing else shows it.
+func (m *Model) crowd(now time.Time, d *draft) {
+	idle := max(m.takers(now)-len(d.table.Rows), 0)
+	if idle > 0 && m.idle == 0 {
+		m.notes = append(m.notes, NoteCmd{What: "servers without keys", Rows: len(d.table.Rows), Why: strconv.Itoa(idle) + " servers more than stripes"})
+	}
+	m.idle = idle
+}
+
 // tidied writes down moves that are finished.
 func (m *Model) tidied(now time.Time) *draft {
 	if m.dirty.IsZero() || now.Sub(m.dirty) < tidy {
@@ -78,12 +101,7 @@
 	if total < enough || m.strained(now) {
 		return false
 	}
-	takers := 0
-	for _, p := range m.peers {
-		if p.takes(now) {
-			takers++
-		}
-	}
+	takers := m.takers(now)
 	most := max(total/float64(max(takers, 1))*splitAt, splitCount*perSecond)
 	changed := false
 	for i := 0; i < len(d.table.Rows); i++ {
@@ -225,12 +243,7 @@
 
 // band is how uneven loads may be: as much as chance makes them.
 func (m *Model) band(now time.Time, rows int) place.Band {
-	takers := 0
-	for _, p := range m.peers {
-		if p.takes(now) {
-			takers++
-		}
-	}
+	takers := m.takers(now)
 	each := m.loads.total(now) / perSecond / float64(max(takers, 1))
 	noise := chance / math.Sqrt(max(each, 1))
 	return place.Band{
