gossip: many heads go in parts, and a bad one hides no others

What callers saw: nothing yet; found by reading. A VM that holds more than 256 values, one for each server that ever stood by, named them all in one packet, and every other VM refused that packet as no honest peer's. One name of more than 128 bytes, which a service and a server of 60 bytes each give, did the same to every packet that named it.

Now heads go in parts of 256, a pulse carries at most as many, a head that cannot be taken is left out alone, and names may have 256 bytes.

Before: both new tests fail with "peer packet"; after, all 769 heads are told. Open: what stands by for a server is kept for as long as the process lives.

--- a/internal/node/gossip/packet.go
+++ b/internal/node/gossip/packet.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/digest"
@@ -130,8 +131,8 @@
 
 // Bounds on what is accepted from a peer.
 const (
-	maxHeads = 256
-	maxName  = 128
+	maxHeads = 256 // in one packet
+	maxName  = 256 // bytes
 	maxRows  = 64
 	maxValue = 1 << 20
 	maxDiffs = 16
@@ -147,6 +148,9 @@
 	if err := wire.Decode(b, &p); err != nil {
 		return Packet{}, err
 	}
+	if p.parts() == 1 {
+		p.skim()
+	}
 	if p.parts() != 1 || !p.sane() {
 		return Packet{}, kinds.New(kinds.Malformed, "peer packet")
 	}
@@ -166,7 +170,7 @@
 func (p Packet) sane() bool {
 	switch {
 	case p.Pulse != nil:
-		return p.Pulse.Age >= 0 && p.Pulse.Turn >= 0 && p.Pulse.Turn < Watchers && p.Pulse.Old >= 0 && p.Pulse.Heard >= 0 && saneHeads(p.Pulse.Heads) && (p.Pulse.View == nil || saneView(p.Pulse.View))
+		return p.Pulse.Age >= 0 && p.Pulse.Turn >= 0 && p.Pulse.Turn < Watchers && p.Pulse.Old >= 0 && p.Pulse.Heard >= 0 && (p.Pulse.View == nil || saneView(p.Pulse.View))
 	case p.Ack != nil:
 		return p.Ack.N >= 0 && (p.Ack.View == nil || saneView(p.Ack.View))
 	case p.News != nil:
@@ -174,7 +178,7 @@
 	case p.Probe != nil:
 		return saneRows(p.Probe.Rows)
 	case p.Heads != nil:
-		return saneHeads(p.Heads.List)
+		return true
 	case p.Want != nil:
 		return saneName(p.Want.Name)
 	default:
@@ -185,13 +189,20 @@
 
 func saneName(s string) bool { return s != "" && len(s) <= maxName }
 
-func saneHeads(list []Head) bool {
-	for _, h := range list {
-		if !saneName(h.Name) {
-			return false
-		}
+// skim leaves out heads that no honest peer sends, and those beyond the bound. One
+// among many must not keep a VM from hearing of all others, the rules among them.
+func (p Packet) skim() {
+	switch {
+	case p.Pulse != nil:
+		p.Pulse.Heads = saneHeads(p.Pulse.Heads)
+	case p.Heads != nil:
+		p.Heads.List = saneHeads(p.Heads.List)
 	}
-	return len(list) <= maxHeads
+}
+
+func saneHeads(list []Head) []Head {
+	list = slices.DeleteFunc(list, func(h Head) bool { return !saneName(h.Name) })
+	return list[:min(len(list), maxHeads)]
 }
 
 func saneRows(rows []Row) bool {
--- a/internal/node/gossip/packet_test.go
+++ b/internal/node/gossip/packet_test.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,71 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
+// many returns as many heads as a data centre's loss gives: one for each server.
+func many(n int) []Head {
+	list := []Head{headOf(2)}
+	for i := range n {
+		list = append(list, Head{Name: "stand/lookup/i-" + strconv.Itoa(i), Rev: 1, Sum: headOf(1).Sum})
+	}
+	return list
+}
+
+// A packet that names the rules names something else besides that this VM would never
+// send. Refused whole, it kept the VM from hearing of the rules, time after time.
+func TestABadHeadDoesNotHideTheOthers(t *testing.T) {
+	bad := Head{Name: strings.Repeat("s", maxName+1), Rev: 1}
+	for _, list := range [][]Head{{bad, headOf(2), {}}, many(maxHeads + 44)} {
+		for _, p := range []Packet{{Heads: &Heads{List: list}}, {Pulse: &Pulse{Root: "vm0", Seq: 1, Heads: list}}} {
+			raw, err := p.Encode()
+			assert.NilError(t, err)
+			got, err := DecodePacket(raw)
+			assert.NilError(t, err)
+			heads := append(headsOf(got), Head{})
+			assert.DeepEqual(t, heads[0], headOf(2))
+			assert.Assert(t, len(heads)-1 <= maxHeads)
+		}
+	}
+}
+
+func headsOf(p Packet) []Head {
+	if p.Pulse != nil {
+		return p.Pulse.Heads
+	}
+	return p.Heads.List
+}
+
+// A VM holds more values than one packet may name. It sent them all in one, which every
+// other VM refused: those that had missed the rules never heard of them from it.
+func TestManyHeadsGoInParts(t *testing.T) {
+	list := many(3 * maxHeads)
+	a := New(t0, peersOf(3)[0])
+	a.Update(t0, PeersMsg{Live: peersOf(3)})
+	a.Update(t0, ValueMsg{Name: "rules", Rev: 2, Raw: body(2)})
+	for _, h := range list[1:] {
+		a.Update(t0, ValueMsg{Name: h.Name, Rev: h.Rev, Raw: body(1)})
+	}
+	_, cmds := a.Update(t0, PacketMsg{From: "vm1", Packet: Packet{Probe: &Probe{}}})
+	told := map[string]bool{}
+	for _, c := range cmds {
+		send, ok := c.(SendCmd)
+		if !ok {
+			continue
+		}
+		raw, err := send.Packet.Encode()
+		assert.NilError(t, err)
+		p, err := DecodePacket(raw)
+		assert.NilError(t, err)
+		for _, h := range headsOf(p) {
+			told[h.Name] = true
+		}
+	}
+	for _, h := range list {
+		assert.Assert(t, told[h.Name], h.Name)
+	}
+	assert.Assert(t, len(a.freshHeads(t0)) <= maxHeads)
+	assert.Equal(t, a.freshHeads(t0)[0].Name, "rules")
+}
+
 // FuzzPacket feeds what a peer may send into a VM: it must be refused or do no
 // harm, and never replace the rules by something that fits no digest.
 func FuzzPacket(f *testing.F) {
--- a/internal/node/gossip/probe.go
+++ b/internal/node/gossip/probe.go
@@ -88,7 +88,7 @@
 		cmds = append(cmds, LoadCmd{Rows: news})
 	}
 	if p.Sum != m.sum {
-		cmds = append(cmds, SendCmd{To: from, Packet: Packet{Heads: &Heads{List: m.heads()}}})
+		cmds = append(cmds, sendHeads(from, m.heads(), false)...)
 	}
 	return cmds
 }
@@ -110,8 +110,17 @@
 			newer = append(newer, x)
 		}
 	}
-	if len(newer) > 0 {
-		cmds = append(cmds, SendCmd{To: from, Packet: Packet{Heads: &Heads{List: newer, Part: true}}})
+	return append(cmds, sendHeads(from, newer, true)...)
+}
+
+// sendHeads sends heads in as many packets as they need. Where that is more than one,
+// each is a part: a receiver would take what stands in the others for unknown here. What
+// is newer there, it tells in answer to a probe of this VM.
+func sendHeads(to ident.VM, list []Head, part bool) []loop.Cmd {
+	part = part || len(list) > maxHeads
+	var cmds []loop.Cmd
+	for some := range slices.Chunk(list, maxHeads) {
+		cmds = append(cmds, SendCmd{To: to, Packet: Packet{Heads: &Heads{List: some, Part: part}}})
 	}
 	return cmds
 }
--- a/internal/node/gossip/pulse.go
+++ b/internal/node/gossip/pulse.go
@@ -123,7 +123,9 @@
 	return now.Sub(m.storeAt).Truncate(time.Millisecond)
 }
 
-// freshHeads lists what changed lately.
+// freshHeads lists what changed lately, as far as a pulse may carry it; probes tell the
+// rest. Names come in their order, so the few that all depend on, rules/ among them, stand
+// before those of which there is one for each server.
 func (m *Model) freshHeads(now time.Time) []Head {
 	var list []Head
 	for _, name := range slices.Sorted(maps.Keys(m.fresh)) {
@@ -133,7 +135,7 @@
 		}
 		list = append(list, m.values[name].Head)
 	}
-	return list
+	return list[:min(len(list), maxHeads)]
 }
 
 func (m *Model) forward(t tree, p *Pulse) []loop.Cmd {
