host: a leader vouches for no rules while it cannot read the newest

A leader that cannot read a revision said that its rules are the newest, and up to which place: the other VMs relied on that, never heard of the revision, and answered 404 for good, also when another VM led.

It vouches only while it has in force what it knows to exist, and hands the newest on before it reads it. A version in force does not end the count of how long a newer one is missing.

--- a/internal/edge/host/book.go
+++ b/internal/edge/host/book.go
@@ -56,6 +56,9 @@
 		prefix: kind + "/", board: p.Board, fresh: p.Platform.Store, stale: p.Platform.Lagging, log: p.Log,
 		told: func() bool { rules, _ := p.Board.Revs(); return rules > 0 },
 		newest: func(at time.Time, place object.Cursor) {
+			if p.State.Rules.Newest() > p.State.Rules.Current().Rev {
+				return // this VM cannot read the newest, and must not say that there is none
+			}
 			until := at.Add(sureFor(p.Config.Bounds.Apply))
 			p.State.Rules.Vouch(until)
 			p.Board.SetSure(until, place)
@@ -134,6 +137,8 @@
 	}
 	start := time.Now()
 	b.hear(start, ident.Revision(raw.Rev))
+	// Others may have them from here also where this VM cannot read them.
+	b.parts.Board.SetRules(raw)
 	rules, err := b.parts.Platform.Decode.Rules(ident.Revision(raw.Rev), raw.Data)
 	if err != nil {
 		b.bad++
@@ -145,7 +150,6 @@
 	set, faults := match.Accept(rules.List)
 	b.apply(rules, set)
 	b.size = len(raw.Data)
-	b.parts.Board.SetRules(raw)
 	b.parts.Log.Info("rules in force", "rev", raw.Rev, "version", rules.Name, "from", from, "rules", len(rules.List),
 		"bytes", len(raw.Data), "took", time.Since(start), "known", time.Since(b.came))
 	faults = slices.Concat(rules.Faults, faults)
@@ -153,6 +157,9 @@
 		b.parts.Log.Warn("rule has a fault", "rev", raw.Rev, "rule", f.Rule, "field", f.Field, "fault", f.Text, "of", len(faults))
 	}
 	b.came = time.Time{}
+	if b.parts.State.Rules.Newest() > rules.Rev {
+		b.came = time.Now() // a newer one is still to come
+	}
 }
 
 // mostFaults bounds the lines about one revision.
--- a/internal/edge/host/choosy_test.go
+++ b/internal/edge/host/choosy_test.go
@@ -46,7 +46,7 @@
 	cfg := w.cfgs[1]
 	cfg.Seeds = append(cfg.Seeds, w.cfgs[0].Peers)
 	odd := New(cfg, Platform{
-		Store: way, Lagging: way, Decode: choosy{refused: &refused}, Orders: w, Names: relay.OwnNames(),
+		Store: way, Lagging: lagging{way}, Decode: choosy{refused: &refused}, Orders: w, Names: relay.OwnNames(),
 		Servers: "servers/", Rules: "config/main", Own: "own/",
 	}, slog.New(slog.DiscardHandler))
 	assert.NilError(t, odd.Start(t.Context()))
--- a/internal/edge/host/rely_test.go
+++ b/internal/edge/host/rely_test.go
@@ -7,6 +7,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // The operator changes rules of a megabyte. Each VM got them twice, whole from the store
@@ -66,3 +71,57 @@
 		assert.NilError(t, w.vms[i].Close())
 	}
 }
+
+// The leader has a version of the rules that this VM has still to get. What it says of how
+// far it has seen the store's changes does not hold here yet: a watch that went on from
+// there would never bring that version.
+func TestTheLeadersPlaceCountsOnceItsRulesAreHere(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	c, far := h.d.p.Courier, object.Cursor(1_000_000)
+	rev, _ := h.d.p.Board.Revs()
+	c.sure(tick.Now(), query.News{Leads: true, Newest: rev + 1, Sure: time.Minute, Seen: far})
+	assert.Assert(t, h.d.p.Board.Seen() < far)
+	c.sure(tick.Now(), query.News{Leads: true, Newest: rev, Sure: time.Minute, Seen: far})
+	assert.Equal(t, h.d.p.Board.Seen(), far)
+	assert.NilError(t, h.Close())
+}
+
+// The leader names a version that no VM brings. A VM that went on relying on them would
+// keep the rules before, though the store would give it the new ones at once.
+func TestAVMReliesOnOthersForAShortTimeOnly(t *testing.T) {
+	w := newWorld(t, 2)
+	w.store.write("config/main", grown(900))
+	w.serve("ledger", "r1")
+	w.start(0)
+	w.within(patient, "leads", func() bool { return w.leads() == 0 })
+	h := w.start(1)
+	relies := func() bool { _, ok := h.d.p.Book.relies(time.Now()); return ok }
+	w.within(patient, "relies", relies)
+	rev, _ := h.d.p.Board.Revs()
+	h.d.p.Book.named(ident.Revision(rev + 1000))
+	w.within(patient, "relies no longer", func() bool { return !relies() })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, !relies())
+	}
+	for _, vm := range w.vms {
+		assert.NilError(t, vm.Close())
+	}
+}
+
+// The leader is one of an earlier version, which vouches for no rules, and this VM watches
+// a store that may lag by seconds. Its word proves nothing of what is newest.
+func TestAStoreThatMayLagVouchesForNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	leader := w.lead(1_000_000)
+	leader.move("l1")
+	h := w.start(0)
+	w.within(patient, "ready", w.ready(0))
+	w.within(patient, "nobody vouches", func() bool { return !h.d.p.State.Rules.Sure(tick.Now()) })
+	assert.NilError(t, h.Close())
+}
--- a/internal/edge/host/world_test.go
+++ b/internal/edge/host/world_test.go
@@ -179,6 +179,10 @@
 	}
 }
 
+// lagging is the store for calls that may lag. Here it does not, but it is another one:
+// what it says is no word of the store on what is newest.
+type lagging struct{ *gateway }
+
 // decoder reads entries and rules that are written as the product's own types.
 type decoder struct{}
 
@@ -238,7 +242,9 @@
 	vms   []*Host
 	ways  []*gateway
 	cfgs  []Config
-	log   *slog.Logger // of the VMs
+	// decoders are those of VMs of other versions.
+	decoders map[int]feed.Platform
+	log      *slog.Logger // of the VMs
 }
 
 // Grant gives keys to the server at an address.
@@ -324,10 +330,14 @@
 			cfg.Seeds = append(cfg.Seeds, other.Peers)
 		}
 	}
+	var decode feed.Platform = decoder{}
+	if d, odd := w.decoders[i]; odd {
+		decode = d
+	}
 	names := relay.OwnNames()
 	names.Kept = []string{relay.HeaderKey}
 	h := New(cfg, Platform{
-		Store: way, Lagging: way, Decode: decoder{}, Orders: w, Names: names,
+		Store: way, Lagging: lagging{way}, Decode: decode, Orders: w, Names: names,
 		Servers: "servers/", Rules: "config/main", Own: "own/",
 	}, w.log)
 	assert.NilError(w.t, h.Start(w.t.Context()))
