host, front: three moments in which a VM takes old rules for new

A watch's answer that lay in the VM while it was suspended counted as fresh: it vouches for nothing now, by the clock that goes on meanwhile. The answer that a rule needs an id passes by the same doubt as the other final ones. All three from reading; the first is not tested, since a test cannot suspend its machine.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -263,6 +263,9 @@
 	if x.f.Asked != nil {
 		x.f.Asked(x.svc.Name, x.key)
 	}
+	if x.key == "" && x.f.State.Rules.Current().Rev > x.note.Rev {
+		return kinds.New(kinds.Behind, "newer rules divide the service by key")
+	}
 	if x.key == "" {
 		return kinds.New(kinds.Internal, "rule "+x.rule.Name+" reads no key for a divided service")
 	}
@@ -342,7 +345,7 @@
 	if then.Once == match.OnceStore && x.f.Claims != nil {
 		if !x.named {
 			// Under an id of our own making a repeat would look like a new request.
-			return errNoID
+			return x.doubt(errNoID)
 		}
 		ask := once.Ask{Service: then.Service, ID: x.note.ID, Rule: x.rule.Name}
 		var err error
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -144,6 +144,7 @@
 	for ctx.Err() == nil {
 		at = w.doze(ctx, at)
 		store := w.store()
+		asked, began := tick.Now(), time.Now()
 		all, next, err := w.wait(ctx, store, at)
 		switch {
 		case errors.Is(err, errTurned):
@@ -167,7 +168,10 @@
 		if len(all) > 0 {
 			w.changed(all, at)
 		}
-		w.knows(store, answered.Add(-answerLag), at)
+		// An answer that lay here while this VM was suspended is older than it looks.
+		if slept := answered.Sub(asked) - time.Since(began); slept < answerLag {
+			w.knows(store, answered.Add(-answerLag), at)
+		}
 		if len(all) > 0 {
 			w.gather(ctx)
 		}
