deal: whoever is granted a row that names nobody is waited for

A row of which nobody can tell who had it may have had two servers that this leader still sends grants to; the wait counted those of one.

--- a/internal/owner/deal/orders.go
+++ b/internal/owner/deal/orders.go
@@ -242,7 +242,7 @@
 		switch {
 		case r.Owner == p.Name:
 			s.until = later(s.until, lapse(d.Sent, d.Hold))
-		case r.From == p.Name && s.phase == freeing:
+		case s.phase == freeing && (r.From == p.Name || r.Lost):
 			s.free = later(s.free, lapse(d.Sent, d.Hold))
 		}
 	}
