query: the tests' slow connection brings nothing after its end

TestAnAnswerIsWordAsLongAsItComes failed once beside load, "after 1.15s": the stand-in read on after it was closed, so a byte came after the silence that the test asks for. Not seen again in 20 runs and, with the race detector, 5 of the package.

--- a/internal/edge/query/rules_test.go
+++ b/internal/edge/query/rules_test.go
@@ -34,7 +34,9 @@
 const packet = 1500 // bytes
 
 func (s slow) Read(b []byte) (int, error) {
-	group.Sleep(s.ctx, s.pause())
+	if !group.Sleep(s.ctx, s.pause()) {
+		return 0, net.ErrClosed // it brought bytes after its end, and a silence that was none
+	}
 	return s.Conn.Read(b[:min(len(b), packet)])
 }
 
