daemon: a test's wait ends and names what never came

A wait of these tests had no end of its own. When what it waited for never came the whole package was killed by its time-out, with goroutines in place of the name of the wait. It now fails after 90 s with that name. This is stricter: no wait that ended before 90 s ends sooner, and none goes on for ever.

--- a/internal/edge/daemon/daemon_test.go
+++ b/internal/edge/daemon/daemon_test.go
@@ -122,10 +122,14 @@
 	return d
 }
 
+// untilMost is many times what the slowest wait takes on a busy machine, and below
+// the time after which a whole package counts as hung without a word on which wait.
+const untilMost = 90 * time.Second
+
 // until waits for something that has no event to wait for.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for t.Context().Err() == nil {
+	for end := time.Now().Add(untilMost); time.Now().Before(end) && t.Context().Err() == nil; {
 		if ok() {
 			return
 		}
