seat: an outage that begins while the next deputy is written down stops no stand-by

What callers saw: a backend server was lost in an outage of the store, and in 3 of 48 runs of the daemon's test (eight at once) its keys were answered 503 "moving" after 2 s, again and again, until the store was back.

Cause: its holder was just naming another deputy, as it does whenever a VM comes or goes. It writes its own next epoch for that, the store went down under the write, and whether it took effect could not be learnt before the outage ended. In that doubt the holder still renewed, but watched its server no more, beat its deputy no more, and could let nobody stand by.

Now a holder in that doubt goes on under the epoch that it has: it beats its deputy, watches its server, asks for the agreement and lends. Why this holds: if the write did take effect, its record names this VM as a holder that may have a stand-by, and only that epoch's deputy could say otherwise, which it can not before a beat tells it of the epoch; none does until the stand-by is done. This VM counts the next epoch as one with a stand-by as well, so that it does not vouch for itself after it lost the seat. When the store is back and the write stood, the stand-by is kept under the new epoch, all VMs are told so, and its keys are written to it once that needs no wait for leases in between.

--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -24,6 +24,9 @@
 		t.fire(authorityChart, &t.auth, "barred")
 		t.want = false
 		t.do(HeldCmd{Epoch: t.epoch})
+		if t.stand == away {
+			t.do(StandCmd{Epoch: t.epoch, To: t.by})
+		}
 	case row.Bar > t.epoch:
 		t.step("fenced", "the table names a later epoch")
 	default:
@@ -159,8 +162,18 @@
 
 // mayGrant reports whether a full grant is allowed now: only the holder, and
 // only from a revision whose bar is its own epoch (rule 4).
+//
+// A holder that cannot learn whether its own next epoch was written goes on
+// granting to a stand-by, and to nobody else: see reigns.
 func (t *turn) mayGrant() bool {
-	return t.auth == holding && t.epoch >= t.floor && !t.lent && (t.row().Bar == t.epoch || t.cfg.flaw == flawBar)
+	granting := t.auth == holding || t.stand == away && t.reigns()
+	return granting && t.isBarred()
+}
+
+// isBarred reports whether the table that we know can only be changed for this
+// server by us, and no stand-by of an earlier holder can have its keys.
+func (t *turn) isBarred() bool {
+	return t.epoch >= t.floor && !t.lent && (t.row().Bar == t.epoch || t.cfg.flaw == flawBar)
 }
 
 // mayRenew reports whether a renewal is allowed now. It adds nothing, so any
--- a/internal/owner/seat/deputy.go
+++ b/internal/owner/seat/deputy.go
@@ -30,7 +30,7 @@
 
 // beat tells the deputy that its holder is there, until it is asked to stop.
 func (t *turn) beat() {
-	if t.auth != holding || t.rec.Deputy == "" || t.deputyEnded() || t.lent || t.lease == silent || t.lease == out {
+	if !t.reigns() || t.rec.Deputy == "" || t.deputyEnded() || t.lent || t.stand == away || t.lease == silent || t.lease == out {
 		return
 	}
 	if !t.due(t.beatAt) {
@@ -55,7 +55,7 @@
 
 // onAsk notes the deputy's clock, for the next beat to echo.
 func (t *turn) onAsk(m AskMsg) {
-	if t.auth != holding || m.Epoch != t.epoch || m.From != t.rec.Deputy {
+	if !t.reigns() || m.Epoch != t.epoch || m.From != t.rec.Deputy {
 		return
 	}
 	if m.Born != t.echoBorn {
--- a/internal/owner/seat/lost.go
+++ b/internal/owner/seat/lost.go
@@ -20,7 +20,7 @@
 // deputy, which either reaches the server and takes over, or promises to stop;
 // once every lease has run out the keys may go.
 func (t *turn) watchServer() {
-	if t.auth != holding {
+	if !t.reigns() {
 		return
 	}
 	base := later(t.srv.heard, t.wonAt)
--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -49,7 +49,7 @@
 
 // startBatch takes the next moves that still make sense.
 func (t *turn) startBatch() {
-	if !t.mayGrant() || t.move != rest || t.leaving {
+	if t.auth != holding || !t.mayGrant() || t.move != rest || t.leaving {
 		return
 	}
 	lost := t.lease == out || t.lost()
--- a/internal/owner/seat/stand.go
+++ b/internal/owner/seat/stand.go
@@ -34,7 +34,7 @@
 
 // mayLend reports whether a stand-by may have the keys now.
 func (t *turn) mayLend() bool {
-	if t.auth != holding || !t.stands || t.leaving || !t.mayGrant() || t.owned().Empty() {
+	if !t.stands || t.leaving || !t.reigns() || !t.isBarred() || t.owned().Empty() {
 		return false
 	}
 	if t.lease != out && (t.cfg.flaw != flawEager || t.lease != silent) {
@@ -50,6 +50,18 @@
 	return plan && !written && over && t.storeIsLost() && t.choose() != ""
 }
 
+// reigns reports whether this VM acts as the holder: it holds the seat, or it holds
+// it and cannot learn whether its own next epoch was written (retake). Such a doubt
+// lasts as long as the outage that it began with, and a server that is lost
+// meanwhile needs its stand-by no less. A successor that reads the next epoch's
+// record finds this VM named as a holder with a stand-by, and the deputy of that
+// epoch, which no beat ever told of it, cannot vouch for the opposite: so it waits
+// for this VM's end as it would after the present epoch.
+func (t *turn) reigns() bool {
+	doubts := t.auth == taking || t.auth == doubting
+	return t.auth == holding || t.epoch != 0 && t.stands && doubts
+}
+
 // storeIsLost reports that the store has not answered for a while, and was
 // asked.
 func (t *turn) storeIsLost() bool {
@@ -86,6 +98,9 @@
 	t.b, t.lostPlan = batch{}, nil
 	t.fire(standChart, &t.stand, "lend")
 	t.stoodAt = t.epoch
+	if t.putting {
+		t.stoodAt = max(t.stoodAt, t.put.Record.Epoch)
+	}
 	t.turnTo(to)
 }
 
@@ -108,7 +123,7 @@
 	if t.auth != holding || t.lease != held || t.move != rest || len(t.queue) > 0 || !t.upToDate() {
 		return
 	}
-	if !t.storeIsFresh() || !t.due(t.planAt) {
+	if !t.storeIsFresh() || !t.due(t.planAt) || !t.leavesAtOnce() {
 		return
 	}
 	t.planAt = t.now.Add(askPause)
@@ -127,6 +142,17 @@
 	t.acted = true
 }
 
+// leavesAtOnce reports whether keys that are revoked now could be written at once.
+// A new epoch begins with a full grant, and after one revoked keys are served by
+// nobody until no copy of it can be obeyed any more.
+func (t *turn) leavesAtOnce() bool {
+	at, known := t.clearAt()
+	if !t.cfg.Checks {
+		at = later(at, t.srv.full.Out(t.cfg.Times))
+	}
+	return known && t.due(at)
+}
+
 // comeHome ends the stand-by after the last of its keys was written to others.
 func (t *turn) comeHome() {
 	if t.stand != away || !t.owned().Empty() {
@@ -163,7 +189,7 @@
 // one that we knew from the epoch's start: one before may have given its word
 // for the opposite, and this one would not know.
 func (t *turn) onAgreed(m YieldedMsg) {
-	if t.auth != holding || !m.Agreed || m.Below != t.epoch+1 || m.From != t.rec.Deputy {
+	if !t.reigns() || !m.Agreed || m.Below != t.epoch+1 || m.From != t.rec.Deputy {
 		return
 	}
 	if t.twice || m.Born != t.echoBorn || m.Born == 0 {
--- a/internal/owner/seat/stand_test.go
+++ b/internal/owner/seat/stand_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/fake/world"
 	"hawthornfield.org/hawthornfield/internal/owner/seat"
@@ -53,6 +54,70 @@
 	}
 }
 
+// A holder's deputy is replaced, and the store goes down while the holder writes
+// down the next one. Whether that was written nobody can know before the store is
+// back, and meanwhile a backend server dies. Its scales must be served by a
+// stand-by all the same: a holder that only waits for the store leaves the drivers
+// at them with nothing for the whole outage.
+func TestAStandByServesWhenTheStoreWentDownInARetake(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		for _, checks := range []bool{false, true} {
+			w := standing(checks, seat.Flaws["none"])
+			s := w.Servers[0]
+			interruptRetake(t, w, s, written)
+			w.Run(w.Now() + time.Second)
+			lost := w.Now()
+			s.Kill(-1)
+			w.Run(lost + 5*time.Second)
+			by := w.StandBy(s.Name)
+			assert.Assert(t, by != nil, "nobody stands by")
+			w.Run(lost + 40*time.Second)
+			assert.Equal(t, w.Store.Table().OwnerOf(0), by.Name)
+			assert.Assert(t, w.StandBy(s.Name) == nil, "it still serves under the other's seat")
+			assert.Assert(t, w.Unavailable(0, lost, w.Now()) < 1500*time.Millisecond, "%v", w.Unavailable(0, lost, w.Now()))
+			assert.Equal(t, len(w.Judge()), 0, "%v", w.Judge())
+		}
+	}
+}
+
+// interruptRetake takes the store away while the holder of a server's seat names
+// another deputy, before that is written or before it is told so.
+func interruptRetake(t *testing.T, w *world.World, s *world.Server, written bool) {
+	t.Helper()
+	holder, rec := beginRetake(t, w, s)
+	if written {
+		w.Cut(string(holder.ID), "store", time.Second) // the answer, not what is on its way to the store
+		w.Run(w.Now() + 100*time.Millisecond)
+	}
+	w.Store.Down(20 * time.Second)
+	assert.Equal(t, w.Store.Record(s.Name).Epoch > rec.Epoch, written)
+}
+
+// beginRetake makes the holder of a server's seat name another deputy. It returns
+// the holder when the write is on its way, and the record before it.
+func beginRetake(t *testing.T, w *world.World, s *world.Server) (*world.VM, seat.Record) {
+	t.Helper()
+	rec := w.Store.Record(s.Name)
+	holder, next := w.VMs[0], ident.VM("")
+	for _, v := range w.VMs {
+		switch v.ID {
+		case rec.Holder:
+			holder = v
+		case rec.Deputy:
+		default:
+			next = v.ID
+		}
+	}
+	holder.Send(s.Name, seat.PlanMsg{Lead: true, Deputy: next})
+	for end := w.Now() + time.Second; w.Now() < end; w.Run(w.Now() + 50*time.Microsecond) {
+		if holder.Seat(s.Name).(seat.Seat).Status().Authority == "taking" {
+			return holder, rec
+		}
+	}
+	t.Fatal("the holder never named another deputy")
+	return nil, rec
+}
+
 // The stand-by dies as well, in the same outage. The next one is not granted the
 // keys before its lease has run out, and then within a second.
 func TestAStandByThatIsLostIsStoodByFor(t *testing.T) {
