seat: a failing test of an outage that begins before a holder's bar is written

A holder that names another deputy writes its epoch and then its bar in the table. When the store goes down between the two it may grant nothing, so a server that is lost meanwhile has no stand-by until the store is back: in the world's case always.

--- a/internal/owner/seat/stand_test.go
+++ b/internal/owner/seat/stand_test.go
@@ -118,6 +118,22 @@
 	return nil, rec
 }
 
+// The store goes down a moment later in the same retake: the next epoch is written,
+// its bar in the table is not. Drivers must not wait for the store then either.
+func TestAStandByServesWhenTheStoreWentDownBeforeTheBar(t *testing.T) {
+	w := standing(false, seat.Flaws["none"])
+	s := w.Servers[0]
+	holder, _ := beginRetake(t, w, s)
+	for holder.Seat(s.Name).(seat.Seat).Status().Authority != "barring" {
+		w.Run(w.Now() + 50*time.Microsecond)
+	}
+	w.Store.Down(20 * time.Second)
+	w.Run(w.Now() + time.Second)
+	s.Kill(-1)
+	w.Run(w.Now() + 5*time.Second)
+	assert.Assert(t, w.StandBy(s.Name) != nil, "nobody stands by")
+}
+
 // The stand-by dies as well, in the same outage. The next one is not granted the
 // keys before its lease has run out, and then within a second.
 func TestAStandByThatIsLostIsStoodByFor(t *testing.T) {
