--- a/internal/edge/query/silent.go
+++ b/internal/core/flow/silent.go
@@ -1,4 +1,4 @@
-package query
+package flow
 
 import (
 	"context"
@@ -10,23 +10,23 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
-// errSilent ends a request whose answer does not go on.
-var errSilent = kinds.New(kinds.Down, "no byte in time")
+// ErrSilent ends a request whose answer does not go on.
+var ErrSilent = kinds.New(kinds.Down, "no byte in time")
 
-// do sends a request. Its answer must begin within a wait, and its body may then pause
-// for bodySilence: how long it takes as a whole follows from its size and the link.
-// Bound the whole by the request's context.
-func (c *Client) do(req *http.Request, wait time.Duration) (*http.Response, error) {
+// Do sends a request. Its answer must begin within a wait, and its body may then pause
+// for as long as the silence: how long it takes as a whole follows from its size and the
+// link. Bound the whole by the request's context.
+func Do(web *http.Client, req *http.Request, wait, silence time.Duration) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	timer := time.AfterFunc(wait, func() { cancel(errSilent) })
-	resp, err := c.web.Do(req.WithContext(ctx))
+	timer := time.AfterFunc(wait, func() { cancel(ErrSilent) })
+	resp, err := web.Do(req.WithContext(ctx))
 	if err != nil {
 		timer.Stop()
 		defer cancel(nil)
 		return nil, causeOf(ctx, err)
 	}
-	timer.Reset(bodySilence)
-	resp.Body = &body{ReadCloser: resp.Body, ctx: ctx, cancel: cancel, timer: timer}
+	timer.Reset(silence)
+	resp.Body = &body{ReadCloser: resp.Body, ctx: ctx, cancel: cancel, timer: timer, silence: silence}
 	return resp, nil
 }
 
@@ -44,13 +44,15 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+
+	silence time.Duration
 }
 
 // Read puts off the end with each byte.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.timer.Reset(bodySilence)
+		b.timer.Reset(b.silence)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = causeOf(b.ctx, err)
--- a/internal/edge/query/heartbeat_test.go
+++ b/internal/edge/query/heartbeat_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
@@ -75,7 +76,7 @@
 		start := time.Now()
 		_, err := f.client(nil).Ask(t.Context(), firstVM, &Ask{VM: "vm-2"}, func(Heartbeat) { t.Error("heard") })
 		assert.Equal(t, kinds.Of(err), kinds.Down)
-		assert.ErrorContains(t, err, errSilent.Error())
+		assert.ErrorContains(t, err, flow.ErrSilent.Error())
 		assert.Equal(t, time.Since(start), Wait+answerWait)
 		time.Sleep(time.Second) // until the other VM has ended
 	})
--- a/internal/edge/query/rules.go
+++ b/internal/edge/query/rules.go
@@ -16,6 +16,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -150,7 +151,7 @@
 		return Raw{}, 0, kinds.Wrap(kinds.Internal, err, "request for rules")
 	}
 	req.Close = true // tells the other VM that they have arrived
-	resp, err := c.do(req, rulesWait)
+	resp, err := flow.Do(c.web, req, rulesWait, bodySilence)
 	if err != nil {
 		return Raw{}, 0, kinds.Wrap(kinds.Down, err, "rules of "+at.String())
 	}
--- a/internal/edge/query/rules_test.go
+++ b/internal/edge/query/rules_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/fake/pipes"
@@ -239,7 +240,7 @@
 			}
 			return 0
 		}).Rules(t.Context(), firstVM, 0)
-		assert.ErrorContains(t, err, errSilent.Error())
+		assert.ErrorContains(t, err, flow.ErrSilent.Error())
 		assert.Equal(t, kinds.Of(err), kinds.Down)
 	})
 }
--- a/internal/edge/query/serve.go
+++ b/internal/edge/query/serve.go
@@ -130,7 +130,7 @@
 		return n, kinds.Wrap(kinds.Internal, err, "question")
 	}
 	req.Header.Set("Content-Type", gin.MIMEJSON)
-	resp, err := c.do(req, Wait+answerWait)
+	resp, err := flow.Do(c.web, req, Wait+answerWait, bodySilence)
 	if err != nil {
 		return n, kinds.Wrap(kinds.Down, err, "ask "+at.String())
 	}
