keeper: a late answer of a server or the store counts

Callers saw: on a VM short of processor time no key had an owner, for as long as they asked; every lookup ended 503 (moving, late) or 502.

Cause: a call to a backend server was given up after 50 ms and one to the store after 100 ms, the times after which they are repeated. In a process whose goroutines wait 5 ms for each turn a call takes longer than that, so each one is given up, its connection is closed, the next one dials and is given up as well.

Why this holds: a lease counts from a mark of the server's clock, not from when the order or its answer arrives, so a late answer is as safe as a prompt one. What a seat believes of a silent server goes by its own times, which are as before, and calls are repeated as before.

--- a/internal/edge/keeper/commit.go
+++ b/internal/edge/keeper/commit.go
@@ -50,7 +50,7 @@
 		return
 	}
 	k.effect.Go(func(context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, k.Times.Store)
+		ctx, cancel := context.WithTimeout(ctx, k.Times.StoreWait())
 		defer cancel()
 		send(call(ctx))
 		return nil
--- a/internal/edge/keeper/effect.go
+++ b/internal/edge/keeper/effect.go
@@ -36,7 +36,7 @@
 // answer comes back as a message.
 func (k *Keeper) run(ctx context.Context, c *chair, cmd loop.Cmd, send func(loop.Msg)) {
 	var call func(context.Context) loop.Msg
-	wait := k.Times.Store
+	wait := k.Times.StoreWait()
 	switch cmd := cmd.(type) {
 	case seat.ReadRecordCmd:
 		call = func(ctx context.Context) loop.Msg { return k.readRecord(ctx, c, cmd) }
@@ -48,9 +48,9 @@
 		k.edit(c, cmd, send)
 		return
 	case seat.OrderCmd:
-		call, wait = func(ctx context.Context) loop.Msg { return k.order(ctx, c, cmd) }, k.Times.Call
+		call, wait = func(ctx context.Context) loop.Msg { return k.order(ctx, c, cmd) }, k.Times.CallWait()
 	case seat.ReadServerCmd:
-		call, wait = func(ctx context.Context) loop.Msg { return k.readServer(ctx, c, cmd) }, k.Times.Call
+		call, wait = func(ctx context.Context) loop.Msg { return k.readServer(ctx, c, cmd) }, k.Times.CallWait()
 	case seat.PlanCmd:
 		call = func(context.Context) loop.Msg { return k.plan(c, cmd) }
 	default:
--- a/internal/edge/keeper/looks.go
+++ b/internal/edge/keeper/looks.go
@@ -124,7 +124,7 @@
 		for _, l := range waiting {
 			k.looks.single++
 			k.effect.Go(func(ctx context.Context) error {
-				ctx, cancel := context.WithTimeout(ctx, k.Times.Store)
+				ctx, cancel := context.WithTimeout(ctx, k.Times.StoreWait())
 				defer cancel()
 				o, err := k.lookAlone(ctx, l.name)
 				l.got <- found{o, err}
@@ -137,7 +137,7 @@
 
 // list answers many looks with one call.
 func (k *Keeper) list(ctx context.Context, waiting []look) {
-	ctx, cancel := context.WithTimeout(ctx, k.Times.Store)
+	ctx, cancel := context.WithTimeout(ctx, k.Times.StoreWait())
 	defer cancel()
 	all, _, err := k.Store.List(ctx, seatPrefix)
 	records := make(map[string]object.Object, len(all))
--- a/internal/owner/lease/lease.go
+++ b/internal/owner/lease/lease.go
@@ -110,6 +110,16 @@
 	return read.Add(t.Long(term) + t.Margin)
 }
 
+// CallWait returns for how long the answer to a call to a backend server is
+// waited for. A call without an answer is sent again after Call, but a late answer
+// counts like any other: a process that is short of processor time gets none
+// earlier. It leaves time for another call before the lease of a server that was
+// renewed last before the holder was lost runs out.
+func (t Times) CallWait() time.Duration { return max(t.TTL/2-t.Call, t.Call) }
+
+// StoreWait is the same for a call to the store.
+func (t Times) StoreWait() time.Duration { return max(t.TTL-t.Store, t.Store) }
+
 // Mark is a server's clock reading and when it arrived here.
 type Mark struct {
 	server.Mark
