gate: held requests ask a server in turn, whatever their slices

Callers saw: at the start, and after a loss on a busy VM, answers late or refused although servers were idle.

Cause: each slice between owners sent a request each 10 to 40 ms to ask whether its server takes it yet.

Why this holds: one of those who wait asks, at the pace that one slice had; when it is taken, the others of that server ask at once. Where attempts are bounded they still pay from the same budget.

TestOneAsksForAllSlicesOfAServer failed before: 1,290 asked in 0.8 s, 22 now.

--- a/internal/load/gate/hold.go
+++ b/internal/load/gate/hold.go
@@ -99,8 +99,8 @@
 // meet is for a request whose key is held when it arrives. With nobody waiting
 // it goes and asks itself, if it is time.
 func (c *Core) meet(now time.Time, h *hold, t *Ticket) Verdict {
-	if len(h.waiting) == 0 && h.at.Server != "" && !now.Before(h.ask) {
-		h.asking(now, c.cfg.Ask)
+	if len(h.waiting) == 0 && h.at.Server != "" && !now.Before(c.askFrom(h)) {
+		c.asking(now, h)
 		return c.route(now, t)
 	}
 	return c.keep(now, h, t)
@@ -114,6 +114,61 @@
 	h.ask = now.Add(h.pause)
 }
 
+// asks paces the requests that go and ask one server. One that holds no lease
+// refuses each of its slices: if each hold asked by itself, a server that a loss or
+// a start leaves without a lease would get hundreds of requests a second for nothing.
+type asks struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// asking notes that one of those who wait asks the server now.
+func (a *asks) asking(now time.Time) {
+	a.pause = max(min(2*a.pause, lastAsk), firstAsk)
+	a.next = now.Add(a.pause)
+}
+
+// askFrom is when a request of the hold may go and ask, as far as its server goes.
+func (c *Core) askFrom(h *hold) time.Time {
+	if s := c.byName[h.at.Server]; s != nil && s.asks.next.After(h.ask) {
+		return s.asks.next
+	}
+	return h.ask
+}
+
+// asking notes that a request of the hold goes and asks now.
+func (c *Core) asking(now time.Time, h *hold) {
+	h.asking(now, c.cfg.Ask)
+	if s := c.byName[h.at.Server]; s != nil {
+		s.asks.asking(now)
+	}
+}
+
+// obeyed sends the oldest request of each other hold of a server that has just taken
+// one that was held: it may have a lease again for them as well.
+func (c *Core) obeyed(now time.Time, s *server) {
+	s.asks = asks{}
+	var all []*Ticket
+	c.holds.each(func(h *hold) bool {
+		if h.at.Server == s.info.Name && len(h.waiting) > 0 {
+			all = c.asker(now, h, all)
+		}
+		return true
+	})
+	c.release(now, all, false)
+}
+
+// asker adds the oldest request of a hold, which goes and asks now, if it may.
+func (c *Core) asker(now time.Time, h *hold, all []*Ticket) []*Ticket {
+	c.asking(now, h)
+	t := h.waiting[0]
+	if t.Job.again && !c.mayAgain() {
+		return all
+	}
+	c.holds.remove(t)
+	return append(all, t)
+}
+
 // keep lets a request wait for the end of a move, or refuses it now when it is
 // not expected to be served in time or there is no room.
 func (c *Core) keep(now time.Time, h *hold, t *Ticket) Verdict {
@@ -260,6 +315,9 @@
 		delete(c.holds.slices, t.Job.Slice)
 	}
 	c.release(now, all, true)
+	if c.cfg.Ask == 0 {
+		c.obeyed(now, t.srv)
+	}
 }
 
 // askSoon moves the next tick to when one of a hold goes and asks.
@@ -267,12 +325,13 @@
 	if h.at.Server == "" || len(h.waiting) == 0 {
 		return
 	}
-	if c.askAt.IsZero() || h.ask.Before(c.askAt) {
-		c.askAt = h.ask
+	if at := c.askFrom(h); c.askAt.IsZero() || at.Before(c.askAt) {
+		c.askAt = at
 	}
 }
 
-// ask sends the oldest request of each hold that is due to the owner.
+// ask sends the oldest request of each hold that is due to the owner, of one hold for
+// each server.
 func (c *Core) ask(now time.Time) {
 	if c.askAt.IsZero() || now.Before(c.askAt) {
 		return
@@ -280,15 +339,8 @@
 	c.askAt = time.Time{}
 	var all []*Ticket
 	c.holds.each(func(h *hold) bool {
-		if len(h.waiting) > 0 && h.at.Server != "" && !now.Before(h.ask) {
-			h.asking(now, c.cfg.Ask)
-			if h.waiting[0].Job.again && !c.mayAgain() {
-				c.askSoon(h)
-				return true
-			}
-			t := h.waiting[0]
-			c.holds.remove(t)
-			all = append(all, t)
+		if len(h.waiting) > 0 && h.at.Server != "" && !now.Before(c.askFrom(h)) {
+			all = c.asker(now, h, all)
 		}
 		c.askSoon(h)
 		return len(h.waiting) > 0 || now.Sub(h.ask) < forget
--- a/internal/load/gate/hold_test.go
+++ b/internal/load/gate/hold_test.go
@@ -300,3 +300,37 @@
 	assert.Equal(t, m.core.Offer(m.now, &Ticket{Job: j}), Wait, "the hot key's next one")
 	assert.Equal(t, m.core.Stats(m.now).Held, 2)
 }
+
+// Each slice of a server without a lease sent it a request every 40 ms.
+func TestOneAsksForAllSlicesOfAServer(t *testing.T) {
+	const slices = 64
+	m := newMover(4 * slices)
+	m.known = false
+	await := func(j Job) {
+		m.core.Await(m.now, &Ticket{Job: j.Again("")})
+	}
+	for i := range slices {
+		j := m.job("weighbridge", time.Hour)
+		j.Slice = ident.Slice(i)
+		await(j)
+	}
+	asked := 0
+	var last *Ticket
+	for until := m.now.Add(20 * lastAsk); m.now.Before(until); {
+		for _, k := range m.pass(time.Millisecond) {
+			asked++
+			last = k
+			m.core.Done(m.now, k, Outcome{Kind: kinds.Misrouted, Refused: true})
+			await(k.Job)
+		}
+	}
+	assert.Assert(t, asked >= 20 && asked <= 23, "%d asked", asked)
+
+	for last = nil; last == nil; {
+		if got := m.pass(time.Millisecond); len(got) > 0 {
+			last = got[0]
+		}
+	}
+	m.core.Done(m.now, last, Outcome{Latency: time.Millisecond})
+	assert.Assert(t, len(m.core.Ready()) > 1, "the other slices do not ask the server that answers again")
+}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -43,6 +43,7 @@
 	paceAt  time.Time     // the next one may start
 	usedAt  time.Time     // a request was last sent there
 	endedTo time.Time     // its address answered for another server; not chosen until then
+	asks    asks          // of requests that are held
 }
 
 // lanes returns the queues for the server's keys, made at the first use.
