seat: an outage that begins before the bar of the next epoch stops no stand-by

Cause: replacing its deputy the holder writes the record of its next epoch, then that epoch's bar into the table. Until the bar is written it may grant nothing. But the bar in the table is that of its own former epoch, under which nobody else may write, so it guards the table as well.

Why this holds: no earlier holder can change the table, no write of our own is in doubt (then the former bar does not count), later holders are waited for or wait as they do in the next epoch, whose deputy is the one asked. Only while the store is lost and where stand-bys are allowed.

--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -164,7 +164,7 @@
 }
 
 // mayGrant reports whether a full grant is allowed now: only the holder, and
-// only from a revision whose bar is its own epoch (rule 4).
+// only from a revision whose bar is its own epoch, or its own former one (rule 4).
 //
 // A holder that cannot learn whether its own next epoch was written goes on
 // granting to a stand-by, and to nobody else: see reigns.
@@ -174,9 +174,12 @@
 }
 
 // isBarred reports whether the table that we know can only be changed for this
-// server by us, and no stand-by of an earlier holder can have its keys.
+// server by us, and no stand-by of an earlier holder can have its keys. The bar of the
+// epoch that we held until the present one does as well: nobody but us may write under it.
 func (t *turn) isBarred() bool {
-	return t.epoch >= t.floor && !t.lent && (t.row().Bar == t.epoch || t.cfg.flaw == flawBar)
+	bar := t.row().Bar
+	ours := bar == t.epoch || t.former != 0 && bar == t.former || t.cfg.flaw == flawBar
+	return t.epoch >= t.floor && !t.lent && ours
 }
 
 // mayRenew reports whether a renewal is allowed now. It adds nothing, so any
--- a/internal/owner/seat/keep.go
+++ b/internal/owner/seat/keep.go
@@ -96,7 +96,7 @@
 		t.do(StoodCmd{Epoch: t.epoch, Why: why})
 		t.tells = tellTimes
 	}
-	t.epoch, t.until, t.putting = 0, time.Time{}, false
+	t.epoch, t.former, t.until, t.putting = 0, 0, time.Time{}, false
 	t.storeAt = t.now.Add(storePause)
 	t.endBatch()
 	t.endStand()
--- a/internal/owner/seat/seat.go
+++ b/internal/owner/seat/seat.go
@@ -70,6 +70,7 @@
 	// Authority: take.go.
 	auth    chart.State
 	epoch   ident.Epoch // of the authority held; zero for none
+	former  ident.Epoch // that we held until it, and whose bar the table names; zero for none
 	until   time.Time
 	rec     Record
 	ver     object.Version
--- a/internal/owner/seat/stand.go
+++ b/internal/owner/seat/stand.go
@@ -50,16 +50,26 @@
 	return plan && !written && over && t.storeIsLost() && t.choose() != ""
 }
 
-// reigns reports whether this VM acts as the holder: it holds the seat, or it holds
-// it and cannot learn whether its own next epoch was written (retake). Such a doubt
-// lasts as long as the outage that it began with, and a server that is lost
-// meanwhile needs its stand-by no less. A successor that reads the next epoch's
-// record finds this VM named as a holder with a stand-by, and the deputy of that
-// epoch, which no beat ever told of it, cannot vouch for the opposite: so it waits
-// for this VM's end as it would after the present epoch.
+// reigns reports whether this VM acts as the holder: it holds the seat, or it held it
+// and replaces its own epoch by a later one (retake). The store can go away in the
+// middle of that, and a server that is lost meanwhile needs its stand-by no less.
+//
+// While it is not known whether the record of the next epoch was written, it lends
+// under the present one. A successor that reads the later record finds this VM named
+// as a holder with a stand-by, and the deputy of that epoch, which no beat ever told
+// of it, cannot vouch for the opposite: so it waits for this VM's end. Once the record
+// is known to be written, the next epoch counts, with its own deputy, and the bar of
+// our own former epoch guards the table for it.
 func (t *turn) reigns() bool {
-	doubts := t.auth == taking || t.auth == doubting
-	return t.auth == holding || t.epoch != 0 && t.stands && doubts
+	switch t.auth {
+	case holding:
+		return true
+	case taking, doubting:
+		return t.epoch != 0 && t.stands
+	case barring:
+		return t.stands && t.storeIsLost() && t.isBarred()
+	}
+	return false
 }
 
 // storeIsLost reports that the store has not answered for a while, and was
--- a/internal/owner/seat/take.go
+++ b/internal/owner/seat/take.go
@@ -260,6 +260,11 @@
 func (t *turn) won() {
 	t.fire(authorityChart, &t.auth, "won")
 	t.want, t.d.called, t.tells = false, false, 0
+	t.former = 0
+	written := t.tabBusy || t.b.doubt || t.b.hung // may still give keys away under its bar
+	if t.epoch != 0 && t.row().Bar == t.epoch && !written {
+		t.former = t.epoch
+	}
 	t.epoch = t.put.Record.Epoch
 	t.until = t.cfg.Times.Until(t.put.At, t.put.Record.Term)
 	t.wonAt = t.now
