host: a new leader does not wait for a list that it sent into an outage

Cause, second half: the store is silent from 18 to 26 s. A VM that started in that time had lists of rules and of servers on their way when the store came back; the store never answers those. It won the lead at 26.16 s and knew neither until 29.32 s, because a list ends only after its 2 s and is then paused for; all others rely on the leader for both. Watches and pauses end when the lead changes, a list did not.

Why this holds: a VM that wins the lead has just been answered by the store, so a new list is answered too.

TestANewLeaderDoesNotWaitForAListOfBefore failed before.

--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -102,7 +102,14 @@
 
 func (w *watcher) list(ctx context.Context, store object.Store) (object.Cursor, bool) {
 	asked := tick.Now()
-	all, at, err := store.List(ctx, w.prefix)
+	turn := w.board.Turn()
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(turn, cancel)()
+	all, at, err := store.List(inner, w.prefix)
+	if err != nil && turn.Err() != nil {
+		return 0, false // the store answers who has won the lead: the next list need not wait for this one
+	}
 	if err != nil {
 		w.trouble(ctx, "list", err)
 		return 0, false
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -153,3 +153,36 @@
 		assert.Assert(t, s.lists <= 50, "lists without a pause: %d", s.lists)
 	})
 }
+
+// swallowing is a store that never answers the lists that are sent before a time.
+type swallowing struct {
+	forgetful
+	back time.Time
+}
+
+func (s *swallowing) List(ctx context.Context, prefix string) ([]object.Object, object.Cursor, error) {
+	if time.Now().Before(s.back) {
+		s.lists++
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		<-ctx.Done()
+		return nil, 0, kinds.Wrap(kinds.Down, ctx.Err(), "list")
+	}
+	return s.forgetful.List(ctx, prefix)
+}
+
+// A new leader went on waiting for a list that it had sent into an outage of the store.
+func TestANewLeaderDoesNotWaitForAListOfBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &swallowing{back: time.Now().Add(2500 * time.Millisecond)}
+		board := query.NewBoard("vm-2", "a")
+		known := false
+		w := newWatcher(board, store, store)
+		w.listed = func([]object.Object, object.Cursor) { known = true }
+		watchFor(t, w, 50*time.Millisecond, func() {
+			time.Sleep(2600 * time.Millisecond)
+			board.SetLease(lead.Lease{Epoch: 2, Holder: "vm-2", Life: "a"}, true)
+		})
+		assert.Assert(t, known)
+	})
+}
