lead: a VM that starts leaves the lead to those who followed a leader

Cause, first half: a VM's rank among those who take over is zero until a leader has answered it once.

Ruled out: load of the leader alone. It sent 1,441 grants 1.1 s late and 51 VMs lost it ("no byte in time"); that follows from its being new to all.

Why this holds: answers say whether a leader has answered the one who answers. A VM that has not been answered leaves the lead alone for 1.5 s after such an answer, and no longer than 10 s in all: those others may not reach the store. Where all start together nobody is settled, as before.

The test cannot run on the former code, which has no such message; there the VM claims at once, as it still does when nobody settled is heard.

--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -112,10 +112,10 @@
 			c.p.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
 		c.lost = true
+		c.take(n, lease.Addr)
 		if err == nil && c.ended(n, lease) {
 			c.p.Reign.loop.Send(lead.LostMsg{Epoch: lease.Epoch})
 		}
-		c.take(n, lease.Addr)
 		return false
 	}
 	if c.lost {
@@ -167,6 +167,9 @@
 
 // take takes in what any VM may tell.
 func (c *courier) take(n query.News, from netip.AddrPort) {
+	if n.Settled {
+		c.p.Reign.loop.Send(lead.SettledMsg{})
+	}
 	if n.Lease.Life != "" {
 		c.p.Reign.loop.Send(lead.SeeMsg{Lease: n.Lease})
 	}
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -63,6 +63,8 @@
 	Lease lead.Lease `json:"lease"`
 	Leads bool       `json:"leads"` // the one who answers is the leader
 	Away  bool       `json:"away"`  // the leader does not reach the store
+	// Settled says that a leader has answered the one who answers, or it leads.
+	Settled bool `json:"settled,omitempty"`
 	// Steady is for how long the store has answered the leader without a break; zero
 	// where it does not know.
 	Steady time.Duration `json:"steady,omitempty"`
@@ -101,6 +103,7 @@
 	asked   map[ident.VM]asker
 	more    chan struct{} // closed at the next change
 	told    time.Time     // the leader last told its news, and reached the store
+	settled bool          // a leader has told its news, or this VM has led
 	touch   touch
 	sure    time.Time // by the boot clock: the rules here are the newest until then
 	seen    object.Cursor
@@ -141,7 +144,7 @@
 		b.turned()
 		b.turn, b.turned = context.WithCancel(context.Background())
 	}
-	b.lease, b.leads = l, leads
+	b.lease, b.leads, b.settled = l, leads, b.settled || leads
 	b.wake()
 }
 
@@ -160,7 +163,7 @@
 func (b *Board) SetTold(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.told = at
+	b.told, b.settled = at, true
 }
 
 // Told reports whether this VM knows what the leader knows.
@@ -273,7 +276,7 @@
 func (b *Board) look(now time.Time, a *Ask) (n News, worth bool, more <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n = News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads, Away: b.leads && b.away}
+	n = News{VM: b.vm, Life: b.life, Lease: b.lease, Leads: b.leads, Away: b.leads && b.away, Settled: b.settled}
 	worth = b.stored(a, &n)
 	if !b.leads {
 		return n, true, nil // it has nothing to wait for here
--- a/internal/edge/query/query_test.go
+++ b/internal/edge/query/query_test.go
@@ -213,3 +213,22 @@
 	assert.Assert(t, turn.Err() != nil)
 	assert.NilError(t, b.Turn().Err())
 }
+
+// A VM that starts cannot tell from an answer whether others followed a leader before.
+func TestAnAnswerSaysWhetherALeaderHasAnswered(t *testing.T) {
+	settled := func(b *Board) bool {
+		n, _, _ := b.look(time.Now(), &Ask{VM: "vm-9"})
+		return n.Settled
+	}
+	b := NewBoard("vm-1", "a")
+	assert.Assert(t, !settled(b))
+	b.SetLease(lead.Lease{Epoch: 1, Life: "b"}, false)
+	assert.Assert(t, !settled(b))
+	b.SetTold(time.Now())
+	assert.Assert(t, settled(b))
+
+	led := NewBoard("vm-2", "b")
+	led.SetLease(lead.Lease{Epoch: 1, Life: "b"}, true)
+	led.SetLease(lead.Lease{Epoch: 2, Life: "c"}, false)
+	assert.Assert(t, settled(led))
+}
--- a/internal/owner/lead/lead.go
+++ b/internal/owner/lead/lead.go
@@ -52,6 +52,11 @@
 	// Regain is how long a leader that did not reach the store has to renew its lead
 	// once others reach it: it tries each quarter of a second.
 	Regain = 700 * time.Millisecond
+	// Beside is for how long a VM that no leader ever answered leaves the lead to others
+	// after one that a leader did answer was heard.
+	Beside = 1500 * time.Millisecond
+	// Settling bounds that from the VM's start: those others may not reach the store.
+	Settling = 10 * time.Second
 	// Margin covers what passes between a look at the clock and the effect.
 	Margin = 200 * time.Millisecond
 )
@@ -63,6 +68,8 @@
 	lease   Lease
 	version object.Version
 	rank    int
+	ranked  bool      // a leader said so
+	started time.Time // this process
 	leaving bool
 
 	heard   time.Time      // the leader answered, or was seen to be another one
@@ -98,7 +105,7 @@
 
 // New makes a VM that knows of no leader.
 func New(now time.Time, vm ident.VM, life string, addr netip.AddrPort, opts ...Option) Model {
-	m := Model{self: Lease{Holder: vm, Life: life, Addr: addr}, stage: Follow, heard: now, callAt: now}
+	m := Model{self: Lease{Holder: vm, Life: life, Addr: addr}, stage: Follow, started: now, heard: now, callAt: now}
 	for _, opt := range opts {
 		opt(&m)
 	}
@@ -147,7 +154,9 @@
 	case SeeMsg:
 		return m.see(now, msg)
 	case RankMsg:
-		m.rank = msg.N
+		m.rank, m.ranked = msg.N, true
+	case SettledMsg:
+		return m.beside(now), nil
 	case ReadMsg:
 		return m.read(now, msg)
 	case WroteMsg:
@@ -246,6 +255,22 @@
 	return !now.Before(m.heard.Add(wait+time.Duration(m.rank)*Step)) && !now.Before(m.shy)
 }
 
+// beside leaves the lead to VMs that a leader has answered: a VM that starts knows
+// neither its rank nor, in an absence of the store, what a leader has to tell.
+func (m Model) beside(now time.Time) Model {
+	if m.ranked || m.stage != Follow {
+		return m
+	}
+	until := now.Add(Beside)
+	if most := m.started.Add(Settling); until.After(most) {
+		until = most
+	}
+	if until.After(m.shy) {
+		m.shy = until
+	}
+	return m
+}
+
 func (m Model) deposed(now time.Time) (loop.Model, []loop.Cmd) {
 	m.stage, m.heard, m.lost = Follow, now, false
 	m.shy = now.Add(Shy)
--- a/internal/owner/lead/lead_test.go
+++ b/internal/owner/lead/lead_test.go
@@ -410,3 +410,32 @@
 	assert.Equal(t, len(cmds), 1)
 	assert.Equal(t, next.(Model).Stage(), Claim)
 }
+
+// A VM that had just started took the lead at the return of the store, before those who knew what to tell.
+func TestAVMThatStartsLeavesTheLeadToThoseWhoFollowed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	began := func(settled bool) Model {
+		m := New(start, "vm-1", "vm-1-a", netip.AddrPort{})
+		next, _ := m.Update(start, SeeMsg{Lease: Lease{Epoch: 2, Holder: "vm-2", Life: "b"}})
+		if settled {
+			next, _ = next.Update(start, SettledMsg{})
+		}
+		next, _ = next.Update(start, LostMsg{Epoch: 2})
+		return next.(Model)
+	}
+	assert.Assert(t, began(false).overdue(start), "nobody else is there")
+
+	m := began(true)
+	assert.Assert(t, !m.overdue(start.Add(Beside-1)))
+	assert.Assert(t, m.overdue(start.Add(Beside)), "nobody who followed was heard again")
+
+	var next loop.Model = m
+	for d := time.Duration(0); d < 2*Settling; d += 100 * time.Millisecond {
+		assert.Equal(t, next.(Model).overdue(start.Add(d)), d >= Settling, "%v", d)
+		next, _ = next.Update(start.Add(d), SettledMsg{})
+	}
+
+	next, _ = m.Update(start, RankMsg{N: 0})
+	next, _ = next.Update(start.Add(Beside), SettledMsg{})
+	assert.Assert(t, next.(Model).overdue(start.Add(Beside)), "a leader has answered it")
+}
--- a/internal/owner/lead/msg.go
+++ b/internal/owner/lead/msg.go
@@ -44,6 +44,8 @@
 	SeeMsg struct{ Lease Lease }
 	// RankMsg says how many VMs go first when somebody must take over.
 	RankMsg struct{ N int }
+	// SettledMsg says that another VM answered that a leader has answered before.
+	SettledMsg struct{}
 	// ReadMsg answers a ReadCmd; Version zero means that there is no lease.
 	ReadMsg struct {
 		Asked   time.Time
