seat: a planned move begins when its keys can leave at once

Callers saw: keys without an owner for a lease (0.7 s, 2.1 s with the daemon test's long ones) after a planned move or a drain, with nothing in trouble; "not served after the outage" in 3 of 90 runs of TestALostServersKeysAreServedThroughAnOutage, six copies at once.

Cause: the keys were revoked first, and then waited until no copy of the last full grant can be obeyed any more. The planner had moved a slice 1 ms after such a grant.

Why this holds: the same wait now passes before the revocation, while the owner serves. What keys of a stand-by did already (leavesAtOnce) counts for all planned moves; a lost server's keys go as before.

--- a/internal/owner/seat/move.go
+++ b/internal/owner/seat/move.go
@@ -55,7 +55,7 @@
 		return
 	}
 	lost := t.lease == out || t.lost()
-	if !lost && (t.lease != held || len(t.queue) == 0 || !t.upToDate() || !t.storeIsFresh()) {
+	if !lost && (t.lease != held || len(t.queue) == 0 || !t.upToDate() || !t.leavesAtOnce() || !t.storeIsFresh()) {
 		return
 	}
 	plan, limit := t.queue, maxBatch
--- a/internal/owner/seat/stand.go
+++ b/internal/owner/seat/stand.go
@@ -157,7 +157,7 @@
 // nobody until no copy of it can be obeyed any more.
 func (t *turn) leavesAtOnce() bool {
 	at, known := t.clearAt()
-	if !t.cfg.Checks {
+	if !t.cfg.Checks && t.cfg.flaw != flawLate {
 		at = later(at, t.srv.full.Out(t.cfg.Times))
 	}
 	return known && t.due(at)
