demo: a run ends although its callers get no answers

Callers saw: `hawthorn demo` on a machine with too little processor time was still there minutes after its 12 s, and after SIGTERM.

Cause: lookups ask again up to 50 times, each for up to 3 s, and the run waits for them; their requests knew no end but an answer.

Why this holds: requests end with the run's context, and 30 s after the last one was sent. A caller without an answer by then counts as one: no check and no load is changed.

Not kept, trial: latencies without the time that the process itself waited for a processor (a timer's lateness added up), so that a starved VM does not allow each server one request.

--- a/internal/admin/demo/callers.go
+++ b/internal/admin/demo/callers.go
@@ -55,6 +55,8 @@
 type callers struct {
 	site   *site
 	client *http.Client
+	ctx    context.Context // of their requests
+	cancel context.CancelFunc
 	group  group.Group
 	rng    *rand.Rand
 	turn   atomic.Uint64
@@ -74,6 +76,10 @@
 	lookupTries = 50
 	askAgain    = 50 * time.Millisecond
 
+	// dueWait is how long answers are waited for after the last request was sent. A
+	// caller without one by then never got it.
+	dueWait = 30 * time.Second
+
 	burstCount  = 150
 	burstSize   = 4 << 10
 	burstWithin = 150 * time.Millisecond
@@ -81,22 +87,22 @@
 	longWork    = 400 * time.Millisecond
 )
 
-func newCallers(s *site) *callers {
+func newCallers(ctx context.Context, s *site) *callers {
+	ctx, cancel := context.WithCancel(ctx)
 	t := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: notice / 2}
-	return &callers{site: s, client: &http.Client{Transport: t}, rng: rand.New(rand.NewPCG(seed, uint64(len(s.name))))}
+	return &callers{site: s, client: &http.Client{Transport: t}, ctx: ctx, cancel: cancel, rng: rand.New(rand.NewPCG(seed, uint64(len(s.name))))}
 }
 
-// run sends the mix until ctx ends, and waits for the answers that are due.
-func (c *callers) run(ctx context.Context) {
+// run sends the mix until stop ends, and waits for the answers that are due.
+func (c *callers) run(stop context.Context) {
 	u := &c.site.user
 	tick := time.NewTicker(time.Second / time.Duration(u.keyed.rate))
 	defer tick.Stop()
 	for i := 0; ; i++ {
 		select {
 		case <-tick.C:
-		case <-ctx.Done():
-			_ = c.group.Wait()
-			c.client.CloseIdleConnections()
+		case <-stop.Done():
+			c.drain()
 			return
 		}
 		c.lookup()
@@ -109,6 +115,14 @@
 	}
 }
 
+// drain waits for the answers that are due.
+func (c *callers) drain() {
+	defer c.cancel()
+	defer time.AfterFunc(dueWait, c.cancel).Stop()
+	_ = c.group.Wait()
+	c.client.CloseIdleConnections()
+}
+
 // hot is the key that everybody asks for.
 func (c *callers) hot() ident.Key { return ident.Key(fmt.Sprintf("%s-%d", c.site.noun, 7)) }
 
@@ -131,7 +145,7 @@
 	c.group.Go(func(context.Context) error {
 		for range lookupTries {
 			c.send(&a, http.MethodGet, path, nil)
-			if a.ok() || !group.Sleep(context.Background(), askAgain) {
+			if a.ok() || !group.Sleep(c.ctx, askAgain) {
 				return nil
 			}
 		}
@@ -149,7 +163,7 @@
 		const tries = 5
 		for range tries {
 			c.send(&a, http.MethodPost, path, []byte("load "+string(a.id)))
-			if a.ran != kinds.RanNo || !group.Sleep(context.Background(), time.Second) {
+			if a.ran != kinds.RanNo || !group.Sleep(c.ctx, time.Second) {
 				return
 			}
 		}
@@ -209,7 +223,7 @@
 func (c *callers) sendTo(a *attempt, method, path string, body []byte) {
 	a.start, a.status, a.ran, a.whole, a.cut = time.Now(), 0, "", false, false
 	url := "http://" + c.site.vms[a.vm].Callers().String() + path
-	r, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(c.ctx, method, url, bytes.NewReader(body))
 	if err == nil {
 		r.Header.Set(relay.HeaderID, string(a.id))
 		if a.within > 0 {
--- a/internal/admin/demo/callers_test.go
+++ b/internal/admin/demo/callers_test.go
@@ -1,8 +1,11 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,3 +25,28 @@
 		assert.Assert(t, n < 50, "%s sent %d of 1000", name, n)
 	}
 }
+
+// A run whose callers got no answers went on for minutes, also after it was told to end.
+func TestCallersEndWithTheirRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		waits := func(c *callers) {
+			c.group.Go(func(context.Context) error {
+				<-c.ctx.Done()
+				return nil
+			})
+		}
+		start := time.Now()
+		c := newCallers(t.Context(), &site{})
+		waits(c)
+		c.drain()
+		assert.Equal(t, time.Since(start), dueWait)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		c = newCallers(ctx, &site{})
+		waits(c)
+		cancel()
+		start = time.Now()
+		c.drain()
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
--- a/internal/admin/demo/story.go
+++ b/internal/admin/demo/story.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	e := &evidence{user: u, drained: map[ident.Server]time.Time{}, vms: len(s.vms)}
-	c := newCallers(s)
+	c := newCallers(ctx, s)
 	var watch group.Group
 	revs := &revisions{site: s}
 	watch.Go(revs.run)
