--- a/internal/load/gate/hold_test.go
+++ b/internal/load/gate/hold_test.go
@@ -315,22 +315,19 @@
 		await(j)
 	}
 	asked := 0
-	var last *Ticket
 	for until := m.now.Add(20 * lastAsk); m.now.Before(until); {
 		for _, k := range m.pass(time.Millisecond) {
 			asked++
-			last = k
 			m.core.Done(m.now, k, Outcome{Kind: kinds.Misrouted, Refused: true})
 			await(k.Job)
 		}
 	}
 	assert.Assert(t, asked >= 20 && asked <= 23, "%d asked", asked)
 
-	for last = nil; last == nil; {
-		if got := m.pass(time.Millisecond); len(got) > 0 {
-			last = got[0]
-		}
+	var got []*Ticket
+	for len(got) == 0 {
+		got = m.pass(time.Millisecond)
 	}
-	m.core.Done(m.now, last, Outcome{Latency: time.Millisecond})
+	m.core.Done(m.now, got[0], Outcome{Latency: time.Millisecond})
 	assert.Assert(t, len(m.core.Ready()) > 1, "the other slices do not ask the server that answers again")
 }
