--- a/internal/owner/seat/bar.go
+++ b/internal/owner/seat/bar.go
@@ -23,7 +23,7 @@
 		t.storeAt = t.now.Add(storePause) // the server has not joined yet
 	case t.cfg.flaw == flawBar || row.Bar == t.epoch:
 		t.fire(authorityChart, &t.auth, "barred")
-		t.want = false
+		t.want, t.former = false, 0
 		t.do(HeldCmd{Epoch: t.epoch})
 		if t.stand == away {
 			t.do(StandCmd{Epoch: t.epoch, To: t.by})
