gate: a hot key closes no other key of its owner

Callers of keys that share an owner with a hot key were refused with 503 late, come back after 10 s, while it was hot and for half a minute after, by an owner that was idle.

Cause: where many VMs share an owner that is crowded, a VM spaces its requests to the owner, at 195 VMs up to 22 s apart. The hot key took each turn. The pause was only taken back by answers, and each next request had to wait for the pause of before, whatever the last answer said. What a server reported with its answer was also never taken for the work's length: the report is older than the end of the answer by the time that the body takes.

Now the key is spaced for which a request was turned away or met a crowd, and it is forgotten when nobody asks for it at this VM for 2 s.

--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -220,9 +220,6 @@
 	if owner != nil {
 		width = float64(owner.most(now))
 	}
-	if owner != nil && k == sizes.Short && owner.pace > 0 {
-		return max(owner.pace, time.Duration(float64(held)/max(width, 1)))
-	}
 	if owner != nil && k == sizes.Short {
 		held = max(held, owner.load.Latency())
 	}
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -195,6 +195,11 @@
 	t.in = ls
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
+	if owner != nil {
+		if closed := owner.spaced.closed(now, t.key); closed > 0 {
+			return c.refuse(t, kinds.Busy, c.hint(closed))
+		}
+	}
 	debt := 0.0
 	if l.q.Standing() || l.q.Len() > 0 {
 		debt = l.debt(now, t)
@@ -236,6 +241,7 @@
 	}
 	c.sent, c.sentAt = c.recent(now)+1, now
 	s.start(now, t.long, c.expected(t.long))
+	s.spaced.started(now, t.key)
 	c.running++
 	c.stats.Started++
 	c.press -= c.press * pressFollow
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"hawthornfield.org/hawthornfield/internal/load/fair"
 )
 
 // The load pattern is one hot key while many entry VMs share its owner. A VM's limit
@@ -10,14 +12,16 @@
 // request each are a hundred on a server with two slots and a queue of eight. It
 // refuses most of them, or resets their connections, and nobody can say any more
 // whether those ran. So while a server reports that as many wait there as it has
-// slots, each VM also spaces its requests, up to its even part of what the server can
-// do. What does not fit into that is known at once and refused with the time to come
-// back.
+// slots, each VM also spaces its requests for the key that it asked for, up to its even
+// part of what the server can do. What does not fit into that is known at once and
+// refused with the time to come back.
+//
+// The owner's other keys are not spaced: each VM asks for one of them now and then, and
+// would find its turn taken by the hot key for as long as all VMs have one each.
 //
 // Grounds: the report comes with each answer, so a VM hears of a crowd after its
-// first request. The pause doubles at each such report and halves at each other one:
-// four reports lead from nothing to an even part, and back to nothing when the key
-// cools down or when others want less than their part.
+// first request. The pause doubles at each such report and halves at each other one.
+// Where a VM is no longer asked for the key, it forgets the pause.
 
 const (
 	// crowdedAt is the reported load, in slots, from which requests are spaced.
@@ -26,6 +30,8 @@
 	firstPace = 0.25
 	// leastPace is a pause that makes no difference any more.
 	leastPace = 5 * time.Millisecond
+	// coolAfter is for how long nobody asks for a key that is not hot any more.
+	coolAfter = 2 * time.Second
 	// manyVMs is how many VMs for each slot are many: servers queue a few requests for
 	// each slot.
 	manyVMs = 8
@@ -33,6 +39,75 @@
 	workFollow = 4
 )
 
+// spacing is the pause between two requests of this VM for one key.
+type spacing struct {
+	pause time.Duration
+	last  time.Time // the last request was started
+	asked time.Time // a caller asked for the key
+}
+
+// opens is when the next request may start.
+func (s *spacing) opens() time.Time { return s.last.Add(s.pause) }
+
+// spacings are those of one server's keys. The zero value is ready to use. Its size
+// grows with the keys for which this VM was turned away lately.
+type spacings struct {
+	by    map[fair.Flow]*spacing
+	swept time.Time
+}
+
+// find returns the key's spacing, nil where its requests are not spaced.
+func (s *spacings) find(now time.Time, key fair.Flow) *spacing {
+	sp := s.by[key]
+	if sp == nil || now.Sub(sp.asked) > coolAfter {
+		return nil
+	}
+	return sp
+}
+
+// open returns the key's spacing, a new one if need be.
+func (s *spacings) open(now time.Time, key fair.Flow, started time.Time) *spacing {
+	s.sweep(now)
+	if sp := s.find(now, key); sp != nil {
+		return sp
+	}
+	if s.by == nil {
+		s.by = map[fair.Flow]*spacing{}
+	}
+	s.by[key] = &spacing{last: started, asked: now}
+	return s.by[key]
+}
+
+// sweep forgets keys that have cooled down.
+func (s *spacings) sweep(now time.Time) {
+	if now.Sub(s.swept) < coolAfter {
+		return
+	}
+	s.swept = now
+	for key, sp := range s.by {
+		if now.Sub(sp.asked) > coolAfter {
+			delete(s.by, key)
+		}
+	}
+}
+
+// closed is for how long no request for the key may start, as a caller asks for it.
+func (s *spacings) closed(now time.Time, key fair.Flow) time.Duration {
+	sp := s.find(now, key)
+	if sp == nil {
+		return 0
+	}
+	sp.asked = now
+	return max(sp.opens().Sub(now), 0)
+}
+
+// started notes the start of a request.
+func (s *spacings) started(now time.Time, key fair.Flow) {
+	if sp := s.by[key]; sp != nil {
+		sp.last = now
+	}
+}
+
 // many reports whether the VMs together, with one request each, could overrun the
 // server's queue. Few of them cannot, and spacing their requests would leave slots
 // idle.
@@ -46,8 +121,8 @@
 
 // learnWork takes in how long an answer took. What the server reported with it tells
 // how much of that was waiting for others.
-func (s *server) learnWork(now time.Time, took time.Duration) {
-	if s.toldAt.Before(now) {
+func (s *server) learnWork(t *Ticket, took time.Duration) {
+	if s.toldAt.Before(t.at) {
 		return
 	}
 	slots := max(s.info.Slots, 1)
@@ -59,11 +134,16 @@
 	s.work += (work - s.work) / workFollow
 }
 
-// paceBy takes in a server's report.
-func (c *Core) paceBy(s *server, load int) {
-	if float64(load) < crowdedAt*float64(max(s.info.Slots, 1)) {
-		if s.pace /= 2; s.pace < leastPace {
-			s.pace = 0
+// paceBy takes in what a server reported with an answer.
+func (c *Core) paceBy(now time.Time, s *server, t *Ticket) {
+	if t.Job.Server == "" || s.toldAt.Before(t.at) {
+		return
+	}
+	if float64(s.told) < crowdedAt*float64(max(s.info.Slots, 1)) {
+		if sp := s.spaced.find(now, t.key); sp != nil {
+			if sp.pause /= 2; sp.pause < leastPace {
+				sp.pause = 0
+			}
 		}
 		return
 	}
@@ -71,13 +151,14 @@
 		return
 	}
 	even := c.evenPace(s)
-	s.pace = min(max(2*s.pace, time.Duration(firstPace*float64(even))), even)
+	sp := s.spaced.open(now, t.key, t.at)
+	sp.pause = min(max(2*sp.pause, time.Duration(firstPace*float64(even))), even)
 }
 
 // paceOut takes in that a server turned a request away, or broke its connection: some
 // reset what they have no room for.
-func (c *Core) paceOut(s *server) {
-	if c.many(s) {
-		s.pace = c.evenPace(s)
+func (c *Core) paceOut(now time.Time, s *server, t *Ticket) {
+	if t.Job.Server != "" && c.many(s) {
+		s.spaced.open(now, t.key, t.at).pause = c.evenPace(s)
 	}
 }
--- a/internal/load/gate/rethink.go
+++ b/internal/load/gate/rethink.go
@@ -40,8 +40,8 @@
 			continue
 		}
 		c.thinkAt = now.Add(rethinkEvery)
-		if s.own.by[sizes.Long].q.Len() > 0 || s.pace > 0 {
-			c.dispatch(now, s) // the token may have come, or the pause is over
+		if s.own.by[sizes.Long].q.Len() > 0 {
+			c.dispatch(now, s) // the token may have come
 		}
 		for k := range s.own.by {
 			c.shed(now, &s.own.by[k], s, sizes.Kind(k))
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -39,8 +39,7 @@
 	turn    turn
 	own     *lanes        // requests for the keys it owns
 	work    time.Duration // of one request, without the wait for others
-	pace    time.Duration // pause between two requests for its keys while others crowd it
-	paceAt  time.Time     // the next one may start
+	spaced  spacings      // its keys for which others crowd it
 	usedAt  time.Time     // a request was last sent there
 	endedTo time.Time     // its address answered for another server; not chosen until then
 	asks    asks          // of requests that are held
@@ -71,7 +70,7 @@
 	if s.kind == sizes.Short {
 		running -= s.long
 	}
-	return !s.gone && running < s.most(now) && s.running < s.pool.Most(now) && !now.Before(s.paceAt)
+	return !s.gone && running < s.most(now) && s.running < s.pool.Most(now)
 }
 
 // room reports whether a request that may go anywhere may go here.
@@ -92,7 +91,6 @@
 	}
 	s.health.Sent(now, expect)
 	s.pool.Use(now)
-	s.paceAt = now.Add(s.pace)
 }
 
 // learn takes in what became of an attempt.
@@ -117,12 +115,12 @@
 		s.health.Gone()
 	case o.Refused:
 		s.fault = kinds.Busy
-		c.paceOut(s)
+		c.paceOut(now, s, t)
 		c.learnRefused(now, s, t, took)
 	case o.Kind == kinds.None:
 		c.learnAnswer(now, s, t, took)
 	default:
-		c.paceOut(s)
+		c.paceOut(now, s, t)
 		s.fault = kinds.NoServer
 		s.load.Observe(now, took, true)
 		s.health.Done(now, 0, true)
@@ -144,7 +142,8 @@
 
 func (c *Core) learnAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
 	typical := c.typical(t.long).Seconds()
-	s.learnWork(now, took)
+	s.learnWork(t, took)
+	c.paceBy(now, s, t)
 	c.seen[t.long]++
 	c.mix.Observe(t.Job.Size, uint8(t.Job.Class), took)
 	s.limit[t.long].Observe(now, took)
@@ -223,7 +222,6 @@
 	c.rouse(now)
 	if s := c.byName[name]; s != nil {
 		s.told, s.toldAt = load, now.Add(-age)
-		c.paceBy(s, load)
 		s.load.Report(now, load, age, c.typical(sizes.Short))
 		s.limit[s.kind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
