gate: a hot key is spaced at its next owner too

Callers of a hot key got 502, connection reset, in each moment in which it moved: all VMs asked its next owner at once, which resets what it has no room for.

Cause: what a VM had learnt of the key was kept with its owner.

Evidence: 195 VMs, a hot key for a second at one owner, then at another: 191 turned away by the second, 0 to 19 allowed now (TestAHotKeyIsSpacedAtItsNextOwner fails on the code before).

--- a/internal/load/gate/cool_test.go
+++ b/internal/load/gate/cool_test.go
@@ -26,14 +26,23 @@
 	calm []*asked
 }
 
+// settle lets time pass until the owner has answered all that it has.
+func (h *heat) settle() {
+	for len(h.running)+len(h.queue) > 0 {
+		h.step()
+	}
+}
+
 type asked struct {
 	at time.Time
 	tk *Ticket
 }
 
-func (h *heat) ask(c *Core, key ident.Key) *asked {
+func (h *heat) ask(c *Core, key ident.Key) *asked { return h.askAt(c, key, "s") }
+
+func (h *heat) askAt(c *Core, key ident.Key, owner ident.Server) *asked {
 	a := &asked{at: h.now}
-	a.tk = &Ticket{Job: Job{Key: key, Server: "s", Idempotent: true, Deadline: h.now.Add(6 * time.Second)}, wake: make(chan struct{}, 1)}
+	a.tk = &Ticket{Job: Job{Key: key, Server: owner, Idempotent: true, Deadline: h.now.Add(6 * time.Second)}, wake: make(chan struct{}, 1)}
 	if c.Offer(h.now, a.tk) == Start {
 		h.arrive(c, a.tk)
 	}
@@ -116,3 +125,22 @@
 		assert.Check(t, h.served > most*95/100, "served %d of %d, one asked for each %d ms", h.served, most, every)
 	}
 }
+
+// Guards against an owner overrun by all VMs at once because a hot key has moved to it.
+func TestAHotKeyIsSpacedAtItsNextOwner(t *testing.T) {
+	h := newHeat()
+	ask := func(owner ident.Server) (over int) {
+		for ms := range 1000 {
+			if ms%hotEvery == 0 {
+				h.askAt(h.cores[(ms/hotEvery*7)%fleet], "hot", owner)
+			}
+			h.step()
+		}
+		over, h.over = h.over, 0
+		h.settle()
+		return over
+	}
+	ask("s")
+	over := ask("other")
+	assert.Assert(t, over < fleet/10, "%d turned away by the next owner", over)
+}
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -83,6 +83,7 @@
 	seen    [sizes.Kinds]int // answers of each kind
 	width   [sizes.Kinds]float64
 	holds   holds
+	spaced  spacings                      // keys for which their owner was crowded
 	owner   func(ident.Key) (Place, bool) // nil when owners are not followed
 	askAt   time.Time                     // when a request that is held goes and asks
 	mix     sizes.Mix
@@ -196,7 +197,7 @@
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
 	if owner != nil {
-		if closed := owner.spaced.closed(now, t.key); closed > 0 {
+		if closed := c.spaced.closed(now, t.key); closed > 0 {
 			return c.refuse(t, kinds.Busy, c.hint(closed))
 		}
 	}
@@ -241,7 +242,7 @@
 	}
 	c.sent, c.sentAt = c.recent(now)+1, now
 	s.start(now, t.long, c.expected(t.long))
-	s.spaced.started(now, t.key)
+	c.spaced.started(now, t.key)
 	c.running++
 	c.stats.Started++
 	c.press -= c.press * pressFollow
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -49,8 +49,9 @@
 // opens is when the next request may start.
 func (s *spacing) opens() time.Time { return s.last.Add(s.pause) }
 
-// spacings are those of one server's keys. The zero value is ready to use. Its size
-// grows with the keys for which this VM was turned away lately.
+// spacings are those of a service's keys, whoever owns them: a hot key that moves is as
+// hot at its next owner. The zero value is ready to use. Its size grows with the keys for
+// which this VM was turned away lately.
 type spacings struct {
 	by    map[fair.Flow]*spacing
 	swept time.Time
@@ -140,7 +141,7 @@
 		return
 	}
 	if float64(s.told) < crowdedAt*float64(max(s.info.Slots, 1)) {
-		if sp := s.spaced.find(now, t.key); sp != nil {
+		if sp := c.spaced.find(now, t.key); sp != nil {
 			if sp.pause /= 2; sp.pause < leastPace {
 				sp.pause = 0
 			}
@@ -151,7 +152,7 @@
 		return
 	}
 	even := c.evenPace(s)
-	sp := s.spaced.open(now, t.key, t.at)
+	sp := c.spaced.open(now, t.key, t.at)
 	sp.pause = min(max(2*sp.pause, time.Duration(firstPace*float64(even))), even)
 }
 
@@ -159,6 +160,6 @@
 // reset what they have no room for.
 func (c *Core) paceOut(now time.Time, s *server, t *Ticket) {
 	if t.Job.Server != "" && c.many(s) {
-		s.spaced.open(now, t.key, t.at).pause = c.evenPace(s)
+		c.spaced.open(now, t.key, t.at).pause = c.evenPace(s)
 	}
 }
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -39,7 +39,6 @@
 	turn    turn
 	own     *lanes        // requests for the keys it owns
 	work    time.Duration // of one request, without the wait for others
-	spaced  spacings      // its keys for which others crowd it
 	usedAt  time.Time     // a request was last sent there
 	endedTo time.Time     // its address answered for another server; not chosen until then
 	asks    asks          // of requests that are held
