gate, front: an owner that refuses with room is asked once more

Cause: a request for a key was never sent again after a refusal, since no other server may run it; and its key counted as crowded, so the next request had to wait for its turn among all VMs. Both are right where the owner is full. The refusal says whether it is: it carries how many run there.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -100,7 +100,7 @@
 			asked := time.Now()
 			pass, err = pass.Await(ctx, outcome)
 			x.waited(asked)
-		case outcome.Refused || x.note.Tries > x.rule.Then.Retry:
+		case x.note.Tries > x.rule.Then.Retry:
 			pass.Done(outcome)
 			return failed
 		default:
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -27,6 +27,9 @@
 	if t.Job.Server != "" && t.srv.health.Failing() {
 		return false // there is no other server for this key
 	}
+	if t.Job.Server != "" && o.Refused && !t.srv.hasRoom(t) {
+		return false // it is full, and would refuse the next attempt as well
+	}
 	ok := c.budget.May(retry.Try{
 		Kind:       o.Kind,
 		Refused:    o.Refused,
@@ -41,6 +44,10 @@
 	return ok
 }
 
+// hasRoom reports whether the server said, since the request was sent, that fewer run
+// there than it has slots. One that refuses all the same may take the next attempt.
+func (s *server) hasRoom(t *Ticket) bool { return !s.toldAt.Before(t.at) && s.told < s.info.Slots }
+
 // Hedge starts a second attempt of an idempotent request if another server has
 // room now, nobody waits, and the budget allows.
 func (c *Core) Hedge(now time.Time, t *Ticket) bool {
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -114,7 +114,9 @@
 		s.health.Gone()
 	case o.Refused:
 		s.fault = kinds.Busy
-		c.paceOut(now, s, t)
+		if !s.hasRoom(t) {
+			c.paceOut(now, s, t)
+		}
 		c.learnRefused(now, s, t, took)
 	case o.Kind == kinds.None:
 		c.learnAnswer(now, s, t, took)
