front: callers come back soon to a server that refused with room

A caller whose request a server refused, although it had a free slot, was told to come back after a second: with 460 ms of work its answer then misses an aim of 1.5 s.

Cause: a server's refusal had one Retry-After for all, that of a full server.

Now it is 100 ms where the server's own word says that a slot is free (TestCallersComeBackSoonToAServerWithRoom, failing before: 1 s). A full server's stays a second.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -255,6 +255,15 @@
 	return errors.As(err, &fail) && (!fail.Sent || fail.Refused)
 }
 
+// soon is when to come back to a server that had a free slot as it refused.
+const soon = 100 * time.Millisecond
+
+// roomy reports whether the server that refused the request said that it has a free slot.
+func (x *exchange) roomy(err error) bool {
+	var fail *relay.Failure
+	return errors.As(err, &fail) && fail.Refused && x.told && x.running+x.waiting < x.svc.Gate.Look(x.note.Server).Slots
+}
+
 // refuse answers with the kind's row and returns the status.
 func (x *exchange) refuse(err error) int {
 	k := kinds.Of(err)
@@ -263,6 +272,9 @@
 	if hint := gate.RetryAfter(err); hint > 0 {
 		after = hint
 	}
+	if x.roomy(err) {
+		after = soon
+	}
 	h := x.w.Header()
 	if x.f.Names.Ran != "" {
 		h.Set(x.f.Names.Ran, string(x.note.Ran))
--- a/internal/edge/front/grey_test.go
+++ b/internal/edge/front/grey_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// Guards against callers sent away for a second by a server that can take them at once.
+func TestCallersComeBackSoonToAServerWithRoom(t *testing.T) {
+	for running, after := range map[int]time.Duration{1: soon, 2: kinds.Busy.Answer().Retry} {
+		run(t, func(t *testing.T, w *world) {
+			w.refuser(running)
+			w.front.After = time.Duration.String
+			r, _, err := w.do(w.request("GET", "/scales/north", nil))
+			assert.NilError(t, err)
+			assert.Equal(t, r.StatusCode, http.StatusTooManyRequests)
+			assert.Equal(t, r.Header.Get("Retry-After"), after.String())
+		})
+	}
+}
--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -91,7 +91,7 @@
 // Look returns what decides about requests for a server, see [Gate.Look].
 func (c *Core) Look(now time.Time, name ident.Server) Sight {
 	if s := c.byName[name]; s != nil {
-		v := Sight{Running: s.running, Most: s.most(now)}
+		v := Sight{Running: s.running, Most: s.most(now), Slots: s.info.Slots}
 		if s.own != nil {
 			v.Waiting = s.own.len()
 		}
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -188,6 +188,7 @@
 	Load    int           // the server's last word on requests running and waiting there
 	Age     time.Duration // of that word; zero if there was none
 	Far     bool          // it is in another data centre
+	Slots   int           // requests that it works on at once
 }
 
 // Look returns what decides about requests for a server's keys now, or, for the empty
