--- a/internal/edge/host/thin_test.go
+++ b/internal/edge/host/thin_test.go
@@ -1,18 +1,12 @@
 package host
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,124 +16,8 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/query"
-	"hawthornfield.org/hawthornfield/internal/owner/lead"
-	"hawthornfield.org/hawthornfield/internal/owner/stripe"
 )
 
-// link is a network link with a rate that all connections share. It counts what leaves.
-type link struct {
-	net.Listener
-	rate float64 // bytes a second
-
-	mu   sync.Mutex
-	free time.Time // all that was written before has left by then
-	sent int
-}
-
-const (
-	// packet is how much one connection sends before the next has its turn, in bytes.
-	packet = 1500
-	// wakeup is by how much a sleep may last too long without the link losing its rate.
-	wakeup = 50 * time.Millisecond
-)
-
-// pass waits until a packet has left.
-func (l *link) pass(n int) {
-	l.mu.Lock()
-	now := time.Now()
-	if l.free.Before(now.Add(-wakeup)) {
-		l.free = now
-	}
-	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
-	l.sent += n
-	left := l.free
-	l.mu.Unlock()
-	time.Sleep(time.Until(left))
-}
-
-func (l *link) bytes() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sent
-}
-
-func (l *link) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return pacedConn{c, l}, err
-}
-
-type pacedConn struct {
-	net.Conn
-	link *link
-}
-
-func (c pacedConn) Write(b []byte) (int, error) {
-	sent := 0
-	for len(b) > 0 {
-		n := min(len(b), packet)
-		c.link.pass(n)
-		n, err := c.Conn.Write(b[:n])
-		sent += n
-		if err != nil {
-			return sent, err
-		}
-		b = b[n:]
-	}
-	return sent, nil
-}
-
-// thin is a VM that leads and does nothing else, behind a link with a rate.
-type thin struct {
-	*query.Board
-	link  *link
-	seq   uint64
-	asked atomic.Int64 // questions
-}
-
-const thinEpoch = 7
-
-// lead lets a VM behind such a link hold the lead.
-func (w *world) lead(rate float64) *thin {
-	at := free(w.t)
-	l, err := net.Listen("tcp", at.String())
-	assert.NilError(w.t, err)
-	board := query.NewBoard("leader", "leader-1")
-	lease := lead.Lease{Epoch: thinEpoch, Holder: "leader", Life: "leader-1", Addr: at}
-	board.SetLease(lease, true)
-	th := &thin{Board: board, link: &link{Listener: l, rate: rate}}
-	web := &http.Server{Handler: board.Handler(func(*query.Ask) { th.asked.Add(1) })}
-	var g group.Group
-	g.Go(func(context.Context) error { _ = web.Serve(th.link); return nil })
-	w.t.Cleanup(func() {
-		_ = web.Close()
-		_ = g.Close()
-	})
-	w.store.write("own/"+leaseName, lease)
-	return th
-}
-
-// move gives all keys of a service to a server, in a change of its own.
-func (th *thin) move(to ident.Server) uint64 {
-	th.seq++
-	th.Publish("lookup", query.Change{
-		Epoch: thinEpoch, Seq: th.seq, Full: th.seq == 1,
-		Spans: []stripe.Served{{Span: stripe.Span{First: 0, Last: stripe.Keys - 1}, Server: to}},
-	})
-	return th.seq
-}
-
-// moved reports whether VM i knows of a change of owners.
-func (w *world) moved(i int, seq uint64) func() bool {
-	return func() bool {
-		svc, ok := w.vms[i].d.p.State.Service("lookup")
-		if !ok {
-			return false
-		}
-		view, _ := svc.Finder().(*stripe.View)
-		return view != nil && view.Seq == seq
-	}
-}
-
 // newRev is above what the store of a test gives out.
 const newRev = 1 << 20
 
@@ -181,14 +59,7 @@
 // VM believes that its leader is gone.
 func TestNewsGoOnWhileManyRulesArrive(t *testing.T) {
 	w := newWorld(t, 1)
-	var log bytes.Buffer
-	w.log = slog.New(slog.NewTextHandler(&log, nil))
-	w.rules("/lookup/")
-	w.serve("lookup", "l1")
-	leader := w.lead(250_000)
-	leader.move("l1")
-	h := w.start(0)
-	w.within(patient, "ready", w.ready(0))
+	leader, h := w.follower(250_000)
 	w.ways[0].bar(true)
 	time.Sleep(query.Wait) // questions from before
 
@@ -205,7 +76,7 @@
 	}
 	assert.Assert(t, came > 0 && came < inForce, "rules in force after %v", came)
 	assert.NilError(t, h.Close())
-	assert.Assert(t, !strings.Contains(log.String(), "leader lost"), "%s", log.String())
+	assert.Assert(t, !strings.Contains(w.text.String(), "leader lost"), "%s", w.text.String())
 }
 
 // An operator adds routes, the store turns many VMs away, and all of them ask the leader
@@ -253,14 +124,7 @@
 // rules from there and asks nobody, or each change would travel twice.
 func TestRulesThatTheStoreBringsAreNotFetched(t *testing.T) {
 	w := newWorld(t, 1)
-	var log bytes.Buffer
-	w.log = slog.New(slog.NewTextHandler(&log, nil))
-	w.rules("/lookup/")
-	w.serve("lookup", "l1")
-	leader := w.lead(1_000_000)
-	leader.move("l1")
-	h := w.start(0)
-	w.within(patient, "ready", w.ready(0))
+	leader, h := w.follower(1_000_000)
 	w.store.mu.Lock()
 	next := w.store.rev + 1
 	w.store.mu.Unlock()
@@ -273,7 +137,7 @@
 	})
 	time.Sleep(2 * headStart)
 	assert.NilError(t, h.Close())
-	assert.Assert(t, !strings.Contains(log.String(), "rules fetched"), "%s", log.String())
+	assert.Assert(t, !strings.Contains(w.text.String(), "rules fetched"), "%s", w.text.String())
 }
 
 // The leader changes, and tells each VM all servers: 0.16 MB over what its link leaves
@@ -283,14 +147,7 @@
 // is there: all VMs are then told everything once more.
 func TestALargeAnswerIsNoSilence(t *testing.T) {
 	w := newWorld(t, 1)
-	var log bytes.Buffer
-	w.log = slog.New(slog.NewTextHandler(&log, nil))
-	w.rules("/lookup/")
-	w.serve("lookup", "l1")
-	leader := w.lead(70_000)
-	leader.move("l1")
-	h := w.start(0)
-	w.within(patient, "ready", w.ready(0))
+	leader, h := w.follower(70_000)
 
 	list := query.ServerList{Rev: newRev}
 	for i := range 1400 {
@@ -313,7 +170,7 @@
 	w.within(time.Second, "the next change of owners is known", w.moved(0, seq))
 	assert.Equal(t, w.leads(), -1)
 	assert.NilError(t, h.Close())
-	assert.Assert(t, !strings.Contains(log.String(), "leader lost"), "%s", log.String())
+	assert.Assert(t, !strings.Contains(w.text.String(), "leader lost"), "%s", w.text.String())
 }
 
 // The operator's rules cannot be put in force by this VM, for example because they are
@@ -322,14 +179,7 @@
 // that has other VMs to answer.
 func TestRulesThatCannotBeReadAreFetchedOnce(t *testing.T) {
 	w := newWorld(t, 1)
-	var log bytes.Buffer
-	w.log = slog.New(slog.NewTextHandler(&log, nil))
-	w.rules("/lookup/")
-	w.serve("lookup", "l1")
-	leader := w.lead(1_000_000)
-	leader.move("l1")
-	h := w.start(0)
-	w.within(patient, "ready", w.ready(0))
+	leader, h := w.follower(1_000_000)
 	w.ways[0].bar(true)
 	leader.SetRules(query.Raw{Rev: newRev, Data: []byte(`"for a later version"`)})
 	w.within(patient, "the newest revision is known", func() bool {
@@ -341,6 +191,6 @@
 	asked = leader.asked.Load() - asked
 	assert.Assert(t, asked <= int64(while/query.Wait)+1, "%d questions in %v", asked, while)
 	assert.NilError(t, h.Close())
-	assert.Equal(t, strings.Count(log.String(), "rules fetched"), 1, "%s", log.String())
-	assert.Equal(t, strings.Count(log.String(), "rules refused"), 1, "%s", log.String())
+	assert.Equal(t, strings.Count(w.text.String(), "rules fetched"), 1, "%s", w.text.String())
+	assert.Equal(t, strings.Count(w.text.String(), "rules refused"), 1, "%s", w.text.String())
 }
--- a/internal/edge/host/world_test.go
+++ b/internal/edge/host/world_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -245,6 +246,7 @@
 	// decoders are those of VMs of other versions.
 	decoders map[int]feed.Platform
 	log      *slog.Logger // of the VMs
+	text     bytes.Buffer // what they log, where a test reads it
 }
 
 // Grant gives keys to the server at an address.
