--- a/internal/load/gate/grey_test.go
+++ b/internal/load/gate/grey_test.go
@@ -11,16 +11,15 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
-// askGrey asks owners that refuse a part of their requests and say that so many run
-// there, and sends again what the gate lets through. It returns how many were served and
-// how many attempts that took.
-func askGrey(load int) (served, sent int) {
+// askGrey asks owners of which a part of all attempts ends so, and sends again what the
+// gate lets through. An owner says that so many run there as it refuses, and nothing as it
+// breaks off. It returns how many were served and how many attempts that took.
+func askGrey(ends Outcome, load int) (served, sent int) {
 	const (
-		requests = 2000
 		greyPart = 0.45
 		owners   = 100
 	)
-	c := NewCore(Config{Seed: 1, Extra: Extra{Share: 0.16, Burst: 340}})
+	c := NewCore(Config{Seed: 1, Extra: Extra{Share: greyShare, Burst: greyBurst * fleet}})
 	now := time.Unix(1000, 0)
 	var list []ServerInfo
 	for i := range owners {
@@ -29,9 +28,9 @@
 	c.SetServers(now, list)
 	c.SetShare(now, fleet, 0)
 	rng := rand.New(rand.NewPCG(1, 1))
-	for i := range requests {
+	for i := range greyRequests {
 		now = now.Add(100 * time.Millisecond)
-		job := Job{Key: ident.Key(rune(i)), Server: list[i%owners].Name, Deadline: now.Add(6 * time.Second)}
+		job := Job{Key: ident.Key(rune(i)), Server: list[i%owners].Name, Idempotent: true, Deadline: now.Add(6 * time.Second)}
 		for again := true; again; {
 			tk := &Ticket{Job: job}
 			if c.Offer(now, tk) != Start {
@@ -40,13 +39,15 @@
 			sent++
 			o := Outcome{Latency: 400 * time.Millisecond}
 			if rng.Float64() < greyPart {
-				o = Outcome{Kind: kinds.Busy, Refused: true}
+				o = ends
 			}
 			now = now.Add(time.Millisecond)
-			c.Report(now, tk.Server(), load, 0)
-			again = o.Refused && c.MayRetry(now, tk, o)
+			if o.Kind == kinds.None || o.Refused {
+				c.Report(now, tk.Server(), load, 0)
+			}
+			again = o.Kind != kinds.None && c.MayRetry(now, tk, o)
 			c.Done(now, tk, o)
-			if !o.Refused {
+			if o.Kind == kinds.None {
 				served++
 			}
 			job = job.Again(tk.Server())
@@ -56,12 +57,25 @@
 	return served, sent
 }
 
+const (
+	greyRequests = 2000
+	greyShare    = 0.16          // of the requests may be sent again
+	greyBurst    = 340.0 / fleet // and so many beside
+)
+
 // Guards against callers refused for good by an owner that has room and refuses now and then.
 func TestAnOwnerThatRefusesWithRoomIsAskedAgain(t *testing.T) {
-	const requests, share, burst = 2000, 0.16, 340.0 / fleet
-	served, sent := askGrey(1)
-	assert.Check(t, served > requests*60/100, "served %d of %d", served, requests)
-	assert.Check(t, float64(sent) <= requests*(1+share)+burst, "%d attempts", sent)
-	_, sent = askGrey(20)
-	assert.Check(t, sent <= requests, "%d attempts at owners that are full", sent)
+	full := Outcome{Kind: kinds.Busy, Refused: true}
+	served, sent := askGrey(full, 1)
+	assert.Check(t, served > greyRequests*60/100, "served %d of %d", served, greyRequests)
+	assert.Check(t, float64(sent) <= greyRequests*(1+greyShare)+greyBurst, "%d attempts", sent)
+	_, sent = askGrey(full, 20)
+	assert.Check(t, sent <= greyRequests, "%d attempts at owners that are full", sent)
+}
+
+// Guards against lookups that fail because their own broken connection made their key look hot.
+func TestALookupThatAnOwnerBrokeOffIsAskedAgain(t *testing.T) {
+	served, sent := askGrey(Outcome{Kind: kinds.Unknown}, 1)
+	assert.Check(t, served > greyRequests*60/100, "served %d of %d", served, greyRequests)
+	assert.Check(t, float64(sent) <= greyRequests*(1+greyShare)+greyBurst, "%d attempts", sent)
 }
