--- a/internal/load/gate/again.go
+++ b/internal/load/gate/again.go
@@ -44,8 +44,8 @@
 	return ok
 }
 
-// hasRoom reports whether the server said, since the request was sent, that fewer run
-// there than it has slots. One that refuses all the same may take the next attempt.
+// hasRoom reports whether the server has said, since the request was sent, that it has a
+// free slot.
 func (s *server) hasRoom(t *Ticket) bool { return !s.toldAt.Before(t.at) && s.told < s.info.Slots }
 
 // Hedge starts a second attempt of an idempotent request if another server has
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -196,7 +196,7 @@
 	t.in = ls
 	l := &ls.by[t.long]
 	t.caller, t.key = c.flow(string(t.Job.Caller)), c.flow(string(t.Job.Key))
-	// What one attempt taught of its key does not keep back the next of the same request.
+	// A request's own failed attempt must not delay its retry.
 	if owner != nil && t.Job.avoid != owner.info.Name {
 		if closed := c.spaced.closed(now, t.key); closed > 0 {
 			return c.refuse(t, kinds.Busy, c.hint(closed))
--- a/internal/load/gate/pace.go
+++ b/internal/load/gate/pace.go
@@ -16,8 +16,9 @@
 // part of what the server can do. What does not fit into that is known at once and
 // refused with the time to come back.
 //
-// The owner's other keys are not spaced: each VM asks for one of them now and then, and
-// would find its turn taken by the hot key for as long as all VMs have one each.
+// The owner's other keys are not spaced. With one pause for all keys of an owner the hot
+// key takes each turn, and requests for the others are refused by an owner that could
+// serve them.
 //
 // Grounds: the report comes with each answer, so a VM hears of a crowd after its
 // first request. The pause doubles at each such report and halves at each other one.
@@ -30,7 +31,7 @@
 	firstPace = 0.25
 	// leastPace is a pause that makes no difference any more.
 	leastPace = 5 * time.Millisecond
-	// coolAfter is for how long nobody asks for a key that is not hot any more.
+	// coolAfter is the time without a request for a key after which its pause is dropped.
 	coolAfter = 2 * time.Second
 	// manyVMs is how many VMs for each slot are many: servers queue a few requests for
 	// each slot.
@@ -92,7 +93,8 @@
 	}
 }
 
-// closed is for how long no request for the key may start, as a caller asks for it.
+// closed returns how long it takes until a request for the key may start, and notes that
+// somebody asked for it.
 func (s *spacings) closed(now time.Time, key fair.Flow) time.Duration {
 	sp := s.find(now, key)
 	if sp == nil {
