host: a test that a dropped route is served no more, however many there are

Cause: the fault that mended, seen from its other side: VMs refused more than 4,096 rules and kept the version before. Ruled out by their logs: lateness; the last of 69 VMs has 4,218 routes at most 1.9 s after it hears of them.

The test fails when the check for authors is put back (not dropped in 20 s).

--- a/internal/edge/host/book_test.go
+++ b/internal/edge/host/book_test.go
@@ -53,6 +53,21 @@
 	assert.NilError(t, h.Close())
 }
 
+// Guards against dropped routes that are served on because the version without them is refused.
+func TestARouteThatWasDroppedIsNotServedHoweverManyThereAre(t *testing.T) {
+	w := newWorld(t, 1)
+	before := grown(10)
+	before.List = append(before.List, match.Rule{Name: "dropped", When: match.When{Prefix: "/dropped/"}, Then: match.Then{Service: "ledger"}})
+	w.store.write("config/main", before)
+	w.serve("ledger", "r1")
+	h := w.start(0)
+	status := func() int { s, _ := w.get(0, "/dropped/1", ""); return s }
+	w.within(patient, "served", func() bool { return status() == http.StatusOK })
+	w.store.write("config/main", grown(manyRules))
+	w.within(patient, "dropped", func() bool { return status() == http.StatusNotFound })
+	assert.NilError(t, h.Close())
+}
+
 // A VM is replaced after the operator has added many rules. It knows none before, so it
 // keeps none: it turns every caller away, and nobody can say until when.
 func TestAVMThatStartsWithManyRulesServes(t *testing.T) {
