--- /dev/null
+++ b/internal/load/poison/poison.go
@@ -0,0 +1,124 @@
+// Package poison finds requests that crash the servers that run them, known as queries
+// of death, and keeps them from reaching more.
+//
+// The load pattern: one request ends its server, its caller repeats it, and each attempt,
+// at whichever entry VM, ends another server. A service of ten servers is gone within
+// ten attempts, however few requests that is.
+//
+// A request is identified by what a repeat has in common with it, see [Print]. When a
+// server breaks off under a request, the request is accused. Three accusations by the
+// crashes of different servers quarantine it, unless it was answered in between: a
+// request that crashes servers crashes each of them. An accusation is dropped when its
+// server turns out to be alive, since connections also break for other reasons.
+//
+//	t := poison.NewTable()
+//	t.Accuse(now, print, "server-1")
+//	if left := t.Barred(now, print); left > 0 {
+//		// refuse it, and say when to come back
+//	}
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"io"
+	"sync"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+const part = 8 // bytes of each half of a print
+
+// Head is the digest of all of a request but its body.
+type Head [part]byte
+
+// Body is the digest of a request's body.
+type Body [part]byte
+
+// Print identifies a request over all its attempts: the same method, host, path and
+// query, caller and body. Ids and deadlines differ between attempts and are no part of it.
+type Print [2 * part]byte
+
+// HeadOf returns the digest of a request line and its caller.
+func HeadOf(method, host, uri, caller string) Head {
+	h := sha256.New()
+	var size [8]byte
+	for _, s := range []string{method, host, uri, caller} {
+		// The length keeps two fields apart: "ab", "c" is not "a", "bc".
+		binary.BigEndian.PutUint64(size[:], uint64(len(s)))
+		_, _ = h.Write(size[:]) // a hash takes everything
+		_, _ = io.WriteString(h, s)
+	}
+	return Head(h.Sum(nil)[:part])
+}
+
+// BodyOf returns the digest of a whole body.
+func BodyOf(b []byte) Body {
+	sum := sha256.Sum256(b)
+	return Body(sum[:part])
+}
+
+// LengthOf stands for a body of which only the length is known before it is sent.
+func LengthOf(n int64) Body {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(n))
+	return BodyOf(b[:])
+}
+
+// With returns the print of a request with a body.
+func (h Head) With(b Body) Print {
+	var p Print
+	copy(p[:part], h[:])
+	copy(p[part:], b[:])
+	return p
+}
+
+// Head returns the half that does not depend on the body.
+func (p Print) Head() Head { return Head(p[:part]) }
+
+// String renders the print for logs.
+func (p Print) String() string { return hex.EncodeToString(p[:]) }
+
+// MarshalText renders what UnmarshalText reads.
+func (p Print) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText reads a print. Anything else is Malformed.
+func (p *Print) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil || len(b) != len(p) {
+		return kinds.New(kinds.Malformed, "print of a request")
+	}
+	*p = Print(b)
+	return nil
+}
+
+// Digest is an [io.Reader] that takes the digest of a body as it is read. Body may be
+// called while another goroutine still reads.
+type Digest struct {
+	from io.Reader
+	mu   sync.Mutex
+	sum  hash.Hash
+	done bool
+}
+
+// NewDigest returns a reader of a body.
+func NewDigest(from io.Reader) *Digest { return &Digest{from: from, sum: sha256.New()} }
+
+// Read reads on.
+func (d *Digest) Read(p []byte) (int, error) {
+	n, err := d.from.Read(p)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, _ = d.sum.Write(p[:n])
+	d.done = d.done || err == io.EOF //nolint:errorlint // readers return it bare
+	return n, err
+}
+
+// Body returns the digest, and false before the body was read to its end.
+func (d *Digest) Body() (Body, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Body(d.sum.Sum(nil)[:part]), d.done
+}
--- /dev/null
+++ b/internal/load/poison/poison_test.go
@@ -0,0 +1,232 @@
+package poison
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+var (
+	t0     = time.Unix(1000, 0)
+	killer = HeadOf("GET", "a.example", "/look/1", "10.0.0.1").With(BodyOf(nil))
+	other  = HeadOf("GET", "a.example", "/look/2", "10.0.0.1").With(BodyOf(nil))
+)
+
+func listed(all map[ident.Server]Life) func(ident.Server) Life {
+	return func(s ident.Server) Life { return all[s] }
+}
+
+// Guards against requests that share a field's text but not the field.
+func TestPrintsTellRequestsApart(t *testing.T) {
+	seen := map[Print]bool{}
+	for _, h := range []Head{
+		HeadOf("GET", "a", "/b", "c"), HeadOf("GET", "a/", "b", "c"), HeadOf("POST", "a", "/b", "c"), HeadOf("GET", "a", "/b", "d"),
+	} {
+		for _, b := range []Body{BodyOf(nil), BodyOf([]byte("x")), LengthOf(1), LengthOf(2)} {
+			assert.Assert(t, !seen[h.With(b)])
+			seen[h.With(b)] = true
+			assert.Equal(t, h.With(b).Head(), h)
+		}
+	}
+}
+
+func TestAPrintIsReadAsItIsWritten(t *testing.T) {
+	text, err := killer.MarshalText()
+	assert.NilError(t, err)
+	var got Print
+	assert.NilError(t, got.UnmarshalText(text))
+	assert.Equal(t, got, killer)
+	assert.ErrorContains(t, got.UnmarshalText([]byte("00")), "malformed")
+}
+
+func TestADigestOfAStreamIsThatOfTheWholeBody(t *testing.T) {
+	d := NewDigest(strings.NewReader("body"))
+	_, whole := d.Body()
+	assert.Assert(t, !whole)
+	_, err := io.Copy(io.Discard, d)
+	assert.NilError(t, err)
+	got, whole := d.Body()
+	assert.Assert(t, whole)
+	assert.Equal(t, got, BodyOf([]byte("body")))
+}
+
+// Guards against a query of death that reaches server after server.
+func TestThreeCrashesQuarantineARequest(t *testing.T) {
+	tab := NewTable()
+	for i, s := range []ident.Server{"s1", "s2", "s2", "s3"} {
+		assert.Equal(t, tab.Barred(t0, killer), time.Duration(0), "crash %d", i)
+		tab.Accuse(t0.Add(time.Duration(i)*time.Second), killer, s)
+	}
+	assert.Assert(t, tab.Barred(t0.Add(4*time.Second), killer) > 9*time.Minute)
+	assert.Equal(t, tab.Barred(t0, other), time.Duration(0))
+	assert.Assert(t, tab.Knows(killer.Head()) && !tab.Knows(other.Head()))
+}
+
+// Guards against quarantine for requests whose connections broke while their servers lived.
+func TestServersThatLiveWithdrawTheirAccusations(t *testing.T) {
+	tab := NewTable()
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
+		tab.Accuse(t0, killer, s)
+	}
+	life := listed(map[ident.Server]Life{"s1": Gone, "s2": Alive, "s3": Unknown})
+	tab.Settle(t0.Add(time.Second), life)
+	assert.Equal(t, tab.Crashes(killer), 3)
+	tab.Settle(t0.Add(settle), life)
+	assert.Equal(t, tab.Crashes(killer), 2)
+	tab.Settle(t0.Add(settle+time.Second), listed(map[ident.Server]Life{"s1": Alive, "s3": Alive}))
+	assert.Equal(t, tab.Crashes(killer), 1, "a crash that was seen to be one is not withdrawn")
+}
+
+// Guards against quarantine for a harmless request that ran where others crashed servers.
+func TestAnAnswerClearsARequest(t *testing.T) {
+	tab := NewTable()
+	tab.Accuse(t0, killer, "s1")
+	tab.Accuse(t0, killer, "s2")
+	tab.Clear(t0.Add(time.Second), killer)
+	tab.Accuse(t0.Add(2*time.Second), killer, "s3")
+	assert.Equal(t, tab.Crashes(killer), 1)
+	tab.Hear(t0.Add(3*time.Second), []Report{{Print: killer, Server: "s4", Ago: 2500 * time.Millisecond}})
+	assert.Equal(t, tab.Crashes(killer), 1, "a crash before the answer counts no more")
+}
+
+// Guards against a request that is barred for good although its servers were mended.
+func TestAQuarantineEndsAndOneMoreCrashBeginsALongerOne(t *testing.T) {
+	tab := NewTable()
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
+		tab.Accuse(t0, killer, s)
+	}
+	later := t0.Add(holds[0])
+	assert.Equal(t, tab.Barred(later, killer), time.Duration(0))
+	tab.Accuse(later, killer, "s4")
+	assert.Equal(t, tab.Barred(later, killer), holds[1])
+	tab.Settle(later.Add(holds[1]+memory), listed(nil))
+	assert.Equal(t, tab.Len(), 0)
+}
+
+// Guards against a quarantine for harmless requests that a killer took along three times.
+func TestARequestThatRanBesideAKillerIsFreeAgain(t *testing.T) {
+	accused := func() *Table {
+		tab := NewTable()
+		for _, s := range []ident.Server{"s1", "s2", "s3"} {
+			tab.Accuse(t0, killer, s)
+			tab.Accuse(t0, other, s)
+		}
+		assert.Equal(t, tab.Barred(t0, killer), tieHold)
+		assert.Equal(t, tab.Barred(t0, other), tieHold)
+		return tab
+	}
+	tab := accused()
+	tab.Clear(t0.Add(tieHold), other)
+	assert.Equal(t, tab.Barred(t0.Add(tieHold), killer), holds[0]-tieHold, "the answer of one tells on the other")
+
+	tab = accused()
+	tab.Accuse(t0.Add(tieHold), killer, "s4")
+	assert.Equal(t, tab.Barred(t0.Add(tieHold), killer), holds[1])
+	assert.Equal(t, tab.Barred(t0.Add(tieHold), other), time.Duration(0))
+
+	for _, s := range []ident.Server{"s4", "s5"} {
+		tab.Accuse(t0.Add(time.Minute), killer, s)
+		tab.Accuse(t0.Add(time.Minute), other, s)
+	}
+	assert.Equal(t, tab.Barred(t0.Add(time.Minute), other), holds[2], "what never was answered is not tried for ever")
+}
+
+// Guards against three crashes seen by three VMs being three cases.
+func TestCrashesSeenByThreeVMsAreOneCase(t *testing.T) {
+	leader, vms := NewTable(), []*Table{NewTable(), NewTable(), NewTable()}
+	for i, vm := range vms {
+		vm.Accuse(t0, killer, ident.Server("s"+string(rune('1'+i))))
+	}
+	told := uint64(0)
+	for _, vm := range vms {
+		all := vm.Reports(t0, "L1")
+		leader.Hear(t0, all)
+		vm.Told("L1", all)
+		assert.Equal(t, len(vm.Reports(t0, "L1")), 0)
+		assert.Equal(t, len(vm.Reports(t0, "L2")), 1, "a new leader is told again")
+	}
+	for _, vm := range vms {
+		vm.Take(t0, "L1", leader.Since(t0, told))
+		assert.Equal(t, vm.Barred(t0, killer), holds[0])
+	}
+	assert.Equal(t, len(leader.Since(t0, leader.Seq())), 0)
+}
+
+// Guards against a quarantine that all VMs forget as they restart.
+func TestWhatWasKeptIsKnownToTheNextLeader(t *testing.T) {
+	tab := NewTable()
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
+		tab.Accuse(t0, killer, s)
+	}
+	tab.Accuse(t0, other, "s1")
+	next := NewTable()
+	next.Merge(t0.Add(time.Minute), tab.Quarantine(t0.Add(time.Minute)))
+	assert.Equal(t, next.Barred(t0.Add(time.Minute), killer), holds[0]-time.Minute)
+	assert.Equal(t, next.Len(), 1)
+}
+
+// Guards against callers that fill the table with requests of their own.
+func TestTheTableIsBoundedAndKeepsTheGravestCases(t *testing.T) {
+	tab := NewTable()
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
+		tab.Accuse(t0, killer, s)
+	}
+	for i := range 2 * mostCases {
+		p := HeadOf("GET", "a", string(rune(i)), "c").With(BodyOf(nil))
+		tab.Accuse(t0.Add(time.Duration(i)*time.Millisecond), p, "s1")
+	}
+	assert.Equal(t, tab.Len(), mostCases)
+	assert.Assert(t, tab.Barred(t0.Add(time.Second), killer) > 0)
+}
+
+// Whatever VMs see and in whatever order the leader hears it: a request that was never
+// answered, of whose crashes three were proven, is barred at every VM that was told.
+func TestEveryVMKnowsAProvenKiller(t *testing.T) {
+	seeds.Check(t, func(r *rapid.T) {
+		leader, gone := NewTable(), map[ident.Server]Life{}
+		vms := []*Table{NewTable(), NewTable(), NewTable(), NewTable()}
+		seqs, lead := make([]uint64, len(vms)), 1
+		life, now := "L1", t0
+		for range rapid.IntRange(3, 40).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(r, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(vms)-1).Draw(r, "vm")
+			s := ident.Server("s" + string(rune('a'+rapid.IntRange(0, 5).Draw(r, "server"))))
+			switch rapid.IntRange(0, 4).Draw(r, "what") {
+			case 0, 1:
+				vms[i].Accuse(now, killer, s)
+				gone[s] = Gone
+			case 2:
+				all := vms[i].Reports(now, life)
+				leader.Hear(now, all)
+				vms[i].Told(life, all)
+				vms[i].Take(now, life, leader.Since(now, seqs[i]))
+				seqs[i] = leader.Seq()
+			case 3:
+				leader.Settle(now, listed(gone))
+				vms[i].Settle(now, listed(gone))
+			case 4: // another VM leads, with what it knows, and starts anew as a follower
+				lead++
+				life = "L" + strconv.Itoa(lead)
+				leader, vms[i], seqs = vms[i], NewTable(), make([]uint64, len(vms))
+			}
+		}
+		for i, vm := range vms {
+			all := vm.Reports(now, "last")
+			leader.Hear(now, all)
+			vm.Told("last", all)
+			seqs[i] = 0
+		}
+		for _, vm := range vms {
+			vm.Take(now, "last", leader.Since(now, 0))
+			assert.Equal(r, vm.Barred(now, killer) > 0, leader.Crashes(killer) >= Enough && leader.Barred(now, killer) > 0)
+		}
+	})
+}
