front, host: a request that crashed three servers reaches no more

Cause: nothing on a VM outlasted an attempt, and VMs told each other nothing of failed ones.

VMs report it with their questions to the leader, whose answers tell all of them; a quarantined request is refused at once, also one that waited, 503 harmful with the rest of the quarantine as Retry-After. What is quarantined is kept in the store for the leader after a restart of all VMs, listed and lifted at /quarantine of the metrics address. We send a request no second time under which two servers have broken off. A decision's print names a request over its repeats.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -64,6 +64,7 @@
 	Age     time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`       // of that word
 	Bytes   int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // of the bodies, both ways
 	Tries   int            `cbor:"tries,omitempty" json:"tries,omitempty"`
+	Print   string         `cbor:"print,omitempty" json:"print,omitempty"` // of a request under which a server broke off, the same for each repeat
 	// Of a refusal: how many requests of this VM ran and waited where it was to go, and
 	// how many may run there.
 	Busy  int       `cbor:"busy,omitempty" json:"busy,omitempty"`
@@ -78,7 +79,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 func (d *Decision) attrs() []slog.Attr {
-	all := make([]slog.Attr, 0, 29)
+	all := make([]slog.Attr, 0, 30)
 	text := func(name, v string) {
 		if v != "" {
 			all = append(all, slog.String(name, v))
@@ -128,6 +129,7 @@
 	span("age", d.Age)
 	number("bytes", uint64(max(d.Bytes, 0)))
 	number("tries", uint64(max(d.Tries, 0)))
+	text("print", d.Print)
 	number("busy", uint64(max(d.Busy, 0)))
 	number("most", uint64(max(d.Most, 0)))
 	number("queue", uint64(max(d.Queue, 0)))
--- a/internal/core/kinds/kinds.go
+++ b/internal/core/kinds/kinds.go
@@ -34,6 +34,7 @@
 	NoOwner                // the key has no live owner now
 	NoServer               // the service has no usable backend server
 	Misrouted              // the backend server said it is not the owner and ran nothing
+	Harmful                // the request has crashed the servers that ran it
 	Undurable              // the rule demands a durable record and none can be written now
 	Repeated               // an earlier submission with this id exists, its answer is not known
 	Closing                // this VM is shutting down
@@ -95,6 +96,7 @@
 	NoOwner:    {"no_owner", Answer{http.StatusServiceUnavailable, RanNo, "the key has no owner now", time.Second}},
 	NoServer:   {"no_server", Answer{http.StatusServiceUnavailable, RanNo, "no backend server is available", time.Second}},
 	Misrouted:  {"misrouted", Answer{http.StatusServiceUnavailable, RanNo, "the key's owner changed", time.Second}},
+	Harmful:    {"harmful", Answer{http.StatusServiceUnavailable, RanNo, "the request has crashed the servers that ran it", 0}},
 	Undurable:  {"undurable", Answer{http.StatusServiceUnavailable, RanNo, "a durable record cannot be written now", 5 * time.Second}},
 	Repeated:   {"repeated", Answer{http.StatusConflict, RanUnknown, "a submission with this id was already accepted", 0}},
 	Closing:    {"closing", Answer{http.StatusServiceUnavailable, RanNo, "this entry VM is shutting down", time.Second}},
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -10,6 +10,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
 // smallBody is up to where a body is read whole before the request asks for a
@@ -22,6 +23,7 @@
 type body struct {
 	held    []byte
 	stream  io.Reader
+	digest  *poison.Digest // of a stream whose length is not known
 	started bool
 }
 
@@ -38,10 +40,15 @@
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
 	in := &paced{Reader: x.r.Body, rc: http.NewResponseController(x.w), pace: x.f.limits().Slow.Duration}
-	if size < 0 || size > x.f.Hold {
+	if size > x.f.Hold {
 		x.body.stream = in
 		return nil
 	}
+	if size < 0 {
+		x.body.digest = poison.NewDigest(in)
+		x.body.stream = x.body.digest
+		return nil
+	}
 	x.body.held = make([]byte, size)
 	if _, err := io.ReadFull(in, x.body.held); err != nil {
 		return kinds.Wrap(whyUnread(err), err, "read body")
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -51,6 +51,9 @@
 	first  flight
 	racers []*try // attempts of a hedged request
 
+	suspect bool // it is known to the Guard
+	crashes int  // servers that broke off under it, as known when the last one did
+
 	ticket *once.Ticket // the claim on the request id, if the rule demands one
 	named  bool         // the caller itself chose the request id
 }
@@ -139,6 +142,9 @@
 	if err := x.takeBody(); err != nil {
 		return err
 	}
+	if err := x.screen(); err != nil {
+		return err
+	}
 	if err := x.promise(ctx); err != nil {
 		return err
 	}
@@ -275,6 +281,9 @@
 	if x.roomy(err) {
 		after = soon
 	}
+	if left := barredFor(err); left > 0 {
+		after = left
+	}
 	h := x.w.Header()
 	if x.f.Names.Ran != "" {
 		h.Set(x.f.Names.Ran, string(x.note.Ran))
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -176,7 +176,7 @@
 // mayRepeat reports whether the request certainly did not run, or may run
 // twice, and its body can be sent again.
 func (x *exchange) mayRepeat(err error) bool {
-	if x.sent {
+	if x.sent || x.crashes > 1 || barredFor(err) > 0 {
 		return false
 	}
 	if _, again := x.body.reader(); !again {
@@ -275,6 +275,9 @@
 	if !ok {
 		return nil, errSpent
 	}
+	if err := x.barred(); err != nil {
+		return nil, err
+	}
 	if x.flight != nil && !x.flight.departs() {
 		return nil, errMoved
 	}
@@ -332,9 +335,15 @@
 // that nobody waits for its work any more.
 func (x *exchange) failed(pass gate.Pass, err error) gate.Outcome {
 	var fail *relay.Failure
+	if barredFor(err) > 0 {
+		return gate.Cancel() // it says nothing about the server
+	}
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
+	if fail.Broke {
+		x.accuse(pass.Server())
+	}
 	if fail.Sent && !fail.Refused {
 		x.ran = true
 		x.cancel(pass.Server())
@@ -384,5 +393,8 @@
 	if err == nil && answer.Status() >= http.StatusInternalServerError {
 		out.Kind = kinds.Internal
 	}
+	if err == nil {
+		x.acquit()
+	}
 	return out, err
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -71,6 +71,7 @@
 	Claims Claimer
 	Keep   Keeper
 	Cancel Canceler
+	Guard  Guard
 
 	// Identify names the caller; nil takes IdentifyHeader.
 	Identify func(*http.Request) ident.Caller
--- a/internal/edge/host/courier.go
+++ b/internal/edge/host/courier.go
@@ -26,6 +26,7 @@
 
 	life   string // of the leader whose numbers follow
 	seqs   map[ident.Service]uint64
+	cases  uint64           // number up to which it told of requests under suspicion
 	others []netip.AddrPort // where VMs were, as the leader said
 	next   int
 	lost   bool
@@ -41,6 +42,7 @@
 	Fetch  *fetcher
 	State  *state.State
 	Counts *counts
+	Guard  *quarantine
 	Log    *slog.Logger
 }
 
@@ -95,6 +97,7 @@
 	a.Life, a.Seqs = c.life, c.seqs
 	a.Servers = c.p.Fleet.known(time.Now())
 	a.Cells, a.Sums = c.p.Counts.take()
+	a.Reports, a.Cases = c.p.Guard.reports(a.Lease.Life), c.cases
 	return a
 }
 
@@ -130,6 +133,7 @@
 	c.p.Fleet.share(n.Count + 1) // the leader beside them
 	c.meet(n.VMs)
 	c.apply(n)
+	c.p.Guard.told(n.Lease.Life, a.Reports)
 	if !n.Away {
 		c.p.Board.SetTold(n.Begun)
 	}
@@ -210,7 +214,11 @@
 // apply puts newer owners of keys in place.
 func (c *courier) apply(n query.News) {
 	if n.Lease.Life != c.life {
-		c.life, c.seqs = n.Lease.Life, map[ident.Service]uint64{}
+		c.life, c.seqs, c.cases = n.Lease.Life, map[ident.Service]uint64{}, 0
+	}
+	if n.Cases != nil {
+		c.p.Guard.take(c.life, n.Cases.List)
+		c.cases = n.Cases.Seq
 	}
 	for name, change := range n.Changes {
 		svc, ok := c.p.State.Service(name)
--- a/internal/edge/host/doors.go
+++ b/internal/edge/host/doors.go
@@ -47,6 +47,7 @@
 	Gauges  *gauges
 	Fleet   *fleet
 	Book    *book
+	Guard   *quarantine
 	Log     *slog.Logger
 }
 
@@ -58,8 +59,11 @@
 	}
 	d.callers.Web = serve(p.Front.Handler())
 	d.callers.Ahead = p.Front.Ahead()
-	d.peers.Web = serve(p.Board.Handler(p.Reign.heard))
-	d.metrics.Web = serve(p.Meter.Handler())
+	d.peers.Web = serve(p.Board.Handler(func(a *query.Ask) {
+		p.Reign.heard(a)
+		p.Guard.heard(a.Reports)
+	}))
+	d.metrics.Web = serve(p.Guard.handler(p.Meter.Handler()))
 	d.operators.Web = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if err := d.ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -17,6 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 	"hawthornfield.org/hawthornfield/internal/node/census"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -299,6 +300,20 @@
 	return slices.ContainsFunc(f.list(), func(s feed.Server) bool { return s.Service == svc })
 }
 
+// life tells what is known of a server, and whether it says that it leaves.
+func (f *fleet) life(s ident.Server) (life poison.Life, leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, listed := f.census.Has(s)
+	switch {
+	case f.census.Doubtful(time.Now()):
+		return poison.Unknown, e.Going
+	case listed:
+		return poison.Alive, e.Going
+	}
+	return poison.Gone, false
+}
+
 // share notes how many VMs share the servers.
 func (f *fleet) share(vms int) {
 	f.mu.Lock()
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -39,6 +39,7 @@
 	Courier  *courier
 	Fetch    *fetcher
 	Book     *book
+	Guard    *quarantine
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -56,6 +57,9 @@
 		for name, svc := range g.p.State.Services() {
 			g.gate(string(name), svc.Gate.Stats())
 		}
+		suspects, quarantined := g.p.Guard.count()
+		g.set("suspects", float64(suspects))
+		g.set("quarantined", float64(quarantined))
 		g.set("decisions_left_out", float64(g.p.Record.Lost()))
 	}
 	return nil
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -108,7 +108,7 @@
 		fx.WithLogger(func() fxevent.Logger { return door.Quiet{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.base, h.log),
 		fx.StartTimeout(startWait), fx.StopTimeout(h.stopWait()),
-		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newBook, newReign, newFetcher, newCourier, newGauges, newDoors),
+		fx.Provide(newCounts, newMeter, newRecord, newState, newRelay, newFront, newBoard, newFleet, newQuarantine, newBook, newReign, newFetcher, newCourier, newGauges, newDoors),
 		fx.Invoke(func(d *doors) { h.d = d }),
 	)
 	if err := h.app.Err(); err != nil {
@@ -195,9 +195,9 @@
 // holds no server's slot.
 const mostHeld = 1 << 20
 
-func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *counts) *front.Front {
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *counts, g *quarantine) *front.Front {
 	f := &front.Front{
-		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m,
+		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g,
 		Limit: config.Limit{Request: config.SpanOf(defaultRequest)},
 		Names: p.Names, Hold: mostHeld, Patience: patience, After: p.After, Asked: c.asked, Answered: c.answered,
 	}
--- /dev/null
+++ b/internal/edge/host/quarantine.go
@@ -0,0 +1,337 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
+	"hawthornfield.org/hawthornfield/internal/edge/query"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// quarantine keeps requests that crash servers from reaching more of them, see package
+// poison. VMs report what they saw to the leader with their questions, and its answers
+// tell all of them which requests are under suspicion. What is quarantined is kept in
+// the store, for the leader after all VMs were restarted.
+type quarantine struct {
+	group group.Group
+	p     quarantineParts
+	armed atomic.Bool // the table is not empty
+
+	mu    sync.Mutex
+	table *poison.Table
+	named map[poison.Print]bool // quarantined, and logged as that
+
+	kept cabinet
+}
+
+type quarantineParts struct {
+	fx.In
+	Platform Platform
+	Board    *query.Board
+	Fleet    *fleet
+	Log      *slog.Logger
+}
+
+func newQuarantine(lc fx.Lifecycle, p quarantineParts) *quarantine {
+	q := &quarantine{p: p, table: poison.NewTable(), named: map[poison.Print]bool{}}
+	q.kept = cabinet{name: p.Platform.Own + "quarantine", log: p.Log, readAt: time.Now()}
+	p.Board.SetDocket(q)
+	duties(lc, &q.group, q.settle, q.keep)
+	return q
+}
+
+// settleEvery is how often accusations are compared with the list of servers.
+const settleEvery = 250 * time.Millisecond
+
+func (q *quarantine) settle(ctx context.Context) error {
+	life := func(s ident.Server) poison.Life { life, _ := q.p.Fleet.life(s); return life }
+	for group.Sleep(ctx, settleEvery) {
+		if q.armed.Load() {
+			q.change(func(now time.Time) { q.table.Settle(now, life) })
+		}
+	}
+	return nil
+}
+
+// change changes the table, tells the log what is quarantined by that, and wakes the
+// VMs that wait for news.
+func (q *quarantine) change(f func(now time.Time)) {
+	now := tick.Now()
+	q.mu.Lock()
+	before := q.table.Seq()
+	f(now)
+	q.armed.Store(q.table.Len() > 0)
+	news := q.table.Seq() != before
+	if news {
+		q.note(now)
+	}
+	q.mu.Unlock()
+	if news {
+		q.p.Board.Wake()
+	}
+}
+
+// note logs which requests came into quarantine and which left it. The caller holds mu.
+func (q *quarantine) note(now time.Time) {
+	barred := map[poison.Print]bool{}
+	for _, c := range q.table.Quarantined(now) {
+		barred[c.Print] = true
+		if !q.named[c.Print] {
+			var servers []ident.Server
+			for _, crash := range c.Crashes {
+				servers = append(servers, crash.Server)
+			}
+			q.p.Log.Warn("request quarantined", "print", c.Print.String(), "servers", servers, "for", q.table.Barred(now, c.Print))
+		}
+	}
+	for p := range q.named {
+		if !barred[p] {
+			q.p.Log.Info("request out of quarantine", "print", p.String(), "crashes", q.table.Crashes(p))
+		}
+	}
+	q.named = barred
+}
+
+// Suspects reports whether a request with this head is under suspicion, or any is.
+func (q *quarantine) Suspects(h *poison.Head) bool {
+	if h == nil || !q.armed.Load() {
+		return q.armed.Load()
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Knows(*h)
+}
+
+// Barred is for how much longer a request may reach no server.
+func (q *quarantine) Barred(p poison.Print) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Barred(tick.Now(), p)
+}
+
+// Broke takes in that a server broke off under a request, and returns how many have.
+// Servers that leave break off what they do not finish.
+func (q *quarantine) Broke(p poison.Print, s ident.Server, id ident.Request) int {
+	if _, leaving := q.p.Fleet.life(s); leaving {
+		return 0
+	}
+	n := 0
+	q.change(func(now time.Time) { n = q.table.Accuse(now, p, s) })
+	if n > 1 {
+		q.p.Log.Warn("another server broke off under a request", "print", p.String(), "id", id, "server", s, "crashes", n)
+	}
+	return n
+}
+
+// Answered takes in that a request under suspicion was answered by a server.
+func (q *quarantine) Answered(p poison.Print) {
+	q.change(func(now time.Time) { q.table.Clear(now, p) })
+}
+
+// Since lists the requests under suspicion that changed after a number.
+func (q *quarantine) Since(seq uint64) query.Cases {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := query.Cases{Seq: q.table.Seq()}
+	if c.Seq > seq {
+		c.List = q.table.Since(tick.Now(), seq)
+	}
+	return c
+}
+
+// reports lists what a leader has not been told.
+func (q *quarantine) reports(leader string) []poison.Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Reports(tick.Now(), leader)
+}
+
+// told notes that a leader has got reports.
+func (q *quarantine) told(leader string, all []poison.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Told(leader, all)
+}
+
+// heard takes in the reports of another VM, if this one leads.
+func (q *quarantine) heard(all []poison.Report) {
+	if _, leads := q.p.Board.Lease(); leads && len(all) > 0 {
+		q.change(func(now time.Time) { q.table.Hear(now, all) })
+	}
+}
+
+// take takes in what the leader tells.
+func (q *quarantine) take(leader string, all []poison.Verdict) {
+	q.change(func(now time.Time) { q.table.Take(now, leader, all) })
+}
+
+// count counts the requests under suspicion, and those of them in quarantine.
+func (q *quarantine) count() (suspects, quarantined int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Len(), len(q.table.Quarantined(tick.Now()))
+}
+
+// verdicts lists what is in quarantine.
+func (q *quarantine) verdicts() []poison.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Quarantine(tick.Now())
+}
+
+const quarantinePath = "/quarantine"
+
+// handler serves operators beside the metrics: what is in quarantine, and its lifting.
+func (q *quarantine) handler(metrics http.Handler) http.Handler {
+	engine := gin.New()
+	engine.NoRoute(gin.WrapH(metrics))
+	engine.GET(quarantinePath, func(c *gin.Context) { c.JSON(http.StatusOK, q.verdicts()) })
+	engine.DELETE(quarantinePath+"/:print", func(c *gin.Context) {
+		var p poison.Print
+		if err := p.UnmarshalText([]byte(c.Param("print"))); err != nil {
+			c.String(http.StatusBadRequest, "%s\n", err)
+			return
+		}
+		if q.Barred(p) == 0 {
+			c.String(http.StatusNotFound, "not in quarantine here\n")
+			return
+		}
+		q.Answered(p)
+		q.p.Log.Info("quarantine lifted by an operator", "print", p.String())
+		c.Status(http.StatusNoContent)
+	})
+	return engine
+}
+
+// cabinet is the object in which quarantined requests are kept.
+type cabinet struct {
+	name    string
+	log     *slog.Logger
+	leader  string // the process of this VM that leads and has read it
+	version object.Version
+	held    string    // what it holds, without ages
+	readAt  time.Time // it was last read by a VM that does not lead
+}
+
+// keptCases is the object's form. At is the time of day at which the ages were right.
+type keptCases struct {
+	At    time.Time                   `json:"at"`
+	Cases query.Parts[poison.Verdict] `json:"cases"`
+}
+
+// readEvery is how often a VM that no leader tells anything reads what is kept.
+const readEvery = time.Second
+
+// keep brings the table and the object together: the leader reads it once and writes what
+// changed. A VM that hears no leader reads it, since it may serve callers all the same.
+func (q *quarantine) keep(ctx context.Context) error {
+	for group.Sleep(ctx, settleEvery) {
+		lease, leads := q.p.Board.Lease()
+		switch {
+		case leads:
+			q.lead(ctx, lease.Life)
+		case q.p.Board.Told(time.Now()):
+			q.kept.leader, q.kept.readAt = "", time.Now()
+		case time.Since(q.kept.readAt) >= readEvery:
+			q.kept.leader, q.kept.readAt = "", time.Now()
+			q.merge(q.kept.read(ctx, q.p.Platform.Lagging))
+		}
+	}
+	return nil
+}
+
+// lead keeps the table while this VM leads.
+func (q *quarantine) lead(ctx context.Context, life string) {
+	if q.kept.leader != life {
+		all, ok := q.kept.read(ctx, q.p.Platform.Store)
+		if !ok {
+			return
+		}
+		q.kept.leader = life
+		q.merge(all, true)
+	}
+	all := q.verdicts()
+	if text := signature(all); text != q.kept.held {
+		q.kept.write(ctx, q.p.Platform.Store, all, text)
+	}
+}
+
+func (q *quarantine) merge(all []poison.Verdict, ok bool) {
+	if ok && len(all) > 0 {
+		q.change(func(now time.Time) { q.table.Merge(now, all) })
+	}
+}
+
+// signature names cases and their crashes, and leaves out ages, which always change.
+func signature(all []poison.Verdict) string {
+	text := ""
+	for _, v := range all {
+		text += v.Print.String()
+		for _, c := range v.Crashes {
+			text += " " + string(c.Server)
+		}
+		text += "\n"
+	}
+	return text
+}
+
+// read returns what the object holds, and false where the store does not say.
+func (c *cabinet) read(ctx context.Context, store object.Store) ([]poison.Verdict, bool) {
+	o, err := store.Get(ctx, c.name)
+	if kinds.Of(err) == kinds.Absent {
+		c.version, c.held = 0, ""
+		return nil, true
+	}
+	if err != nil {
+		return nil, false
+	}
+	c.version = o.Version
+	var kept keptCases
+	if err := json.Unmarshal(o.Value, &kept); err != nil {
+		c.log.Error("the quarantine cannot be read; it will be written anew", "rev", o.Version, "err", err)
+		c.held = "unreadable"
+		return nil, true
+	}
+	c.held = signature(kept.Cases)
+	age := max(time.Since(kept.At), 0)
+	for i := range kept.Cases {
+		v := &kept.Cases[i]
+		if v.Cleared > 0 {
+			v.Cleared += age
+		}
+		for j := range v.Crashes {
+			v.Crashes[j].Ago += age
+		}
+	}
+	return kept.Cases, true
+}
+
+// write writes the cases. After a conflict, or a write that may have happened, the object
+// is read again first.
+func (c *cabinet) write(ctx context.Context, store object.Store, all []poison.Verdict, text string) {
+	b, err := json.Marshal(keptCases{At: time.Now().Round(0), Cases: all})
+	if err != nil {
+		c.log.Error("quarantine not written", "err", err)
+		return
+	}
+	version, err := store.Put(ctx, c.name, b, c.version)
+	if err != nil {
+		c.log.Warn("quarantine not written", "old", c.version, "err", err)
+		c.leader = ""
+		return
+	}
+	c.version, c.held = version, text
+}
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 	"hawthornfield.org/hawthornfield/internal/owner/deal"
 	"hawthornfield.org/hawthornfield/internal/owner/lead"
 	"hawthornfield.org/hawthornfield/internal/owner/stripe"
@@ -49,6 +50,8 @@
 	Power   float64                   `json:"power,omitempty"` // processors that the sender may use
 	Cells   map[ident.Service]Cells   `json:"cells,omitempty"`
 	Sums    map[ident.Server]deal.Sum `json:"sums,omitempty"`
+	Reports Parts[poison.Report]      `json:"reports,omitempty"` // of requests under which servers broke off
+	Cases   uint64                    `json:"cases,omitempty"`   // number of the last change to such requests that the sender was told
 
 	came time.Time // by the boot clock
 }
@@ -80,11 +83,25 @@
 	// Rules are what a VM of an earlier version, which names no newest revision, sends.
 	Rules   *Raw        `json:"rules,omitempty"`
 	Servers *ServerList `json:"servers,omitempty"`
+	Cases   *Cases      `json:"cases,omitempty"`
 
 	// Begun is when the answer began to arrive: its news are of that time.
 	Begun time.Time `json:"-"`
 }
 
+// Cases are the requests under suspicion of crashing servers that changed since the asker
+// was last told, up to a number.
+type Cases struct {
+	Seq  uint64                `json:"seq"`
+	List Parts[poison.Verdict] `json:"list"`
+}
+
+// Docket is where the leader keeps such requests.
+type Docket interface {
+	// Since lists what changed after a number.
+	Since(seq uint64) Cases
+}
+
 // Board holds what this VM knows and others may ask for. The zero value is not
 // usable: see NewBoard.
 type Board struct {
@@ -109,6 +126,7 @@
 	seen    object.Cursor
 	turn    context.Context
 	turned  context.CancelFunc
+	docket  Docket
 }
 
 // history is who serves a service's keys, and how that came about lately.
@@ -133,6 +151,21 @@
 	b.more = make(chan struct{})
 }
 
+// SetDocket sets where the requests under suspicion are kept. Its methods must not call
+// the board's.
+func (b *Board) SetDocket(d Docket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.docket = d
+}
+
+// Wake answers those who wait for news.
+func (b *Board) Wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wake()
+}
+
 // SetLease notes who leads, and whether this VM does.
 func (b *Board) SetLease(l lead.Lease, leads bool) {
 	b.mu.Lock()
@@ -284,6 +317,7 @@
 	n.Steady = b.touch.steady(now)
 	n.Sure, n.Seen = max(b.sure.Sub(a.came), 0), b.seen
 	worth = b.owners(a, &n) || worth
+	worth = b.cases(a, &n) || worth
 	b.others(now, a, &n)
 	return n, worth, b.more
 }
@@ -300,6 +334,21 @@
 	return n.Newest > a.Rules || n.Servers != nil
 }
 
+// cases adds the requests under suspicion that the asker was not told of.
+func (b *Board) cases(a *Ask, n *News) bool {
+	if b.docket == nil {
+		return false
+	}
+	seq := a.Cases
+	if a.Life != b.life {
+		seq = 0
+	}
+	if c := b.docket.Since(seq); len(c.List) > 0 {
+		n.Cases = &c
+	}
+	return n.Cases != nil
+}
+
 // owners adds what changed in who serves what.
 func (b *Board) owners(a *Ask, n *News) bool {
 	for svc, h := range b.views {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -21,6 +21,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -316,7 +317,7 @@
 	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
 		return &Failure{Kind: kinds.Canceled, Sent: sent, err: err}
 	case sent:
-		return &Failure{Kind: kinds.Unknown, Sent: true, err: err}
+		return &Failure{Kind: kinds.Unknown, Sent: true, Broke: broke(caller, err), err: err}
 	case caller.Err() != nil:
 		return &Failure{Kind: kinds.Late, err: err}
 	default:
@@ -324,11 +325,25 @@
 	}
 }
 
+// broke reports whether the other side ended the connection on which the request was
+// sent. After that net/http tries another connection for some requests, which was stopped
+// or did not open.
+func broke(caller context.Context, err error) bool {
+	if caller.Err() != nil {
+		return errors.Is(context.Cause(caller), errNoPermit)
+	}
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.As(err, &op) && op.Op == "dial"
+}
+
 // Failure is an attempt without a usable answer.
 type Failure struct {
 	Kind    kinds.Kind
 	Sent    bool        // some byte of the request may have reached the server
 	Refused bool        // the server said that it ran nothing
+	Broke   bool        // the server ended the connection before it answered
 	Header  http.Header // of the answer that said so
 	err     error
 }
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -329,3 +330,37 @@
 	_, err := send(t.Context(), r, httptest.NewRequest("GET", "/", nil), "a")
 	assert.Equal(t, kinds.Of(err), kinds.Unknown)
 }
+
+// Guards against crashes that look like something else because net/http tried again.
+func TestAServerThatBreaksOffIsToldFromOneThatIsSlow(t *testing.T) {
+	for name, method := range map[string]string{"a lookup": "GET", "a receipt": "POST"} {
+		for _, warm := range []bool{true, false} {
+			t.Run(name+map[bool]string{true: " on a used connection"}[warm], func(t *testing.T) {
+				r, _ := launch(t, func(w io.Writer, r *http.Request, _, _ int) bool {
+					return r.URL.Path == "/warm" && say(w, fine)
+				})
+				if warm {
+					_, err := send(t.Context(), r, httptest.NewRequest("GET", "/warm", nil), "warm")
+					assert.NilError(t, err)
+				}
+				_, err := send(t.Context(), r, httptest.NewRequest(method, "/x", nil), "x")
+				var fail *Failure
+				assert.Assert(t, errors.As(err, &fail))
+				assert.Assert(t, fail.Sent && fail.Broke, "%v", err)
+			})
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		end := make(chan struct{})
+		r, b := launch(t, func(io.Writer, *http.Request, int, int) bool { <-end; return false })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := send(ctx, r, httptest.NewRequest("GET", "/x", nil), "x")
+		var fail *Failure
+		assert.Assert(t, errors.As(err, &fail))
+		assert.Assert(t, fail.Sent && !fail.Broke, "%v", err)
+		close(end)
+		assert.NilError(t, r.Close())
+		assert.NilError(t, b.group.Close())
+	})
+}
--- a/internal/node/census/census.go
+++ b/internal/node/census/census.go
@@ -93,6 +93,19 @@
 	return !c.back.IsZero() && now.Sub(c.back) < Back
 }
 
+// Doubtful reports whether servers may be listed that are gone, or missing that live,
+// because the store is away or was a moment ago.
+func (c *Census[T]) Doubtful(now time.Time) bool { return c.away || c.returning(now) }
+
+// Has returns a server that counts as there.
+func (c *Census[T]) Has(name ident.Server) (Entry[T], bool) {
+	r := c.all[name]
+	if r == nil {
+		return Entry[T]{}, false
+	}
+	return r.Entry, true
+}
+
 // List takes in the whole list as of a revision. It reports whether anything
 // changed.
 func (c *Census[T]) List(now time.Time, rev uint64, list []Entry[T]) bool {
