explain: the story of a request has its repeats

A refusal as harmful names a print. Whoever asks for its cause needs the crashes that led there, which are other requests' lines at other VMs; they are found by the print.

--- a/internal/admin/cmds/explain.go
+++ b/internal/admin/cmds/explain.go
@@ -110,10 +110,22 @@
 	"server answers again": true, "shutting down": true,
 }
 
-// storyOf picks the lines about a request, and before each those that say what its VM
-// believed.
+// printOf is the print of a request, by which its repeats are known; empty where no line
+// has it.
+func printOf(all []entry, id string) string {
+	for _, e := range all {
+		if text, ok := e.fields["print"].(string); ok && e.id == id {
+			return text
+		}
+	}
+	return ""
+}
+
+// storyOf picks the lines about a request, those about its repeats, and before each of its
+// own those that say what its VM believed.
 func storyOf(all []entry, id string) []entry {
 	slices.SortStableFunc(all, func(a, b entry) int { return a.at.Compare(b.at) })
+	repeats := printOf(all, id)
 	last := map[string]map[string]int{} // VM -> belief -> its last line
 	var picked []int
 	for i, e := range all {
@@ -124,6 +136,9 @@
 			last[e.vm][e.msg] = i
 		}
 		if e.id != id {
+			if repeats != "" && e.fields["print"] == repeats {
+				picked = append(picked, i)
+			}
 			continue
 		}
 		for _, j := range last[e.vm] {
--- a/internal/admin/cmds/explain_test.go
+++ b/internal/admin/cmds/explain_test.go
@@ -42,3 +42,18 @@
 	assert.Assert(t, strings.Contains(errs.String(), "no line speaks of zz"))
 	assert.Assert(t, Main(t.Context(), []string{"explain", "zz", path + "x"}, &out, &errs) != ExitOK)
 }
+
+// Guards against a quarantine of which nobody finds the crashes that led there.
+func TestTheStoryOfAQuarantinedRequestHasItsCrashes(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:01Z","msg":"decision","vm":"a","id":"r1","kind":"unknown","server":"s1","print":"p"}
+{"time":"2026-01-01T00:00:02Z","msg":"another server broke off under a request","vm":"b","id":"r2","server":"s2","print":"p"}
+{"time":"2026-01-01T00:00:03Z","msg":"request quarantined","vm":"a","print":"p"}
+{"time":"2026-01-01T00:00:04Z","msg":"decision","vm":"a","id":"r4","kind":"none","print":"other"}
+{"time":"2026-01-01T00:00:05Z","msg":"decision","vm":"a","id":"r3","kind":"harmful","print":"p"}
+`
+	var got []string
+	for _, e := range storyOf(readLog(strings.NewReader(log)), "r3") {
+		got = append(got, e.msg+" "+e.id)
+	}
+	assert.DeepEqual(t, got, []string{"decision r1", "another server broke off under a request r2", "request quarantined ", "decision r3"})
+}
