--- a/internal/admin/cmds/explain.go
+++ b/internal/admin/cmds/explain.go
@@ -110,22 +110,26 @@
 	"server answers again": true, "shutting down": true,
 }
 
-// printOf is the print of a request, by which its repeats are known; empty where no line
-// has it.
-func printOf(all []entry, id string) string {
+// printOf is the print of a request, by which its repeats are known, and when its last
+// line was written; empty where no line has a print.
+func printOf(all []entry, id string) (text string, until time.Time) {
 	for _, e := range all {
-		if text, ok := e.fields["print"].(string); ok && e.id == id {
-			return text
+		if e.id != id {
+			continue
+		}
+		if s, ok := e.fields["print"].(string); ok {
+			text = s
 		}
+		until = e.at
 	}
-	return ""
+	return text, until
 }
 
-// storyOf picks the lines about a request, those about its repeats, and before each of its
-// own those that say what its VM believed.
+// storyOf picks the lines about a request, before it those about repeats of it that
+// reached a server, and before each of its own those that say what its VM believed.
 func storyOf(all []entry, id string) []entry {
 	slices.SortStableFunc(all, func(a, b entry) int { return a.at.Compare(b.at) })
-	repeats := printOf(all, id)
+	repeats, until := printOf(all, id)
 	last := map[string]map[string]int{} // VM -> belief -> its last line
 	var picked []int
 	for i, e := range all {
@@ -136,7 +140,8 @@
 			last[e.vm][e.msg] = i
 		}
 		if e.id != id {
-			if repeats != "" && e.fields["print"] == repeats {
+			ran := e.fields["kind"] != kinds.Harmful.String()
+			if repeats != "" && e.fields["print"] == repeats && !e.at.After(until) && ran {
 				picked = append(picked, i)
 			}
 			continue
--- a/internal/admin/cmds/explain_test.go
+++ b/internal/admin/cmds/explain_test.go
@@ -49,7 +49,9 @@
 {"time":"2026-01-01T00:00:02Z","msg":"another server broke off under a request","vm":"b","id":"r2","server":"s2","print":"p"}
 {"time":"2026-01-01T00:00:03Z","msg":"request quarantined","vm":"a","print":"p"}
 {"time":"2026-01-01T00:00:04Z","msg":"decision","vm":"a","id":"r4","kind":"none","print":"other"}
-{"time":"2026-01-01T00:00:05Z","msg":"decision","vm":"a","id":"r3","kind":"harmful","print":"p"}
+{"time":"2026-01-01T00:00:05Z","msg":"decision","vm":"a","id":"r5","kind":"harmful","print":"p"}
+{"time":"2026-01-01T00:00:06Z","msg":"decision","vm":"a","id":"r3","kind":"harmful","print":"p"}
+{"time":"2026-01-01T00:00:07Z","msg":"request out of quarantine","vm":"a","print":"p"}
 `
 	var got []string
 	for _, e := range storyOf(readLog(strings.NewReader(log)), "r3") {
