--- /dev/null
+++ b/internal/load/poison/bench_test.go
@@ -0,0 +1,41 @@
+package poison
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// BenchmarkScreen is what a request costs while another one is under suspicion.
+func BenchmarkScreen(b *testing.B) {
+	tab := NewTable()
+	tab.Accuse(t0, killer, "s1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if tab.Knows(HeadOf("GET", "budget.example", "/forecast/ward-17/2026", "100.64.0.17")) {
+			b.Fatal("known")
+		}
+	}
+}
+
+// BenchmarkVerdict reports the bytes of a report and of a verdict on three servers.
+func BenchmarkVerdict(b *testing.B) {
+	tab := NewTable()
+	for _, s := range []ident.Server{"i-267427395c", "i-598e18d132", "i-7c71da8af1"} {
+		tab.Accuse(t0, killer, s)
+	}
+	size := func(v any) float64 {
+		text, err := json.Marshal(v)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(text))
+	}
+	for b.Loop() {
+		_ = size(tab.Since(t0.Add(time.Second), 0))
+	}
+	b.ReportMetric(size(tab.Since(t0.Add(time.Second), 0)), "bytes/verdict")
+	b.ReportMetric(size(tab.Reports(t0.Add(time.Second), "x")[:1]), "bytes/report")
+}
