host: a VM that starts knows what is quarantined before it serves

Cause: a VM that starts heard of the quarantine with the leader's first answer, 0.1 to 0.2 s after it served. Ruled out: a leader without it, since all of them logged the quarantine with that answer. Now it reads what is kept at once, while it waits for its rules. One call to the cheap store at each start. The test fails before: the VM serves and the request is not barred.

--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -236,8 +236,10 @@
 const readEvery = time.Second
 
 // keep brings the table and the object together: the leader reads it once and writes what
-// changed. A VM that hears no leader reads it, since it may serve callers all the same.
+// changed. A VM that hears no leader reads it, since it may serve callers all the same, and
+// so does one that starts, at once.
 func (q *quarantine) keep(ctx context.Context) error {
+	q.merge(q.kept.read(ctx, q.p.Platform.Lagging))
 	for group.Sleep(ctx, settleEvery) {
 		lease, leads := q.p.Board.Lease()
 		switch {
--- a/internal/edge/host/quarantine_test.go
+++ b/internal/edge/host/quarantine_test.go
@@ -9,7 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
+	"hawthornfield.org/hawthornfield/internal/rules/force"
 )
 
 // printOf is the print of a lookup that [world.get] sends VM i.
@@ -107,3 +109,20 @@
 		assert.NilError(t, vm.Close())
 	}
 }
+
+// Guards against a killer that gets through each VM that starts.
+func TestAVMThatStartsKnowsTheQuarantineBeforeItServes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rules("/lookup/")
+	w.serve("lookup", "l1")
+	p := w.printOf(0, "/lookup/x")
+	killer := poison.NewTable()
+	for _, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
+		killer.Accuse(tick.Now(), p, s)
+	}
+	w.store.write("own/quarantine", keptCases{At: time.Now(), Cases: killer.Quarantine(tick.Now())})
+	h := w.start(0)
+	w.within(patient, "serves", func() bool { return h.d.p.State.Rules.State() == force.Serve })
+	assert.Assert(t, w.barred(0, p)())
+	assert.NilError(t, h.Close())
+}
