front: a server's fault does not clear a request that crashes servers

Cause: any whole answer cleared a request. A server that fails a part of its requests, or answers 504 for one whose time ended in its queue, has not begun it. TestAServersFaultClearsNoSuspect fails before.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -393,7 +393,7 @@
 	if err == nil && answer.Status() >= http.StatusInternalServerError {
 		out.Kind = kinds.Internal
 	}
-	if err == nil {
+	if out.Kind == kinds.None {
 		x.acquit()
 	}
 	return out, err
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -96,7 +96,8 @@
 	x.suspect = true
 }
 
-// acquit notes that the request was answered.
+// acquit notes that the request was answered. A server's fault is no such answer: it may
+// have been given before the request was begun.
 func (x *exchange) acquit() {
 	if !x.suspect {
 		return
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -170,3 +170,29 @@
 		assert.Equal(t, len(g.accused), 3)
 	})
 }
+
+// Guards against a killer that a failing server's fault sets free.
+func TestAServersFaultClearsNoSuspect(t *testing.T) {
+	guarded(t, func(t *testing.T, w *world, g *guard) {
+		assert.NilError(t, w.origins["u1"].Close())
+		asked := 0
+		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+			if asked++; asked == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			out.WriteHeader(http.StatusInternalServerError)
+		})}
+		l := w.net.Listen(third)
+		w.group.Go(func(ctx context.Context) error {
+			defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+			_ = s.Serve(l)
+			return nil
+		})
+		for _, status := range []int{http.StatusBadGateway, http.StatusInternalServerError} {
+			resp, _, err := w.do(w.request("POST", "/lab/a", strings.NewReader("sample")))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, status)
+		}
+		assert.Equal(t, g.Crashes(g.accused[0]), 1)
+	})
+}
