poison: a request is known again whatever its caller's address

Cause: a caller is the address its connection comes from, and a caller may have another one at each VM. Such attempts were different requests. Now each request is under suspicion twice, as its caller's and as anybody's: the one finds a killer that roams, the other one whose path others ask for in peace. An operator lifts both at once; the log names what they have in common.

--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -21,7 +21,7 @@
 	Barred(p poison.Print) time.Duration
 	// Broke takes in that a server broke off under a request, and returns how many have.
 	Broke(p poison.Print, s ident.Server, id ident.Request) int
-	// Answered takes in that a suspect was answered by a server.
+	// Answered takes in that a suspect was answered by a server, and not with a fault.
 	Answered(p poison.Print)
 }
 
@@ -61,7 +61,7 @@
 		return err
 	}
 	if p, ok := x.print(); ok {
-		x.suspect, x.note.Print = true, p.String()
+		x.suspect, x.note.Print = true, p.Wide().String()
 	}
 	return x.barred()
 }
@@ -91,7 +91,7 @@
 	if !ok {
 		return // the server had not read the body to its end, so it had not begun
 	}
-	x.note.Print = p.String()
+	x.note.Print = p.Wide().String()
 	x.crashes = x.f.Guard.Broke(p, s, x.note.ID)
 	x.suspect = true
 }
@@ -110,19 +110,19 @@
 // print identifies the request over its repeats. It is not known before a body of
 // unknown length was read to its end. A body too long to be held counts by its length.
 func (x *exchange) print() (poison.Print, bool) {
-	head := x.headOf()
+	head, caller := x.headOf(), string(x.note.Caller)
 	switch {
 	case x.body.stream == nil:
-		return head.With(poison.BodyOf(x.body.held)), true
+		return head.Of(caller, poison.BodyOf(x.body.held)), true
 	case x.body.digest == nil:
-		return head.With(poison.LengthOf(x.r.ContentLength)), true
+		return head.Of(caller, poison.LengthOf(x.r.ContentLength)), true
 	}
 	body, whole := x.body.digest.Body()
-	return head.With(body), whole
+	return head.Of(caller, body), whole
 }
 
 func (x *exchange) headOf() poison.Head {
-	return poison.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI(), string(x.note.Caller))
+	return poison.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI())
 }
 
 // readStream reads a body of unknown length, so that it is known which one it is.
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -32,7 +32,7 @@
 
 	mu    sync.Mutex
 	table *poison.Table
-	named map[poison.Print]bool // quarantined, and logged as that
+	named map[poison.Print]bool // wide prints of what is quarantined, and logged as that
 
 	kept cabinet
 }
@@ -88,14 +88,15 @@
 func (q *quarantine) note(now time.Time) {
 	barred := map[poison.Print]bool{}
 	for _, c := range q.table.Quarantined(now) {
-		barred[c.Print] = true
-		if !q.named[c.Print] {
+		p := c.Print.Wide()
+		if !q.named[p] && !barred[p] {
 			var servers []ident.Server
 			for _, crash := range c.Crashes {
 				servers = append(servers, crash.Server)
 			}
-			q.p.Log.Warn("request quarantined", "print", c.Print.String(), "servers", servers, "for", q.table.Barred(now, c.Print))
+			q.p.Log.Warn("request quarantined", "print", p.String(), "servers", servers, "for", q.table.Barred(now, c.Print))
 		}
+		barred[p] = true
 	}
 	for p := range q.named {
 		if !barred[p] {
@@ -131,7 +132,7 @@
 	n := 0
 	q.change(func(now time.Time) { n = q.table.Accuse(now, p, s) })
 	if n > 1 {
-		q.p.Log.Warn("another server broke off under a request", "print", p.String(), "id", id, "server", s, "crashes", n)
+		q.p.Log.Warn("another server broke off under a request", "print", p.Wide().String(), "id", id, "server", s, "crashes", n)
 	}
 	return n
 }
@@ -209,7 +210,7 @@
 			c.String(http.StatusNotFound, "not in quarantine here\n")
 			return
 		}
-		q.Answered(p)
+		q.change(func(now time.Time) { q.table.Lift(now, p) })
 		q.p.Log.Info("quarantine lifted by an operator", "print", p.String())
 		c.Status(http.StatusNoContent)
 	})
--- a/internal/load/poison/poison.go
+++ b/internal/load/poison/poison.go
@@ -29,23 +29,26 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
-const part = 8 // bytes of each half of a print
+const part = 8 // bytes of each part of a print
 
-// Head is the digest of all of a request but its body.
+// Head is the digest of a request line.
 type Head [part]byte
 
 // Body is the digest of a request's body.
 type Body [part]byte
 
 // Print identifies a request over all its attempts: the same method, host, path and
-// query, caller and body. Ids and deadlines differ between attempts and are no part of it.
-type Print [2 * part]byte
+// query, body and caller. Ids and deadlines differ between attempts and are no part of it.
+//
+// A caller may be known by an address that differs between its attempts, so that each
+// request is under suspicion twice: as this caller's, and as anybody's, see [Print.Wide].
+type Print [3 * part]byte
 
-// HeadOf returns the digest of a request line and its caller.
-func HeadOf(method, host, uri, caller string) Head {
+// HeadOf returns the digest of a request line.
+func HeadOf(method, host, uri string) Head {
 	h := sha256.New()
 	var size [8]byte
-	for _, s := range []string{method, host, uri, caller} {
+	for _, s := range []string{method, host, uri} {
 		// The length keeps two fields apart: "ab", "c" is not "a", "bc".
 		binary.BigEndian.PutUint64(size[:], uint64(len(s)))
 		_, _ = h.Write(size[:]) // a hash takes everything
@@ -67,17 +70,25 @@
 	return BodyOf(b[:])
 }
 
-// With returns the print of a request with a body.
-func (h Head) With(b Body) Print {
+// Of returns the print of a caller's request with a body.
+func (h Head) Of(caller string, b Body) Print {
 	var p Print
 	copy(p[:part], h[:])
 	copy(p[part:], b[:])
+	sum := sha256.Sum256([]byte(caller))
+	copy(p[2*part:], sum[:])
 	return p
 }
 
-// Head returns the half that does not depend on the body.
+// Head returns the part for the request line.
 func (p Print) Head() Head { return Head(p[:part]) }
 
+// Wide returns the print of the same request, whoever sends it.
+func (p Print) Wide() Print {
+	clear(p[2*part:])
+	return p
+}
+
 // String renders the print for logs.
 func (p Print) String() string { return hex.EncodeToString(p[:]) }
 
--- a/internal/load/poison/share.go
+++ b/internal/load/poison/share.go
@@ -77,9 +77,7 @@
 			t.Clear(now.Add(-r.Ago), r.Print)
 			continue
 		}
-		if c := t.open(r.Print); c.add(Crash{Server: r.Server, At: now.Add(-r.Ago)}) {
-			t.changed(c)
-		}
+		t.accuse(r.Print, Crash{Server: r.Server, At: now.Add(-r.Ago)})
 	}
 }
 
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -111,19 +111,39 @@
 
 // Crashes counts the servers that broke off under a request.
 func (t *Table) Crashes(p Print) int {
-	if c := t.cases[p]; c != nil {
-		return len(c.Crashes)
+	most := 0
+	for _, c := range t.about(p) {
+		most = max(most, len(c.Crashes))
 	}
-	return 0
+	return most
 }
 
 // Barred is for how much longer a request may reach no server; zero where it may.
 func (t *Table) Barred(now time.Time, p Print) time.Duration {
-	c := t.cases[p]
-	if c == nil {
-		return 0
+	var left time.Duration
+	for _, c := range t.about(p) {
+		left = max(left, t.until(c).Sub(now))
 	}
-	return max(t.until(c).Sub(now), 0)
+	return left
+}
+
+// about lists the cases of a request, its caller's and anybody's.
+func (t *Table) about(p Print) []*Case {
+	var all []*Case
+	for _, q := range both(p) {
+		if c := t.cases[q]; c != nil {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// both returns a print and the wide one, once where they are the same.
+func both(p Print) []Print {
+	if p == p.Wide() {
+		return []Print{p}
+	}
+	return []Print{p, p.Wide()}
 }
 
 // until is when the quarantine of a request ends. Requests that ran beside a killer are
@@ -135,7 +155,8 @@
 		return time.Time{}
 	}
 	for _, other := range t.cases {
-		if other == c || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
+		twin := other.Print.Wide() == c.Print.Wide()
+		if twin || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
 			continue
 		}
 		if len(other.Crashes) > len(c.Crashes) {
@@ -163,18 +184,37 @@
 // Accuse notes that a server broke off under a request that this VM sent it, and returns
 // how many have by now.
 func (t *Table) Accuse(now time.Time, p Print, s ident.Server) int {
-	c := t.open(p)
-	if c.add(Crash{Server: s, At: now}) {
-		t.changed(c)
+	t.accuse(p, Crash{Server: s, At: now})
+	return t.Crashes(p)
+}
+
+func (t *Table) accuse(p Print, crash Crash) {
+	for _, q := range both(p) {
+		if c := t.open(q); c.add(crash) {
+			t.changed(c)
+		}
 	}
-	return len(c.Crashes)
 }
 
-// Clear notes that a request was answered, or lifted by an operator: whatever happened
-// before was not its doing, or is mended.
+// Clear notes that a request was answered: whatever happened before was not its doing, or
+// is mended.
 func (t *Table) Clear(now time.Time, p Print) {
-	c := t.cases[p]
-	if c == nil || len(c.Crashes) == 0 {
+	for _, c := range t.about(p) {
+		t.clear(now, c)
+	}
+}
+
+// Lift clears a request of all its callers, as an operator asks.
+func (t *Table) Lift(now time.Time, p Print) {
+	for _, c := range t.cases {
+		if c.Print.Wide() == p.Wide() {
+			t.clear(now, c)
+		}
+	}
+}
+
+func (t *Table) clear(now time.Time, c *Case) {
+	if len(c.Crashes) == 0 {
 		return
 	}
 	c.clear(now)
