--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -68,7 +68,7 @@
 // chunked hides a body's length.
 type chunked struct{ io.Reader }
 
-// Guards against a killer that reaches servers in the guise of another framing of its body.
+// Guards against a crashing request that reaches servers in the guise of another framing of its body.
 func TestARequestIsKnownAgainWhateverItsFraming(t *testing.T) {
 	guarded(t, func(t *testing.T, w *world, g *guard) {
 		w.origins["u1"].Break(2)
@@ -83,7 +83,7 @@
 	})
 }
 
-// Guards against a killer that is sent on, and against harmless requests that are not.
+// Guards against a crashing request that is sent on, and against harmless requests that are not.
 func TestAQuarantinedRequestIsRefusedAtOnceAndOthersAreServed(t *testing.T) {
 	guarded(t, func(t *testing.T, w *world, g *guard) {
 		w.origins["u1"].Break(1)
@@ -171,7 +171,7 @@
 	})
 }
 
-// Guards against a killer that a failing server's fault sets free.
+// Guards against a crashing request that a failing server's fault sets free.
 func TestAServersFaultClearsNoSuspect(t *testing.T) {
 	guarded(t, func(t *testing.T, w *world, g *guard) {
 		assert.NilError(t, w.origins["u1"].Close())
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/tick"
 	"hawthornfield.org/hawthornfield/internal/edge/query"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
-	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // quarantine keeps requests that crash servers from reaching more of them, see package
@@ -34,7 +29,7 @@
 	table *poison.Table
 	named map[poison.Print]bool // wide prints of what is quarantined, and logged as that
 
-	kept cabinet
+	object quarantineObject
 }
 
 type quarantineParts struct {
@@ -47,8 +42,8 @@
 
 func newQuarantine(lc fx.Lifecycle, p quarantineParts) *quarantine {
 	q := &quarantine{p: p, table: poison.NewTable(), named: map[poison.Print]bool{}}
-	q.kept = cabinet{name: p.Platform.Own + "quarantine", log: p.Log, readAt: time.Now()}
-	p.Board.SetDocket(q)
+	q.object = quarantineObject{name: p.Platform.Own + "quarantine", log: p.Log, readAt: time.Now()}
+	p.Board.SetCases(q)
 	duties(lc, &q.group, q.settle, q.keep)
 	return q
 }
@@ -193,46 +188,6 @@
 	return q.table.Quarantine(tick.Now())
 }
 
-const quarantinePath = "/quarantine"
-
-// handler serves operators beside the metrics: what is in quarantine, and its lifting.
-func (q *quarantine) handler(metrics http.Handler) http.Handler {
-	engine := gin.New()
-	engine.NoRoute(gin.WrapH(metrics))
-	engine.GET(quarantinePath, func(c *gin.Context) { c.JSON(http.StatusOK, q.verdicts()) })
-	engine.DELETE(quarantinePath+"/:print", func(c *gin.Context) {
-		var p poison.Print
-		if err := p.UnmarshalText([]byte(c.Param("print"))); err != nil {
-			c.String(http.StatusBadRequest, "%s\n", err)
-			return
-		}
-		if q.Barred(p) == 0 {
-			c.String(http.StatusNotFound, "not in quarantine here\n")
-			return
-		}
-		q.change(func(now time.Time) { q.table.Lift(now, p) })
-		q.p.Log.Info("quarantine lifted by an operator", "print", p.String())
-		c.Status(http.StatusNoContent)
-	})
-	return engine
-}
-
-// cabinet is the object in which quarantined requests are kept.
-type cabinet struct {
-	name    string
-	log     *slog.Logger
-	leader  string // the process of this VM that leads and has read it
-	version object.Version
-	held    string    // what it holds, without ages
-	readAt  time.Time // it was last read by a VM that does not lead
-}
-
-// keptCases is the object's form. At is the time of day at which the ages were right.
-type keptCases struct {
-	At    time.Time                   `json:"at"`
-	Cases query.Parts[poison.Verdict] `json:"cases"`
-}
-
 // readEvery is how often a VM that no leader tells anything reads what is kept.
 const readEvery = time.Second
 
@@ -240,17 +195,17 @@
 // changed. A VM that hears no leader reads it, since it may serve callers all the same, and
 // so does one that starts, at once.
 func (q *quarantine) keep(ctx context.Context) error {
-	q.merge(q.kept.read(ctx, q.p.Platform.Lagging))
+	q.merge(q.object.read(ctx, q.p.Platform.Lagging))
 	for group.Sleep(ctx, settleEvery) {
 		lease, leads := q.p.Board.Lease()
 		switch {
 		case leads:
 			q.lead(ctx, lease.Life)
 		case q.p.Board.Told(time.Now()):
-			q.kept.leader, q.kept.readAt = "", time.Now()
-		case time.Since(q.kept.readAt) >= readEvery:
-			q.kept.leader, q.kept.readAt = "", time.Now()
-			q.merge(q.kept.read(ctx, q.p.Platform.Lagging))
+			q.object.leader, q.object.readAt = "", time.Now()
+		case time.Since(q.object.readAt) >= readEvery:
+			q.object.leader, q.object.readAt = "", time.Now()
+			q.merge(q.object.read(ctx, q.p.Platform.Lagging))
 		}
 	}
 	return nil
@@ -258,17 +213,17 @@
 
 // lead keeps the table while this VM leads.
 func (q *quarantine) lead(ctx context.Context, life string) {
-	if q.kept.leader != life {
-		all, ok := q.kept.read(ctx, q.p.Platform.Store)
+	if q.object.leader != life {
+		all, ok := q.object.read(ctx, q.p.Platform.Store)
 		if !ok {
 			return
 		}
-		q.kept.leader = life
+		q.object.leader = life
 		q.merge(all, true)
 	}
 	all := q.verdicts()
-	if text := signature(all); text != q.kept.held {
-		q.kept.write(ctx, q.p.Platform.Store, all, text)
+	if text := signature(all); text != q.object.held {
+		q.object.write(ctx, q.p.Platform.Store, all, text)
 	}
 }
 
@@ -277,64 +232,3 @@
 		q.change(func(now time.Time) { q.table.Merge(now, all) })
 	}
 }
-
-// signature names cases and their crashes, and leaves out ages, which always change.
-func signature(all []poison.Verdict) string {
-	text := ""
-	for _, v := range all {
-		text += v.Print.String()
-		for _, c := range v.Crashes {
-			text += " " + string(c.Server)
-		}
-		text += "\n"
-	}
-	return text
-}
-
-// read returns what the object holds, and false where the store does not say.
-func (c *cabinet) read(ctx context.Context, store object.Store) ([]poison.Verdict, bool) {
-	o, err := store.Get(ctx, c.name)
-	if kinds.Of(err) == kinds.Absent {
-		c.version, c.held = 0, ""
-		return nil, true
-	}
-	if err != nil {
-		return nil, false
-	}
-	c.version = o.Version
-	var kept keptCases
-	if err := json.Unmarshal(o.Value, &kept); err != nil {
-		c.log.Error("the quarantine cannot be read; it will be written anew", "rev", o.Version, "err", err)
-		c.held = "unreadable"
-		return nil, true
-	}
-	c.held = signature(kept.Cases)
-	age := max(time.Since(kept.At), 0)
-	for i := range kept.Cases {
-		v := &kept.Cases[i]
-		if v.Cleared > 0 {
-			v.Cleared += age
-		}
-		for j := range v.Crashes {
-			v.Crashes[j].Ago += age
-		}
-	}
-	return kept.Cases, true
-}
-
-// write writes the cases. After a conflict, or a write that may have happened, the object
-// is read again first.
-func (c *cabinet) write(ctx context.Context, store object.Store, all []poison.Verdict, text string) {
-	b, err := json.Marshal(keptCases{At: time.Now().Round(0), Cases: all})
-	if err != nil {
-		c.log.Error("quarantine not written", "err", err)
-		return
-	}
-	version, err := store.Put(ctx, c.name, b, c.version)
-	if err != nil {
-		c.log.Warn("quarantine not written", "old", c.version, "err", err)
-		c.leader = ""
-		return
-	}
-	c.version, c.held = version, text
-}
--- a/internal/edge/host/quarantine_test.go
+++ b/internal/edge/host/quarantine_test.go
@@ -24,8 +24,8 @@
 	return func() bool { return w.vms[i].d.p.Guard.Barred(p) > 0 }
 }
 
-// Guards against a killer of which each VM knows only its own crashes.
-func TestEachVMKnowsAKillerThatOthersSaw(t *testing.T) {
+// Guards against a crashing request of which each VM knows only its own crashes.
+func TestEachVMKnowsTheCrashesThatOthersSaw(t *testing.T) {
 	w := newWorld(t, 3)
 	w.rules("/lookup/")
 	w.serve("lookup", "l1")
@@ -38,7 +38,7 @@
 		w.vms[i].d.p.Guard.Broke(p, s, "r")
 	}
 	for i := range 3 {
-		w.within(patient, "knows the killer", w.barred(i, p))
+		w.within(patient, "knows the request", w.barred(i, p))
 	}
 	status, _ := w.get(2, "/lookup/x", "1")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
@@ -68,7 +68,7 @@
 	})
 	assert.NilError(t, w.vms[0].Close())
 	w.start(1)
-	w.within(patient, "knows the killer", w.barred(1, p))
+	w.within(patient, "knows the request", w.barred(1, p))
 	assert.NilError(t, w.vms[1].Close())
 }
 
@@ -86,7 +86,7 @@
 		w.vms[0].d.p.Guard.Broke(p, s, "r")
 	}
 	for i := range 2 {
-		w.within(patient, "knows the killer", w.barred(i, p))
+		w.within(patient, "knows the request", w.barred(i, p))
 	}
 	lift := func(i int, name string) int {
 		at := "http://" + w.cfgs[i].Metrics.String() + quarantinePath + "/" + name
@@ -110,17 +110,17 @@
 	}
 }
 
-// Guards against a killer that gets through each VM that starts.
+// Guards against a crashing request that gets through each VM that starts.
 func TestAVMThatStartsKnowsTheQuarantineBeforeItServes(t *testing.T) {
 	w := newWorld(t, 1)
 	w.rules("/lookup/")
 	w.serve("lookup", "l1")
 	p := w.printOf(0, "/lookup/x")
-	killer := poison.NewTable()
+	crasher := poison.NewTable()
 	for _, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
-		killer.Accuse(tick.Now(), p, s)
+		crasher.Accuse(tick.Now(), p, s)
 	}
-	w.store.write("own/quarantine", keptCases{At: time.Now(), Cases: killer.Quarantine(tick.Now())})
+	w.store.write("own/quarantine", keptCases{At: time.Now(), Cases: crasher.Quarantine(tick.Now())})
 	h := w.start(0)
 	w.within(patient, "serves", func() bool { return h.d.p.State.Rules.State() == force.Serve })
 	assert.Assert(t, w.barred(0, p)())
--- /dev/null
+++ b/internal/edge/host/quarops.go
@@ -0,0 +1,34 @@
+package host
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"hawthornfield.org/hawthornfield/internal/load/poison"
+)
+
+const quarantinePath = "/quarantine"
+
+// handler serves operators beside the metrics: what is in quarantine, and its lifting.
+func (q *quarantine) handler(metrics http.Handler) http.Handler {
+	engine := gin.New()
+	engine.NoRoute(gin.WrapH(metrics))
+	engine.GET(quarantinePath, func(c *gin.Context) { c.JSON(http.StatusOK, q.verdicts()) })
+	engine.DELETE(quarantinePath+"/:print", func(c *gin.Context) {
+		var p poison.Print
+		if err := p.UnmarshalText([]byte(c.Param("print"))); err != nil {
+			c.String(http.StatusBadRequest, "%s\n", err)
+			return
+		}
+		if q.Barred(p) == 0 {
+			c.String(http.StatusNotFound, "not in quarantine here\n")
+			return
+		}
+		q.change(func(now time.Time) { q.table.Lift(now, p) })
+		q.p.Log.Info("quarantine lifted by an operator", "print", p.String())
+		c.Status(http.StatusNoContent)
+	})
+	return engine
+}
--- a/internal/edge/query/board.go
+++ b/internal/edge/query/board.go
@@ -96,8 +96,8 @@
 	List Parts[poison.Verdict] `json:"list"`
 }
 
-// Docket is where the leader keeps such requests.
-type Docket interface {
+// CaseSource is where the leader keeps such requests.
+type CaseSource interface {
 	// Since lists what changed after a number.
 	Since(seq uint64) Cases
 }
@@ -126,7 +126,7 @@
 	seen    object.Cursor
 	turn    context.Context
 	turned  context.CancelFunc
-	docket  Docket
+	source  CaseSource
 }
 
 // history is who serves a service's keys, and how that came about lately.
@@ -151,12 +151,12 @@
 	b.more = make(chan struct{})
 }
 
-// SetDocket sets where the requests under suspicion are kept. Its methods must not call
+// SetCases sets where the requests under suspicion are kept. Its methods must not call
 // the board's.
-func (b *Board) SetDocket(d Docket) {
+func (b *Board) SetCases(s CaseSource) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.docket = d
+	b.source = s
 }
 
 // Wake answers those who wait for news.
@@ -336,14 +336,14 @@
 
 // cases adds the requests under suspicion that the asker was not told of.
 func (b *Board) cases(a *Ask, n *News) bool {
-	if b.docket == nil {
+	if b.source == nil {
 		return false
 	}
 	seq := a.Cases
 	if a.Life != b.life {
 		seq = 0
 	}
-	if c := b.docket.Since(seq); len(c.List) > 0 {
+	if c := b.source.Since(seq); len(c.List) > 0 {
 		n.Cases = &c
 	}
 	return n.Cases != nil
--- a/internal/load/poison/bench_test.go
+++ b/internal/load/poison/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkScreen is what a request costs while another one is under suspicion.
 func BenchmarkScreen(b *testing.B) {
 	tab := NewTable()
-	tab.Accuse(t0, killer, "s1")
+	tab.Accuse(t0, crasher, "s1")
 	b.ReportAllocs()
 	for b.Loop() {
 		if tab.Knows(HeadOf("GET", "budget.example", "/forecast/ward-17/2026")) {
@@ -24,7 +24,7 @@
 func BenchmarkVerdict(b *testing.B) {
 	tab := NewTable()
 	for _, s := range []ident.Server{"i-267427395c", "i-598e18d132", "i-7c71da8af1"} {
-		tab.Accuse(t0, killer, s)
+		tab.Accuse(t0, crasher, s)
 	}
 	size := func(v any) float64 {
 		text, err := json.Marshal(v)
--- a/internal/load/poison/poison_test.go
+++ b/internal/load/poison/poison_test.go
@@ -15,17 +15,17 @@
 )
 
 var (
-	t0     = time.Unix(1000, 0)
-	killer = HeadOf("GET", "a.example", "/look/1").Of("10.0.0.1", BodyOf(nil))
-	other  = HeadOf("GET", "a.example", "/look/2").Of("10.0.0.1", BodyOf(nil))
+	t0      = time.Unix(1000, 0)
+	crasher = HeadOf("GET", "a.example", "/look/1").Of("10.0.0.1", BodyOf(nil))
+	other   = HeadOf("GET", "a.example", "/look/2").Of("10.0.0.1", BodyOf(nil))
 )
 
 func listed(all map[ident.Server]Life) func(ident.Server) Life {
 	return func(s ident.Server) Life { return all[s] }
 }
 
-// Guards against a killer whose caller is known by another address at each VM.
-func TestAKillerIsKnownWhateverItsCallersAddress(t *testing.T) {
+// Guards against a crashing request whose caller is known by another address at each VM.
+func TestARequestIsKnownWhateverItsCallersAddress(t *testing.T) {
 	tab := NewTable()
 	from := func(caller string) Print { return HeadOf("GET", "a.example", "/look/1").Of(caller, BodyOf(nil)) }
 	for i, s := range []ident.Server{"s1", "s2", "s3"} {
@@ -36,16 +36,16 @@
 	assert.Equal(t, tab.Barred(t0, from("10.0.0.0")), time.Duration(0))
 }
 
-// Guards against a killer that goes free because others ask for the same path in peace.
-func TestOneCallersKillerIsKnownAlthoughOthersAreAnswered(t *testing.T) {
+// Guards against a crashing request that goes free because others ask for the same path in peace.
+func TestOneCallersRequestIsKnownAlthoughOthersAreAnswered(t *testing.T) {
 	tab := NewTable()
 	others := HeadOf("GET", "a.example", "/look/1").Of("10.0.0.2", BodyOf(nil))
 	for i, s := range []ident.Server{"s1", "s2", "s3"} {
-		tab.Accuse(t0.Add(time.Duration(2*i)*time.Second), killer, s)
+		tab.Accuse(t0.Add(time.Duration(2*i)*time.Second), crasher, s)
 		tab.Clear(t0.Add(time.Duration(2*i+1)*time.Second), others)
 	}
 	now := t0.Add(6 * time.Second)
-	assert.Assert(t, tab.Barred(now, killer) > 0)
+	assert.Assert(t, tab.Barred(now, crasher) > 0)
 	assert.Equal(t, tab.Barred(now, others), time.Duration(0))
 }
 
@@ -68,11 +68,11 @@
 }
 
 func TestAPrintIsReadAsItIsWritten(t *testing.T) {
-	text, err := killer.MarshalText()
+	text, err := crasher.MarshalText()
 	assert.NilError(t, err)
 	var got Print
 	assert.NilError(t, got.UnmarshalText(text))
-	assert.Equal(t, got, killer)
+	assert.Equal(t, got, crasher)
 	assert.ErrorContains(t, got.UnmarshalText([]byte("00")), "malformed")
 }
 
@@ -91,78 +91,78 @@
 func TestThreeCrashesQuarantineARequest(t *testing.T) {
 	tab := NewTable()
 	for i, s := range []ident.Server{"s1", "s2", "s2", "s3"} {
-		assert.Equal(t, tab.Barred(t0, killer), time.Duration(0), "crash %d", i)
-		tab.Accuse(t0.Add(time.Duration(i)*time.Second), killer, s)
+		assert.Equal(t, tab.Barred(t0, crasher), time.Duration(0), "crash %d", i)
+		tab.Accuse(t0.Add(time.Duration(i)*time.Second), crasher, s)
 	}
-	assert.Assert(t, tab.Barred(t0.Add(4*time.Second), killer) > 9*time.Minute)
+	assert.Assert(t, tab.Barred(t0.Add(4*time.Second), crasher) > 9*time.Minute)
 	assert.Equal(t, tab.Barred(t0, other), time.Duration(0))
-	assert.Assert(t, tab.Knows(killer.Head()) && !tab.Knows(other.Head()))
+	assert.Assert(t, tab.Knows(crasher.Head()) && !tab.Knows(other.Head()))
 }
 
 // Guards against quarantine for requests whose connections broke while their servers lived.
 func TestServersThatLiveWithdrawTheirAccusations(t *testing.T) {
 	tab := NewTable()
 	for _, s := range []ident.Server{"s1", "s2", "s3"} {
-		tab.Accuse(t0, killer, s)
+		tab.Accuse(t0, crasher, s)
 	}
 	life := listed(map[ident.Server]Life{"s1": Gone, "s2": Alive, "s3": Unknown})
 	tab.Settle(t0.Add(time.Second), life)
-	assert.Equal(t, tab.Crashes(killer), 3)
+	assert.Equal(t, tab.Crashes(crasher), 3)
 	tab.Settle(t0.Add(settle), life)
-	assert.Equal(t, tab.Crashes(killer), 2)
+	assert.Equal(t, tab.Crashes(crasher), 2)
 	tab.Settle(t0.Add(settle+time.Second), listed(map[ident.Server]Life{"s1": Alive, "s3": Alive}))
-	assert.Equal(t, tab.Crashes(killer), 1, "a crash that was seen to be one is not withdrawn")
+	assert.Equal(t, tab.Crashes(crasher), 1, "a crash that was seen to be one is not withdrawn")
 }
 
 // Guards against quarantine for a harmless request that ran where others crashed servers.
 func TestAnAnswerClearsARequest(t *testing.T) {
 	tab := NewTable()
-	tab.Accuse(t0, killer, "s1")
-	tab.Accuse(t0, killer, "s2")
-	tab.Clear(t0.Add(time.Second), killer)
-	tab.Accuse(t0.Add(2*time.Second), killer, "s3")
-	assert.Equal(t, tab.Crashes(killer), 1)
-	tab.Hear(t0.Add(3*time.Second), []Report{{Print: killer, Server: "s4", Ago: 2500 * time.Millisecond}})
-	assert.Equal(t, tab.Crashes(killer), 1, "a crash before the answer counts no more")
+	tab.Accuse(t0, crasher, "s1")
+	tab.Accuse(t0, crasher, "s2")
+	tab.Clear(t0.Add(time.Second), crasher)
+	tab.Accuse(t0.Add(2*time.Second), crasher, "s3")
+	assert.Equal(t, tab.Crashes(crasher), 1)
+	tab.Hear(t0.Add(3*time.Second), []Report{{Print: crasher, Server: "s4", Ago: 2500 * time.Millisecond}})
+	assert.Equal(t, tab.Crashes(crasher), 1, "a crash before the answer counts no more")
 }
 
 // Guards against a request that is barred for good although its servers were mended.
 func TestAQuarantineEndsAndOneMoreCrashBeginsALongerOne(t *testing.T) {
 	tab := NewTable()
 	for _, s := range []ident.Server{"s1", "s2", "s3"} {
-		tab.Accuse(t0, killer, s)
+		tab.Accuse(t0, crasher, s)
 	}
 	later := t0.Add(holds[0])
-	assert.Equal(t, tab.Barred(later, killer), time.Duration(0))
-	tab.Accuse(later, killer, "s4")
-	assert.Equal(t, tab.Barred(later, killer), holds[1])
+	assert.Equal(t, tab.Barred(later, crasher), time.Duration(0))
+	tab.Accuse(later, crasher, "s4")
+	assert.Equal(t, tab.Barred(later, crasher), holds[1])
 	tab.Settle(later.Add(holds[1]+memory), listed(nil))
 	assert.Equal(t, tab.Len(), 0)
 }
 
-// Guards against a quarantine for harmless requests that a killer took along three times.
-func TestARequestThatRanBesideAKillerIsFreeAgain(t *testing.T) {
+// Guards against a quarantine for harmless requests that ran where another one crashed servers three times.
+func TestARequestThatOnlyRanBesideACrashingOneIsFreeAgain(t *testing.T) {
 	accused := func() *Table {
 		tab := NewTable()
 		for _, s := range []ident.Server{"s1", "s2", "s3"} {
-			tab.Accuse(t0, killer, s)
+			tab.Accuse(t0, crasher, s)
 			tab.Accuse(t0, other, s)
 		}
-		assert.Equal(t, tab.Barred(t0, killer), tieHold)
+		assert.Equal(t, tab.Barred(t0, crasher), tieHold)
 		assert.Equal(t, tab.Barred(t0, other), tieHold)
 		return tab
 	}
 	tab := accused()
 	tab.Clear(t0.Add(tieHold), other)
-	assert.Equal(t, tab.Barred(t0.Add(tieHold), killer), holds[0]-tieHold, "the answer of one tells on the other")
+	assert.Equal(t, tab.Barred(t0.Add(tieHold), crasher), holds[0]-tieHold, "the answer of one tells on the other")
 
 	tab = accused()
-	tab.Accuse(t0.Add(tieHold), killer, "s4")
-	assert.Equal(t, tab.Barred(t0.Add(tieHold), killer), holds[1])
+	tab.Accuse(t0.Add(tieHold), crasher, "s4")
+	assert.Equal(t, tab.Barred(t0.Add(tieHold), crasher), holds[1])
 	assert.Equal(t, tab.Barred(t0.Add(tieHold), other), time.Duration(0))
 
 	for _, s := range []ident.Server{"s4", "s5"} {
-		tab.Accuse(t0.Add(time.Minute), killer, s)
+		tab.Accuse(t0.Add(time.Minute), crasher, s)
 		tab.Accuse(t0.Add(time.Minute), other, s)
 	}
 	assert.Equal(t, tab.Barred(t0.Add(time.Minute), other), holds[2], "what never was answered is not tried for ever")
@@ -172,7 +172,7 @@
 func TestCrashesSeenByThreeVMsAreOneCase(t *testing.T) {
 	leader, vms := NewTable(), []*Table{NewTable(), NewTable(), NewTable()}
 	for i, vm := range vms {
-		vm.Accuse(t0, killer, ident.Server("s"+string(rune('1'+i))))
+		vm.Accuse(t0, crasher, ident.Server("s"+string(rune('1'+i))))
 	}
 	told := uint64(0)
 	for _, vm := range vms {
@@ -184,7 +184,7 @@
 	}
 	for _, vm := range vms {
 		vm.Take(t0, "L1", leader.Since(t0, told))
-		assert.Equal(t, vm.Barred(t0, killer), holds[0])
+		assert.Equal(t, vm.Barred(t0, crasher), holds[0])
 	}
 	assert.Equal(t, len(leader.Since(t0, leader.Seq())), 0)
 }
@@ -193,12 +193,12 @@
 func TestWhatWasKeptIsKnownToTheNextLeader(t *testing.T) {
 	tab := NewTable()
 	for _, s := range []ident.Server{"s1", "s2", "s3"} {
-		tab.Accuse(t0, killer, s)
+		tab.Accuse(t0, crasher, s)
 	}
 	tab.Accuse(t0, other, "s1")
 	next := NewTable()
 	next.Merge(t0.Add(time.Minute), tab.Quarantine(t0.Add(time.Minute)))
-	assert.Equal(t, next.Barred(t0.Add(time.Minute), killer), holds[0]-time.Minute)
+	assert.Equal(t, next.Barred(t0.Add(time.Minute), crasher), holds[0]-time.Minute)
 	assert.Equal(t, next.Len(), 2, "as its caller's and as anybody's")
 }
 
@@ -206,19 +206,19 @@
 func TestTheTableIsBoundedAndKeepsTheGravestCases(t *testing.T) {
 	tab := NewTable()
 	for _, s := range []ident.Server{"s1", "s2", "s3"} {
-		tab.Accuse(t0, killer, s)
+		tab.Accuse(t0, crasher, s)
 	}
 	for i := range 2 * mostCases {
 		p := HeadOf("GET", "a", string(rune(i))).Of("c", BodyOf(nil))
 		tab.Accuse(t0.Add(time.Duration(i)*time.Millisecond), p, "s1")
 	}
 	assert.Equal(t, tab.Len(), mostCases)
-	assert.Assert(t, tab.Barred(t0.Add(time.Second), killer) > 0)
+	assert.Assert(t, tab.Barred(t0.Add(time.Second), crasher) > 0)
 }
 
 // Whatever VMs see and in whatever order the leader hears it: a request that was never
 // answered, of whose crashes three were proven, is barred at every VM that was told.
-func TestEveryVMKnowsAProvenKiller(t *testing.T) {
+func TestEveryVMKnowsProvenCrashes(t *testing.T) {
 	seeds.Check(t, func(r *rapid.T) {
 		leader, gone := NewTable(), map[ident.Server]Life{}
 		vms := []*Table{NewTable(), NewTable(), NewTable(), NewTable()}
@@ -230,7 +230,7 @@
 			s := ident.Server("s" + string(rune('a'+rapid.IntRange(0, 5).Draw(r, "server"))))
 			switch rapid.IntRange(0, 4).Draw(r, "what") {
 			case 0, 1:
-				vms[i].Accuse(now, killer, s)
+				vms[i].Accuse(now, crasher, s)
 				gone[s] = Gone
 			case 2:
 				all := vms[i].Reports(now, life)
@@ -255,7 +255,7 @@
 		}
 		for _, vm := range vms {
 			vm.Take(now, "last", leader.Since(now, 0))
-			assert.Equal(r, vm.Barred(now, killer) > 0, leader.Crashes(killer) >= Enough && leader.Barred(now, killer) > 0)
+			assert.Equal(r, vm.Barred(now, crasher) > 0, leader.Crashes(crasher) >= Enough && leader.Barred(now, crasher) > 0)
 		}
 	})
 }
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -146,7 +146,7 @@
 	return []Print{p, p.Wide()}
 }
 
-// until is when the quarantine of a request ends. Requests that ran beside a killer are
+// until is when the quarantine of a request ends. Requests that ran beside a crashing one are
 // accused as it is: one whose crashes are part of another's is free, and those of which
 // nothing tells which it is are tried again soon, so that the first answer shows it.
 func (t *Table) until(c *Case) time.Time {
