--- a/internal/load/poison/poison_test.go
+++ b/internal/load/poison/poison_test.go
@@ -216,8 +216,7 @@
 	assert.Assert(t, tab.Barred(t0.Add(time.Second), crasher) > 0)
 }
 
-// Whatever VMs see and in whatever order the leader hears it: a request that was never
-// answered, of whose crashes three were proven, is barred at every VM that was told.
+// Guards against a VM that does not know what the leader knows, whatever was seen in whatever order and whoever led.
 func TestEveryVMKnowsProvenCrashes(t *testing.T) {
 	seeds.Check(t, func(r *rapid.T) {
 		leader, gone := NewTable(), map[ident.Server]Life{}
