--- /dev/null
+++ b/internal/load/poison/order_test.go
@@ -0,0 +1,291 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
+)
+
+const (
+	fleetVMs   = 9
+	fleetZones = 3
+	// attemptInterval is the pause between two attempts of the crashing request.
+	attemptInterval = 3500 * time.Millisecond
+	// missedHeartbeats is how many heartbeats a server's entry outlives its server.
+	missedHeartbeats = 3
+	// learnTime is the time from the third crash until every VM must know the request, and
+	// maxLateRuns the number of servers that it may reach after that.
+	learnTime   = 3 * time.Second
+	maxLateRuns = 3
+	// pollTime is the time between two exchanges of a VM with the leader.
+	pollTime = 250 * time.Millisecond
+)
+
+// fleet simulates the tables of all VMs, without requests and connections.
+type fleet struct {
+	now     time.Time
+	vms     []*Table
+	seqs    []uint64 // last change that each VM has received from the leader
+	leader  int
+	term    int
+	gone    map[ident.Server]time.Time // when the entries of crashed servers expire
+	runs    []time.Time                // when the crashing request reached a server
+	history strings.Builder
+	// crashes is the number of servers that crashed under the crashing request, and mustKnow
+	// the time at which every VM must know it.
+	crashes  int
+	mustKnow time.Time
+	// entryLife is how long a server's entry outlives it, and listDelay how much later VMs
+	// learn that it has expired.
+	entryLife, listDelay time.Duration
+}
+
+func newFleet(heartbeat time.Duration) *fleet {
+	f := &fleet{now: t0, seqs: make([]uint64, fleetVMs), gone: map[ident.Server]time.Time{}, entryLife: missedHeartbeats * heartbeat}
+	for range fleetVMs {
+		f.vms = append(f.vms, NewTable())
+	}
+	return f
+}
+
+func (f *fleet) note(format string, args ...any) {
+	fmt.Fprintf(&f.history, "%6.2f s  %s\n", f.now.Sub(t0).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// fingerprint returns that of a request whose caller has another address in each zone.
+func (f *fleet) fingerprint(vm int, path string) Fingerprint {
+	return HeadOf("GET", "a.example", path).Fingerprint("10.0.0."+strconv.Itoa(vm%fleetZones), BodyOf(nil))
+}
+
+func (f *fleet) liveness(s ident.Server) Liveness {
+	if f.now.Before(f.gone[s].Add(f.listDelay)) {
+		return Alive
+	}
+	return Gone
+}
+
+func (f *fleet) leaderName() string { return "L" + strconv.Itoa(f.term) }
+
+// advance lets time pass, in which the VMs compare crashes with their server lists and poll
+// the leader.
+func (f *fleet) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(pollTime)
+		for _, vm := range f.vms {
+			vm.Reconcile(f.now, f.liveness)
+		}
+		for i := range f.vms {
+			f.poll(i)
+		}
+	}
+}
+
+// poll exchanges reports and verdicts between a VM and the leader.
+func (f *fleet) poll(i int) {
+	if i == f.leader {
+		return
+	}
+	vm, leader := f.vms[i], f.vms[f.leader]
+	reports := vm.Reports(f.now, f.leaderName())
+	leader.AddReports(f.now, reports)
+	vm.ApplyVerdicts(f.now, f.leaderName(), leader.ChangesSince(f.now, f.seqs[i]))
+	f.seqs[i] = leader.Seq()
+	vm.MarkReported(f.leaderName(), reports)
+}
+
+// lead makes another VM the leader.
+func (f *fleet) lead(i int) {
+	f.leader, f.term = i, f.term+1
+	f.seqs = make([]uint64, fleetVMs)
+	f.note("VM %d leads", i)
+}
+
+// restart replaces a VM's table by an empty one that knows what the store holds.
+func (f *fleet) restart(i int) {
+	kept := f.vms[f.leader].Quarantine(f.now)
+	f.vms[i], f.seqs[i] = NewTable(), 0
+	f.vms[i].Merge(f.now, kept)
+	f.note("VM %d starts again", i)
+	if i == f.leader {
+		f.lead((i + 1) % fleetVMs)
+	}
+}
+
+// attempt sends the crashing request through a VM. If the VM lets it pass, a server crashes
+// under it and under the requests that ran there at the same time.
+func (f *fleet) attempt(vm int, beside ...string) { f.attemptAtOnce([]int{vm}, beside...) }
+
+// attemptAtOnce sends the crashing request through some VMs to the owner of its key.
+func (f *fleet) attemptAtOnce(vms []int, beside ...string) {
+	vms = slices.DeleteFunc(vms, func(vm int) bool { return f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, "/crash")) > 0 })
+	if len(vms) == 0 {
+		return
+	}
+	s := ident.Server("s" + strconv.Itoa(len(f.gone)))
+	f.gone[s] = f.now.Add(f.entryLife)
+	f.note("VMs %v send the request to %s, which crashes; beside it %v", vms, s, beside)
+	for i, path := range beside {
+		other := (vms[0] + i) % fleetVMs
+		if f.vms[other].QuarantineLeft(f.now, f.fingerprint(other, path)) == 0 {
+			f.vms[other].RecordCrash(f.now, f.fingerprint(other, path), s)
+		}
+	}
+	for _, vm := range vms {
+		f.runs = append(f.runs, f.now)
+		f.vms[vm].RecordCrash(f.now, f.fingerprint(vm, "/crash"), s)
+	}
+	if f.crashes++; f.crashes == CrashThreshold {
+		f.mustKnow = f.now.Add(learnTime)
+	}
+}
+
+// crashAlone lets a server crash, for a reason of its own, while it runs another request.
+func (f *fleet) crashAlone(vm int, path string) {
+	if f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, path)) > 0 {
+		return
+	}
+	s := ident.Server("s" + strconv.Itoa(len(f.gone)))
+	f.gone[s] = f.now.Add(f.entryLife)
+	f.note("%s crashes by itself while it runs %s for VM %d", s, path, vm)
+	f.vms[vm].RecordCrash(f.now, f.fingerprint(vm, path), s)
+}
+
+// answer lets a server answer another request.
+func (f *fleet) answer(vm int, path string) {
+	fp := f.fingerprint(vm, path)
+	if f.vms[vm].QuarantineLeft(f.now, fp) > 0 || !f.vms[vm].Suspected(fp.Head()) {
+		return
+	}
+	f.note("%s is answered at VM %d", path, vm)
+	f.vms[vm].Clear(f.now, fp)
+}
+
+// lateRuns counts how often the crashing request reached a server after every VM had to know
+// it.
+func (f *fleet) lateRuns() int {
+	late := 0
+	for _, at := range f.runs {
+		if f.crashes >= CrashThreshold && at.After(f.mustKnow) {
+			late++
+		}
+	}
+	return late
+}
+
+func (f *fleet) check(t rapid.TB) {
+	if late := f.lateRuns(); late > maxLateRuns {
+		t.Fatalf("%d servers crashed; the request reached servers %d times after every VM had to know it\n%s", f.crashes, late, f.history.String())
+	}
+}
+
+// Guards against dropping each crash as that of a live server where entries outlive their
+// servers by longer than the liveness grace.
+func TestCrashesAreKeptUntilTheEntriesOfTheirServersCanHaveExpired(t *testing.T) {
+	for _, c := range []struct {
+		heartbeat, listDelay, interval time.Duration
+	}{
+		{870 * time.Millisecond, 2 * time.Second, attemptInterval},
+		{1500 * time.Millisecond, time.Second, attemptInterval},
+		{1500 * time.Millisecond, time.Second, time.Second},
+	} {
+		t.Run(c.heartbeat.String()+"/"+c.interval.String(), func(t *testing.T) {
+			f := newFleet(c.heartbeat)
+			f.listDelay = c.listDelay
+			for i := range 12 {
+				f.attempt(i % fleetVMs)
+				f.advance(c.interval)
+			}
+			t.Logf("%d servers crashed; sent %d times late", f.crashes, f.lateRuns())
+			f.check(t)
+		})
+	}
+}
+
+// Guards against an order of crashes, reports, changes of leader and restarts in which a
+// crashing request reaches more than three servers after every VM had to know it.
+func TestACrashingRequestIsStoppedInAnyOrderOfEvents(t *testing.T) {
+	seeds.Check(t, func(r *rapid.T) {
+		f := newFleet(870 * time.Millisecond)
+		f.listDelay = time.Duration(rapid.IntRange(0, 2000).Draw(r, "list delay ms")) * time.Millisecond
+		for range 12 {
+			if rapid.IntRange(0, 5).Draw(r, "election") == 5 {
+				f.lead(rapid.IntRange(0, fleetVMs-1).Draw(r, "leader"))
+			}
+			if rapid.IntRange(0, 5).Draw(r, "restart") == 5 {
+				f.restart(rapid.IntRange(0, fleetVMs-1).Draw(r, "restarted"))
+			}
+			var beside []string
+			for i := range 4 {
+				if rapid.IntRange(0, 3).Draw(r, "beside") > 0 {
+					beside = append(beside, "/"+strconv.Itoa(i))
+				}
+			}
+			f.attempt(rapid.IntRange(0, fleetVMs-1).Draw(r, "vm"), beside...)
+			f.advance(attemptInterval)
+		}
+		f.check(r)
+	})
+}
+
+// Guards against a crashing request that is free again and again because others, which ran
+// beside it, have all its crashes and one more.
+func TestACrashingRequestIsStoppedAlthoughOthersRunBesideIt(t *testing.T) {
+	seeds.Check(t, func(r *rapid.T) {
+		const others = 4
+		f := newFleet(870 * time.Millisecond)
+		for range 16 {
+			var beside []string
+			for i := range others {
+				path := "/" + strconv.Itoa(i)
+				switch rapid.IntRange(0, 4).Draw(r, "other request") {
+				case 0: // does not come
+				case 1:
+					f.crashAlone(rapid.IntRange(0, fleetVMs-1).Draw(r, "vm"), path)
+				case 2:
+					f.answer(rapid.IntRange(0, fleetVMs-1).Draw(r, "vm"), path)
+				default:
+					beside = append(beside, path)
+				}
+			}
+			f.attempt(rapid.IntRange(0, fleetVMs-1).Draw(r, "vm"), beside...)
+			f.advance(attemptInterval)
+		}
+		f.check(r)
+	})
+}
+
+// Guards against a crashing request that is never found because its caller has another
+// address in each zone, and others are answered who ask for the same.
+func TestACrashingRequestIsStoppedAlthoughOthersAskForTheSame(t *testing.T) {
+	f := newFleet(870 * time.Millisecond)
+	others := HeadOf("GET", "a.example", "/crash").Fingerprint("10.0.0.99", BodyOf(nil))
+	for i := range 12 {
+		f.attempt(i % fleetVMs)
+		f.advance(attemptInterval - time.Second)
+		for _, vm := range f.vms {
+			vm.Clear(f.now, others)
+		}
+		f.note("the same request of another caller is answered")
+		f.advance(time.Second)
+	}
+	f.check(t)
+}
+
+// Guards against many VMs that try a crashing request at once when the short quarantine of a
+// tie ends.
+func TestFewVMsTryACrashingRequestWhenATieEnds(t *testing.T) {
+	f := newFleet(870 * time.Millisecond)
+	for range 12 {
+		f.attemptAtOnce([]int{0, 1, 2, 3, 4, 5, 6, 7, 8}, "/beside")
+		f.advance(attemptInterval)
+	}
+	f.check(t)
+}
