--- a/internal/load/poison/order_test.go
+++ b/internal/load/poison/order_test.go
@@ -43,11 +43,24 @@
 	// the time at which every VM must know it.
 	crashes  int
 	mustKnow time.Time
-	// entryLife is how long a server's entry outlives it, and listDelay how much later VMs
-	// learn that it has expired.
-	entryLife, listDelay time.Duration
+	// entryLife is how long a server's entry outlives it, listDelay how much later the leader
+	// learns that it has expired, and followerDelay how much later again the others do.
+	entryLife, listDelay, followerDelay time.Duration
+
+	outages []outage
 }
 
+// outage is a time in which the store reports no changes. VMs are in touch again, and have
+// the list of servers, only some time after its end.
+type outage struct{ from, until time.Time }
+
+const (
+	// relistTime is how long after an outage a server that is missing is still kept.
+	relistTime = 2200 * time.Millisecond
+	// inTouchTime is how long after an outage VMs may break rules that have a time bound.
+	inTouchTime = 3 * time.Second
+)
+
 func newFleet(heartbeat time.Duration) *fleet {
 	f := &fleet{now: t0, seqs: make([]uint64, fleetVMs), gone: map[ident.Server]time.Time{}, entryLife: missedHeartbeats * heartbeat}
 	for range fleetVMs {
@@ -65,8 +78,18 @@
 	return HeadOf("GET", "a.example", path).Fingerprint("10.0.0."+strconv.Itoa(vm%fleetZones), BodyOf(nil))
 }
 
-func (f *fleet) liveness(s ident.Server) Liveness {
-	if f.now.Before(f.gone[s].Add(f.listDelay)) {
+// liveness returns what a VM's server list tells of a server.
+func (f *fleet) liveness(vm int, s ident.Server) Liveness {
+	removed := f.gone[s].Add(f.listDelay)
+	if vm != f.leader {
+		removed = removed.Add(f.followerDelay)
+	}
+	for _, o := range f.outages {
+		if !removed.Before(o.from) && removed.Before(o.until) {
+			removed = o.until.Add(relistTime + f.listDelay)
+		}
+	}
+	if f.now.Before(removed) {
 		return Alive
 	}
 	return Gone
@@ -79,8 +102,8 @@
 func (f *fleet) advance(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(pollTime)
-		for _, vm := range f.vms {
-			vm.Reconcile(f.now, f.liveness)
+		for i, vm := range f.vms {
+			vm.Reconcile(f.now, func(s ident.Server) Liveness { return f.liveness(i, s) })
 		}
 		for i := range f.vms {
 			f.poll(i)
@@ -173,7 +196,8 @@
 func (f *fleet) lateRuns() int {
 	late := 0
 	for _, at := range f.runs {
-		if f.crashes >= CrashThreshold && at.After(f.mustKnow) {
+		during := slices.ContainsFunc(f.outages, func(o outage) bool { return at.After(o.from) && at.Before(o.until.Add(inTouchTime)) })
+		if f.crashes >= CrashThreshold && at.After(f.mustKnow) && !during {
 			late++
 		}
 	}
@@ -209,6 +233,27 @@
 	}
 }
 
+// Guards against dropping crashes because the store, at the time, does not report that the
+// entries of their servers have expired, and most VMs learn of it after the leader.
+func TestCrashesAreKeptWhileTheStoreReportsNothing(t *testing.T) {
+	f := newFleet(870 * time.Millisecond)
+	f.listDelay, f.followerDelay = 200*time.Millisecond, 2500*time.Millisecond
+	for _, o := range []struct{ from, until time.Duration }{
+		{0, 2 * time.Second},
+		{2250 * time.Millisecond, 5 * time.Second},
+		{6 * time.Second, 10 * time.Second},
+		{17750 * time.Millisecond, 20500 * time.Millisecond},
+	} {
+		f.outages = append(f.outages, outage{t0.Add(o.from), t0.Add(o.until)})
+	}
+	for range 12 {
+		f.attempt(0)
+		f.advance(attemptInterval)
+	}
+	f.attempt(1)
+	f.check(t)
+}
+
 // Guards against an order of crashes, reports, changes of leader and restarts in which a
 // crashing request reaches more than three servers after every VM had to know it.
 func TestACrashingRequestIsStoppedInAnyOrderOfEvents(t *testing.T) {
