host: a server that is missing from the store never counts as alive

Callers saw a request that crashes servers sent on after an outage of the store: its crashes had been dropped as those of live servers.

After an outage, a server that the store no longer lists is kept for RelistTime. Meanwhile its liveness is unknown, but from the end of RelistTime until the next tick of the expiry loop, up to 200 ms, it counted as alive. Table.Reconcile runs every 250 ms and dropped every unconfirmed crash in that gap, when their servers were in fact known to be missing.

Evidence: TestAServerThatIsMissingAfterAnOutageNeverCountsAsAlive kept 0 of 3 crashes; it keeps 3 of 3 now.

A server with a delayed removal is now unknown until it is listed again or removed, whatever the clock says, so that no gap is left.

--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -309,7 +309,7 @@
 	defer t.mu.Unlock()
 	e, listed := t.members.Has(s)
 	switch {
-	case t.members.Uncertain(time.Now()):
+	case t.members.Uncertain(time.Now()), t.members.Missing(s):
 		return poison.Unknown, e.Leaving
 	case listed:
 		return poison.Alive, e.Leaving
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -106,6 +106,12 @@
 	return r.Entry, true
 }
 
+// Missing reports whether the store no longer lists a server whose removal is delayed.
+func (s *Set[T]) Missing(name ident.Server) bool {
+	r := s.entries[name]
+	return r != nil && !r.goneAt.IsZero()
+}
+
 // ReplaceAll applies the complete list of the store at a revision. It reports whether the
 // set changed.
 func (s *Set[T]) ReplaceAll(now time.Time, rev uint64, list []Entry[T]) bool {
