host: keep reports of crashes that arrive before the term

Callers saw a crashing request sent on after an election: the crash reports of some VMs were lost.

A poll request whose reports arrive while its receiver does not lead yet was answered after the receiver had begun to lead. The reports were dropped, because the receiver did not lead when it read them; the answer said that it leads, so the sender took them for received and never sent them again.

A VM now merges reports whether it leads or not. If it begins to lead, they are in its table; if it does not, it reports them itself to the leader, and the answer does not acknowledge them.

--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -164,9 +164,10 @@
 	q.table.MarkReported(leader, all)
 }
 
-// addReports adds the reports of another VM, if this VM leads.
+// addReports adds the reports of another VM. It does so even before this VM leads, because
+// the response may already say that it does, which acknowledges the reports.
 func (q *quarantine) addReports(all []poison.Report) {
-	if _, leads := q.parts.Hub.Lease(); leads && len(all) > 0 {
+	if len(all) > 0 {
 		q.update(func(now time.Time) { q.table.AddReports(now, all) })
 	}
 }
