poison: only the leader drops the crashes of cases that it shares

Callers saw a crashing request served by single VMs while it was quarantined at the others.

Every VM dropped the crashes of servers that its own list still had. A VM whose list is older than the leader's dropped crashes that the leader kept and later confirmed. The leader sends a case again only when it changes there, so that VM stayed without them.

A case on which a leader has sent its verdict now follows that leader. A VM drops by its own list only while it leads, and in cases on which no leader has decided. After a change of leader, the cases that the next one does not share are decided here again; a VM that has lost its leader, or knows a case only from the store, keeps it. A leader that drops all crashes of a shared case remembers the empty case, so that the other VMs are told; before, it forgot it at once, which did no harm while each of them dropped the crashes itself.

The simulated fleet of the order tests tells a new leader that it leads.

--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -55,12 +55,21 @@
 	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
 		if q.nonEmpty.Load() {
-			q.update(func(now time.Time) { q.table.Reconcile(now, liveness) })
+			_, leads := q.parts.Hub.Lease()
+			q.update(func(now time.Time) { q.reconcile(now, leads, liveness) })
 		}
 	}
 	return nil
 }
 
+// reconcile compares crashes with the list of servers. The caller holds mu.
+func (q *quarantine) reconcile(now time.Time, leads bool, liveness func(ident.Server) poison.Liveness) {
+	if leads {
+		q.table.Lead()
+	}
+	q.table.Reconcile(now, liveness)
+}
+
 // update changes the table with f, logs which requests entered or left quarantine, and
 // wakes the VMs whose polls wait for news.
 func (q *quarantine) update(f func(now time.Time)) {
--- a/internal/load/poison/order_test.go
+++ b/internal/load/poison/order_test.go
@@ -127,6 +127,7 @@
 // lead makes another VM the leader.
 func (f *fleet) lead(i int) {
 	f.leader, f.term = i, f.term+1
+	f.vms[i].Lead()
 	f.seqs = make([]uint64, fleetVMs)
 	f.note("VM %d leads", i)
 }
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -59,17 +59,22 @@
 	Fingerprint     Fingerprint
 	Crashes         []Crash   // of different servers, oldest first
 	cleared         time.Time // when it was last answered or released
+	dropped         time.Time // when crashes of a shared case were last dropped here
 	clearReportedTo string    // process of the leader that has received cleared
 	seq             uint64    // number of its last shared change
 	shared          bool      // other VMs are sent this case
+	judge           string    // process of the leader that decides on the case; empty if this VM does
 }
 
 // lastEvent returns the time of the last crash or, without a crash, when the case was
-// cleared.
+// cleared or the last crash was dropped. The other VMs have yet to be told of that.
 func (c *Case) lastEvent() time.Time {
 	if n := len(c.Crashes); n > 0 {
 		return c.Crashes[n-1].At
 	}
+	if c.dropped.After(c.cleared) {
+		return c.dropped
+	}
 	return c.cleared
 }
 
@@ -99,6 +104,7 @@
 	cases      map[Fingerprint]*Case
 	headCounts map[Head]int // number of cases for each head
 	seq        uint64       // number of the last shared change
+	leader     string       // process of the last leader that received reports
 }
 
 // NewTable returns an empty table.
@@ -228,21 +234,15 @@
 	t.markChanged(c)
 }
 
-// Reconcile drops the crashes of servers that are alive, and cases that are out of date. It
-// reports whether any shared case changed.
+// Reconcile drops the crashes of servers that are alive, unless a leader decides on the
+// case, and cases that are out of date. It reports whether any shared case changed.
 func (t *Table) Reconcile(now time.Time, liveness func(ident.Server) Liveness) bool {
 	before := t.seq
 	for fp, c := range t.cases {
-		n := len(c.Crashes)
-		c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool {
-			return !crash.Confirmed && now.Sub(crash.At) >= livenessGrace && liveness(crash.Server) == Alive
-		})
+		t.dropAlive(now, c, func(crash Crash) bool { return liveness(crash.Server) == Alive })
 		for i := range c.Crashes {
 			c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || liveness(c.Crashes[i].Server) == Gone
 		}
-		if len(c.Crashes) != n {
-			t.markChanged(c)
-		}
 		unshared := len(c.Crashes) == 0 && !c.shared
 		if unshared || !now.Before(c.lastEvent().Add(c.quarantineTime()+retention)) {
 			t.remove(fp)
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -55,6 +55,7 @@
 
 // MarkReported records that a leader has received the reports.
 func (t *Table) MarkReported(leader string, all []Report) {
+	t.follow(leader)
 	for _, r := range all {
 		c := t.cases[r.Fingerprint]
 		if c == nil {
@@ -131,6 +132,7 @@
 // merge adds a verdict to a case. The leader is the process that sent the verdict, empty
 // for the store.
 func (t *Table) merge(now time.Time, c *Case, v Verdict, leader string) {
+	c.judgedBy(leader)
 	if v.ClearedAge > 0 {
 		c.clearUntil(now.Add(-v.ClearedAge))
 		c.clearReportedTo = leader
