poison: drop a crash only on proof that its server was alive after it

Callers saw a crashing request run on server after server where heartbeats are slow or the store's list is late: its crashes were dropped before the third came.

A crash was dropped when its server was still listed 5 s later. The entry of a server outlives it by three heartbeats, up to 4.5 s, and the list is late by what the store or its watch is late, so that the entries of servers that had ended were taken for proof that they were alive.

Being listed counts after 15 s. So that requests whose live servers merely reset connections are not suspected for so long, there is a proof besides: an answer, of whatever status, to a request that was sent to the server 2 s after the crash or later. No other process has its id, and it refuses requests that name another server, so it had not ended. The VM withdraws the crash and reports that; the leader withdraws it for all, unless it is confirmed or has a later crash of the server on record: then it shares the case again. An older leader takes the report for that of the crash, which it knows. Answers with status 421, and any where requests do not name their server, prove nothing: another server may have got the address.

A repeated crash of a server on record now counts with its later time, since the server may only have reset the first connection.

30 broken connections a second, with two cases each, put 900 cases into the table within 15 s, so it holds 2,048 instead of 1,024.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -286,7 +286,7 @@
 	if x.current != nil && !x.current.markSent() {
 		return nil, errOwnerChanged
 	}
-	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, &relay.Meta{
+	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 	})
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -26,6 +26,11 @@
 	// Answered records that a server answered a suspected request, and not with an error
 	// of its own.
 	Answered(p poison.Fingerprint)
+	// SendTime returns the time for a later ServerAnswered, just before a request is sent;
+	// zero while no request is suspected.
+	SendTime() time.Time
+	// ServerAnswered records that a server answered a request that was sent at a SendTime.
+	ServerAnswered(sentAt time.Time, s ident.Server)
 }
 
 // quarantineError is the error of a request that is quarantined.
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -23,6 +23,7 @@
 	mu sync.Mutex
 	*poison.Table
 	reported []poison.Fingerprint
+	alive    map[ident.Server]time.Time // by ServerAnswered
 }
 
 func (g *fakeGuard) Suspects(h *poison.Head) bool {
--- /dev/null
+++ b/internal/edge/host/alive.go
@@ -0,0 +1,34 @@
+package host
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// SendTime returns a time of the boot clock, at most reconcileInterval ago, or zero while no
+// request is suspected. An earlier time is safe, and costs no system call.
+func (q *quarantine) SendTime() time.Time {
+	if !q.nonEmpty.Load() {
+		return time.Time{}
+	}
+	tick := q.tick.Load()
+	if tick == nil {
+		return time.Time{}
+	}
+	return *tick
+}
+
+// ServerAnswered records that a server answered a request that was sent at a SendTime, so
+// that it did not crash before.
+func (q *quarantine) ServerAnswered(sentAt time.Time, s ident.Server) {
+	if q.isAccused(s) {
+		q.update(func(time.Time) { q.table.ServerAnswered(sentAt, s) })
+	}
+}
+
+func (q *quarantine) isAccused(s ident.Server) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Accused(s)
+}
--- /dev/null
+++ b/internal/edge/host/alive_test.go
@@ -0,0 +1,37 @@
+package host
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/clock"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
+)
+
+// Guards against a request that stays suspected although its server answers others, and
+// against reading the clock for each request while nothing is suspected.
+func TestAServerThatAnswersIsNotAccused(t *testing.T) {
+	q := &quarantine{table: poison.NewTable(), logged: map[poison.Fingerprint]bool{}, parts: quarantineParts{Hub: poll.NewHub("vm-1", "1"), Log: slog.New(slog.DiscardHandler)}}
+	unknown := func(ident.Server) poison.Liveness { return poison.Unknown }
+	now := clock.Now()
+	q.tick.Store(&now)
+	assert.Assert(t, q.SendTime().IsZero())
+	p := poison.HeadOf("GET", "a.example", "/x").Fingerprint("10.0.0.1", poison.BodyOf(nil))
+	q.update(func(now time.Time) {
+		q.table.RecordCrash(now, p, "s1")
+		q.reconcile(now, false, unknown)
+	})
+	assert.Assert(t, q.isAccused("s1"))
+	assert.Equal(t, q.SendTime(), now)
+	q.ServerAnswered(q.SendTime(), "s1")
+	assert.Equal(t, q.table.Crashes(p), 1, "the answer may be older than the crash")
+	q.ServerAnswered(clock.Now().Add(time.Minute), "s2")
+	assert.Equal(t, q.table.Crashes(p), 1)
+	q.ServerAnswered(clock.Now().Add(time.Minute), "s1")
+	assert.Equal(t, q.table.Crashes(p), 0)
+}
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -24,6 +24,7 @@
 	group    group.Group
 	parts    quarantineParts
 	nonEmpty atomic.Bool // whether the table has entries
+	tick     atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	table  *poison.Table
@@ -54,6 +55,8 @@
 func (q *quarantine) reconcileLoop(ctx context.Context) error {
 	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
+		now := clock.Now()
+		q.tick.Store(&now)
 		if q.nonEmpty.Load() {
 			_, leads := q.parts.Hub.Lease()
 			q.update(func(now time.Time) { q.reconcile(now, leads, liveness) })
--- a/internal/load/poison/judge.go
+++ b/internal/load/poison/judge.go
@@ -11,6 +11,7 @@
 // Lead records that this VM leads. Its own list of servers decides on all cases.
 func (t *Table) Lead() {
 	t.leader = ""
+	clear(t.proofs)
 	for _, c := range t.cases {
 		c.judge = ""
 	}
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -11,15 +11,16 @@
 const (
 	// CrashThreshold is the number of different servers whose crashes quarantine a request.
 	CrashThreshold = 3
-	// livenessGrace is how long a server has to show that it is alive after its connection
-	// broke. The entry of a server that has ended expires within three heartbeats.
-	livenessGrace = 5 * time.Second
+	// livenessGrace is how long a server must be listed after its connection broke to count
+	// as alive. The entry of a server that has ended expires after three heartbeats, and the
+	// list may be late by several seconds.
+	livenessGrace = 15 * time.Second
 	// retention is how long crashes are remembered after the last one and after the end of
 	// a quarantine.
 	retention = 10 * time.Minute
 	// maxCases bounds the requests under suspicion, and maxCrashes the crashes kept for
 	// each.
-	maxCases   = 1024
+	maxCases   = 2048
 	maxCrashes = 8
 )
 
@@ -91,13 +92,18 @@
 // under this one.
 func (c *Case) covers(other *Case) bool {
 	for _, crash := range other.Crashes {
-		if !slices.ContainsFunc(c.Crashes, func(o Crash) bool { return o.Server == crash.Server }) {
+		if !c.has(crash.Server) {
 			return false
 		}
 	}
 	return true
 }
 
+// has reports whether a server crashed under the request.
+func (c *Case) has(s ident.Server) bool {
+	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Server == s })
+}
+
 // Table holds the requests under suspicion. All times passed to it must come from the same
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
@@ -105,10 +111,17 @@
 	headCounts map[Head]int // number of cases for each head
 	seq        uint64       // number of the last shared change
 	leader     string       // process of the last leader that received reports
+	accused    map[ident.Server]time.Time
+	proofs     map[ident.Server]proof // not yet reported to a leader
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{cases: map[Fingerprint]*Case{}, headCounts: map[Head]int{}} }
+func NewTable() *Table {
+	return &Table{
+		cases: map[Fingerprint]*Case{}, headCounts: map[Head]int{},
+		accused: map[ident.Server]time.Time{}, proofs: map[ident.Server]proof{},
+	}
+}
 
 // Len returns the number of cases.
 func (t *Table) Len() int { return len(t.cases) }
@@ -238,6 +251,8 @@
 // case, and cases that are out of date. It reports whether any shared case changed.
 func (t *Table) Reconcile(now time.Time, liveness func(ident.Server) Liveness) bool {
 	before := t.seq
+	clear(t.accused)
+	t.forgetOldProofs(now)
 	for fp, c := range t.cases {
 		t.dropAlive(now, c, func(crash Crash) bool { return liveness(crash.Server) == Alive })
 		for i := range c.Crashes {
@@ -246,7 +261,9 @@
 		unshared := len(c.Crashes) == 0 && !c.shared
 		if unshared || !now.Before(c.lastEvent().Add(c.quarantineTime()+retention)) {
 			t.remove(fp)
+			continue
 		}
+		t.accuse(c)
 	}
 	return t.seq != before
 }
@@ -295,24 +312,39 @@
 	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool { return !crash.At.After(c.cleared) })
 }
 
-// add adds a crash and reports whether it did. A crash is ignored if its server is already
-// on record or the request was cleared after it.
+// add adds a crash and reports whether it did. A crash is ignored if the request was cleared
+// after it. If its server is already on record, the later time counts: the server may have
+// been alive after the first broken connection.
 func (c *Case) add(crash Crash) bool {
 	if !crash.At.After(c.cleared) {
 		return false
 	}
 	if i := slices.IndexFunc(c.Crashes, func(o Crash) bool { return o.Server == crash.Server }); i >= 0 {
-		c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || crash.Confirmed
+		c.Crashes[i].repeat(crash)
+		c.sort()
 		return false
 	}
 	c.Crashes = append(c.Crashes, crash)
-	slices.SortFunc(c.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	c.sort()
 	if len(c.Crashes) > maxCrashes {
 		c.Crashes = c.Crashes[len(c.Crashes)-maxCrashes:]
 	}
 	return true
 }
 
+// repeat merges another report of a crash of the same server into this one.
+func (crash *Crash) repeat(other Crash) {
+	if !crash.Confirmed && other.At.After(crash.At) {
+		crash.At = other.At
+		crash.reportedTo = other.reportedTo
+	}
+	crash.Confirmed = crash.Confirmed || other.Confirmed
+}
+
+func (c *Case) sort() {
+	slices.SortFunc(c.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
 // markChanged assigns the next change number to a case that is shared with other VMs. A
 // case with a single crash is not shared yet, because connections break all the time.
 func (t *Table) markChanged(c *Case) {
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -24,11 +24,14 @@
 }
 
 // Report is one observation of a VM that it sends to the leader: a server crashed while it
-// ran the request or, when Server is empty, the request was answered.
+// ran the request or, when Server is empty, the request was answered. When Alive is set, it
+// withdraws a crash: the server answered a request that was sent to it that long ago.
 type Report struct {
 	Fingerprint Fingerprint   `json:"print"`
 	Server      ident.Server  `json:"server,omitempty"`
 	Age         time.Duration `json:"ago"`
+	Alive       time.Duration `json:"alive,omitempty"`
+	sentAt      time.Time     // when that request was sent, by the clock of the reporting VM
 }
 
 // maxReports bounds the number of reports in one request to the leader.
@@ -49,6 +52,9 @@
 			}
 		}
 	}
+	for s, p := range t.proofs {
+		all = append(all, p.report(now, s))
+	}
 	slices.SortFunc(all, func(a, b Report) int { return cmp.Compare(a.Age, b.Age) })
 	return all[:min(len(all), maxReports)]
 }
@@ -57,6 +63,10 @@
 func (t *Table) MarkReported(leader string, all []Report) {
 	t.follow(leader)
 	for _, r := range all {
+		if r.Alive > 0 {
+			t.markProofReported(r)
+			continue
+		}
 		c := t.cases[r.Fingerprint]
 		if c == nil {
 			continue
@@ -75,6 +85,10 @@
 // AddReports adds the reports of another VM to the leader's table.
 func (t *Table) AddReports(now time.Time, all []Report) {
 	for _, r := range all {
+		if r.Alive > 0 {
+			t.addProof(now.Add(-r.Alive), r.Server)
+			continue
+		}
 		if r.Server == "" {
 			t.Clear(now.Add(-r.Age), r.Fingerprint)
 			continue
