--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -24,6 +24,7 @@
 	group    group.Group
 	parts    quarantineParts
 	nonEmpty atomic.Bool // whether the table has entries
+	tick     atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	table  *poison.Table
@@ -54,13 +55,24 @@
 func (q *quarantine) reconcileLoop(ctx context.Context) error {
 	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
+		now := clock.Now()
+		q.tick.Store(&now)
 		if q.nonEmpty.Load() {
-			q.update(func(now time.Time) { q.table.Reconcile(now, liveness) })
+			_, leads := q.parts.Hub.Lease()
+			q.update(func(now time.Time) { q.reconcile(now, leads, liveness) })
 		}
 	}
 	return nil
 }
 
+// reconcile compares crashes with the list of servers. The caller holds mu.
+func (q *quarantine) reconcile(now time.Time, leads bool, liveness func(ident.Server) poison.Liveness) {
+	if leads {
+		q.table.Lead()
+	}
+	q.table.Reconcile(now, liveness)
+}
+
 // update changes the table with f, logs which requests entered or left quarantine, and
 // wakes the VMs whose polls wait for news.
 func (q *quarantine) update(f func(now time.Time)) {
@@ -164,9 +176,10 @@
 	q.table.MarkReported(leader, all)
 }
 
-// addReports adds the reports of another VM, if this VM leads.
+// addReports adds the reports of another VM. It does so even before this VM leads, because
+// the response may already say that it does, which acknowledges the reports.
 func (q *quarantine) addReports(all []poison.Report) {
-	if _, leads := q.parts.Hub.Lease(); leads && len(all) > 0 {
+	if len(all) > 0 {
 		q.update(func(now time.Time) { q.table.AddReports(now, all) })
 	}
 }
