poison, front, host: crashes of servers that end silently count

What callers saw: a request that crashes each server that runs it was sent on without end where the servers ended without closing their connections, where its key moved before the end showed, or where its caller left just before.

Cause: only a connection that the server closes accused a request. An attempt that ended by its deadline, with its caller or because of a move left no trace, also when its server turned out to have ended.

Fix: such attempts are kept on their VM for 10 s, at most 64 for each of 256 servers (poison.Unanswered), and put nothing under suspicion. The reconcile loop records a crash, at the time of the attempt's end, once the server is off the list and had not announced that it leaves; an answer to the same request clears them. The digest is computed only for attempts that were sent.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -346,9 +346,7 @@
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
-	if fail.ConnClosed {
-		x.reportCrash(permit.Server())
-	}
+	x.reportFailure(permit.Server(), fail)
 	if fail.Sent && !fail.Refused {
 		x.mayHaveRun = true
 		x.cancelOnServer(permit.Server())
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -23,6 +23,9 @@
 	// ReportCrash records that a server closed the connection while it ran the request,
 	// and returns how many servers have.
 	ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int
+	// ReportUnanswered records that an attempt was sent to a server and ended without an
+	// answer, while the connection stayed open. It is evidence only if the server has ended.
+	ReportUnanswered(p poison.Fingerprint, s ident.Server, id ident.Request)
 	// Answered records that a server answered a suspected request, and not with an error
 	// of its own.
 	Answered(p poison.Fingerprint)
@@ -101,10 +104,11 @@
 	x.suspect = true
 }
 
-// reportAnswered reports that a suspected request was answered. It is not called for a
-// server's error, which may have been sent before the request began to run.
+// reportAnswered reports that a suspected request, or one with an attempt that got no
+// answer, was answered. It is not called for a server's error, which may have been sent
+// before the request began to run.
 func (x *exchange) reportAnswered() {
-	if !x.suspect {
+	if !x.suspect && !x.unanswered {
 		return
 	}
 	if p, ok := x.fingerprint(); ok {
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -22,7 +22,8 @@
 type fakeGuard struct {
 	mu sync.Mutex
 	*poison.Table
-	reported []poison.Fingerprint
+	reported   []poison.Fingerprint
+	unanswered poison.Unanswered
 }
 
 func (g *fakeGuard) Suspects(h *poison.Head) bool {
@@ -44,9 +45,16 @@
 	return g.RecordCrash(time.Now(), p, s)
 }
 
+func (g *fakeGuard) ReportUnanswered(p poison.Fingerprint, s ident.Server, id ident.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unanswered.Add(poison.Attempt{Fingerprint: p, Server: s, ID: id, At: time.Now()})
+}
+
 func (g *fakeGuard) Answered(p poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.unanswered.Clear(p)
 	g.Clear(time.Now(), p)
 }
 
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -29,7 +29,8 @@
 	table  *poison.Table
 	logged map[poison.Fingerprint]bool // caller-independent fingerprints of requests logged as quarantined
 
-	object quarantineObject
+	object     quarantineObject
+	unanswered unansweredAttempts
 }
 
 type quarantineParts struct {
@@ -54,6 +55,7 @@
 func (q *quarantine) reconcileLoop(ctx context.Context) error {
 	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
+		q.accuseUnanswered()
 		if q.nonEmpty.Load() {
 			q.update(func(now time.Time) { q.table.Reconcile(now, liveness) })
 		}
@@ -128,14 +130,20 @@
 	}
 	n := 0
 	q.update(func(now time.Time) { n = q.table.RecordCrash(now, p, s) })
+	q.logCrash(p, s, id, n)
+	return n
+}
+
+// logCrash logs the second and each later server that crashed under a request.
+func (q *quarantine) logCrash(p poison.Fingerprint, s ident.Server, id ident.Request, n int) {
 	if n > 1 {
 		q.parts.Log.Warn("another server broke off under a request", "print", p.AnyCaller().String(), "id", id, "server", s, "crashes", n)
 	}
-	return n
 }
 
 // Answered records that a server answered a suspected request.
 func (q *quarantine) Answered(p poison.Fingerprint) {
+	q.unanswered.clear(p)
 	q.update(func(now time.Time) { q.table.Clear(now, p) })
 }
 
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -41,6 +41,7 @@
 	drain        time.Duration              // how long after its announcement a leaving server may get requests
 	leavingSince map[ident.Server]time.Time // when each leaving server was first seen to leave
 	dropped      map[ident.Server]bool      // leaving servers that no longer get requests
+	left         departures                 // servers that left as announced
 	lastLogged   map[ident.Server]bool      // servers at the last log line; true if leaving
 	loggedFaults map[ident.Server]bool      // servers whose invalid entry has been logged
 }
@@ -239,6 +240,7 @@
 
 // trackLeaving records when each server was first seen to leave. The caller holds mu.
 func (t *serverTracker) trackLeaving(now time.Time, list []feed.Server) {
+	t.left.update(now, t.leavingSince, list)
 	next := make(map[ident.Server]time.Time)
 	for _, s := range list {
 		if !s.Leaving {
--- /dev/null
+++ b/internal/load/poison/unanswered_test.go
@@ -0,0 +1,110 @@
+package poison
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+func attemptAt(s ident.Server, at time.Time) Attempt {
+	return Attempt{Fingerprint: crashing, ID: "r", Server: s, At: at}
+}
+
+// Guards against missing the crash of a server that ended without closing its connections.
+func TestAnAttemptAtAServerThatEndedIsEvidence(t *testing.T) {
+	var u Unanswered
+	u.Add(attemptAt("s1", t0))
+	u.Add(attemptAt("s2", t0))
+	assert.Equal(t, len(u.Settle(t0.Add(time.Second), nil)), 0)
+	got := u.Settle(t0.Add(4500*time.Millisecond), map[ident.Server]Ending{"s1": Ended})
+	assert.DeepEqual(t, got, []Attempt{attemptAt("s1", t0)})
+	assert.DeepEqual(t, u.Servers(), []ident.Server{"s2"})
+	assert.Equal(t, len(u.Settle(t0.Add(5*time.Second), map[ident.Server]Ending{"s1": Ended})), 0, "once only")
+}
+
+// Guards against accusing requests that time out at servers that are slow or leave.
+func TestTimeoutsAtServersThatDoNotCrashAccuseNobody(t *testing.T) {
+	var u Unanswered
+	endings := map[ident.Server]Ending{"leaving": Left}
+	now := t0
+	for range 100 {
+		now = now.Add(250 * time.Millisecond)
+		u.Add(attemptAt("slow", now))
+		u.Add(attemptAt("leaving", now))
+		assert.Equal(t, len(u.Settle(now, endings)), 0)
+	}
+	endings["leaving"] = Ended
+	assert.Equal(t, len(u.Settle(now, endings)), 0, "it announced that it leaves")
+	assert.Equal(t, len(u.Settle(now.Add(unansweredTime), endings)), 0)
+	assert.Equal(t, u.Len(), 0)
+}
+
+// Guards against accusing requests that ended long before their server did.
+func TestAnOldAttemptIsNoEvidence(t *testing.T) {
+	var u Unanswered
+	u.Add(attemptAt("s1", t0))
+	u.Add(attemptAt("s1", t0.Add(time.Second)))
+	got := u.Settle(t0.Add(unansweredTime), map[ident.Server]Ending{"s1": Ended})
+	assert.DeepEqual(t, got, []Attempt{attemptAt("s1", t0.Add(time.Second))})
+}
+
+// Guards against accusing a request that another server has answered since.
+func TestAnAnswerClearsUnansweredAttempts(t *testing.T) {
+	var u Unanswered
+	for i := range 2 * maxUnanswered {
+		u.Add(attemptAt("s1", t0.Add(time.Duration(i))))
+		u.Add(Attempt{Fingerprint: other, Server: "s1", At: t0.Add(time.Duration(i))})
+	}
+	u.Clear(crashing)
+	last := t0.Add(time.Second)
+	u.Add(Attempt{Fingerprint: other, Server: "s1", At: last})
+	got := u.Settle(last, map[ident.Server]Ending{"s1": Ended})
+	assert.Equal(t, len(got), maxUnanswered/2+1)
+	for i, a := range got {
+		assert.Equal(t, a.Fingerprint, other)
+		assert.Assert(t, i == 0 || a.At.After(got[i-1].At))
+	}
+}
+
+// Guards against unbounded memory, and against losing the crash of one server, while
+// another one times out by the hundred.
+func TestAFloodOfTimeoutsIsBoundedAndHidesNoOtherServer(t *testing.T) {
+	var u Unanswered
+	u.Add(attemptAt("s1", t0))
+	now := t0
+	for range 100 * maxUnanswered {
+		now = now.Add(time.Millisecond / 10)
+		u.Add(Attempt{Fingerprint: other, Server: "slow", At: now})
+	}
+	assert.Equal(t, u.Len(), maxUnanswered+1)
+	got := u.Settle(now, map[ident.Server]Ending{"s1": Ended})
+	assert.DeepEqual(t, got, []Attempt{attemptAt("s1", t0)})
+	for i := range 4 * maxSilentServers {
+		now = now.Add(time.Millisecond)
+		for range 2 * maxUnanswered {
+			u.Add(attemptAt(ident.Server(strconv.Itoa(i)), now))
+		}
+	}
+	assert.Equal(t, u.Len(), maxSilentServers*maxUnanswered)
+}
+
+// BenchmarkUnanswered measures an attempt that ends without an answer while the bounds are
+// reached.
+func BenchmarkUnanswered(b *testing.B) {
+	var u Unanswered
+	names := make([]ident.Server, 2*maxSilentServers)
+	for i := range names {
+		names[i] = ident.Server(strconv.Itoa(i))
+	}
+	for name, servers := range map[string]int{"one server": 1, "too many servers": len(names)} {
+		b.Run(name, func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				u.Add(attemptAt(names[i%servers], t0.Add(time.Duration(i))))
+			}
+		})
+	}
+}
