relay, front: a server that breaks off its answer accuses the request

What callers saw: a request that crashes its server after the answer has begun was sent on without end.

Cause: an answer that broke off was reported as truncated, without saying whose side ended it, and nobody was accused.

Fix: relay.Failure.ConnClosed is also set for a truncated answer, buffered or streamed, if the server ended the connection. An attempt that ends on this side, by its deadline or with its caller, fails with other errors and accuses nobody.

--- a/internal/edge/front/evidence.go
+++ b/internal/edge/front/evidence.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"errors"
+
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 )
@@ -15,6 +17,15 @@
 	}
 }
 
+// reportBrokenAnswer reports a server that broke off an answer of which the caller has
+// received a part.
+func (x *exchange) reportBrokenAnswer(s ident.Server, err error) {
+	var fail *relay.Failure
+	if errors.As(err, &fail) && fail.ConnClosed {
+		x.reportCrash(s)
+	}
+}
+
 // reportUnanswered reports that an attempt ended without an answer while its connection
 // stayed open.
 func (x *exchange) reportUnanswered(s ident.Server) {
--- a/internal/edge/front/evidence_test.go
+++ b/internal/edge/front/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -65,3 +66,39 @@
 		tb.origins["l1"].Freeze(false)
 	})
 }
+
+// Guards against missing a crash because the server had sent a part of an answer that is
+// held back until it is complete, or of one whose caller left.
+func TestABrokenAnswerCountsUnlessTheCallerLeft(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		assert.NilError(t, tb.origins["u1"].Close())
+		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/lab/held" {
+				w.Header().Set("Content-Length", "10")
+			}
+			_, _ = w.Write([]byte("half"))
+			_ = http.NewResponseController(w).Flush()
+			if r.URL.Path == "/lab/stream" {
+				<-r.Context().Done()
+			}
+			panic(http.ErrAbortHandler)
+		})}
+		l := tb.net.Listen(u1Addr)
+		tb.group.Go(func(ctx context.Context) error {
+			defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+			_ = s.Serve(l)
+			return nil
+		})
+		resp, _, err := tb.do(tb.request("POST", "/lab/held", strings.NewReader("sample")))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, len(g.reported), 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err = tb.do(tb.request("POST", "/lab/stream", strings.NewReader("sample")).WithContext(ctx))
+		assert.ErrorContains(t, err, "deadline")
+		synctest.Wait()
+		assert.Equal(t, len(g.reported), 1)
+		assert.Equal(t, g.unanswered.Len(), 0)
+	})
+}
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -391,6 +391,7 @@
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.FirstByte, Bytes: n + max(x.r.ContentLength, 0)}
 	x.decision.FirstByte, x.decision.Bytes = answer.FirstByte, out.Bytes
 	if err != nil {
+		x.reportBrokenAnswer(permit.Server(), err)
 		x.cancelOnServer(permit.Server())
 	}
 	if err == nil && answer.Status() >= http.StatusInternalServerError {
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -20,8 +20,8 @@
 	// QuarantineLeft returns for how much longer a request must not be sent to any
 	// server; zero means that it may be sent.
 	QuarantineLeft(p poison.Fingerprint) time.Duration
-	// ReportCrash records that a server closed the connection while it ran the request,
-	// and returns how many servers have.
+	// ReportCrash records that a server closed the connection before its answer to the
+	// request was complete, and returns how many servers have.
 	ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int
 	// ReportUnanswered records that an attempt was sent to a server and ended without an
 	// answer, while the connection stayed open. It is evidence only if the server has ended.
--- a/internal/edge/relay/copy.go
+++ b/internal/edge/relay/copy.go
@@ -17,7 +17,8 @@
 var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
 
 // Copy copies the answer to the caller and returns the number of body bytes copied. The
-// error's kind is Truncated if the server's side failed, Canceled if the caller's did.
+// error's kind is Truncated, with a Failure, if the server's side failed, Canceled if the
+// caller's did.
 // After an error the caller's connection must be aborted by panicking with
 // http.ErrAbortHandler: a normal return would end a chunked answer properly, and a
 // partial answer would look complete.
@@ -49,7 +50,7 @@
 	}
 	b, err := io.ReadAll(io.LimitReader(r.resp.Body, limit+1))
 	if err != nil {
-		return &Failure{Kind: kinds.Truncated, Sent: true, err: err}
+		return newTruncated(err)
 	}
 	if int64(len(b)) > limit {
 		r.resp.Body = joinedBody{io.MultiReader(bytes.NewReader(b), r.resp.Body), r.resp.Body}
@@ -111,7 +112,7 @@
 			return total, nil
 		}
 		if err != nil {
-			return total, kinds.Wrap(kinds.Truncated, err, "read answer")
+			return total, newTruncated(err)
 		}
 		if flush != nil {
 			flush.Flush()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -21,7 +21,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -327,25 +326,12 @@
 	}
 }
 
-// connBroken reports whether the server ended the connection on which the request was
-// sent. net/http then tries another connection for some requests; that attempt was
-// stopped, or the connection could not be opened.
-func connBroken(caller context.Context, err error) bool {
-	if caller.Err() != nil {
-		return errors.Is(context.Cause(caller), errNoPermit)
-	}
-	var op *net.OpError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
-		errors.As(err, &op) && op.Op == "dial"
-}
-
 // Failure is the error of an attempt without a usable answer.
 type Failure struct {
 	Kind       kinds.Kind
 	Sent       bool        // at least one byte of the request may have reached the server
 	Refused    bool        // the server said that it did not run the request
-	ConnClosed bool        // the server ended the connection before it answered
+	ConnClosed bool        // the server ended the connection before its answer was complete
 	Header     http.Header // header of the answer that refused the request
 	err        error
 }
