relay: a broken connection shows although net/http dials another one

What callers saw: a request that crashes its server was sent on without end where the server's machine was gone, so that nothing refused the next connection, and the attempt ended during that dial.

Cause: net/http repeats some requests on another connection after the server broke the first. If the deadline or a cancel ends the attempt meanwhile, its error tells only that, and ConnClosed stayed false.

Fix: the connection records in the attempt's permit that its server ended it, when a read says so. A request pays one comparison for each read.

--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -28,7 +28,12 @@
 // still will be. The permit decides this atomically: once revoked, it lets no byte
 // through, and revoke reports whether any was written before. Without it the answer "not
 // run" would be a guess, and a submission whose connection broke could run twice.
-type permit struct{ state atomic.Int32 }
+type permit struct {
+	state atomic.Int32
+	// broken says that the server ended the connection. After that net/http may open
+	// another one, and its own error tells only how that ended.
+	broken atomic.Bool
+}
 
 func (p *permit) use() bool {
 	return p.state.CompareAndSwap(unused, used) || p.state.Load() == used
@@ -84,15 +89,15 @@
 	c.permit.Store(a.last)
 }
 
-// stop prevents further writes of the attempt and reports whether any byte of it may have
-// reached the server.
-func (a *attempt) stop() bool {
+// stop prevents further writes of the attempt. It reports whether any byte of it may have
+// reached the server, and whether the server then ended the connection.
+func (a *attempt) stop() (sent, broken bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.last != nil && a.last.revoke() {
 		a.sent = true
 	}
-	return a.sent
+	return a.sent, a.sent && a.last.broken.Load()
 }
 
 // conn is a connection to a backend server. It writes only under a permit, and counts
@@ -113,6 +118,17 @@
 	return c.Conn.Write(b)
 }
 
+// Read reads and records in the current permit that the server ended the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && endedByServer(err) {
+		if p := c.permit.Load(); p != nil {
+			p.broken.Store(true)
+		}
+	}
+	return n, err
+}
+
 // Close closes the connection and releases its slot in the connection limit.
 func (c *conn) Close() error {
 	c.once.Do(c.limit.release)
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -281,8 +281,8 @@
 	start := time.Now()
 	resp, err := u.transport.RoundTrip(r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, u.host, meta)) //nolint:bodyclose // Response.Close does
 	if err != nil {
-		sent := a.stop()
-		err = newFailure(ctx, err, sent)
+		sent, broken := a.stop()
+		err = newFailure(ctx, err, sent, broken)
 		cancel(nil)
 		return nil, err
 	}
@@ -312,13 +312,14 @@
 	return out
 }
 
-// newFailure returns the Failure of an attempt without an answer.
-func newFailure(caller context.Context, err error, sent bool) error {
+// newFailure returns the Failure of an attempt without an answer. broken says that the
+// server was seen to end the connection.
+func newFailure(caller context.Context, err error, sent, broken bool) error {
 	switch {
 	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
-		return &Failure{Kind: kinds.Canceled, Sent: sent, err: err}
+		return &Failure{Kind: kinds.Canceled, Sent: sent, ConnClosed: broken, err: err}
 	case sent:
-		return &Failure{Kind: kinds.Unknown, Sent: true, ConnClosed: connBroken(caller, err), err: err}
+		return &Failure{Kind: kinds.Unknown, Sent: true, ConnClosed: broken || connBroken(caller, err), err: err}
 	case caller.Err() != nil:
 		return &Failure{Kind: kinds.DeadlineMissed, err: err}
 	default:
