front: chunked requests that wait are identified before they are sent

What callers saw: copies of a crashing request with a chunked body that waited for a server while it was quarantined were sent all the same.

Cause: a body of unknown length is read on arrival only if its head is under suspicion then. Later, before the request is sent, it had no fingerprint, and the check passed it.

Fix: before such a request is sent, its body is read if its head is under suspicion by now. Reading ends with the deadline, since the request holds a slot meanwhile; a body that was read in part is not sent, and a body that is too long to buffer is put together again once only. Requests that are hedged have no stream, so no other attempt uses the exchange.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -25,6 +25,8 @@
 	stream   io.Reader
 	digest   *poison.Digest // of a stream of unknown length
 	started  bool
+	oversize bool // a stream of unknown length that is too long to buffer
+	failed   bool // a part was read, and the rest cannot be
 }
 
 // readBody buffers a small body and prepares to stream a large one.
@@ -66,7 +68,7 @@
 }
 
 // reader returns the body for one attempt, and false if it is a stream that was already
-// used.
+// used or cannot be read.
 func (b *body) reader() (io.Reader, bool) {
 	if b.stream == nil {
 		if b.buffered == nil {
@@ -74,7 +76,7 @@
 		}
 		return bytes.NewReader(b.buffered), true
 	}
-	return streamReader{b}, !b.started
+	return streamReader{b}, !b.started && !b.failed
 }
 
 // streamReader reads a streamed body and records that reading began: after that no other
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -147,7 +147,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	if err := x.checkSuspect(); err != nil {
+	if err := x.checkSuspect(ctx); err != nil {
 		return err
 	}
 	if err := x.claimAndRecord(ctx); err != nil {
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -276,6 +276,9 @@
 func (x *exchange) send(
 	ctx context.Context, cancel context.CancelCauseFunc, to netip.AddrPort, owner table.Owner,
 ) (*relay.Response, error) {
+	if err := x.identifyStream(ctx); err != nil {
+		return nil, err
+	}
 	body, ok := x.body.reader()
 	if !ok {
 		return nil, errBodyConsumed
@@ -340,8 +343,8 @@
 // tells the server to stop work on a request that it may still run.
 func (x *exchange) handleFailure(permit gate.Permit, err error) gate.Outcome {
 	var fail *relay.Failure
-	if quarantineLeft(err) > 0 {
-		return gate.Cancel() // a quarantine says nothing about the server
+	if quarantineLeft(err) > 0 || x.body.failed {
+		return gate.Cancel() // neither says anything about the server
 	}
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -1,9 +1,8 @@
 package front
 
 import (
-	"bytes"
+	"context"
 	"errors"
-	"io"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -54,22 +53,11 @@
 	return 0
 }
 
-// checkSuspect refuses a quarantined request before it asks for admission. For a
-// suspected request it also records the fingerprint in the decision.
-func (x *exchange) checkSuspect() error {
-	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
-		return nil
-	}
-	head := x.poisonHead()
-	if !x.f.Guard.Suspects(&head) {
-		return nil
-	}
-	if err := x.bufferStream(); err != nil {
+// checkSuspect refuses a quarantined request before it asks for admission.
+func (x *exchange) checkSuspect(ctx context.Context) error {
+	if err := x.identifySuspect(ctx); err != nil {
 		return err
 	}
-	if p, ok := x.fingerprint(); ok {
-		x.suspect, x.decision.Fingerprint = true, p.AnyCaller().String()
-	}
 	return x.checkQuarantine()
 }
 
@@ -134,20 +122,3 @@
 func (x *exchange) poisonHead() poison.Head {
 	return poison.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI())
 }
-
-// bufferStream reads a body of unknown length, so that the request can be identified.
-func (x *exchange) bufferStream() error {
-	if x.body.digest == nil || x.body.started {
-		return nil
-	}
-	data, err := io.ReadAll(io.LimitReader(x.body.digest, x.f.BufferLimit+1))
-	if err != nil {
-		return kinds.Wrap(readErrorKind(err), err, "read body")
-	}
-	if int64(len(data)) > x.f.BufferLimit {
-		x.body.stream = io.MultiReader(bytes.NewReader(data), x.body.digest)
-		return nil
-	}
-	x.body = body{buffered: data}
-	return nil
-}
