--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -276,6 +276,9 @@
 func (x *exchange) send(
 	ctx context.Context, cancel context.CancelCauseFunc, to netip.AddrPort, owner table.Owner,
 ) (*relay.Response, error) {
+	if err := x.identifyStream(ctx); err != nil {
+		return nil, err
+	}
 	body, ok := x.body.reader()
 	if !ok {
 		return nil, errBodyConsumed
@@ -340,15 +343,13 @@
 // tells the server to stop work on a request that it may still run.
 func (x *exchange) handleFailure(permit gate.Permit, err error) gate.Outcome {
 	var fail *relay.Failure
-	if quarantineLeft(err) > 0 {
-		return gate.Cancel() // a quarantine says nothing about the server
+	if quarantineLeft(err) > 0 || x.body.failed {
+		return gate.Cancel() // neither says anything about the server
 	}
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
-	if fail.ConnClosed {
-		x.reportCrash(permit.Server())
-	}
+	x.reportFailure(permit.Server(), fail)
 	if fail.Sent && !fail.Refused {
 		x.mayHaveRun = true
 		x.cancelOnServer(permit.Server())
@@ -393,6 +394,7 @@
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.FirstByte, Bytes: n + max(x.r.ContentLength, 0)}
 	x.decision.FirstByte, x.decision.Bytes = answer.FirstByte, out.Bytes
 	if err != nil {
+		x.reportBrokenAnswer(permit.Server(), err)
 		x.cancelOnServer(permit.Server())
 	}
 	if err == nil && answer.Status() >= http.StatusInternalServerError {
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -1,9 +1,8 @@
 package front
 
 import (
-	"bytes"
+	"context"
 	"errors"
-	"io"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -20,9 +19,12 @@
 	// QuarantineLeft returns for how much longer a request must not be sent to any
 	// server; zero means that it may be sent.
 	QuarantineLeft(p poison.Fingerprint) time.Duration
-	// ReportCrash records that a server closed the connection while it ran the request,
-	// and returns how many servers have.
+	// ReportCrash records that a server closed the connection before its answer to the
+	// request was complete, and returns how many servers have.
 	ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int
+	// ReportUnanswered records that an attempt was sent to a server and ended without an
+	// answer, while the connection stayed open. It is evidence only if the server has ended.
+	ReportUnanswered(p poison.Fingerprint, s ident.Server, id ident.Request)
 	// Answered records that a server answered a suspected request, and not with an error
 	// of its own.
 	Answered(p poison.Fingerprint)
@@ -56,22 +58,11 @@
 	return 0
 }
 
-// checkSuspect refuses a quarantined request before it asks for admission. For a
-// suspected request it also records the fingerprint in the decision.
-func (x *exchange) checkSuspect() error {
-	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
-		return nil
-	}
-	head := x.poisonHead()
-	if !x.f.Guard.Suspects(&head) {
-		return nil
-	}
-	if err := x.bufferStream(); err != nil {
+// checkSuspect refuses a quarantined request before it asks for admission.
+func (x *exchange) checkSuspect(ctx context.Context) error {
+	if err := x.identifySuspect(ctx); err != nil {
 		return err
 	}
-	if p, ok := x.fingerprint(); ok {
-		x.suspect, x.decision.Fingerprint = true, p.AnyCaller().String()
-	}
 	return x.checkQuarantine()
 }
 
@@ -106,10 +97,11 @@
 	x.suspect = true
 }
 
-// reportAnswered reports that a suspected request was answered. It is not called for a
-// server's error, which may have been sent before the request began to run.
+// reportAnswered reports that a suspected request, or one with an attempt that got no
+// answer, was answered. It is not called for a server's error, which may have been sent
+// before the request began to run.
 func (x *exchange) reportAnswered() {
-	if !x.suspect {
+	if !x.suspect && !x.unanswered {
 		return
 	}
 	if p, ok := x.fingerprint(); ok {
@@ -135,20 +127,3 @@
 func (x *exchange) poisonHead() poison.Head {
 	return poison.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI())
 }
-
-// bufferStream reads a body of unknown length, so that the request can be identified.
-func (x *exchange) bufferStream() error {
-	if x.body.digest == nil || x.body.started {
-		return nil
-	}
-	data, err := io.ReadAll(io.LimitReader(x.body.digest, x.f.BufferLimit+1))
-	if err != nil {
-		return kinds.Wrap(readErrorKind(err), err, "read body")
-	}
-	if int64(len(data)) > x.f.BufferLimit {
-		x.body.stream = io.MultiReader(bytes.NewReader(data), x.body.digest)
-		return nil
-	}
-	x.body = body{buffered: data}
-	return nil
-}
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -22,8 +22,9 @@
 type fakeGuard struct {
 	mu sync.Mutex
 	*poison.Table
-	reported []poison.Fingerprint
-	alive    map[ident.Server]time.Time // by ServerAnswered
+	reported   []poison.Fingerprint
+	unanswered poison.Unanswered
+	alive      map[ident.Server]time.Time // by ServerAnswered
 }
 
 func (g *fakeGuard) Suspects(h *poison.Head) bool {
@@ -45,9 +46,16 @@
 	return g.RecordCrash(time.Now(), p, s)
 }
 
+func (g *fakeGuard) ReportUnanswered(p poison.Fingerprint, s ident.Server, id ident.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unanswered.Add(poison.Attempt{Fingerprint: p, Server: s, ID: id, At: time.Now()})
+}
+
 func (g *fakeGuard) Answered(p poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.unanswered.Clear(p)
 	g.Clear(time.Now(), p)
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -21,7 +21,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -282,8 +281,8 @@
 	start := time.Now()
 	resp, err := u.transport.RoundTrip(r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, u.host, meta)) //nolint:bodyclose // Response.Close does
 	if err != nil {
-		sent := a.stop()
-		err = newFailure(ctx, err, sent)
+		sent, broken := a.stop()
+		err = newFailure(ctx, err, sent, broken)
 		cancel(nil)
 		return nil, err
 	}
@@ -313,13 +312,14 @@
 	return out
 }
 
-// newFailure returns the Failure of an attempt without an answer.
-func newFailure(caller context.Context, err error, sent bool) error {
+// newFailure returns the Failure of an attempt without an answer. broken says that the
+// server was seen to end the connection.
+func newFailure(caller context.Context, err error, sent, broken bool) error {
 	switch {
 	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
-		return &Failure{Kind: kinds.Canceled, Sent: sent, err: err}
+		return &Failure{Kind: kinds.Canceled, Sent: sent, ConnClosed: broken, err: err}
 	case sent:
-		return &Failure{Kind: kinds.Unknown, Sent: true, ConnClosed: connBroken(caller, err), err: err}
+		return &Failure{Kind: kinds.Unknown, Sent: true, ConnClosed: broken || connBroken(caller, err), err: err}
 	case caller.Err() != nil:
 		return &Failure{Kind: kinds.DeadlineMissed, err: err}
 	default:
@@ -327,25 +327,12 @@
 	}
 }
 
-// connBroken reports whether the server ended the connection on which the request was
-// sent. net/http then tries another connection for some requests; that attempt was
-// stopped, or the connection could not be opened.
-func connBroken(caller context.Context, err error) bool {
-	if caller.Err() != nil {
-		return errors.Is(context.Cause(caller), errNoPermit)
-	}
-	var op *net.OpError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
-		errors.As(err, &op) && op.Op == "dial"
-}
-
 // Failure is the error of an attempt without a usable answer.
 type Failure struct {
 	Kind       kinds.Kind
 	Sent       bool        // at least one byte of the request may have reached the server
 	Refused    bool        // the server said that it did not run the request
-	ConnClosed bool        // the server ended the connection before it answered
+	ConnClosed bool        // the server ended the connection before its answer was complete
 	Header     http.Header // header of the answer that refused the request
 	err        error
 }
