poison: crashes of one request count together over its callers

What callers saw: a request that crashes servers was never found where others who ask for the same are answered and its caller has another address in each zone.

Cause: the answers to others clear the case of any caller, and the cases of the caller's addresses have too few crashes each.

Now the crashes of the cases of single callers of one request, which only an answer to that caller clears, also count together. Three servers over all of them quarantine each caller that has a crash on record; callers without one are served. The cases of a request are shared from two crashes over all of them, so that every VM can count, are kept as long as their common quarantine, evicted by its crashes, saved in the store, and lifted by the printed fingerprint.

Some caller of a popular request is on record for nearly every server that crashed. So crashes merged over callers make another request wait like a tie does, but never free it, and are free if another request explains them all.

--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -85,10 +85,7 @@
 	for _, c := range q.table.Quarantined(now) {
 		p := c.Fingerprint.AnyCaller()
 		if !q.logged[p] && !quarantined[p] {
-			var servers []ident.Server
-			for _, crash := range c.Crashes {
-				servers = append(servers, crash.Server)
-			}
+			servers := q.table.CrashedServers(c.Fingerprint)
 			q.parts.Log.Warn("request quarantined", "print", p.String(), "servers", servers, "for", q.table.QuarantineLeft(now, c.Fingerprint))
 		}
 		quarantined[p] = true
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -62,6 +62,7 @@
 	clearReportedTo string    // process of the leader that has received cleared
 	seq             uint64    // number of its last shared change
 	shared          bool      // other VMs are sent this case
+	merged          bool      // holds the crashes of several callers, see callers
 }
 
 // lastEvent returns the time of the last crash or, without a crash, when the case was
@@ -82,6 +83,9 @@
 	return quarantineTimes[min(n, len(quarantineTimes)-1)]
 }
 
+// keepUntil returns when the case is forgotten.
+func (c *Case) keepUntil() time.Time { return c.lastEvent().Add(c.quarantineTime() + retention) }
+
 // covers reports whether every server that crashed under the other request also crashed
 // under this one.
 func (c *Case) covers(other *Case) bool {
@@ -97,12 +101,15 @@
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
 	cases      map[Fingerprint]*Case
+	callers    callers
 	headCounts map[Head]int // number of cases for each head
 	seq        uint64       // number of the last shared change
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{cases: map[Fingerprint]*Case{}, headCounts: map[Head]int{}} }
+func NewTable() *Table {
+	return &Table{cases: map[Fingerprint]*Case{}, callers: callers{}, headCounts: map[Head]int{}}
+}
 
 // Len returns the number of cases.
 func (t *Table) Len() int { return len(t.cases) }
@@ -114,19 +121,28 @@
 func (t *Table) Suspected(h Head) bool { return t.headCounts[h] > 0 }
 
 // Crashes returns the number of servers that crashed under a request.
-func (t *Table) Crashes(fp Fingerprint) int {
-	most := 0
-	for _, c := range t.casesOf(fp) {
-		most = max(most, len(c.Crashes))
+func (t *Table) Crashes(fp Fingerprint) int { return len(t.CrashedServers(fp)) }
+
+// CrashedServers lists the servers that crashed under a request, oldest crash first.
+func (t *Table) CrashedServers(fp Fingerprint) []ident.Server {
+	var most []Crash
+	for _, c := range t.judged(fp) {
+		if len(c.Crashes) > len(most) {
+			most = c.Crashes
+		}
 	}
-	return most
+	var all []ident.Server
+	for _, crash := range most {
+		all = append(all, crash.Server)
+	}
+	return all
 }
 
 // QuarantineLeft returns how much longer a request must not reach any server; zero
 // if it may.
 func (t *Table) QuarantineLeft(now time.Time, fp Fingerprint) time.Duration {
 	var left time.Duration
-	for _, c := range t.casesOf(fp) {
+	for _, c := range t.judged(fp) {
 		left = max(left, t.quarantineEnd(c).Sub(now))
 	}
 	return left
@@ -160,12 +176,12 @@
 	if duration == 0 {
 		return time.Time{}
 	}
-	for _, other := range t.cases {
+	for other := range t.accused() {
 		sameRequest := other.Fingerprint.AnyCaller() == c.Fingerprint.AnyCaller()
 		if sameRequest || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
 			continue
 		}
-		if len(other.Crashes) > len(c.Crashes) {
+		if other.frees(c) {
 			return time.Time{}
 		}
 		if len(c.Crashes) < maxTieCrashes {
@@ -177,9 +193,15 @@
 
 // Quarantined lists the requests that are in quarantine now, by fingerprint.
 func (t *Table) Quarantined(now time.Time) []Case {
+	quarantined := map[Fingerprint]bool{} // by the fingerprint of a merged case
+	for key := range t.callers {
+		merged := t.callers.merged(key)
+		quarantined[key] = merged != nil && t.quarantineEnd(merged).After(now)
+	}
 	var all []Case
 	for _, c := range t.cases {
-		if t.quarantineEnd(c).After(now) {
+		asCaller := len(c.Crashes) > 0 && c.Fingerprint != c.Fingerprint.AnyCaller() && quarantined[c.Fingerprint.AnyCaller()]
+		if asCaller || t.quarantineEnd(c).After(now) {
 			all = append(all, *c)
 		}
 	}
@@ -200,6 +222,7 @@
 			t.markChanged(c)
 		}
 	}
+	t.shareCallers(fp)
 }
 
 // Clear records that a request was answered: earlier crashes were not caused by it, or
@@ -244,7 +267,7 @@
 			t.markChanged(c)
 		}
 		unshared := len(c.Crashes) == 0 && !c.shared
-		if unshared || !now.Before(c.lastEvent().Add(c.quarantineTime()+retention)) {
+		if unshared || t.outOfDate(now, c) {
 			t.remove(fp)
 		}
 	}
@@ -261,25 +284,13 @@
 	}
 	c := &Case{Fingerprint: fp}
 	t.cases[fp] = c
+	t.callers.add(c)
 	t.headCounts[fp.Head()]++
 	return c
 }
 
-// evict removes the case with the fewest crashes, the oldest one among these.
-func (t *Table) evict() {
-	var least *Case
-	for _, c := range t.cases {
-		older := least != nil && len(c.Crashes) == len(least.Crashes) && c.lastEvent().Before(least.lastEvent())
-		if least == nil || len(c.Crashes) < len(least.Crashes) || older {
-			least = c
-		}
-	}
-	if least != nil {
-		t.remove(least.Fingerprint)
-	}
-}
-
 func (t *Table) remove(fp Fingerprint) {
+	t.callers.remove(t.cases[fp])
 	delete(t.cases, fp)
 	if t.headCounts[fp.Head()]--; t.headCounts[fp.Head()] <= 0 {
 		delete(t.headCounts, fp.Head())
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -148,6 +148,7 @@
 		c.shared = true
 		t.markChanged(c)
 	}
+	t.shareCallers(c.Fingerprint)
 }
 
 // Quarantine lists the verdicts on requests in quarantine, to be saved in the store.
