poison, front, host: crashes count for a path whatever the query

Cause: the query and the method are part of what identifies a request; the users name its path, caller and body.

A request now has a third case, of its caller and path with any method and query; answers to the caller's other queries clear only that one. Host and path are a part of the fingerprint of their own, by which Suspected filters and which all attempts are logged under. Where one query or one caller has all crashes of a path, its other queries or callers are served: they did not cause them.

Wire and store: a fingerprint has 64 digits in place of 48.

Tests adapted: TestAFingerprintDoesNotDependOnTheFraming compares the logged print with Print in place of AnyCaller; the simulated fleet has its path as a field.

--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -14,7 +14,8 @@
 // Guard tracks requests that crash servers, see package poison. Its methods are called on
 // the request path and must not block.
 type Guard interface {
-	// Suspects reports whether a request with this head is suspected of crashing servers.
+	// Suspects reports whether a request for the path of this head is suspected of crashing
+	// servers.
 	// A nil head asks whether any request is.
 	Suspects(h *poison.Head) bool
 	// QuarantineLeft returns for how much longer a request must not be sent to any
@@ -65,7 +66,7 @@
 		return err
 	}
 	if p, ok := x.fingerprint(); ok {
-		x.suspect, x.decision.Fingerprint = true, p.AnyCaller().String()
+		x.suspect, x.decision.Fingerprint = true, p.Print()
 	}
 	return x.checkQuarantine()
 }
@@ -96,7 +97,7 @@
 	if !ok {
 		return // the server had not read the whole body, so it had not begun
 	}
-	x.decision.Fingerprint = p.AnyCaller().String()
+	x.decision.Fingerprint = p.Print()
 	x.crashes = x.f.Guard.ReportCrash(p, s, x.decision.ID)
 	x.suspect = true
 }
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -80,7 +80,24 @@
 		}
 		assert.Equal(t, len(g.reported), 2)
 		assert.Equal(t, g.reported[0], g.reported[1])
-		assert.Equal(t, tb.decisions.last().Fingerprint, g.reported[0].AnyCaller().String())
+		assert.Equal(t, tb.decisions.last().Fingerprint, g.reported[0].Print())
+	})
+}
+
+// Guards against attempts of one request that operators cannot find by the same text,
+// because their queries differ.
+func TestAttemptsWithDifferentQueriesAreLoggedUnderOnePrint(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		tb.origins["u1"].Break(2)
+		prints := map[string]bool{}
+		for _, path := range []string{"/lab/a?page=1", "/lab/a?page=2"} {
+			_, _, err := tb.do(tb.request("POST", path, strings.NewReader("sample")))
+			assert.NilError(t, err)
+			prints[tb.decisions.last().Fingerprint] = true
+		}
+		assert.Equal(t, len(g.reported), 2)
+		assert.Assert(t, g.reported[0] != g.reported[1])
+		assert.DeepEqual(t, prints, map[string]bool{g.reported[0].Print(): true})
 	})
 }
 
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -27,7 +27,7 @@
 
 	mu     sync.Mutex
 	table  *poison.Table
-	logged map[poison.Fingerprint]bool // caller-independent fingerprints of requests logged as quarantined
+	logged map[poison.Fingerprint]bool // common parts of requests logged as quarantined
 
 	object quarantineObject
 }
@@ -83,22 +83,22 @@
 func (q *quarantine) logChanges(now time.Time) {
 	quarantined := map[poison.Fingerprint]bool{}
 	for _, c := range q.table.Quarantined(now) {
-		p := c.Fingerprint.AnyCaller()
+		p := c.Fingerprint.Common()
 		if !q.logged[p] && !quarantined[p] {
 			servers := q.table.CrashedServers(c.Fingerprint)
-			q.parts.Log.Warn("request quarantined", "print", p.String(), "servers", servers, "for", q.table.QuarantineLeft(now, c.Fingerprint))
+			q.parts.Log.Warn("request quarantined", "print", p.Print(), "servers", servers, "for", q.table.QuarantineLeft(now, c.Fingerprint))
 		}
 		quarantined[p] = true
 	}
 	for p := range q.logged {
 		if !quarantined[p] {
-			q.parts.Log.Info("request out of quarantine", "print", p.String(), "crashes", q.table.Crashes(p))
+			q.parts.Log.Info("request out of quarantine", "print", p.Print(), "crashes", q.table.Crashes(p))
 		}
 	}
 	q.logged = quarantined
 }
 
-// Suspects reports whether a request with this head is suspected. With a nil head it
+// Suspects reports whether a request for the path of this head is suspected. With a nil head it
 // reports whether any request is.
 func (q *quarantine) Suspects(h *poison.Head) bool {
 	if h == nil || !q.nonEmpty.Load() {
@@ -126,7 +126,7 @@
 	n := 0
 	q.update(func(now time.Time) { n = q.table.RecordCrash(now, p, s) })
 	if n > 1 {
-		q.parts.Log.Warn("another server broke off under a request", "print", p.AnyCaller().String(), "id", id, "server", s, "crashes", n)
+		q.parts.Log.Warn("another server broke off under a request", "print", p.Print(), "id", id, "server", s, "crashes", n)
 	}
 	return n
 }
--- a/internal/edge/host/quarantine_http.go
+++ b/internal/edge/host/quarantine_http.go
@@ -23,12 +23,12 @@
 			c.String(http.StatusBadRequest, "%s\n", err)
 			return
 		}
-		if q.QuarantineLeft(p.AnyCaller()) == 0 {
+		if q.QuarantineLeft(p.Common()) == 0 {
 			c.String(http.StatusNotFound, "not in quarantine here\n")
 			return
 		}
 		q.update(func(now time.Time) { q.table.Release(now, p) })
-		q.parts.Log.Info("quarantine lifted by an operator", "print", p.String())
+		q.parts.Log.Info("quarantine lifted by an operator", "print", p.Print())
 		c.Status(http.StatusNoContent)
 	})
 	return engine
--- a/internal/load/poison/callers.go
+++ b/internal/load/poison/callers.go
@@ -83,7 +83,10 @@
 				return
 			}
 		}
-		for key := range t.callers {
+		for key, all := range t.callers {
+			if len(all) < 2 {
+				continue
+			}
 			if c := t.callers.merged(key); c != nil && !yield(c) {
 				return
 			}
@@ -91,10 +94,13 @@
 	}
 }
 
-// judged lists the cases by which a request is refused: its own and the merged ones. For an
-// AnyCaller fingerprint it includes those of each caller.
+// judged lists the cases by which a request is refused: its own and the merged ones. For a
+// common part it lists those of all callers and queries.
 func (t *Table) judged(fp Fingerprint) []*Case {
-	all := append(t.casesOf(fp), t.callers[fp]...)
+	if fp == fp.Common() {
+		return t.judgedForPath(fp)
+	}
+	all := t.casesOf(fp)
 	for _, c := range all {
 		if merged := t.mergedWith(c); merged != nil {
 			all = append(all, merged)
@@ -103,6 +109,16 @@
 	return all
 }
 
+func (t *Table) judgedForPath(common Fingerprint) []*Case {
+	var all []*Case
+	for c := range t.accused() {
+		if c.Fingerprint.Common() == common {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
 // shareCallers shares the cases of all callers of a request that has crashed two servers
 // under them, because every VM must be able to count them together.
 func (t *Table) shareCallers(fp Fingerprint) {
--- a/internal/load/poison/callers_test.go
+++ b/internal/load/poison/callers_test.go
@@ -74,7 +74,7 @@
 	next.Merge(now, tab.Quarantine(now))
 	assert.Equal(t, next.QuarantineLeft(now, requestFrom("b")), tab.QuarantineLeft(now, requestFrom("b")))
 	assert.Assert(t, next.QuarantineLeft(now, requestFrom("b")) > 0)
-	printed := requestFrom("c").AnyCaller()
+	printed := requestFrom("c").Common()
 	assert.Assert(t, tab.QuarantineLeft(now, printed) > 0)
 	assert.Equal(t, tab.Crashes(printed), 3)
 	tab.Release(now, printed)
--- a/internal/load/poison/order_test.go
+++ b/internal/load/poison/order_test.go
@@ -48,6 +48,7 @@
 	entryLife, listDelay, followerDelay time.Duration
 
 	outages []outage
+	path    string // path and query of the crashing request
 }
 
 // outage is a time in which the store reports no changes. VMs are in touch again, and have
@@ -62,7 +63,7 @@
 )
 
 func newFleet(heartbeat time.Duration) *fleet {
-	f := &fleet{now: t0, seqs: make([]uint64, fleetVMs), gone: map[ident.Server]time.Time{}, entryLife: missedHeartbeats * heartbeat}
+	f := &fleet{now: t0, seqs: make([]uint64, fleetVMs), gone: map[ident.Server]time.Time{}, entryLife: missedHeartbeats * heartbeat, path: "/crash"}
 	for range fleetVMs {
 		f.vms = append(f.vms, NewTable())
 	}
@@ -148,7 +149,7 @@
 
 // attemptAtOnce sends the crashing request through some VMs to the owner of its key.
 func (f *fleet) attemptAtOnce(vms []int, beside ...string) {
-	vms = slices.DeleteFunc(vms, func(vm int) bool { return f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, "/crash")) > 0 })
+	vms = slices.DeleteFunc(vms, func(vm int) bool { return f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, f.path)) > 0 })
 	if len(vms) == 0 {
 		return
 	}
@@ -163,7 +164,7 @@
 	}
 	for _, vm := range vms {
 		f.runs = append(f.runs, f.now)
-		f.vms[vm].RecordCrash(f.now, f.fingerprint(vm, "/crash"), s)
+		f.vms[vm].RecordCrash(f.now, f.fingerprint(vm, f.path), s)
 	}
 	if f.crashes++; f.crashes == CrashThreshold {
 		f.mustKnow = f.now.Add(learnTime)
--- a/internal/load/poison/poison.go
+++ b/internal/load/poison/poison.go
@@ -25,37 +25,54 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strings"
 	"sync"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
-const partSize = 8 // bytes of each of the three parts of a fingerprint
+const partSize = 8 // bytes of each of the four parts of a fingerprint
 
-// Head is the digest of a request line: method, host, path and query.
-type Head [partSize]byte
+// pathDigest is the digest of host and path.
+type pathDigest [partSize]byte
+
+// Head identifies a request line: the digest of host and path, and that of method and
+// query.
+type Head struct{ path, line [partSize]byte }
 
 // Body is the digest of a request's body.
 type Body [partSize]byte
 
-// Fingerprint identifies a request over all its attempts by its method, host, path and
-// query, body and caller. Ids and deadlines differ between attempts and are not included.
+// Fingerprint identifies a request over all its attempts by its host and path, body, method
+// and query, and caller. Ids and deadlines differ between attempts and are not included.
 //
-// A caller may be known by an address that differs between its attempts. So each request is
-// tracked twice: for its caller, and for any caller, see [Fingerprint.AnyCaller].
-type Fingerprint [3 * partSize]byte
+// A caller may be known by an address that differs between its attempts, and so may the
+// query. So each request is tracked three times: for its caller, for any caller, and for
+// its caller with any query, see [Fingerprint.AnyCaller] and [Fingerprint.AnyQuery].
+type Fingerprint [4 * partSize]byte
+
+// Offsets of the parts of a fingerprint.
+const (
+	bodyAt   = partSize
+	lineAt   = 2 * partSize
+	callerAt = 3 * partSize
+)
 
-// HeadOf returns the digest of a request line.
+// HeadOf returns the digests of a request line.
 func HeadOf(method, host, uri string) Head {
-	h := sha256.New()
-	var size [8]byte
-	for _, s := range []string{method, host, uri} {
+	path, _, _ := strings.Cut(uri, "?")
+	return Head{path: digestOf(host, path), line: digestOf(method, uri[len(path):])}
+}
+
+func digestOf(fields ...string) [partSize]byte {
+	b := make([]byte, 0, 256) // on the stack, as most request lines fit
+	for _, s := range fields {
 		// The length separates the fields: "ab", "c" must not equal "a", "bc".
-		binary.BigEndian.PutUint64(size[:], uint64(len(s)))
-		_, _ = h.Write(size[:]) // a hash never fails
-		_, _ = io.WriteString(h, s)
+		b = binary.BigEndian.AppendUint64(b, uint64(len(s)))
+		b = append(b, s...)
 	}
-	return Head(h.Sum(nil)[:partSize])
+	sum := sha256.Sum256(b)
+	return [partSize]byte(sum[:])
 }
 
 // BodyOf returns the digest of a complete body.
@@ -75,37 +92,71 @@
 // Fingerprint returns the fingerprint of a caller's request with a body.
 func (h Head) Fingerprint(caller string, b Body) Fingerprint {
 	var fp Fingerprint
-	copy(fp[:partSize], h[:])
-	copy(fp[partSize:], b[:])
+	copy(fp[:], h.path[:])
+	copy(fp[bodyAt:], b[:])
+	copy(fp[lineAt:], h.line[:])
 	sum := sha256.Sum256([]byte(caller))
-	copy(fp[2*partSize:], sum[:])
+	copy(fp[callerAt:], sum[:])
 	return fp
 }
 
-// Head returns the digest of the request line.
-func (fp Fingerprint) Head() Head { return Head(fp[:partSize]) }
+// Head returns the digests of the request line.
+func (fp Fingerprint) Head() Head {
+	return Head{path: fp.path(), line: [partSize]byte(fp[lineAt:])}
+}
+
+func (fp Fingerprint) path() pathDigest { return pathDigest(fp[:]) }
 
 // AnyCaller returns the fingerprint of the same request from any caller.
 func (fp Fingerprint) AnyCaller() Fingerprint {
-	clear(fp[2*partSize:])
+	clear(fp[callerAt:])
 	return fp
 }
 
-// String returns the fingerprint as 48 hex digits.
-func (fp Fingerprint) String() string { return hex.EncodeToString(fp[:]) }
+// AnyQuery returns the fingerprint of the caller's requests for the same path and with the
+// same body, whatever their method and query.
+func (fp Fingerprint) AnyQuery() Fingerprint {
+	clear(fp[lineAt:callerAt])
+	return fp
+}
+
+// Common returns what all attempts of a request have in common: host, path and body.
+func (fp Fingerprint) Common() Fingerprint { return fp.AnyQuery().AnyCaller() }
+
+// Print returns the text of the common part, under which a request is logged.
+func (fp Fingerprint) Print() string { return hex.EncodeToString(fp[:lineAt]) }
+
+// from returns the fingerprint of the same request from another one's caller.
+func (fp Fingerprint) from(other Fingerprint) Fingerprint {
+	copy(fp[callerAt:], other[callerAt:])
+	return fp
+}
+
+// String returns the fingerprint as 64 hex digits, or as the 48 that it was read from.
+func (fp Fingerprint) String() string {
+	if fp.withoutPath() {
+		return hex.EncodeToString(fp[:lineAt]) + hex.EncodeToString(fp[callerAt:])
+	}
+	return hex.EncodeToString(fp[:])
+}
 
 // MarshalText implements [encoding.TextMarshaler].
 func (fp Fingerprint) MarshalText() ([]byte, error) { return []byte(fp.String()), nil }
 
 // UnmarshalText implements [encoding.TextUnmarshaler]. It returns a [kinds.Malformed] error
-// unless the text is 48 hex digits.
+// unless the text is that of a fingerprint or of its common part, see [Fingerprint.Print].
 func (fp *Fingerprint) UnmarshalText(text []byte) error {
 	b, err := hex.DecodeString(string(text))
-	if err != nil || len(b) != len(fp) {
-		return kinds.New(kinds.Malformed, "request fingerprint is not 48 hex digits")
+	switch {
+	case err == nil && (len(b) == len(fp) || len(b) == lineAt):
+		*fp = Fingerprint{}
+		copy(fp[:], b)
+		return nil
+	case err == nil && len(b) == oldSize:
+		*fp = fromOld(b)
+		return nil
 	}
-	*fp = Fingerprint(b)
-	return nil
+	return kinds.New(kinds.Malformed, "request fingerprint is not 64, 48 or 32 hex digits")
 }
 
 // Digest is an [io.Reader] that computes the digest of a body while it is read. Body may be
--- a/internal/load/poison/poison_test.go
+++ b/internal/load/poison/poison_test.go
@@ -79,6 +79,9 @@
 	assert.NilError(t, got.UnmarshalText(text))
 	assert.Equal(t, got, crashing)
 	assert.ErrorContains(t, got.UnmarshalText([]byte("00")), "malformed")
+	assert.ErrorContains(t, got.UnmarshalText(text[:40]), "malformed")
+	assert.NilError(t, got.UnmarshalText([]byte(crashing.Print())))
+	assert.Equal(t, got, crashing.Common())
 }
 
 func TestADigestOfAStreamIsThatOfTheWholeBody(t *testing.T) {
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -102,13 +102,13 @@
 type Table struct {
 	cases      map[Fingerprint]*Case
 	callers    callers
-	headCounts map[Head]int // number of cases for each head
-	seq        uint64       // number of the last shared change
+	pathCounts map[pathDigest]int // number of cases for each path
+	seq        uint64             // number of the last shared change
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{cases: map[Fingerprint]*Case{}, callers: callers{}, headCounts: map[Head]int{}}
+	return &Table{cases: map[Fingerprint]*Case{}, callers: callers{}, pathCounts: map[pathDigest]int{}}
 }
 
 // Len returns the number of cases.
@@ -117,8 +117,8 @@
 // Seq returns the number of the last shared change.
 func (t *Table) Seq() uint64 { return t.seq }
 
-// Suspected reports whether any request with this head is under suspicion.
-func (t *Table) Suspected(h Head) bool { return t.headCounts[h] > 0 }
+// Suspected reports whether any request for the path of this head is under suspicion.
+func (t *Table) Suspected(h Head) bool { return t.pathCounts[h.path] > 0 }
 
 // Crashes returns the number of servers that crashed under a request.
 func (t *Table) Crashes(fp Fingerprint) int { return len(t.CrashedServers(fp)) }
@@ -148,10 +148,11 @@
 	return left
 }
 
-// casesOf lists the cases of a request: that of its caller and that of any caller.
+// casesOf lists the cases of a request: that of its caller, that of any caller, and that of
+// its caller with any query.
 func (t *Table) casesOf(fp Fingerprint) []*Case {
 	var all []*Case
-	for _, q := range withAnyCaller(fp) {
+	for _, q := range withSharedForms(fp) {
 		if c := t.cases[q]; c != nil {
 			all = append(all, c)
 		}
@@ -159,14 +160,6 @@
 	return all
 }
 
-// withAnyCaller returns a fingerprint and its AnyCaller form, only one if they are equal.
-func withAnyCaller(fp Fingerprint) []Fingerprint {
-	if fp == fp.AnyCaller() {
-		return []Fingerprint{fp}
-	}
-	return []Fingerprint{fp, fp.AnyCaller()}
-}
-
 // quarantineEnd returns when the quarantine of a request ends. Requests that ran on a
 // server together with a crashing one get the same crashes on record. So a request is free
 // if another one has all its crashes and more. If two have exactly the same crashes, both
@@ -177,8 +170,14 @@
 		return time.Time{}
 	}
 	for other := range t.accused() {
-		sameRequest := other.Fingerprint.AnyCaller() == c.Fingerprint.AnyCaller()
-		if sameRequest || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
+		if len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
+			continue
+		}
+		sameRequest := t.sameRequest(c, other)
+		if sameRequest && other.explains(c) {
+			return time.Time{}
+		}
+		if sameRequest {
 			continue
 		}
 		if other.frees(c) {
@@ -217,12 +216,14 @@
 }
 
 func (t *Table) addCrash(fp Fingerprint, crash Crash) {
-	for _, q := range withAnyCaller(fp) {
+	for _, q := range withSharedForms(fp) {
 		if c := t.getOrCreate(q); c.add(crash) {
 			t.markChanged(c)
 		}
 	}
-	t.shareCallers(fp)
+	for _, q := range withSharedForms(fp) {
+		t.shareCallers(q)
+	}
 }
 
 // Clear records that a request was answered: earlier crashes were not caused by it, or
@@ -233,10 +234,10 @@
 	}
 }
 
-// Release clears a request for all its callers, at an operator's command.
+// Release clears a request for all its callers and queries, at an operator's command.
 func (t *Table) Release(now time.Time, fp Fingerprint) {
 	for _, c := range t.cases {
-		if c.Fingerprint.AnyCaller() == fp.AnyCaller() {
+		if c.Fingerprint.Common() == fp.Common() {
 			t.clearCase(now, c)
 		}
 	}
@@ -285,15 +286,15 @@
 	c := &Case{Fingerprint: fp}
 	t.cases[fp] = c
 	t.callers.add(c)
-	t.headCounts[fp.Head()]++
+	t.pathCounts[fp.path()]++
 	return c
 }
 
 func (t *Table) remove(fp Fingerprint) {
 	t.callers.remove(t.cases[fp])
 	delete(t.cases, fp)
-	if t.headCounts[fp.Head()]--; t.headCounts[fp.Head()] <= 0 {
-		delete(t.headCounts, fp.Head())
+	if t.pathCounts[fp.path()]--; t.pathCounts[fp.path()] <= 0 {
+		delete(t.pathCounts, fp.path())
 	}
 }
 
