front, poison: a long body has one fingerprint whatever its framing

What callers saw: of a crashing upload above the buffer limit, attempts with a declared length and chunked ones counted as two requests, so that each could crash servers up to the threshold.

Cause: a long body is identified by its length when that is declared, and by its digest when it is chunked. The new test reported two fingerprints.

A chunked body that was read to its end above the limit is now identified by its length too. One that is still being sent is not recognized, as before.

--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -125,6 +125,9 @@
 		return head.Fingerprint(caller, poison.BodyOfLength(x.r.ContentLength)), true
 	}
 	body, whole := x.body.digest.Body()
+	if n := x.body.digest.Size(); n > x.f.BufferLimit {
+		body = poison.BodyOfLength(n) // as when the length is declared
+	}
 	return head.Fingerprint(caller, body), whole
 }
 
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -84,6 +84,24 @@
 	})
 }
 
+// Guards against a crashing upload that is not recognized when its length is declared in only
+// some attempts.
+func TestTheFingerprintOfALongBodyDoesNotDependOnTheFraming(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		upload := func(n int) io.Reader { return strings.NewReader(strings.Repeat("x", n)) }
+		long := int(tb.front.BufferLimit) + 1
+		tb.origins["u1"].Break(3)
+		for _, body := range []io.Reader{upload(long), chunked{upload(long)}, chunked{upload(long + 1)}} {
+			resp, _, err := tb.do(tb.request("POST", "/lab/a", body))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		}
+		assert.Equal(t, len(g.reported), 3)
+		assert.Equal(t, g.reported[0], g.reported[1])
+		assert.Assert(t, g.reported[0] != g.reported[2])
+	})
+}
+
 // Guards against attempts of one request that operators cannot find by the same text,
 // because their queries differ.
 func TestAttemptsWithDifferentQueriesAreLoggedUnderOnePrint(t *testing.T) {
--- a/internal/load/poison/poison.go
+++ b/internal/load/poison/poison.go
@@ -159,12 +159,13 @@
 	return kinds.New(kinds.Malformed, "request fingerprint is not 64, 48 or 32 hex digits")
 }
 
-// Digest is an [io.Reader] that computes the digest of a body while it is read. Body may be
-// called while another goroutine still reads.
+// Digest is an [io.Reader] that computes the digest of a body while it is read. Body and
+// Size may be called while another goroutine still reads.
 type Digest struct {
 	src      io.Reader
 	mu       sync.Mutex
 	hash     hash.Hash
+	size     int64
 	complete bool
 }
 
@@ -177,6 +178,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, _ = d.hash.Write(p[:n])
+	d.size += int64(n)
 	d.complete = d.complete || err == io.EOF //nolint:errorlint // readers return io.EOF unwrapped
 	return n, err
 }
@@ -187,3 +189,10 @@
 	defer d.mu.Unlock()
 	return Body(d.hash.Sum(nil)[:partSize]), d.complete
 }
+
+// Size returns the number of bytes read so far.
+func (d *Digest) Size() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.size
+}
