--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -13,7 +13,8 @@
 // Guard tracks requests that crash servers, see package poison. Its methods are called on
 // the request path and must not block.
 type Guard interface {
-	// Suspects reports whether a request with this head is suspected of crashing servers.
+	// Suspects reports whether a request for the path of this head is suspected of crashing
+	// servers.
 	// A nil head asks whether any request is.
 	Suspects(h *poison.Head) bool
 	// QuarantineLeft returns for how much longer a request must not be sent to any
@@ -92,7 +93,7 @@
 	if !ok {
 		return // the server had not read the whole body, so it had not begun
 	}
-	x.decision.Fingerprint = p.AnyCaller().String()
+	x.decision.Fingerprint = p.Print()
 	x.crashes = x.f.Guard.ReportCrash(p, s, x.decision.ID)
 	x.suspect = true
 }
@@ -121,6 +122,9 @@
 		return head.Fingerprint(caller, poison.BodyOfLength(x.r.ContentLength)), true
 	}
 	body, whole := x.body.digest.Body()
+	if n := x.body.digest.Size(); n > x.f.BufferLimit {
+		body = poison.BodyOfLength(n) // as when the length is declared
+	}
 	return head.Fingerprint(caller, body), whole
 }
 
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -89,7 +89,42 @@
 		}
 		assert.Equal(t, len(g.reported), 2)
 		assert.Equal(t, g.reported[0], g.reported[1])
-		assert.Equal(t, tb.decisions.last().Fingerprint, g.reported[0].AnyCaller().String())
+		assert.Equal(t, tb.decisions.last().Fingerprint, g.reported[0].Print())
+	})
+}
+
+// Guards against a crashing upload that is not recognized when its length is declared in only
+// some attempts.
+func TestTheFingerprintOfALongBodyDoesNotDependOnTheFraming(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		upload := func(n int) io.Reader { return strings.NewReader(strings.Repeat("x", n)) }
+		long := int(tb.front.BufferLimit) + 1
+		tb.origins["u1"].Break(3)
+		for _, body := range []io.Reader{upload(long), chunked{upload(long)}, chunked{upload(long + 1)}} {
+			resp, _, err := tb.do(tb.request("POST", "/lab/a", body))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		}
+		assert.Equal(t, len(g.reported), 3)
+		assert.Equal(t, g.reported[0], g.reported[1])
+		assert.Assert(t, g.reported[0] != g.reported[2])
+	})
+}
+
+// Guards against attempts of one request that operators cannot find by the same text,
+// because their queries differ.
+func TestAttemptsWithDifferentQueriesAreLoggedUnderOnePrint(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		tb.origins["u1"].Break(2)
+		prints := map[string]bool{}
+		for _, path := range []string{"/lab/a?page=1", "/lab/a?page=2"} {
+			_, _, err := tb.do(tb.request("POST", path, strings.NewReader("sample")))
+			assert.NilError(t, err)
+			prints[tb.decisions.last().Fingerprint] = true
+		}
+		assert.Equal(t, len(g.reported), 2)
+		assert.Assert(t, g.reported[0] != g.reported[1])
+		assert.DeepEqual(t, prints, map[string]bool{g.reported[0].Print(): true})
 	})
 }
 
--- a/internal/edge/front/suspect.go
+++ b/internal/edge/front/suspect.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	if p, ok := x.fingerprint(); ok {
-		x.suspect, x.decision.Fingerprint = true, p.AnyCaller().String()
+		x.suspect, x.decision.Fingerprint = true, p.Print()
 	}
 	return nil
 }
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -65,6 +65,7 @@
 	seq             uint64    // number of its last shared change
 	shared          bool      // other VMs are sent this case
 	judge           string    // process of the leader that decides on the case; empty if this VM does
+	merged          bool      // holds the crashes of several callers, see callers
 }
 
 // lastEvent returns the time of the last crash or, without a crash, when the case was
@@ -88,6 +89,9 @@
 	return quarantineTimes[min(n, len(quarantineTimes)-1)]
 }
 
+// keepUntil returns when the case is forgotten.
+func (c *Case) keepUntil() time.Time { return c.lastEvent().Add(c.quarantineTime() + retention) }
+
 // covers reports whether every server that crashed under the other request also crashed
 // under this one.
 func (c *Case) covers(other *Case) bool {
@@ -108,9 +112,10 @@
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
 	cases      map[Fingerprint]*Case
-	headCounts map[Head]int // number of cases for each head
-	seq        uint64       // number of the last shared change
-	leader     string       // process of the last leader that received reports
+	callers    callers
+	pathCounts map[pathDigest]int // number of cases for each path
+	seq        uint64             // number of the last shared change
+	leader     string             // process of the last leader that received reports
 	accused    map[ident.Server]time.Time
 	proofs     map[ident.Server]proof // not yet reported to a leader
 }
@@ -118,7 +123,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		cases: map[Fingerprint]*Case{}, headCounts: map[Head]int{},
+		cases: map[Fingerprint]*Case{}, callers: callers{}, pathCounts: map[pathDigest]int{},
 		accused: map[ident.Server]time.Time{}, proofs: map[ident.Server]proof{},
 	}
 }
@@ -129,32 +134,42 @@
 // Seq returns the number of the last shared change.
 func (t *Table) Seq() uint64 { return t.seq }
 
-// Suspected reports whether any request with this head is under suspicion.
-func (t *Table) Suspected(h Head) bool { return t.headCounts[h] > 0 }
+// Suspected reports whether any request for the path of this head is under suspicion.
+func (t *Table) Suspected(h Head) bool { return t.pathCounts[h.path] > 0 }
 
 // Crashes returns the number of servers that crashed under a request.
-func (t *Table) Crashes(fp Fingerprint) int {
-	most := 0
-	for _, c := range t.casesOf(fp) {
-		most = max(most, len(c.Crashes))
+func (t *Table) Crashes(fp Fingerprint) int { return len(t.CrashedServers(fp)) }
+
+// CrashedServers lists the servers that crashed under a request, oldest crash first.
+func (t *Table) CrashedServers(fp Fingerprint) []ident.Server {
+	var most []Crash
+	for _, c := range t.judged(fp) {
+		if len(c.Crashes) > len(most) {
+			most = c.Crashes
+		}
 	}
-	return most
+	var all []ident.Server
+	for _, crash := range most {
+		all = append(all, crash.Server)
+	}
+	return all
 }
 
 // QuarantineLeft returns how much longer a request must not reach any server; zero
 // if it may.
 func (t *Table) QuarantineLeft(now time.Time, fp Fingerprint) time.Duration {
 	var left time.Duration
-	for _, c := range t.casesOf(fp) {
+	for _, c := range t.judged(fp) {
 		left = max(left, t.quarantineEnd(c).Sub(now))
 	}
 	return left
 }
 
-// casesOf lists the cases of a request: that of its caller and that of any caller.
+// casesOf lists the cases of a request: that of its caller, that of any caller, and that of
+// its caller with any query.
 func (t *Table) casesOf(fp Fingerprint) []*Case {
 	var all []*Case
-	for _, q := range withAnyCaller(fp) {
+	for _, q := range withSharedForms(fp) {
 		if c := t.cases[q]; c != nil {
 			all = append(all, c)
 		}
@@ -162,14 +177,6 @@
 	return all
 }
 
-// withAnyCaller returns a fingerprint and its AnyCaller form, only one if they are equal.
-func withAnyCaller(fp Fingerprint) []Fingerprint {
-	if fp == fp.AnyCaller() {
-		return []Fingerprint{fp}
-	}
-	return []Fingerprint{fp, fp.AnyCaller()}
-}
-
 // quarantineEnd returns when the quarantine of a request ends. Requests that ran on a
 // server together with a crashing one get the same crashes on record. So a request is free
 // if another one has all its crashes and more. If two have exactly the same crashes, both
@@ -179,12 +186,18 @@
 	if duration == 0 {
 		return time.Time{}
 	}
-	for _, other := range t.cases {
-		sameRequest := other.Fingerprint.AnyCaller() == c.Fingerprint.AnyCaller()
-		if sameRequest || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
+	for other := range t.allCases() {
+		if len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
 			continue
 		}
-		if len(other.Crashes) > len(c.Crashes) {
+		sameRequest := t.sameRequest(c, other)
+		if sameRequest && other.explains(c) {
+			return time.Time{}
+		}
+		if sameRequest {
+			continue
+		}
+		if other.frees(c) {
 			return time.Time{}
 		}
 		if len(c.Crashes) < maxTieCrashes {
@@ -196,9 +209,15 @@
 
 // Quarantined lists the requests that are in quarantine now, by fingerprint.
 func (t *Table) Quarantined(now time.Time) []Case {
+	quarantined := map[Fingerprint]bool{} // by the fingerprint of a merged case
+	for key := range t.callers {
+		merged := t.callers.merged(key)
+		quarantined[key] = merged != nil && t.quarantineEnd(merged).After(now)
+	}
 	var all []Case
 	for _, c := range t.cases {
-		if t.quarantineEnd(c).After(now) {
+		asCaller := len(c.Crashes) > 0 && c.Fingerprint != c.Fingerprint.AnyCaller() && quarantined[c.Fingerprint.AnyCaller()]
+		if asCaller || t.quarantineEnd(c).After(now) {
 			all = append(all, *c)
 		}
 	}
@@ -214,11 +233,14 @@
 }
 
 func (t *Table) addCrash(fp Fingerprint, crash Crash) {
-	for _, q := range withAnyCaller(fp) {
+	for _, q := range withSharedForms(fp) {
 		if c := t.getOrCreate(q); c.add(crash) {
 			t.markChanged(c)
 		}
 	}
+	for _, q := range withSharedForms(fp) {
+		t.shareCallers(q)
+	}
 }
 
 // Clear records that a request was answered: earlier crashes were not caused by it, or
@@ -229,10 +251,10 @@
 	}
 }
 
-// Release clears a request for all its callers, at an operator's command.
+// Release clears a request for all its callers and queries, at an operator's command.
 func (t *Table) Release(now time.Time, fp Fingerprint) {
 	for _, c := range t.cases {
-		if c.Fingerprint.AnyCaller() == fp.AnyCaller() {
+		if c.Fingerprint.Common() == fp.Common() {
 			t.clearCase(now, c)
 		}
 	}
@@ -259,7 +281,7 @@
 			c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || liveness(c.Crashes[i].Server) == Gone
 		}
 		unshared := len(c.Crashes) == 0 && !c.shared
-		if unshared || !now.Before(c.lastEvent().Add(c.quarantineTime()+retention)) {
+		if unshared || t.outOfDate(now, c) {
 			t.remove(fp)
 			continue
 		}
@@ -278,28 +300,16 @@
 	}
 	c := &Case{Fingerprint: fp}
 	t.cases[fp] = c
-	t.headCounts[fp.Head()]++
+	t.callers.add(c)
+	t.pathCounts[fp.path()]++
 	return c
 }
 
-// evict removes the case with the fewest crashes, the oldest one among these.
-func (t *Table) evict() {
-	var least *Case
-	for _, c := range t.cases {
-		older := least != nil && len(c.Crashes) == len(least.Crashes) && c.lastEvent().Before(least.lastEvent())
-		if least == nil || len(c.Crashes) < len(least.Crashes) || older {
-			least = c
-		}
-	}
-	if least != nil {
-		t.remove(least.Fingerprint)
-	}
-}
-
 func (t *Table) remove(fp Fingerprint) {
+	t.callers.remove(t.cases[fp])
 	delete(t.cases, fp)
-	if t.headCounts[fp.Head()]--; t.headCounts[fp.Head()] <= 0 {
-		delete(t.headCounts, fp.Head())
+	if t.pathCounts[fp.path()]--; t.pathCounts[fp.path()] <= 0 {
+		delete(t.pathCounts, fp.path())
 	}
 }
 
--- a/internal/load/poison/unanswered.go
+++ b/internal/load/poison/unanswered.go
@@ -9,7 +9,7 @@
 const (
 	// unansweredTime is how long an attempt without an answer is kept. The entry of a
 	// server that has ended expires within it, also when the list is late.
-	unansweredTime = 10 * time.Second
+	unansweredTime = livenessGrace
 	// maxUnanswered bounds the attempts kept for each server, so that a server that times
 	// out often does not displace what is known of others.
 	maxUnanswered = 64
