front: a crash counts although the body was not complete

What callers saw: a request that crashes its server while the server still reads its chunked body was sent on without end.

Cause: a body of unknown length identifies its request only once it is complete; until then a crash was recorded for nobody, on the assumption that a server does not begin before it has the whole body.

Fix: such a request is known by its head and its caller, with a mark in place of the body (poison.UnreadBody). Later chunked requests of the same head and caller are checked against it too, and any answer to one of them clears it. The mark includes the caller also in its form for any caller, so that chunked requests of others for the same path are not refused.

--- a/internal/edge/front/evidence.go
+++ b/internal/edge/front/evidence.go
@@ -5,6 +5,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
 // reportFailure reports what a failed attempt shows about the request and its server.
@@ -32,8 +33,34 @@
 	if x.f.Guard == nil {
 		return
 	}
+	x.unanswered = true
+	x.f.Guard.ReportUnanswered(x.fingerprintOrUnread(), s, x.decision.ID)
+}
+
+// fingerprintOrUnread returns the fingerprint of the request, or the one that stands for a
+// body of unknown length that is not complete: a server may run a request before it has
+// read the body.
+func (x *exchange) fingerprintOrUnread() poison.Fingerprint {
 	if p, ok := x.fingerprint(); ok {
-		x.unanswered = true
-		x.f.Guard.ReportUnanswered(p, s, x.decision.ID)
+		return p
 	}
+	return x.unreadFingerprint()
+}
+
+// fingerprints returns all fingerprints by which earlier attempts of the request may be
+// known.
+func (x *exchange) fingerprints() []poison.Fingerprint {
+	var all []poison.Fingerprint
+	if p, ok := x.fingerprint(); ok {
+		all = append(all, p)
+	}
+	if x.r.ContentLength < 0 {
+		all = append(all, x.unreadFingerprint())
+	}
+	return all
+}
+
+func (x *exchange) unreadFingerprint() poison.Fingerprint {
+	caller := string(x.decision.Caller)
+	return x.poisonHead().Fingerprint(caller, poison.UnreadBody(caller))
 }
--- a/internal/edge/front/evidence_test.go
+++ b/internal/edge/front/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +13,8 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
@@ -102,3 +105,39 @@
 		assert.Equal(t, g.unanswered.Len(), 0)
 	})
 }
+
+// Guards against sending a request again whose earlier attempts crashed servers before its
+// body was complete, and against refusing requests of other callers, or of other framing,
+// because of it.
+func TestCrashesDuringTheBodyQuarantineTheCallersNextAttempt(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		send := func(caller string, body io.Reader) string {
+			r := tb.request("POST", "/lab/a", body)
+			r.Header.Set(relay.HeaderCaller, caller)
+			_, _, err := tb.do(r)
+			assert.NilError(t, err)
+			synctest.Wait()
+			return tb.decisions.last().Kind
+		}
+		head := poison.HeadOf("POST", entryAddr.String(), "/lab/a")
+		unread := head.Fingerprint("c1", poison.UnreadBody("c1"))
+		crash := func(servers ...ident.Server) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			for _, s := range servers {
+				g.RecordCrash(time.Now(), unread, s)
+			}
+		}
+		crash("u2", "u3")
+		assert.Equal(t, send("c1", chunked{strings.NewReader("sample")}), kinds.None.String())
+		assert.Equal(t, g.Crashes(unread), 0, "an answer clears it")
+		time.Sleep(time.Second)
+		crash("u2", "u3", "u4")
+		assert.Equal(t, send("c1", chunked{strings.NewReader("sample")}), kinds.Quarantined.String())
+		assert.Equal(t, send("c1", strings.NewReader("sample")), kinds.None.String())
+		assert.Equal(t, send("c2", chunked{strings.NewReader("sample")}), kinds.None.String())
+		assert.Equal(t, send("c1", chunked{strings.NewReader("sample")}), kinds.Quarantined.String())
+		long := strings.Repeat("x", 3*defaultBufferLimit)
+		assert.Equal(t, send("c1", chunked{strings.NewReader(long)}), kinds.Quarantined.String())
+	})
+}
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -68,11 +68,11 @@
 	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
 		return nil
 	}
-	p, ok := x.fingerprint()
-	if !ok {
-		return nil
+	var remaining time.Duration
+	for _, p := range x.fingerprints() {
+		remaining = max(remaining, x.f.Guard.QuarantineLeft(p))
 	}
-	if remaining := x.f.Guard.QuarantineLeft(p); remaining > 0 {
+	if remaining > 0 {
 		return &quarantineError{remaining: remaining, err: errQuarantined}
 	}
 	return nil
@@ -83,10 +83,7 @@
 	if x.f.Guard == nil {
 		return
 	}
-	p, ok := x.fingerprint()
-	if !ok {
-		return // the server had not read the whole body, so it had not begun
-	}
+	p := x.fingerprintOrUnread()
 	x.decision.Fingerprint = p.AnyCaller().String()
 	x.crashes = x.f.Guard.ReportCrash(p, s, x.decision.ID)
 	x.suspect = true
@@ -99,7 +96,7 @@
 	if !x.suspect && !x.unanswered {
 		return
 	}
-	if p, ok := x.fingerprint(); ok {
+	for _, p := range x.fingerprints() {
 		x.f.Guard.Answered(p)
 	}
 }
