poison: requests with three crashes run only as trials, one at a time on one VM

What callers saw: a harmless request that was always in flight beside a crashing one, for the same key, was refused as harmful throughout. When its short quarantine ended, all VMs sent it and the crashing one at once.

Cause: two requests with the same crashes were both held for 10 s and then both free, on all VMs. They crashed the next server together, so that the tie stayed until five crashes held both for 10 minutes or longer. Nor did the regular end of a quarantine limit who tries the request.

Why this works: from the third crash on a request runs only as a trial, unless another one explains all its crashes. A VM that refuses it asks the leader in its next poll, and the leader grants one attempt in the response to that poll, to one VM and for one of the requests that share a crash. Of two rivals only one runs at a time, so an answer or a crash tells them apart. Without a leader nothing is granted. A new leader waits for the longest time that a grant of another can last. Two trials without a result end the trials until the full quarantine is over; the count is part of the verdict.

Tests adapted, because they had the 10 s and the free end written in them: - TestARequestThatOnlyRanBesideACrashingOneIsFreeAgain: the two are no longer free after the wait; each needs a trial, and only one gets it. What an answer and a crash show, and the full quarantine from five shared crashes on, are checked as before. - TestAQuarantineEndsAndOneMoreCrashBeginsALongerOne: at its end the request is refused until a trial is granted, which is refused just before the end and lets one attempt pass after it. The rest is as before. The simulation of order_test.go asks for and uses grants as the VMs do.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -280,19 +280,23 @@
 	if !ok {
 		return nil, errBodyConsumed
 	}
-	if err := x.checkQuarantine(); err != nil {
+	trial, err := x.admitSuspect()
+	if err != nil {
 		return nil, err
 	}
 	if x.current != nil && !x.current.markSent() {
+		x.returnUnsent(trial, errOwnerChanged)
 		return nil, errOwnerChanged
 	}
 	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 	})
-	if err == nil {
-		err = x.bufferAnswer(answer)
+	if err != nil {
+		x.returnUnsent(trial, err)
+		return nil, err
 	}
+	err = x.bufferAnswer(answer)
 	if err == nil && x.current != nil && !x.current.markAnswered() {
 		answer.Close()
 		return nil, x.answeredAfterMove()
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -20,6 +20,11 @@
 	// QuarantineLeft returns for how much longer a request must not be sent to any
 	// server; zero means that it may be sent.
 	QuarantineLeft(p poison.Fingerprint) time.Duration
+	// StartAttempt is QuarantineLeft for a request that is sent at once if it may be. It
+	// returns the trial if only that allows it.
+	StartAttempt(p poison.Fingerprint) (time.Duration, *poison.Trial)
+	// ReturnTrial gives back a trial that was not sent.
+	ReturnTrial(*poison.Trial)
 	// ReportCrash records that a server closed the connection while it ran the request,
 	// and returns how many servers have.
 	ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int
@@ -70,9 +75,7 @@
 	return x.checkQuarantine()
 }
 
-// checkQuarantine refuses a quarantined request just before it is sent: it may have been
-// quarantined while it waited. It does not modify the exchange, whose attempts may run
-// concurrently.
+// checkQuarantine refuses a quarantined request.
 func (x *exchange) checkQuarantine() error {
 	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
 		return nil
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -37,6 +37,18 @@
 	return g.Table.QuarantineLeft(time.Now(), p)
 }
 
+func (g *fakeGuard) StartAttempt(p poison.Fingerprint) (time.Duration, *poison.Trial) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Table.StartAttempt(time.Now(), p)
+}
+
+func (g *fakeGuard) ReturnTrial(trial *poison.Trial) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Table.ReturnTrial(trial)
+}
+
 func (g *fakeGuard) ReportCrash(p poison.Fingerprint, s ident.Server, _ ident.Request) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -62,6 +62,7 @@
 	l.peers.Server = serve(p.Hub.Handler(func(req *poll.Request) {
 		p.Coordinator.onRequest(req)
 		p.Quarantine.addReports(req.Reports)
+		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
 	}))
 	l.metrics.Server = serve(p.Quarantine.handler(p.Meter.Handler()))
 	l.operators.Server = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -100,6 +100,7 @@
 	req.ServersRev = p.parts.Servers.knownRev(time.Now())
 	req.Cells, req.LatencySums = p.parts.Counts.drain()
 	req.Reports, req.CaseSeq = p.parts.Quarantine.reports(req.Lease.Incarnation), p.caseSeq
+	req.TrialAsks = p.parts.Quarantine.trialAsks()
 	return req
 }
 
@@ -137,6 +138,7 @@
 	p.parts.Servers.setVMCount(resp.VMCount + 1) // VMCount does not include the leader
 	p.setPeers(resp.VMs)
 	p.applyLeaderState(resp)
+	p.parts.Quarantine.applyGrants(asked, resp.TrialGrants)
 	p.parts.Quarantine.markReported(resp.Lease.Incarnation, req.Reports)
 	if !resp.StoreDown {
 		p.parts.Hub.SetSynced(resp.ReceivedAt)
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex
 	table  *poison.Table
 	logged map[poison.Fingerprint]bool // caller-independent fingerprints of requests logged as quarantined
+	term   uint64                      // epoch in which this VM leads and grants trials; zero if it does not lead
 
 	object quarantineObject
 }
@@ -54,6 +55,7 @@
 func (q *quarantine) reconcileLoop(ctx context.Context) error {
 	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
+		q.grantOwnTrials()
 		if q.nonEmpty.Load() {
 			q.update(func(now time.Time) { q.table.Reconcile(now, liveness) })
 		}
@@ -112,13 +114,6 @@
 	return q.table.Suspected(*h)
 }
 
-// QuarantineLeft returns for how much longer a request must not be sent to any server.
-func (q *quarantine) QuarantineLeft(p poison.Fingerprint) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.QuarantineLeft(clock.Now(), p)
-}
-
 // ReportCrash records that a server broke off while it ran a request, and returns how
 // many servers have. Leaving servers are not counted, since they break off what they
 // cannot finish.
--- a/internal/edge/host/quarantine_http.go
+++ b/internal/edge/host/quarantine_http.go
@@ -23,7 +23,7 @@
 			c.String(http.StatusBadRequest, "%s\n", err)
 			return
 		}
-		if q.QuarantineLeft(p) == 0 {
+		if !q.blocks(p) {
 			c.String(http.StatusNotFound, "not in quarantine here\n")
 			return
 		}
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -52,6 +52,10 @@
 	LatencySums map[ident.Server]assign.LatencySum `json:"sums,omitempty"`
 	Reports     LenientList[poison.Report]         `json:"reports,omitempty"` // of requests during which servers broke off
 	CaseSeq     uint64                             `json:"cases,omitempty"`   // last change of suspected requests that the sender received
+	TrialAsks   LenientList[poison.TrialAsk]       `json:"trials,omitempty"`
+	// TrialGrants is set by the handler on the leader, and sent in the response to this
+	// request only: the sender counts their time from when it sent the request.
+	TrialGrants []poison.TrialGrant `json:"-"`
 
 	receivedAt time.Time // on the boot clock, see package clock
 }
@@ -84,6 +88,8 @@
 	Rules   *RawRules   `json:"rules,omitempty"`
 	Servers *ServerList `json:"servers,omitempty"`
 	Cases   *Cases      `json:"cases,omitempty"`
+	// TrialGrants are attempts that only the receiver may make.
+	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
 
 	// ReceivedAt is when the response began to arrive. Its news is as of that time.
 	ReceivedAt time.Time `json:"-"`
@@ -321,6 +327,8 @@
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
+	resp.TrialGrants = req.TrialGrants
+	hasNews = hasNews || len(resp.TrialGrants) > 0
 	h.addPeers(now, req, &resp)
 	return resp, hasNews, h.changed
 }
--- a/internal/load/poison/order_test.go
+++ b/internal/load/poison/order_test.go
@@ -48,8 +48,18 @@
 	entryLife, listDelay, followerDelay time.Duration
 
 	outages []outage
+	loses   func(vm int) loss // which part of a VM's next poll is lost; nil for none
 }
 
+// loss is the part of a poll that is lost.
+type loss int
+
+const (
+	lossNone loss = iota
+	lossOfRequest
+	lossOfResponse
+)
+
 // outage is a time in which the store reports no changes. VMs are in touch again, and have
 // the list of servers, only some time after its end.
 type outage struct{ from, until time.Time }
@@ -66,6 +76,7 @@
 	for range fleetVMs {
 		f.vms = append(f.vms, NewTable())
 	}
+	f.vms[f.leader].BeginTerm(f.now)
 	return f
 }
 
@@ -113,20 +124,47 @@
 
 // poll exchanges reports and verdicts between a VM and the leader.
 func (f *fleet) poll(i int) {
+	vm, leader := f.vms[i], f.vms[f.leader]
+	name := ident.VM("vm-" + strconv.Itoa(i))
 	if i == f.leader {
+		vm.ApplyGrants(f.now, vm.GrantTrials(f.now, name, vm.TrialAsks(f.now)))
+		return
+	}
+	asks := vm.TrialAsks(f.now)
+	lost := lossNone
+	if f.loses != nil {
+		lost = f.loses(i)
+	}
+	if lost == lossOfRequest {
 		return
 	}
-	vm, leader := f.vms[i], f.vms[f.leader]
 	reports := vm.Reports(f.now, f.leaderName())
 	leader.AddReports(f.now, reports)
+	grants := leader.GrantTrials(f.now, name, asks)
+	if lost == lossOfResponse {
+		return
+	}
 	vm.ApplyVerdicts(f.now, f.leaderName(), leader.ChangesSince(f.now, f.seqs[i]))
 	f.seqs[i] = leader.Seq()
 	vm.MarkReported(f.leaderName(), reports)
+	vm.ApplyGrants(f.now, grants)
+}
+
+// mayPass reports whether a VM lets a request pass, and notes its trial if not.
+func (f *fleet) mayPass(vm int, path string) bool {
+	fp := f.fingerprint(vm, path)
+	left, _ := f.vms[vm].StartAttempt(f.now, fp)
+	if left > 0 {
+		f.vms[vm].AskTrial(f.now, fp)
+	}
+	return left == 0
 }
 
 // lead makes another VM the leader.
 func (f *fleet) lead(i int) {
+	f.vms[f.leader].EndTerm()
 	f.leader, f.term = i, f.term+1
+	f.vms[i].BeginTerm(f.now)
 	f.seqs = make([]uint64, fleetVMs)
 	f.note("VM %d leads", i)
 }
@@ -148,7 +186,7 @@
 
 // attemptAtOnce sends the crashing request through some VMs to the owner of its key.
 func (f *fleet) attemptAtOnce(vms []int, beside ...string) {
-	vms = slices.DeleteFunc(vms, func(vm int) bool { return f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, "/crash")) > 0 })
+	vms = slices.DeleteFunc(vms, func(vm int) bool { return !f.mayPass(vm, "/crash") })
 	if len(vms) == 0 {
 		return
 	}
@@ -157,7 +195,7 @@
 	f.note("VMs %v send the request to %s, which crashes; beside it %v", vms, s, beside)
 	for i, path := range beside {
 		other := (vms[0] + i) % fleetVMs
-		if f.vms[other].QuarantineLeft(f.now, f.fingerprint(other, path)) == 0 {
+		if f.mayPass(other, path) {
 			f.vms[other].RecordCrash(f.now, f.fingerprint(other, path), s)
 		}
 	}
@@ -170,9 +208,12 @@
 	}
 }
 
+// lastServer returns the server that crashed last.
+func (f *fleet) lastServer() ident.Server { return ident.Server("s" + strconv.Itoa(len(f.gone)-1)) }
+
 // crashAlone lets a server crash, for a reason of its own, while it runs another request.
 func (f *fleet) crashAlone(vm int, path string) {
-	if f.vms[vm].QuarantineLeft(f.now, f.fingerprint(vm, path)) > 0 {
+	if !f.mayPass(vm, path) {
 		return
 	}
 	s := ident.Server("s" + strconv.Itoa(len(f.gone)))
@@ -184,7 +225,7 @@
 // answer lets a server answer another request.
 func (f *fleet) answer(vm int, path string) {
 	fp := f.fingerprint(vm, path)
-	if f.vms[vm].QuarantineLeft(f.now, fp) > 0 || !f.vms[vm].Suspected(fp.Head()) {
+	if !f.mayPass(vm, path) || !f.vms[vm].Suspected(fp.Head()) {
 		return
 	}
 	f.note("%s is answered at VM %d", path, vm)
--- a/internal/load/poison/poison_test.go
+++ b/internal/load/poison/poison_test.go
@@ -140,7 +140,11 @@
 		tab.RecordCrash(t0, crashing, s)
 	}
 	later := t0.Add(quarantineTimes[0])
-	assert.Equal(t, tab.QuarantineLeft(later, crashing), time.Duration(0))
+	assert.Equal(t, tab.QuarantineLeft(later, crashing), trialRetryAfter)
+	tab.BeginTerm(t0)
+	assert.Assert(t, !askAndStart(tab, later.Add(-1), crashing), "the quarantine has not ended")
+	assert.Assert(t, askAndStart(tab, later, crashing))
+	assert.Assert(t, !askAndStart(tab, later, crashing), "one attempt at a time")
 	tab.RecordCrash(later, crashing, "s4")
 	assert.Equal(t, tab.QuarantineLeft(later, crashing), quarantineTimes[1])
 	tab.Reconcile(later.Add(quarantineTimes[1]+retention), livenessFrom(nil))
@@ -156,18 +160,25 @@
 			tab.RecordCrash(t0, crashing, s)
 			tab.RecordCrash(t0, other, s)
 		}
-		assert.Equal(t, tab.QuarantineLeft(t0, crashing), tieQuarantine)
-		assert.Equal(t, tab.QuarantineLeft(t0, other), tieQuarantine)
+		tab.BeginTerm(t0.Add(-maxTrialTime))
+		for _, fp := range []Fingerprint{crashing, other} {
+			assert.Equal(t, tab.QuarantineLeft(t0, fp), tieWait)
+			assert.Equal(t, tab.QuarantineLeft(t0.Add(tieWait), fp), trialRetryAfter, "neither is free without a trial")
+		}
 		return tab
 	}
 	tab := newTiedTable()
-	tab.Clear(t0.Add(tieQuarantine), other)
-	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieQuarantine), crashing), quarantineTimes[0]-tieQuarantine, "an answer to one request shows that the other caused the crashes")
+	assert.Assert(t, askAndStart(tab, t0.Add(tieWait), other))
+	assert.Assert(t, !askAndStart(tab, t0.Add(tieWait), crashing), "one of the two at a time")
+	tab.Clear(t0.Add(tieWait), other)
+	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieWait), other), time.Duration(0))
+	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieWait), crashing), quarantineTimes[0]-tieWait, "an answer to one request shows that the other caused the crashes")
 
 	tab = newTiedTable()
-	tab.RecordCrash(t0.Add(tieQuarantine), crashing, "s4")
-	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieQuarantine), crashing), quarantineTimes[1])
-	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieQuarantine), other), time.Duration(0))
+	assert.Assert(t, askAndStart(tab, t0.Add(tieWait), crashing))
+	tab.RecordCrash(t0.Add(tieWait), crashing, "s4")
+	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieWait), crashing), quarantineTimes[1])
+	assert.Equal(t, tab.QuarantineLeft(t0.Add(tieWait), other), time.Duration(0))
 
 	for _, s := range []ident.Server{"s4", "s5"} {
 		tab.RecordCrash(t0.Add(time.Minute), crashing, s)
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -24,17 +24,12 @@
 )
 
 // quarantineTimes are the durations of a quarantine after the third crash, the fourth, and
-// each later one. Afterwards the request may run again: the servers may have been fixed.
+// each later one. Afterwards the request may be tried: the servers may have been fixed.
 var quarantineTimes = []time.Duration{10 * time.Minute, time.Hour, 24 * time.Hour}
 
-const (
-	// tieQuarantine is the short quarantine of a request while another request has crashes
-	// of exactly the same servers, so that it is not known which of the two caused them.
-	tieQuarantine = 10 * time.Second
-	// maxTieCrashes is the number of crashes from which a request gets its full quarantine
-	// in spite of such a tie.
-	maxTieCrashes = CrashThreshold + 2
-)
+// maxTieCrashes is the number of crashes from which a request gets its full quarantine
+// although another request has crashes of exactly the same servers.
+const maxTieCrashes = CrashThreshold + 2
 
 // Liveness is what is known about a server whose connection broke.
 type Liveness uint8
@@ -60,6 +55,8 @@
 	Crashes         []Crash   // of different servers, oldest first
 	cleared         time.Time // when it was last answered or released
 	clearReportedTo string    // process of the leader that has received cleared
+	trials          int       // granted since the last crash or answer
+	triedAt         time.Time // when the last trial was granted
 	seq             uint64    // number of its last shared change
 	shared          bool      // other VMs are sent this case
 }
@@ -82,6 +79,15 @@
 	return quarantineTimes[min(n, len(quarantineTimes)-1)]
 }
 
+// forgetAt returns when the case is out of date.
+func (c *Case) forgetAt() time.Time {
+	last := c.lastEvent()
+	if c.triedAt.After(last) {
+		last = c.triedAt
+	}
+	return last.Add(c.quarantineTime() + retention)
+}
+
 // covers reports whether every server that crashed under the other request also crashed
 // under this one.
 func (c *Case) covers(other *Case) bool {
@@ -99,6 +105,8 @@
 	cases      map[Fingerprint]*Case
 	headCounts map[Head]int // number of cases for each head
 	seq        uint64       // number of the last shared change
+	client     trialClient
+	leader     trialLeader
 }
 
 // NewTable returns an empty table.
@@ -122,12 +130,15 @@
 	return most
 }
 
-// QuarantineLeft returns how much longer a request must not reach any server; zero
-// if it may.
+// QuarantineLeft returns how much longer a request must not reach any server, at least as
+// far as is known; zero if it may, which for a request that needs a trial is so while this
+// VM holds a grant that is not used.
 func (t *Table) QuarantineLeft(now time.Time, fp Fingerprint) time.Duration {
 	var left time.Duration
 	for _, c := range t.casesOf(fp) {
-		left = max(left, t.quarantineEnd(c).Sub(now))
+		if t.caseBlocked(now, c) && !t.client.mayStart(now, c, fp) {
+			left = max(left, t.quarantineEnd(c).Sub(now), trialRetryAfter)
+		}
 	}
 	return left
 }
@@ -151,15 +162,17 @@
 	return []Fingerprint{fp, fp.AnyCaller()}
 }
 
-// quarantineEnd returns when the quarantine of a request ends. Requests that ran on a
-// server together with a crashing one get the same crashes on record. So a request is free
-// if another one has all its crashes and more. If two have exactly the same crashes, both
-// get only the short tieQuarantine, so that the next answer shows which one is harmless.
+// quarantineEnd returns when the quarantine of a request ends, so that it may be tried; zero
+// for a request that is free. Requests that ran on a server together with a crashing one
+// get the same crashes on record. So a request is free if another one has all its crashes
+// and more. If two have exactly the same crashes, a trial of either shows which one is
+// harmless, and need not wait for the end of the full quarantine.
 func (t *Table) quarantineEnd(c *Case) time.Time {
 	duration := c.quarantineTime()
 	if duration == 0 {
 		return time.Time{}
 	}
+	tied := false
 	for _, other := range t.cases {
 		sameRequest := other.Fingerprint.AnyCaller() == c.Fingerprint.AnyCaller()
 		if sameRequest || len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
@@ -168,18 +181,23 @@
 		if len(other.Crashes) > len(c.Crashes) {
 			return time.Time{}
 		}
-		if len(c.Crashes) < maxTieCrashes {
-			duration = min(duration, tieQuarantine)
-		}
+		tied = len(c.Crashes) < maxTieCrashes
+	}
+	switch {
+	case c.unresolvedTrials() >= maxUnresolvedTrials:
+		return c.triedAt.Add(duration)
+	case tied:
+		return c.lastEvent().Add(tieWait)
 	}
 	return c.lastEvent().Add(duration)
 }
 
-// Quarantined lists the requests that are in quarantine now, by fingerprint.
+// Quarantined lists the requests that are in quarantine now, by fingerprint. They include
+// those that wait for a trial.
 func (t *Table) Quarantined(now time.Time) []Case {
 	var all []Case
 	for _, c := range t.cases {
-		if t.quarantineEnd(c).After(now) {
+		if t.caseBlocked(now, c) {
 			all = append(all, *c)
 		}
 	}
@@ -244,7 +262,7 @@
 			t.markChanged(c)
 		}
 		unshared := len(c.Crashes) == 0 && !c.shared
-		if unshared || !now.Before(c.lastEvent().Add(c.quarantineTime()+retention)) {
+		if unshared || !now.Before(c.forgetAt()) {
 			t.remove(fp)
 		}
 	}
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -14,6 +14,8 @@
 	Fingerprint Fingerprint    `json:"print"`
 	Crashes     []VerdictCrash `json:"crashes,omitempty"`
 	ClearedAge  time.Duration  `json:"cleared,omitempty"` // time since the request was cleared; zero for never
+	Trials      int            `json:"trials,omitempty"`  // granted since the last crash or answer
+	TriedAge    time.Duration  `json:"tried,omitempty"`   // time since the last of them
 }
 
 // VerdictCrash is one crash of a verdict, with the time since it happened.
@@ -99,6 +101,9 @@
 	if !c.cleared.IsZero() {
 		v.ClearedAge = max(now.Sub(c.cleared), 1)
 	}
+	if n := c.unresolvedTrials(); n > 0 {
+		v.Trials, v.TriedAge = n, now.Sub(c.triedAt)
+	}
 	for _, crash := range c.Crashes {
 		v.Crashes = append(v.Crashes, VerdictCrash{Server: crash.Server, Age: now.Sub(crash.At), Confirmed: crash.Confirmed})
 	}
@@ -135,6 +140,12 @@
 		c.clearUntil(now.Add(-v.ClearedAge))
 		c.clearReportedTo = leader
 	}
+	switch {
+	case v.Trials > 0:
+		c.trials, c.triedAt = v.Trials, now.Add(-v.TriedAge)
+	case leader != "":
+		c.trials, c.triedAt = 0, time.Time{}
+	}
 	for _, reported := range v.Crashes {
 		c.add(Crash{Server: reported.Server, At: now.Add(-reported.Age), Confirmed: reported.Confirmed, reportedTo: leader})
 	}
