--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -29,6 +29,7 @@
 	mu     sync.Mutex
 	table  *poison.Table
 	logged map[poison.Fingerprint]bool // common parts of requests logged as quarantined
+	term   uint64                      // epoch in which this VM leads and grants trials; zero if it does not lead
 
 	object     quarantineObject
 	unanswered unansweredAttempts
@@ -59,6 +60,7 @@
 		now := clock.Now()
 		q.tick.Store(&now)
 		q.accuseUnanswered()
+		q.grantOwnTrials()
 		if q.nonEmpty.Load() {
 			_, leads := q.parts.Hub.Lease()
 			q.update(func(now time.Time) { q.reconcile(now, leads, liveness) })
@@ -123,13 +125,6 @@
 	return q.table.Suspected(*h)
 }
 
-// QuarantineLeft returns for how much longer a request must not be sent to any server.
-func (q *quarantine) QuarantineLeft(p poison.Fingerprint) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.QuarantineLeft(clock.Now(), p)
-}
-
 // ReportCrash records that a server broke off while it ran a request, and returns how
 // many servers have. Leaving servers are not counted, since they break off what they
 // cannot finish.
--- a/internal/load/poison/callers.go
+++ b/internal/load/poison/callers.go
@@ -43,6 +43,9 @@
 		if len(c.Crashes) > 0 {
 			accused++
 		}
+		if n := c.unresolvedTrials(); n > all.trials {
+			all.trials, all.triedAt = n, c.triedAt
+		}
 		for _, crash := range c.Crashes {
 			if len(all.Crashes) < maxCrashes || crash.At.After(all.Crashes[0].At) {
 				all.add(crash)
@@ -153,11 +156,11 @@
 
 // outOfDate reports whether a case and its merged case are so old that it is forgotten.
 func (t *Table) outOfDate(now time.Time, c *Case) bool {
-	if now.Before(c.keepUntil()) {
+	if now.Before(c.forgetAt()) {
 		return false
 	}
 	merged := t.mergedWith(c)
-	return merged == nil || !now.Before(merged.keepUntil())
+	return merged == nil || !now.Before(merged.forgetAt())
 }
 
 // evict removes the case with the fewest crashes, the oldest one among these. The crashes
--- a/internal/load/poison/query_test.go
+++ b/internal/load/poison/query_test.go
@@ -76,7 +76,7 @@
 		tab.RecordCrash(t0, queryFrom("a", "page="+strconv.Itoa(i)), s)
 		tab.RecordCrash(t0, queryFrom("b", "sort=new"), s)
 	}
-	assert.Equal(t, tab.QuarantineLeft(t0, queryFrom("b", "sort=new")), tieQuarantine)
+	assert.Equal(t, tab.QuarantineLeft(t0, queryFrom("b", "sort=new")), tieWait)
 	tab.RecordCrash(t0, queryFrom("a", "page=4"), "s4")
 	assert.Equal(t, tab.QuarantineLeft(t0, queryFrom("b", "sort=new")), time.Duration(0))
 	assert.Assert(t, tab.QuarantineLeft(t0, queryFrom("a", "page=5")) > 0)
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -25,17 +25,12 @@
 )
 
 // quarantineTimes are the durations of a quarantine after the third crash, the fourth, and
-// each later one. Afterwards the request may run again: the servers may have been fixed.
+// each later one. Afterwards the request may be tried: the servers may have been fixed.
 var quarantineTimes = []time.Duration{10 * time.Minute, time.Hour, 24 * time.Hour}
 
-const (
-	// tieQuarantine is the short quarantine of a request while another request has crashes
-	// of exactly the same servers, so that it is not known which of the two caused them.
-	tieQuarantine = 10 * time.Second
-	// maxTieCrashes is the number of crashes from which a request gets its full quarantine
-	// in spite of such a tie.
-	maxTieCrashes = CrashThreshold + 2
-)
+// maxTieCrashes is the number of crashes from which a request gets its full quarantine
+// although another request has crashes of exactly the same servers.
+const maxTieCrashes = CrashThreshold + 2
 
 // Liveness is what is known about a server whose connection broke.
 type Liveness uint8
@@ -62,6 +57,8 @@
 	cleared         time.Time // when it was last answered or released
 	dropped         time.Time // when crashes of a shared case were last dropped here
 	clearReportedTo string    // process of the leader that has received cleared
+	trials          int       // granted since the last crash or answer
+	triedAt         time.Time // when the last trial was granted
 	seq             uint64    // number of its last shared change
 	shared          bool      // other VMs are sent this case
 	judge           string    // process of the leader that decides on the case; empty if this VM does
@@ -89,8 +86,14 @@
 	return quarantineTimes[min(n, len(quarantineTimes)-1)]
 }
 
-// keepUntil returns when the case is forgotten.
-func (c *Case) keepUntil() time.Time { return c.lastEvent().Add(c.quarantineTime() + retention) }
+// forgetAt returns when the case is out of date.
+func (c *Case) forgetAt() time.Time {
+	last := c.lastEvent()
+	if c.triedAt.After(last) {
+		last = c.triedAt
+	}
+	return last.Add(c.quarantineTime() + retention)
+}
 
 // covers reports whether every server that crashed under the other request also crashed
 // under this one.
@@ -118,6 +121,8 @@
 	leader     string             // process of the last leader that received reports
 	accused    map[ident.Server]time.Time
 	proofs     map[ident.Server]proof // not yet reported to a leader
+	client     trialClient
+	granter    trialGranter
 }
 
 // NewTable returns an empty table.
@@ -155,12 +160,15 @@
 	return all
 }
 
-// QuarantineLeft returns how much longer a request must not reach any server; zero
-// if it may.
+// QuarantineLeft returns how much longer a request must not reach any server, at least as
+// far as is known; zero if it may, which for a request that needs a trial is so while this
+// VM holds a grant that is not used.
 func (t *Table) QuarantineLeft(now time.Time, fp Fingerprint) time.Duration {
 	var left time.Duration
 	for _, c := range t.judged(fp) {
-		left = max(left, t.quarantineEnd(c).Sub(now))
+		if t.caseBlocked(now, c) && !t.client.mayStart(now, c, fp) {
+			left = max(left, t.quarantineEnd(c).Sub(now), trialRetryAfter)
+		}
 	}
 	return left
 }
@@ -177,15 +185,17 @@
 	return all
 }
 
-// quarantineEnd returns when the quarantine of a request ends. Requests that ran on a
-// server together with a crashing one get the same crashes on record. So a request is free
-// if another one has all its crashes and more. If two have exactly the same crashes, both
-// get only the short tieQuarantine, so that the next answer shows which one is harmless.
+// quarantineEnd returns when the quarantine of a request ends, so that it may be tried; zero
+// for a request that is free. Requests that ran on a server together with a crashing one
+// get the same crashes on record. So a request is free if another one has all its crashes
+// and more. If two have exactly the same crashes, a trial of either shows which one is
+// harmless, and need not wait for the end of the full quarantine.
 func (t *Table) quarantineEnd(c *Case) time.Time {
 	duration := c.quarantineTime()
 	if duration == 0 {
 		return time.Time{}
 	}
+	tied := false
 	for other := range t.allCases() {
 		if len(other.Crashes) < len(c.Crashes) || !other.covers(c) {
 			continue
@@ -200,24 +210,29 @@
 		if other.frees(c) {
 			return time.Time{}
 		}
-		if len(c.Crashes) < maxTieCrashes {
-			duration = min(duration, tieQuarantine)
-		}
+		tied = len(c.Crashes) < maxTieCrashes
+	}
+	switch {
+	case c.unresolvedTrials() >= maxUnresolvedTrials:
+		return c.triedAt.Add(duration)
+	case tied:
+		return c.lastEvent().Add(tieWait)
 	}
 	return c.lastEvent().Add(duration)
 }
 
-// Quarantined lists the requests that are in quarantine now, by fingerprint.
+// Quarantined lists the requests that are in quarantine now, by fingerprint. They include
+// those that wait for a trial.
 func (t *Table) Quarantined(now time.Time) []Case {
-	quarantined := map[Fingerprint]bool{} // by the fingerprint of a merged case
+	blocked := map[Fingerprint]bool{} // by the fingerprint of a merged case
 	for key := range t.callers {
 		merged := t.callers.merged(key)
-		quarantined[key] = merged != nil && t.quarantineEnd(merged).After(now)
+		blocked[key] = merged != nil && t.caseBlocked(now, merged)
 	}
 	var all []Case
 	for _, c := range t.cases {
-		asCaller := len(c.Crashes) > 0 && c.Fingerprint != c.Fingerprint.AnyCaller() && quarantined[c.Fingerprint.AnyCaller()]
-		if asCaller || t.quarantineEnd(c).After(now) {
+		asCaller := len(c.Crashes) > 0 && c.Fingerprint != c.Fingerprint.AnyCaller() && blocked[c.Fingerprint.AnyCaller()]
+		if asCaller || t.caseBlocked(now, c) {
 			all = append(all, *c)
 		}
 	}
