--- a/internal/load/poison/judge.go
+++ b/internal/load/poison/judge.go
@@ -55,7 +55,13 @@
 // drop drops unconfirmed crashes of a case and reports whether there were any.
 func (t *Table) drop(now time.Time, c *Case, match func(Crash) bool) bool {
 	n := len(c.Crashes)
-	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool { return !crash.Confirmed && match(crash) })
+	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool {
+		dropped := !crash.Confirmed && match(crash)
+		if dropped && t.OnDrop != nil {
+			t.OnDrop(c.Fingerprint, crash)
+		}
+		return dropped
+	})
 	if len(c.Crashes) == n {
 		return false
 	}
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -114,6 +114,9 @@
 // Table holds the requests under suspicion. All times passed to it must come from the same
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
+	// OnDrop, if set, is called for each crash that is dropped because its server is alive.
+	OnDrop func(Fingerprint, Crash)
+
 	cases      map[Fingerprint]*Case
 	callers    callers
 	pathCounts map[pathDigest]int // number of cases for each path
