host: log which VM may try a quarantined request

Whoever asks why a quarantined request reached a server finds the leader's grant, with the VM and the time it has, under the request's print.

--- a/internal/edge/host/quarantine_trial.go
+++ b/internal/edge/host/quarantine_trial.go
@@ -71,9 +71,16 @@
 		return nil
 	}
 	q.update(func(now time.Time) { grants = q.table.GrantTrials(now, vm, asks) })
+	q.logGrants(vm, grants)
 	return grants
 }
 
+func (q *quarantine) logGrants(vm ident.VM, grants []poison.TrialGrant) {
+	for _, g := range grants {
+		q.parts.Log.Info("trial of a quarantined request granted", "print", g.Fingerprint.Print(), "to", vm, "within", g.StartWithin)
+	}
+}
+
 // grantOwnTrials grants trials to this VM, if it leads.
 func (q *quarantine) grantOwnTrials() {
 	if !q.syncTerm() {
@@ -84,9 +91,12 @@
 		return
 	}
 	lease, _ := q.parts.Hub.Lease()
+	var grants []poison.TrialGrant
 	q.update(func(now time.Time) {
-		q.table.ApplyGrants(now, q.table.GrantTrials(now, lease.Holder, asks))
+		grants = q.table.GrantTrials(now, lease.Holder, asks)
+		q.table.ApplyGrants(now, grants)
 	})
+	q.logGrants(lease.Holder, grants)
 }
 
 // syncTerm tells the table when a term of this VM begins or ends, and reports whether it
