Keep an answer until the leader has its report

Callers of a harmless request saw it refused after two lost servers where three are allowed: the leader still counted a crash after which the request had been answered.

Cause: a VM that had reported a single crash dropped its case at the next Reconcile, 250 ms after the answer at most, because the case was empty and not shared. Its next poll, up to 300 ms later, then reported no answer. Only a second crash, whose verdict went to all VMs, could be cleared again.

Evidence: TestAnAnswerIsKeptUntilTheLeaderHasIt failed, the leader had the crash on record. The case now stays until the leader has received the report, or for the retention of ten minutes. A VM without a leader has nobody to tell and drops it as before.

--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -295,8 +295,8 @@
 		for i := range c.Crashes {
 			c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || liveness(c.Crashes[i].Server) == Gone
 		}
-		unshared := len(c.Crashes) == 0 && !c.shared
-		if unshared || t.outOfDate(now, c) {
+		settled := len(c.Crashes) == 0 && !c.shared && !t.awaitsReport(c)
+		if settled || t.outOfDate(now, c) {
 			t.remove(fp)
 			continue
 		}
@@ -305,6 +305,12 @@
 	return t.seq != before
 }
 
+// awaitsReport reports whether the leader has yet to be told that a case was cleared. It may
+// have received the crashes before.
+func (t *Table) awaitsReport(c *Case) bool {
+	return t.leader != "" && !c.cleared.IsZero() && c.clearReportedTo != t.leader
+}
+
 // getOrCreate returns the case of a request and creates it if there is none.
 func (t *Table) getOrCreate(fp Fingerprint) *Case {
 	if c := t.cases[fp]; c != nil {
