Do not take an earlier verdict for the receipt of an answer

Callers of a harmless request that had been answered could find it counted with a crash before that answer, on all VMs but one.

Cause: a verdict with any cleared time marked the case's own cleared time as received by the leader, also where the request was answered here after the verdict was sent. The leader then never learned of that answer.

Evidence: TestAnEarlierVerdictDoesNotCountAsReceiptOfAnAnswer failed, the leader kept one crash. Only a verdict that is as late as the answer counts now. The age of an answer grows on its way to the leader and back by the time of transit only in appearance: it looks later each time, so that the echo of an answer always counts.

--- a/internal/load/poison/unreported_test.go
+++ b/internal/load/poison/unreported_test.go
@@ -24,3 +24,23 @@
 	vm.Reconcile(now, isGone)
 	assert.Equal(t, vm.Len(), 0, "it is forgotten once it is reported")
 }
+
+// Guards against losing an answer because a verdict that was sent before it names an earlier one.
+func TestAnEarlierVerdictDoesNotCountAsReceiptOfAnAnswer(t *testing.T) {
+	vm, leader := NewTable(), NewTable()
+	vm.RecordCrash(t0, crashing, "s1")
+	vm.RecordCrash(t0, crashing, "s2")
+	pollOnce(t0, vm, leader, "leader")
+	vm.Clear(t0.Add(time.Second), crashing)
+	pollOnce(t0.Add(time.Second), vm, leader, "leader")
+	now := t0.Add(2 * time.Second)
+	vm.RecordCrash(now, crashing, "s3")
+	reports := vm.Reports(now, "leader")
+	leader.AddReports(now, reports)
+	late := leader.ChangesSince(now, 0)
+	vm.Clear(now.Add(time.Millisecond), crashing) // while the response is on its way
+	vm.ApplyVerdicts(now.Add(2*time.Millisecond), "leader", late)
+	vm.MarkReported("leader", reports)
+	pollOnce(now.Add(time.Second), vm, leader, "leader")
+	assert.Equal(t, leader.Crashes(crashing), 0)
+}
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -153,8 +153,11 @@
 func (t *Table) merge(now time.Time, c *Case, v Verdict, leader string) {
 	c.judgedBy(leader)
 	if v.ClearedAge > 0 {
-		c.clearUntil(now.Add(-v.ClearedAge))
-		c.clearReportedTo = leader
+		at := now.Add(-v.ClearedAge)
+		if !c.cleared.After(at) {
+			c.clearReportedTo = leader
+		}
+		c.clearUntil(at)
 	}
 	switch {
 	case v.Trials > 0:
