Report an answer that came while an earlier one was on its way

Callers of a harmless request that had been answered could find it counted with a crash before that answer, on all VMs but one.

Cause: the receipt for the report of an answer marked whatever cleared time the case had by then, also that of a later answer which was not in the report.

A report now carries the time that it was made from, which is not sent, and its receipt counts for that time only, as for proofs that a server is alive.

--- a/internal/load/poison/unreported_test.go
+++ b/internal/load/poison/unreported_test.go
@@ -44,3 +44,20 @@
 	pollOnce(now.Add(time.Second), vm, leader, "leader")
 	assert.Equal(t, leader.Crashes(crashing), 0)
 }
+
+// Guards against losing an answer that is recorded while the report of an earlier one is on its way.
+func TestAReceiptOfAnEarlierAnswerDoesNotCountForALaterOne(t *testing.T) {
+	vm, leader := NewTable(), NewTable()
+	vm.RecordCrash(t0, crashing, "s1")
+	vm.RecordCrash(t0, crashing, "s2")
+	pollOnce(t0, vm, leader, "leader")
+	vm.Clear(t0.Add(time.Second), crashing)
+	reports := vm.Reports(t0.Add(time.Second), "leader")
+	leader.AddReports(t0.Add(time.Second), reports)
+	leader.RecordCrash(t0.Add(2*time.Second), crashing, "s3")
+	vm.RecordCrash(t0.Add(2*time.Second), crashing, "s3")
+	vm.Clear(t0.Add(3*time.Second), crashing)
+	vm.MarkReported("leader", reports)
+	pollOnce(t0.Add(4*time.Second), vm, leader, "leader")
+	assert.Equal(t, leader.Crashes(crashing), 0)
+}
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -34,6 +34,7 @@
 	Age         time.Duration `json:"ago"`
 	Alive       time.Duration `json:"alive,omitempty"`
 	sentAt      time.Time     // when that request was sent, by the clock of the reporting VM
+	cleared     time.Time     // when the request was answered, by that clock
 }
 
 // maxReports bounds the number of reports in one request to the leader.
@@ -46,7 +47,7 @@
 	var all []Report
 	for _, c := range t.cases {
 		if !c.cleared.IsZero() && c.clearReportedTo != leader {
-			all = append(all, Report{Fingerprint: c.Fingerprint, Age: now.Sub(c.cleared)})
+			all = append(all, Report{Fingerprint: c.Fingerprint, Age: now.Sub(c.cleared), cleared: c.cleared})
 		}
 		for _, crash := range c.Crashes {
 			if crash.reportedTo != leader {
@@ -73,7 +74,7 @@
 		if c == nil {
 			continue
 		}
-		if r.Server == "" {
+		if r.Server == "" && c.cleared.Equal(r.cleared) {
 			c.clearReportedTo = leader
 		}
 		for i := range c.Crashes {
