Acquit a request by answers that were on their way when it was accused

Callers of a popular request found it refused for ten minutes after a rack was lost with three servers that ran it, although the other servers were answering it at that moment.

Cause: only a request that was suspected when it arrived, or lost an answer itself, reported its answer. The answers of the attempts that were running when the servers were lost counted for nothing, and later attempts were refused.

Evidence: TestAnAnswerAcquitsARequestThatWasSuspectedMeanwhile failed with three crashes on record. The answer now looks at the present suspicion. That costs one atomic load while nothing is suspected. An answer is no weaker evidence because its request arrived before the suspicion.

--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -102,7 +102,7 @@
 // answer, was answered. It is not called for a server's error, which may have been sent
 // before the request began to run.
 func (x *exchange) reportAnswered() {
-	if !x.suspect && !x.unanswered {
+	if !x.suspect && !x.unanswered && !x.suspectedMeanwhile() {
 		return
 	}
 	for _, p := range x.fingerprints() {
--- a/internal/edge/front/suspect.go
+++ b/internal/edge/front/suspect.go
@@ -27,6 +27,16 @@
 	return nil
 }
 
+// suspectedMeanwhile reports whether a request that was not suspected when it was sent is
+// suspected now.
+func (x *exchange) suspectedMeanwhile() bool {
+	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
+		return false
+	}
+	head := x.poisonHead()
+	return x.f.Guard.Suspects(&head)
+}
+
 // identifyStream is identifySuspect for a body of unknown length that was not read when the
 // request arrived, since nothing was suspected then. A request with such a body is never
 // hedged, so no other attempt uses the exchange meanwhile.
--- a/internal/edge/front/suspect_test.go
+++ b/internal/edge/front/suspect_test.go
@@ -100,3 +100,21 @@
 		})
 	}
 }
+
+// Guards against refusing a popular request because answers to attempts that were on their way when servers were lost do not acquit it.
+func TestAnAnswerAcquitsARequestThatWasSuspectedMeanwhile(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		tb.origins["u1"].Slow(time.Second)
+		r := tb.request("POST", "/lab/a", strings.NewReader("sample"))
+		same := poison.HeadOf(r.Method, r.URL.Host, r.URL.RequestURI()).Fingerprint("another caller", poison.BodyOf([]byte("sample")))
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, s := range []ident.Server{"u7", "u8", "u9"} {
+				g.ReportCrash(same, s, "")
+			}
+		})
+		resp, _, err := tb.do(r)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, g.Crashes(same.AnyCaller()), 0)
+	})
+}
