Let the last trial age in the stored quarantine

On a VM without a leader, and after a restart of all VMs, a request whose trials had shown nothing was refused for longer than its quarantine: each read of the store began it anew.

Cause: the time since a crash or an answer was increased by the age of the stored object, the time since the last trial was not.

Evidence: TestTheLastTrialAgesInTheStore failed: a minute was left of an hour and a minute. It is now increased like the others.

--- a/internal/edge/host/quarantine_object.go
+++ b/internal/edge/host/quarantine_object.go
@@ -67,6 +67,9 @@
 		if v.ClearedAge > 0 {
 			v.ClearedAge += age
 		}
+		if v.Trials > 0 {
+			v.TriedAge += age
+		}
 		for j := range v.Crashes {
 			v.Crashes[j].Age += age
 		}
