Do not accuse requests that a departed server cuts off

A request that was cut off by servers which had announced that they leave was counted with a crash of each, and refused after three.

Cause: a broken connection was ignored only while its server was listed as leaving. A server that takes its entry off the list before it closes its connections counted as gone, which also confirmed the crash. Attempts that were not answered already looked at departures.

Evidence: TestAServerThatHasLeftAsAnnouncedDoesNotCrash failed with one crash. Broken connections now look at departures too.

--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -129,7 +129,7 @@
 // many servers have. Leaving servers are not counted, since they break off what they
 // cannot finish.
 func (q *quarantine) ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int {
-	if _, leaving := q.parts.Servers.liveness(s); leaving {
+	if _, leaving := q.parts.Servers.liveness(s); leaving || q.parts.Servers.hasLeft(s) {
 		return 0
 	}
 	n := 0
--- a/internal/edge/host/unanswered_test.go
+++ b/internal/edge/host/unanswered_test.go
@@ -67,3 +67,15 @@
 		assert.Assert(t, !q.parts.Servers.hasLeft("s1"), "it is forgotten")
 	})
 }
+
+// Guards against accusing the requests that a server cuts off when it ends after its announced departure from the list.
+func TestAServerThatHasLeftAsAnnouncedDoesNotCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newUnansweredTest()
+		q.parts.Servers.applyChanges([]object.Change{{Object: entryOf("s1", 2, `,"Leaving":true`)}}, 2)
+		time.Sleep(time.Second)
+		q.parts.Servers.applyChanges([]object.Change{entryGone("s1")}, 3)
+		assert.Equal(t, q.ReportCrash(unansweredPrint, "s1", "r"), 0)
+		assert.Assert(t, !q.Suspects(nil))
+	})
+}
