Do not free a crashing caller's path because of a popular query

A caller whose queries crash servers, each with another query, was served without limit if it had once lost an answer to a popular query of the same path: each attempt crashed one more server.

Cause: a case of several callers freed the caller's case of any query when it covered all its crashes. Some caller of a popular query is on record for nearly every server that crashed, so that it covered each new crash too. Between different requests such a case frees none for that reason; between the cases of one request it did.

Evidence: TestAPopularQueryDoesNotFreeACrashingCallersPath failed: the caller was free after four crashes. A case of several callers now frees only another one of several callers. One caller's query with all the crashes still frees its path.

--- a/internal/load/poison/query.go
+++ b/internal/load/poison/query.go
@@ -36,10 +36,14 @@
 }
 
 // explains reports whether a case that covers another one shows that a path with any query
-// need not be refused: one query of it, or one of several callers, caused all crashes.
+// need not be refused: one query of it, or one of several callers, caused all crashes. What
+// only several callers explain frees no single caller, see frees.
 func (c *Case) explains(path *Case) bool {
+	if !path.anyQuery() || c.merged && !path.merged {
+		return false
+	}
 	oneCaller := path.merged && !c.merged
-	return path.anyQuery() && (oneCaller || !c.anyQuery())
+	return oneCaller || !c.anyQuery()
 }
 
 // anyQuery reports whether the case is one of a path with any query.
--- a/internal/load/poison/query_test.go
+++ b/internal/load/poison/query_test.go
@@ -81,3 +81,17 @@
 	assert.Equal(t, tab.QuarantineLeft(t0, queryFrom("b", "sort=new")), time.Duration(0))
 	assert.Assert(t, tab.QuarantineLeft(t0, queryFrom("a", "page=5")) > 0)
 }
+
+// Guards against a caller whose crashing queries reach one server after the other because some caller of a popular query is on record for each.
+func TestAPopularQueryDoesNotFreeACrashingCallersPath(t *testing.T) {
+	tab, now := NewTable(), t0
+	tab.RecordCrash(now, queryFrom("killer", "popular"), "s0")
+	for i := range 4 {
+		n := strconv.Itoa(i)
+		now = now.Add(2 * time.Second)
+		tab.RecordCrash(now, queryFrom("killer", n), ident.Server("s"+n))
+		tab.RecordCrash(now, queryFrom("caller "+n, "popular"), ident.Server("s"+n))
+		tab.Clear(now.Add(time.Second), queryFrom("answered", "popular"))
+	}
+	assert.Assert(t, tab.Blocked(now.Add(time.Second), queryFrom("killer", "new")))
+}
