Add a failing test of a rack that is lost under a popular request

Callers of a popular request are refused for ten minutes when three servers that ran it are lost within a second and no answer to it was on its way: the case of any caller counts each of these servers, while the case of several callers counts them once.

It asks for a trial within seconds and not for an acquittal, since three copies of a crashing request that are sent at once look the same.

--- a/internal/load/poison/callers_test.go
+++ b/internal/load/poison/callers_test.go
@@ -115,3 +115,13 @@
 		assert.Equal(t, tab.QuarantineLeft(t0.Add(simultaneousTime), requestFrom(caller)), time.Duration(0))
 	}
 }
+
+// Guards against refusing a popular request for ten minutes because a rack with the servers of several callers is lost.
+func TestARequestOfServersThatAreLostTogetherIsTriedSoon(t *testing.T) {
+	tab := NewTable()
+	for i, caller := range []string{"a", "b", "c"} {
+		tab.RecordCrash(t0.Add(time.Duration(i)*simultaneousTime/8), requestFrom(caller), ident.Server("s"+caller))
+	}
+	left := tab.QuarantineLeft(t0.Add(simultaneousTime+tieWait), requestFrom("new"))
+	assert.Assert(t, left <= trialRetryAfter, "refused for %v", left)
+}
