Add a failing test of a time-out whose request was answered later

A request that timed out at an overloaded server is accused of a crash when that server is scaled in within 15 s, although the same request was answered in between: only the exchange that timed out, or one that arrives while its path is under suspicion, reports its answer. Three servers scaled in at once under a popular path quarantine it for ten minutes.

The test fails: one attempt is still on record.

--- a/internal/edge/front/evidence_test.go
+++ b/internal/edge/front/evidence_test.go
@@ -141,3 +141,20 @@
 		assert.Equal(t, send("c1", chunked{strings.NewReader(long)}), kinds.Quarantined.String())
 	})
 }
+
+// Guards against accusing a request of an earlier time-out, once that server is replaced, although it was answered since.
+func TestALaterAnswerClearsATimeout(t *testing.T) {
+	runWithGuard(t, func(t *testing.T, tb *testbed, g *fakeGuard) {
+		tb.origins["u1"].Freeze(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err := tb.do(tb.request("POST", "/lab/a", strings.NewReader("sample")).WithContext(ctx))
+		assert.ErrorContains(t, err, "deadline")
+		synctest.Wait()
+		tb.origins["u1"].Freeze(false)
+		resp, _, err := tb.do(tb.request("POST", "/lab/a", strings.NewReader("sample")))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, g.unanswered.Len(), 0)
+	})
+}
