Tell all VMs of trials that nobody used

A crashing request was free on every VM but the leader 20 minutes after its third crash, where its caller came to another VM each time, so that no grant was used: all VMs could try it at once, without a trial.

Cause: a grant puts off the time at which its request is forgotten. An unused one does not count, and the leader told of the time of a trial only while one counted. Thus it kept the case and the other VMs did not.

Evidence: TestNoVMForgetsARequestBeforeItsLeader failed: "free after 20m0s". A verdict now has the time of the last trial whether it counts or not, so that the case is forgotten by the same times everywhere.

--- a/internal/edge/host/quarantine_object.go
+++ b/internal/edge/host/quarantine_object.go
@@ -67,7 +67,7 @@
 		if v.ClearedAge > 0 {
 			v.ClearedAge += age
 		}
-		if v.Trials > 0 {
+		if v.TriedAge > 0 {
 			v.TriedAge += age
 		}
 		for j := range v.Crashes {
--- a/internal/load/poison/trial_test.go
+++ b/internal/load/poison/trial_test.go
@@ -190,3 +190,20 @@
 	assert.Assert(t, trial != nil)
 	assert.Assert(t, tab.QuarantineLeft(due, queryFrom("a", "page=10")) > 0, "one attempt for a grant")
 }
+
+// Guards against VMs that forget a request, and serve it, while the leader still grants trials that nobody uses.
+func TestNoVMForgetsARequestBeforeItsLeader(t *testing.T) {
+	vm, leader := newFollowed(t)
+	leader.BeginTerm(t0)
+	end := t0.Add(2 * (quarantineTimes[0] + retention))
+	for now := t0; now.Before(end); now = now.Add(time.Second) {
+		assert.Assert(t, vm.Blocked(now, crashing), "free after %v", now.Sub(t0))
+		if now.Sub(t0)%(30*time.Second) == 0 {
+			vm.AskTrial(now, crashing)
+		}
+		vm.ApplyGrants(now, leader.GrantTrials(now, "vm", vm.TrialAsks(now)))
+		pollOnce(now, vm, leader, "L1")
+		vm.Reconcile(now, isGone)
+		leader.Reconcile(now, isGone)
+	}
+}
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -15,7 +15,7 @@
 	Crashes     []VerdictCrash `json:"crashes,omitempty"`
 	ClearedAge  time.Duration  `json:"cleared,omitempty"` // time since the request was cleared; zero for never
 	Trials      int            `json:"trials,omitempty"`  // granted since the last crash or answer
-	TriedAge    time.Duration  `json:"tried,omitempty"`   // time since the last of them
+	TriedAge    time.Duration  `json:"tried,omitempty"`   // time since the last trial was granted; zero for never
 }
 
 // VerdictCrash is one crash of a verdict, with the time since it happened.
@@ -117,8 +117,8 @@
 	if !c.cleared.IsZero() {
 		v.ClearedAge = max(now.Sub(c.cleared), 1)
 	}
-	if n := c.unresolvedTrials(); n > 0 {
-		v.Trials, v.TriedAge = n, now.Sub(c.triedAt)
+	if !c.triedAt.IsZero() {
+		v.Trials, v.TriedAge = c.unresolvedTrials(), max(now.Sub(c.triedAt), 1)
 	}
 	for _, crash := range c.Crashes {
 		v.Crashes = append(v.Crashes, VerdictCrash{Server: crash.Server, Age: now.Sub(crash.At), Confirmed: crash.Confirmed})
@@ -161,7 +161,7 @@
 		c.clearUntil(at)
 	}
 	switch {
-	case v.Trials > 0:
+	case v.TriedAge > 0:
 		c.trials, c.triedAt = v.Trials, now.Add(-v.TriedAge)
 	case leader != "":
 		c.trials, c.triedAt = 0, time.Time{}
