--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -15,7 +15,7 @@
 	Crashes     []VerdictCrash `json:"crashes,omitempty"`
 	ClearedAge  time.Duration  `json:"cleared,omitempty"` // time since the request was cleared; zero for never
 	Trials      int            `json:"trials,omitempty"`  // granted since the last crash or answer
-	TriedAge    time.Duration  `json:"tried,omitempty"`   // time since the last of them
+	TriedAge    time.Duration  `json:"tried,omitempty"`   // time since the last trial was granted; zero for never
 }
 
 // VerdictCrash is one crash of a verdict, with the time since it happened.
@@ -34,6 +34,7 @@
 	Age         time.Duration `json:"ago"`
 	Alive       time.Duration `json:"alive,omitempty"`
 	sentAt      time.Time     // when that request was sent, by the clock of the reporting VM
+	cleared     time.Time     // when the request was answered, by that clock
 }
 
 // maxReports bounds the number of reports in one request to the leader.
@@ -46,7 +47,7 @@
 	var all []Report
 	for _, c := range t.cases {
 		if !c.cleared.IsZero() && c.clearReportedTo != leader {
-			all = append(all, Report{Fingerprint: c.Fingerprint, Age: now.Sub(c.cleared)})
+			all = append(all, Report{Fingerprint: c.Fingerprint, Age: now.Sub(c.cleared), cleared: c.cleared})
 		}
 		for _, crash := range c.Crashes {
 			if crash.reportedTo != leader {
@@ -73,7 +74,7 @@
 		if c == nil {
 			continue
 		}
-		if r.Server == "" {
+		if r.Server == "" && c.cleared.Equal(r.cleared) {
 			c.clearReportedTo = leader
 		}
 		for i := range c.Crashes {
@@ -116,8 +117,8 @@
 	if !c.cleared.IsZero() {
 		v.ClearedAge = max(now.Sub(c.cleared), 1)
 	}
-	if n := c.unresolvedTrials(); n > 0 {
-		v.Trials, v.TriedAge = n, now.Sub(c.triedAt)
+	if !c.triedAt.IsZero() {
+		v.Trials, v.TriedAge = c.unresolvedTrials(), max(now.Sub(c.triedAt), 1)
 	}
 	for _, crash := range c.Crashes {
 		v.Crashes = append(v.Crashes, VerdictCrash{Server: crash.Server, Age: now.Sub(crash.At), Confirmed: crash.Confirmed})
@@ -153,11 +154,14 @@
 func (t *Table) merge(now time.Time, c *Case, v Verdict, leader string) {
 	c.judgedBy(leader)
 	if v.ClearedAge > 0 {
-		c.clearUntil(now.Add(-v.ClearedAge))
-		c.clearReportedTo = leader
+		at := now.Add(-v.ClearedAge)
+		if !c.cleared.After(at) {
+			c.clearReportedTo = leader
+		}
+		c.clearUntil(at)
 	}
 	switch {
-	case v.Trials > 0:
+	case v.TriedAge > 0:
 		c.trials, c.triedAt = v.Trials, now.Add(-v.TriedAge)
 	case leader != "":
 		c.trials, c.triedAt = 0, time.Time{}
