poison: requests of servers that are lost together are tried soon

Crashes that make fewer than three events now wait 2 s for a trial, as a tie does: an answer frees the request.

A poll that fails gives back what it was to tell of trials (new test): two grants that nobody came for would else count as two trials without a result.

--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -114,6 +114,7 @@
 	resp, err := p.client.Poll(ctx, lease.Addr, req, p.onHeartbeat)
 	if err != nil || !resp.IsLeader {
 		p.parts.Counts.restore(req.Cells, req.LatencySums)
+		p.parts.Quarantine.restoreTrialAsks(req.TrialAsks)
 		if !p.leaderLost && ctx.Err() == nil {
 			p.parts.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
--- a/internal/edge/host/quarantine_trial.go
+++ b/internal/edge/host/quarantine_trial.go
@@ -58,6 +58,13 @@
 	return q.table.TrialAsks(clock.Now())
 }
 
+// restoreTrialAsks takes back what a failed poll did not bring to the leader.
+func (q *quarantine) restoreTrialAsks(all []poison.TrialAsk) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.RestoreTrialAsks(all)
+}
+
 // applyGrants holds the grants that the leader sent in its response to a poll.
 func (q *quarantine) applyGrants(asked time.Time, all []poison.TrialGrant) {
 	q.mu.Lock()
--- a/internal/load/poison/callers.go
+++ b/internal/load/poison/callers.go
@@ -63,6 +63,13 @@
 // one event, such as the loss of a rack.
 const simultaneousTime = time.Second
 
+// mayBeLostTogether reports whether the crashes of a case of any caller are too few events to
+// tell a crashing request from a popular one whose servers were lost together.
+func (c *Case) mayBeLostTogether() bool {
+	anyCaller := c.Fingerprint == c.Fingerprint.AnyCaller() && !c.merged
+	return anyCaller && len(c.Crashes) < maxTieCrashes && len(withoutSimultaneous(c.Crashes)) < CrashThreshold
+}
+
 // withoutSimultaneous returns the first crash of each event. The crashes are ordered by time.
 func withoutSimultaneous(all []Crash) []Crash {
 	var kept []Crash
--- a/internal/load/poison/order_test.go
+++ b/internal/load/poison/order_test.go
@@ -377,3 +377,17 @@
 	}
 	f.check(t)
 }
+
+// Guards against a request that crashes several servers at a time, each under another
+// address of its caller, and is taken for one whose servers were lost together.
+func TestARequestThatCrashesServersAtOnceIsStopped(t *testing.T) {
+	f := newFleet(870 * time.Millisecond)
+	for range 12 {
+		for vm := range fleetZones {
+			f.attempt(vm)
+		}
+		f.advance(attemptInterval)
+	}
+	t.Logf("%d servers crashed; sent %d times late", f.crashes, f.lateRuns())
+	f.check(t)
+}
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -192,7 +192,8 @@
 // for a request that is free. Requests that ran on a server together with a crashing one
 // get the same crashes on record. So a request is free if another one has all its crashes
 // and more. If two have exactly the same crashes, a trial of either shows which one is
-// harmless, and need not wait for the end of the full quarantine.
+// harmless, and need not wait for the end of the full quarantine. The same holds for a
+// request whose servers may have been lost together for another reason.
 func (t *Table) quarantineEnd(c *Case) time.Time {
 	duration := c.quarantineTime()
 	if duration == 0 {
@@ -218,7 +219,7 @@
 	switch {
 	case c.unresolvedTrials() >= maxUnresolvedTrials:
 		return c.triedAt.Add(duration)
-	case tied:
+	case tied, c.mayBeLostTogether():
 		return c.lastEvent().Add(tieWait)
 	}
 	return c.lastEvent().Add(duration)
--- a/internal/load/poison/trial_test.go
+++ b/internal/load/poison/trial_test.go
@@ -207,3 +207,17 @@
 		leader.Reconcile(now, isGone)
 	}
 }
+
+// Guards against counting a trial that was never made because the poll that said so failed.
+func TestAnUnusedGrantIsReportedAfterAFailedPoll(t *testing.T) {
+	tab, due := newTie()
+	vm := NewTable()
+	vm.ApplyVerdicts(due, "L1", tab.ChangesSince(due, 0))
+	vm.AskTrial(due, other)
+	vm.ApplyGrants(due, tab.GrantTrials(due, "vm-2", vm.TrialAsks(due)))
+	end := due.Add(trialStartTime)
+	vm.RestoreTrialAsks(vm.TrialAsks(end))
+	tab.GrantTrials(end, "vm-2", vm.TrialAsks(end))
+	assert.Equal(t, tab.cases[other].unresolvedTrials(), 0)
+	assert.Equal(t, len(vm.TrialAsks(end)), 0)
+}
