poison: a crash is that of a process, not of a server's name

Cause: crashes, proofs of life, departures and unanswered attempts were kept by the server's id, and a sign was taken for proof that no crash had been: - that the id is listed 15 s later: it may be the next process; - that the id answered a later request: the same; - that the server had announced its end: it may have announced it because of the request, and ended with it. A second crash under an id counted as the first.

A crash is withdrawn by two facts only: - the same process is listed 15 s later, by an answer of the store of then, while the store has not been away for 15 s; - it answered a request on a connection that was opened before (poison.Life): a connection ends with its process. Leaving servers count; a case with fewer than three unannounced ends is tried after 2 s, as one of servers that were lost together, so that long requests that a rolling release cuts off three times wait for one trial and not for ten minutes. Where entries state no start, the platform gives each process an id of its own.

--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -19,6 +19,27 @@
 // Server names one backend server. Names are unique within the platform.
 type Server string
 
+// Process identifies one process of a backend server. A server that starts again may keep
+// its name; what it did before says nothing about the new process.
+type Process struct {
+	Server Server
+	// Incarnation is the start of the process as the server states it; zero if it does not,
+	// because the name belongs to this process alone, or if it is not known.
+	Incarnation int64
+}
+
+// Is reports whether two identifiers may be of one process. One without an incarnation may
+// be any process of its server.
+func (p Process) Is(other Process) bool {
+	return p.Server == other.Server &&
+		(p.Incarnation == other.Incarnation || p.Incarnation == 0 || other.Incarnation == 0)
+}
+
+// Replaces reports whether p is a later process of the same server than other.
+func (p Process) Replaces(other Process) bool {
+	return p.Server == other.Server && other.Incarnation != 0 && p.Incarnation > other.Incarnation
+}
+
 // VM names one entry VM. A replacement VM always gets a new name: a name that was
 // once listed as gone is never reused.
 type VM string
--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -32,6 +32,11 @@
 	InvalidFields string `json:"-"`
 }
 
+// Process identifies the process that wrote the entry.
+func (s Server) Process() ident.Process {
+	return ident.Process{Server: s.Name, Incarnation: s.Incarnation}
+}
+
 // Service is a group of backend servers.
 type Service struct {
 	Name    ident.Service
--- a/internal/edge/front/alive.go
+++ b/internal/edge/front/alive.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
 // relayRequest sends the request to a server, and tells the Guard if the server answered.
@@ -22,18 +24,25 @@
 	}
 	sentAt := x.f.Guard.SendTime()
 	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, meta)
-	if !sentAt.IsZero() && answeredByServer(answer, err) {
-		x.f.Guard.ServerAnswered(sentAt, meta.Server)
+	if sentAt.IsZero() {
+		return answer, err
+	}
+	if opened, ok := answeredByServer(answer, err); ok {
+		x.f.Guard.ServerAnswered(poison.Life{From: opened, Until: sentAt}, meta.Server)
 	}
 	return answer, err
 }
 
-// answeredByServer reports whether the server itself answered. An answer that it is not the
-// expected server may come from another one that has got its address.
-func answeredByServer(answer *relay.Response, err error) bool {
+// answeredByServer reports whether the server itself answered, and when the connection was
+// opened. An answer that it is not the expected server may come from another one that has
+// got its address.
+func answeredByServer(answer *relay.Response, err error) (connOpened time.Time, ok bool) {
 	if err == nil {
-		return answer.Status() != http.StatusMisdirectedRequest
+		return answer.ConnOpened, answer.Status() != http.StatusMisdirectedRequest
 	}
 	var fail *relay.Failure
-	return errors.As(err, &fail) && fail.Refused && fail.Kind != kinds.Misrouted
+	if !errors.As(err, &fail) {
+		return time.Time{}, false
+	}
+	return fail.ConnOpened, fail.Refused && fail.Kind != kinds.Misrouted
 }
--- a/internal/edge/front/evidence.go
+++ b/internal/edge/front/evidence.go
@@ -8,33 +8,34 @@
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
-// reportFailure reports what a failed attempt shows about the request and its server.
-func (x *exchange) reportFailure(s ident.Server, fail *relay.Failure) {
+// reportFailure reports what a failed attempt shows about the request and the process to
+// which it was sent.
+func (x *exchange) reportFailure(to ident.Process, fail *relay.Failure) {
 	switch {
 	case fail.ConnClosed:
-		x.reportCrash(s)
+		x.reportCrash(to)
 	case fail.Sent && !fail.Refused:
-		x.reportUnanswered(s)
+		x.reportUnanswered(to)
 	}
 }
 
-// reportBrokenAnswer reports a server that broke off an answer of which the caller has
+// reportBrokenAnswer reports a process that broke off an answer of which the caller has
 // received a part.
-func (x *exchange) reportBrokenAnswer(s ident.Server, err error) {
+func (x *exchange) reportBrokenAnswer(from ident.Process, err error) {
 	var fail *relay.Failure
 	if errors.As(err, &fail) && fail.ConnClosed {
-		x.reportCrash(s)
+		x.reportCrash(from)
 	}
 }
 
 // reportUnanswered reports that an attempt ended without an answer while its connection
 // stayed open.
-func (x *exchange) reportUnanswered(s ident.Server) {
+func (x *exchange) reportUnanswered(to ident.Process) {
 	if x.f.Guard == nil {
 		return
 	}
 	x.unanswered = true
-	x.f.Guard.ReportUnanswered(x.fingerprintOrUnread(), s, x.decision.ID)
+	x.f.Guard.ReportUnanswered(x.fingerprintOrUnread(), to, x.decision.ID)
 }
 
 // fingerprintOrUnread returns the fingerprint of the request, or the one that stands for a
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -137,6 +137,7 @@
 	x.decision.Server = permit.Server()
 	snapshot := x.svc.Gate.Inspect(permit.Server())
 	x.decision.Remote, x.decision.Load, x.decision.LoadAge = snapshot.Remote, snapshot.Load, snapshot.LoadAge
+	process := x.svc.Process(permit.Server())
 	to, ok := x.svc.Addr(permit.Server())
 	if !ok {
 		return gate.Outcome{Kind: kinds.NoServer}, errNoAddr
@@ -150,9 +151,9 @@
 	}()
 	answer, err := x.send(ctx, cancel, to, owner)
 	if err != nil {
-		return x.handleFailure(permit, err), x.canceledByMove(ctx, err)
+		return x.handleFailure(process, err), x.canceledByMove(ctx, err)
 	}
-	return x.copyAnswer(permit, answer)
+	return x.copyAnswer(process, answer)
 }
 
 // canceledByMove distinguishes an attempt that was canceled because its key moved from
@@ -240,7 +241,7 @@
 
 // handleFailure returns the outcome, for the gate, of an attempt without an answer, and
 // tells the server to stop work on a request that it may still run.
-func (x *exchange) handleFailure(permit gate.Permit, err error) gate.Outcome {
+func (x *exchange) handleFailure(to ident.Process, err error) gate.Outcome {
 	var fail *relay.Failure
 	if quarantineLeft(err) > 0 || x.body.failed {
 		return gate.Cancel() // neither says anything about the server
@@ -248,17 +249,17 @@
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
-	x.reportFailure(permit.Server(), fail)
+	x.reportFailure(to, fail)
 	if fail.Sent && !fail.Refused {
 		x.mayHaveRun = true
-		x.cancelOnServer(permit.Server())
+		x.cancelOnServer(to.Server)
 	}
 	switch {
 	case fail.Refused:
-		x.svc.RecordAttempt(permit.Server(), true)
-		x.reportLoad(permit.Server(), fail.Header)
+		x.svc.RecordAttempt(to.Server, true)
+		x.reportLoad(to.Server, fail.Header)
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
-		x.svc.RecordAttempt(permit.Server(), false)
+		x.svc.RecordAttempt(to.Server, false)
 	}
 	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused}
 }
@@ -279,11 +280,11 @@
 
 // copyAnswer copies the answer to the caller. A status of 500 or above counts as a
 // failure of the server, however quickly it came.
-func (x *exchange) copyAnswer(permit gate.Permit, answer *relay.Response) (gate.Outcome, error) {
+func (x *exchange) copyAnswer(from ident.Process, answer *relay.Response) (gate.Outcome, error) {
 	x.responseStarted = true
-	x.svc.RecordAttempt(permit.Server(), true)
+	x.svc.RecordAttempt(from.Server, true)
 	if x.f.OnAnswer != nil && x.loadReported {
-		x.f.OnAnswer(permit.Server(), assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting))
+		x.f.OnAnswer(from.Server, assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting))
 	}
 	x.decision.Status = answer.Status()
 	x.w.Header()[x.f.Headers.ID] = x.idHeader()
@@ -293,8 +294,8 @@
 	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.FirstByte, Bytes: n + max(x.r.ContentLength, 0)}
 	x.decision.FirstByte, x.decision.Bytes = answer.FirstByte, out.Bytes
 	if err != nil {
-		x.reportBrokenAnswer(permit.Server(), err)
-		x.cancelOnServer(permit.Server())
+		x.reportBrokenAnswer(from, err)
+		x.cancelOnServer(from.Server)
 	}
 	if err == nil && answer.Status() >= http.StatusInternalServerError {
 		out.Kind = kinds.Internal
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -25,20 +25,22 @@
 	StartAttempt(p poison.Fingerprint) (time.Duration, *poison.Trial)
 	// ReturnTrial gives back a trial that was not sent.
 	ReturnTrial(*poison.Trial)
-	// ReportCrash records that a server closed the connection before its answer to the
-	// request was complete, and returns how many servers have.
-	ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int
-	// ReportUnanswered records that an attempt was sent to a server and ended without an
-	// answer, while the connection stayed open. It is evidence only if the server has ended.
-	ReportUnanswered(p poison.Fingerprint, s ident.Server, id ident.Request)
+	// ReportCrash records that a process of a server closed the connection before its answer
+	// to the request was complete, and returns how many have.
+	ReportCrash(p poison.Fingerprint, from ident.Process, id ident.Request) int
+	// ReportUnanswered records that an attempt was sent to a process of a server and ended
+	// without an answer, while the connection stayed open. It is evidence only if the process
+	// has ended.
+	ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request)
 	// Answered records that a server answered a suspected request, and not with an error
 	// of its own.
 	Answered(p poison.Fingerprint)
 	// SendTime returns the time for a later ServerAnswered, just before a request is sent;
 	// zero while no request is suspected.
 	SendTime() time.Time
-	// ServerAnswered records that a server answered a request that was sent at a SendTime.
-	ServerAnswered(sentAt time.Time, s ident.Server)
+	// ServerAnswered records that a server answered a request on a connection whose opening
+	// and whose sending, at a SendTime, begin and end a life of it.
+	ServerAnswered(l poison.Life, s ident.Server)
 }
 
 // quarantineError is the error of a request that is quarantined.
@@ -87,14 +89,14 @@
 	return nil
 }
 
-// reportCrash reports that a server closed the connection while it ran the request.
-func (x *exchange) reportCrash(s ident.Server) {
+// reportCrash reports that a process closed the connection while it ran the request.
+func (x *exchange) reportCrash(from ident.Process) {
 	if x.f.Guard == nil {
 		return
 	}
 	p := x.fingerprintOrUnread()
 	x.decision.Fingerprint = p.Print()
-	x.crashes = x.f.Guard.ReportCrash(p, s, x.decision.ID)
+	x.crashes = x.f.Guard.ReportCrash(p, from, x.decision.ID)
 	x.suspect = true
 }
 
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
@@ -13,6 +14,7 @@
 // hedgeAttempt is one of two concurrent attempts of a hedged request.
 type hedgeAttempt struct {
 	permit gate.Permit
+	to     ident.Process
 	cancel context.CancelCauseFunc
 	answer *relay.Response
 	err    error
@@ -45,7 +47,7 @@
 				x.releaseLosers(running, done)
 				return t
 			}
-			t.permit.Done(x.handleFailure(t.permit, t.err))
+			t.permit.Done(x.handleFailure(t.to, t.err))
 		case <-timer.C:
 			second, ok := permit.Hedge()
 			if !ok {
@@ -62,7 +64,7 @@
 func (x *exchange) startAttempt(ctx context.Context, permit gate.Permit, done chan<- *hedgeAttempt) {
 	x.decision.Attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &hedgeAttempt{permit: permit, cancel: cancel}
+	t := &hedgeAttempt{permit: permit, to: x.svc.Process(permit.Server()), cancel: cancel}
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
 	x.f.group.Go(func(context.Context) error {
 		to, ok := x.svc.Addr(permit.Server())
@@ -104,14 +106,14 @@
 	t := x.race(ctx, permit)
 	x.decision.Server = t.permit.Server()
 	if t.err != nil {
-		return t.permit, x.handleFailure(t.permit, t.err), t.err
+		return t.permit, x.handleFailure(t.to, t.err), t.err
 	}
 	for _, loser := range x.hedgeAttempts {
 		if loser != t {
 			loser.cancel(errHedgeLost)
 		}
 	}
-	out, err := x.copyAnswer(t.permit, t.answer)
+	out, err := x.copyAnswer(t.to, t.answer)
 	return t.permit, out, err
 }
 
--- a/internal/edge/host/alive.go
+++ b/internal/edge/host/alive.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
 // SendTime returns a time of the boot clock, at most reconcileInterval ago, or zero while no
@@ -19,11 +20,10 @@
 	return *tick
 }
 
-// ServerAnswered records that a server answered a request that was sent at a SendTime, so
-// that it did not crash before.
-func (q *quarantine) ServerAnswered(sentAt time.Time, s ident.Server) {
+// ServerAnswered records that a process of a server ran during a time, because it answered.
+func (q *quarantine) ServerAnswered(l poison.Life, s ident.Server) {
 	if q.isAccused(s) {
-		q.update(func(time.Time) { q.table.ServerAnswered(sentAt, s) })
+		q.update(func(time.Time) { q.table.ServerAnswered(l, s) })
 	}
 }
 
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -50,7 +50,7 @@
 		if fp == fp.AnyCaller() || fp == fp.AnyQuery() {
 			return // logged for the caller's own case
 		}
-		p.Log.Info("crash withdrawn: its server is alive", "print", fp.Print(), "server", c.Server, "age", clock.Now().Sub(c.At))
+		p.Log.Info("crash withdrawn: its server is alive", "print", fp.Print(), "server", c.Process.Server, "born", c.Process.Incarnation, "age", clock.Now().Sub(c.At))
 	}
 	p.Hub.SetCases(q)
 	runWhileStarted(lc, &q.group, q.reconcileLoop, q.syncLoop)
@@ -61,7 +61,6 @@
 const reconcileInterval = 250 * time.Millisecond
 
 func (q *quarantine) reconcileLoop(ctx context.Context) error {
-	liveness := func(s ident.Server) poison.Liveness { liveness, _ := q.parts.Servers.liveness(s); return liveness }
 	for group.Sleep(ctx, reconcileInterval) {
 		now := clock.Now()
 		q.tick.Store(&now)
@@ -69,14 +68,14 @@
 		q.grantOwnTrials()
 		if q.nonEmpty.Load() {
 			_, leads := q.parts.Hub.Lease()
-			q.update(func(now time.Time) { q.reconcile(now, leads, liveness) })
+			q.update(func(now time.Time) { q.reconcile(now, leads, q.parts.Servers.livenessSince) })
 		}
 	}
 	return nil
 }
 
 // reconcile compares crashes with the list of servers. The caller holds mu.
-func (q *quarantine) reconcile(now time.Time, leads bool, liveness func(ident.Server) poison.Liveness) {
+func (q *quarantine) reconcile(now time.Time, leads bool, liveness func(poison.Crash) poison.Liveness) {
 	if leads {
 		q.table.Lead()
 	}
@@ -131,23 +130,28 @@
 	return q.table.Suspected(*h)
 }
 
-// ReportCrash records that a server broke off while it ran a request, and returns how
-// many servers have. Leaving servers are not counted, since they break off what they
-// cannot finish.
-func (q *quarantine) ReportCrash(p poison.Fingerprint, s ident.Server, id ident.Request) int {
-	if _, leaving := q.parts.Servers.liveness(s); leaving || q.parts.Servers.hasLeft(s) {
-		return 0
-	}
-	n := 0
-	q.update(func(now time.Time) { n = q.table.RecordCrash(now, p, s) })
-	q.logCrash(p, s, id, n)
+// ReportCrash records that a process of a server broke off while it ran a request, and
+// returns how many have.
+func (q *quarantine) ReportCrash(p poison.Fingerprint, from ident.Process, id ident.Request) int {
+	n, announced := 0, q.parts.Servers.announced(from)
+	q.update(func(now time.Time) { n = q.record(now, p, from, announced) })
+	q.logCrash(p, from, id, n)
 	return n
 }
 
-// logCrash logs the second and each later server that crashed under a request.
-func (q *quarantine) logCrash(p poison.Fingerprint, s ident.Server, id ident.Request, n int) {
+// record records a crash in the table. Servers that leave may break off what they cannot
+// finish. The caller holds mu.
+func (q *quarantine) record(at time.Time, p poison.Fingerprint, from ident.Process, announced bool) int {
+	if announced {
+		return q.table.RecordCutOff(at, p, from)
+	}
+	return q.table.RecordCrash(at, p, from)
+}
+
+// logCrash logs the second and each later process that crashed under a request.
+func (q *quarantine) logCrash(p poison.Fingerprint, from ident.Process, id ident.Request, n int) {
 	if n > 1 {
-		q.parts.Log.Warn("another server broke off under a request", "print", p.Print(), "id", id, "server", s, "crashes", n)
+		q.parts.Log.Warn("another server broke off under a request", "print", p.Print(), "id", id, "server", from.Server, "born", from.Incarnation, "leaving", q.parts.Servers.announced(from), "crashes", n)
 	}
 }
 
--- a/internal/edge/host/quarantine_object.go
+++ b/internal/edge/host/quarantine_object.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -36,7 +37,7 @@
 	for _, v := range all {
 		text += v.Fingerprint.String()
 		for _, c := range v.Crashes {
-			text += " " + string(c.Server)
+			text += " " + string(c.Server) + "@" + strconv.FormatInt(c.Incarnation, 10)
 		}
 		text += "\n"
 	}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -11,13 +10,13 @@
 
 	"go.uber.org/fx"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
-	"hawthornfield.org/hawthornfield/internal/load/poison"
 	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -36,14 +35,15 @@
 	vmCount      int
 	onChange     func([]feed.Server)
 	rev          uint64
-	mismatch     bool                       // the checksum after the last delta did not match that of the leader
-	nextFullList time.Time                  // when the complete list may be requested again
-	drain        time.Duration              // how long after its announcement a leaving server may get requests
-	leavingSince map[ident.Server]time.Time // when each leaving server was first seen to leave
-	dropped      map[ident.Server]bool      // leaving servers that no longer get requests
-	left         departures                 // servers that left as announced
-	lastLogged   map[ident.Server]bool      // servers at the last log line; true if leaving
-	loggedFaults map[ident.Server]bool      // servers whose invalid entry has been logged
+	mismatch     bool                         // the checksum after the last delta did not match that of the leader
+	nextFullList time.Time                    // when the complete list may be requested again
+	drain        time.Duration                // how long after its announcement a leaving server may get requests
+	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
+	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
+	answeredAt   time.Time                    // when the store answered last, on the boot clock
+	left         departures                   // processes that announced that they leave
+	lastLogged   map[ident.Server]feed.Server // servers at the last log line
+	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, log *slog.Logger) *serverTracker {
@@ -70,6 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreUp(now)
+	t.answeredAt = clock.Now()
 }
 
 // noteStoreSeenByLeader records for how long the store has answered the leader without
@@ -176,19 +177,22 @@
 	}
 }
 
-// logChanges logs which servers are new, leaving or gone. The caller holds mu.
+// logChanges logs which servers are new, have started again, are leaving or gone. The caller
+// holds mu.
 func (t *serverTracker) logChanges(list []feed.Server) {
-	now := make(map[ident.Server]bool, len(list))
-	var added, leaving, gone []ident.Server
+	now := make(map[ident.Server]feed.Server, len(list))
+	var added, restarted, leaving, gone []ident.Server
 	for _, s := range list {
-		wasLeaving, known := t.lastLogged[s.Name]
+		last, known := t.lastLogged[s.Name]
 		switch {
 		case !known:
 			added = append(added, s.Name)
-		case s.Leaving && !wasLeaving:
+		case s.Incarnation != last.Incarnation:
+			restarted = append(restarted, s.Name)
+		case s.Leaving && !last.Leaving:
 			leaving = append(leaving, s.Name)
 		}
-		now[s.Name] = s.Leaving
+		now[s.Name] = s
 	}
 	for name := range t.lastLogged {
 		if _, listed := now[name]; !listed {
@@ -196,8 +200,8 @@
 		}
 	}
 	t.lastLogged = now
-	if len(added)+len(leaving)+len(gone) > 0 {
-		t.log.Info("servers", "rev", t.rev, "count", len(list), "came", added, "leave", leaving, "gone", gone)
+	if len(added)+len(restarted)+len(leaving)+len(gone) > 0 {
+		t.log.Info("servers", "rev", t.rev, "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
 	}
 }
 
@@ -206,7 +210,7 @@
 	now := time.Now()
 	t.trackLeaving(now, list)
 	infos := map[ident.Service][]gate.ServerInfo{}
-	addrs := map[ident.Service]map[ident.Server]netip.AddrPort{}
+	endpoints := map[ident.Service]map[ident.Server]state.Endpoint{}
 	for _, s := range list {
 		if t.drained(now, s) {
 			continue
@@ -215,20 +219,17 @@
 		infos[s.Service] = append(infos[s.Service], gate.ServerInfo{
 			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving,
 		})
-		if addrs[s.Service] == nil {
-			addrs[s.Service] = map[ident.Server]netip.AddrPort{}
+		if endpoints[s.Service] == nil {
+			endpoints[s.Service] = map[ident.Server]state.Endpoint{}
 		}
-		addrs[s.Service][s.Name] = s.Addr
+		endpoints[s.Service][s.Name] = state.Endpoint{Addr: s.Addr, Incarnation: s.Incarnation}
 	}
 	for name := range t.services {
 		svc, ok := t.state.Service(name)
 		if !ok {
 			continue
 		}
-		if addrs[name] == nil {
-			addrs[name] = map[ident.Server]netip.AddrPort{}
-		}
-		svc.SetAddrs(addrs[name])
+		svc.SetEndpoints(endpoints[name])
 		svc.Gate.SetServers(infos[name])
 	}
 }
@@ -240,7 +241,7 @@
 
 // trackLeaving records when each server was first seen to leave. The caller holds mu.
 func (t *serverTracker) trackLeaving(now time.Time, list []feed.Server) {
-	t.left.update(now, t.leavingSince, list)
+	t.left.update(now, list)
 	next := make(map[ident.Server]time.Time)
 	for _, s := range list {
 		if !s.Leaving {
@@ -305,20 +306,6 @@
 	return slices.ContainsFunc(t.list(), func(s feed.Server) bool { return s.Service == svc })
 }
 
-// liveness returns whether a server is alive, gone or unknown, and whether it is leaving.
-func (t *serverTracker) liveness(s ident.Server) (live poison.Liveness, leaving bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, listed := t.members.Has(s)
-	switch {
-	case t.members.Uncertain(time.Now()), t.members.Missing(s):
-		return poison.Unknown, e.Leaving
-	case listed:
-		return poison.Alive, e.Leaving
-	}
-	return poison.Gone, false
-}
-
 // setVMCount sets the number of VMs that share the servers.
 func (t *serverTracker) setVMCount(vms int) {
 	t.mu.Lock()
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
@@ -55,6 +56,14 @@
 	first permit
 	last  *permit
 	sent  bool
+	// opened is when the connection was opened that the attempt got last.
+	opened time.Time
+}
+
+func (a *attempt) connOpened() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.opened
 }
 
 // gotConn gives the attempt a permit for the connection that it is about to be written
@@ -87,6 +96,7 @@
 		a.last = &permit{}
 	}
 	c.permit.Store(a.last)
+	a.opened = c.opened
 }
 
 // stop prevents further writes of the attempt. It reports whether any byte of it may have
@@ -106,6 +116,7 @@
 	net.Conn
 	permit atomic.Pointer[permit]
 	limit  *connLimit
+	opened time.Time // on the boot clock
 	once   sync.Once
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
@@ -189,7 +190,7 @@
 		u.limit.release()
 		return nil, err
 	}
-	return &conn{Conn: c, limit: &u.limit}, nil
+	return &conn{Conn: c, limit: &u.limit, opened: clock.Now()}, nil
 }
 
 // Meta holds the values of the headers that the system adds to a request.
@@ -239,6 +240,8 @@
 	buffered  []byte // the whole body, if Buffer read it to its end
 	cancel    context.CancelCauseFunc
 	FirstByte time.Duration // time from sending the request to the arrival of the header
+	// ConnOpened is when the connection was opened, on the boot clock, see package clock.
+	ConnOpened time.Time
 }
 
 // Status returns the HTTP status.
@@ -287,9 +290,9 @@
 		return nil, err
 	}
 	u.readKeepAlive(resp.Header)
-	a.answer = Response{resp: resp, headers: &r.cfg.Headers, server: meta.Server, cancel: cancel, FirstByte: time.Since(start)}
+	a.answer = Response{resp: resp, headers: &r.cfg.Headers, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened()}
 	answer := &a.answer
-	if err := r.cfg.Headers.check(resp, in.Method, meta.ID); err != nil {
+	if err := r.cfg.Headers.check(resp, in.Method, meta.ID, answer.ConnOpened); err != nil {
 		answer.Close()
 		return nil, err
 	}
@@ -334,6 +337,7 @@
 	Refused    bool        // the server said that it did not run the request
 	ConnClosed bool        // the server ended the connection before its answer was complete
 	Header     http.Header // header of the answer that refused the request
+	ConnOpened time.Time   // see Response; set if Refused
 	err        error
 }
 
@@ -355,11 +359,11 @@
 // request, would deliver one caller's answer to another; the request id in the answer
 // reveals that, if the server sends it. An answer that ends with its connection looks the
 // same whether it is complete or cut off, so it must not be passed on as complete.
-func (h *Headers) check(resp *http.Response, method string, id ident.Request) error {
+func (h *Headers) check(resp *http.Response, method string, id ident.Request, connOpened time.Time) error {
 	got := resp.Header.Get(h.ID)
 	foreign := got != string(id) && (got != "" || h.EchoesID)
 	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
-		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Header: resp.Header}
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Header: resp.Header, ConnOpened: connOpened}
 	}
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -72,23 +72,29 @@
 	Owners
 
 	divided      atomic.Bool
-	addrs        atomic.Pointer[map[ident.Server]netip.AddrPort]
+	endpoints    atomic.Pointer[map[ident.Server]Endpoint]
 	unresponsive sync.Map // ident.Server -> struct{}
 	attempts     sync.Map // ident.Server -> *attempts
 }
 
+// Endpoint is where a backend server accepts requests, and the process that does.
+type Endpoint struct {
+	Addr        netip.AddrPort
+	Incarnation int64 // see ident.Process
+}
+
 // attempts counts the attempts at one server since the last TakeAttempts.
 type attempts struct{ answered, unanswered atomic.Int64 }
 
 func newService(cfg config.Service) *Service {
 	s := &Service{Service: cfg}
 	s.divided.Store(cfg.Divided)
-	addrs := make(map[ident.Server]netip.AddrPort, len(cfg.Servers))
+	endpoints := make(map[ident.Server]Endpoint, len(cfg.Servers))
 	for _, srv := range cfg.Servers {
-		addrs[srv.Name] = srv.Data
+		endpoints[srv.Name] = Endpoint{Addr: srv.Data}
 		s.attempts.Store(srv.Name, &attempts{})
 	}
-	s.addrs.Store(&addrs)
+	s.endpoints.Store(&endpoints)
 	return s
 }
 
@@ -102,30 +108,35 @@
 
 // Addr returns the address at which a backend server accepts requests.
 func (s *Service) Addr(name ident.Server) (netip.AddrPort, bool) {
-	a, ok := (*s.addrs.Load())[name]
-	return a, ok
+	e, ok := (*s.endpoints.Load())[name]
+	return e.Addr, ok
+}
+
+// Process returns the process of a backend server that is known to accept requests.
+func (s *Service) Process(name ident.Server) ident.Process {
+	return ident.Process{Server: name, Incarnation: (*s.endpoints.Load())[name].Incarnation}
 }
 
 // SetAddr changes the address at which a backend server accepts requests.
 func (s *Service) SetAddr(name ident.Server, at netip.AddrPort) {
-	addrs := maps.Clone(*s.addrs.Load())
-	addrs[name] = at
-	s.addrs.Store(&addrs)
+	endpoints := maps.Clone(*s.endpoints.Load())
+	endpoints[name] = Endpoint{Addr: at}
+	s.endpoints.Store(&endpoints)
 }
 
-// SetAddrs replaces the addresses of all backend servers, for a service whose set of
+// SetEndpoints replaces the endpoints of all backend servers, for a service whose set of
 // servers changes.
-func (s *Service) SetAddrs(addrs map[ident.Server]netip.AddrPort) {
-	for name := range addrs {
+func (s *Service) SetEndpoints(endpoints map[ident.Server]Endpoint) {
+	for name := range endpoints {
 		s.attempts.LoadOrStore(name, &attempts{})
 	}
 	s.attempts.Range(func(name, _ any) bool {
-		if _, listed := addrs[name.(ident.Server)]; !listed {
+		if _, listed := endpoints[name.(ident.Server)]; !listed {
 			s.attempts.Delete(name)
 		}
 		return true
 	})
-	s.addrs.Store(&addrs)
+	s.endpoints.Store(&endpoints)
 }
 
 // Unresponsive reports whether a backend server has not answered for some time.
--- a/internal/load/poison/alive.go
+++ b/internal/load/poison/alive.go
@@ -6,45 +6,67 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
-// aliveMargin is how long after a crash a request must have been sent whose answer proves
-// that the server was alive. Reports age on their way to the leader, where the proof thus
-// looks younger than it is.
+// aliveMargin is the least time between a crash and the times of an answer that withdraws
+// it. Reports age on their way to the leader, where crash and answer look younger than they
+// are.
 const aliveMargin = 2 * time.Second
 
+// Life is a time during which one process of a server is known to have run: from the
+// opening of a connection to it until a request was sent on that connection, which it
+// answered. The process that answers on a connection is the one that accepted it.
+type Life struct{ From, Until time.Time }
+
+// life returns the life that a report of an answer shows; the zero Life, which withdraws
+// nothing, if its VM does not state the age of the connection.
+func (r Report) life(now time.Time) Life {
+	if r.Opened <= 0 {
+		return Life{}
+	}
+	return Life{From: now.Add(-r.Opened), Until: now.Add(-r.Alive)}
+}
+
+// includes reports whether a time lies within the life, by aliveMargin at both ends.
+func (l Life) includes(at time.Time) bool {
+	return at.Sub(l.From) >= aliveMargin && l.Until.Sub(at) >= aliveMargin
+}
+
 // proof is an answer that disproved a crash, to be reported to the leader.
 type proof struct {
-	fingerprint     Fingerprint // of one of the cases with the crash
-	crashAt, sentAt time.Time
+	fingerprint Fingerprint // of one of the cases with the crash
+	crashAt     time.Time
+	life        Life
 }
 
 // report returns the proof in the form for the leader.
 func (p proof) report(now time.Time, s ident.Server) Report {
-	alive := max(now.Sub(p.sentAt), 1)
-	return Report{Fingerprint: p.fingerprint, Server: s, Age: now.Sub(p.crashAt), Alive: alive, sentAt: p.sentAt}
+	return Report{
+		Fingerprint: p.fingerprint, Server: s, Age: now.Sub(p.crashAt), sentAt: p.life.Until,
+		Alive: max(now.Sub(p.life.Until), 1), Opened: max(now.Sub(p.life.From), 1),
+	}
 }
 
-// disprovedBy reports whether the answer of a server to a request sent at sentAt proves that
-// the server had not ended. No other process ever has the server's id.
-func (crash Crash) disprovedBy(sentAt time.Time, s ident.Server) bool {
-	return crash.Server == s && !crash.Confirmed && sentAt.Sub(crash.At) >= aliveMargin
+// disprovedBy reports whether a process of a server outlived the crash, so that it was
+// none: at any time a server has one process.
+func (crash Crash) disprovedBy(l Life, s ident.Server) bool {
+	return crash.Process.Server == s && !crash.Confirmed && l.includes(crash.At)
 }
 
-// ServerAnswered records that a server has answered a request that was sent to it at sentAt,
-// whatever its answer was. It withdraws the unconfirmed crashes of that server that were on
-// record at the last Reconcile and happened before sentAt, and reports whether there were any.
-func (t *Table) ServerAnswered(sentAt time.Time, s ident.Server) bool {
+// ServerAnswered records that a process of a server ran during a time, because it answered.
+// It withdraws the unconfirmed crashes of that server that were on record at the last
+// Reconcile and lie in that time, and reports whether there were any.
+func (t *Table) ServerAnswered(l Life, s ident.Server) bool {
 	at, accused := t.accused[s]
-	if !accused || sentAt.Sub(at) < aliveMargin {
+	if !accused || !l.includes(at) {
 		return false
 	}
 	delete(t.accused, s)
 	found := false
 	for fp, c := range t.cases {
-		t.drop(sentAt, c, func(crash Crash) bool {
-			if !crash.disprovedBy(sentAt, s) {
+		t.drop(l.Until, c, func(crash Crash) bool {
+			if !crash.disprovedBy(l, s) {
 				return false
 			}
-			t.proofs[s], found = proof{fingerprint: fp, crashAt: crash.At, sentAt: sentAt}, true
+			t.proofs[s], found = proof{fingerprint: fp, crashAt: crash.At, life: l}, true
 			return true
 		})
 	}
@@ -53,10 +75,10 @@
 
 // addProof applies the proof of another VM. A case that keeps its crash in spite of it is
 // shared again, because that VM has withdrawn the crash.
-func (t *Table) addProof(sentAt time.Time, s ident.Server) {
+func (t *Table) addProof(l Life, s ident.Server) {
 	for _, c := range t.cases {
-		dropped := t.drop(sentAt, c, func(crash Crash) bool { return crash.disprovedBy(sentAt, s) })
-		if !dropped && c.has(s) {
+		dropped := t.drop(l.Until, c, func(crash Crash) bool { return crash.disprovedBy(l, s) })
+		if !dropped && c.hasServer(s) {
 			t.markChanged(c)
 		}
 	}
@@ -66,9 +88,10 @@
 // time of its first one.
 func (t *Table) accuse(c *Case) {
 	for _, crash := range c.Crashes {
-		at, known := t.accused[crash.Server]
+		s := crash.Process.Server
+		at, known := t.accused[s]
 		if !crash.Confirmed && (!known || crash.At.Before(at)) {
-			t.accused[crash.Server] = crash.At
+			t.accused[s] = crash.At
 		}
 	}
 }
@@ -76,7 +99,7 @@
 // forgetOldProofs forgets the proofs of crashes that no leader remembers.
 func (t *Table) forgetOldProofs(now time.Time) {
 	for s, p := range t.proofs {
-		if now.Sub(p.sentAt) >= retention {
+		if now.Sub(p.life.Until) >= retention {
 			delete(t.proofs, s)
 		}
 	}
@@ -85,7 +108,7 @@
 // markProofReported records that a leader has received the report of a proof, unless there
 // is a later proof by now.
 func (t *Table) markProofReported(r Report) {
-	if p, ok := t.proofs[r.Server]; ok && p.sentAt.Equal(r.sentAt) {
+	if p, ok := t.proofs[r.Server]; ok && p.life.Until.Equal(r.sentAt) {
 		delete(t.proofs, r.Server)
 	}
 }
--- a/internal/load/poison/callers.go
+++ b/internal/load/poison/callers.go
@@ -70,6 +70,18 @@
 	return anyCaller && len(c.Crashes) < maxTieCrashes && len(withoutSimultaneous(c.Crashes)) < CrashThreshold
 }
 
+// mayBeCutOff reports whether too few processes ended without an announcement to tell a
+// crashing request from one that lasts long and was cut off by servers that leave.
+func (c *Case) mayBeCutOff() bool {
+	unannounced := 0
+	for _, crash := range c.Crashes {
+		if !crash.Announced {
+			unannounced++
+		}
+	}
+	return unannounced < CrashThreshold && len(c.Crashes) < maxTieCrashes
+}
+
 // withoutSimultaneous returns the first crash of each event. The crashes are ordered by time.
 func withoutSimultaneous(all []Crash) []Crash {
 	var kept []Crash
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -11,10 +11,10 @@
 const (
 	// CrashThreshold is the number of different servers whose crashes quarantine a request.
 	CrashThreshold = 3
-	// livenessGrace is how long a server must be listed after its connection broke to count
-	// as alive. The entry of a server that has ended expires after three heartbeats, and the
-	// list may be late by several seconds.
-	livenessGrace = 15 * time.Second
+	// LivenessGrace is how long a process must be listed after its connection broke to count
+	// as alive. The entry of one that has ended expires after three heartbeats or is replaced
+	// by that of the next process, and the list may be late by several seconds.
+	LivenessGrace = 15 * time.Second
 	// retention is how long crashes are remembered after the last one and after the end of
 	// a quarantine.
 	retention = 10 * time.Minute
@@ -32,28 +32,30 @@
 // although another request has crashes of exactly the same servers.
 const maxTieCrashes = CrashThreshold + 2
 
-// Liveness is what is known about a server whose connection broke.
+// Liveness is what is known about the process of a server whose connection broke.
 type Liveness uint8
 
-// The liveness states of a server.
+// The liveness states of a process.
 const (
 	Unknown Liveness = iota // for example while the store is unreachable
-	Alive
-	Gone
+	Alive                   // the same process is still listed
+	Gone                    // it is not listed, or another process has its server's name
 )
 
-// Crash is a broken connection to a server while it ran a request.
+// Crash is an attempt that got no answer from a process of a server, and after which the
+// process was not seen to go on.
 type Crash struct {
-	Server     ident.Server
+	Process    ident.Process
 	At         time.Time
-	Confirmed  bool   // the server has ended, so that it did crash
+	Confirmed  bool   // the process has ended
+	Announced  bool   // it had announced that it leaves, so it may have ended for that reason
 	reportedTo string // process of the leader that has received it
 }
 
 // Case is a request under suspicion.
 type Case struct {
 	Fingerprint     Fingerprint
-	Crashes         []Crash   // of different servers, oldest first
+	Crashes         []Crash   // of different processes, oldest first
 	cleared         time.Time // when it was last answered or released
 	dropped         time.Time // when crashes of a shared case were last dropped here
 	clearReportedTo string    // process of the leader that has received cleared
@@ -95,22 +97,25 @@
 	return last.Add(c.quarantineTime() + retention)
 }
 
-// covers reports whether every server that crashed under the other request also crashed
+// covers reports whether every process that crashed under the other request also crashed
 // under this one.
 func (c *Case) covers(other *Case) bool {
 	for _, crash := range other.Crashes {
-		if !c.has(crash.Server) {
+		if !c.has(crash.Process) {
 			return false
 		}
 	}
 	return true
 }
 
-// has reports whether a server crashed under the request.
-func (c *Case) has(s ident.Server) bool {
-	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Server == s })
+// has reports whether a process crashed under the request.
+func (c *Case) has(p ident.Process) bool {
+	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Process.Is(p) })
 }
 
+// hasServer reports whether a process of a server crashed under the request.
+func (c *Case) hasServer(s ident.Server) bool { return c.has(ident.Process{Server: s}) }
+
 // Table holds the requests under suspicion. All times passed to it must come from the same
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
@@ -158,7 +163,7 @@
 	}
 	var all []ident.Server
 	for _, crash := range most {
-		all = append(all, crash.Server)
+		all = append(all, crash.Process.Server)
 	}
 	return all
 }
@@ -193,7 +198,7 @@
 // get the same crashes on record. So a request is free if another one has all its crashes
 // and more. If two have exactly the same crashes, a trial of either shows which one is
 // harmless, and need not wait for the end of the full quarantine. The same holds for a
-// request whose servers may have been lost together for another reason.
+// request whose servers may have ended for another reason.
 func (t *Table) quarantineEnd(c *Case) time.Time {
 	duration := c.quarantineTime()
 	if duration == 0 {
@@ -219,7 +224,7 @@
 	switch {
 	case c.unresolvedTrials() >= maxUnresolvedTrials:
 		return c.triedAt.Add(duration)
-	case tied, c.mayBeLostTogether():
+	case tied, c.mayBeLostTogether(), c.mayBeCutOff():
 		return c.lastEvent().Add(tieWait)
 	}
 	return c.lastEvent().Add(duration)
@@ -244,10 +249,19 @@
 	return all
 }
 
-// RecordCrash records that a server broke the connection while it ran a request of this VM.
-// It returns the number of servers that have done so by now.
-func (t *Table) RecordCrash(now time.Time, fp Fingerprint, s ident.Server) int {
-	t.addCrash(fp, Crash{Server: s, At: now})
+// RecordCrash records that an attempt of a request of this VM ended at now without an answer
+// of the process. It returns the number of processes under which that has happened by now.
+func (t *Table) RecordCrash(now time.Time, fp Fingerprint, p ident.Process) int {
+	return t.recordCrash(fp, Crash{Process: p, At: now})
+}
+
+// RecordCutOff is RecordCrash for a process that had announced that it leaves.
+func (t *Table) RecordCutOff(now time.Time, fp Fingerprint, p ident.Process) int {
+	return t.recordCrash(fp, Crash{Process: p, At: now, Announced: true})
+}
+
+func (t *Table) recordCrash(fp Fingerprint, crash Crash) int {
+	t.addCrash(fp, crash)
 	return t.Crashes(fp)
 }
 
@@ -288,16 +302,17 @@
 	t.markChanged(c)
 }
 
-// Reconcile drops the crashes of servers that are alive, unless a leader decides on the
-// case, and cases that are out of date. It reports whether any shared case changed.
-func (t *Table) Reconcile(now time.Time, liveness func(ident.Server) Liveness) bool {
+// Reconcile drops the crashes of processes that are alive, unless a leader decides on the
+// case, and cases that are out of date. liveness returns what is known about the process of
+// a crash since then. Reconcile reports whether any shared case changed.
+func (t *Table) Reconcile(now time.Time, liveness func(Crash) Liveness) bool {
 	before := t.seq
 	clear(t.accused)
 	t.forgetOldProofs(now)
 	for fp, c := range t.cases {
-		t.dropAlive(now, c, func(crash Crash) bool { return liveness(crash.Server) == Alive })
+		t.dropAlive(now, c, func(crash Crash) bool { return liveness(crash) == Alive })
 		for i := range c.Crashes {
-			c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || liveness(c.Crashes[i].Server) == Gone
+			c.Crashes[i].Confirmed = c.Crashes[i].Confirmed || liveness(c.Crashes[i]) == Gone
 		}
 		settled := len(c.Crashes) == 0 && !c.shared && !t.awaitsReport(c)
 		if settled || t.outOfDate(now, c) {
@@ -348,13 +363,13 @@
 }
 
 // add adds a crash and reports whether it did. A crash is ignored if the request was cleared
-// after it. If its server is already on record, the later time counts: the server may have
-// been alive after the first broken connection.
+// after it. If its process is already on record, the later time counts: it may have been
+// alive after the first broken connection.
 func (c *Case) add(crash Crash) bool {
 	if !crash.At.After(c.cleared) {
 		return false
 	}
-	if i := slices.IndexFunc(c.Crashes, func(o Crash) bool { return o.Server == crash.Server }); i >= 0 {
+	if i := slices.IndexFunc(c.Crashes, func(o Crash) bool { return o.Process.Is(crash.Process) }); i >= 0 {
 		c.Crashes[i].repeat(crash)
 		c.sort()
 		return false
@@ -367,8 +382,12 @@
 	return true
 }
 
-// repeat merges another report of a crash of the same server into this one.
+// repeat merges another report of a crash of the same process into this one.
 func (crash *Crash) repeat(other Crash) {
+	if crash.Process.Incarnation == 0 {
+		crash.Process = other.Process
+	}
+	crash.Announced = crash.Announced && other.Announced
 	if !crash.Confirmed && other.At.After(crash.At) {
 		crash.At = other.At
 		crash.reportedTo = other.reportedTo
--- a/internal/load/poison/trial.go
+++ b/internal/load/poison/trial.go
@@ -194,11 +194,9 @@
 	return c.trials
 }
 
-// sharesCrash reports whether a server crashed under both requests.
+// sharesCrash reports whether a process crashed under both requests.
 func (c *Case) sharesCrash(other *Case) bool {
-	return slices.ContainsFunc(c.Crashes, func(a Crash) bool {
-		return slices.ContainsFunc(other.Crashes, func(b Crash) bool { return a.Server == b.Server })
-	})
+	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return other.has(crash.Process) })
 }
 
 // rivals reports whether two fingerprints are of the same request, or of requests that
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -20,23 +20,38 @@
 
 // VerdictCrash is one crash of a verdict, with the time since it happened.
 type VerdictCrash struct {
-	Server    ident.Server  `json:"server"`
-	Age       time.Duration `json:"ago"`
-	Confirmed bool          `json:"sure,omitempty"`
+	Server      ident.Server  `json:"server"`
+	Incarnation int64         `json:"born,omitempty"` // zero from a VM of an earlier version
+	Age         time.Duration `json:"ago"`
+	Confirmed   bool          `json:"sure,omitempty"`
+	Announced   bool          `json:"left,omitempty"`
+}
+
+func (v VerdictCrash) process() ident.Process {
+	return ident.Process{Server: v.Server, Incarnation: v.Incarnation}
 }
 
-// Report is one observation of a VM that it sends to the leader: a server crashed while it
+// Report is one observation of a VM that it sends to the leader: a process crashed while it
 // ran the request or, when Server is empty, the request was answered. When Alive is set, it
-// withdraws a crash: the server answered a request that was sent to it that long ago.
+// withdraws a crash: the server answered a request that was sent to it that long ago, on a
+// connection that was opened Opened ago. VMs of an earlier version do not send Opened, and
+// may have been answered by the server's next process.
 type Report struct {
 	Fingerprint Fingerprint   `json:"print"`
 	Server      ident.Server  `json:"server,omitempty"`
+	Incarnation int64         `json:"born,omitempty"` // zero from a VM of an earlier version
+	Announced   bool          `json:"left,omitempty"`
 	Age         time.Duration `json:"ago"`
 	Alive       time.Duration `json:"alive,omitempty"`
+	Opened      time.Duration `json:"opened,omitempty"`
 	sentAt      time.Time     // when that request was sent, by the clock of the reporting VM
 	cleared     time.Time     // when the request was answered, by that clock
 }
 
+func (r Report) process() ident.Process {
+	return ident.Process{Server: r.Server, Incarnation: r.Incarnation}
+}
+
 // maxReports bounds the number of reports in one request to the leader.
 const maxReports = 64
 
@@ -51,7 +66,7 @@
 		}
 		for _, crash := range c.Crashes {
 			if crash.reportedTo != leader {
-				all = append(all, Report{Fingerprint: c.Fingerprint, Server: crash.Server, Age: now.Sub(crash.At)})
+				all = append(all, crash.report(now, c.Fingerprint))
 			}
 		}
 	}
@@ -62,6 +77,14 @@
 	return all[:min(len(all), maxReports)]
 }
 
+// report returns the crash in the form for the leader.
+func (crash Crash) report(now time.Time, fp Fingerprint) Report {
+	return Report{
+		Fingerprint: fp, Server: crash.Process.Server, Incarnation: crash.Process.Incarnation,
+		Announced: crash.Announced, Age: now.Sub(crash.At),
+	}
+}
+
 // MarkReported records that a leader has received the reports.
 func (t *Table) MarkReported(leader string, all []Report) {
 	t.follow(leader)
@@ -78,7 +101,7 @@
 			c.clearReportedTo = leader
 		}
 		for i := range c.Crashes {
-			if c.Crashes[i].Server == r.Server {
+			if c.Crashes[i].Process.Is(r.process()) {
 				c.Crashes[i].reportedTo = leader
 			}
 		}
@@ -89,14 +112,14 @@
 func (t *Table) AddReports(now time.Time, all []Report) {
 	for _, r := range all {
 		if r.Alive > 0 {
-			t.addProof(now.Add(-r.Alive), r.Server)
+			t.addProof(r.life(now), r.Server)
 			continue
 		}
 		if r.Server == "" {
 			t.Clear(now.Add(-r.Age), r.Fingerprint)
 			continue
 		}
-		t.addCrash(r.Fingerprint, Crash{Server: r.Server, At: now.Add(-r.Age)})
+		t.addCrash(r.Fingerprint, Crash{Process: r.process(), At: now.Add(-r.Age), Announced: r.Announced})
 	}
 }
 
@@ -121,7 +144,10 @@
 		v.Trials, v.TriedAge = c.unresolvedTrials(), max(now.Sub(c.triedAt), 1)
 	}
 	for _, crash := range c.Crashes {
-		v.Crashes = append(v.Crashes, VerdictCrash{Server: crash.Server, Age: now.Sub(crash.At), Confirmed: crash.Confirmed})
+		v.Crashes = append(v.Crashes, VerdictCrash{
+			Server: crash.Process.Server, Incarnation: crash.Process.Incarnation,
+			Age: now.Sub(crash.At), Confirmed: crash.Confirmed, Announced: crash.Announced,
+		})
 	}
 	return v
 }
@@ -167,14 +193,17 @@
 		c.trials, c.triedAt = 0, time.Time{}
 	}
 	for _, reported := range v.Crashes {
-		c.add(Crash{Server: reported.Server, At: now.Add(-reported.Age), Confirmed: reported.Confirmed, reportedTo: leader})
+		c.add(Crash{
+			Process: reported.process(), At: now.Add(-reported.Age), Confirmed: reported.Confirmed,
+			Announced: reported.Announced, reportedTo: leader,
+		})
 	}
 }
 
 // markIfChanged shares a case that was not shared before, and assigns a new change number
-// when its set of crashed servers differs from before.
+// when its set of crashed processes differs from before.
 func (t *Table) markIfChanged(c *Case, before []Crash) {
-	same := func(a, b Crash) bool { return a.Server == b.Server }
+	same := func(a, b Crash) bool { return a.Process == b.Process && a.Announced == b.Announced }
 	if !c.shared || !slices.EqualFunc(before, c.Crashes, same) {
 		c.shared = true
 		t.markChanged(c)
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -97,6 +97,12 @@
 // a present or recent outage of the store.
 func (s *Set[T]) Uncertain(now time.Time) bool { return s.storeDown || s.storeJustReturned(now) }
 
+// Settled reports whether the last outage of the store that may have hidden the end of a
+// server ended at least the given time ago, or there was none.
+func (s *Set[T]) Settled(now time.Time, since time.Duration) bool {
+	return !s.storeDown && (s.storeUpSince.IsZero() || now.Sub(s.storeUpSince) >= since)
+}
+
 // Has returns the entry of a server, and whether there is one.
 func (s *Set[T]) Has(name ident.Server) (Entry[T], bool) {
 	r := s.entries[name]
