front: an answer clears the time-outs of earlier requests like it

Callers whose request had timed out at a server were accused with that server if it ended within 15 s, although a later request like theirs had been answered: three such servers, and a popular request was held until its trial.

Cause: an exchange reported its answer only if it was suspected or one of its own attempts had ended without an answer. Attempts of earlier exchanges stayed on record.

The record of unanswered attempts is now indexed by path and by fingerprint. While it is not empty an answer costs the digest of its host and path, and only an answer of a path in the record costs that of its body.

--- a/internal/edge/front/evidence.go
+++ b/internal/edge/front/evidence.go
@@ -34,7 +34,6 @@
 	if x.f.Guard == nil {
 		return
 	}
-	x.unanswered = true
 	x.f.Guard.ReportUnanswered(x.fingerprintOrUnread(), to, x.decision.ID)
 }
 
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -53,8 +53,6 @@
 
 	suspect bool // the Guard suspects the request of crashing servers
 	crashes int  // number of servers that crashed while running the request, as last reported by the Guard
-	// unanswered says that the Guard knows an attempt that ended without an answer.
-	unanswered bool
 
 	ticket       *dedup.Ticket // the claim on the request id, if the rule demands one
 	idFromCaller bool          // the caller chose the request id
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -32,8 +32,11 @@
 	// without an answer, while the connection stayed open. It is evidence only if the process
 	// has ended.
 	ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request)
-	// Answered records that a server answered a suspected request, and not with an error
-	// of its own.
+	// Unanswered reports whether an attempt of a request for the path of this head ended
+	// without an answer. A nil head asks whether any did.
+	Unanswered(h *poison.Head) bool
+	// Answered records that a server answered a request that is suspected or had an attempt
+	// without an answer, and not with an error of its own.
 	Answered(p poison.Fingerprint)
 	// SendTime returns the time for a later ServerAnswered, just before a request is sent;
 	// zero while no request is suspected.
@@ -104,7 +107,7 @@
 // answer, was answered. It is not called for a server's error, which may have been sent
 // before the request began to run.
 func (x *exchange) reportAnswered() {
-	if !x.suspect && !x.unanswered && !x.suspectedMeanwhile() {
+	if !x.suspect && !x.isKnown() {
 		return
 	}
 	for _, p := range x.fingerprints() {
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -64,6 +64,12 @@
 	g.unanswered.Add(poison.Attempt{Fingerprint: p, Process: to, ID: id, At: time.Now()})
 }
 
+func (g *fakeGuard) Unanswered(h *poison.Head) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return h == nil && !g.unanswered.IsEmpty() || h != nil && g.unanswered.HasPath(*h)
+}
+
 func (g *fakeGuard) Answered(p poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/edge/front/suspect.go
+++ b/internal/edge/front/suspect.go
@@ -27,14 +27,15 @@
 	return nil
 }
 
-// suspectedMeanwhile reports whether a request that was not suspected when it was sent is
-// suspected now.
-func (x *exchange) suspectedMeanwhile() bool {
-	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) {
+// isKnown reports whether the Guard knows crashes or unanswered attempts for the path of the
+// request. They may be those of earlier requests with the same fingerprint, or may have come
+// to be known while this one ran.
+func (x *exchange) isKnown() bool {
+	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) && !x.f.Guard.Unanswered(nil) {
 		return false
 	}
 	head := x.poisonHead()
-	return x.f.Guard.Suspects(&head)
+	return x.f.Guard.Suspects(&head) || x.f.Guard.Unanswered(&head)
 }
 
 // identifyStream is identifySuspect for a body of unknown length that was not read when the
--- a/internal/edge/host/unanswered.go
+++ b/internal/edge/host/unanswered.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/clock"
@@ -12,19 +13,36 @@
 // unansweredAttempts holds attempts that ended without an answer. It has its own lock, so
 // that requests that time out do not wait for the table of suspected requests.
 type unansweredAttempts struct {
+	nonEmpty atomic.Bool
 	mu       sync.Mutex
 	attempts poison.Unanswered
 }
 
-func (u *unansweredAttempts) add(a poison.Attempt) {
+// lock locks mu until the returned function is called, which updates nonEmpty.
+func (u *unansweredAttempts) lock() (unlock func()) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
+	return func() {
+		u.nonEmpty.Store(!u.attempts.IsEmpty())
+		u.mu.Unlock()
+	}
+}
+
+func (u *unansweredAttempts) add(a poison.Attempt) {
+	defer u.lock()()
 	u.attempts.Add(a)
 }
 
-func (u *unansweredAttempts) clear(p poison.Fingerprint) {
+func (u *unansweredAttempts) hasPath(h *poison.Head) bool {
+	if h == nil || !u.nonEmpty.Load() {
+		return u.nonEmpty.Load()
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.attempts.HasPath(*h)
+}
+
+func (u *unansweredAttempts) clear(p poison.Fingerprint) {
+	defer u.lock()()
 	u.attempts.Clear(p)
 }
 
@@ -35,8 +53,7 @@
 }
 
 func (u *unansweredAttempts) settle(now time.Time, endings map[ident.Process]poison.Ending) []poison.Attempt {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	defer u.lock()()
 	return u.attempts.Settle(now, endings)
 }
 
@@ -46,6 +63,10 @@
 	q.unanswered.add(poison.Attempt{Fingerprint: p, ID: id, Process: to, At: clock.Now()})
 }
 
+// Unanswered reports whether an attempt of a request for the path of this head ended without
+// an answer. With a nil head it reports whether any did.
+func (q *quarantine) Unanswered(h *poison.Head) bool { return q.unanswered.hasPath(h) }
+
 // accuseUnanswered records a crash for each attempt without an answer whose process has
 // ended.
 func (q *quarantine) accuseUnanswered() {
--- a/internal/load/poison/unanswered.go
+++ b/internal/load/poison/unanswered.go
@@ -45,6 +45,37 @@
 // The zero value is empty; it is not safe for concurrent use.
 type Unanswered struct {
 	processes map[ident.Process]*attemptRing
+	prints    map[Fingerprint]int // number of attempts of each request
+	paths     map[pathDigest]int  // the same for each path
+}
+
+// count adds n to the number of attempts of a request.
+func (u *Unanswered) count(fp Fingerprint, n int) {
+	if u.prints == nil {
+		u.prints, u.paths = map[Fingerprint]int{}, map[pathDigest]int{}
+	}
+	if u.prints[fp] += n; u.prints[fp] == 0 {
+		delete(u.prints, fp)
+	}
+	if u.paths[fp.path()] += n; u.paths[fp.path()] == 0 {
+		delete(u.paths, fp.path())
+	}
+}
+
+// IsEmpty reports whether there are no attempts.
+func (u *Unanswered) IsEmpty() bool { return len(u.prints) == 0 }
+
+// HasPath reports whether there are attempts of requests for the path of this head.
+func (u *Unanswered) HasPath(h Head) bool { return u.paths[h.path] > 0 }
+
+// remove removes the attempts at a process and returns them.
+func (u *Unanswered) remove(p ident.Process) *attemptRing {
+	r := u.processes[p]
+	delete(u.processes, p)
+	for _, a := range r.all {
+		u.count(a.Fingerprint, -1)
+	}
+	return r
 }
 
 // attemptRing holds the latest attempts at one process.
@@ -54,14 +85,16 @@
 	latest time.Time
 }
 
-func (r *attemptRing) add(a Attempt) {
+// add adds an attempt and returns the one that it displaces, if any.
+func (r *attemptRing) add(a Attempt) (displaced Attempt, ok bool) {
 	r.latest = a.At
 	if len(r.all) < maxUnanswered {
 		r.all = append(r.all, a)
-		return
+		return Attempt{}, false
 	}
-	r.all[r.oldest] = a
+	displaced, r.all[r.oldest] = r.all[r.oldest], a
 	r.oldest = (r.oldest + 1) % maxUnanswered
+	return displaced, true
 }
 
 // since returns the attempts that ended after a time.
@@ -81,7 +114,10 @@
 	if r == nil {
 		r = u.newRing(a.Process)
 	}
-	r.add(a)
+	u.count(a.Fingerprint, 1)
+	if displaced, ok := r.add(a); ok {
+		u.count(displaced.Fingerprint, -1)
+	}
 }
 
 func (u *Unanswered) newRing(p ident.Process) *attemptRing {
@@ -105,7 +141,7 @@
 			oldest, at = p, r.latest
 		}
 	}
-	delete(u.processes, oldest)
+	u.remove(oldest)
 }
 
 // Len returns the number of attempts.
@@ -128,6 +164,10 @@
 
 // Clear removes the attempts of a request that was answered.
 func (u *Unanswered) Clear(fp Fingerprint) {
+	if u.prints[fp] == 0 {
+		return
+	}
+	u.count(fp, -u.prints[fp])
 	for p, r := range u.processes {
 		kept := &attemptRing{latest: r.latest}
 		for i := range r.all {
@@ -145,15 +185,14 @@
 	for p, r := range u.processes {
 		if endings[p] == NotEnded {
 			if now.Sub(r.latest) >= unansweredTime {
-				delete(u.processes, p)
+				u.remove(p)
 			}
 			continue
 		}
-		for _, a := range r.since(now.Add(-unansweredTime)) {
+		for _, a := range u.remove(p).since(now.Add(-unansweredTime)) {
 			a.Announced = endings[p] == Left
 			crashed = append(crashed, a)
 		}
-		delete(u.processes, p)
 	}
 	return crashed
 }
--- a/internal/load/poison/unanswered_test.go
+++ b/internal/load/poison/unanswered_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/fake/seeds"
 )
 
 func attemptAt(s ident.Server, at time.Time) Attempt {
@@ -99,6 +101,41 @@
 	assert.Equal(t, u.Len(), maxSilentServers*maxUnanswered)
 }
 
+// Guards against asking each answer for its fingerprint because a path counts as unanswered for ever.
+func TestAPathIsKnownWhileAnAttemptOfItIsKept(t *testing.T) {
+	seeds.Check(t, func(r *rapid.T) {
+		var u Unanswered
+		now := t0
+		for range rapid.IntRange(1, 400).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(r, "ms")) * time.Millisecond)
+			fp := crashing
+			if rapid.Bool().Draw(r, "other") {
+				fp = other
+			}
+			p := first(ident.Server(strconv.Itoa(rapid.IntRange(0, 2).Draw(r, "server"))))
+			switch rapid.IntRange(0, 20).Draw(r, "what") {
+			case 0:
+				u.Clear(fp)
+			case 1:
+				u.Settle(now, map[ident.Process]Ending{p: Ended})
+			default:
+				u.Add(Attempt{Fingerprint: fp, Process: p, At: now})
+			}
+			kept := map[Fingerprint]int{}
+			for _, ring := range u.processes {
+				for _, a := range ring.all {
+					kept[a.Fingerprint]++
+				}
+			}
+			for _, fp := range []Fingerprint{crashing, other} {
+				assert.Equal(r, u.prints[fp], kept[fp])
+				assert.Equal(r, u.HasPath(fp.Head()), kept[fp] > 0)
+			}
+			assert.Equal(r, u.IsEmpty(), len(kept) == 0)
+		}
+	})
+}
+
 // BenchmarkUnanswered measures an attempt that ends without an answer while the bounds are
 // reached.
 func BenchmarkUnanswered(b *testing.B) {
