assign: a server that has started again is cold from then on

Callers of its keys got slow answers: a server that starts again under its id, and says that it is cold, was planned at its full share, because the time for which it counts as cold ran from the first listing of its name.

--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -263,7 +263,7 @@
 			m.backends[s.Name] = b
 		}
 		if b.Incarnation != s.Incarnation {
-			b.silentSince, b.pausedUntil, b.replaced = time.Time{}, time.Time{}, false
+			b.silentSince, b.pausedUntil, b.replaced, b.listedAt = time.Time{}, time.Time{}, false, now
 		}
 		b.Server, b.listed = s, true
 	}
--- /dev/null
+++ b/internal/owner/assign/restart_test.go
@@ -0,0 +1,18 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against giving a server that started again under its name its full share while it warms up.
+func TestAServerThatStartedAgainCountsAsCold(t *testing.T) {
+	m, now := New(), time.Unix(1000, 0)
+	m.setServers(now, []Server{{Name: "s1", Incarnation: 1}})
+	now = now.Add(time.Minute)
+	m.setServers(now, []Server{{Name: "s1", Incarnation: 2, Cold: 10 * time.Second}})
+	in := m.planInput(now, &draft{})
+	assert.Equal(t, in.Servers[0].Ramp, warmupCapacity)
+}
