host: a server that leaves for the second time is drained

Requests went on to a server that had announced that it leaves, past the time in which it may get them, if a server of that id had left before: servers were marked as drained by their id for good, so that the gates were not told again.

TestAServerThatLeavesForTheSecondTimeIsDrained failed before.

--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -253,6 +254,7 @@
 		}
 	}
 	t.leavingSince = next
+	maps.DeleteFunc(t.dropped, func(s ident.Server, _ bool) bool { _, leaving := next[s]; return !leaving })
 }
 
 // drained reports whether a server announced so long ago that it leaves that it must get
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,6 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 func newTestTracker() *serverTracker {
@@ -52,3 +54,22 @@
 	assert.Assert(t, slices.Equal(tr.list(), []feed.Server{first, second}))
 	assert.Equal(t, tr.knownRev(now.Add(fullListInterval)), uint64(6))
 }
+
+// Guards against sending requests to a leaving server for longer than allowed because an earlier process of its name left before.
+func TestAServerThatLeavesForTheSecondTimeIsDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newOrderTracker()
+		tr.drain = 2 * time.Second
+		for i := range int64(2) {
+			rev := object.Version(10 * (i + 1))
+			tr.applyChanges([]object.Change{{Object: entryOf("s1", rev, bornAt(100+i))}}, object.Cursor(rev))
+			tr.applyChanges([]object.Change{{Object: entryOf("s1", rev+1, bornAt(100+i)+`,"Leaving":true`)}}, object.Cursor(rev+1))
+			time.Sleep(tr.drain)
+			tr.mu.Lock()
+			drained := tr.markDrained(time.Now())
+			tr.mu.Unlock()
+			assert.Assert(t, drained, "process %d", i)
+			tr.applyChanges([]object.Change{entryGone("s1")}, object.Cursor(rev+2))
+		}
+	})
+}
