--- a/internal/edge/front/alive.go
+++ b/internal/edge/front/alive.go
@@ -24,7 +24,7 @@
 	}
 	sentAt := x.f.Guard.SendTime()
 	answer, err := x.f.Relay.Send(ctx, cancel, x.r, body, to, meta)
-	if sentAt.IsZero() {
+	if !x.f.Guard.Suspects(nil) {
 		return answer, err
 	}
 	if opened, ok := answeredByServer(answer, err); ok {
--- a/internal/edge/front/alive_test.go
+++ b/internal/edge/front/alive_test.go
@@ -14,12 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
-func (g *fakeGuard) SendTime() time.Time {
-	if !g.Suspects(nil) {
-		return time.Time{}
-	}
-	return time.Now()
-}
+func (g *fakeGuard) SendTime() time.Time { return time.Now() }
 
 func (g *fakeGuard) ServerAnswered(l poison.Life, s ident.Server) {
 	g.mu.Lock()
--- a/internal/edge/front/crash_order_test.go
+++ b/internal/edge/front/crash_order_test.go
@@ -35,17 +35,17 @@
 	expiry map[ident.Process]time.Time // when the entries of servers that did not answer expire
 }
 
-func (g *replacedServers) ReportCrash(p poison.Fingerprint, from ident.Process, id ident.Request) int {
-	from.Server += "-" + ident.Server(id)
-	return g.fakeGuard.ReportCrash(p, from, id)
+func (g *replacedServers) ReportCrash(a poison.Attempt) int {
+	a.Process.Server += "-" + ident.Server(a.ID)
+	return g.fakeGuard.ReportCrash(a)
 }
 
-func (g *replacedServers) ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request) {
-	to.Server += "-" + ident.Server(id)
-	g.fakeGuard.ReportUnanswered(p, to, id)
+func (g *replacedServers) ReportUnanswered(a poison.Attempt) {
+	a.Process.Server += "-" + ident.Server(a.ID)
+	g.fakeGuard.ReportUnanswered(a)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.expiry[to] = time.Now().Add(entryLife)
+	g.expiry[a.Process] = time.Now().Add(entryLife)
 }
 
 func (g *replacedServers) Suspects(h *poison.Head) bool {
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, a := range g.unanswered.Settle(time.Now(), endings) {
-		g.RecordCrash(a.At, a.Fingerprint, a.Process)
+		g.Record(a)
 	}
 }
 
--- a/internal/edge/front/evidence.go
+++ b/internal/edge/front/evidence.go
@@ -2,15 +2,37 @@
 
 import (
 	"errors"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
+// destination is the process to which an attempt was sent, as far as is known here, and a time
+// just before, see Guard.
+type destination struct {
+	ident.Process
+	sentAt time.Time
+}
+
+// destinationOf returns the destination of an attempt that is about to be sent to a server.
+func (x *exchange) destinationOf(s ident.Server) destination {
+	to := destination{Process: x.svc.Process(s)}
+	if x.f.Guard != nil {
+		to.sentAt = x.f.Guard.SendTime()
+	}
+	return to
+}
+
+// evidence returns an attempt that got no answer in the form for the Guard.
+func (x *exchange) evidence(to destination) poison.Attempt {
+	return poison.Attempt{Fingerprint: x.fingerprintOrUnread(), ID: x.decision.ID, Process: to.Process, SentAt: to.sentAt}
+}
+
 // reportFailure reports what a failed attempt shows about the request and the process to
 // which it was sent.
-func (x *exchange) reportFailure(to ident.Process, fail *relay.Failure) {
+func (x *exchange) reportFailure(to destination, fail *relay.Failure) {
 	switch {
 	case fail.ConnClosed:
 		x.reportCrash(to)
@@ -21,7 +43,7 @@
 
 // reportBrokenAnswer reports a process that broke off an answer of which the caller has
 // received a part.
-func (x *exchange) reportBrokenAnswer(from ident.Process, err error) {
+func (x *exchange) reportBrokenAnswer(from destination, err error) {
 	var fail *relay.Failure
 	if errors.As(err, &fail) && fail.ConnClosed {
 		x.reportCrash(from)
@@ -30,11 +52,11 @@
 
 // reportUnanswered reports that an attempt ended without an answer while its connection
 // stayed open.
-func (x *exchange) reportUnanswered(to ident.Process) {
+func (x *exchange) reportUnanswered(to destination) {
 	if x.f.Guard == nil {
 		return
 	}
-	x.f.Guard.ReportUnanswered(x.fingerprintOrUnread(), to, x.decision.ID)
+	x.f.Guard.ReportUnanswered(x.evidence(to))
 }
 
 // fingerprintOrUnread returns the fingerprint of the request, or the one that stands for a
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -137,8 +137,8 @@
 	x.decision.Server = permit.Server()
 	snapshot := x.svc.Gate.Inspect(permit.Server())
 	x.decision.Remote, x.decision.Load, x.decision.LoadAge = snapshot.Remote, snapshot.Load, snapshot.LoadAge
-	process := x.svc.Process(permit.Server())
-	to, ok := x.svc.Addr(permit.Server())
+	to := x.destinationOf(permit.Server())
+	addr, ok := x.svc.Addr(permit.Server())
 	if !ok {
 		return gate.Outcome{Kind: kinds.NoServer}, errNoAddr
 	}
@@ -149,11 +149,11 @@
 			panic(v)
 		}
 	}()
-	answer, err := x.send(ctx, cancel, to, owner)
+	answer, err := x.send(ctx, cancel, addr, owner)
 	if err != nil {
-		return x.handleFailure(process, err), x.canceledByMove(ctx, err)
+		return x.handleFailure(to, err), x.canceledByMove(ctx, err)
 	}
-	return x.copyAnswer(process, answer)
+	return x.copyAnswer(to, answer)
 }
 
 // canceledByMove distinguishes an attempt that was canceled because its key moved from
@@ -241,7 +241,7 @@
 
 // handleFailure returns the outcome, for the gate, of an attempt without an answer, and
 // tells the server to stop work on a request that it may still run.
-func (x *exchange) handleFailure(to ident.Process, err error) gate.Outcome {
+func (x *exchange) handleFailure(to destination, err error) gate.Outcome {
 	var fail *relay.Failure
 	if quarantineLeft(err) > 0 || x.body.failed {
 		return gate.Cancel() // neither says anything about the server
@@ -280,7 +280,7 @@
 
 // copyAnswer copies the answer to the caller. A status of 500 or above counts as a
 // failure of the server, however quickly it came.
-func (x *exchange) copyAnswer(from ident.Process, answer *relay.Response) (gate.Outcome, error) {
+func (x *exchange) copyAnswer(from destination, answer *relay.Response) (gate.Outcome, error) {
 	x.responseStarted = true
 	x.svc.RecordAttempt(from.Server, true)
 	if x.f.OnAnswer != nil && x.loadReported {
--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -25,21 +25,20 @@
 	StartAttempt(p poison.Fingerprint) (time.Duration, *poison.Trial)
 	// ReturnTrial gives back a trial that was not sent.
 	ReturnTrial(*poison.Trial)
-	// ReportCrash records that a process of a server closed the connection before its answer
-	// to the request was complete, and returns how many have.
-	ReportCrash(p poison.Fingerprint, from ident.Process, id ident.Request) int
-	// ReportUnanswered records that an attempt was sent to a process of a server and ended
-	// without an answer, while the connection stayed open. It is evidence only if the process
-	// has ended.
-	ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request)
+	// ReportCrash records that an attempt ended now because its process closed the connection
+	// before its answer was complete, and returns to how many processes that has happened
+	// with the request.
+	ReportCrash(poison.Attempt) int
+	// ReportUnanswered records that an attempt was sent and ended now without an answer, while
+	// the connection stayed open. It is evidence only if the process has ended.
+	ReportUnanswered(poison.Attempt)
 	// Unanswered reports whether an attempt of a request for the path of this head ended
 	// without an answer. A nil head asks whether any did.
 	Unanswered(h *poison.Head) bool
 	// Answered records that a server answered a request that is suspected or had an attempt
 	// without an answer, and not with an error of its own.
 	Answered(p poison.Fingerprint)
-	// SendTime returns the time for a later ServerAnswered, just before a request is sent;
-	// zero while no request is suspected.
+	// SendTime returns a time, on the boot clock, shortly before now. See package clock.
 	SendTime() time.Time
 	// ServerAnswered records that a server answered a request on a connection whose opening
 	// and whose sending, at a SendTime, begin and end a life of it.
@@ -93,13 +92,13 @@
 }
 
 // reportCrash reports that a process closed the connection while it ran the request.
-func (x *exchange) reportCrash(from ident.Process) {
+func (x *exchange) reportCrash(to destination) {
 	if x.f.Guard == nil {
 		return
 	}
-	p := x.fingerprintOrUnread()
-	x.decision.Fingerprint = p.Print()
-	x.crashes = x.f.Guard.ReportCrash(p, from, x.decision.ID)
+	a := x.evidence(to)
+	x.decision.Fingerprint = a.Fingerprint.Print()
+	x.crashes = x.f.Guard.ReportCrash(a)
 	x.suspect = true
 }
 
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -51,17 +51,19 @@
 	g.Table.ReturnTrial(trial)
 }
 
-func (g *fakeGuard) ReportCrash(p poison.Fingerprint, from ident.Process, _ ident.Request) int {
+func (g *fakeGuard) ReportCrash(a poison.Attempt) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reported = append(g.reported, p)
-	return g.RecordCrash(time.Now(), p, from)
+	g.reported = append(g.reported, a.Fingerprint)
+	a.At = time.Now()
+	return g.Record(a)
 }
 
-func (g *fakeGuard) ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request) {
+func (g *fakeGuard) ReportUnanswered(a poison.Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unanswered.Add(poison.Attempt{Fingerprint: p, Process: to, ID: id, At: time.Now()})
+	a.At = time.Now()
+	g.unanswered.Add(a)
 }
 
 func (g *fakeGuard) Unanswered(h *poison.Head) bool {
@@ -73,7 +75,7 @@
 func (g *fakeGuard) Answered(p poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unanswered.Clear(p)
+	g.unanswered.Clear(time.Now(), p)
 	g.Clear(time.Now(), p)
 }
 
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
@@ -14,7 +13,7 @@
 // hedgeAttempt is one of two concurrent attempts of a hedged request.
 type hedgeAttempt struct {
 	permit gate.Permit
-	to     ident.Process
+	to     destination
 	cancel context.CancelCauseFunc
 	answer *relay.Response
 	err    error
@@ -64,7 +63,7 @@
 func (x *exchange) startAttempt(ctx context.Context, permit gate.Permit, done chan<- *hedgeAttempt) {
 	x.decision.Attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &hedgeAttempt{permit: permit, to: x.svc.Process(permit.Server()), cancel: cancel}
+	t := &hedgeAttempt{permit: permit, to: x.destinationOf(permit.Server()), cancel: cancel}
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
 	x.f.group.Go(func(context.Context) error {
 		to, ok := x.svc.Addr(permit.Server())
--- a/internal/edge/front/suspect_test.go
+++ b/internal/edge/front/suspect_test.go
@@ -109,7 +109,7 @@
 		same := poison.HeadOf(r.Method, r.URL.Host, r.URL.RequestURI()).Fingerprint("another caller", poison.BodyOf([]byte("sample")))
 		time.AfterFunc(100*time.Millisecond, func() {
 			for _, s := range []ident.Server{"u7", "u8", "u9"} {
-				g.ReportCrash(same, ident.Process{Server: s}, "")
+				g.ReportCrash(poison.Attempt{Fingerprint: same, Process: ident.Process{Server: s}})
 			}
 		})
 		resp, _, err := tb.do(r)
--- a/internal/edge/host/alive.go
+++ b/internal/edge/host/alive.go
@@ -7,12 +7,9 @@
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
-// SendTime returns a time of the boot clock, at most reconcileInterval ago, or zero while no
-// request is suspected. An earlier time is safe, and costs no system call.
+// SendTime returns a time of the boot clock, at most reconcileInterval ago. An earlier time
+// is safe, and costs no system call.
 func (q *quarantine) SendTime() time.Time {
-	if !q.nonEmpty.Load() {
-		return time.Time{}
-	}
 	tick := q.tick.Load()
 	if tick == nil {
 		return time.Time{}
--- a/internal/edge/host/crash_order_test.go
+++ b/internal/edge/host/crash_order_test.go
@@ -49,12 +49,12 @@
 		}
 		tr.replaceAll(nil, 4)
 		time.Sleep(member.RelistTime)
-		tab.Reconcile(time.Now(), tr.livenessSince)
+		tab.Reconcile(time.Now(), tr.observe(tab.Processes()).since)
 		assert.Equal(t, tab.Crashes(p), len(servers))
 		tr.mu.Lock()
 		tr.members.Expire(time.Now())
 		tr.mu.Unlock()
-		assert.Equal(t, tr.liveness(ident.Process{Server: "s1"}), poison.Gone)
+		assert.Equal(t, tr.livenessOf(ident.Process{Server: "s1"}), poison.Unlisted)
 	})
 }
 
--- a/internal/edge/host/liveness.go
+++ b/internal/edge/host/liveness.go
@@ -5,23 +5,70 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
-// liveness returns what the list of servers shows about a process. Where servers do not
-// state when they started, each process has a name of its own. After an outage the store may
-// go on listing servers that ended during it.
-func (t *serverTracker) liveness(p ident.Process) poison.Liveness {
+// observation is what the list of servers shows about some processes.
+type observation struct {
+	asOf      time.Time // the list is at least as new, on the boot clock
+	live      map[ident.Process]poison.Liveness
+	announced map[ident.Process]bool // those that announced that they leave
+}
+
+// since returns what the list shows about the process of a crash since then. A VM that was
+// suspended goes on with the list of before.
+func (o *observation) since(c poison.Crash) poison.Liveness {
+	live := o.live[c.Process]
+	if live == poison.Alive && o.asOf.Sub(c.At) < poison.LivenessGrace {
+		return poison.Unknown
+	}
+	return live
+}
+
+// endings returns how each of the processes has ended.
+func (o *observation) endings() map[ident.Process]poison.Ending {
+	all := map[ident.Process]poison.Ending{}
+	for p, live := range o.live {
+		switch {
+		case live != poison.Gone && live != poison.Unlisted:
+		case o.announced[p]:
+			all[p] = poison.Left
+		default:
+			all[p] = poison.Ended
+		}
+	}
+	return all
+}
+
+// observe returns what the list of servers shows about processes. The caller must not hold
+// the lock of the table of suspected requests: publish locks the hub, which locks the table.
+func (t *serverTracker) observe(processes []ident.Process) *observation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	o := &observation{asOf: t.askedAt, live: map[ident.Process]poison.Liveness{}, announced: map[ident.Process]bool{}}
 	now := time.Now()
-	if t.members.Uncertain(now) || t.members.Missing(p.Server) {
+	for _, p := range processes {
+		o.live[p] = t.liveness(now, p)
+		o.announced[p] = t.left.has(p)
+	}
+	return o
+}
+
+// liveness returns what the list of servers shows about a process. Where servers do not
+// state when they started, each process has a name of its own. After an outage the store may
+// go on listing servers that ended during it. The caller holds mu.
+func (t *serverTracker) liveness(now time.Time, p ident.Process) poison.Liveness {
+	vouched := now.Sub(t.vouchedAt) < poll.PeerTimeout // the list is the leader's
+	if t.members.Uncertain(now) && !vouched || t.members.Missing(p.Server) {
 		return poison.Unknown
 	}
 	e, listed := t.members.Has(p.Server)
 	current := e.Value.Process()
 	switch {
-	case !listed, current.Replaces(p):
+	case !listed:
+		return poison.Unlisted
+	case current.Replaces(p):
 		return poison.Gone
 	case current == p && t.members.Settled(now, poison.LivenessGrace):
 		return poison.Alive
@@ -29,34 +76,6 @@
 	return poison.Unknown
 }
 
-// livenessSince returns what the list shows about the process of a crash since then. The
-// list is as old as the last answer of the store: a VM that was suspended goes on with the
-// list of before.
-func (t *serverTracker) livenessSince(c poison.Crash) poison.Liveness {
-	live := t.liveness(c.Process)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if live == poison.Alive && t.answeredAt.Sub(c.At) < poison.LivenessGrace {
-		return poison.Unknown
-	}
-	return live
-}
-
-// endings returns how each of the processes has ended.
-func (t *serverTracker) endings(processes []ident.Process) map[ident.Process]poison.Ending {
-	all := make(map[ident.Process]poison.Ending, len(processes))
-	for _, p := range processes {
-		if t.liveness(p) != poison.Gone {
-			continue
-		}
-		all[p] = poison.Ended
-		if t.announced(p) {
-			all[p] = poison.Left
-		}
-	}
-	return all
-}
-
 // announced reports whether a process announced that it leaves, also if it is not listed
 // any more.
 func (t *serverTracker) announced(p ident.Process) bool {
--- a/internal/edge/host/liveness_test.go
+++ b/internal/edge/host/liveness_test.go
@@ -14,10 +14,15 @@
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
+// livenessOf returns what the list shows about one process.
+func (t *serverTracker) livenessOf(p ident.Process) poison.Liveness {
+	return t.observe([]ident.Process{p}).live[p]
+}
+
 // newProcessTracker returns a tracker that lists the process 100 of server s1.
 func newProcessTracker() (*serverTracker, ident.Process) {
 	tr := newOrderTracker()
-	tr.storeUp()
+	tr.storeUp(clock.Now())
 	tr.replaceAll([]object.Object{entryOf("s1", 1, bornAt(100))}, 1)
 	return tr, ident.Process{Server: "s1", Incarnation: 100}
 }
@@ -27,27 +32,47 @@
 // Guards against taking a server that started again under its name for the process that crashed.
 func TestOnlyTheSameProcessIsAlive(t *testing.T) {
 	for name, c := range map[string]struct {
-		entry string
-		want  poison.Liveness
+		crashed int64 // incarnation
+		entry   string
+		want    poison.Liveness
 	}{
-		"same process":         {bornAt(100), poison.Alive},
-		"later process":        {bornAt(101), poison.Gone},
-		"later, and it leaves": {bornAt(101) + `,"Leaving":true`, poison.Gone},
-		"earlier process":      {bornAt(99), poison.Unknown},
-		"start not stated":     {"", poison.Unknown},
+		"same process":                {100, bornAt(100), poison.Alive},
+		"later process":               {100, bornAt(101), poison.Gone},
+		"later, and it leaves":        {100, bornAt(101) + `,"Leaving":true`, poison.Gone},
+		"earlier process":             {100, bornAt(99), poison.Unknown},
+		"start not stated any more":   {100, "", poison.Unknown},
+		"start not stated at first":   {0, bornAt(100), poison.Unknown},
+		"no process states its start": {0, "", poison.Alive},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tr, p := newProcessTracker()
-			tr.applyChanges([]object.Change{{Object: entryOf("s1", 2, c.entry)}}, 2)
-			assert.Equal(t, tr.liveness(p), c.want)
+			synctest.Test(t, func(t *testing.T) {
+				tr, p := newProcessTracker()
+				p.Incarnation = c.crashed
+				tr.applyChanges([]object.Change{{Object: entryOf("s1", 2, c.entry)}}, 2)
+				time.Sleep(poison.LivenessGrace)
+				assert.Equal(t, tr.livenessOf(p), c.want)
+			})
 		})
 	}
-	tr, p := newProcessTracker()
-	assert.Equal(t, tr.liveness(ident.Process{Server: "s1"}), poison.Unknown, "any process")
-	tr.applyChanges([]object.Change{{Object: entryOf("s2", 2, "")}}, 2)
-	assert.Equal(t, tr.liveness(ident.Process{Server: "s2"}), poison.Alive, "no process states its start")
-	tr.applyChanges([]object.Change{entryGone("s1")}, 2)
-	assert.Equal(t, tr.liveness(p), poison.Gone)
+}
+
+// Guards against keeping the crash of a live server for good because its entry was gone for a time.
+func TestAServerThatIsListedAgainIsAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, p := newProcessTracker()
+		tab := poison.NewTable()
+		fp, at := unansweredPrint, clock.Now().Add(-poison.LivenessGrace)
+		tab.RecordCrash(at, fp, p)
+		tr.applyChanges([]object.Change{entryGone("s1")}, 2)
+		time.Sleep(poison.LivenessGrace)
+		assert.Equal(t, tr.livenessOf(p), poison.Unlisted)
+		tab.Reconcile(clock.Now(), tr.observe(tab.Processes()).since)
+		assert.Equal(t, tab.Crashes(fp), 1)
+		tr.applyChanges([]object.Change{{Object: entryOf("s1", 3, bornAt(100))}}, 3)
+		tr.storeUp(clock.Now())
+		tab.Reconcile(clock.Now(), tr.observe(tab.Processes()).since)
+		assert.Equal(t, tab.Crashes(fp), 0)
+	})
 }
 
 // Guards against taking servers that ended during an outage of the store for alive, because the store lists them until their entries expire.
@@ -56,20 +81,25 @@
 		tr, p := newProcessTracker()
 		tr.storeDown()
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, tr.liveness(p), poison.Unknown)
-		tr.storeUp()
-		time.Sleep(poison.LivenessGrace - 1)
-		assert.Equal(t, tr.liveness(p), poison.Unknown)
-		time.Sleep(1)
-		assert.Equal(t, tr.liveness(p), poison.Alive)
+		assert.Equal(t, tr.livenessOf(p), poison.Unknown)
+		tr.storeUp(clock.Now())
+		time.Sleep(poison.LivenessGrace - time.Nanosecond)
+		assert.Equal(t, tr.livenessOf(p), poison.Unknown)
+		time.Sleep(time.Nanosecond)
+		assert.Equal(t, tr.livenessOf(p), poison.Alive)
 	})
 }
 
 // Guards against a VM that was suspended and judges by the list of before.
 func TestAListOfBeforeTheCrashShowsNoLife(t *testing.T) {
-	tr, p := newProcessTracker()
-	assert.Equal(t, tr.livenessSince(poison.Crash{Process: p, At: clock.Now()}), poison.Unknown)
-	assert.Equal(t, tr.livenessSince(poison.Crash{Process: p, At: tr.answeredAt.Add(-poison.LivenessGrace)}), poison.Alive)
+	synctest.Test(t, func(t *testing.T) {
+		tr, p := newProcessTracker()
+		old := poison.Crash{Process: p, At: tr.askedAt.Add(-poison.LivenessGrace)}
+		assert.Equal(t, tr.observe([]ident.Process{p}).since(old), poison.Unknown, "the first list may be of just after an outage")
+		time.Sleep(poison.LivenessGrace)
+		assert.Equal(t, tr.observe([]ident.Process{p}).since(old), poison.Alive)
+		assert.Equal(t, tr.observe([]ident.Process{p}).since(poison.Crash{Process: p, At: tr.askedAt}), poison.Unknown)
+	})
 }
 
 // Guards against missing the crash of a server that ended silently and started again under its name before its entry expired.
@@ -78,7 +108,7 @@
 		tr, p := newProcessTracker()
 		q := newUnansweredTest()
 		q.parts.Servers = tr
-		q.ReportUnanswered(unansweredPrint, p, "r")
+		q.ReportUnanswered(poison.Attempt{Fingerprint: unansweredPrint, Process: p})
 		q.accuseUnanswered()
 		assert.Assert(t, !q.Suspects(nil))
 		tr.applyChanges([]object.Change{{Object: entryOf("s1", 2, bornAt(101))}}, 2)
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -68,18 +68,29 @@
 		q.grantOwnTrials()
 		if q.nonEmpty.Load() {
 			_, leads := q.parts.Hub.Lease()
-			q.update(func(now time.Time) { q.reconcile(now, leads, q.parts.Servers.livenessSince) })
+			q.reconcile(leads)
 		}
 	}
 	return nil
 }
 
-// reconcile compares crashes with the list of servers. The caller holds mu.
-func (q *quarantine) reconcile(now time.Time, leads bool, liveness func(poison.Crash) poison.Liveness) {
-	if leads {
-		q.table.Lead()
-	}
-	q.table.Reconcile(now, liveness)
+// processes lists the processes of all crashes.
+func (q *quarantine) processes() []ident.Process {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Processes()
+}
+
+// reconcile compares crashes with the list of servers.
+func (q *quarantine) reconcile(leads bool) {
+	seen := q.parts.Servers.observe(q.processes())
+	q.update(func(now time.Time) {
+		if leads {
+			q.table.Lead()
+		}
+		q.table.NoteAnnounced(func(p ident.Process) bool { return seen.announced[p] })
+		q.table.Reconcile(now, seen.since)
+	})
 }
 
 // update changes the table with f, logs which requests entered or left quarantine, and
@@ -132,26 +143,22 @@
 
 // ReportCrash records that a process of a server broke off while it ran a request, and
 // returns how many have.
-func (q *quarantine) ReportCrash(p poison.Fingerprint, from ident.Process, id ident.Request) int {
-	n, announced := 0, q.parts.Servers.announced(from)
-	q.update(func(now time.Time) { n = q.record(now, p, from, announced) })
-	q.logCrash(p, from, id, n)
+func (q *quarantine) ReportCrash(a poison.Attempt) int {
+	n := 0
+	a.Announced = q.parts.Servers.announced(a.Process)
+	q.update(func(now time.Time) {
+		a.At = now
+		n = q.table.Record(a)
+	})
+	q.logCrash(a, n)
 	return n
 }
 
-// record records a crash in the table. Servers that leave may break off what they cannot
-// finish. The caller holds mu.
-func (q *quarantine) record(at time.Time, p poison.Fingerprint, from ident.Process, announced bool) int {
-	if announced {
-		return q.table.RecordCutOff(at, p, from)
-	}
-	return q.table.RecordCrash(at, p, from)
-}
-
 // logCrash logs the second and each later process that crashed under a request.
-func (q *quarantine) logCrash(p poison.Fingerprint, from ident.Process, id ident.Request, n int) {
+func (q *quarantine) logCrash(a poison.Attempt, n int) {
 	if n > 1 {
-		q.parts.Log.Warn("another server broke off under a request", "print", p.Print(), "id", id, "server", from.Server, "born", from.Incarnation, "leaving", q.parts.Servers.announced(from), "crashes", n)
+		q.parts.Log.Warn("another server broke off under a request", "print", a.Fingerprint.Print(), "id", a.ID,
+			"server", a.Process.Server, "born", a.Process.Incarnation, "leaving", a.Announced, "crashes", n)
 	}
 }
 
--- a/internal/edge/host/quarantine_test.go
+++ b/internal/edge/host/quarantine_test.go
@@ -36,7 +36,7 @@
 		tc.waitFor(waitLimit, "ready", tc.ready(i))
 	}
 	for i, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
-		tc.vms[i].listeners.parts.Quarantine.ReportCrash(p, ident.Process{Server: s}, "r")
+		tc.vms[i].listeners.parts.Quarantine.ReportCrash(attemptOf(p, s))
 	}
 	for i := range 3 {
 		tc.waitFor(waitLimit, "knows the request", tc.quarantined(i, p))
@@ -59,7 +59,7 @@
 	tc.waitFor(waitLimit, "leads", func() bool { return tc.leaderIndex() == 0 })
 	p := tc.fingerprintOf(0, "/lookup/x")
 	for _, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
-		tc.vms[0].listeners.parts.Quarantine.ReportCrash(p, ident.Process{Server: s}, "r")
+		tc.vms[0].listeners.parts.Quarantine.ReportCrash(attemptOf(p, s))
 	}
 	tc.waitFor(waitLimit, "kept", func() bool {
 		tc.store.mu.Lock()
@@ -84,7 +84,7 @@
 		tc.waitFor(waitLimit, "ready", tc.ready(i))
 	}
 	for _, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
-		tc.vms[0].listeners.parts.Quarantine.ReportCrash(p, ident.Process{Server: s}, "r")
+		tc.vms[0].listeners.parts.Quarantine.ReportCrash(attemptOf(p, s))
 	}
 	for i := range 2 {
 		tc.waitFor(waitLimit, "knows the request", tc.quarantined(i, p))
--- a/internal/edge/host/quarantine_trial_test.go
+++ b/internal/edge/host/quarantine_trial_test.go
@@ -23,7 +23,7 @@
 	}
 	for _, s := range []ident.Server{"gone-1", "gone-2", "gone-3"} {
 		for _, p := range []poison.Fingerprint{harmless, killer} {
-			tc.vms[1].listeners.parts.Quarantine.ReportCrash(p, ident.Process{Server: s}, "r")
+			tc.vms[1].listeners.parts.Quarantine.ReportCrash(attemptOf(p, s))
 		}
 	}
 	for i := range tc.vms {
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/fx"
 
-	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
@@ -41,7 +40,8 @@
 	drain        time.Duration                // how long after its announcement a leaving server may get requests
 	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
 	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
-	answeredAt   time.Time                    // when the store answered last, on the boot clock
+	askedAt      time.Time                    // when the last call was made that the store answered, on the boot clock
+	vouchedAt    time.Time                    // when the leader last said that the store answers it
 	left         departures                   // processes that announced that they leave
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
 	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
@@ -64,14 +64,14 @@
 	t.members.StoreDown()
 }
 
-// storeUp records that the store answered.
-func (t *serverTracker) storeUp() {
+// storeUp records that the store answered a call that was made at a time of the boot clock.
+func (t *serverTracker) storeUp(asked time.Time) {
 	now := time.Now()
 	t.hub.SetStoreContact(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreUp(now)
-	t.answeredAt = clock.Now()
+	t.askedAt = asked
 }
 
 // noteStoreSeenByLeader records for how long the store has answered the leader without
@@ -83,6 +83,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.vouchedAt = now
 	if t.members.StoreSeenByPeer(now, now.Add(-upFor)) {
 		t.log.Info("store answered the leader while this VM could not reach it", "rev", t.rev, "steady", upFor)
 		t.publish(t.rev)
--- a/internal/edge/host/unanswered.go
+++ b/internal/edge/host/unanswered.go
@@ -43,7 +43,7 @@
 
 func (u *unansweredAttempts) clear(p poison.Fingerprint) {
 	defer u.lock()()
-	u.attempts.Clear(p)
+	u.attempts.Clear(clock.Now(), p)
 }
 
 func (u *unansweredAttempts) processes() []ident.Process {
@@ -59,8 +59,9 @@
 
 // ReportUnanswered records that an attempt was sent to a process and ended without an
 // answer. It puts the request under suspicion only once the process has ended.
-func (q *quarantine) ReportUnanswered(p poison.Fingerprint, to ident.Process, id ident.Request) {
-	q.unanswered.add(poison.Attempt{Fingerprint: p, ID: id, Process: to, At: clock.Now()})
+func (q *quarantine) ReportUnanswered(a poison.Attempt) {
+	a.At = clock.Now()
+	q.unanswered.add(a)
 }
 
 // Unanswered reports whether an attempt of a request for the path of this head ended without
@@ -74,17 +75,17 @@
 	if len(processes) == 0 {
 		return
 	}
-	crashed := q.unanswered.settle(clock.Now(), q.parts.Servers.endings(processes))
+	crashed := q.unanswered.settle(clock.Now(), q.parts.Servers.observe(processes).endings())
 	if len(crashed) == 0 {
 		return
 	}
 	counts := make([]int, len(crashed))
 	q.update(func(time.Time) {
 		for i, a := range crashed {
-			counts[i] = q.record(a.At, a.Fingerprint, a.Process, a.Announced)
+			counts[i] = q.table.Record(a)
 		}
 	})
 	for i, a := range crashed {
-		q.logCrash(a.Fingerprint, a.Process, a.ID, counts[i])
+		q.logCrash(a, counts[i])
 	}
 }
--- a/internal/edge/host/unanswered_test.go
+++ b/internal/edge/host/unanswered_test.go
@@ -16,6 +16,11 @@
 
 var unansweredPrint = poison.HeadOf("GET", "a.example", "/x").Fingerprint("10.0.0.1", poison.BodyOf(nil))
 
+// attemptOf returns an attempt of a request at a server that does not state its start.
+func attemptOf(p poison.Fingerprint, s ident.Server) poison.Attempt {
+	return poison.Attempt{Fingerprint: p, ID: "r", Process: ident.Process{Server: s}}
+}
+
 // newUnansweredTest returns a quarantine that knows servers s1 and s2.
 func newUnansweredTest() *quarantine {
 	tr := newOrderTracker()
@@ -40,8 +45,8 @@
 func TestAnUnansweredRequestIsSuspectedOnceItsServerHasEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newUnansweredTest()
-		q.ReportUnanswered(unansweredPrint, ident.Process{Server: "s1"}, "r")
-		q.ReportUnanswered(unansweredPrint, ident.Process{Server: "s2"}, "r")
+		q.ReportUnanswered(attemptOf(unansweredPrint, "s1"))
+		q.ReportUnanswered(attemptOf(unansweredPrint, "s2"))
 		q.accuseUnanswered()
 		assert.Assert(t, !q.Suspects(nil))
 		q.parts.Servers.applyChanges([]object.Change{entryGone("s1")}, 2)
@@ -60,9 +65,9 @@
 
 // Guards against refusing for long, or sending on, requests that servers leave unanswered or cut off as they leave.
 func TestRequestsThatServersCutOffAsTheyLeaveAreTriedSoon(t *testing.T) {
-	for name, report := range map[string]func(q *quarantine, p ident.Process){
-		"unanswered": func(q *quarantine, p ident.Process) { q.ReportUnanswered(unansweredPrint, p, "r") },
-		"cut off":    func(q *quarantine, p ident.Process) { q.ReportCrash(unansweredPrint, p, "r") },
+	for name, report := range map[string]func(q *quarantine, s ident.Server){
+		"unanswered": func(q *quarantine, s ident.Server) { q.ReportUnanswered(attemptOf(unansweredPrint, s)) },
+		"cut off":    func(q *quarantine, s ident.Server) { q.ReportCrash(attemptOf(unansweredPrint, s)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -71,7 +76,7 @@
 				for _, s := range []ident.Server{"s1", "s2", "s3"} {
 					assert.Assert(t, q.QuarantineLeft(unansweredPrint) == 0)
 					q.leave(s)
-					report(q, ident.Process{Server: s})
+					report(q, s)
 					q.accuseUnanswered()
 				}
 				left := q.QuarantineLeft(unansweredPrint)
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -28,7 +28,7 @@
 	onList           func([]object.Object, object.Cursor)
 	onChange         func([]object.Change, object.Cursor)
 	onDown           func()
-	onUp             func() // the store answered, with or without changes
+	onUp             func(asked time.Time) // the store answered a call, with or without changes
 	// onCurrent is called when this VM knows everything that the store held at a time, up
 	// to a cursor in its sequence of changes.
 	onCurrent func(at time.Time, cursor object.Cursor)
@@ -115,7 +115,7 @@
 		w.onFailure(ctx, "list", err)
 		return 0, false
 	}
-	w.onSuccess()
+	w.onSuccess(asked)
 	w.onList(all, cursor)
 	w.noteCurrent(store, asked, cursor)
 	return cursor, true
@@ -170,7 +170,7 @@
 			w.onFailure(ctx, "watch", err)
 			continue
 		}
-		w.onSuccess()
+		w.onSuccess(asked)
 		w.lostCursors = 0
 		at = next
 		answered := clock.Now()
@@ -266,12 +266,12 @@
 	w.pause(ctx, pause)
 }
 
-func (w *watcher) onSuccess() {
+func (w *watcher) onSuccess(asked time.Time) {
 	if w.failures > 0 {
 		w.log.Info("store regained", "kind", w.prefix, "failed", w.failures)
 	}
 	w.failures = 0
 	if w.onUp != nil {
-		w.onUp()
+		w.onUp(asked)
 	}
 }
--- a/internal/load/poison/alive.go
+++ b/internal/load/poison/alive.go
@@ -6,9 +6,9 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
-// aliveMargin is the least time between a crash and the times of an answer that withdraws
-// it. Reports age on their way to the leader, where crash and answer look younger than they
-// are.
+// aliveMargin is the least time from the opening of a connection to the sending of an attempt,
+// and from the end of the attempt to a request on that connection, whose answer withdraws
+// the crash. Reports age on their way to the leader, where all of these look younger.
 const aliveMargin = 2 * time.Second
 
 // Life is a time during which one process of a server is known to have run: from the
@@ -25,9 +25,10 @@
 	return Life{From: now.Add(-r.Opened), Until: now.Add(-r.Alive)}
 }
 
-// includes reports whether a time lies within the life, by aliveMargin at both ends.
-func (l Life) includes(at time.Time) bool {
-	return at.Sub(l.From) >= aliveMargin && l.Until.Sub(at) >= aliveMargin
+// includes reports whether the attempt that ended with a crash was sent and ended within the
+// life, by aliveMargin at both ends. The process may have ended at any time in between.
+func (l Life) includes(crash Crash) bool {
+	return crash.SentAt.Sub(l.From) >= aliveMargin && l.Until.Sub(crash.At) >= aliveMargin
 }
 
 // proof is an answer that disproved a crash, to be reported to the leader.
@@ -48,15 +49,15 @@
 // disprovedBy reports whether a process of a server outlived the crash, so that it was
 // none: at any time a server has one process.
 func (crash Crash) disprovedBy(l Life, s ident.Server) bool {
-	return crash.Process.Server == s && !crash.Confirmed && l.includes(crash.At)
+	return crash.Process.Server == s && !crash.Confirmed && l.includes(crash)
 }
 
 // ServerAnswered records that a process of a server ran during a time, because it answered.
 // It withdraws the unconfirmed crashes of that server that were on record at the last
 // Reconcile and lie in that time, and reports whether there were any.
 func (t *Table) ServerAnswered(l Life, s ident.Server) bool {
-	at, accused := t.accused[s]
-	if !accused || !l.includes(at) {
+	crash, accused := t.accused[s]
+	if !accused || !l.includes(crash) {
 		return false
 	}
 	delete(t.accused, s)
@@ -84,14 +85,14 @@
 	}
 }
 
-// accuse lists the servers of a case's unconfirmed crashes for ServerAnswered, each with the
-// time of its first one.
+// accuse lists the servers of a case's unconfirmed crashes for ServerAnswered, each with its
+// first one.
 func (t *Table) accuse(c *Case) {
 	for _, crash := range c.Crashes {
 		s := crash.Process.Server
-		at, known := t.accused[s]
-		if !crash.Confirmed && (!known || crash.At.Before(at)) {
-			t.accused[s] = crash.At
+		first, known := t.accused[s]
+		if !crash.Confirmed && (!known || crash.At.Before(first.At)) {
+			t.accused[s] = crash
 		}
 	}
 }
--- a/internal/load/poison/process_test.go
+++ b/internal/load/poison/process_test.go
@@ -32,11 +32,16 @@
 	assert.Equal(t, tab.Crashes(crashing), 2)
 }
 
+// cutOff returns an attempt that a process cut off after it had announced that it leaves.
+func cutOff(at time.Time, p ident.Process) Attempt {
+	return Attempt{Fingerprint: crashing, Process: p, SentAt: at, At: at, Announced: true}
+}
+
 // Guards against a leader, or a store, that forgets which process crashed and whether it had announced that it leaves.
 func TestVerdictsNameTheProcess(t *testing.T) {
 	leader, vm := NewTable(), NewTable()
 	for i := range int64(CrashThreshold) {
-		leader.RecordCutOff(t0, crashing, ident.Process{Server: "s1", Incarnation: 1 + i})
+		leader.Record(cutOff(t0, ident.Process{Server: "s1", Incarnation: 1 + i}))
 	}
 	vm.ApplyVerdicts(t0, "L1", leader.ChangesSince(t0, 0))
 	saved := NewTable()
@@ -51,7 +56,7 @@
 func TestARequestThatServersCutOffAsTheyLeaveIsTriedSoon(t *testing.T) {
 	tab, now := NewTable(), t0
 	tab.BeginTerm(t0.Add(-maxTrialTime))
-	crash := func(i int64) { tab.RecordCutOff(now, crashing, ident.Process{Server: "s1", Incarnation: 1 + i}) }
+	crash := func(i int64) { tab.Record(cutOff(now, ident.Process{Server: "s1", Incarnation: 1 + i})) }
 	for i := range int64(CrashThreshold) {
 		assert.Equal(t, tab.QuarantineLeft(now, crashing), time.Duration(0))
 		crash(i)
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,19 +38,21 @@
 
 // The liveness states of a process.
 const (
-	Unknown Liveness = iota // for example while the store is unreachable
-	Alive                   // the same process is still listed
-	Gone                    // it is not listed, or another process has its server's name
+	Unknown  Liveness = iota // for example while the store is unreachable
+	Alive                    // the same process is still listed
+	Unlisted                 // it has ended, or the store cannot be reached by it
+	Gone                     // a later process of the server is listed
 )
 
 // Crash is an attempt that got no answer from a process of a server, and after which the
 // process was not seen to go on.
 type Crash struct {
 	Process    ident.Process
-	At         time.Time
-	Confirmed  bool   // the process has ended
-	Announced  bool   // it had announced that it leaves, so it may have ended for that reason
-	reportedTo string // process of the leader that has received it
+	SentAt     time.Time // when the attempt was sent, at the latest; zero if not known
+	At         time.Time // when it ended
+	Confirmed  bool      // the process has ended
+	Announced  bool      // it had announced that it leaves, so it may have ended for that reason
+	reportedTo string    // process of the leader that has received it
 }
 
 // Case is a request under suspicion.
@@ -127,7 +130,7 @@
 	pathCounts map[pathDigest]int // number of cases for each path
 	seq        uint64             // number of the last shared change
 	leader     string             // process of the last leader that received reports
-	accused    map[ident.Server]time.Time
+	accused    map[ident.Server]Crash
 	proofs     map[ident.Server]proof // not yet reported to a leader
 	client     trialClient
 	granter    trialGranter
@@ -137,7 +140,7 @@
 func NewTable() *Table {
 	return &Table{
 		cases: map[Fingerprint]*Case{}, callers: callers{}, pathCounts: map[pathDigest]int{},
-		accused: map[ident.Server]time.Time{}, proofs: map[ident.Server]proof{},
+		accused: map[ident.Server]Crash{}, proofs: map[ident.Server]proof{},
 	}
 }
 
@@ -249,20 +252,47 @@
 	return all
 }
 
-// RecordCrash records that an attempt of a request of this VM ended at now without an answer
-// of the process. It returns the number of processes under which that has happened by now.
+// Record records that an attempt of this VM ended without an answer, and that its process
+// was not seen to go on. It returns the number of processes that did so to the request.
+func (t *Table) Record(a Attempt) int {
+	t.addCrash(a.Fingerprint, Crash{Process: a.Process, SentAt: a.SentAt, At: a.At, Announced: a.Announced})
+	if c := t.cases[a.Fingerprint.AnyCaller()]; c != nil && !a.OthersAnsweredAt.IsZero() {
+		t.clearCase(a.OthersAnsweredAt, c)
+	}
+	return t.Crashes(a.Fingerprint)
+}
+
+// RecordCrash is Record for an attempt that was sent and ended at once.
 func (t *Table) RecordCrash(now time.Time, fp Fingerprint, p ident.Process) int {
-	return t.recordCrash(fp, Crash{Process: p, At: now})
+	return t.Record(Attempt{Fingerprint: fp, Process: p, SentAt: now, At: now})
 }
 
-// RecordCutOff is RecordCrash for a process that had announced that it leaves.
-func (t *Table) RecordCutOff(now time.Time, fp Fingerprint, p ident.Process) int {
-	return t.recordCrash(fp, Crash{Process: p, At: now, Announced: true})
+// Processes lists the processes of all crashes.
+func (t *Table) Processes() []ident.Process {
+	found := map[ident.Process]bool{}
+	for _, c := range t.cases {
+		for _, crash := range c.Crashes {
+			found[crash.Process] = true
+		}
+	}
+	return slices.Collect(maps.Keys(found))
 }
 
-func (t *Table) recordCrash(fp Fingerprint, crash Crash) int {
-	t.addCrash(fp, crash)
-	return t.Crashes(fp)
+// NoteAnnounced records which of the processes that crashed have announced that they leave.
+// The announcement may become known after the crash.
+func (t *Table) NoteAnnounced(announced func(ident.Process) bool) {
+	for _, c := range t.cases {
+		changed := false
+		for i := range c.Crashes {
+			crash := &c.Crashes[i]
+			if !crash.Announced && announced(crash.Process) {
+				crash.Announced, changed = true, true
+			}
+		}
+		if changed {
+			t.markChanged(c)
+		}
+	}
 }
 
 func (t *Table) addCrash(fp Fingerprint, crash Crash) {
@@ -387,9 +417,9 @@
 	if crash.Process.Incarnation == 0 {
 		crash.Process = other.Process
 	}
-	crash.Announced = crash.Announced && other.Announced
+	crash.Announced = crash.Announced || other.Announced
 	if !crash.Confirmed && other.At.After(crash.At) {
-		crash.At = other.At
+		crash.SentAt, crash.At = other.SentAt, other.At
 		crash.reportedTo = other.reportedTo
 	}
 	crash.Confirmed = crash.Confirmed || other.Confirmed
--- a/internal/load/poison/unanswered.go
+++ b/internal/load/poison/unanswered.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -22,8 +23,12 @@
 	Fingerprint Fingerprint
 	ID          ident.Request
 	Process     ident.Process
+	SentAt      time.Time // at the latest
 	At          time.Time // when it ended
-	Announced   bool      // the process has ended after it announced that it leaves, see Settle
+	Announced   bool      // the process announced that it leaves
+	// OthersAnsweredAt is when the same request of another caller was last answered after At;
+	// zero if it was not.
+	OthersAnsweredAt time.Time
 }
 
 // Ending is what is known about the end of a process.
@@ -45,14 +50,28 @@
 // The zero value is empty; it is not safe for concurrent use.
 type Unanswered struct {
 	processes map[ident.Process]*attemptRing
-	prints    map[Fingerprint]int // number of attempts of each request
-	paths     map[pathDigest]int  // the same for each path
+	prints    map[Fingerprint]int               // number of attempts of each caller's request
+	requests  map[Fingerprint]unansweredRequest // of any caller
+	paths     map[pathDigest]int                // number of attempts for each path
+}
+
+// unansweredRequest is a request of any caller with attempts that got no answer.
+type unansweredRequest struct {
+	attempts   int
+	answeredAt time.Time // when another attempt of it was last answered; zero if none was
 }
 
 // count adds n to the number of attempts of a request.
 func (u *Unanswered) count(fp Fingerprint, n int) {
 	if u.prints == nil {
 		u.prints, u.paths = map[Fingerprint]int{}, map[pathDigest]int{}
+		u.requests = map[Fingerprint]unansweredRequest{}
+	}
+	r := u.requests[fp.AnyCaller()]
+	r.attempts += n
+	u.requests[fp.AnyCaller()] = r
+	if r.attempts == 0 {
+		delete(u.requests, fp.AnyCaller())
 	}
 	if u.prints[fp] += n; u.prints[fp] == 0 {
 		delete(u.prints, fp)
@@ -68,14 +87,12 @@
 // HasPath reports whether there are attempts of requests for the path of this head.
 func (u *Unanswered) HasPath(h Head) bool { return u.paths[h.path] > 0 }
 
-// remove removes the attempts at a process and returns them.
-func (u *Unanswered) remove(p ident.Process) *attemptRing {
-	r := u.processes[p]
-	delete(u.processes, p)
-	for _, a := range r.all {
+// remove removes the attempts at a process.
+func (u *Unanswered) remove(p ident.Process) {
+	for _, a := range u.processes[p].all {
 		u.count(a.Fingerprint, -1)
 	}
-	return r
+	delete(u.processes, p)
 }
 
 // attemptRing holds the latest attempts at one process.
@@ -162,13 +179,21 @@
 	return all
 }
 
-// Clear removes the attempts of a request that was answered.
-func (u *Unanswered) Clear(fp Fingerprint) {
+// Clear removes the attempts of a request that was answered, and notes the answer for those
+// of other callers.
+func (u *Unanswered) Clear(now time.Time, fp Fingerprint) {
+	if r, ok := u.requests[fp.AnyCaller()]; ok {
+		r.answeredAt = now
+		u.requests[fp.AnyCaller()] = r
+	}
 	if u.prints[fp] == 0 {
 		return
 	}
 	u.count(fp, -u.prints[fp])
 	for p, r := range u.processes {
+		if !slices.ContainsFunc(r.all, func(a Attempt) bool { return a.Fingerprint == fp }) {
+			continue
+		}
 		kept := &attemptRing{latest: r.latest}
 		for i := range r.all {
 			if a := r.all[(r.oldest+i)%len(r.all)]; a.Fingerprint != fp {
@@ -189,10 +214,14 @@
 			}
 			continue
 		}
-		for _, a := range u.remove(p).since(now.Add(-unansweredTime)) {
+		for _, a := range r.since(now.Add(-unansweredTime)) {
 			a.Announced = endings[p] == Left
+			if at := u.requests[a.Fingerprint.AnyCaller()].answeredAt; at.After(a.At) {
+				a.OthersAnsweredAt = at
+			}
 			crashed = append(crashed, a)
 		}
+		u.remove(p)
 	}
 	return crashed
 }
--- a/internal/load/poison/unanswered_test.go
+++ b/internal/load/poison/unanswered_test.go
@@ -68,7 +68,7 @@
 		u.Add(attemptAt("s1", t0.Add(time.Duration(i))))
 		u.Add(Attempt{Fingerprint: other, Process: first("s1"), At: t0.Add(time.Duration(i))})
 	}
-	u.Clear(crashing)
+	u.Clear(t0, crashing)
 	last := t0.Add(time.Second)
 	u.Add(Attempt{Fingerprint: other, Process: first("s1"), At: last})
 	got := u.Settle(last, map[ident.Process]Ending{first("s1"): Ended})
@@ -115,7 +115,7 @@
 			p := first(ident.Server(strconv.Itoa(rapid.IntRange(0, 2).Draw(r, "server"))))
 			switch rapid.IntRange(0, 20).Draw(r, "what") {
 			case 0:
-				u.Clear(fp)
+				u.Clear(now, fp)
 			case 1:
 				u.Settle(now, map[ident.Process]Ending{p: Ended})
 			default:
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -22,6 +22,7 @@
 type VerdictCrash struct {
 	Server      ident.Server  `json:"server"`
 	Incarnation int64         `json:"born,omitempty"` // zero from a VM of an earlier version
+	Sent        time.Duration `json:"sent,omitempty"` // age of the attempt; zero if not known
 	Age         time.Duration `json:"ago"`
 	Confirmed   bool          `json:"sure,omitempty"`
 	Announced   bool          `json:"left,omitempty"`
@@ -41,11 +42,29 @@
 	Server      ident.Server  `json:"server,omitempty"`
 	Incarnation int64         `json:"born,omitempty"` // zero from a VM of an earlier version
 	Announced   bool          `json:"left,omitempty"`
+	Sent        time.Duration `json:"sent,omitempty"` // age of the attempt; zero if not known
 	Age         time.Duration `json:"ago"`
 	Alive       time.Duration `json:"alive,omitempty"`
 	Opened      time.Duration `json:"opened,omitempty"`
 	sentAt      time.Time     // when that request was sent, by the clock of the reporting VM
 	cleared     time.Time     // when the request was answered, by that clock
+	crashAt     time.Time     // when the attempt ended, by that clock
+}
+
+// timeOf returns the time of an age; the zero time if the age is zero, which stands for none.
+func timeOf(now time.Time, age time.Duration) time.Time {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
+// ageOf is the inverse of timeOf.
+func ageOf(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return max(now.Sub(at), 1)
 }
 
 func (r Report) process() ident.Process {
@@ -81,7 +100,7 @@
 func (crash Crash) report(now time.Time, fp Fingerprint) Report {
 	return Report{
 		Fingerprint: fp, Server: crash.Process.Server, Incarnation: crash.Process.Incarnation,
-		Announced: crash.Announced, Age: now.Sub(crash.At),
+		Announced: crash.Announced, Sent: ageOf(now, crash.SentAt), Age: now.Sub(crash.At), crashAt: crash.At,
 	}
 }
 
@@ -101,16 +120,17 @@
 			c.clearReportedTo = leader
 		}
 		for i := range c.Crashes {
-			if c.Crashes[i].Process.Is(r.process()) {
+			if c.Crashes[i].Process.Is(r.process()) && c.Crashes[i].At.Equal(r.crashAt) {
 				c.Crashes[i].reportedTo = leader
 			}
 		}
 	}
 }
 
-// AddReports adds the reports of another VM to the leader's table.
+// AddReports adds the reports of another VM to the leader's table, the oldest first: an answer
+// clears only the crashes on record.
 func (t *Table) AddReports(now time.Time, all []Report) {
-	for _, r := range all {
+	for _, r := range slices.Backward(all) {
 		if r.Alive > 0 {
 			t.addProof(r.life(now), r.Server)
 			continue
@@ -119,7 +139,7 @@
 			t.Clear(now.Add(-r.Age), r.Fingerprint)
 			continue
 		}
-		t.addCrash(r.Fingerprint, Crash{Process: r.process(), At: now.Add(-r.Age), Announced: r.Announced})
+		t.addCrash(r.Fingerprint, Crash{Process: r.process(), SentAt: timeOf(now, r.Sent), At: now.Add(-r.Age), Announced: r.Announced})
 	}
 }
 
@@ -137,16 +157,14 @@
 // verdict returns the case in its shared form.
 func (c *Case) verdict(now time.Time) Verdict {
 	v := Verdict{Fingerprint: c.Fingerprint}
-	if !c.cleared.IsZero() {
-		v.ClearedAge = max(now.Sub(c.cleared), 1)
-	}
+	v.ClearedAge = ageOf(now, c.cleared)
 	if !c.triedAt.IsZero() {
-		v.Trials, v.TriedAge = c.unresolvedTrials(), max(now.Sub(c.triedAt), 1)
+		v.Trials, v.TriedAge = c.unresolvedTrials(), ageOf(now, c.triedAt)
 	}
 	for _, crash := range c.Crashes {
 		v.Crashes = append(v.Crashes, VerdictCrash{
 			Server: crash.Process.Server, Incarnation: crash.Process.Incarnation,
-			Age: now.Sub(crash.At), Confirmed: crash.Confirmed, Announced: crash.Announced,
+			Sent: ageOf(now, crash.SentAt), Age: now.Sub(crash.At), Confirmed: crash.Confirmed, Announced: crash.Announced,
 		})
 	}
 	return v
@@ -194,7 +212,7 @@
 	}
 	for _, reported := range v.Crashes {
 		c.add(Crash{
-			Process: reported.process(), At: now.Add(-reported.Age), Confirmed: reported.Confirmed,
+			Process: reported.process(), SentAt: timeOf(now, reported.Sent), At: now.Add(-reported.Age), Confirmed: reported.Confirmed,
 			Announced: reported.Announced, reportedTo: leader,
 		})
 	}
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -46,6 +46,7 @@
 	removedRevs  map[ident.Server]uint64 // revisions at which servers were removed
 	storeDown    bool                    // the store is unreachable
 	lastAnswer   time.Time               // when the store last answered
+	firstAnswer  time.Time               // when the store first answered
 	storeUpSince time.Time               // when the store first answered after the last outage
 }
 
@@ -63,6 +64,9 @@
 	if s.storeDown && now.Sub(s.lastAnswer) >= OutageGrace {
 		s.storeUpSince = now
 	}
+	if s.firstAnswer.IsZero() {
+		s.firstAnswer = now
+	}
 	s.storeDown, s.lastAnswer = false, now
 }
 
@@ -97,10 +101,14 @@
 // a present or recent outage of the store.
 func (s *Set[T]) Uncertain(now time.Time) bool { return s.storeDown || s.storeJustReturned(now) }
 
-// Settled reports whether the last outage of the store that may have hidden the end of a
-// server ended at least the given time ago, or there was none.
+// Settled reports whether the store has been known to answer for at least the given time. At
+// first it may list servers that ended during an outage before.
 func (s *Set[T]) Settled(now time.Time, since time.Duration) bool {
-	return !s.storeDown && (s.storeUpSince.IsZero() || now.Sub(s.storeUpSince) >= since)
+	upSince := s.firstAnswer
+	if s.storeUpSince.After(upSince) {
+		upSince = s.storeUpSince
+	}
+	return !s.storeDown && !upSince.IsZero() && now.Sub(upSince) >= since
 }
 
 // Has returns the entry of a server, and whether there is one.
