host: a server that states no start is never known to be alive by its listing

A request was sent on to servers that come back under their ids where their entries state no start, or not always: all processes of a server are then the same one, and the listing of the next withdrew the crash of the last.

A silent end is noticed too where the next process states an earlier start, because the clock of its host was set back: any other process that is listed in place of the one to which an attempt was sent shows that it ended.

--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -24,7 +24,7 @@
 type Process struct {
 	Server Server
 	// Incarnation is the start of the process as the server states it; zero if it does not,
-	// because the name belongs to this process alone, or if it is not known.
+	// or if it is not known.
 	Incarnation int64
 }
 
--- a/internal/edge/host/liveness.go
+++ b/internal/edge/host/liveness.go
@@ -13,6 +13,7 @@
 type observation struct {
 	asOf      time.Time // the list is at least as new, on the boot clock
 	live      map[ident.Process]poison.Liveness
+	ended     map[ident.Process]bool // those that are not listed, or whose server is listed as another process
 	announced map[ident.Process]bool // those that announced that they leave
 }
 
@@ -26,12 +27,13 @@
 	return live
 }
 
-// endings returns how each of the processes has ended.
+// endings returns how each of the processes has ended. They must be of this VM's list, since
+// another VM may have a newer one, with processes that are not listed here yet.
 func (o *observation) endings() map[ident.Process]poison.Ending {
 	all := map[ident.Process]poison.Ending{}
-	for p, live := range o.live {
+	for p, ended := range o.ended {
 		switch {
-		case live != poison.Gone && live != poison.Unlisted:
+		case !ended:
 		case o.announced[p]:
 			all[p] = poison.Left
 		default:
@@ -46,34 +48,41 @@
 func (t *serverTracker) observe(processes []ident.Process) *observation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := &observation{asOf: t.askedAt, live: map[ident.Process]poison.Liveness{}, announced: map[ident.Process]bool{}}
+	o := &observation{asOf: t.askedAt, live: map[ident.Process]poison.Liveness{}, ended: map[ident.Process]bool{}, announced: map[ident.Process]bool{}}
 	now := time.Now()
 	for _, p := range processes {
-		o.live[p] = t.liveness(now, p)
 		o.announced[p] = t.left.has(p)
+		if !t.isUncertain(now, p.Server) {
+			o.live[p], o.ended[p] = t.liveness(now, p)
+		}
 	}
 	return o
 }
 
-// liveness returns what the list of servers shows about a process. Where servers do not
-// state when they started, each process has a name of its own. After an outage the store may
-// go on listing servers that ended during it. The caller holds mu.
-func (t *serverTracker) liveness(now time.Time, p ident.Process) poison.Liveness {
-	vouched := now.Sub(t.vouchedAt) < poll.PeerTimeout // the list is the leader's
-	if t.members.Uncertain(now) && !vouched || t.members.Missing(p.Server) {
-		return poison.Unknown
-	}
+// isUncertain reports whether the list shows nothing about a server because of an outage of
+// the store. While the leader says that the store answers it, the list here is the leader's.
+// The caller holds mu.
+func (t *serverTracker) isUncertain(now time.Time, s ident.Server) bool {
+	vouched := now.Sub(t.vouchedAt) < poll.PeerTimeout
+	return t.members.Uncertain(now) && !vouched || t.members.Missing(s)
+}
+
+// liveness returns what the list of servers shows about a process, and whether it has ended.
+// A server that does not state when it started is never known to be alive, since another
+// process may have its name. After an outage the store may go on listing servers that ended
+// during it. The caller holds mu.
+func (t *serverTracker) liveness(now time.Time, p ident.Process) (live poison.Liveness, ended bool) {
 	e, listed := t.members.Has(p.Server)
 	current := e.Value.Process()
 	switch {
 	case !listed:
-		return poison.Unlisted
+		return poison.Unlisted, true
 	case current.Replaces(p):
-		return poison.Gone
-	case current == p && t.members.Settled(now, poison.LivenessGrace):
-		return poison.Alive
+		return poison.Gone, true
+	case current == p && p.Incarnation != 0 && t.members.Settled(now, poison.LivenessGrace):
+		return poison.Alive, false
 	}
-	return poison.Unknown
+	return poison.Unknown, !current.Is(p)
 }
 
 // announced reports whether a process announced that it leaves, also if it is not listed
