poison, host: crashes that are stored, reported in parts or noticed late keep their facts

A second reader's findings in the redesign, each with a test that failed unless it says so:

- Where more than 64 reports wait, as after the end of one server under load, the answer that clears a popular request came before the crashes that it clears, and cleared nothing (TestAnAnswerDoesNotOvertakeTheCrashesThatItClears).
- Each proof of a server that answers shared all cases with any crash of it again, also those of a process of before; with a VM of the version before at each poll (TestAProofOfALaterCrashIsNoNewsOfAnEarlierOne).
- The list counted as that of an answer of the store that was not applied yet (by reading: a race of microseconds).
- The first crash of a server, if no connection outlived it, hid later ones from proofs; an announcement that was noted later was neither told to the others nor stored (by reading).
- A departure was forgotten when the entry lost its start (by an enumeration of histories: 59 s refused).
- A rack of five servers and more that is lost at one instant under a popular request refused it to all for ten minutes, three and four did not (TestARequestOfManyServersThatAreLostTogetherIsTriedSoon).
Three events still give the full quarantine, so a request that crashes several servers at a time reaches two more, one by one (TestARequestThatCrashesServersAtOnceIsStopped, unchanged).

TestAServerThatAnswersIsNotAccused reconciles once more: a server's crashes are looked through for one answer in each interval.

--- a/internal/edge/host/alive_test.go
+++ b/internal/edge/host/alive_test.go
@@ -32,6 +32,7 @@
 	assert.Equal(t, q.table.Crashes(p), 1, "the answer may be older than the crash")
 	q.ServerAnswered(poison.Life{From: now, Until: after}, "s1")
 	assert.Equal(t, q.table.Crashes(p), 1, "the answer may be that of the next process")
+	q.reconcile(false)
 	q.ServerAnswered(poison.Life{From: before, Until: after}, "s2")
 	assert.Equal(t, q.table.Crashes(p), 1)
 	q.ServerAnswered(poison.Life{From: before, Until: after}, "s1")
--- a/internal/edge/host/evidence_test.go
+++ b/internal/edge/host/evidence_test.go
@@ -57,7 +57,7 @@
 // Guards against a deadlock on the leader: a poll is answered under the hub's lock and reads the cases, a reconciliation reads the list of servers under the lock of the cases, and a new list is passed to the hub under the lock of the list.
 func TestPollsAndListsDoNotBlockAReconciliation(t *testing.T) {
 	tr := newOrderTracker()
-	tr.storeUp(clock.Now())
+	tr.noteListed(clock.Now())
 	hub := tr.hub
 	hub.SetLease(elect.Lease{Holder: "vm-1", Incarnation: "1", Epoch: 1}, true)
 	q := &quarantine{
--- a/internal/edge/host/liveness.go
+++ b/internal/edge/host/liveness.go
@@ -48,7 +48,7 @@
 func (t *serverTracker) observe(processes []ident.Process) *observation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := &observation{asOf: t.askedAt, live: map[ident.Process]poison.Liveness{}, ended: map[ident.Process]bool{}, announced: map[ident.Process]bool{}}
+	o := &observation{asOf: t.asOf, live: map[ident.Process]poison.Liveness{}, ended: map[ident.Process]bool{}, announced: map[ident.Process]bool{}}
 	now := time.Now()
 	for _, p := range processes {
 		o.announced[p] = t.left.has(p)
@@ -121,6 +121,10 @@
 }
 
 func (d *departures) has(p ident.Process) bool {
-	_, ok := d.lastListed[p]
-	return ok
+	for leaving := range d.lastListed {
+		if leaving.Is(p) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/edge/host/liveness_test.go
+++ b/internal/edge/host/liveness_test.go
@@ -22,7 +22,8 @@
 // newProcessTracker returns a tracker that lists the process 100 of server s1.
 func newProcessTracker() (*serverTracker, ident.Process) {
 	tr := newOrderTracker()
-	tr.storeUp(clock.Now())
+	tr.storeUp()
+	tr.noteListed(clock.Now())
 	tr.replaceAll([]object.Object{entryOf("s1", 1, bornAt(100))}, 1)
 	return tr, ident.Process{Server: "s1", Incarnation: 100}
 }
@@ -69,7 +70,7 @@
 		tab.Reconcile(clock.Now(), tr.observe(tab.Processes()).since)
 		assert.Equal(t, tab.Crashes(fp), 1)
 		tr.applyChanges([]object.Change{{Object: entryOf("s1", 3, bornAt(100))}}, 3)
-		tr.storeUp(clock.Now())
+		tr.noteListed(clock.Now())
 		tab.Reconcile(clock.Now(), tr.observe(tab.Processes()).since)
 		assert.Equal(t, tab.Crashes(fp), 0)
 	})
@@ -82,7 +83,7 @@
 		tr.storeDown()
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, tr.livenessOf(p), poison.Unknown)
-		tr.storeUp(clock.Now())
+		tr.storeUp()
 		time.Sleep(poison.LivenessGrace - time.Nanosecond)
 		assert.Equal(t, tr.livenessOf(p), poison.Unknown)
 		time.Sleep(time.Nanosecond)
@@ -94,11 +95,11 @@
 func TestAListOfBeforeTheCrashShowsNoLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr, p := newProcessTracker()
-		old := poison.Crash{Process: p, At: tr.askedAt.Add(-poison.LivenessGrace)}
+		old := poison.Crash{Process: p, At: tr.asOf.Add(-poison.LivenessGrace)}
 		assert.Equal(t, tr.observe([]ident.Process{p}).since(old), poison.Unknown, "the first list may be of just after an outage")
 		time.Sleep(poison.LivenessGrace)
 		assert.Equal(t, tr.observe([]ident.Process{p}).since(old), poison.Alive)
-		assert.Equal(t, tr.observe([]ident.Process{p}).since(poison.Crash{Process: p, At: tr.askedAt}), poison.Unknown)
+		assert.Equal(t, tr.observe([]ident.Process{p}).since(poison.Crash{Process: p, At: tr.asOf}), poison.Unknown)
 	})
 }
 
--- a/internal/edge/host/quarantine_object.go
+++ b/internal/edge/host/quarantine_object.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
-	"strconv"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
@@ -37,7 +37,7 @@
 	for _, v := range all {
 		text += v.Fingerprint.String()
 		for _, c := range v.Crashes {
-			text += " " + string(c.Server) + "@" + strconv.FormatInt(c.Incarnation, 10)
+			text += fmt.Sprintf(" %s@%d %t", c.Server, c.Incarnation, c.Announced)
 		}
 		text += "\n"
 	}
@@ -73,6 +73,9 @@
 		}
 		for j := range v.Crashes {
 			v.Crashes[j].Age += age
+			if v.Crashes[j].Sent > 0 {
+				v.Crashes[j].Sent += age
+			}
 		}
 	}
 	return stored.Cases, true
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -40,7 +40,7 @@
 	drain        time.Duration                // how long after its announcement a leaving server may get requests
 	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
 	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
-	askedAt      time.Time                    // when the last call was made that the store answered, on the boot clock
+	asOf         time.Time                    // the list is at least as new, on the boot clock
 	vouchedAt    time.Time                    // when the leader last said that the store answers it
 	left         departures                   // processes that announced that they leave
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
@@ -52,7 +52,7 @@
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
-		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp,
+		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 	}
 	runWhileStarted(lc, &t.group, w.run, t.expireLoop)
 	return t
@@ -64,14 +64,20 @@
 	t.members.StoreDown()
 }
 
-// storeUp records that the store answered a call that was made at a time of the boot clock.
-func (t *serverTracker) storeUp(asked time.Time) {
+// storeUp records that the store answered.
+func (t *serverTracker) storeUp() {
 	now := time.Now()
 	t.hub.SetStoreContact(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreUp(now)
-	t.askedAt = asked
+}
+
+// noteListed records that the list is the store's of a time of the boot clock, or newer.
+func (t *serverTracker) noteListed(asOf time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asOf = asOf
 }
 
 // noteStoreSeenByLeader records for how long the store has answered the leader without
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -28,7 +28,10 @@
 	onList           func([]object.Object, object.Cursor)
 	onChange         func([]object.Change, object.Cursor)
 	onDown           func()
-	onUp             func(asked time.Time) // the store answered a call, with or without changes
+	onUp             func() // the store answered, with or without changes
+	// onApplied is called when the answer to a call of this time, on the boot clock, has been
+	// passed to onList or onChange.
+	onApplied func(asked time.Time)
 	// onCurrent is called when this VM knows everything that the store held at a time, up
 	// to a cursor in its sequence of changes.
 	onCurrent func(at time.Time, cursor object.Cursor)
@@ -115,8 +118,9 @@
 		w.onFailure(ctx, "list", err)
 		return 0, false
 	}
-	w.onSuccess(asked)
+	w.onSuccess()
 	w.onList(all, cursor)
+	w.noteApplied(asked)
 	w.noteCurrent(store, asked, cursor)
 	return cursor, true
 }
@@ -170,13 +174,14 @@
 			w.onFailure(ctx, "watch", err)
 			continue
 		}
-		w.onSuccess(asked)
+		w.onSuccess()
 		w.lostCursors = 0
 		at = next
 		answered := clock.Now()
 		if len(all) > 0 {
 			w.onChange(all, at)
 		}
+		w.noteApplied(asked)
 		// An answer that waited here while this VM was suspended is older than it seems.
 		if suspended := answered.Sub(asked) - time.Since(began); suspended < maxAnswerAge {
 			w.noteCurrent(store, answered.Add(-maxAnswerAge), at)
@@ -241,6 +246,12 @@
 // maxAnswerAge is how old the answer of a watch may be when it arrives from a slow store.
 const maxAnswerAge = 300 * time.Millisecond
 
+func (w *watcher) noteApplied(asked time.Time) {
+	if w.onApplied != nil {
+		w.onApplied(asked)
+	}
+}
+
 // noteCurrent reports that this VM knows everything that the store held at a time.
 func (w *watcher) noteCurrent(store object.Store, at time.Time, cursor object.Cursor) {
 	if w.onCurrent != nil && store == w.fresh {
@@ -266,12 +277,12 @@
 	w.pause(ctx, pause)
 }
 
-func (w *watcher) onSuccess(asked time.Time) {
+func (w *watcher) onSuccess() {
 	if w.failures > 0 {
 		w.log.Info("store regained", "kind", w.prefix, "failed", w.failures)
 	}
 	w.failures = 0
 	if w.onUp != nil {
-		w.onUp(asked)
+		w.onUp()
 	}
 }
--- a/internal/load/poison/alive.go
+++ b/internal/load/poison/alive.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -56,8 +57,8 @@
 // It withdraws the unconfirmed crashes of that server that were on record at the last
 // Reconcile and lie in that time, and reports whether there were any.
 func (t *Table) ServerAnswered(l Life, s ident.Server) bool {
-	crash, accused := t.accused[s]
-	if !accused || !l.includes(crash) {
+	first, accused := t.accused[s]
+	if !accused || l.Until.Sub(first.At) < aliveMargin {
 		return false
 	}
 	delete(t.accused, s)
@@ -74,17 +75,26 @@
 	return found
 }
 
-// addProof applies the proof of another VM. A case that keeps its crash in spite of it is
-// shared again, because that VM has withdrawn the crash.
-func (t *Table) addProof(l Life, s ident.Server) {
+// addProof applies the proof with which another VM withdrew a crash at crashAt. A case that
+// keeps the crash in spite of it is shared again. VMs of an earlier version withdraw crashes
+// by answers that prove nothing here, and would do so again.
+func (t *Table) addProof(l Life, crashAt time.Time, s ident.Server) {
+	if l == (Life{}) {
+		return
+	}
 	for _, c := range t.cases {
 		dropped := t.drop(l.Until, c, func(crash Crash) bool { return crash.disprovedBy(l, s) })
-		if !dropped && c.hasServer(s) {
+		if !dropped && c.crashedSince(crashAt.Add(-aliveMargin), s) {
 			t.markChanged(c)
 		}
 	}
 }
 
+// crashedSince reports whether a process of a server crashed under the request after a time.
+func (c *Case) crashedSince(at time.Time, s ident.Server) bool {
+	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Process.Server == s && crash.At.After(at) })
+}
+
 // accuse lists the servers of a case's unconfirmed crashes for ServerAnswered, each with its
 // first one.
 func (t *Table) accuse(c *Case) {
--- a/internal/load/poison/callers.go
+++ b/internal/load/poison/callers.go
@@ -67,7 +67,7 @@
 // tell a crashing request from a popular one whose servers were lost together.
 func (c *Case) mayBeLostTogether() bool {
 	anyCaller := c.Fingerprint == c.Fingerprint.AnyCaller() && !c.merged
-	return anyCaller && len(c.Crashes) < maxTieCrashes && len(withoutSimultaneous(c.Crashes)) < CrashThreshold
+	return anyCaller && len(withoutSimultaneous(c.Crashes)) < CrashThreshold
 }
 
 // mayBeCutOff reports whether too few processes ended without an announcement to tell a
--- a/internal/load/poison/evidence_test.go
+++ b/internal/load/poison/evidence_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -80,3 +81,45 @@
 	leader.ServerAnswered(lifeUntil(later), "s1")
 	assert.Equal(t, leader.Crashes(crashing), 1)
 }
+
+// Guards against a popular request that is refused to all for ten minutes because a rack with many of its servers is lost.
+func TestARequestOfManyServersThatAreLostTogetherIsTriedSoon(t *testing.T) {
+	tab := NewTable()
+	for i := range 2 * maxTieCrashes {
+		fp := HeadOf("GET", "a.example", "/look/1").Fingerprint(strconv.Itoa(i), BodyOf(nil))
+		tab.RecordCrash(t0.Add(time.Duration(i)*time.Millisecond), fp, first(ident.Server(strconv.Itoa(i))))
+	}
+	assert.Assert(t, tab.QuarantineLeft(t0.Add(time.Second), crashing) <= tieWait)
+}
+
+// Guards against a leader that is told of an answer, in a full report, before the crashes that it clears.
+func TestAnAnswerDoesNotOvertakeTheCrashesThatItClears(t *testing.T) {
+	vm, leader := NewTable(), NewTable()
+	for i := range maxReports {
+		fp := HeadOf("GET", "a.example", strconv.Itoa(i)).Fingerprint("c", BodyOf(nil))
+		vm.Record(Attempt{Fingerprint: fp, Process: first("s1"), SentAt: t0, At: t0, OthersAnsweredAt: t0.Add(time.Second)})
+	}
+	now := t0.Add(2 * time.Second)
+	for range 5 {
+		reports := vm.Reports(now, "L1")
+		leader.AddReports(now, throughJSON(t, reports))
+		vm.MarkReported("L1", reports)
+	}
+	for i := range maxReports {
+		fp := HeadOf("GET", "a.example", strconv.Itoa(i)).Fingerprint("c", BodyOf(nil))
+		assert.Equal(t, len(leader.cases[fp.AnyCaller()].Crashes), 0, "%d", i)
+	}
+}
+
+// Guards against sharing all cases of a server again and again, for each proof that withdrew another crash of it.
+func TestAProofOfALaterCrashIsNoNewsOfAnEarlierOne(t *testing.T) {
+	_, leader := newFollowed(t)
+	leader.Reconcile(t0, livenessFrom(map[ident.Server]Liveness{"s1": Gone}))
+	seq, now := leader.Seq(), t0.Add(time.Minute)
+	proof := Report{Fingerprint: other, Server: "s1", Age: 10 * time.Second, Alive: time.Second, Opened: 20 * time.Second}
+	leader.AddReports(now, throughJSON(t, []Report{proof}))
+	proof.Opened = 0
+	leader.AddReports(now, throughJSON(t, []Report{proof}))
+	assert.Equal(t, leader.Seq(), seq)
+	assert.Equal(t, leader.Crashes(crashing), 3)
+}
--- a/internal/load/poison/table.go
+++ b/internal/load/poison/table.go
@@ -48,7 +48,7 @@
 // process was not seen to go on.
 type Crash struct {
 	Process    ident.Process
-	SentAt     time.Time // when the attempt was sent, at the latest; zero if not known
+	SentAt     time.Time // when the attempt was sent, or shortly before; zero if not known
 	At         time.Time // when it ended
 	Confirmed  bool      // the process has ended
 	Announced  bool      // it had announced that it leaves, so it may have ended for that reason
@@ -116,9 +116,6 @@
 	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Process.Is(p) })
 }
 
-// hasServer reports whether a process of a server crashed under the request.
-func (c *Case) hasServer(s ident.Server) bool { return c.has(ident.Process{Server: s}) }
-
 // Table holds the requests under suspicion. All times passed to it must come from the same
 // clock. Create it with NewTable; it is not safe for concurrent use.
 type Table struct {
@@ -392,17 +389,17 @@
 	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool { return !crash.At.After(c.cleared) })
 }
 
-// add adds a crash and reports whether it did. A crash is ignored if the request was cleared
-// after it. If its process is already on record, the later time counts: it may have been
-// alive after the first broken connection.
+// add adds a crash and reports whether other VMs must be told. A crash is ignored if the
+// request was cleared after it. If its process is already on record, the later time counts:
+// it may have been alive after the first broken connection.
 func (c *Case) add(crash Crash) bool {
 	if !crash.At.After(c.cleared) {
 		return false
 	}
 	if i := slices.IndexFunc(c.Crashes, func(o Crash) bool { return o.Process.Is(crash.Process) }); i >= 0 {
-		c.Crashes[i].repeat(crash)
+		news := c.Crashes[i].repeat(crash)
 		c.sort()
-		return false
+		return news
 	}
 	c.Crashes = append(c.Crashes, crash)
 	c.sort()
@@ -412,8 +409,10 @@
 	return true
 }
 
-// repeat merges another report of a crash of the same process into this one.
-func (crash *Crash) repeat(other Crash) {
+// repeat merges another report of a crash of the same process into this one. It reports
+// whether more than the time changed.
+func (crash *Crash) repeat(other Crash) (news bool) {
+	before := *crash
 	if crash.Process.Incarnation == 0 {
 		crash.Process = other.Process
 	}
@@ -423,6 +422,7 @@
 		crash.reportedTo = other.reportedTo
 	}
 	crash.Confirmed = crash.Confirmed || other.Confirmed
+	return crash.Process != before.Process || crash.Announced != before.Announced
 }
 
 func (c *Case) sort() {
--- a/internal/load/poison/unanswered.go
+++ b/internal/load/poison/unanswered.go
@@ -23,7 +23,7 @@
 	Fingerprint Fingerprint
 	ID          ident.Request
 	Process     ident.Process
-	SentAt      time.Time // at the latest
+	SentAt      time.Time // or shortly before
 	At          time.Time // when it ended
 	Announced   bool      // the process announced that it leaves
 	// OthersAnsweredAt is when the same request of another caller was last answered after At;
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -92,10 +92,16 @@
 	for s, p := range t.proofs {
 		all = append(all, p.report(now, s))
 	}
+	if len(all) > maxReports {
+		// An answer must not overtake the crashes that it clears.
+		all = slices.DeleteFunc(all, Report.isAnswer)
+	}
 	slices.SortFunc(all, func(a, b Report) int { return cmp.Compare(a.Age, b.Age) })
 	return all[:min(len(all), maxReports)]
 }
 
+func (r Report) isAnswer() bool { return r.Server == "" }
+
 // report returns the crash in the form for the leader.
 func (crash Crash) report(now time.Time, fp Fingerprint) Report {
 	return Report{
@@ -116,7 +122,7 @@
 		if c == nil {
 			continue
 		}
-		if r.Server == "" && c.cleared.Equal(r.cleared) {
+		if r.isAnswer() && c.cleared.Equal(r.cleared) {
 			c.clearReportedTo = leader
 		}
 		for i := range c.Crashes {
@@ -132,10 +138,10 @@
 func (t *Table) AddReports(now time.Time, all []Report) {
 	for _, r := range slices.Backward(all) {
 		if r.Alive > 0 {
-			t.addProof(r.life(now), r.Server)
+			t.addProof(r.life(now), now.Add(-r.Age), r.Server)
 			continue
 		}
-		if r.Server == "" {
+		if r.isAnswer() {
 			t.Clear(now.Add(-r.Age), r.Fingerprint)
 			continue
 		}
