poison: tests of what a proof and an answer restore at a leader and its VMs

Both fail: a proof names only one of the crashes that it withdrew, and answers wait until all other reports are sent. Benchmark of an answer that proves nothing.

--- a/internal/load/poison/bounds_test.go
+++ b/internal/load/poison/bounds_test.go
@@ -152,3 +152,56 @@
 		tab.NoteAnnounced(func(p ident.Process) bool { return announced[p] })
 	}
 }
+
+// Guards against a VM that goes on without a crash that the leader keeps, because the same
+// answer also withdrew a later one.
+func TestTheLeaderRestoresEachCrashThatAnAnswerWithdrewElsewhere(t *testing.T) {
+	for range 20 { // the order of cases is random
+		vm, leader := newFollowed(t)
+		at := t0.Add(time.Minute)
+		vm.RecordCrash(at, other, first("s1"))
+		vm.RecordCrash(at, other, first("s4"))
+		pollOnce(at, vm, leader, "L1")
+		leader.Reconcile(at, livenessFrom(map[ident.Server]Liveness{"s1": Gone}))
+		vm.Reconcile(at, isUnknown)
+		now := at.Add(10 * time.Second)
+		assert.Assert(t, vm.ServerAnswered(lifeUntil(now), "s1"))
+		seq, reports := leader.Seq(), vm.Reports(now, "L1")
+		leader.AddReports(now, throughJSON(t, reports))
+		vm.ApplyVerdicts(now, "L1", leader.ChangesSince(now, seq))
+		assert.Equal(t, leader.Crashes(crashing), 3)
+		assert.Equal(t, vm.Crashes(crashing), 3)
+	}
+}
+
+// BenchmarkServerAnswered measures an answer on a connection that is younger than all crashes
+// of its server.
+func BenchmarkServerAnswered(b *testing.B) {
+	tab := fullTable()
+	tab.Reconcile(t0, isUnknown)
+	s := ident.Server("i-2674273900")
+	first := tab.accused[s]
+	b.ReportAllocs()
+	for b.Loop() {
+		tab.accused[s] = first
+		if tab.ServerAnswered(Life{From: t0.Add(time.Minute), Until: t0.Add(2 * time.Minute)}, s) {
+			b.Fatal("withdrawn")
+		}
+	}
+}
+
+// Guards against refusing an answered request for as long as a VM has more to report to a new
+// leader than one poll holds.
+func TestAnAnswerReachesANewLeaderBeforeAllUnrelatedCrashes(t *testing.T) {
+	vm, leader := newFollowed(t)
+	vm.Clear(t0.Add(time.Second), crashing)
+	for i := range 10 * maxReports {
+		fp := HeadOf("GET", "budget.example", fmt.Sprintf("/%d", i)).Fingerprint("caller", BodyOf(nil))
+		vm.RecordCrash(t0.Add(2*time.Second), fp, first("s9"))
+	}
+	now := t0.Add(3 * time.Second)
+	for range 10 {
+		pollOnce(now, vm, leader, "L1")
+	}
+	assert.Equal(t, leader.Crashes(crashing), 0)
+}
