poison, host: facts reach the leader in order, and cost little on a busy VM

- A VM went on without a crash that the leader keeps, where one answer had withdrawn several there: its proof now names the earliest (TestTheLeaderRestoresEachCrashThatAnAnswerWithdrewElsewhere).
- Answers waited for all other reports where more than 64 wait, as after a change of leader; now half of a poll is theirs, but none overtakes a crash that it clears (TestAnAnswerReachesANewLeaderBeforeAllUnrelatedCrashes, TestAnAnswerIsNotReportedBeforeTheCrashesThatItClears).

--- a/internal/edge/front/guard.go
+++ b/internal/edge/front/guard.go
@@ -32,8 +32,8 @@
 	// ReportUnanswered records that an attempt was sent and ended now without an answer, while
 	// the connection stayed open. It is evidence only if the process has ended.
 	ReportUnanswered(poison.Attempt)
-	// Unanswered reports whether an attempt of a request for the path of this head ended
-	// without an answer. A nil head asks whether any did.
+	// Unanswered reports whether an attempt of a request with this head ended without an
+	// answer. A nil head asks whether any did.
 	Unanswered(h *poison.Head) bool
 	// Answered records that a server answered a request that is suspected or had an attempt
 	// without an answer, and not with an error of its own.
--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -69,7 +69,7 @@
 func (g *fakeGuard) Unanswered(h *poison.Head) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return h == nil && !g.unanswered.IsEmpty() || h != nil && g.unanswered.HasPath(*h)
+	return h == nil && !g.unanswered.IsEmpty() || h != nil && g.unanswered.Has(*h)
 }
 
 func (g *fakeGuard) Answered(p poison.Fingerprint) {
--- a/internal/edge/front/suspect.go
+++ b/internal/edge/front/suspect.go
@@ -27,8 +27,8 @@
 	return nil
 }
 
-// isKnown reports whether the Guard knows crashes or unanswered attempts for the path of the
-// request. They may be those of earlier requests with the same fingerprint, or may have come
+// isKnown reports whether the Guard knows crashes for the path of the request or unanswered
+// attempts with its head. They may be those of earlier requests with the same fingerprint, or may have come
 // to be known while this one ran.
 func (x *exchange) isKnown() bool {
 	if x.f.Guard == nil || !x.f.Guard.Suspects(nil) && !x.f.Guard.Unanswered(nil) {
--- a/internal/edge/host/liveness.go
+++ b/internal/edge/host/liveness.go
@@ -51,7 +51,9 @@
 	o := &observation{asOf: t.asOf, live: map[ident.Process]poison.Liveness{}, ended: map[ident.Process]bool{}, announced: map[ident.Process]bool{}}
 	now := time.Now()
 	for _, p := range processes {
-		o.announced[p] = t.left.has(p)
+		if t.left.has(p) {
+			o.announced[p] = true
+		}
 		if !t.isUncertain(now, p.Server) {
 			o.live[p], o.ended[p] = t.liveness(now, p)
 		}
@@ -120,9 +122,16 @@
 	}
 }
 
+// has reports whether a process may be one that announced that it leaves.
 func (d *departures) has(p ident.Process) bool {
-	for leaving := range d.lastListed {
-		if leaving.Is(p) {
+	_, exact := d.lastListed[p]
+	_, unstated := d.lastListed[ident.Process{Server: p.Server}]
+	return exact || unstated || p.Incarnation == 0 && d.hasServer(p.Server)
+}
+
+func (d *departures) hasServer(s ident.Server) bool {
+	for p := range d.lastListed {
+		if p.Server == s {
 			return true
 		}
 	}
--- a/internal/edge/host/quarantine.go
+++ b/internal/edge/host/quarantine.go
@@ -88,7 +88,9 @@
 		if leads {
 			q.table.Lead()
 		}
-		q.table.NoteAnnounced(func(p ident.Process) bool { return seen.announced[p] })
+		if len(seen.announced) > 0 {
+			q.table.NoteAnnounced(func(p ident.Process) bool { return seen.announced[p] })
+		}
 		q.table.Reconcile(now, seen.since)
 	})
 }
--- a/internal/edge/host/unanswered.go
+++ b/internal/edge/host/unanswered.go
@@ -32,13 +32,13 @@
 	u.attempts.Add(a)
 }
 
-func (u *unansweredAttempts) hasPath(h *poison.Head) bool {
+func (u *unansweredAttempts) has(h *poison.Head) bool {
 	if h == nil || !u.nonEmpty.Load() {
 		return u.nonEmpty.Load()
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.attempts.HasPath(*h)
+	return u.attempts.Has(*h)
 }
 
 func (u *unansweredAttempts) clear(p poison.Fingerprint) {
@@ -64,9 +64,9 @@
 	q.unanswered.add(a)
 }
 
-// Unanswered reports whether an attempt of a request for the path of this head ended without
-// an answer. With a nil head it reports whether any did.
-func (q *quarantine) Unanswered(h *poison.Head) bool { return q.unanswered.hasPath(h) }
+// Unanswered reports whether an attempt of a request with this head ended without an answer.
+// With a nil head it reports whether any did.
+func (q *quarantine) Unanswered(h *poison.Head) bool { return q.unanswered.has(h) }
 
 // accuseUnanswered records a crash for each attempt without an answer whose process has
 // ended.
--- a/internal/load/poison/alive.go
+++ b/internal/load/poison/alive.go
@@ -57,8 +57,8 @@
 // It withdraws the unconfirmed crashes of that server that were on record at the last
 // Reconcile and lie in that time, and reports whether there were any.
 func (t *Table) ServerAnswered(l Life, s ident.Server) bool {
-	first, accused := t.accused[s]
-	if !accused || l.Until.Sub(first.At) < aliveMargin {
+	bounds, accused := t.accused[s]
+	if !accused || !l.includes(bounds) {
 		return false
 	}
 	delete(t.accused, s)
@@ -68,13 +68,23 @@
 			if !crash.disprovedBy(l, s) {
 				return false
 			}
-			t.proofs[s], found = proof{fingerprint: fp, crashAt: crash.At, life: l}, true
+			t.noteProof(proof{fingerprint: fp, crashAt: crash.At, life: l}, s)
+			found = true
 			return true
 		})
 	}
 	return found
 }
 
+// noteProof keeps a proof for the leader, with the earliest crash that was withdrawn and not
+// reported.
+func (t *Table) noteProof(p proof, s ident.Server) {
+	if last, ok := t.proofs[s]; ok && last.crashAt.Before(p.crashAt) {
+		p.fingerprint, p.crashAt = last.fingerprint, last.crashAt
+	}
+	t.proofs[s] = p
+}
+
 // addProof applies the proof with which another VM withdrew a crash at crashAt. A case that
 // keeps the crash in spite of it is shared again. VMs of an earlier version withdraw crashes
 // by answers that prove nothing here, and would do so again.
@@ -95,15 +105,23 @@
 	return slices.ContainsFunc(c.Crashes, func(crash Crash) bool { return crash.Process.Server == s && crash.At.After(at) })
 }
 
-// accuse lists the servers of a case's unconfirmed crashes for ServerAnswered, each with its
-// first one.
+// accuse lists the servers of a case's unconfirmed crashes for ServerAnswered, each with the
+// last time of sending and the first end of an attempt: a life that does not include these
+// includes no crash.
 func (t *Table) accuse(c *Case) {
 	for _, crash := range c.Crashes {
 		s := crash.Process.Server
-		first, known := t.accused[s]
-		if !crash.Confirmed && (!known || crash.At.Before(first.At)) {
-			t.accused[s] = crash
+		if crash.Confirmed {
+			continue
+		}
+		bounds, known := t.accused[s]
+		if !known || crash.At.Before(bounds.At) {
+			bounds.At = crash.At
+		}
+		if crash.SentAt.After(bounds.SentAt) {
+			bounds.SentAt = crash.SentAt
 		}
+		t.accused[s] = bounds
 	}
 }
 
--- a/internal/load/poison/unanswered.go
+++ b/internal/load/poison/unanswered.go
@@ -52,7 +52,7 @@
 	processes map[ident.Process]*attemptRing
 	prints    map[Fingerprint]int               // number of attempts of each caller's request
 	requests  map[Fingerprint]unansweredRequest // of any caller
-	paths     map[pathDigest]int                // number of attempts for each path
+	heads     map[Head]int                      // number of attempts for each request line
 }
 
 // unansweredRequest is a request of any caller with attempts that got no answer.
@@ -64,7 +64,7 @@
 // count adds n to the number of attempts of a request.
 func (u *Unanswered) count(fp Fingerprint, n int) {
 	if u.prints == nil {
-		u.prints, u.paths = map[Fingerprint]int{}, map[pathDigest]int{}
+		u.prints, u.heads = map[Fingerprint]int{}, map[Head]int{}
 		u.requests = map[Fingerprint]unansweredRequest{}
 	}
 	r := u.requests[fp.AnyCaller()]
@@ -76,16 +76,16 @@
 	if u.prints[fp] += n; u.prints[fp] == 0 {
 		delete(u.prints, fp)
 	}
-	if u.paths[fp.path()] += n; u.paths[fp.path()] == 0 {
-		delete(u.paths, fp.path())
+	if u.heads[fp.Head()] += n; u.heads[fp.Head()] == 0 {
+		delete(u.heads, fp.Head())
 	}
 }
 
 // IsEmpty reports whether there are no attempts.
 func (u *Unanswered) IsEmpty() bool { return len(u.prints) == 0 }
 
-// HasPath reports whether there are attempts of requests for the path of this head.
-func (u *Unanswered) HasPath(h Head) bool { return u.paths[h.path] > 0 }
+// Has reports whether there are attempts of requests with this head.
+func (u *Unanswered) Has(h Head) bool { return u.heads[h] > 0 }
 
 // remove removes the attempts at a process.
 func (u *Unanswered) remove(p ident.Process) {
--- a/internal/load/poison/unanswered_test.go
+++ b/internal/load/poison/unanswered_test.go
@@ -101,8 +101,8 @@
 	assert.Equal(t, u.Len(), maxSilentServers*maxUnanswered)
 }
 
-// Guards against asking each answer for its fingerprint because a path counts as unanswered for ever.
-func TestAPathIsKnownWhileAnAttemptOfItIsKept(t *testing.T) {
+// Guards against asking each answer for its fingerprint because a head counts as unanswered for ever.
+func TestAHeadIsKnownWhileAnAttemptOfItIsKept(t *testing.T) {
 	seeds.Check(t, func(r *rapid.T) {
 		var u Unanswered
 		now := t0
@@ -129,7 +129,7 @@
 			}
 			for _, fp := range []Fingerprint{crashing, other} {
 				assert.Equal(r, u.prints[fp], kept[fp])
-				assert.Equal(r, u.HasPath(fp.Head()), kept[fp] > 0)
+				assert.Equal(r, u.Has(fp.Head()), kept[fp] > 0)
 			}
 			assert.Equal(r, u.IsEmpty(), len(kept) == 0)
 		}
--- a/internal/load/poison/verdicts.go
+++ b/internal/load/poison/verdicts.go
@@ -92,12 +92,33 @@
 	for s, p := range t.proofs {
 		all = append(all, p.report(now, s))
 	}
-	if len(all) > maxReports {
-		// An answer must not overtake the crashes that it clears.
-		all = slices.DeleteFunc(all, Report.isAnswer)
-	}
 	slices.SortFunc(all, func(a, b Report) int { return cmp.Compare(a.Age, b.Age) })
-	return all[:min(len(all), maxReports)]
+	return firstReports(all)
+}
+
+// firstReports returns the reports to send first. Up to half of them are answers, since each
+// may free a request, but none that would arrive before the crashes that it clears.
+func firstReports(all []Report) []Report {
+	var answers, batch []Report
+	for _, r := range all {
+		if r.isAnswer() {
+			answers = append(answers, r)
+		} else {
+			batch = append(batch, r)
+		}
+	}
+	n := min(len(batch), maxReports-min(len(answers), maxReports/2))
+	waiting := map[Fingerprint]bool{}
+	for _, r := range batch[n:] {
+		waiting[r.Fingerprint.Common()] = true
+	}
+	batch = batch[:n]
+	for _, r := range answers {
+		if len(batch) < maxReports && !waiting[r.Fingerprint.Common()] {
+			batch = append(batch, r)
+		}
+	}
+	return batch
 }
 
 func (r Report) isAnswer() bool { return r.Server == "" }
@@ -136,7 +157,8 @@
 // AddReports adds the reports of another VM to the leader's table, the oldest first: an answer
 // clears only the crashes on record.
 func (t *Table) AddReports(now time.Time, all []Report) {
-	for _, r := range slices.Backward(all) {
+	byTime := slices.SortedStableFunc(slices.Values(all), func(a, b Report) int { return cmp.Compare(b.Age, a.Age) })
+	for _, r := range byTime {
 		if r.Alive > 0 {
 			t.addProof(r.life(now), now.Add(-r.Age), r.Server)
 			continue
