host: where no server states its start, a listing shows that it is alive

There each process has an id of its own, so that a listing is proof. Only where some servers state their starts, one that does not may be any process of its id, and is known to be alive by its connections alone.

--- a/internal/edge/host/liveness.go
+++ b/internal/edge/host/liveness.go
@@ -70,9 +70,10 @@
 }
 
 // liveness returns what the list of servers shows about a process, and whether it has ended.
-// A server that does not state when it started is never known to be alive, since another
-// process may have its name. After an outage the store may go on listing servers that ended
-// during it. The caller holds mu.
+// Where some servers state when they started, one that does not is never known to be alive,
+// since another process may have its name; where none does, each process has a name of its
+// own. After an outage the store may go on listing servers that ended during it. The caller
+// holds mu.
 func (t *serverTracker) liveness(now time.Time, p ident.Process) (live poison.Liveness, ended bool) {
 	e, listed := t.members.Has(p.Server)
 	current := e.Value.Process()
@@ -81,7 +82,7 @@
 		return poison.Unlisted, true
 	case current.Replaces(p):
 		return poison.Gone, true
-	case current == p && p.Incarnation != 0 && t.members.Settled(now, poison.LivenessGrace):
+	case current == p && (p.Incarnation != 0 || !t.statesStart) && t.members.Settled(now, poison.LivenessGrace):
 		return poison.Alive, false
 	}
 	return poison.Unknown, !current.Is(p)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -42,6 +42,7 @@
 	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
 	asOf         time.Time                    // the list is at least as new, on the boot clock
 	vouchedAt    time.Time                    // when the leader last said that the store answers it
+	statesStart  bool                         // some listed server states when it started
 	left         departures                   // processes that announced that they leave
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
 	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
@@ -250,6 +251,7 @@
 // trackLeaving records when each server was first seen to leave. The caller holds mu.
 func (t *serverTracker) trackLeaving(now time.Time, list []feed.Server) {
 	t.left.update(now, list)
+	t.statesStart = slices.ContainsFunc(list, func(s feed.Server) bool { return s.Incarnation != 0 })
 	next := make(map[ident.Server]time.Time)
 	for _, s := range list {
 		if !s.Leaving {
