--- a/internal/edge/host/alive_test.go
+++ b/internal/edge/host/alive_test.go
@@ -13,8 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/poison"
 )
 
-// Guards against a request that stays suspected although its server answers others, and
-// against reading the clock for each request.
+// Guards against a request that stays suspected although its server answers others, and against reading the clock for each request.
 func TestAServerThatAnswersIsNotAccused(t *testing.T) {
 	q := &quarantine{table: poison.NewTable(), logged: map[poison.Fingerprint]bool{}, parts: quarantineParts{Hub: poll.NewHub("vm-1", "1"), Log: slog.New(slog.DiscardHandler)}}
 	assert.Assert(t, q.SendTime().IsZero())
--- a/internal/edge/host/bounds_test.go
+++ b/internal/edge/host/bounds_test.go
@@ -14,8 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
-// Guards against withdrawing a stored crash by the answer of the server's next process, because
-// the time at which the attempt was sent does not age in the store.
+// Guards against withdrawing a stored crash by the answer of the server's next process, because the time at which the attempt was sent does not age in the store.
 func TestTheSendingOfAnAttemptAgesInTheStore(t *testing.T) {
 	gw := &gateway{memStore: newMemStore()}
 	gw.write("quarantine", storedCases{At: time.Now().Add(-5 * time.Minute), Cases: []poison.Verdict{{
@@ -34,8 +33,7 @@
 	assert.Assert(t, !tab.ServerAnswered(poison.Life{From: now.Add(-time.Minute), Until: now}, "s1"), "the connection is younger than the crash")
 }
 
-// Guards against taking a process for alive by a list from before the call whose answer is being
-// applied, as after a VM was suspended.
+// Guards against taking a process for alive by a list from before the call whose answer is being applied, as after a VM was suspended.
 func TestAListIsNotNewerThanTheAnswerThatIsApplied(t *testing.T) {
 	tr, p := newProcessTracker()
 	crash := poison.Crash{Process: p, At: clock.Now().Add(-time.Millisecond)}
--- a/internal/load/poison/bounds_test.go
+++ b/internal/load/poison/bounds_test.go
@@ -10,8 +10,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
-// Guards against sending a quarantined request to all VMs again for each answer of the later
-// processes of a server that crashed under it.
+// Guards against sending a quarantined request to all VMs again for each answer of the later processes of a server that crashed under it.
 func TestAProofAboutALaterProcessIsNoChangeOfACase(t *testing.T) {
 	leader := NewTable()
 	for i := range int64(CrashThreshold) {
@@ -28,8 +27,7 @@
 	assert.Equal(t, leader.Seq(), seq)
 }
 
-// Guards against an endless exchange of a case between a leader and a VM of the version
-// before, which withdraws the crash of a server by any later answer.
+// Guards against an endless exchange of a case between a leader and a VM of the version before, which withdraws the crash of a server by any later answer.
 func TestProofsOfTheVersionBeforeDoNotShareACaseForEver(t *testing.T) {
 	leader := NewTable()
 	for _, s := range []ident.Server{"s1", "s2", "s3"} {
@@ -48,8 +46,7 @@
 	assert.Assert(t, changes < 50, "the case was shared %d times in 100 polls", changes)
 }
 
-// Guards against losing, at the leader, that a request was answered after its attempt got
-// none, because the answer is reported before the crash.
+// Guards against losing, at the leader, that a request was answered after its attempt got none, because the answer is reported before the crash.
 func TestAnAnswerIsNotReportedBeforeTheCrashesThatItClears(t *testing.T) {
 	vm, leader := NewTable(), NewTable()
 	for i := range maxReports {
@@ -73,8 +70,7 @@
 	}
 }
 
-// Guards against keeping the crash of a live server because an earlier one of its name cannot
-// be disproved by the same answer.
+// Guards against keeping the crash of a live server because an earlier one of its name cannot be disproved by the same answer.
 func TestAnAnswerWithdrawsACrashAfterAnEarlierProcess(t *testing.T) {
 	tab := NewTable()
 	tab.RecordCrash(t0, crashing, ident.Process{Server: "s1", Incarnation: 1})
@@ -153,8 +149,7 @@
 	}
 }
 
-// Guards against a VM that goes on without a crash that the leader keeps, because the same
-// answer also withdrew a later one.
+// Guards against a VM that goes on without a crash that the leader keeps, because the same answer also withdrew a later one.
 func TestTheLeaderRestoresEachCrashThatAnAnswerWithdrewElsewhere(t *testing.T) {
 	for range 20 { // the order of cases is random
 		vm, leader := newFollowed(t)
@@ -190,8 +185,7 @@
 	}
 }
 
-// Guards against refusing an answered request for as long as a VM has more to report to a new
-// leader than one poll holds.
+// Guards against refusing an answered request for as long as a VM has more to report to a new leader than one poll holds.
 func TestAnAnswerReachesANewLeaderBeforeAllUnrelatedCrashes(t *testing.T) {
 	vm, leader := newFollowed(t)
 	vm.Clear(t0.Add(time.Second), crashing)
