dial, reach: a VM knows which backend servers it reaches

The record could not tell whether a VM had lost one server or all of them: each failed attempt named one server, and nothing summed them. Connections to servers now report what they show of the path (opened or not, silent or not) to a pure judge, which asks for a probe where a server with waiting requests is silent: the server's kernel accepts a connection however busy it is. The leader's 'server does not answer' now says when other VMs last heard the server, which tells a lost server from a lost path of the leader.

Nothing is decided by it yet.

--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -10,6 +10,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/edge/dial"
 	"hawthornfield.org/hawthornfield/internal/edge/meter"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -40,6 +41,7 @@
 	Fetcher     *fetcher
 	Rules       *ruleManager
 	Quarantine  *quarantine
+	Dialer      *dial.Dialer
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -61,6 +63,7 @@
 		g.set("suspects", float64(suspects))
 		g.set("quarantined", float64(quarantined))
 		g.set("decisions_left_out", float64(g.parts.Record.Lost()))
+		g.updatePaths()
 	}
 	return nil
 }
@@ -116,6 +119,16 @@
 	}
 }
 
+// updatePaths sets the gauges for the paths to backend servers.
+func (g *gauges) updatePaths() {
+	cutOff := 0.0
+	if g.parts.Dialer.CutOff() {
+		cutOff = 1
+	}
+	g.set("cut_off", cutOff)
+	g.set("paths_lost", float64(g.parts.Dialer.LostPaths()))
+}
+
 // updateGate sets the gauges of one service's gate.
 func (g *gauges) updateGate(svc string, s gate.Stats) {
 	scope := g.parts.Meter.Tagged(map[string]string{"service": svc})
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -22,6 +22,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/dial"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/httpd"
@@ -63,10 +64,13 @@
 
 // Platform holds what a platform's adapter provides.
 type Platform struct {
-	Store            object.Store // linearizable
-	StaleStore       object.Store // cheaper; its lists and watches may be seconds behind
-	Decode           feed.Decoder
-	Orders           feed.Orders
+	Store      object.Store // linearizable
+	StaleStore object.Store // cheaper; its lists and watches may be seconds behind
+	Decode     feed.Decoder
+	Orders     feed.Orders
+	// SetOrderDial sets how Orders opens connections; nil if it opens them in its own way.
+	// It is called before the first order.
+	SetOrderDial     func(flow.Dial)
 	Headers          relay.Headers
 	FormatRetryAfter func(time.Duration) string
 	Servers          string // prefix of the servers' entries, with its slash
@@ -112,7 +116,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newRelay, newFront, newHub, newServerTracker, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newDialer, newRelay, newFront, newHub, newServerTracker, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
@@ -190,8 +194,18 @@
 // announces.
 const idleTimeout = 30 * time.Second
 
-func newRelay(lc fx.Lifecycle, p Platform) *relay.Relay {
-	r := relay.New(relay.Config{Headers: p.Headers, Dial: dialTimeout, Idle: idleTimeout})
+func newDialer(lc fx.Lifecycle, p Platform, s *state.State, log *slog.Logger) *dial.Dialer {
+	d := dial.New(dial.Config{Timeout: dialTimeout, NameOf: s.ServerAt, Log: log})
+	if p.SetOrderDial != nil {
+		p.SetOrderDial(d.DialContext)
+	}
+	closeOnStop(lc, d)
+	runWhileStarted(lc, &group.Group{}, d.Run)
+	return d
+}
+
+func newRelay(lc fx.Lifecycle, p Platform, d *dial.Dialer) *relay.Relay {
+	r := relay.New(relay.Config{Headers: p.Headers, Dial: dialTimeout, Idle: idleTimeout, Open: d.Dial})
 	closeOnStop(lc, r)
 	return r
 }
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -65,6 +65,18 @@
 // Services returns all services. Treat the map as read-only.
 func (s *State) Services() map[ident.Service]*Service { return *s.services.Load() }
 
+// ServerAt returns the backend server that accepts requests at an address.
+func (s *State) ServerAt(at netip.AddrPort) (ident.Server, bool) {
+	for _, svc := range s.Services() {
+		for name, e := range *svc.endpoints.Load() {
+			if e.Addr == at {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
+
 // Service is one group of backend servers, as seen by the request path.
 type Service struct {
 	config.Service
--- /dev/null
+++ b/internal/load/reach/reach.go
@@ -0,0 +1,231 @@
+// Package reach judges which backend servers this VM reaches over its own network path.
+//
+// The load pattern: some VMs lose their path to all backend servers while callers, the
+// store and the other VMs still reach them. Connections to servers hang, are reset, or
+// live on while new ones are refused. A slow or overloaded server looks the same from a
+// single request, so the judgement rests on the network alone: whether connections open,
+// and whether anything arrives. A silent server is probed with a new connection, which its
+// kernel accepts however busy the server is.
+//
+// The module has no clock and opens no connections. Its methods take the time, and
+// [Monitor.Probes] returns the servers to probe.
+package reach
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Timing of the judgement.
+const (
+	// VMSilence is how long nothing may arrive from any server, while requests wait at
+	// several of them, before some of them are probed.
+	VMSilence = 250 * time.Millisecond
+	// ServerSilence is how long nothing may arrive from one server with waiting requests
+	// before it is probed. Most answers begin sooner, also in an overload.
+	ServerSilence = time.Second
+	// ProbeInterval is the pause between two probes of the same server.
+	ProbeInterval = time.Second
+	// ProbeTimeout bounds a probe. Within a region a connection takes a few milliseconds.
+	ProbeTimeout = 250 * time.Millisecond
+	// useWindow is how long after its last use a lost path is still probed.
+	useWindow = 5 * time.Second
+	// maxProbes bounds the probes that start at once. Each costs its server a connection.
+	maxProbes = 2
+	// silenceProbePause is the pause after a probe of a silent server that was reached. In
+	// an overload several servers are silent for a while.
+	silenceProbePause = 500 * time.Millisecond
+	// minFailedPaths is the number of paths that must fail, with no sign of life from any
+	// server, before this VM counts as cut off. A single one may be a server that ended.
+	minFailedPaths = 2
+)
+
+// path is the state of the path to one server.
+type path struct {
+	failedAt    time.Time // last failure to connect; zero after a success
+	lostSince   time.Time // first failure in a row; zero if the path is open
+	usedAt      time.Time // last attempt to connect, or request sent
+	probedAt    time.Time
+	waiting     int       // connections on which a request waits for its answer
+	silentSince time.Time // last arrival, or start of the wait while none was waiting
+	restoredAt  time.Time // when the path was last open again after a failure
+}
+
+// Monitor judges the paths of one VM to all backend servers. The zero value knows of no
+// server. It is not safe for concurrent use.
+type Monitor struct {
+	paths       map[netip.AddrPort]*path
+	lastContact time.Time // last arrival or connection from any server
+	waiting     int       // paths with waiting requests
+	quietSince  time.Time // last contact, or when requests began to wait at any server
+	cutOff      bool
+	// silenceProbeNotBefore is when a single silent server may be probed again.
+	silenceProbeNotBefore time.Time
+}
+
+func (m *Monitor) path(to netip.AddrPort) *path {
+	p := m.paths[to]
+	if p == nil {
+		if m.paths == nil {
+			m.paths = map[netip.AddrPort]*path{}
+		}
+		p = &path{}
+		m.paths[to] = p
+	}
+	return p
+}
+
+// Connected records that a connection to a server was opened.
+func (m *Monitor) Connected(now time.Time, to netip.AddrPort) {
+	p := m.path(to)
+	if !p.lostSince.IsZero() {
+		p.restoredAt = now
+	}
+	p.failedAt, p.lostSince = time.Time{}, time.Time{}
+	p.usedAt, p.silentSince = now, now
+	m.contact(now)
+}
+
+// ConnectFailed records that a connection to a server could not be opened.
+func (m *Monitor) ConnectFailed(now time.Time, to netip.AddrPort) {
+	p := m.path(to)
+	p.failedAt = now
+	if p.lostSince.IsZero() {
+		p.lostSince = now
+	}
+	m.silenceProbeNotBefore = time.Time{} // others may have the same cause
+	m.cutOff = m.cutOff || m.failedSinceContact() >= minFailedPaths
+}
+
+// Used records that a connection to a server is wanted.
+func (m *Monitor) Used(now time.Time, to netip.AddrPort) { m.path(to).usedAt = now }
+
+// Sent records that a request begins to wait for its answer on a connection.
+func (m *Monitor) Sent(now time.Time, to netip.AddrPort) {
+	p := m.path(to)
+	p.usedAt = now
+	p.waiting++
+	if p.waiting > 1 {
+		return
+	}
+	p.silentSince = now
+	m.waiting++
+	if m.waiting == 1 {
+		m.quietSince = now
+	}
+}
+
+// Received records that data arrived from a server.
+func (m *Monitor) Received(now time.Time, to netip.AddrPort) {
+	m.path(to).silentSince = now
+	m.contact(now)
+}
+
+// Ended records that a request no longer waits for its answer.
+func (m *Monitor) Ended(to netip.AddrPort) {
+	p := m.path(to)
+	p.waiting--
+	if p.waiting == 0 {
+		m.waiting--
+	}
+}
+
+func (m *Monitor) contact(now time.Time) {
+	m.lastContact, m.quietSince, m.cutOff = now, now, false
+}
+
+// failedSinceContact counts the paths that failed after the last sign of life of any server.
+func (m *Monitor) failedSinceContact() int {
+	n := 0
+	for _, p := range m.paths {
+		if !p.failedAt.IsZero() && p.failedAt.After(m.lastContact) {
+			n++
+		}
+	}
+	return n
+}
+
+// CutOff reports whether this VM reaches no server: several paths failed, and nothing has
+// arrived from any server since.
+func (m *Monitor) CutOff() bool { return m.cutOff }
+
+// Lost reports whether the path to a server is lost: the last connection could not be
+// opened, or this VM is cut off from all servers.
+func (m *Monitor) Lost(to netip.AddrPort) bool {
+	if m.cutOff {
+		return true
+	}
+	p := m.paths[to]
+	return p != nil && !p.lostSince.IsZero()
+}
+
+// LostWithin reports whether the path to a server is lost, or was within the last d.
+func (m *Monitor) LostWithin(now time.Time, d time.Duration, to netip.AddrPort) bool {
+	p := m.paths[to]
+	return m.Lost(to) || p != nil && !p.restoredAt.IsZero() && now.Sub(p.restoredAt) < d
+}
+
+// LostPaths returns the servers whose path is lost, in order of their addresses.
+func (m *Monitor) LostPaths() []netip.AddrPort {
+	var all []netip.AddrPort
+	for to, p := range m.paths {
+		if !p.lostSince.IsZero() {
+			all = append(all, to)
+		}
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return all
+}
+
+// Retain forgets all servers but those at the given addresses and those with waiting
+// requests.
+func (m *Monitor) Retain(listed func(netip.AddrPort) bool) {
+	for to, p := range m.paths {
+		if p.waiting == 0 && !listed(to) {
+			delete(m.paths, to)
+		}
+	}
+}
+
+// Probes returns the servers to which a connection should be tried now, and takes them as
+// probed: silent ones with waiting requests, and lost ones that are still wanted.
+func (m *Monitor) Probes(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	for to, p := range m.paths {
+		if now.Sub(p.probedAt) >= ProbeInterval && m.probeDue(now, p) {
+			due = append(due, to)
+		}
+	}
+	slices.SortFunc(due, func(a, b netip.AddrPort) int {
+		return cmp.Or(m.paths[a].probedAt.Compare(m.paths[b].probedAt), a.Compare(b))
+	})
+	due = due[:min(len(due), maxProbes)]
+	for _, to := range due {
+		p := m.paths[to]
+		p.probedAt = now
+		if p.lostSince.IsZero() && !m.isVMSilent(now) {
+			m.silenceProbeNotBefore = now.Add(silenceProbePause)
+		}
+	}
+	return due
+}
+
+func (m *Monitor) probeDue(now time.Time, p *path) bool {
+	switch {
+	case !p.lostSince.IsZero():
+		return now.Sub(p.failedAt) >= ProbeInterval && now.Sub(p.usedAt) < useWindow
+	case p.waiting == 0:
+		return false
+	case m.isVMSilent(now):
+		return true
+	default:
+		return now.Sub(p.silentSince) >= ServerSilence && !now.Before(m.silenceProbeNotBefore)
+	}
+}
+
+// isVMSilent reports whether requests wait at several servers and nothing arrives from any.
+func (m *Monitor) isVMSilent(now time.Time) bool {
+	return m.waiting >= minFailedPaths && now.Sub(m.quietSince) >= VMSilence
+}
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -125,6 +125,7 @@
 	replaced        bool      // another server has its address
 	releaseAt       time.Time // when unanswered releases are retried
 	speed           float64   // relative to the other servers, from their latencies; zero when unknown
+	heardAt         time.Time // when some VM last reported its answers to requests
 	latencySum      float64   // of recent answers, in seconds
 	answerCount     float64
 	listedAt        time.Time
--- a/internal/owner/assign/load.go
+++ b/internal/owner/assign/load.go
@@ -108,6 +108,9 @@
 	m.latenciesDecayedAt = now
 	for name, b := range m.backends {
 		sum := msg.Servers[name]
+		if sum.N > 0 {
+			b.heardAt = now
+		}
 		b.latencySum = b.latencySum*keep + sum.Total.Seconds()
 		b.answerCount = b.answerCount*keep + float64(sum.N)
 	}
--- a/internal/owner/assign/orders.go
+++ b/internal/owner/assign/orders.go
@@ -165,11 +165,19 @@
 		return []loop.Cmd{LogCmd{Event: "server answers again", Server: b.Name}}
 	case answered == 0 && missed > 0 && b.silentSince.IsZero():
 		b.silentSince = now
-		return []loop.Cmd{LogCmd{Event: "server does not answer", Server: b.Name}}
+		return []loop.Cmd{LogCmd{Event: "server does not answer", Server: b.Name, Reason: b.lastHeard(now)}}
 	}
 	return nil
 }
 
+// lastHeard says when the server last answered requests of any VM.
+func (b *backend) lastHeard(now time.Time) string {
+	if b.heardAt.IsZero() {
+		return "no VM has reported answers of it"
+	}
+	return "it last answered requests " + now.Sub(b.heardAt).Round(time.Millisecond).String() + " ago"
+}
+
 // releaseDone handles the answer to a release. A server whose address now belongs to another
 // one has ended, and holds no keys any more.
 func (m *Model) releaseDone(now time.Time, b *backend, d OrderResult) {
