assign: a server that answers other VMs is not lost

Cause: the leader took its own unanswered orders for the end of a server and moved all keys to the servers that it still reached, though its followers reported answers of the others three times a second.

A silent server now keeps its keys until other VMs have reported no answer of it for a second.

--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -82,6 +82,10 @@
 	// SilenceTimeout is how long a server must fail to answer before its keys are assigned to
 	// other servers. They become free no sooner than GrantTTL after their last renewal.
 	SilenceTimeout = 700 * time.Millisecond
+	// heardTimeout is how long a server that does not answer this leader keeps its keys after
+	// other VMs last got answers of it: then only the leader's path is lost. VMs report each
+	// third of a second, and a grant outlasts it.
+	heardTimeout = time.Second
 	// settleTime is how long a leader that knew no servers waits for more after the first one is listed.
 	// When a whole system starts, all its servers are listed within it.
 	settleTime = time.Second
@@ -273,5 +277,10 @@
 
 // accepts reports whether the server may be given keys.
 func (b *backend) accepts(now time.Time) bool {
-	return b.listed && !b.replaced && !b.Leaving && (b.silentSince.IsZero() || now.Sub(b.silentSince) < SilenceTimeout)
+	return b.listed && !b.replaced && !b.Leaving && !b.isLost(now)
+}
+
+// isLost reports whether the server answers neither this leader nor requests of other VMs.
+func (b *backend) isLost(now time.Time) bool {
+	return !b.silentSince.IsZero() && now.Sub(b.silentSince) >= SilenceTimeout && now.Sub(b.heardAt) >= heardTimeout
 }
