assign: silent servers without keys are asked whether they answer again

Cause: a server counts as silent until it answers an order, and a server without keys gets none. So one that had lost its keys while the leader did not reach it was never given any again. Ruled out: the planner (one server with all keys and idle ones that accept is far out of its band) and the estimate of speeds. Class: a belief that only traffic can refute, and that keeps the traffic away.

A silent server that has nothing else to answer is asked each second with a release of keys that it does not have, which a server never refuses and which changes nothing there.

--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -86,6 +86,9 @@
 	// other VMs last got answers of it: then only the leader's path is lost. VMs report each
 	// third of a second, and a grant outlasts it.
 	heardTimeout = time.Second
+	// reviveInterval is the pause between two questions whether a silent server without keys
+	// answers again. Nothing else is sent to it.
+	reviveInterval = time.Second
 	// settleTime is how long a leader that knew no servers waits for more after the first one is listed.
 	// When a whole system starts, all its servers are listed within it.
 	settleTime = time.Second
@@ -128,6 +131,7 @@
 	lossyUntil      time.Time // until then it is assumed to lose answers
 	replaced        bool      // another server has its address
 	releaseAt       time.Time // when unanswered releases are retried
+	reviveAt        time.Time // when it is asked again whether it answers, if it has no keys
 	speed           float64   // relative to the other servers, from their latencies; zero when unknown
 	heardAt         time.Time // when some VM last reported its answers to requests
 	latencySum      float64   // of recent answers, in seconds
--- a/internal/owner/assign/orders.go
+++ b/internal/owner/assign/orders.go
@@ -34,6 +34,7 @@
 			}
 		}
 	}
+	m.addRevivals(now, releases, grants)
 	var out []loop.Cmd
 	// Send in sorted order, so that the same messages always give the same commands.
 	for _, name := range slices.Sorted(maps.Keys(releases)) {
@@ -47,6 +48,31 @@
 	return out
 }
 
+// addRevivals adds a release to each silent server that has nothing else to answer. Without
+// it, a server that lost all its keys would count as silent for good. A release changes
+// nothing at a server without keys.
+func (m *Model) addRevivals(now time.Time, releases, grants map[ident.Server][]Order) {
+	if len(m.table.Rows) == 0 {
+		return
+	}
+	for name, b := range m.backends {
+		busy := b.grantsPending || b.releasesPending || len(releases[name]) > 0 || len(grants[name]) > 0
+		if !b.listed || b.replaced || b.silentSince.IsZero() || busy || now.Before(b.reviveAt) {
+			continue
+		}
+		if i := m.rowWithout(name); i >= 0 {
+			b.reviveAt = now.Add(reviveInterval)
+			r := &m.table.Rows[i]
+			releases[name] = []Order{{Span: r.Span, Fence: r.Fence, Release: true}}
+		}
+	}
+}
+
+// rowWithout returns a row that a server neither owns nor has to release, or -1.
+func (m *Model) rowWithout(s ident.Server) int {
+	return slices.IndexFunc(m.table.Rows, func(r ranges.Row) bool { return r.Owner != s && r.PrevOwner != s && !r.Lost })
+}
+
 // grantsInFlight reports whether grants to a server are unanswered. Their expiry is unknown
 // until it is known when they were sent.
 func (m *Model) grantsInFlight(s ident.Server) bool {
@@ -123,6 +149,9 @@
 	for _, d := range msg.Results {
 		if d.Release {
 			m.releaseDone(now, b, d)
+			if d.Kind == kinds.None {
+				answered++
+			}
 			continue
 		}
 		waited += d.Waited
