tunnel, relay, gate: attempts on lost paths blame no server; tunnels end in order

An attempt that is given up because the VM is cut off counted as the server's failure: five of them at once, and the gate refused the retry of the sixth and spaced the key's requests. It counts as nothing now, for the gate and for the quarantine.

A VM that stops finishes what runs in its tunnels, within its grace, and opens no new ones. A server that neither the own path nor six other VMs reached is tried for 100 ms, not 400, until a probe finds it. Decisions name the VM that an attempt went through (via).

--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -28,6 +28,9 @@
 // tickInterval is how often due probes are looked for.
 const tickInterval = 50 * time.Millisecond
 
+// forgetInterval is how often servers that are not listed any more are forgotten.
+const forgetInterval = 5 * time.Second
+
 // Timing of connections through other VMs, in the manner of RFC 8305.
 const (
 	// directHeadStart is how long a direct connection may take before other VMs are asked
@@ -40,6 +43,9 @@
 	// unreachableTime is how long other VMs are not asked for a server that none of them
 	// reached either.
 	unreachableTime = time.Second
+	// unreachableTimeout bounds a direct connection to such a server over a lost path. Its
+	// requests are better rejected soon, and probes notice when it is back.
+	unreachableTimeout = 100 * time.Millisecond
 	// relayMemory is how long after its connection was closed an order through another VM may
 	// still be unanswered.
 	relayMemory = 2 * time.Second
@@ -123,6 +129,7 @@
 
 // Run looks for due probes and logs changes until ctx ends.
 func (d *Dialer) Run(ctx context.Context) error {
+	nextForget := time.Now()
 	for group.Sleep(ctx, tickInterval) {
 		d.mu.Lock()
 		due := d.monitor.Probes(time.Now())
@@ -131,15 +138,18 @@
 			d.group.Go(func(ctx context.Context) error { d.probe(ctx, to); return nil })
 		}
 		d.notifyChanges(time.Now())
-		d.mu.Lock()
-		d.forgetUnlisted()
-		d.mu.Unlock()
+		if time.Now().After(nextForget) {
+			nextForget = time.Now().Add(forgetInterval)
+			d.forgetUnlisted()
+		}
 	}
 	return nil
 }
 
-// forgetUnlisted forgets the servers that are not listed any more. The caller holds mu.
+// forgetUnlisted forgets the servers that are not listed any more.
 func (d *Dialer) forgetUnlisted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	listed := func(to netip.AddrPort) bool { _, ok := d.cfg.NameOf(to); return ok }
 	d.monitor.Retain(listed)
 	maps.DeleteFunc(d.unreachable, func(to netip.AddrPort, _ time.Time) bool { return !listed(to) })
@@ -178,9 +188,13 @@
 	lost := d.noteUse(to)
 	peers := d.peerAttempts(to, orders)
 	if !lost || len(peers) == 0 {
+		timeout := d.cfg.Timeout
+		if lost {
+			timeout = unreachableTimeout
+		}
 		// The attempt goes on if another one is faster: its end tells about the path.
 		r.add(directHeadStart, func(context.Context) (net.Conn, error) {
-			return d.DialDirect(context.WithoutCancel(ctx), to, d.cfg.Timeout, nil)
+			return d.DialDirect(context.WithoutCancel(ctx), to, timeout, nil)
 		})
 	}
 	for _, dial := range peers {
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -192,7 +192,6 @@
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 		Interruptible: x.rule.Then.Idempotent,
 	})
-	x.noteVia(answer, err)
 	if err != nil {
 		x.returnUnsent(trial, err)
 		return nil, err
@@ -205,17 +204,6 @@
 	return answer, err
 }
 
-// noteVia records the VM through which an attempt went.
-func (x *exchange) noteVia(answer *relay.Response, err error) {
-	var fail *relay.Failure
-	switch {
-	case answer != nil:
-		x.decision.Via = answer.Via
-	case errors.As(err, &fail):
-		x.decision.Via = fail.Via
-	}
-}
-
 // maxBufferedAnswer is the longest answer, in bytes, that is read whole before its first
 // byte is sent to the caller. If the server breaks off, the caller can then still be told
 // so, or the request be sent again. Larger answers are streamed.
@@ -262,6 +250,7 @@
 	if !errors.As(err, &fail) {
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
+	x.decision.Via = fail.Via
 	x.reportFailure(to, fail)
 	if fail.Sent && !fail.Refused {
 		x.mayHaveRun = true
@@ -274,7 +263,7 @@
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
 		x.svc.RecordAttempt(to.Server, false)
 	}
-	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused}
+	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused, PathLost: fail.PathLost}
 }
 
 func (x *exchange) cancelOnServer(s ident.Server) {
@@ -299,7 +288,7 @@
 	if x.f.OnAnswer != nil && x.loadReported {
 		x.f.OnAnswer(from.Server, assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting))
 	}
-	x.decision.Status = answer.Status()
+	x.decision.Status, x.decision.Via = answer.Status(), answer.Via
 	x.w.Header()[x.f.Headers.ID] = x.idHeader()
 	w, end := x.answerWriter(answer.Length())
 	n, err := answer.Copy(w)
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -100,5 +100,7 @@
 	notice := cmp.Or(l.notice, DefaultNotice)
 	l.parts.Log.Info("shutting down", "flying", l.parts.Front.InFlight(), "notice", notice)
 	group.Sleep(ctx, notice)
-	return l.callers.Shutdown(ctx)
+	err := l.callers.Shutdown(ctx)
+	l.parts.Tunnels.Drain(ctx)
+	return err
 }
--- a/internal/edge/tunnel/server.go
+++ b/internal/edge/tunnel/server.go
@@ -39,6 +39,9 @@
 	group group.Group
 	open  atomic.Int64
 	total atomic.Int64
+
+	draining atomic.Bool
+	tunnels  sync.Map // *tunnel -> struct{}
 }
 
 // NewServer returns a Server that uses the given paths.
@@ -53,12 +56,34 @@
 // Close ends all tunnels and waits for them.
 func (s *Server) Close() error { return s.group.Close() }
 
+// Drain opens no more tunnels, ends those that are idle, and waits for the others to become
+// idle or for the end of ctx.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	for s.endIdle() > 0 && group.Sleep(ctx, quietTime/4) {
+	}
+}
+
+// endIdle ends the idle tunnels and returns the number of the others.
+func (s *Server) endIdle() int {
+	busy := 0
+	s.tunnels.Range(func(key, _ any) bool {
+		if t := key.(*tunnel); !t.isIdle(time.Now()) {
+			busy++
+		} else {
+			t.close()
+		}
+		return true
+	})
+	return busy
+}
+
 // ServeHTTP opens the tunnel that another VM asks for.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	name := ident.Server(r.Header.Get(headerServer))
 	orders, _ := strconv.ParseBool(r.Header.Get(headerOrders)) // anything else is no tunnel for orders
 	to, listed := s.paths.Address(name)
-	if r.Header.Get("Upgrade") != protocol || !listed || s.paths.Lost(to) {
+	if r.Header.Get("Upgrade") != protocol || !listed || s.draining.Load() || s.paths.Lost(to) {
 		http.Error(w, "no path to the server", http.StatusServiceUnavailable)
 		return
 	}
@@ -86,8 +111,11 @@
 		return
 	}
 	t := &tunnel{near: near, nearReader: buffered.Reader, far: far, orders: orders}
+	t.note(false)
 	s.group.Go(func(ctx context.Context) error {
 		defer s.open.Add(-1)
+		s.tunnels.Store(t, struct{}{})
+		defer s.tunnels.Delete(t)
 		if err := t.run(ctx); err != nil {
 			s.log.Info("tunnel ended", "server", name, "for", r.RemoteAddr, "orders", orders, "why", err.Error())
 		}
@@ -123,21 +151,52 @@
 	far        net.Conn // to the server
 	orders     bool
 	pulse      time.Time // when a tunnel for orders was last known to run, on the boot clock
+	closing    sync.Once
+
+	waiting  atomic.Bool  // the other VM has sent something, and the server nothing since
+	lastData atomic.Int64 // time of the last data in either direction, in Unix nanoseconds
+}
+
+// quietTime is how long nothing may arrive from the server before its answer counts as
+// complete.
+const quietTime = 200 * time.Millisecond
+
+// isIdle reports whether no answer is awaited or being sent.
+func (t *tunnel) isIdle(now time.Time) bool {
+	return !t.waiting.Load() && now.Sub(time.Unix(0, t.lastData.Load())) >= quietTime
+}
+
+// note records data that was passed on.
+func (t *tunnel) note(toServer bool) {
+	t.lastData.Store(time.Now().UnixNano())
+	t.waiting.Store(toServer)
+}
+
+func (t *tunnel) close() {
+	t.closing.Do(func() {
+		_ = t.near.Close()
+		_ = t.far.Close()
+	})
+}
+
+// farReader reads what the server sends and notes it.
+type farReader struct{ *tunnel }
+
+// Read reads from the server.
+func (r farReader) Read(b []byte) (int, error) {
+	n, err := r.far.Read(b)
+	if n > 0 {
+		r.note(false)
+	}
+	return n, err
 }
 
 const opened = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"
 
 // run passes bytes on until one side ends, and closes both.
 func (t *tunnel) run(ctx context.Context) error {
-	var once sync.Once
-	closeBoth := func() {
-		once.Do(func() {
-			_ = t.near.Close()
-			_ = t.far.Close()
-		})
-	}
-	defer context.AfterFunc(ctx, closeBoth)()
-	defer closeBoth()
+	defer context.AfterFunc(ctx, t.close)()
+	defer t.close()
 	t.pulse = clock.Now()
 	if err := t.near.SetDeadline(time.Time{}); err != nil {
 		return err
@@ -147,14 +206,14 @@
 	}
 	var g group.Group
 	g.Go(func(context.Context) error {
-		defer closeBoth()
-		return (&frameWriter{w: t.near}).copyFrom(t.far)
+		defer t.close()
+		return (&frameWriter{w: t.near}).copyFrom(farReader{t})
 	})
 	err := t.copyToServer()
 	if !errors.Is(err, errPaused) {
 		err = nil // one of the ends closed its connection, as each tunnel ends
 	}
-	closeBoth()
+	t.close()
 	_ = g.Wait() // it fails because the ends are closed
 	return err
 }
@@ -177,6 +236,7 @@
 		}
 		if n > 0 {
 			idleSince = time.Now()
+			t.note(true)
 			if _, werr := t.far.Write(buf[:n]); werr != nil {
 				return werr
 			}
--- a/internal/edge/tunnel/tunnel_test.go
+++ b/internal/edge/tunnel/tunnel_test.go
@@ -139,6 +139,34 @@
 	}
 }
 
+// Guards against answers that break off because the VM in between stops.
+func TestAStoppingVMWaitsForTheAnswersInItsTunnels(t *testing.T) {
+	c, via, s, paths := startTunnels(t)
+	idle, err := c.Dial(t.Context(), via, "listed", false)
+	assert.NilError(t, err)
+	<-paths.accepted
+	busy, err := c.Dial(t.Context(), via, "listed", false)
+	assert.NilError(t, err)
+	far := <-paths.accepted
+	_, err = io.WriteString(busy, "request")
+	assert.NilError(t, err)
+	_, err = io.ReadFull(far, make([]byte, 7))
+	assert.NilError(t, err)
+	var g group.Group
+	g.Go(func(ctx context.Context) error { s.Drain(ctx); return nil })
+	_, err = idle.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "an idle tunnel ends")
+	_, err = c.Dial(t.Context(), via, "listed", false)
+	assert.ErrorIs(t, err, errNoPath)
+	_, err = io.WriteString(far, "answer")
+	assert.NilError(t, err)
+	got := make([]byte, 6)
+	_, err = io.ReadFull(busy, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "answer")
+	assert.NilError(t, g.Wait())
+}
+
 // Guards against an order that a suspended VM passes on seconds after it was sent.
 func TestATunnelForOrdersEndsAfterAPause(t *testing.T) {
 	near, nearPeer := net.Pipe()
--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -124,6 +124,9 @@
 	Latency time.Duration // from sending to the first byte of the answer; zero means the time since the start
 	Refused bool          // the server refused the request and ran nothing
 	Bytes   int64         // transferred in both directions
+	// PathLost says that the attempt was given up because this VM lost its path to the server,
+	// which is not to blame.
+	PathLost bool
 }
 
 // Cancel returns the outcome of an attempt whose answer is no longer wanted.
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -120,7 +120,7 @@
 	case o.Kind == kinds.Misrouted && t.Job.Server == "":
 		s.avoidUntil = now.Add(wrongServerAvoidTime)
 		s.health.Abandoned()
-	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted:
+	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost:
 		s.health.Abandoned()
 	case o.Refused:
 		s.lastFailure = kinds.Busy
