--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -28,6 +28,10 @@
 // tickInterval is how often due probes are looked for.
 const tickInterval = 50 * time.Millisecond
 
+// cutOffSettle is how long this VM must be cut off until the listeners are told. One that
+// still reaches a slow server is cut off between two of its answers.
+const cutOffSettle = 200 * time.Millisecond
+
 // forgetInterval is how often servers that are not listed any more are forgotten.
 const forgetInterval = 5 * time.Second
 
@@ -82,6 +86,7 @@
 
 	known       []netip.AddrPort // lost paths that the listeners know
 	cutOffSince time.Time        // zero while some server is reached
+	cutOffKnown bool             // the listeners know that this VM is cut off
 }
 
 // Listener is told of changes of the paths.
@@ -311,16 +316,28 @@
 			}
 		}
 	}
-	if cutOff == !d.cutOffSince.IsZero() {
-		return
-	}
-	if cutOff {
+	d.notifyCutOff(now, cutOff, len(lost))
+}
+
+// notifyCutOff tells the listeners once this VM has been cut off for cutOffSettle, and when
+// that is over.
+func (d *Dialer) notifyCutOff(now time.Time, cutOff bool, lost int) {
+	switch {
+	case cutOff && d.cutOffSince.IsZero():
 		d.cutOffSince = now
-		d.cfg.Log.Warn("cut off from all servers", "lost", len(lost))
-	} else {
+		return
+	case cutOff && !d.cutOffKnown && now.Sub(d.cutOffSince) >= cutOffSettle:
+		d.cfg.Log.Warn("cut off from all servers", "lost", lost)
+	case !cutOff && d.cutOffKnown:
 		d.cfg.Log.Info("servers reached again", "after", now.Sub(d.cutOffSince))
 		d.cutOffSince = time.Time{}
+	case !cutOff:
+		d.cutOffSince = time.Time{}
+		return
+	default:
+		return
 	}
+	d.cutOffKnown = cutOff
 	for _, l := range d.listeners {
 		l.CutOffChanged(cutOff)
 	}
--- a/internal/edge/dial/dial_test.go
+++ b/internal/edge/dial/dial_test.go
@@ -155,3 +155,19 @@
 		assert.NilError(t, g.Close())
 	})
 }
+
+// Guards against giving up requests at the one server that is still reached and slow.
+func TestAMomentWithoutAnswersIsNoCutOff(t *testing.T) {
+	var down atomic.Bool
+	d, r := newTestDialer(&down)
+	now := time.Unix(1000, 0)
+	d.notifyCutOff(now, true, 2)
+	d.notifyCutOff(now.Add(cutOffSettle/2), false, 2)
+	d.notifyCutOff(now.Add(cutOffSettle), true, 2)
+	d.notifyCutOff(now.Add(cutOffSettle+cutOffSettle/2), true, 2)
+	assert.Assert(t, !r.cutOff.Load())
+	d.notifyCutOff(now.Add(2*cutOffSettle), true, 2)
+	assert.Assert(t, r.cutOff.Load())
+	d.notifyCutOff(now.Add(3*cutOffSettle), false, 0)
+	assert.Assert(t, !r.cutOff.Load())
+}
