--- a/internal/edge/host/cut_off_test.go
+++ b/internal/edge/host/cut_off_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// Guards against refusals where most VMs, the leader among them, have lost their paths to the backend servers.
+func TestOneVMWithAPathServesForAll(t *testing.T) {
+	tc := startCutCluster(t)
+	leader := tc.leaderIndex()
+	for _, cut := range []int{leader, (leader + 1) % 3} {
+		tc.paths[cut].cut(silent, netip.AddrPort{})
+	}
+	served, sent := tc.countServed()
+	t.Logf("served %v of %v", served, sent)
+	for i := range 3 {
+		assert.Assert(t, served[i]*10 >= sent[i]*9, "VM %d served %d of %d", i, served[i], sent[i])
+	}
+}
+
 // Guards against keys without owners while the leader alone has lost its path to the backend servers.
 func TestKeysStayServedWhileTheLeaderIsCutOffFromTheServers(t *testing.T) {
 	for name, mode := range cutModes {
