--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -246,7 +246,7 @@
 }
 
 // DialDirect opens a connection over this VM's own path. It calls prepare, if there is one,
-// with the new connection.
+// before anything is sent.
 func (d *Dialer) DialDirect(ctx context.Context, to netip.AddrPort, timeout time.Duration, prepare func(net.Conn) error) (net.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -254,6 +254,9 @@
 	if err == nil && prepare != nil {
 		err = prepare(c)
 	}
+	if err != nil && c != nil {
+		_ = c.Close()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
--- a/internal/edge/tunnel/tunnel.go
+++ b/internal/edge/tunnel/tunnel.go
@@ -13,8 +13,6 @@
 	"net"
 	"os"
 	"time"
-
-	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 const (
@@ -48,7 +46,7 @@
 // ErrBroken is the error of a tunnel that ended for a reason other than the server.
 var ErrBroken = errors.New("the tunnel through another VM broke")
 
-var errNoPath = kinds.New(kinds.NoServer, "the other VM does not reach the server")
+var errNoPath = errors.New("the other VM does not reach the server")
 
 // broken returns the error of a tunnel whose connection to the other VM failed. A deadline
 // and a local close stay what they are.
--- a/internal/load/reach/reach.go
+++ b/internal/load/reach/reach.go
@@ -52,8 +52,8 @@
 	silentSince time.Time // last arrival, or start of the wait while none was waiting
 }
 
-// Monitor judges the paths of one VM to all backend servers. The zero value knows of no
-// server. It is not safe for concurrent use.
+// Monitor judges the paths of one VM to all backend servers. The zero value is ready to use.
+// It is not safe for concurrent use.
 type Monitor struct {
 	paths       map[netip.AddrPort]*path
 	lastContact time.Time // last arrival or connection from any server
