--- a/internal/edge/host/poller_test.go
+++ b/internal/edge/host/poller_test.go
@@ -1,9 +1,13 @@
 package host
 
 import (
+	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/edge/tunnel"
 )
 
 // Guards against a poll request without the known revisions. A new leader asks the
@@ -22,3 +26,11 @@
 	assert.Equal(t, a.ServersRev, servers)
 	assert.NilError(t, h.Close())
 }
+
+// Guards against a new leader without any way to a server because no VM has polled it yet.
+func TestANewLeaderKeepsItsTunnelPeers(t *testing.T) {
+	p := &poller{parts: pollerParts{Tunnels: &tunnel.Client{}}}
+	p.setTunnelPeers([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7220")})
+	p.setTunnelPeers(nil)
+	assert.Equal(t, len(p.parts.Tunnels.Peers(time.Now(), 1)), 1)
+}
