--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -36,16 +36,25 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.mu.Lock()
-		c.endWait()
-		c.dialer.mu.Lock()
-		c.dialer.monitor.Received(time.Now(), c.to)
-		c.dialer.mu.Unlock()
-		c.mu.Unlock()
+		c.received()
 	}
 	return n, err
 }
 
+// received records that data arrived.
+func (c *conn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialer.mu.Lock()
+	if c.waiting {
+		c.dialer.monitor.Answered(time.Now(), c.to)
+	} else {
+		c.dialer.monitor.Received(time.Now(), c.to)
+	}
+	c.dialer.mu.Unlock()
+	c.endWait()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/load/reach/reach.go
+++ b/internal/load/reach/reach.go
@@ -20,9 +20,16 @@
 
 // Timing of the judgement.
 const (
-	// VMSilence is how long nothing may arrive from any server, while requests wait at
-	// several of them, before some of them are probed.
+	// VMSilence is the shortest time without any arrival from any server, while requests wait
+	// at several of them, before some of them are probed.
 	VMSilence = 250 * time.Millisecond
+	// maxVMSilence is the longest such time, for a VM with few requests.
+	maxVMSilence = 1500 * time.Millisecond
+	// silenceGaps is how many mean gaps between two answers such a time lasts at least. Answers
+	// that arrive at random are that far apart once in four hundred times.
+	silenceGaps = 6
+	// gapSmoothing is the weight of a new gap in the mean.
+	gapSmoothing = 1.0 / 16
 	// ServerSilence is how long nothing may arrive from one server with waiting requests
 	// before it is probed. Most answers begin sooner, also in an overload.
 	ServerSilence = time.Second
@@ -34,9 +41,11 @@
 	useWindow = 5 * time.Second
 	// maxProbes bounds the probes that start at once. Each costs its server a connection.
 	maxProbes = 2
-	// silenceProbePause is the pause after a probe of a silent server that was reached. In
-	// an overload several servers are silent for a while.
-	silenceProbePause = 500 * time.Millisecond
+	// minProbePause is the pause after a probe of a silent server. It doubles up to
+	// maxProbePause while such probes succeed: in an overload servers are silent for long, and
+	// each probe costs them a connection.
+	minProbePause = 500 * time.Millisecond
+	maxProbePause = 15 * time.Second
 	// minFailedPaths is the number of paths that must fail, with no sign of life from any
 	// server, before this VM counts as cut off. A single one may be a server that ended.
 	minFailedPaths = 2
@@ -60,8 +69,11 @@
 	waiting     int       // paths with waiting requests
 	quietSince  time.Time // last contact, or when requests began to wait at any server
 	cutOff      bool
-	// silenceProbeNotBefore is when a single silent server may be probed again.
+	meanGap     time.Duration // between two answers, while requests wait
+	// silenceProbeNotBefore is when silent servers may be probed again, and probePause the
+	// last pause.
 	silenceProbeNotBefore time.Time
+	probePause            time.Duration
 }
 
 func (m *Monitor) path(to netip.AddrPort) *path {
@@ -91,7 +103,7 @@
 	if p.lostSince.IsZero() {
 		p.lostSince = now
 	}
-	m.silenceProbeNotBefore = time.Time{} // others may have the same cause
+	m.silenceProbeNotBefore, m.probePause = time.Time{}, 0 // others may have the same cause
 	m.updateCutOff(now)
 }
 
@@ -119,6 +131,13 @@
 	m.contact(now)
 }
 
+// Answered records that the first data of an answer arrived from a server.
+func (m *Monitor) Answered(now time.Time, to netip.AddrPort) {
+	gap := min(now.Sub(m.quietSince), maxVMSilence)
+	m.meanGap += time.Duration(gapSmoothing * float64(gap-m.meanGap))
+	m.Received(now, to)
+}
+
 // Ended records that a request no longer waits for its answer.
 func (m *Monitor) Ended(to netip.AddrPort) {
 	p := m.path(to)
@@ -197,30 +216,53 @@
 		return cmp.Or(m.paths[a].probedAt.Compare(m.paths[b].probedAt), a.Compare(b))
 	})
 	due = due[:min(len(due), maxProbes)]
+	vmSilent := m.isVMSilent(now)
+	var probes []netip.AddrPort
 	for _, to := range due {
 		p := m.paths[to]
+		if p.lostSince.IsZero() && !vmSilent && now.Before(m.silenceProbeNotBefore) {
+			continue // one silent server at a time, if others answer
+		}
 		p.probedAt = now
-		if p.lostSince.IsZero() && !m.isVMSilent(now) {
-			m.silenceProbeNotBefore = now.Add(silenceProbePause)
+		probes = append(probes, to)
+		if p.lostSince.IsZero() {
+			m.pauseProbes(now)
 		}
 	}
-	return due
+	return probes
+}
+
+// pauseProbes delays the next probe of a silent server.
+func (m *Monitor) pauseProbes(now time.Time) {
+	if now.Before(m.silenceProbeNotBefore) {
+		return
+	}
+	m.probePause = min(max(2*m.probePause, minProbePause), maxProbePause)
+	m.silenceProbeNotBefore = now.Add(m.probePause)
 }
 
 func (m *Monitor) probeDue(now time.Time, p *path) bool {
-	switch {
-	case !p.lostSince.IsZero():
+	if !p.lostSince.IsZero() {
 		return now.Sub(p.failedAt) >= ProbeInterval && now.Sub(p.usedAt) < useWindow
-	case p.waiting == 0:
+	}
+	if p.waiting == 0 || !m.mayProbeSilence(now) {
 		return false
-	case m.isVMSilent(now):
-		return true
-	default:
-		return now.Sub(p.silentSince) >= ServerSilence && !now.Before(m.silenceProbeNotBefore)
 	}
+	return m.isVMSilent(now) || now.Sub(p.silentSince) >= ServerSilence
+}
+
+// mayProbeSilence reports whether silent servers may be probed: after the pause, or sooner if
+// nothing arrives from any server for long.
+func (m *Monitor) mayProbeSilence(now time.Time) bool {
+	longSilence := m.waiting >= minFailedPaths && now.Sub(m.quietSince) >= maxVMSilence
+	if longSilence {
+		return !now.Before(m.silenceProbeNotBefore.Add(minProbePause - m.probePause))
+	}
+	return !now.Before(m.silenceProbeNotBefore)
 }
 
 // isVMSilent reports whether requests wait at several servers and nothing arrives from any.
 func (m *Monitor) isVMSilent(now time.Time) bool {
-	return m.waiting >= minFailedPaths && now.Sub(m.quietSince) >= VMSilence
+	limit := min(max(silenceGaps*m.meanGap, VMSilence), maxVMSilence)
+	return m.waiting >= minFailedPaths && now.Sub(m.quietSince) >= limit
 }
--- a/internal/load/reach/reach_test.go
+++ b/internal/load/reach/reach_test.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -59,6 +60,44 @@
 	assert.Assert(t, probes < 50, "%d connections were spent on probes", probes)
 }
 
+// Guards against connections that are spent on probes because some answers are late, on each of hundreds of VMs.
+func TestAFewRequestsBesideLateAnswersCostFewProbes(t *testing.T) {
+	var m Monitor
+	rng := rand.New(rand.NewPCG(1, 2))
+	for n := range byte(8) {
+		m.Connected(start, server(n))
+		m.Sent(start, server(n)) // one that is answered late, or never
+	}
+	const seconds, rate = 90, 5.0
+	probes := 0
+	next := start
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(50 * time.Millisecond) {
+		for !next.After(now) {
+			m.Answered(next, server(byte(rng.IntN(4))))
+			next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		}
+		for _, to := range m.Probes(now) {
+			probes++
+			m.Connected(now, to)
+		}
+	}
+	assert.Assert(t, probes <= seconds/2, "%d probes in %d s", probes, seconds)
+}
+
+// Guards against a cut that is noticed late because probes were paused in an overload before it.
+func TestACutAfterAnOverloadIsNoticedInTime(t *testing.T) {
+	var m Monitor
+	for n := range byte(4) {
+		m.Connected(start, server(n))
+		m.Sent(start, server(n))
+	}
+	probeAll(&m, start, 30*time.Second, true)
+	cut := start.Add(30 * time.Second)
+	m.Received(cut, server(0))
+	probeAll(&m, cut, 2500*time.Millisecond, false)
+	assert.Assert(t, m.CutOff())
+}
+
 // Guards against a VM that gives up all paths because two servers ended.
 func TestServersThatEndedDoNotCutOffTheVM(t *testing.T) {
 	var m Monitor
