--- /dev/null
+++ b/internal/edge/relay/failure.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// newFailure returns the Failure of an attempt without an answer. broken says that the
+// server was seen to end the connection.
+func newFailure(caller context.Context, err error, sent, broken bool) *Failure {
+	switch {
+	case errors.Is(context.Cause(caller), errPathLost) && sent:
+		return &Failure{Kind: kinds.Unknown, Sent: true, PathLost: true, err: errPathLost}
+	case errors.Is(context.Cause(caller), errPathLost):
+		return &Failure{Kind: kinds.NoServer, PathLost: true, err: errPathLost}
+	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
+		return &Failure{Kind: kinds.Canceled, Sent: sent, ConnClosed: broken, err: err}
+	case sent:
+		return &Failure{Kind: kinds.Unknown, Sent: true, ConnClosed: broken || connBroken(caller, err), err: err}
+	case caller.Err() != nil:
+		return &Failure{Kind: kinds.DeadlineMissed, err: err}
+	default:
+		return &Failure{Kind: kinds.NoServer, err: err}
+	}
+}
+
+// Failure is the error of an attempt without a usable answer.
+type Failure struct {
+	Kind       kinds.Kind
+	Sent       bool        // at least one byte of the request may have reached the server
+	Refused    bool        // the server said that it did not run the request
+	ConnClosed bool        // the server ended the connection before its answer was complete
+	Header     http.Header // header of the answer that refused the request
+	ConnOpened time.Time   // see Response; set if Refused
+	PathLost   bool        // given up because this VM lost its path to the server
+	Via        string      // see Response
+	err        error
+}
+
+// Error returns the kind and the cause.
+func (f *Failure) Error() string { return f.Kind.String() + ": " + f.err.Error() }
+
+// Unwrap returns an error of the failure's kind.
+func (f *Failure) Unwrap() error { return kinds.Wrap(f.Kind, f.err, "relay") }
+
+var (
+	errRefused      = errors.New("the server refused the request")
+	errWrongRequest = errors.New("the answer belongs to another request")
+	errNoEnd        = errors.New("the end of the answer could not be recognized")
+)
+
+// check rejects an answer that must not reach the caller.
+//
+// A server that answers late, on a connection that has since been reused for another
+// request, would deliver one caller's answer to another; the request id in the answer
+// reveals that, if the server sends it. An answer that ends with its connection looks the
+// same whether it is complete or cut off, so it must not be passed on as complete.
+func (h *Headers) check(resp *http.Response, method string, id ident.Request, connOpened time.Time) error {
+	got := resp.Header.Get(h.ID)
+	foreign := got != string(id) && (got != "" || h.EchoesID)
+	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Header: resp.Header, ConnOpened: connOpened}
+	}
+	if foreign {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
+	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if unframed && method != http.MethodHead && !h.CloseDelimited {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errNoEnd}
+	}
+	return nil
+}
+
+func refusedKind(status int) kinds.Kind {
+	if status == http.StatusMisdirectedRequest {
+		return kinds.Misrouted
+	}
+	return kinds.Busy
+}
