evac, host, assign: an evacuated data centre gets no requests

Callers saw requests run in data centres that the operator had emptied: nothing read the evacuations.

Each VM watches the evacuations and hears of them from the leader with its polls, so a VM that is cut off from the store, starts or is new knows them too. Every piece of information carries the store revision, and an older one never replaces a newer one (node/evac). Taken back, the data centre gets its keys back by the balance's steps.

An evacuation that cannot be read is logged once and ignored; one of an unknown data centre is logged and concerns nobody.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -27,6 +27,9 @@
 	Incarnation int64 `json:"born,omitempty"`
 	// Rev is the revision of the server's entry.
 	Rev uint64 `json:"rev,omitempty"`
+	// Evacuated is set by the VM while the server's data centre is evacuated. It is not
+	// part of the entry.
+	Evacuated bool `json:"-"`
 	// InvalidFields names the fields of the entry that could not be read, for the log.
 	// The server is used all the same.
 	InvalidFields string `json:"-"`
@@ -108,6 +111,9 @@
 type Decoder interface {
 	// Server decodes the entry of a server. It fails if the entry cannot be read.
 	Server(name string, value []byte) (Server, error)
+	// Evacuation decodes the operator's request that the backend servers of a data centre
+	// get no requests. It fails if the request cannot be read.
+	Evacuation(name string, value []byte) (ident.Centre, error)
 	// Rules decodes the rules in force. It fails only if single rules cannot be told
 	// apart; a fault within one rule affects that rule only.
 	Rules(rev ident.Revision, value []byte) (Rules, error)
--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -99,6 +99,12 @@
 	return object.Version(s.rev)
 }
 
+func (s *memStore) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(name, nil)
+}
+
 func (s *memStore) write(name string, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -197,6 +203,12 @@
 	return s, kinds.Wrap(kinds.Malformed, err, "entry")
 }
 
+func (jsonDecoder) Evacuation(name string, b []byte) (ident.Centre, error) {
+	var fields map[string]any
+	err := json.Unmarshal(b, &fields)
+	return ident.Centre(name), kinds.Wrap(kinds.Malformed, err, "evacuation")
+}
+
 func (jsonDecoder) Rules(rev ident.Revision, b []byte) (feed.Rules, error) {
 	var r feed.Rules
 	err := json.Unmarshal(b, &r)
@@ -310,13 +322,18 @@
 
 // addServer starts a backend server and writes its entry.
 func (tc *testCluster) addServer(svc ident.Service, name ident.Server) *backend {
+	return tc.addServerIn(svc, name, "here")
+}
+
+// addServerIn starts a backend server in a data centre and writes its entry.
+func (tc *testCluster) addServerIn(svc ident.Service, name ident.Server, centre ident.Centre) *backend {
 	b := &backend{name: name, held: map[ranges.Span]time.Time{}}
 	b.web = httptest.NewServer(b)
 	tc.t.Cleanup(b.web.Close)
 	at, err := netip.ParseAddrPort(strings.TrimPrefix(b.web.URL, "http://"))
 	assert.NilError(tc.t, err)
 	tc.backends[at] = b
-	tc.store.write("servers/"+string(name), feed.Server{Name: name, Service: svc, Addr: at, Centre: "here", Slots: 4, Incarnation: 1})
+	tc.store.write("servers/"+string(name), feed.Server{Name: name, Service: svc, Addr: at, Centre: centre, Slots: 4, Incarnation: 1})
 	return b
 }
 
@@ -348,7 +365,7 @@
 	names.PassThrough = []string{relay.HeaderKey}
 	p := Platform{
 		Store: gw, StaleStore: staleGateway{gw}, Decode: decode, Orders: tc, Headers: names,
-		Servers: "servers/", Rules: "config/main", OwnPrefix: "own/",
+		Servers: "servers/", Evacuations: "evacuations/", Rules: "config/main", OwnPrefix: "own/",
 	}
 	if tc.paths != nil {
 		tc.setPaths(i, &p)
--- /dev/null
+++ b/internal/edge/host/evacuation.go
@@ -0,0 +1,156 @@
+package host
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/node/evac"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+const (
+	// defaultEvacuation is how long servers of an evacuated data centre may get requests, if
+	// the platform sets no bound.
+	defaultEvacuation = 5 * time.Second
+	// evacuationShare is the fraction of that time in which they may get requests for keys
+	// that they still own. The rest covers the transit of the requests and the delay until
+	// this VM learned of the evacuation.
+	evacuationShare = 0.5
+)
+
+// evacuationWatcher follows the evacuations in the store.
+func (t *serverTracker) evacuationWatcher() *watcher {
+	return &watcher{
+		prefix: t.plat.Evacuations, hub: t.hub, fresh: t.plat.Store, stale: t.plat.StaleStore, log: t.log,
+		receivedFromPeer: func() bool { return t.hub.EvacuatedRev() > 0 },
+		onList: func(all []object.Object, cursor object.Cursor) {
+			l := evac.List{Rev: uint64(cursor)}
+			for _, o := range all {
+				if c, ok := t.decodeEvacuation(o); ok {
+					l.Centres = append(l.Centres, c)
+				}
+			}
+			t.applyEvacuations(l, "store")
+		},
+		onChange: t.changeEvacuations,
+	}
+}
+
+// decodeEvacuation decodes an evacuation. It returns false for one that cannot be read,
+// which is logged once.
+func (t *serverTracker) decodeEvacuation(o object.Object) (ident.Centre, bool) {
+	name := strings.TrimPrefix(o.Name, t.plat.Evacuations)
+	c, err := t.plat.Decode.Evacuation(name, o.Value)
+	if err == nil {
+		return c, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loggedEvacs[name] {
+		if t.loggedEvacs == nil {
+			t.loggedEvacs = map[string]bool{}
+		}
+		t.loggedEvacs[name] = true
+		t.log.Warn("evacuation has a fault and is ignored", "name", name, "rev", o.Version, "fault", err)
+	}
+	return "", false
+}
+
+func (t *serverTracker) changeEvacuations(all []object.Change, cursor object.Cursor) {
+	type change struct {
+		centre    ident.Centre
+		evacuated bool
+	}
+	var changes []change
+	for _, ch := range all {
+		if ch.Version == 0 {
+			changes = append(changes, change{ident.Centre(strings.TrimPrefix(ch.Name, t.plat.Evacuations)), false})
+			continue
+		}
+		if c, ok := t.decodeEvacuation(ch.Object); ok {
+			changes = append(changes, change{c, true})
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var changed []ident.Centre
+	for _, c := range changes {
+		if t.evacuated.Set(now, c.centre, uint64(cursor), c.evacuated) {
+			changed = append(changed, c.centre)
+		}
+	}
+	t.evacuationsChanged(now, changed, "store")
+}
+
+// applyEvacuations applies a complete list of evacuated data centres. The argument from
+// says where it comes from, for the log.
+func (t *serverTracker) applyEvacuations(l evac.List, from string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.evacuationsChanged(now, t.evacuated.Apply(now, l), from)
+}
+
+// evacuationsChanged logs which data centres have been evacuated or taken back, and passes
+// it on. The caller holds mu.
+func (t *serverTracker) evacuationsChanged(now time.Time, changed []ident.Centre, from string) {
+	l := t.evacuated.List()
+	t.hub.SetEvacuated(l)
+	if len(changed) == 0 {
+		return
+	}
+	servers := t.list()
+	for _, c := range changed {
+		n := 0
+		for _, s := range servers {
+			if s.Centre == c {
+				n++
+			}
+		}
+		if _, evacuated := t.evacuated.Evacuated(c); evacuated {
+			t.log.Warn("data centre evacuated", "centre", c, "rev", l.Rev, "from", from, "servers", n, "until", evacuationShare*t.evacuation.Seconds())
+			continue
+		}
+		t.log.Info("evacuation of data centre ended", "centre", c, "rev", l.Rev, "from", from, "servers", n)
+	}
+	t.distribute(servers)
+}
+
+// evacuationDue reports whether the servers of an evacuated data centre must get no more
+// requests, not even for keys that they still own. The caller holds mu.
+func (t *serverTracker) evacuationDue(now time.Time, c ident.Centre) bool {
+	since, evacuated := t.evacuated.Evacuated(c)
+	return evacuated && now.Sub(since) >= time.Duration(evacuationShare*float64(t.evacuation))
+}
+
+// markEvacuated marks the data centres whose evacuation has become due since the last call
+// and reports whether there are any. The caller holds mu.
+func (t *serverTracker) markEvacuated(now time.Time) bool {
+	due := map[ident.Centre]bool{}
+	found := false
+	for _, c := range t.evacuated.List().Centres {
+		if t.evacuationDue(now, c) {
+			due[c] = true
+			found = found || !t.droppedEvacs[c]
+		}
+	}
+	t.droppedEvacs = due
+	return found
+}
+
+// markEvacuatedServers returns the servers with those of evacuated data centres marked.
+// The caller holds mu.
+func (t *serverTracker) markEvacuatedServers(list []feed.Server) []feed.Server {
+	if len(t.evacuated.List().Centres) == 0 {
+		return list
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		_, list[i].Evacuated = t.evacuated.Evacuated(list[i].Centre)
+	}
+	return list
+}
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -54,6 +54,7 @@
 // Bounds are the limits that the platform sets and guarantees.
 type Bounds struct {
 	Drain       time.Duration // a leaving server gets no request later than this after it announced that it leaves
+	Evacuation  time.Duration // a server of an evacuated data centre gets no request later than this after the evacuation was accepted
 	Grace       time.Duration // from the stop signal until the process is killed
 	RulesApply  time.Duration // time within which new rules are in force on all VMs
 	MaxGrant    time.Duration // longest grant of keys
@@ -73,6 +74,7 @@
 	Headers          relay.Headers
 	FormatRetryAfter func(time.Duration) string
 	Servers          string // prefix of the servers' entries, with its slash
+	Evacuations      string // prefix of the evacuations, with its slash; empty if the platform has none
 	Rules            string // name of the object that holds the rules
 	OwnPrefix        string // prefix of this system's own objects, with its slash
 	// Calls returns the number of calls to the store by kind; nil if they are not
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -94,6 +94,7 @@
 	req.Lease, _ = p.parts.Hub.Lease()
 	req.RulesRev = uint64(p.parts.State.Rules.Newest())
 	_, req.ServersRev = p.parts.Hub.Revs()
+	req.EvacRev = p.parts.Hub.EvacuatedRev()
 	return req
 }
 
@@ -195,6 +196,9 @@
 	if resp.Rules != nil {
 		p.parts.Rules.applyRaw(*resp.Rules, "peer")
 	}
+	if resp.Evacuated != nil {
+		p.parts.Servers.applyEvacuations(*resp.Evacuated, "peer")
+	}
 	if resp.Servers != nil {
 		p.parts.Servers.mergePeerList(*resp.Servers)
 	}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -17,6 +18,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -46,16 +48,23 @@
 	left         departures                   // processes that announced that they leave
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
 	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
+	evacuated    evac.Set                     // data centres whose servers must get no requests
+	evacuation   time.Duration                // how long after an evacuation was accepted its servers may get requests
+	loggedEvacs  map[string]bool              // malformed evacuations that have been logged
+	droppedEvacs map[ident.Centre]bool        // evacuated data centres whose servers no longer get requests
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, log *slog.Logger) *serverTracker {
-	t := &serverTracker{plat: p, state: s, hub: hub, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+	t := &serverTracker{plat: p, state: s, hub: hub, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
 		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 	}
 	runWhileStarted(lc, &t.group, w.run, t.expireLoop)
+	if p.Evacuations != "" {
+		runWhileStarted(lc, &t.group, t.evacuationWatcher().run)
+	}
 	return t
 }
 
@@ -162,7 +171,7 @@
 		now := time.Now()
 		if t.members.Expire(now) {
 			t.publish(t.rev)
-		} else if t.markDrained(now) {
+		} else if drained, evacuated := t.markDrained(now), t.markEvacuated(now); drained || evacuated {
 			t.updateGates(t.list())
 		}
 		t.mu.Unlock()
@@ -174,15 +183,17 @@
 // caller holds mu.
 func (t *serverTracker) publish(rev uint64) {
 	t.rev = max(t.rev, rev)
-	var list []feed.Server
-	for _, e := range t.members.All() {
-		list = append(list, e.Value)
-	}
+	list := t.list()
 	t.logChanges(list)
 	t.hub.SetServers(poll.ServerList{Rev: t.rev, List: list})
+	t.distribute(list)
+}
+
+// distribute passes the servers to the gates and the key assignment. The caller holds mu.
+func (t *serverTracker) distribute(list []feed.Server) {
 	t.updateGates(list)
 	if t.onChange != nil {
-		t.onChange(list)
+		t.onChange(t.markEvacuatedServers(list))
 	}
 }
 
@@ -221,12 +232,13 @@
 	infos := map[ident.Service][]gate.ServerInfo{}
 	endpoints := map[ident.Service]map[ident.Server]state.Endpoint{}
 	for _, s := range list {
-		if t.drained(now, s) {
+		_, evacuated := t.evacuated.Evacuated(s.Centre)
+		if t.drained(now, s) || evacuated && t.evacuationDue(now, s.Centre) {
 			continue
 		}
 		svc := t.services[s.Service]
 		infos[s.Service] = append(infos[s.Service], gate.ServerInfo{
-			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving,
+			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving || evacuated,
 		})
 		if endpoints[s.Service] == nil {
 			endpoints[s.Service] = map[ident.Server]state.Endpoint{}
@@ -296,10 +308,7 @@
 			svc.Gate.SetShare(t.vmCount, 0)
 		}
 	}
-	t.updateGates(t.list())
-	if t.onChange != nil {
-		t.onChange(t.list())
-	}
+	t.distribute(t.list())
 }
 
 func (t *serverTracker) list() []feed.Server {
@@ -337,7 +346,7 @@
 	defer t.mu.Unlock()
 	t.onChange = fn
 	if fn != nil {
-		fn(t.list())
+		fn(t.markEvacuatedServers(t.list()))
 	}
 }
 
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -16,6 +16,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
+	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/owner/assign"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
 	"hawthornfield.org/hawthornfield/internal/owner/ranges"
@@ -47,6 +48,7 @@
 	Seqs        map[ident.Service]uint64           `json:"seqs,omitempty"`
 	RulesRev    uint64                             `json:"rules"` // newest revision that the sender knows to exist
 	ServersRev  uint64                             `json:"servers"`
+	EvacRev     uint64                             `json:"evac,omitempty"`  // as of which the sender knows the evacuated data centres
 	CPUs        float64                            `json:"power,omitempty"` // processors that the sender may use
 	Cells       map[ident.Service]CellCounts       `json:"cells,omitempty"`
 	LatencySums map[ident.Server]assign.LatencySum `json:"sums,omitempty"`
@@ -87,7 +89,9 @@
 	// Rules is set only by VMs of an earlier version, which send no RulesRev.
 	Rules   *RawRules   `json:"rules,omitempty"`
 	Servers *ServerList `json:"servers,omitempty"`
-	Cases   *Cases      `json:"cases,omitempty"`
+	// Evacuated is set if it is newer than what the receiver knows.
+	Evacuated *evac.List `json:"evac,omitempty"`
+	Cases     *Cases     `json:"cases,omitempty"`
 	// TrialGrants are attempts that only the receiver may make.
 	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
 
@@ -122,6 +126,7 @@
 	cancelRulesCtx  context.CancelFunc
 	rulesSlots      *semaphore.Weighted // limits transfers of rules to other VMs
 	servers         serverHistory
+	evacuated       evac.List
 	histories       map[ident.Service]*history
 	peers           map[ident.VM]peer
 	changed         chan struct{} // closed at the next change
@@ -287,6 +292,23 @@
 	return true
 }
 
+// SetEvacuated stores the evacuated data centres if they are known as of a newer revision.
+func (h *Hub) SetEvacuated(l evac.List) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l.Rev > h.evacuated.Rev {
+		h.evacuated = l
+		h.wake()
+	}
+}
+
+// EvacuatedRev returns the revision as of which the evacuated data centres are known here.
+func (h *Hub) EvacuatedRev() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.evacuated.Rev
+}
+
 // Revs returns the revisions of the rules and of the servers known here.
 func (h *Hub) Revs() (rules, servers uint64) {
 	h.mu.Lock()
@@ -333,7 +355,7 @@
 	return resp, hasNews, h.changed
 }
 
-// addStored adds the rules revision and the servers, and reports whether they are news. A
+// addStored adds the rules revision, the servers and the evacuations, and reports whether they are news. A
 // receiver that knows of newer rules and is still fetching them needs no notice; it would
 // poll again at once. This and the following methods require the caller to hold mu.
 func (h *Hub) addStored(req *Request, resp *Response) bool {
@@ -342,7 +364,11 @@
 		l := h.servers.since(req.ServersRev)
 		resp.Servers = &l
 	}
-	return resp.RulesRev > req.RulesRev || resp.Servers != nil
+	if h.evacuated.Rev > req.EvacRev {
+		l := h.evacuated
+		resp.Evacuated = &l
+	}
+	return resp.RulesRev > req.RulesRev || resp.Servers != nil || resp.Evacuated != nil
 }
 
 // addCases adds the suspected requests that changed, and reports whether there are any.
--- /dev/null
+++ b/internal/node/evac/evac.go
@@ -0,0 +1,104 @@
+// Package evac keeps which data centres are evacuated: their backend servers must get no
+// requests until the operator takes the evacuation back.
+//
+// The store is the authority. A VM hears of changes from its own watch and from other VMs,
+// in any order, so every piece of information carries the store revision as of which it is
+// true, and an older one never replaces a newer one.
+package evac
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+)
+
+// List is the complete list of evacuated data centres as of a store revision.
+type List struct {
+	Rev     uint64         `json:"rev"`
+	Centres []ident.Centre `json:"centres,omitempty"`
+}
+
+// Set is the set of evacuated data centres that a VM knows. The zero value knows of none.
+type Set struct {
+	rev     uint64 // of the newest information
+	records map[ident.Centre]record
+}
+
+// record is what is known of one data centre.
+type record struct {
+	rev       uint64
+	evacuated bool
+	since     time.Time // when this VM learned of the current state
+}
+
+// Apply replaces the set by a complete list. It returns the data centres whose state
+// changed, in order.
+func (s *Set) Apply(now time.Time, l List) []ident.Centre {
+	var changed []ident.Centre
+	for _, c := range l.Centres {
+		if s.put(now, c, l.Rev, true) {
+			changed = append(changed, c)
+		}
+	}
+	for c := range s.records {
+		if !slices.Contains(l.Centres, c) && s.put(now, c, l.Rev, false) {
+			changed = append(changed, c)
+		}
+	}
+	s.rev = max(s.rev, l.Rev)
+	slices.Sort(changed)
+	return changed
+}
+
+// Set records the state of one data centre as of a revision, and reports whether it
+// changed.
+func (s *Set) Set(now time.Time, c ident.Centre, rev uint64, evacuated bool) bool {
+	s.rev = max(s.rev, rev)
+	return s.put(now, c, rev, evacuated)
+}
+
+func (s *Set) put(now time.Time, c ident.Centre, rev uint64, evacuated bool) bool {
+	r := s.records[c]
+	if rev < r.rev {
+		return false
+	}
+	if s.records == nil {
+		s.records = map[ident.Centre]record{}
+	}
+	changed := evacuated != r.evacuated
+	if changed {
+		r.evacuated, r.since = evacuated, now
+	}
+	r.rev = rev
+	s.records[c] = r
+	return changed
+}
+
+// Evacuated reports whether a data centre is evacuated, and since when this VM knows it.
+func (s *Set) Evacuated(c ident.Centre) (since time.Time, ok bool) {
+	r := s.records[c]
+	return r.since, r.evacuated
+}
+
+// ReturnedAt returns when this VM learned that the last evacuation of a data centre ended.
+// It is zero for one that was never evacuated or is evacuated now.
+func (s *Set) ReturnedAt(c ident.Centre) time.Time {
+	if r := s.records[c]; !r.evacuated {
+		return r.since
+	}
+	return time.Time{}
+}
+
+// List returns the evacuated data centres, in order, and the revision as of which they are
+// known.
+func (s *Set) List() List {
+	l := List{Rev: s.rev}
+	for _, c := range slices.Sorted(maps.Keys(s.records)) {
+		if s.records[c].evacuated {
+			l.Centres = append(l.Centres, c)
+		}
+	}
+	return l
+}
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -137,6 +137,7 @@
 	latencySum      float64   // of recent answers, in seconds
 	answerCount     float64
 	listedAt        time.Time
+	evacuatedAt     time.Time // since when its data centre is evacuated; zero if it is not
 }
 
 // Model is the assignment of one service. Create one with New for each term as leader.
@@ -274,6 +275,12 @@
 		if b.Incarnation != s.Incarnation {
 			b.silentSince, b.pausedUntil, b.replaced, b.listedAt = time.Time{}, time.Time{}, false, now
 		}
+		switch {
+		case !s.Evacuated:
+			b.evacuatedAt = time.Time{}
+		case !b.Evacuated:
+			b.evacuatedAt = now
+		}
 		b.Server, b.listed = s, true
 	}
 	m.nextPlan = time.Time{}
@@ -281,7 +288,7 @@
 
 // accepts reports whether the server may be given keys.
 func (b *backend) accepts(now time.Time) bool {
-	return b.listed && !b.replaced && !b.Leaving && !b.isLost(now)
+	return b.listed && !b.replaced && !b.Leaving && !b.Evacuated && !b.isLost(now)
 }
 
 // isLost reports whether the server answers neither this leader nor requests of other VMs.
--- a/internal/owner/assign/faults_test.go
+++ b/internal/owner/assign/faults_test.go
@@ -15,7 +15,7 @@
 func (sim *simulation) injectFault() {
 	s := sim.servers[rapid.IntRange(0, len(sim.servers)-1).Draw(sim.t, "server")]
 	l := sim.leaders[len(sim.leaders)-1]
-	kind := rapid.IntRange(0, 14).Draw(sim.t, "fault")
+	kind := rapid.IntRange(0, 15).Draw(sim.t, "fault")
 	sim.tracef("all rows: fault %d at %s", kind, s.name)
 	switch kind {
 	case 0:
@@ -49,6 +49,10 @@
 		sim.corruptRow()
 	case 14:
 		l.relayed[s.name] = !l.relayed[s.name]
+	case 15:
+		for _, s := range sim.servers[:2] { // the servers of one data centre
+			s.evacuated = !s.evacuated
+		}
 	case 11:
 		s.silent = !s.silent // it freezes, or continues as if nothing had happened
 	}
--- a/internal/owner/assign/msg.go
+++ b/internal/owner/assign/msg.go
@@ -27,6 +27,7 @@
 	Incarnation int64
 	Slots       int
 	Leaving     bool
+	Evacuated   bool          // its data centre is evacuated: its keys move to other servers
 	Cold        time.Duration // how long it takes to warm up after its start
 }
 
--- a/internal/owner/assign/plan.go
+++ b/internal/owner/assign/plan.go
@@ -157,6 +157,9 @@
 		if s.phase == releasing || to == nil {
 			continue // it is already being moved
 		}
+		if from := m.backends[mv.From]; from != nil && from.waitsToEvacuate(now) {
+			continue
+		}
 		m.reassign(r, s, to, d.table.NextFence())
 		changed = true
 		key := [2]string{string(mv.From), string(mv.Reason)}
--- a/internal/owner/assign/sim_test.go
+++ b/internal/owner/assign/sim_test.go
@@ -70,6 +70,7 @@
 	silent      bool
 	listed      bool
 	leaving     bool
+	evacuated   bool
 	maxFence    [simRows]uint64
 	fence       [simRows]uint64
 	until       [simRows]time.Time
@@ -186,7 +187,7 @@
 	var all []Server
 	for _, s := range l.sim.servers {
 		if s.listed {
-			all = append(all, Server{Name: s.name, Addr: netip.AddrPort{}, Incarnation: s.incarnation, Slots: 4, Leaving: s.leaving})
+			all = append(all, Server{Name: s.name, Addr: netip.AddrPort{}, Incarnation: s.incarnation, Slots: 4, Leaving: s.leaving, Evacuated: s.evacuated})
 		}
 	}
 	l.update(ServersMsg{all})
