platform, front: a load header is read as far as it can be

A server that adds a fourth figure to its load header lost the whole report: the parser accepted three figures and nothing else, without a line in the log. With it went the second signal of the limits, the paces of hot keys, the servers' speeds at the leader and its knowledge that a server still answers.

Each figure is now read on its own.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -214,11 +214,14 @@
 	if x.f.Headers.Load == nil {
 		return
 	}
-	running, waiting, ok := x.f.Headers.Load(h)
+	r, ok := x.f.Headers.Load(h)
 	if ok {
-		x.svc.Gate.Report(s, running+waiting, 0)
+		x.svc.Gate.Report(s, r.Running+r.Waiting, 0)
 	}
-	x.loadReported, x.serverRunning, x.serverWaiting = ok, running, waiting
+	if r.Fault != "" && x.f.OnLoadFault != nil {
+		x.f.OnLoadFault(s, r.Fault)
+	}
+	x.loadReported, x.serverRunning, x.serverWaiting = ok, r.Running, r.Waiting
 }
 
 // bufferAnswer buffers a short answer.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -95,6 +95,9 @@
 	// it.
 	OnAnswer func(s ident.Server, took time.Duration)
 
+	// OnLoadFault, if set, is called for each load report of which a part could not be read.
+	OnLoadFault func(s ident.Server, fault string)
+
 	limitOverride atomic.Pointer[config.Limit] // replaces Limit once SetLimit was called
 	group         group.Group
 	ownerAttempts sync.Map // ident.Service -> *ownerAttempts, for services divided by key
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -36,8 +36,9 @@
 
 	// Refused reports whether an answer says that the server did not run the request.
 	Refused func(status int, h http.Header) bool
-	// Load reads the load that a server reports: requests running and waiting.
-	Load func(h http.Header) (running, waiting int, ok bool)
+	// Load reads the load that a server reports with an answer. It returns false if there is
+	// no report, or one of which nothing can be used.
+	Load func(h http.Header) (LoadReport, bool)
 	// CloseDelimited allows an answer whose end is the end of its connection. It is
 	// complete if the connection was closed in order, and incomplete if it was reset.
 	CloseDelimited bool
@@ -49,6 +50,14 @@
 	PassThrough []string
 }
 
+// LoadReport is the load that a server reports with an answer.
+type LoadReport struct {
+	Running int     // requests that it processes
+	Waiting int     // requests in its queue
+	Pace    float64 // how long work takes there at the moment, relative to usual; zero if unknown
+	Fault   string  // describes the parts that could not be read; empty if there are none
+}
+
 // DefaultHeaders are the headers of the system's own interface.
 func DefaultHeaders() Headers {
 	return Headers{
