warmup, gate, host, assign: all VMs together keep to what a cold server tolerates

A server that has just started tolerates a few requests a second in all and crashes well above that. Each VM raised its own load on it in steps, and no VM has less than one request: sixty-nine VMs sent sixty-nine.

A cold server now gets requests from one VM only, to which the leader lends it for a second with its responses to polls (load/warmup). The borrower counts its starts in a sliding window and stays under half of the bound, so that even two borrowers could not exceed it. A new leader lends nothing until earlier loans have ended; a VM without a loan sends nothing, whatever it knows of the others. Requests over the allowance go elsewhere; those for keys of a cold server are refused at once with the time until it is warm, also those that wait when it becomes cold. Cold servers are given keys only if no warm server can take them.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -30,6 +30,9 @@
 	// Evacuated is set by the VM while the server's data centre is evacuated. It is not
 	// part of the entry.
 	Evacuated bool `json:"-"`
+	// Capped is set by the VM while the server is cold and its service limits the requests
+	// that a cold server gets. It is not part of the entry.
+	Capped bool `json:"-"`
 	// InvalidFields names the fields of the entry that could not be read, for the log.
 	// The server is used all the same.
 	InvalidFields string `json:"-"`
@@ -45,6 +48,9 @@
 	Name    ident.Service
 	Divided bool // divided by key: each key has one owner
 	Conns   int  // connections that each server accepts from all entry VMs together
+	// ColdRate is how many requests a second a cold server tolerates from all entry VMs
+	// together; zero if there is no limit.
+	ColdRate float64
 }
 
 // Limits restrict what a caller may send and how long it may take. Zero means no limit. A
--- a/internal/edge/host/coordinator.go
+++ b/internal/edge/host/coordinator.go
@@ -203,7 +203,7 @@
 		var servers []assign.Server
 		for _, s := range list {
 			if s.Service == svc {
-				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Cold: s.Cold})
+				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Capped: s.Capped, Cold: s.Cold})
 			}
 		}
 		l.Send(assign.ServersMsg{Servers: servers})
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -142,15 +142,13 @@
 	return found
 }
 
-// markEvacuatedServers returns the servers with those of evacuated data centres marked.
-// The caller holds mu.
-func (t *serverTracker) markEvacuatedServers(list []feed.Server) []feed.Server {
-	if len(t.evacuated.List().Centres) == 0 {
-		return list
-	}
+// annotate returns the servers with those marked that are in an evacuated data centre or
+// capped. The caller holds mu.
+func (t *serverTracker) annotate(list []feed.Server) []feed.Server {
 	list = slices.Clone(list)
 	for i := range list {
 		_, list[i].Evacuated = t.evacuated.Evacuated(list[i].Centre)
+		list[i].Capped = t.capped[list[i].Name]
 	}
 	return list
 }
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -61,6 +61,10 @@
 	RetryWindow time.Duration
 	RetryRatio  float64 // retries allowed in a window, as a fraction of the requests
 	RetrySlack  float64 // retries allowed in a window beyond that fraction
+	// A cold server may get ColdOverrun times its service's ColdRate, and ColdSlack more, in
+	// any one second.
+	ColdOverrun float64
+	ColdSlack   float64
 }
 
 // Platform holds what a platform's adapter provides.
@@ -125,7 +129,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newFront, newHub, newServerTracker, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newFront, newHub, newServerTracker, newColdLender, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -49,6 +49,7 @@
 	Servers     *serverTracker
 	Rules       *ruleManager
 	Quarantine  *quarantine
+	Lender      *coldLender
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
 }
@@ -67,6 +68,7 @@
 		p.Coordinator.onRequest(req)
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
+		req.Lent = p.Lender.lend(req.VM)
 	}))
 	l.peers.Server = serve(peers)
 	l.metrics.Server = serve(p.Quarantine.handler(p.Meter.Handler()))
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -45,6 +45,7 @@
 	State       *state.State
 	Counts      *loadCounts
 	Quarantine  *quarantine
+	Lender      *coldLender
 	Tunnels     *tunnel.Client
 	Log         *slog.Logger
 }
@@ -74,6 +75,7 @@
 		case leads:
 			p.parts.Servers.setVMCount(p.parts.Hub.VMs(time.Now()))
 			p.setTunnelPeers(p.parseAddrs(p.parts.Hub.PeerAddrs(time.Now())))
+			p.parts.Lender.lendToSelf()
 			p.pollPreviousLeader(ctx)
 			group.Sleep(ctx, leaderPause)
 		case !p.pollLeader(ctx, lease):
@@ -90,7 +92,7 @@
 // revisions known here, because otherwise each response would hold the complete server
 // list, and a new leader polls the previous one five times a second.
 func (p *poller) baseRequest() *poll.Request {
-	req := &poll.Request{VM: p.parts.Config.VM, Addr: p.parts.Config.Peers.String(), CPUs: p.parts.Config.CPUs}
+	req := &poll.Request{VM: p.parts.Config.VM, Addr: p.parts.Config.Peers.String(), CPUs: p.parts.Config.CPUs, Centre: p.parts.Config.Centre}
 	req.Lease, _ = p.parts.Hub.Lease()
 	req.RulesRev = uint64(p.parts.State.Rules.Newest())
 	_, req.ServersRev = p.parts.Hub.Revs()
@@ -145,6 +147,7 @@
 	p.setPeers(resp.VMs, lease.Addr)
 	p.applyLeaderState(resp)
 	p.parts.Quarantine.applyGrants(asked, resp.TrialGrants)
+	p.parts.Servers.borrow(asked, resp.Lent)
 	p.parts.Quarantine.markReported(resp.Lease.Incarnation, req.Reports)
 	if !resp.StoreDown {
 		p.parts.Hub.SetSynced(resp.ReceivedAt)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -52,10 +52,16 @@
 	evacuation   time.Duration                // how long after an evacuation was accepted its servers may get requests
 	loggedEvacs  map[string]bool              // malformed evacuations that have been logged
 	droppedEvacs map[ident.Centre]bool        // evacuated data centres whose servers no longer get requests
+	coldEntries  map[ident.Server]coldEntry   // servers that are cold by their entries
+	capped       map[ident.Server]bool        // cold servers that may get only few requests
+	borrowed     []ident.Server               // cold servers that the leader last lent to this VM
+	coldOverrun  float64                      // see Bounds.ColdOverrun
+	coldSlack    float64                      // see Bounds.ColdSlack
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, log *slog.Logger) *serverTracker {
 	t := &serverTracker{plat: p, state: s, hub: hub, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
@@ -171,14 +177,27 @@
 		now := time.Now()
 		if t.members.Expire(now) {
 			t.publish(t.rev)
-		} else if drained, evacuated := t.markDrained(now), t.markEvacuated(now); drained || evacuated {
-			t.updateGates(t.list())
+		} else {
+			t.updateDue(now)
 		}
 		t.mu.Unlock()
 	}
 	return nil
 }
 
+// updateDue applies what has changed with time alone. The caller holds mu.
+func (t *serverTracker) updateDue(now time.Time) {
+	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
+	list := t.list()
+	if t.markCapped(now, list) {
+		t.distribute(list)
+		return
+	}
+	if drained || evacuated {
+		t.updateGates(list)
+	}
+}
+
 // publish passes the servers to the gates, the other VMs and the key assignment. The
 // caller holds mu.
 func (t *serverTracker) publish(rev uint64) {
@@ -193,7 +212,7 @@
 func (t *serverTracker) distribute(list []feed.Server) {
 	t.updateGates(list)
 	if t.onChange != nil {
-		t.onChange(t.markEvacuatedServers(list))
+		t.onChange(t.annotate(list))
 	}
 }
 
@@ -229,6 +248,8 @@
 func (t *serverTracker) updateGates(list []feed.Server) {
 	now := time.Now()
 	t.trackLeaving(now, list)
+	t.trackCold(now, list)
+	t.markCapped(now, list)
 	infos := map[ident.Service][]gate.ServerInfo{}
 	endpoints := map[ident.Service]map[ident.Server]state.Endpoint{}
 	for _, s := range list {
@@ -236,10 +257,7 @@
 		if t.drained(now, s) || evacuated && t.evacuationDue(now, s.Centre) {
 			continue
 		}
-		svc := t.services[s.Service]
-		infos[s.Service] = append(infos[s.Service], gate.ServerInfo{
-			Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving || evacuated,
-		})
+		infos[s.Service] = append(infos[s.Service], t.gateInfo(now, s))
 		if endpoints[s.Service] == nil {
 			endpoints[s.Service] = map[ident.Server]state.Endpoint{}
 		}
@@ -346,7 +364,7 @@
 	defer t.mu.Unlock()
 	t.onChange = fn
 	if fn != nil {
-		fn(t.markEvacuatedServers(t.list()))
+		fn(t.annotate(t.list()))
 	}
 }
 
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -50,6 +50,7 @@
 	ServersRev  uint64                             `json:"servers"`
 	EvacRev     uint64                             `json:"evac,omitempty"`  // as of which the sender knows the evacuated data centres
 	CPUs        float64                            `json:"power,omitempty"` // processors that the sender may use
+	Centre      ident.Centre                       `json:"centre,omitempty"`
 	Cells       map[ident.Service]CellCounts       `json:"cells,omitempty"`
 	LatencySums map[ident.Server]assign.LatencySum `json:"sums,omitempty"`
 	Reports     LenientList[poison.Report]         `json:"reports,omitempty"` // of requests during which servers broke off
@@ -58,6 +59,9 @@
 	// TrialGrants is set by the handler on the leader, and sent in the response to this
 	// request only: the sender counts their time from when it sent the request.
 	TrialGrants []poison.TrialGrant `json:"-"`
+	// Lent is set by the handler on the leader, and sent in the response to this request
+	// only, like TrialGrants.
+	Lent []ident.Server `json:"-"`
 
 	receivedAt time.Time // on the boot clock, see package clock
 }
@@ -94,6 +98,8 @@
 	Cases     *Cases     `json:"cases,omitempty"`
 	// TrialGrants are attempts that only the receiver may make.
 	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
+	// Lent are cold servers that only the receiver may use.
+	Lent []ident.Server `json:"lent,omitempty"`
 
 	// ReceivedAt is when the response began to arrive. Its news is as of that time.
 	ReceivedAt time.Time `json:"-"`
@@ -349,7 +355,7 @@
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
-	resp.TrialGrants = req.TrialGrants
+	resp.TrialGrants, resp.Lent = req.TrialGrants, req.Lent
 	hasNews = hasNews || len(resp.TrialGrants) > 0
 	h.addPeers(now, req, &resp)
 	return resp, hasNews, h.changed
--- a/internal/edge/poll/peers.go
+++ b/internal/edge/poll/peers.go
@@ -8,6 +8,7 @@
 
 type peer struct {
 	addr     string
+	centre   ident.Centre
 	cpus     float64
 	since    time.Time // start of its uninterrupted polling
 	lastSeen time.Time // last poll, or when it should have read the response to it
@@ -41,6 +42,19 @@
 	return all
 }
 
+// Centres returns the data centres of the VMs that polled lately, without this one.
+func (h *Hub) Centres(now time.Time) map[ident.VM]ident.Centre {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make(map[ident.VM]ident.Centre, len(h.peers))
+	for vm, p := range h.peers {
+		if now.Sub(p.lastSeen) <= PeerTimeout {
+			all[vm] = p.centre
+		}
+	}
+	return all
+}
+
 // HasStronger reports whether a VM that may use more processors than cpus has been
 // polling for at least tenure.
 func (h *Hub) HasStronger(now time.Time, cpus float64, tenure time.Duration) bool {
@@ -62,7 +76,7 @@
 	if old, known := h.peers[req.VM]; known && now.Sub(old.lastSeen) <= PeerTimeout {
 		since = old.since
 	}
-	h.peers[req.VM] = peer{addr: req.Addr, cpus: req.CPUs, since: since, lastSeen: now}
+	h.peers[req.VM] = peer{addr: req.Addr, centre: req.Centre, cpus: req.CPUs, since: since, lastSeen: now}
 }
 
 // extendPeer records that a VM may be reading its response until a time. It does not poll
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -220,6 +220,11 @@
 			return Start
 		}
 	}
+	if owner != nil {
+		if delay := owner.cap.delay(now); delay > 0 {
+			return c.refuse(t, kinds.Busy, c.retryAfter(delay))
+		}
+	}
 	return c.admit(now, l, owner, t, debt)
 }
 
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -153,6 +153,12 @@
 	g.update(func(now time.Time) { g.core.SetShare(now, n, index) })
 }
 
+// Lend lets this VM send requests to cold servers until a time, within their caps. Other
+// VMs send them none meanwhile.
+func (g *Gate) Lend(servers []ident.Server, until time.Time) {
+	g.update(func(now time.Time) { g.core.Lend(now, servers, until) })
+}
+
 // Report records the load that a backend server reports: the requests it runs and
 // queues, as of age ago. Reports can lag or mislead, so between servers they only break
 // near ties.
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -28,6 +28,13 @@
 	Conns  int  // connections that it accepts from all entry VMs together
 	Cold   bool // just started: its load is raised in steps
 	Drain  bool // shutting down: it gets no new requests
+	// Capped says that the server is cold and tolerates only a few requests from all VMs:
+	// this VM may start at most StartCap within a [warmup.Window], and only while the server
+	// is lent to it, see [Gate.Lend].
+	Capped   bool
+	StartCap int
+	// CappedFor is how long the server is expected to stay cold.
+	CappedFor time.Duration
 }
 
 // server is the gate's state of one backend server.
@@ -51,6 +58,7 @@
 	workTime     time.Duration // processing time of one request, without waiting for others
 	lastStart    time.Time     // when a request was last sent there
 	avoidUntil   time.Time     // set when its address answered for another server
+	cap          startCap      // bounds the starts while the server is cold
 	probes       probePacer    // limits the probes sent from move queues
 }
 
@@ -79,7 +87,7 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && running < s.maxRunning(now) && s.running < s.connPool.Max(now)
+	return !s.removed && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
@@ -88,12 +96,13 @@
 		return false
 	}
 	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
-	return s.running < s.health.MaxRunning(allowed)
+	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0
 }
 
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
 	s.running++
 	s.lastStart = now
+	s.cap.noteStart(now)
 	s.load.Running = s.running
 	if k == sizes.Long {
 		s.runningLong++
@@ -194,6 +203,10 @@
 	if info.Cold && !s.info.Cold {
 		s.health.MarkCold(now)
 	}
+	s.cap.set(now, info)
+	if info.Capped && !s.info.Capped {
+		c.refuseQueued(now, s, kinds.Busy, s.cap.delay(now))
+	}
 	s.info = info
 	s.idx = len(c.servers)
 	s.load.Slots = info.Slots
@@ -204,6 +217,11 @@
 
 func (c *Core) removeServer(now time.Time, s *server) {
 	s.removed = true
+	c.refuseQueued(now, s, kinds.NoOwner, 0)
+}
+
+// refuseQueued refuses the requests that wait for a server's keys.
+func (c *Core) refuseQueued(now time.Time, s *server, kind kinds.Kind, after time.Duration) {
 	if s.ownLanes == nil {
 		return
 	}
@@ -211,7 +229,7 @@
 		l := &s.ownLanes.bySize[k]
 		for it := l.q.Pop(now); it != nil; it = l.q.Pop(now) {
 			c.waiting--
-			c.refuseWaiting(it.Value, kinds.NoOwner, c.retryAfter(0))
+			c.refuseWaiting(it.Value, kind, c.retryAfter(after))
 		}
 	}
 }
@@ -278,7 +296,7 @@
 }
 
 func (c *Core) addConcurrency(now time.Time, s *server, mixed bool) {
-	if s.info.Drain {
+	if s.info.Drain || s.cap.closed(now) {
 		return
 	}
 	most := s.health.MaxRunning(min(s.limit[s.limitKind].Max(), s.connPool.Max(now)))
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -165,6 +165,7 @@
 	maxGrant           time.Duration // longest grant that servers accept; zero: no limit
 	flaw               flaw          // always flawNone outside tests
 	serversKnown       bool          // servers have been listed
+	allCapped          bool          // all servers that accept keys are capped, as of the last plan
 	idleServers        int           // accepting servers in excess of rows, as of the last plan
 	logs               []LogCmd      // log entries for the next update to return
 	// settledAt is when all servers that start together should be listed. Assigned earlier,
@@ -286,7 +287,22 @@
 	m.nextPlan = time.Time{}
 }
 
-// accepts reports whether the server may be given keys.
+// accepts reports whether the server may be given keys. A capped server may if all are.
+func (m *Model) accepts(now time.Time, b *backend) bool {
+	return b.accepts(now) && (!b.Capped || m.allCapped)
+}
+
+// updateAllCapped determines whether no server accepts keys but capped ones.
+func (m *Model) updateAllCapped(now time.Time) {
+	m.allCapped = true
+	for _, b := range m.backends {
+		if b.accepts(now) && !b.Capped {
+			m.allCapped = false
+		}
+	}
+}
+
+// accepts reports whether the server may be given keys, capped or not.
 func (b *backend) accepts(now time.Time) bool {
 	return b.listed && !b.replaced && !b.Leaving && !b.Evacuated && !b.isLost(now)
 }
--- a/internal/owner/assign/msg.go
+++ b/internal/owner/assign/msg.go
@@ -28,6 +28,7 @@
 	Slots       int
 	Leaving     bool
 	Evacuated   bool          // its data centre is evacuated: its keys move to other servers
+	Capped      bool          // it is cold and tolerates few requests: its keys move to others
 	Cold        time.Duration // how long it takes to warm up after its start
 }
 
--- a/internal/owner/assign/plan.go
+++ b/internal/owner/assign/plan.go
@@ -50,6 +50,7 @@
 		return m.flushDraft(now)
 	}
 	m.nextPlan = now.Add(planInterval)
+	m.updateAllCapped(now)
 	d := &draft{table: m.table.Clone(), rows: append([]rowState(nil), m.rows...)}
 	if m.unassigned && m.version == 0 {
 		d.table.Rows = ranges.NewTable(len(m.backends)).Rows
@@ -69,7 +70,7 @@
 func (m *Model) countAccepting(now time.Time) int {
 	n := 0
 	for _, b := range m.backends {
-		if b.accepts(now) {
+		if m.accepts(now, b) {
 			n++
 		}
 	}
@@ -127,7 +128,7 @@
 	for i := range d.table.Rows {
 		r, s := &d.table.Rows[i], &d.rows[i]
 		b := m.backends[r.Owner]
-		if b == nil || !b.accepts(now) || s.phase == releasing {
+		if b == nil || !m.accepts(now, b) || s.phase == releasing {
 			continue
 		}
 		if r.Incarnation == b.Incarnation && s.phase != vacant {
@@ -199,7 +200,7 @@
 		in.Owners[i] = r.Owner
 	}
 	for _, b := range m.backends {
-		s := place.Server{ID: b.Name, Weight: m.weight(b), Accepting: b.accepts(now), Ramp: 1}
+		s := place.Server{ID: b.Name, Weight: m.weight(b), Accepting: m.accepts(now, b), Ramp: 1}
 		if b.Cold > 0 && now.Sub(b.listedAt) < b.Cold {
 			s.Ramp = warmupCapacity
 		}
--- a/internal/owner/assign/restart_test.go
+++ b/internal/owner/assign/restart_test.go
@@ -16,3 +16,18 @@
 	in := m.planInput(now, &draft{})
 	assert.Equal(t, in.Servers[0].Ramp, warmupCapacity)
 }
+
+// Guards against keys at cold servers, whose owners could serve only a few requests a second.
+func TestCappedServersGetKeysOnlyIfAllAreCapped(t *testing.T) {
+	m, now := New(), time.Unix(1000, 0)
+	servers := []Server{{Name: "s1", Capped: true}, {Name: "s2"}}
+	m.setServers(now, servers)
+	m.updateAllCapped(now)
+	in := m.planInput(now, &draft{})
+	assert.Assert(t, !in.Servers[0].Accepting && in.Servers[1].Accepting)
+	servers[1].Leaving = true
+	m.setServers(now, servers)
+	m.updateAllCapped(now)
+	in = m.planInput(now, &draft{})
+	assert.Assert(t, in.Servers[0].Accepting && !in.Servers[1].Accepting)
+}
