--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"log/slog"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -216,34 +215,6 @@
 	}
 }
 
-// logChanges logs which servers are new, have started again, are leaving or gone. The caller
-// holds mu.
-func (t *serverTracker) logChanges(list []feed.Server) {
-	now := make(map[ident.Server]feed.Server, len(list))
-	var added, restarted, leaving, gone []ident.Server
-	for _, s := range list {
-		last, known := t.lastLogged[s.Name]
-		switch {
-		case !known:
-			added = append(added, s.Name)
-		case s.Incarnation != last.Incarnation:
-			restarted = append(restarted, s.Name)
-		case s.Leaving && !last.Leaving:
-			leaving = append(leaving, s.Name)
-		}
-		now[s.Name] = s
-	}
-	for name := range t.lastLogged {
-		if _, listed := now[name]; !listed {
-			gone = append(gone, name)
-		}
-	}
-	t.lastLogged = now
-	if len(added)+len(restarted)+len(leaving)+len(gone) > 0 {
-		t.log.Info("servers", "rev", t.rev, "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
-	}
-}
-
 // updateGates passes each service's servers to its gate. The caller holds mu.
 func (t *serverTracker) updateGates(list []feed.Server) {
 	now := time.Now()
@@ -273,49 +244,6 @@
 	}
 }
 
-// drainShare is the fraction of the drain time in which a leaving server may get requests
-// for keys that it still owns. The rest covers the transit of the requests and the delay
-// until this VM learned that the server leaves.
-const drainShare = 0.55
-
-// trackLeaving records when each server was first seen to leave. The caller holds mu.
-func (t *serverTracker) trackLeaving(now time.Time, list []feed.Server) {
-	t.left.update(now, list)
-	t.statesStart = slices.ContainsFunc(list, func(s feed.Server) bool { return s.Incarnation != 0 })
-	next := make(map[ident.Server]time.Time)
-	for _, s := range list {
-		if !s.Leaving {
-			continue
-		}
-		next[s.Name] = now
-		if since, known := t.leavingSince[s.Name]; known {
-			next[s.Name] = since
-		}
-	}
-	t.leavingSince = next
-	maps.DeleteFunc(t.dropped, func(s ident.Server, _ bool) bool { _, leaving := next[s]; return !leaving })
-}
-
-// drained reports whether a server announced so long ago that it leaves that it must get
-// no more requests. By then its keys have other owners or their requests wait for one.
-// The platform counts a later request as sent to a server that is gone.
-func (t *serverTracker) drained(now time.Time, s feed.Server) bool {
-	since, leaving := t.leavingSince[s.Name]
-	return leaving && now.Sub(since) >= time.Duration(drainShare*float64(t.drain))
-}
-
-// markDrained marks the servers that have become drained since the last call and reports
-// whether there are any.
-func (t *serverTracker) markDrained(now time.Time) bool {
-	found := false
-	for name, since := range t.leavingSince {
-		if !t.dropped[name] && now.Sub(since) >= time.Duration(drainShare*float64(t.drain)) {
-			t.dropped[name], found = true, true
-		}
-	}
-	return found
-}
-
 // setServices applies the services of the rules in force.
 func (t *serverTracker) setServices(all []feed.Service) {
 	t.mu.Lock()
