host, gate, operations: evacuations and cold servers in logs and metrics

An operator sees which data centre is out and for how long, which servers are cold, and on the line of a refused request that its key's owner is cold.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -69,6 +69,7 @@
 	Busy  int           `cbor:"busy,omitempty" json:"busy,omitempty"`
 	Limit int           `cbor:"most,omitempty" json:"most,omitempty"`
 	Queue int           `cbor:"queue,omitempty" json:"queue,omitempty"`
+	Cold  bool          `cbor:"cold,omitempty" json:"cold,omitempty"`   // for a refused request: the owner of its key is cold and gets only few
 	Count uint64        `cbor:"count,omitempty" json:"count,omitempty"` // for Lost and Skip
 	Keep  retain.Policy `cbor:"keep,omitempty" json:"keep,omitempty"`   // retention policy of the rule; in the journal only for Skip
 	Skip  bool          `cbor:"-" json:"-"`                             // the rule's policy leaves this decision out of the journal
@@ -133,6 +134,7 @@
 	number("busy", uint64(max(d.Busy, 0)))
 	number("most", uint64(max(d.Limit, 0)))
 	number("queue", uint64(max(d.Queue, 0)))
+	flag("cold", d.Cold)
 	number("count", d.Count)
 	text("keep", string(d.Keep))
 	return all
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -152,3 +152,18 @@
 	}
 	return list
 }
+
+// evacuatedFor returns how long this VM has known of the evacuation of each data centre;
+// zero for one that has been taken back.
+func (t *serverTracker) evacuatedFor(now time.Time) map[ident.Centre]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := map[ident.Centre]time.Duration{}
+	for _, c := range t.evacuated.Known() {
+		all[c] = 0
+		if since, ok := t.evacuated.Evacuated(c); ok {
+			all[c] = now.Sub(since)
+		}
+	}
+	return all
+}
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -39,6 +39,7 @@
 	State       *state.State
 	Record      *record.Writer
 	Poller      *poller
+	Servers     *serverTracker
 	Fetcher     *fetcher
 	Rules       *ruleManager
 	Quarantine  *quarantine
@@ -66,6 +67,7 @@
 		g.set("quarantined", float64(quarantined))
 		g.set("decisions_left_out", float64(g.parts.Record.Lost()))
 		g.updatePaths()
+		g.updateEvacuations(time.Now())
 	}
 	return nil
 }
@@ -133,6 +135,14 @@
 	g.set("tunnels_total", float64(g.parts.Tunnels.Total()))
 }
 
+// updateEvacuations sets a gauge for each data centre that is or was evacuated: for how long
+// this VM has known of it, or zero.
+func (g *gauges) updateEvacuations(now time.Time) {
+	for centre, d := range g.parts.Servers.evacuatedFor(now) {
+		g.parts.Meter.Tagged(map[string]string{"centre": string(centre)}).Gauge("evacuated_seconds").Update(d.Seconds())
+	}
+}
+
 // updateGate sets the gauges of one service's gate.
 func (g *gauges) updateGate(svc string, s gate.Stats) {
 	scope := g.parts.Meter.Tagged(map[string]string{"service": svc})
@@ -140,6 +150,8 @@
 	scope.Gauge("gate_held").Update(float64(s.Held))
 	scope.Gauge("gate_running").Update(float64(s.Running))
 	scope.Gauge("gate_ejected").Update(float64(s.Ejected))
+	scope.Gauge("gate_cold").Update(float64(s.Cold))
+	scope.Gauge("gate_refused_cold").Update(float64(s.RefusedCold))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for k, n := range s.Refused {
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -222,6 +222,7 @@
 	}
 	if owner != nil {
 		if delay := owner.cap.delay(now); delay > 0 {
+			c.stats.RefusedCold++
 			return c.refuse(t, kinds.Busy, c.retryAfter(delay))
 		}
 	}
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -201,6 +201,7 @@
 	Load    int           // requests running and queued there as last reported by the server
 	LoadAge time.Duration // age of that report; zero if there was none
 	Remote  bool          // it is in another data centre
+	Cold    bool          // it is cold and gets only few requests
 	Slots   int           // requests that it processes concurrently
 }
 
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -21,9 +21,12 @@
 	Held     int                   `json:"held"`    // waiting in move queues for an owner now
 	Running  int                   `json:"running"` // on backend servers now
 	Ejected  int                   `json:"ejected"` // servers ejected for bad health
-	Overload bool                  `json:"overload"`
-	Budget   float64               `json:"budget"` // retries left in the budget
-	Servers  []ServerStats         `json:"servers"`
+	Cold     int                   `json:"cold"`    // cold servers that get only few requests
+	// RefusedCold counts the requests refused because the owner of their key is cold.
+	RefusedCold uint64        `json:"refused_cold"`
+	Overload    bool          `json:"overload"`
+	Budget      float64       `json:"budget"` // retries left in the budget
+	Servers     []ServerStats `json:"servers"`
 }
 
 // ServerStats holds the gauges of one backend server.
@@ -58,6 +61,9 @@
 	s.Budget = c.retryBudget.Remaining()
 	for _, srv := range c.servers {
 		s.Servers = append(s.Servers, srv.stats(now))
+		if srv.cap.capped {
+			s.Cold++
+		}
 	}
 	return s
 }
@@ -83,6 +89,7 @@
 		if !s.reportedAt.IsZero() {
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
+		v.Cold = s.cap.capped
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
--- a/internal/node/evac/evac.go
+++ b/internal/node/evac/evac.go
@@ -102,3 +102,6 @@
 	}
 	return l
 }
+
+// Known returns the data centres that are or were evacuated, in order.
+func (s *Set) Known() []ident.Centre { return slices.Sorted(maps.Keys(s.records)) }
