--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -83,7 +83,7 @@
 			changed = append(changed, c.centre)
 		}
 	}
-	t.evacuationsChanged(now, changed, "store")
+	t.evacuationsChanged(changed, "store")
 }
 
 // applyEvacuations applies a complete list of evacuated data centres. The argument from
@@ -92,12 +92,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.evacuationsChanged(now, t.evacuated.Apply(now, l), from)
+	t.evacuationsChanged(t.evacuated.Apply(now, l), from)
 }
 
 // evacuationsChanged logs which data centres have been evacuated or taken back, and passes
 // it on. The caller holds mu.
-func (t *serverTracker) evacuationsChanged(now time.Time, changed []ident.Centre, from string) {
+func (t *serverTracker) evacuationsChanged(changed []ident.Centre, from string) {
 	l := t.evacuated.List()
 	t.hub.SetEvacuated(l)
 	if len(changed) == 0 {
