--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -217,9 +217,6 @@
 	r, ok := x.f.Headers.Load(h)
 	if ok {
 		x.svc.Gate.Report(s, r.Running+r.Waiting, 0)
-		if x.f.OnLoad != nil {
-			x.f.OnLoad(s, r.Running+r.Waiting)
-		}
 	}
 	if r.Fault != "" && x.f.OnLoadFault != nil {
 		x.f.OnLoadFault(s, r.Fault)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -95,9 +95,6 @@
 	// it.
 	OnAnswer func(s ident.Server, took time.Duration)
 
-	// OnLoad, if set, is called with the number of requests that a server reports to run and
-	// to queue.
-	OnLoad func(s ident.Server, load int)
 	// OnLoadFault, if set, is called for each load report of which a part could not be read.
 	OnLoadFault func(s ident.Server, fault string)
 
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -50,7 +50,6 @@
 	Rules       *ruleManager
 	Quarantine  *quarantine
 	Lender      *coldLender
-	Crowd       *crowdBoard
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
 }
@@ -70,7 +69,6 @@
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
 		req.Lent = p.Lender.lend(req.VM)
-		p.Crowd.note(req.Loads)
 	}))
 	l.peers.Server = serve(peers)
 	l.metrics.Server = serve(p.Quarantine.handler(p.Meter.Handler()))
--- a/internal/edge/host/load_counts.go
+++ b/internal/edge/host/load_counts.go
@@ -17,7 +17,6 @@
 	mu    sync.Mutex
 	cells map[ident.Service]poll.CellCounts
 	sums  map[ident.Server]assign.LatencySum
-	loads map[ident.Server]int // last reported by each server
 }
 
 func newLoadCounts() *loadCounts {
@@ -48,25 +47,6 @@
 	c.sums[s] = sum
 }
 
-// countLoad records the load that a server reported.
-func (c *loadCounts) countLoad(s ident.Server, load int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.loads == nil {
-		c.loads = map[ident.Server]int{}
-	}
-	c.loads[s] = load
-}
-
-// drainLoads returns the loads that servers reported since the last call.
-func (c *loadCounts) drainLoads() map[ident.Server]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	loads := c.loads
-	c.loads = nil
-	return loads
-}
-
 // drain returns the counts and resets them.
 func (c *loadCounts) drain() (map[ident.Service]poll.CellCounts, map[ident.Server]assign.LatencySum) {
 	c.mu.Lock()
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -46,7 +46,6 @@
 	Counts      *loadCounts
 	Quarantine  *quarantine
 	Lender      *coldLender
-	Crowd       *crowdBoard
 	Tunnels     *tunnel.Client
 	Log         *slog.Logger
 }
@@ -77,8 +76,6 @@
 			p.parts.Servers.setVMCount(p.parts.Hub.VMs(time.Now()))
 			p.setTunnelPeers(p.parseAddrs(p.parts.Hub.PeerAddrs(time.Now())))
 			p.parts.Lender.lendToSelf()
-			p.parts.Crowd.note(p.parts.Counts.drainLoads())
-			p.parts.Servers.applyCrowded(p.parts.Crowd.Crowded(time.Now()))
 			p.pollPreviousLeader(ctx)
 			group.Sleep(ctx, leaderPause)
 		case !p.pollLeader(ctx, lease):
@@ -110,7 +107,6 @@
 	req.ServersRev = p.parts.Servers.knownRev(time.Now())
 	req.Cells, req.LatencySums = p.parts.Counts.drain()
 	req.Reports, req.CaseSeq = p.parts.Quarantine.reports(req.Lease.Incarnation), p.caseSeq
-	req.Loads = p.parts.Counts.drainLoads()
 	req.TrialAsks = p.parts.Quarantine.trialAsks()
 	return req
 }
@@ -152,7 +148,6 @@
 	p.applyLeaderState(resp)
 	p.parts.Quarantine.applyGrants(asked, resp.TrialGrants)
 	p.parts.Servers.borrow(asked, resp.Lent)
-	p.parts.Servers.applyCrowded(resp.Crowded)
 	p.parts.Quarantine.markReported(resp.Lease.Incarnation, req.Reports)
 	if !resp.StoreDown {
 		p.parts.Hub.SetSynced(resp.ReceivedAt)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -55,10 +54,8 @@
 	coldEntries  map[ident.Server]coldEntry   // servers that are cold by their entries
 	capped       map[ident.Server]bool        // cold servers that may get only few requests
 	borrowed     []ident.Server               // cold servers that the leader last lent to this VM
-	crowded      map[ident.Server]int         // loads of crowded servers, as last heard
-	slots        atomic.Pointer[map[ident.Server]int]
-	coldOverrun  float64 // see Bounds.ColdOverrun
-	coldSlack    float64 // see Bounds.ColdSlack
+	coldOverrun  float64                      // see Bounds.ColdOverrun
+	coldSlack    float64                      // see Bounds.ColdSlack
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, log *slog.Logger) *serverTracker {
@@ -223,11 +220,6 @@
 	now := time.Now()
 	t.trackLeaving(now, list)
 	t.trackCold(now, list)
-	slots := make(map[ident.Server]int, len(list))
-	for _, s := range list {
-		slots[s.Name] = s.Slots
-	}
-	t.slots.Store(&slots)
 	t.markCapped(now, list)
 	infos := map[ident.Service][]gate.ServerInfo{}
 	endpoints := map[ident.Service]map[ident.Server]state.Endpoint{}
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -50,7 +50,6 @@
 	ServersRev  uint64                             `json:"servers"`
 	EvacRev     uint64                             `json:"evac,omitempty"`  // as of which the sender knows the evacuated data centres
 	CPUs        float64                            `json:"power,omitempty"` // processors that the sender may use
-	Loads       map[ident.Server]int               `json:"loads,omitempty"` // last reported by servers to the sender
 	Centre      ident.Centre                       `json:"centre,omitempty"`
 	Cells       map[ident.Service]CellCounts       `json:"cells,omitempty"`
 	LatencySums map[ident.Server]assign.LatencySum `json:"sums,omitempty"`
@@ -99,8 +98,6 @@
 	Cases     *Cases     `json:"cases,omitempty"`
 	// TrialGrants are attempts that only the receiver may make.
 	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
-	// Crowded are the loads of the servers that have more requests than slots.
-	Crowded map[ident.Server]int `json:"crowd,omitempty"`
 	// Lent are cold servers that only the receiver may use.
 	Lent []ident.Server `json:"lent,omitempty"`
 
@@ -147,7 +144,6 @@
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
-	crowdSource     CrowdSource
 }
 
 // history holds the owners of a service's keys and their recent changes.
@@ -179,18 +175,6 @@
 	h.caseSource = s
 }
 
-// CrowdSource provides the loads of crowded servers on the leader.
-type CrowdSource interface {
-	Crowded(now time.Time) map[ident.Server]int
-}
-
-// SetCrowd sets the source of loads. Its methods must not call the hub's.
-func (h *Hub) SetCrowd(s CrowdSource) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.crowdSource = s
-}
-
 // Wake answers the polls that wait for news.
 func (h *Hub) Wake() {
 	h.mu.Lock()
@@ -373,9 +357,6 @@
 	hasNews = h.addCases(req, &resp) || hasNews
 	resp.TrialGrants, resp.Lent = req.TrialGrants, req.Lent
 	hasNews = hasNews || len(resp.TrialGrants) > 0
-	if h.crowdSource != nil {
-		resp.Crowded = h.crowdSource.Crowded(now)
-	}
 	h.addPeers(now, req, &resp)
 	return resp, hasNews, h.changed
 }
--- a/internal/load/gate/choose.go
+++ b/internal/load/gate/choose.go
@@ -82,7 +82,7 @@
 // updateAvailable records whether a server has room for a request that may go to any
 // server.
 func (c *Core) updateAvailable(now time.Time, s *server) {
-	room := s.hasRoom(now) && (c.sharedTarget == 0 || !c.isTooCrowded(now, s, c.sharedTarget))
+	room := s.hasRoom(now)
 	c.available.Put(s.idx, room)
 	if c.cfg.Centre != "" {
 		c.availableLocal.Put(s.idx, room && s.info.Centre == c.cfg.Centre)
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -95,14 +95,11 @@
 	reestimateAt  time.Time // next time that queue waits are estimated again
 	healthCheckAt time.Time // next time that the servers' health is checked; zero if none is due
 
-	lastEvent    time.Time     // last call to detectPause
-	lastPause    vmPause       // the most recent pause
-	avgWork      time.Duration // average processing time of a request, without waiting; zero if unknown
-	workSamples  int           // answers in avgWork
-	sharedTarget time.Duration // latency target of the last request that may go to any server
-	running      int           // requests on backend servers
-	waiting      int           // requests in lanes, without those in move queues
-	startCount   float64       // decaying count of requests sent, as of startCountAt; see recentStarts
+	lastEvent    time.Time // last call to detectPause
+	lastPause    vmPause   // the most recent pause
+	running      int       // requests on backend servers
+	waiting      int       // requests in lanes, without those in move queues
+	startCount   float64   // decaying count of requests sent, as of startCountAt; see recentStarts
 	startCountAt time.Time
 
 	decided []*Ticket // since the last call of TakeDecided
@@ -181,7 +178,6 @@
 		return c.refuse(t, kinds.NoServer, c.retryAfter(0))
 	}
 	if t.Job.Server == "" {
-		c.sharedTarget = t.Job.LatencyTarget
 		return c.enterLane(now, &c.shared, nil, t)
 	}
 	s := c.byName[t.Job.Server]
@@ -206,9 +202,6 @@
 			return c.refuse(t, kinds.Busy, c.retryAfter(delay))
 		}
 	}
-	if c.isCrowdedFor(now, owner, t) {
-		return c.refuse(t, kinds.Busy, c.retryAfter(c.queueTime(now, owner)))
-	}
 	debt := 0.0
 	if l.q.Standing() || l.q.Len() > 0 {
 		debt = l.debt(now, t)
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -159,12 +159,6 @@
 	g.update(func(now time.Time) { g.core.Lend(now, servers, until) })
 }
 
-// SetCrowded records the loads of the servers that, as all VMs together know, have more
-// requests than slots.
-func (g *Gate) SetCrowded(loads map[ident.Server]int) {
-	g.update(func(now time.Time) { g.core.SetCrowded(now, loads) })
-}
-
 // Report records the load that a backend server reports: the requests it runs and
 // queues, as of age ago. Reports can lag or mislead, so between servers they only break
 // near ties.
--- a/internal/load/gate/keypace.go
+++ b/internal/load/gate/keypace.go
@@ -129,13 +129,12 @@
 
 // observeWork updates the estimate of the server's work time from an answer. The load
 // reported with it tells how much of the latency was spent waiting for other requests.
-func (c *Core) observeWork(s *server, t *Ticket, took time.Duration) {
+func (s *server) observeWork(t *Ticket, took time.Duration) {
 	if s.reportedAt.Before(t.startedAt) {
 		return
 	}
 	slots := max(s.info.Slots, 1)
 	work := took * time.Duration(slots) / time.Duration(max(s.reportedLoad+1, slots))
-	c.observeAvgWork(work)
 	if s.workTime == 0 {
 		s.workTime = work
 		return
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -58,7 +58,6 @@
 	workTime     time.Duration // processing time of one request, without waiting for others
 	lastStart    time.Time     // when a request was last sent there
 	avoidUntil   time.Time     // set when its address answered for another server
-	crowding     crowding      // what other VMs know of its load
 	cap          startCap      // bounds the starts while the server is cold
 	probes       probePacer    // limits the probes sent from move queues
 }
@@ -163,7 +162,7 @@
 
 func (c *Core) observeAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
 	typical := c.typicalLatency(t.sizeKind).Seconds()
-	c.observeWork(s, t, took)
+	s.observeWork(t, took)
 	c.adjustPace(now, s, t)
 	c.answers[t.sizeKind]++
 	c.classifier.Observe(t.Job.Size, uint8(t.Job.Class), took)
