--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -112,7 +112,7 @@
 			}
 		}
 		if _, evacuated := t.evacuated.Evacuated(c); evacuated {
-			t.log.Warn("data centre evacuated", "centre", c, "rev", l.Rev, "from", from, "servers", n, "until", evacuationShare*t.evacuation.Seconds())
+			t.log.Warn("data centre evacuated", "centre", c, "rev", l.Rev, "from", from, "servers", n, "grace", t.evacuationGrace())
 			continue
 		}
 		t.log.Info("evacuation of data centre ended", "centre", c, "rev", l.Rev, "from", from, "servers", n)
@@ -124,7 +124,13 @@
 // requests, not even for keys that they still own. The caller holds mu.
 func (t *serverTracker) evacuationDue(now time.Time, c ident.Centre) bool {
 	since, evacuated := t.evacuated.Evacuated(c)
-	return evacuated && now.Sub(since) >= time.Duration(evacuationShare*float64(t.evacuation))
+	return evacuated && now.Sub(since) >= t.evacuationGrace()
+}
+
+// evacuationGrace returns how long after this VM has heard of an evacuation the servers may
+// get requests for keys that they still own.
+func (t *serverTracker) evacuationGrace() time.Duration {
+	return time.Duration(evacuationShare * float64(t.evacuation))
 }
 
 // markEvacuated marks the data centres whose evacuation has become due since the last call
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -175,7 +175,7 @@
 // route passes a request to the queues of its key's owner, or to the shared ones.
 func (c *Core) route(now time.Time, t *Ticket) Verdict {
 	if t.Job.Server == "" && c.concurrency[sizes.Short] == 0 {
-		return c.refuse(t, kinds.NoServer, c.retryAfter(0))
+		return c.refuse(t, kinds.NoServer, c.retryAfter(c.capDelay(now)))
 	}
 	if t.Job.Server == "" {
 		return c.enterLane(now, &c.shared, nil, t)
--- a/internal/load/gate/startcap.go
+++ b/internal/load/gate/startcap.go
@@ -62,3 +62,18 @@
 		c.refresh(now)
 	}
 }
+
+// capDelay returns how long it takes until some server that is closed only because it is
+// cold may get a request; zero if there is none.
+func (c *Core) capDelay(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range c.servers {
+		if s.info.Drain || !s.cap.closed(now) {
+			continue
+		}
+		if d := s.cap.delay(now); shortest == 0 || d < shortest {
+			shortest = d
+		}
+	}
+	return shortest
+}
--- a/internal/load/gate/startcap_test.go
+++ b/internal/load/gate/startcap_test.go
@@ -93,3 +93,13 @@
 		assert.Equal(t, ticket.refusalKind, kinds.Busy)
 	}
 }
+
+// Guards against callers that return at once and in vain while all servers are cold.
+func TestCallersAreToldWhenColdServersShouldBeWarm(t *testing.T) {
+	c := NewCore(Config{Seed: 1})
+	c.SetServers(begin, coldServers()[:1])
+	ticket := &Ticket{}
+	assert.Equal(t, c.Offer(begin, ticket), Refuse)
+	assert.Equal(t, ticket.refusalKind, kinds.NoServer)
+	assert.Assert(t, ticket.retryAfter >= time.Second, "%v", ticket.retryAfter)
+}
