host: a VM in touch with the leader makes no calls for evacuations

VMs that are up to date with the leader now hear of them with their polls alone, as they do of large rules; a VM that loses the leader watches from where it was.

--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -46,7 +46,24 @@
 	*memStore
 	mu        sync.Mutex
 	blocked   bool
-	rulesRead int // revisions of the rules that this VM has read
+	rulesRead int            // revisions of the rules that this VM has read
+	calls     map[string]int // lists and watches by prefix
+}
+
+// countCall counts a list or a watch.
+func (g *gateway) countCall(prefix string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.calls == nil {
+		g.calls = map[string]int{}
+	}
+	g.calls[prefix]++
+}
+
+func (g *gateway) callCount(prefix string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls[prefix]
 }
 
 // countRules counts the revisions of the rules that the store returns.
@@ -143,6 +160,7 @@
 func (g *gateway) Delete(context.Context, string, object.Version) error { return nil }
 
 func (g *gateway) List(_ context.Context, prefix string) ([]object.Object, object.Cursor, error) {
+	g.countCall(prefix)
 	if err := g.checkBlocked(); err != nil {
 		return nil, 0, err
 	}
@@ -159,6 +177,7 @@
 }
 
 func (g *gateway) Watch(ctx context.Context, prefix string, after object.Cursor) ([]object.Change, object.Cursor, error) {
+	g.countCall(prefix)
 	const wait = 300 * time.Millisecond
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -21,11 +21,16 @@
 	evacuationShare = 0.5
 )
 
-// evacuationWatcher follows the evacuations in the store.
+// evacuationWatcher follows the evacuations in the store. A VM that is up to date with the
+// leader makes no calls for it: evacuations are rare, and each call is paid for.
 func (t *serverTracker) evacuationWatcher() *watcher {
 	return &watcher{
 		prefix: t.plat.Evacuations, hub: t.hub, fresh: t.plat.Store, stale: t.plat.StaleStore, log: t.log,
 		receivedFromPeer: func() bool { return t.hub.EvacuatedRev() > 0 },
+		peersCover: func(now time.Time) (object.Cursor, bool) {
+			rev := t.hub.EvacuatedRev()
+			return object.Cursor(rev), rev > 0 && t.hub.Synced(now)
+		},
 		onList: func(all []object.Object, cursor object.Cursor) {
 			l := evac.List{Rev: uint64(cursor)}
 			for _, o := range all {
--- a/internal/edge/host/evacuation_test.go
+++ b/internal/edge/host/evacuation_test.go
@@ -100,3 +100,19 @@
 	assert.Assert(t, tr.markEvacuated(since.Add(500*time.Millisecond)))
 	assert.Assert(t, !tr.markEvacuated(since.Add(600*time.Millisecond)), "reported once")
 }
+
+// Guards against store calls for evacuations from each VM, all day long.
+func TestAVMInTouchWithTheLeaderDoesNotWatchEvacuations(t *testing.T) {
+	tc, _ := startEvacuationCluster(t)
+	follower := 1 - tc.leaderIndex()
+	hub := tc.vms[follower].listeners.parts.Hub
+	tc.waitFor(waitLimit, "it has heard of the evacuations", func() bool { return hub.Synced(time.Now()) && hub.EvacuatedRev() > 0 })
+	time.Sleep(2 * coveredPoll) // a call that was under way ends
+	before := tc.gateways[follower].callCount("evacuations/")
+	time.Sleep(time.Second)
+	assert.Equal(t, tc.gateways[follower].callCount("evacuations/"), before)
+	assert.Assert(t, tc.gateways[1-follower].callCount("evacuations/") > 0)
+	for _, h := range tc.vms {
+		assert.NilError(t, h.Close())
+	}
+}
