--- a/internal/edge/host/cold.go
+++ b/internal/edge/host/cold.go
@@ -79,21 +79,29 @@
 	return info
 }
 
-// markCapped updates which servers are capped and reports whether that has changed. The
-// caller holds mu.
-func (t *serverTracker) markCapped(now time.Time, list []feed.Server) bool {
+// markCapped updates which servers are capped. The caller holds mu.
+func (t *serverTracker) markCapped(now time.Time, list []feed.Server) {
 	next := map[ident.Server]bool{}
+	t.warmAt = time.Time{}
 	for _, s := range list {
-		if t.cappedFor(now, s) > 0 {
-			next[s.Name] = true
+		left := t.cappedFor(now, s)
+		if left == 0 {
+			continue
+		}
+		next[s.Name] = true
+		if at := now.Add(left); t.warmAt.IsZero() || at.Before(t.warmAt) {
+			t.warmAt = at
 		}
 	}
-	changed := !maps.Equal(next, t.capped)
-	if changed {
+	if !maps.Equal(next, t.capped) {
 		t.log.Info("cold servers", "rev", t.rev, "cold", len(next), "before", len(t.capped))
 	}
 	t.capped = next
-	return changed
+}
+
+// warmDue reports whether a capped server should be warm by now. The caller holds mu.
+func (t *serverTracker) warmDue(now time.Time) bool {
+	return !t.warmAt.IsZero() && !now.Before(t.warmAt)
 }
 
 // cappedServers returns the cold servers whose requests are limited.
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -53,6 +53,7 @@
 	droppedEvacs map[ident.Centre]bool        // evacuated data centres whose servers no longer get requests
 	coldEntries  map[ident.Server]coldEntry   // servers that are cold by their entries
 	capped       map[ident.Server]bool        // cold servers that may get only few requests
+	warmAt       time.Time                    // when the first of them is expected to be warm
 	borrowed     []ident.Server               // cold servers that the leader last lent to this VM
 	coldOverrun  float64                      // see Bounds.ColdOverrun
 	coldSlack    float64                      // see Bounds.ColdSlack
@@ -187,13 +188,12 @@
 // updateDue applies what has changed with time alone. The caller holds mu.
 func (t *serverTracker) updateDue(now time.Time) {
 	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
-	list := t.list()
-	if t.markCapped(now, list) {
-		t.distribute(list)
+	if t.warmDue(now) {
+		t.distribute(t.list())
 		return
 	}
 	if drained || evacuated {
-		t.updateGates(list)
+		t.updateGates(t.list())
 	}
 }
 
