host: an evacuation that can no longer be read ends on all VMs alike

A VM that read a list took an unreadable entry for no evacuation, one that watched kept the evacuation of before: the two would have disagreed until the next list. Found by reading; the test fails without the change ("nowhere", "south" left).

--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -64,28 +65,24 @@
 	return "", false
 }
 
+// changeEvacuations applies changes of evacuations. As in a list, one that can no longer be
+// read evacuates nothing.
 func (t *serverTracker) changeEvacuations(all []object.Change, cursor object.Cursor) {
-	type change struct {
-		centre    ident.Centre
-		evacuated bool
-	}
-	var changes []change
+	evacuated := map[ident.Centre]bool{} // the last change of each data centre counts
 	for _, ch := range all {
-		if ch.Version == 0 {
-			changes = append(changes, change{ident.Centre(strings.TrimPrefix(ch.Name, t.plat.Evacuations)), false})
-			continue
-		}
-		if c, ok := t.decodeEvacuation(ch.Object); ok {
-			changes = append(changes, change{c, true})
+		c := ident.Centre(strings.TrimPrefix(ch.Name, t.plat.Evacuations))
+		evacuated[c] = false
+		if ch.Version != 0 {
+			_, evacuated[c] = t.decodeEvacuation(ch.Object)
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	var changed []ident.Centre
-	for _, c := range changes {
-		if t.evacuated.Set(now, c.centre, uint64(cursor), c.evacuated) {
-			changed = append(changed, c.centre)
+	for _, c := range slices.Sorted(maps.Keys(evacuated)) {
+		if t.evacuated.Set(now, c, uint64(cursor), evacuated[c]) {
+			changed = append(changed, c)
 		}
 	}
 	t.evacuationsChanged(changed, "store")
--- a/internal/edge/host/evacuation_test.go
+++ b/internal/edge/host/evacuation_test.go
@@ -82,6 +82,14 @@
 		{Name: "evacuations/north", Version: 2, Value: []byte(`"x"`)}, {Name: "evacuations/nowhere", Version: 3, Value: []byte(`{}`)},
 	}, 4)
 	assert.DeepEqual(t, tr.evacuated.List(), evac.List{Rev: 4, Centres: []ident.Centre{"nowhere"}})
+	change := func(v object.Version, value string) {
+		o := object.Object{Name: "evacuations/south", Version: v, Value: []byte(value)}
+		tr.evacuationWatcher().onChange([]object.Change{{Object: o}}, object.Cursor(v))
+	}
+	change(5, `{}`)
+	assert.DeepEqual(t, tr.evacuated.List(), evac.List{Rev: 5, Centres: []ident.Centre{"nowhere", "south"}})
+	change(6, `7`)
+	assert.DeepEqual(t, tr.evacuated.List(), evac.List{Rev: 6, Centres: []ident.Centre{"nowhere"}})
 }
 
 // Guards against an evacuation that begins anew each time a VM hears of it.
