--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
@@ -187,11 +188,13 @@
 		x.returnUnsent(trial, errOwnerChanged)
 		return nil, errOwnerChanged
 	}
+	process, sent := x.svc.Process(owner.Server), clock.Now()
 	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 		Interruptible: x.rule.Then.Idempotent,
 	})
+	x.noteSignals(process, answer, err, sent)
 	if err != nil {
 		x.returnUnsent(trial, err)
 		return nil, err
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -25,6 +25,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/quota"
 )
 
 // Recorder writes decisions outside the request path. *record.Writer implements it.
@@ -95,9 +96,14 @@
 	// it.
 	OnAnswer func(s ident.Server, took time.Duration)
 
-	// OnLoadFault, if set, is called for each load report of which a part could not be read.
+	// OnLoadFault, if set, is called for each report in a header, of load or of a limit, of
+	// which a part could not be read.
 	OnLoadFault func(s ident.Server, fault string)
 
+	// OnLimit, if set, is called with the limit that a server states with an answer to a
+	// request, which was sent at a time, or with none.
+	OnLimit func(p ident.Process, l quota.Limit, sent time.Time)
+
 	limitOverride atomic.Pointer[config.Limit] // replaces Limit once SetLimit was called
 	group         group.Group
 	ownerAttempts sync.Map // ident.Service -> *ownerAttempts, for services divided by key
