quota, gate, host, assign: all VMs together keep to the limit that a server states

Callers saw nothing; a server in need got three to seven times the requests that it had said it takes (LIMIT: 32 in 4 s of 22 allowed at 2.9 a second).

Cause: a limit of the whole fleet was known to nobody. No VM read it, the gate bounds requests at the same time and never their rate, and keys are given by speed and slots alone.

Now the leader holds a token bucket for each such server and grants permits, each for half a second from when the VM asked; every start at the server uses one, whether new, queued, repeated, hedged or a probe. Without an answer of the leader a VM sends nothing there. What a VM hears it tells the leader, which tells all. Keys are given for half of a limit. What gets no permit is refused at once, with the time of the next one.

Ruled out: a share for each VM (less than one request in the window at nine VMs and 1.6 a second), loans of the whole server to one VM as for cold ones (requests for its keys come to all VMs).

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -66,76 +66,97 @@
 	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"` // of a request during which a server failed; the same for each repetition
 	// For a refused request: how many requests of this VM were running (Busy) and queued
 	// (Queue) at its target, and how many may run there (Limit).
-	Busy  int           `cbor:"busy,omitempty" json:"busy,omitempty"`
-	Limit int           `cbor:"most,omitempty" json:"most,omitempty"`
-	Queue int           `cbor:"queue,omitempty" json:"queue,omitempty"`
-	Cold  bool          `cbor:"cold,omitempty" json:"cold,omitempty"`   // for a refused request: the owner of its key is cold and gets only few
-	Count uint64        `cbor:"count,omitempty" json:"count,omitempty"` // for Lost and Skip
-	Keep  retain.Policy `cbor:"keep,omitempty" json:"keep,omitempty"`   // retention policy of the rule; in the journal only for Skip
-	Skip  bool          `cbor:"-" json:"-"`                             // the rule's policy leaves this decision out of the journal
+	Busy  int `cbor:"busy,omitempty" json:"busy,omitempty"`
+	Limit int `cbor:"most,omitempty" json:"most,omitempty"`
+	Queue int `cbor:"queue,omitempty" json:"queue,omitempty"`
+	// Limited says, for a refused request, that the owner of its key limits its requests.
+	Limited bool          `cbor:"limited,omitempty" json:"limited,omitempty"`
+	Cold    bool          `cbor:"cold,omitempty" json:"cold,omitempty"`   // for a refused request: the owner of its key is cold and gets only few
+	Count   uint64        `cbor:"count,omitempty" json:"count,omitempty"` // for Lost and Skip
+	Keep    retain.Policy `cbor:"keep,omitempty" json:"keep,omitempty"`   // retention policy of the rule; in the journal only for Skip
+	Skip    bool          `cbor:"-" json:"-"`                             // the rule's policy leaves this decision out of the journal
 }
 
 // LogValue returns the fields that are set as a group, so that a line stays short.
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
+// maxAttrs is the number of fields of a Decision.
+const maxAttrs = 40
+
 func (d *Decision) attrs() []slog.Attr {
-	all := make([]slog.Attr, 0, 30)
-	text := func(name, v string) {
-		if v != "" {
-			all = append(all, slog.String(name, v))
-		}
-	}
-	number := func(name string, v uint64) {
-		if v != 0 {
-			all = append(all, slog.Uint64(name, v))
-		}
+	l := make(attrList, 0, maxAttrs)
+	d.addRequest(&l)
+	d.addAttempts(&l)
+	return l
+}
+
+// addRequest adds what identifies the request and how it ended.
+func (d *Decision) addRequest(l *attrList) {
+	l.text("sort", string(d.Action))
+	l.text("id", string(d.ID))
+	l.text("vm", string(d.VM))
+	l.text("caller", string(d.Caller))
+	l.text("service", string(d.Service))
+	l.text("key", string(d.Key))
+	l.number("slice", uint64(d.Slice))
+	l.text("rule", d.Rule)
+	l.number("rev", uint64(d.Rev))
+	l.number("newest", uint64(d.Newest))
+	l.text("server", string(d.Server))
+	l.text("former", string(d.PrevOwner))
+	l.number("epoch", uint64(d.Epoch))
+	l.text("kind", d.Kind)
+	l.text("ran", string(d.Ran))
+	l.number("code", uint64(max(d.Status, 0)))
+	l.text("why", d.Reason)
+	l.span("took", d.Took)
+}
+
+// addAttempts adds what happened on the way to backend servers.
+func (d *Decision) addAttempts(l *attrList) {
+	l.span("unread", d.PipelineWait)
+	l.flag("ahead", d.Pipelined)
+	l.span("wait", d.Wait)
+	l.span("first", d.FirstByte)
+	l.text("via", d.Via)
+	l.flag("far", d.Remote)
+	l.number("load", uint64(max(d.Load, 0)))
+	l.span("age", d.LoadAge)
+	l.number("bytes", uint64(max(d.Bytes, 0)))
+	l.number("tries", uint64(max(d.Attempts, 0)))
+	l.text("print", d.Fingerprint)
+	l.number("busy", uint64(max(d.Busy, 0)))
+	l.number("most", uint64(max(d.Limit, 0)))
+	l.number("queue", uint64(max(d.Queue, 0)))
+	l.flag("cold", d.Cold)
+	l.flag("limited", d.Limited)
+	l.number("count", d.Count)
+	l.text("keep", string(d.Keep))
+}
+
+// attrList collects the fields that are set.
+type attrList []slog.Attr
+
+func (l *attrList) text(name, v string) {
+	if v != "" {
+		*l = append(*l, slog.String(name, v))
 	}
-	text("sort", string(d.Action))
-	text("id", string(d.ID))
-	text("vm", string(d.VM))
-	text("caller", string(d.Caller))
-	text("service", string(d.Service))
-	text("key", string(d.Key))
-	number("slice", uint64(d.Slice))
-	text("rule", d.Rule)
-	number("rev", uint64(d.Rev))
-	number("newest", uint64(d.Newest))
-	text("server", string(d.Server))
-	text("former", string(d.PrevOwner))
-	number("epoch", uint64(d.Epoch))
-	text("kind", d.Kind)
-	text("ran", string(d.Ran))
-	number("code", uint64(max(d.Status, 0)))
-	text("why", d.Reason)
-	if d.Took != 0 {
-		all = append(all, slog.Duration("took", d.Took))
+}
+
+func (l *attrList) number(name string, v uint64) {
+	if v != 0 {
+		*l = append(*l, slog.Uint64(name, v))
 	}
-	span := func(name string, v time.Duration) {
-		if v != 0 {
-			all = append(all, slog.Duration(name, v))
-		}
+}
+
+func (l *attrList) span(name string, v time.Duration) {
+	if v != 0 {
+		*l = append(*l, slog.Duration(name, v))
 	}
-	flag := func(name string, v bool) {
-		if v {
-			all = append(all, slog.Bool(name, v))
-		}
+}
+
+func (l *attrList) flag(name string, v bool) {
+	if v {
+		*l = append(*l, slog.Bool(name, v))
 	}
-	span("unread", d.PipelineWait)
-	flag("ahead", d.Pipelined)
-	span("wait", d.Wait)
-	span("first", d.FirstByte)
-	text("via", d.Via)
-	flag("far", d.Remote)
-	number("load", uint64(max(d.Load, 0)))
-	span("age", d.LoadAge)
-	number("bytes", uint64(max(d.Bytes, 0)))
-	number("tries", uint64(max(d.Attempts, 0)))
-	text("print", d.Fingerprint)
-	number("busy", uint64(max(d.Busy, 0)))
-	number("most", uint64(max(d.Limit, 0)))
-	number("queue", uint64(max(d.Queue, 0)))
-	flag("cold", d.Cold)
-	number("count", d.Count)
-	text("keep", string(d.Keep))
-	return all
 }
--- a/internal/edge/host/cold_lender.go
+++ b/internal/edge/host/cold_lender.go
@@ -8,7 +8,6 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/load/warmup"
-	"hawthornfield.org/hawthornfield/internal/owner/elect"
 )
 
 // coldLender lends cold servers to the VMs while this VM leads.
@@ -31,19 +30,15 @@
 func (l *coldLender) lend(vm ident.VM) []ident.Server {
 	cold := l.servers.cappedServers()
 	now := clock.Now()
-	m := l.coord.model()
-	if m.Role() != elect.Leader || !now.Before(m.Until()) {
+	epoch, oldEnd, leads := l.coord.term(now)
+	if !leads {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if epoch := m.Lease().Epoch; epoch != l.epoch {
+	if epoch != l.epoch {
 		l.epoch = epoch
-		begin := now
-		if m.OldTermEnd().After(begin) {
-			begin = m.OldTermEnd()
-		}
-		l.leases.BeginTerm(begin)
+		l.leases.BeginTerm(oldEnd)
 	}
 	if len(cold) == 0 {
 		return nil
--- a/internal/edge/host/coordinator.go
+++ b/internal/edge/host/coordinator.go
@@ -107,6 +107,20 @@
 // model returns the current state of the election.
 func (c *coordinator) model() elect.Model { return c.election.Model().(elect.Model) }
 
+// term returns the epoch of this VM's term as leader and when the term before it has ended,
+// at the earliest now, and false if this VM does not lead.
+func (c *coordinator) term(now time.Time) (epoch uint64, oldEnd time.Time, leads bool) {
+	m := c.model()
+	if m.Role() != elect.Leader || !now.Before(m.Until()) {
+		return 0, time.Time{}, false
+	}
+	oldEnd = now
+	if m.OldTermEnd().After(now) {
+		oldEnd = m.OldTermEnd()
+	}
+	return m.Lease().Epoch, oldEnd, true
+}
+
 func (c *coordinator) tickLoop(ctx context.Context) error {
 	for group.Sleep(ctx, tickInterval) {
 		c.election.Send(elect.TickMsg{})
@@ -203,7 +217,7 @@
 		var servers []assign.Server
 		for _, s := range list {
 			if s.Service == svc {
-				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Capped: s.Capped, Cold: s.Cold})
+				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Capped: s.Capped, Cold: s.Cold, Limited: s.Limit.Stated, Limit: s.Limit.Rate})
 			}
 		}
 		l.Send(assign.ServersMsg{Servers: servers})
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -152,6 +152,8 @@
 	scope.Gauge("gate_ejected").Update(float64(s.Ejected))
 	scope.Gauge("gate_cold").Update(float64(s.Cold))
 	scope.Gauge("gate_refused_cold").Update(float64(s.RefusedCold))
+	scope.Gauge("gate_limited").Update(float64(s.Limited))
+	scope.Gauge("gate_refused_limited").Update(float64(s.RefusedLimited))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for k, n := range s.Refused {
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -129,7 +129,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newLimits, newFront, newHub, newServerTracker, newColdLender, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newLimits, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -50,6 +50,8 @@
 	Rules       *ruleManager
 	Quarantine  *quarantine
 	Lender      *coldLender
+	Limits      *limits
+	Permits     *permits
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
 }
@@ -64,8 +66,12 @@
 	l.callers.Pipeline = p.Front.Pipeline()
 	peers := http.NewServeMux()
 	peers.Handle(tunnel.Path, p.Tunnels)
+	peers.Handle(poll.PermitPath, poll.PermitHandler(p.Permits.take))
 	peers.Handle("/", p.Hub.Handler(func(req *poll.Request) {
 		p.Coordinator.onRequest(req)
+		if _, leads := p.Hub.Lease(); leads {
+			p.Limits.merge(req.Limits)
+		}
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
 		req.Lent = p.Lender.lend(req.VM)
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -18,7 +18,8 @@
 
 func newTestTracker() *serverTracker {
 	return &serverTracker{
-		state: state.New(nil), hub: poll.NewHub("vm-2", "a"), log: slog.New(slog.DiscardHandler),
+		limits: &limits{},
+		state:  state.New(nil), hub: poll.NewHub("vm-2", "a"), log: slog.New(slog.DiscardHandler),
 		services: map[ident.Service]feed.Service{}, dropped: map[ident.Server]bool{},
 	}
 }
--- a/internal/load/gate/choose.go
+++ b/internal/load/gate/choose.go
@@ -17,19 +17,26 @@
 	case t.sizeKind == sizes.Long:
 		return c.chooseForLong(now)
 	}
+	c.scoreTime = now
+	for c.available.Len() > 0 {
+		if s := c.liveServer(now, c.chooseAvailable(now, t)); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// chooseAvailable returns the index of the available server that suits a request best.
+func (c *Core) chooseAvailable(now time.Time, t *Ticket) int {
 	skip := -1
 	if s := c.byName[t.Job.avoid]; s != nil {
 		skip = s.idx
 	}
-	c.scoreTime = now
 	i := c.available.Choose(c.rng, skip, c.score)
-	if i < 0 {
-		return nil
-	}
 	if local := c.availableLocal.Choose(c.rng, skip, c.score); local >= 0 && local != skip && c.preferLocal(t, local, i) {
 		i = local
 	}
-	return c.servers[c.preferWarm(now, i, skip)]
+	return c.preferWarm(now, i, skip)
 }
 
 // preferLocal reports whether the request goes to a server in this data centre rather
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -33,6 +33,9 @@
 	// Centre is this VM's data centre. Servers there are preferred; empty means no
 	// preference.
 	Centre ident.Centre
+	// OnPermitsWanted, if set, is called when there are permits to ask for. It must not block
+	// and must not call the gate. Without it, servers that limit their requests get none.
+	OnPermitsWanted func()
 }
 
 // RetryBudget bounds the attempts beyond the first: Share per request, plus Burst.
@@ -74,6 +77,7 @@
 	available      pick.Set // servers with room for a request that is not keyed
 	availableLocal pick.Set // servers of available in this VM's data centre
 	availableWarm  pick.Set // servers of available that were used recently; only local ones if Centre is set
+	limitedCount   int      // servers that limit their requests
 	monitor        health.Monitor
 	healthScratch  []*health.Server  // argument of monitor.Evaluate, reused
 	score          func(int) float64 // of a server by index, as of scoreTime
@@ -178,6 +182,7 @@
 		return c.refuse(t, kinds.NoServer, c.retryAfter(c.capDelay(now)))
 	}
 	if t.Job.Server == "" {
+		c.wantShare(now)
 		return c.enterLane(now, &c.shared, nil, t)
 	}
 	s := c.byName[t.Job.Server]
@@ -226,7 +231,13 @@
 			return c.refuse(t, kinds.Busy, c.retryAfter(delay))
 		}
 	}
-	return c.admit(now, l, owner, t, debt)
+	if delay := c.limitedDelay(now, owner); delay > 0 {
+		c.stats.RefusedLimited++
+		return c.refuse(t, kinds.Busy, c.retryAfter(delay))
+	}
+	verdict := c.admit(now, l, owner, t, debt)
+	c.wantPermits(now, owner)
+	return verdict
 }
 
 // hasSpareRoom reports whether a slot is free that no flow within its fair share needs:
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -159,6 +159,19 @@
 	g.update(func(now time.Time) { g.core.Lend(now, servers, until) })
 }
 
+// TakePermitAsks returns the permits to ask for since the last call, see
+// [Config.OnPermitsWanted]. Each must be answered with [Gate.Permit].
+func (g *Gate) TakePermitAsks() []PermitAsk {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.TakeAsks()
+}
+
+// Permit handles the answer to an ask for permits.
+func (g *Gate) Permit(a PermitAnswer) {
+	g.update(func(now time.Time) { g.core.Permit(now, a) })
+}
+
 // Report records the load that a backend server reports: the requests it runs and
 // queues, as of age ago. Reports can lag or mislead, so between servers they only break
 // near ties.
@@ -202,6 +215,7 @@
 	LoadAge time.Duration // age of that report; zero if there was none
 	Remote  bool          // it is in another data centre
 	Cold    bool          // it is cold and gets only few requests
+	Limited bool          // it limits the requests that it takes from all VMs
 	Slots   int           // requests that it processes concurrently
 }
 
@@ -278,6 +292,9 @@
 	for _, t := range g.core.TakeDecided() {
 		t.wake <- struct{}{}
 	}
+	if g.core.limitedCount > 0 && g.core.cfg.OnPermitsWanted != nil && g.core.wantsPermits() {
+		g.core.cfg.OnPermitsWanted()
+	}
 }
 
 // maxFreeTickets bounds the tickets kept for reuse. Only a burst uses more at once; the
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -35,6 +35,9 @@
 	StartCap int
 	// CappedFor is how long the server is expected to stay cold.
 	CappedFor time.Duration
+	// Limited says that the server limits the requests that it takes from all VMs: each
+	// needs a permit, see [Core.TakeAsks].
+	Limited bool
 }
 
 // server is the gate's state of one backend server.
@@ -59,6 +62,7 @@
 	lastStart    time.Time     // when a request was last sent there
 	avoidUntil   time.Time     // set when its address answered for another server
 	cap          startCap      // bounds the starts while the server is cold
+	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 }
 
@@ -87,7 +91,7 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0
+	return !s.removed && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
@@ -96,13 +100,14 @@
 		return false
 	}
 	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
-	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0
+	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0 && s.permits.allows(now)
 }
 
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
 	s.running++
 	s.lastStart = now
 	s.cap.noteStart(now)
+	s.permits.use(now)
 	s.load.Running = s.running
 	if k == sizes.Long {
 		s.runningLong++
@@ -184,7 +189,7 @@
 func (c *Core) SetServers(now time.Time, list []ServerInfo) {
 	old := c.byName
 	c.byName = make(map[ident.Server]*server, len(list))
-	c.servers = c.servers[:0:0]
+	c.servers, c.limitedCount = c.servers[:0:0], 0
 	for _, info := range list {
 		s := old[info.Name]
 		delete(old, info.Name)
@@ -208,11 +213,15 @@
 		c.refuseQueued(now, s, kinds.Busy, s.cap.delay(now))
 	}
 	s.info = info
+	c.setLimited(now, s, info.Limited)
 	s.idx = len(c.servers)
 	s.load.Slots = info.Slots
 	s.connPool.SetShare(now, info.Conns, c.share.VMs)
 	c.byName[info.Name] = s
 	c.servers = append(c.servers, s)
+	if info.Limited {
+		c.limitedCount++
+	}
 }
 
 func (c *Core) removeServer(now time.Time, s *server) {
@@ -222,11 +231,15 @@
 
 // refuseQueued refuses the requests that wait for a server's keys.
 func (c *Core) refuseQueued(now time.Time, s *server, kind kinds.Kind, after time.Duration) {
-	if s.ownLanes == nil {
-		return
+	if s.ownLanes != nil {
+		c.refuseLanes(now, s.ownLanes, kind, after)
 	}
-	for k := range s.ownLanes.bySize {
-		l := &s.ownLanes.bySize[k]
+}
+
+// refuseLanes refuses the requests that wait in a pair of queues.
+func (c *Core) refuseLanes(now time.Time, ls *lanePair, kind kinds.Kind, after time.Duration) {
+	for k := range ls.bySize {
+		l := &ls.bySize[k]
 		for it := l.q.Pop(now); it != nil; it = l.q.Pop(now) {
 			c.waiting--
 			c.refuseWaiting(it.Value, kind, c.retryAfter(after))
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -23,10 +23,13 @@
 	Ejected  int                   `json:"ejected"` // servers ejected for bad health
 	Cold     int                   `json:"cold"`    // cold servers that get only few requests
 	// RefusedCold counts the requests refused because the owner of their key is cold.
-	RefusedCold uint64        `json:"refused_cold"`
-	Overload    bool          `json:"overload"`
-	Budget      float64       `json:"budget"` // retries left in the budget
-	Servers     []ServerStats `json:"servers"`
+	RefusedCold uint64 `json:"refused_cold"`
+	Limited     int    `json:"limited"` // servers that limit their requests
+	// RefusedLimited counts the requests refused because of the limit of a server.
+	RefusedLimited uint64        `json:"refused_limited"`
+	Overload       bool          `json:"overload"`
+	Budget         float64       `json:"budget"` // retries left in the budget
+	Servers        []ServerStats `json:"servers"`
 }
 
 // ServerStats holds the gauges of one backend server.
@@ -64,6 +67,9 @@
 		if srv.cap.capped {
 			s.Cold++
 		}
+		if srv.permits.limited {
+			s.Limited++
+		}
 	}
 	return s
 }
@@ -89,7 +95,7 @@
 		if !s.reportedAt.IsZero() {
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
-		v.Cold = s.cap.capped
+		v.Cold, v.Limited = s.cap.capped, s.permits.limited
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
--- a/internal/load/gate/tick.go
+++ b/internal/load/gate/tick.go
@@ -24,6 +24,7 @@
 	}
 	c.checkHealth(now)
 	c.refresh(now)
+	c.wantAllQueued(now)
 	c.forEachLanes(func(ls *lanePair) {
 		for k := range ls.bySize {
 			ls.bySize[k].q.ClearStanding(now)
--- a/internal/load/quota/book.go
+++ b/internal/load/quota/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -55,8 +56,8 @@
 }
 
 // Replace sets the limits to those that the leader sent in response to a poll, except those
-// that this VM has heard after it sent the poll.
-func (b *Book) Replace(now, asked time.Time, all []Report) {
+// that this VM has heard after it sent the poll. It reports whether a limit has changed.
+func (b *Book) Replace(now, asked time.Time, all []Report) bool {
 	next := map[ident.Process]entry{}
 	for _, r := range all {
 		next[r.Process()] = entry{Limit: r.Limit, at: now.Add(-r.Age), reported: true}
@@ -66,7 +67,9 @@
 			next[p] = e
 		}
 	}
+	changed := !maps.EqualFunc(b.entries, next, func(x, y entry) bool { return x.Limit == y.Limit })
 	b.entries = next
+	return changed
 }
 
 // MarkReported records that the leader has got the reports of a poll that was sent at a time.
--- a/internal/owner/assign/plan.go
+++ b/internal/owner/assign/plan.go
@@ -206,6 +206,7 @@
 		}
 		in.Servers = append(in.Servers, s)
 	}
+	m.limitWeights(now, in.Servers)
 	sortServers(in.Servers)
 	if total := m.loads.totalRate(now); total >= minPlanRate {
 		in.Loads = make([]float64, len(d.table.Rows))
