--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -99,5 +99,7 @@
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
-	return Snapshot{Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len()}
+	return Snapshot{
+		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0,
+	}
 }
