gate: a test of loans that have ended

Found while looking for the cause of LIMIT elsewhere: the sets of available servers knew only at the next look, up to 0.1 s later, that a loan had ended.

--- a/internal/load/gate/startcap_test.go
+++ b/internal/load/gate/startcap_test.go
@@ -103,3 +103,16 @@
 	assert.Equal(t, ticket.refusalKind, kinds.NoServer)
 	assert.Assert(t, ticket.retryAfter >= time.Second, "%v", ticket.retryAfter)
 }
+
+// Guards against a cold server that gets a request after its loan to this VM has ended.
+func TestALoanThatHasEndedIsNotUsed(t *testing.T) {
+	now := time.Unix(5_000, 0)
+	c := NewCore(Config{Seed: 1})
+	c.SetServers(now, []ServerInfo{{Name: "a", Slots: 4, Conns: 50, Cold: true, Capped: true, StartCap: 7, CappedFor: time.Minute}})
+	c.Lend(now, []ident.Server{"a"}, now.Add(time.Second))
+	offer := func(at time.Time) Verdict {
+		return c.Offer(at, &Ticket{Job: Job{Deadline: at.Add(time.Second)}})
+	}
+	assert.Equal(t, offer(now), Start)
+	assert.Assert(t, offer(now.Add(1001*time.Millisecond)) != Start)
+}
