notice: what servers say about themselves, apart from the permits

The limit is one of several things that a server may say of itself with an answer; who knows it, who tells whom and which word is the newest is the same for all.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
-	"hawthornfield.org/hawthornfield/internal/load/quota"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 	"hawthornfield.org/hawthornfield/internal/owner/ranges"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 )
@@ -34,9 +34,9 @@
 	// Capped is set by the VM while the server is cold and its service limits the requests
 	// that a cold server gets. It is not part of the entry.
 	Capped bool `json:"-"`
-	// Limit is set by the VM to what the server says about the requests that it takes. It is
+	// Notice is set by the VM to what the server says about itself with its answers. It is
 	// not part of the entry.
-	Limit quota.Limit `json:"-"`
+	Notice notice.Notice `json:"-"`
 	// InvalidFields names the fields of the entry that could not be read, for the log.
 	// The server is used all the same.
 	InvalidFields string `json:"-"`
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -25,7 +25,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
-	"hawthornfield.org/hawthornfield/internal/load/quota"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
 // Recorder writes decisions outside the request path. *record.Writer implements it.
@@ -100,9 +100,9 @@
 	// which a part could not be read.
 	OnLoadFault func(s ident.Server, fault string)
 
-	// OnLimit, if set, is called with the limit that a server states with an answer to a
-	// request, which was sent at a time, or with none.
-	OnLimit func(p ident.Process, l quota.Limit, sent time.Time)
+	// OnNotice, if set, is called with what a server says about itself with an answer to a
+	// request, which was sent at a time of the boot clock.
+	OnNotice func(p ident.Process, n notice.Notice, sent time.Time)
 
 	limitOverride atomic.Pointer[config.Limit] // replaces Limit once SetLimit was called
 	group         group.Group
--- a/internal/edge/front/signals.go
+++ b/internal/edge/front/signals.go
@@ -8,6 +8,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
 // answerHeader returns the header of an answer, also of one that refused the request, if the
@@ -27,18 +28,18 @@
 // noteSignals passes on what a server says about itself in the header of an answer to an
 // attempt that was sent at a time of the boot clock.
 func (x *exchange) noteSignals(p ident.Process, answer *relay.Response, err error, sent time.Time) {
-	if x.f.Headers.Limit == nil || x.f.OnLimit == nil {
+	if x.f.Headers.Notice == nil || x.f.OnNotice == nil {
 		return
 	}
 	h, ok := answerHeader(answer, err)
 	if !ok {
 		return
 	}
-	limit, fault := x.f.Headers.Limit(h)
+	n, fault := x.f.Headers.Notice(h)
 	if fault != "" && x.f.OnLoadFault != nil {
 		x.f.OnLoadFault(p.Server, fault)
 	}
-	if fault == "" || limit.Stated {
-		x.f.OnLimit(p, limit, sent)
+	if fault == "" || n != (notice.Notice{}) {
+		x.f.OnNotice(p, n, sent)
 	}
 }
--- a/internal/edge/host/cold.go
+++ b/internal/edge/host/cold.go
@@ -71,7 +71,7 @@
 	_, evacuated := t.evacuated.Evacuated(s.Centre)
 	info := gate.ServerInfo{
 		Name: s.Name, Centre: s.Centre, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving || evacuated,
-		Limited: t.limits.of(s.Process()).Stated,
+		Limited: t.notices.of(s.Process()).Limited,
 	}
 	if left := t.cappedFor(now, s); left > 0 {
 		info.Cold, info.Capped, info.CappedFor = true, true, left
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -50,7 +50,7 @@
 	Rules       *ruleManager
 	Quarantine  *quarantine
 	Lender      *coldLender
-	Limits      *limits
+	Notices     *notices
 	Permits     *permits
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
@@ -70,7 +70,7 @@
 	peers.Handle("/", p.Hub.Handler(func(req *poll.Request) {
 		p.Coordinator.onRequest(req)
 		if _, leads := p.Hub.Lease(); leads {
-			p.Limits.merge(req.Limits)
+			p.Notices.merge(req.Notices)
 		}
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
--- a/internal/edge/host/permits.go
+++ b/internal/edge/host/permits.go
@@ -23,35 +23,44 @@
 // permits asks the leader for the permits that the gates want, and grants them while this VM
 // leads.
 type permits struct {
-	group  group.Group
-	cfg    Config
-	hub    *poll.Hub
-	coord  *coordinator
-	state  *state.State
-	limits *limits
-	client *poll.Client
-	log    *slog.Logger
+	group   group.Group
+	cfg     Config
+	hub     *poll.Hub
+	coord   *coordinator
+	state   *state.State
+	notices *notices
+	client  *poll.Client
+	log     *slog.Logger
 
-	unanswered bool // the last question got no answer
+	wanted     chan struct{} // receives when a gate wants permits
+	unanswered bool          // the last question got no answer
 
 	mu        sync.Mutex
 	dispenser quota.Dispenser
 	epoch     uint64 // of the term to which the dispenser belongs
 }
 
-func newPermits(lc fx.Lifecycle, cfg Config, hub *poll.Hub, coord *coordinator, st *state.State, l *limits, log *slog.Logger) *permits {
-	p := &permits{cfg: cfg, hub: hub, coord: coord, state: st, limits: l, client: poll.NewClient(), log: log}
+func newPermits(lc fx.Lifecycle, cfg Config, hub *poll.Hub, coord *coordinator, st *state.State, n *notices, log *slog.Logger) *permits {
+	p := &permits{cfg: cfg, hub: hub, coord: coord, state: st, notices: n, client: poll.NewClient(), log: log, wanted: make(chan struct{}, 1)}
 	runWhileStarted(lc, &p.group, p.run)
 	return p
 }
 
+// wake is called when a gate wants permits. It does not block.
+func (p *permits) wake() {
+	select {
+	case p.wanted <- struct{}{}:
+	default:
+	}
+}
+
 // run asks for permits whenever a gate wants some, one question at a time.
 func (p *permits) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-p.limits.wanted:
+		case <-p.wanted:
 			p.askAll(ctx)
 		}
 	}
@@ -72,8 +81,8 @@
 			process := svc.Process(ask.Server)
 			all = append(all, gateAsk{svc.Gate, ask})
 			req.Asks = append(req.Asks, poll.PermitAsk{Server: ask.Server, Incarnation: process.Incarnation, N: ask.N})
-			if r, ok := p.limits.reportOf(process); ok {
-				req.Limits = append(req.Limits, r)
+			if r, ok := p.notices.reportOf(process); ok {
+				req.Notices = append(req.Notices, r)
 			}
 		}
 	}
@@ -118,7 +127,7 @@
 	if !leads {
 		return poll.PermitResponse{}
 	}
-	p.limits.merge(req.Limits)
+	p.notices.merge(req.Notices)
 	resp := poll.PermitResponse{IsLeader: true, Grants: make([]poll.PermitGrant, len(req.Asks))}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,12 +137,12 @@
 	}
 	for i, a := range req.Asks {
 		process := ident.Process{Server: a.Server, Incarnation: a.Incarnation}
-		limit := p.limits.of(process)
-		if !limit.Stated {
+		said := p.notices.of(process)
+		if !said.Limited {
 			resp.Grants[i] = poll.PermitGrant{N: a.N} // the limit has ended, and the VM has not heard of it yet
 			continue
 		}
-		n, next := p.dispenser.Take(now, process, limit.Rate, a.N)
+		n, next := p.dispenser.Take(now, process, said.Rate, a.N)
 		resp.Grants[i] = poll.PermitGrant{N: n, Next: next}
 	}
 	return resp
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -46,7 +46,7 @@
 	Counts      *loadCounts
 	Quarantine  *quarantine
 	Lender      *coldLender
-	Limits      *limits
+	Notices     *notices
 	Tunnels     *tunnel.Client
 	Log         *slog.Logger
 }
@@ -109,7 +109,7 @@
 	req.Cells, req.LatencySums = p.parts.Counts.drain()
 	req.Reports, req.CaseSeq = p.parts.Quarantine.reports(req.Lease.Incarnation), p.caseSeq
 	req.TrialAsks = p.parts.Quarantine.trialAsks()
-	req.Limits, req.LimitsRev = p.parts.Limits.report()
+	req.Notices, req.NoticesRev = p.parts.Notices.report()
 	return req
 }
 
@@ -148,7 +148,7 @@
 	p.parts.Servers.setVMCount(resp.VMCount + 1) // VMCount does not include the leader
 	p.setPeers(resp.VMs, lease.Addr)
 	p.applyLeaderState(resp)
-	p.parts.Limits.applyLeader(asked, resp.Limits, req.Limits)
+	p.parts.Notices.applyLeader(asked, resp.Notices, req.Notices)
 	p.parts.Quarantine.applyGrants(asked, resp.TrialGrants)
 	p.parts.Servers.borrow(asked, resp.Lent)
 	p.parts.Quarantine.markReported(resp.Lease.Incarnation, req.Reports)
@@ -254,7 +254,7 @@
 func (p *poller) applyLeaderState(resp poll.Response) {
 	if resp.Lease.Incarnation != p.leaderIncarnation {
 		p.leaderIncarnation, p.seqs, p.caseSeq = resp.Lease.Incarnation, map[ident.Service]uint64{}, 0
-		p.parts.Limits.leaderChanged()
+		p.parts.Notices.leaderChanged()
 	}
 	if resp.Cases != nil {
 		p.parts.Quarantine.applyVerdicts(p.leaderIncarnation, resp.Cases.List)
--- a/internal/edge/host/rules.go
+++ b/internal/edge/host/rules.go
@@ -45,7 +45,7 @@
 	Front    *front.Front
 	Hub      *poll.Hub
 	Servers  *serverTracker
-	Limits   *limits
+	Permits  *permits
 	Log      *slog.Logger
 }
 
@@ -260,7 +260,7 @@
 	}
 	g := gate.New(gate.Config{Service: s.Name, Queue: queueLimit, MaxHeld: queueLimit, ProbeInterval: ownerProbeInterval, Centre: m.parts.Config.Centre, RetryBudget: gate.RetryBudget{
 		Share: m.parts.Config.Bounds.RetryRatio * retryBudgetShare, Burst: m.parts.Config.Bounds.RetrySlack * retryBudgetShare,
-	}, OnPermitsWanted: m.parts.Limits.permitsWanted})
+	}, OnPermitsWanted: m.parts.Permits.wake})
 	m.parts.State.Put(config.Service{Name: s.Name}, g)
 	m.group.Go(func(ctx context.Context) error {
 		<-ctx.Done()
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -24,12 +24,12 @@
 
 // serverTracker tracks the backend servers and passes them to the gates.
 type serverTracker struct {
-	group  group.Group
-	plat   Platform
-	state  *state.State
-	hub    *poll.Hub
-	log    *slog.Logger
-	limits *limits
+	group   group.Group
+	plat    Platform
+	state   *state.State
+	hub     *poll.Hub
+	log     *slog.Logger
+	notices *notices
 
 	mu           sync.Mutex
 	members      member.Set[feed.Server]
@@ -58,13 +58,13 @@
 	borrowed     []ident.Server               // cold servers that the leader last lent to this VM
 	coldOverrun  float64                      // see Bounds.ColdOverrun
 	coldSlack    float64                      // see Bounds.ColdSlack
-	limitsRev    uint64                       // of the limits that the key assignment knows
+	noticesRev   uint64                       // of the notices that the key assignment knows
 }
 
-func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *limits, log *slog.Logger) *serverTracker {
-	t := &serverTracker{plat: p, state: s, hub: hub, limits: l, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, log *slog.Logger) *serverTracker {
+	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
-	l.subscribe(t.limitsChanged)
+	l.subscribe(t.noticesChanged)
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
@@ -191,8 +191,8 @@
 // updateDue applies what has changed with time alone. The caller holds mu.
 func (t *serverTracker) updateDue(now time.Time) {
 	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
-	if rev := t.limits.revision(); rev != t.limitsRev || t.warmDue(now) {
-		t.limitsRev = rev
+	if rev := t.notices.revision(); rev != t.noticesRev || t.warmDue(now) {
+		t.noticesRev = rev
 		t.distribute(t.list())
 		return
 	}
@@ -207,13 +207,13 @@
 	t.rev = max(t.rev, rev)
 	list := t.list()
 	t.logChanges(list)
-	t.limits.retain(list)
+	t.notices.retain(list)
 	t.hub.SetServers(poll.ServerList{Rev: t.rev, List: list})
 	t.distribute(list)
 }
 
-// limitsChanged passes on that servers state other limits.
-func (t *serverTracker) limitsChanged() {
+// noticesChanged passes on that servers have given or ended notices.
+func (t *serverTracker) noticesChanged() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.distribute(t.list())
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -18,8 +18,8 @@
 
 func newTestTracker() *serverTracker {
 	return &serverTracker{
-		limits: &limits{},
-		state:  state.New(nil), hub: poll.NewHub("vm-2", "a"), log: slog.New(slog.DiscardHandler),
+		notices: &notices{},
+		state:   state.New(nil), hub: poll.NewHub("vm-2", "a"), log: slog.New(slog.DiscardHandler),
 		services: map[ident.Service]feed.Service{}, dropped: map[ident.Server]bool{},
 	}
 }
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -15,8 +15,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
-	"hawthornfield.org/hawthornfield/internal/load/quota"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/owner/assign"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
@@ -57,8 +57,8 @@
 	Reports     LenientList[poison.Report]         `json:"reports,omitempty"` // of requests during which servers broke off
 	CaseSeq     uint64                             `json:"cases,omitempty"`   // last change of suspected requests that the sender received
 	TrialAsks   LenientList[poison.TrialAsk]       `json:"trials,omitempty"`
-	Limits      LenientList[quota.Report]          `json:"limits,omitempty"`    // limits of servers that the leader may not know
-	LimitsRev   uint64                             `json:"limitsrev,omitempty"` // of the leader's limits that the sender knows
+	Notices     LenientList[notice.Report]         `json:"notices,omitempty"`    // notices of servers that the leader may not know
+	NoticesRev  uint64                             `json:"noticesrev,omitempty"` // of the leader's notices that the sender knows
 	// TrialGrants is set by the handler on the leader, and sent in the response to this
 	// request only: the sender counts their time from when it sent the request.
 	TrialGrants []poison.TrialGrant `json:"-"`
@@ -99,7 +99,7 @@
 	// Evacuated is set if it is newer than what the receiver knows.
 	Evacuated *evac.List `json:"evac,omitempty"`
 	Cases     *Cases     `json:"cases,omitempty"`
-	Limits    *Limits    `json:"limits,omitempty"`
+	Notices   *Notices   `json:"notices,omitempty"`
 	// TrialGrants are attempts that only the receiver may make.
 	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
 	// Lent are cold servers that only the receiver may use.
@@ -148,7 +148,7 @@
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
-	limitSource     LimitSource
+	noticeSource    NoticeSource
 }
 
 // history holds the owners of a service's keys and their recent changes.
@@ -360,7 +360,7 @@
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
-	hasNews = h.addLimits(req, &resp) || hasNews
+	hasNews = h.addNotices(req, &resp) || hasNews
 	resp.TrialGrants, resp.Lent = req.TrialGrants, req.Lent
 	hasNews = hasNews || len(resp.TrialGrants) > 0
 	h.addPeers(now, req, &resp)
--- a/internal/edge/poll/permits.go
+++ b/internal/edge/poll/permits.go
@@ -14,7 +14,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/load/quota"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
 const (
@@ -29,9 +29,9 @@
 
 // PermitRequest asks the leader for permits to send requests to servers that limit them.
 type PermitRequest struct {
-	VM     ident.VM                  `json:"vm"`
-	Asks   []PermitAsk               `json:"asks"`
-	Limits LenientList[quota.Report] `json:"limits,omitempty"` // what the sender knows of these servers
+	VM      ident.VM                   `json:"vm"`
+	Asks    []PermitAsk                `json:"asks"`
+	Notices LenientList[notice.Report] `json:"notices,omitempty"` // what the sender knows of these servers
 }
 
 // PermitAsk asks for N permits for one server.
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/load/quota"
+	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
 // Headers of requests between the system and its callers and backend servers.
@@ -40,9 +40,9 @@
 	// Load reads the load that a server reports with an answer. It returns false if there is
 	// no report, or one of which nothing can be used.
 	Load func(h http.Header) (LoadReport, bool)
-	// Limit reads the limit that a server states with an answer, and describes one that
-	// cannot be read. A nil function reads none.
-	Limit func(h http.Header) (limit quota.Limit, fault string)
+	// Notice reads what a server says about itself with an answer, and describes a part that
+	// cannot be read. A nil function reads nothing.
+	Notice func(h http.Header) (n notice.Notice, fault string)
 	// CloseDelimited allows an answer whose end is the end of its connection. It is
 	// complete if the connection was closed in order, and incomplete if it was reset.
 	CloseDelimited bool
