--- a/internal/edge/front/signals.go
+++ b/internal/edge/front/signals.go
@@ -11,35 +11,63 @@
 	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
-// answerHeader returns the header of an answer, also of one that refused the request, if the
-// server that it was sent to gave it. An answer that it is not the expected server may come
-// from another one that has got its address.
-func answerHeader(answer *relay.Response, err error) (http.Header, bool) {
+// answerHead is the status and header of an answer.
+type answerHead struct {
+	status int
+	header http.Header
+	via    string // see relay.Response
+}
+
+// headOf returns the head of an answer, also of one that refused the request, if the server
+// that it was sent to gave it. An answer that it is not the expected server may come from
+// another one that has got its address.
+func headOf(answer *relay.Response, err error) (answerHead, bool) {
 	if err == nil {
-		return answer.Header(), answer.Status() != http.StatusMisdirectedRequest
+		return answerHead{answer.Status(), answer.Header(), answer.Via}, answer.Status() != http.StatusMisdirectedRequest
 	}
 	var fail *relay.Failure
 	if !errors.As(err, &fail) {
-		return nil, false
+		return answerHead{}, false
 	}
-	return fail.Header, fail.Refused && fail.Kind != kinds.Misrouted
+	return answerHead{fail.Status, fail.Header, fail.Via}, fail.Refused && fail.Kind != kinds.Misrouted
 }
 
-// noteSignals passes on what a server says about itself in the header of an answer to an
-// attempt that was sent at a time of the boot clock.
+// noteSignals passes on what a server says about itself with an answer to an attempt that was
+// sent at a time of the boot clock.
 func (x *exchange) noteSignals(p ident.Process, answer *relay.Response, err error, sent time.Time) {
+	head, ok := headOf(answer, err)
+	if !ok {
+		return
+	}
+	x.noteRest(p, head)
 	if x.f.Headers.Notice == nil || x.f.OnNotice == nil {
 		return
 	}
-	h, ok := answerHeader(answer, err)
-	if !ok {
+	n, fault := x.f.Headers.Notice(head.header)
+	x.noteFault(p, fault)
+	if fault == "" || n != (notice.Notice{}) {
+		x.f.OnNotice(p, n, sent)
+	}
+}
+
+// noteRest passes on that a server wants no further requests for a time.
+func (x *exchange) noteRest(p ident.Process, head answerHead) {
+	if x.f.Headers.Rest == nil {
+		return
+	}
+	rest, fault := x.f.Headers.Rest(head.status, head.header)
+	x.noteFault(p, fault)
+	if rest <= 0 {
 		return
 	}
-	n, fault := x.f.Headers.Notice(h)
+	if x.f.OnRest != nil {
+		x.f.OnRest(p, rest, head.via)
+	}
+}
+
+// noteFault passes on that a header could not be read.
+func (x *exchange) noteFault(p ident.Process, fault string) {
 	if fault != "" && x.f.OnLoadFault != nil {
 		x.f.OnLoadFault(p.Server, fault)
 	}
-	if fault == "" || n != (notice.Notice{}) {
-		x.f.OnNotice(p, n, sent)
-	}
 }
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -35,6 +35,7 @@
 	Sent       bool        // at least one byte of the request may have reached the server
 	Refused    bool        // the server said that it did not run the request
 	ConnClosed bool        // the server ended the connection before its answer was complete
+	Status     int         // of the answer that refused the request
 	Header     http.Header // header of the answer that refused the request
 	ConnOpened time.Time   // see Response; set if Refused
 	PathLost   bool        // given up because this VM lost its path to the server
@@ -60,11 +61,11 @@
 // request, would deliver one caller's answer to another; the request id in the answer
 // reveals that, if the server sends it. An answer that ends with its connection looks the
 // same whether it is complete or cut off, so it must not be passed on as complete.
-func (h *Headers) check(resp *http.Response, method string, id ident.Request, connOpened time.Time) error {
+func (h *Headers) check(resp *http.Response, method string, id ident.Request, answer *Response) error {
 	got := resp.Header.Get(h.ID)
 	foreign := got != string(id) && (got != "" || h.EchoesID)
 	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
-		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Header: resp.Header, ConnOpened: connOpened}
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, Via: answer.Via}
 	}
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -309,7 +309,7 @@
 	u.readKeepAlive(resp.Header)
 	a.answer = Response{resp: resp, headers: &r.cfg.Headers, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
 	answer := &a.answer
-	if err := r.cfg.Headers.check(resp, in.Method, meta.ID, answer.ConnOpened); err != nil {
+	if err := r.cfg.Headers.check(resp, in.Method, meta.ID, answer); err != nil {
 		answer.Close()
 		return nil, err
 	}
