gate, rest, host, assign: a server that asks a VM for rest gets it

Cause: a refusal was taken for a sign of load alone. The time that came with it was read by nobody, the next key of the same server went there at once, and keys stayed with servers that served nobody, as loads alone move them.

Now a server that asks a VM for rest gets nothing from it until then, whatever the request is; a rest counts as no failure, and ends with its process. Requests for its keys are refused at once with what is left, spread over a quarter of it. VMs report it with their polls, and a server that has asked several VMs gives up its keys to others until it is over.

Ruled out: second tries alone (they stop when their budget is used up, the requests go on), a longer ejection (takes a server out for longer than it asked).

--- a/internal/edge/front/signals.go
+++ b/internal/edge/front/signals.go
@@ -60,6 +60,7 @@
 	if rest <= 0 {
 		return
 	}
+	x.svc.Gate.Rest(p.Server, rest)
 	if x.f.OnRest != nil {
 		x.f.OnRest(p, rest, head.via)
 	}
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -51,6 +51,7 @@
 	Quarantine  *quarantine
 	Lender      *coldLender
 	Notices     *notices
+	Rests       *rests
 	Permits     *permits
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
@@ -71,6 +72,7 @@
 		p.Coordinator.onRequest(req)
 		if _, leads := p.Hub.Lease(); leads {
 			p.Notices.merge(req.Notices)
+			p.Rests.add(req.VM, req.Rests)
 		}
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +31,7 @@
 	hub     *poll.Hub
 	log     *slog.Logger
 	notices *notices
+	rests   *rests
 
 	mu           sync.Mutex
 	members      member.Set[feed.Server]
@@ -59,10 +61,11 @@
 	coldOverrun  float64                      // see Bounds.ColdOverrun
 	coldSlack    float64                      // see Bounds.ColdSlack
 	noticesRev   uint64                       // of the notices that the key assignment knows
+	resting      map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
 }
 
-func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, log *slog.Logger) *serverTracker {
-	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *rests, log *slog.Logger) *serverTracker {
+	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, rests: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
 	l.subscribe(t.noticesChanged)
 	w := &watcher{
@@ -191,8 +194,9 @@
 // updateDue applies what has changed with time alone. The caller holds mu.
 func (t *serverTracker) updateDue(now time.Time) {
 	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
-	if rev := t.notices.revision(); rev != t.noticesRev || t.warmDue(now) {
-		t.noticesRev = rev
+	rev, resting := t.notices.revision(), t.rests.resting()
+	if rev != t.noticesRev || !maps.Equal(resting, t.resting) || t.warmDue(now) {
+		t.noticesRev, t.resting = rev, resting
 		t.distribute(t.list())
 		return
 	}
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -98,6 +98,7 @@
 	nextExpiry    time.Time // next deadline of a waiting request; may be too early
 	reestimateAt  time.Time // next time that queue waits are estimated again
 	healthCheckAt time.Time // next time that the servers' health is checked; zero if none is due
+	restEnd       time.Time // next time that a server's rest is over; zero if none rests
 
 	lastEvent    time.Time // last call to detectPause
 	lastPause    vmPause   // the most recent pause
@@ -179,6 +180,9 @@
 // route passes a request to the queues of its key's owner, or to the shared ones.
 func (c *Core) route(now time.Time, t *Ticket) Verdict {
 	if t.Job.Server == "" && c.concurrency[sizes.Short] == 0 {
+		if left := c.allResting(now); left > 0 {
+			return c.refuseResting(t, left)
+		}
 		return c.refuse(t, kinds.NoServer, c.retryAfter(c.capDelay(now)))
 	}
 	if t.Job.Server == "" {
@@ -200,6 +204,9 @@
 func (c *Core) enterLane(now time.Time, ls *lanePair, owner *server, t *Ticket) Verdict {
 	t.lanes = ls
 	l := &ls.bySize[t.sizeKind]
+	if owner != nil && owner.resting(now) > 0 {
+		return c.refuseResting(t, owner.resting(now))
+	}
 	t.callerFlow, t.keyFlow = c.flowOf(string(t.Job.Caller)), c.flowOf(string(t.Job.Key))
 	// A request's own failed attempt must not delay its retry.
 	if owner != nil && t.Job.avoid != owner.info.Name {
@@ -363,7 +370,7 @@
 // Next returns when Tick has work to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
 	var next time.Time
-	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt} {
+	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.restEnd} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -172,6 +172,12 @@
 	g.update(func(now time.Time) { g.core.Permit(now, a) })
 }
 
+// Rest records that a server turned a request away and wants no further ones from this VM for
+// a time. It gets none until then.
+func (g *Gate) Rest(s ident.Server, d time.Duration) {
+	g.update(func(now time.Time) { g.core.Rest(now, s, d) })
+}
+
 // Report records the load that a backend server reports: the requests it runs and
 // queues, as of age ago. Reports can lag or mislead, so between servers they only break
 // near ties.
@@ -216,6 +222,7 @@
 	Remote  bool          // it is in another data centre
 	Cold    bool          // it is cold and gets only few requests
 	Limited bool          // it limits the requests that it takes from all VMs
+	Resting bool          // it wants no requests from this VM for a time
 	Slots   int           // requests that it processes concurrently
 }
 
--- a/internal/load/gate/quota.go
+++ b/internal/load/gate/quota.go
@@ -134,7 +134,7 @@
 
 // wantQueued asks for permits for the requests that wait for a server.
 func (c *Core) wantQueued(now time.Time, s *server) {
-	if !s.permits.limited {
+	if !s.permits.limited || s.resting(now) > 0 {
 		return
 	}
 	n := s.queued()
@@ -172,7 +172,7 @@
 	if c.limitedCount == 0 {
 		return
 	}
-	if s := c.servers[c.rng.IntN(len(c.servers))]; !s.info.Drain {
+	if s := c.servers[c.rng.IntN(len(c.servers))]; !s.info.Drain && s.resting(now) == 0 {
 		s.permits.want(now, 1)
 	}
 }
@@ -185,7 +185,7 @@
 	}
 	shortest := time.Duration(0)
 	for _, s := range c.servers {
-		if s.info.Drain || s.cap.closed(now) {
+		if s.info.Drain || s.cap.closed(now) || s.resting(now) > 0 {
 			continue
 		}
 		left := s.permits.denied(now)
@@ -231,7 +231,8 @@
 // sets of available servers say can be older: permits and loans end by themselves.
 func (c *Core) liveServer(now time.Time, i int) *server {
 	s := c.servers[i]
-	if !s.permits.limited && !s.cap.capped || s.hasRoom(now) {
+	timed := s.permits.limited || s.cap.capped || !s.restUntil.IsZero()
+	if !timed || s.hasRoom(now) {
 		return s
 	}
 	c.updateAvailable(now, s)
--- /dev/null
+++ b/internal/load/gate/rest.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+)
+
+// This file handles a server that turned a request away and wants no further ones from this
+// VM for a time. Requests that may go anywhere use other servers; those for its keys are
+// refused at once, because a queue of them would all be sent at the end of the rest.
+
+// restSpread is the part of what is left of a rest over which refused callers are told to
+// return.
+const restSpread = 0.25
+
+// resting returns how long the server wants no requests from this VM; zero if it takes them.
+func (s *server) resting(now time.Time) time.Duration { return max(s.restUntil.Sub(now), 0) }
+
+// Rest records that a server wants no requests for a time. Of several such times the longest
+// holds.
+func (c *Core) Rest(now time.Time, name ident.Server, d time.Duration) {
+	s := c.byName[name]
+	if s == nil || d <= s.resting(now) {
+		return
+	}
+	s.restUntil = now.Add(d)
+	c.refresh(now)
+	c.stats.RefusedResting += uint64(s.queued())
+	c.refuseQueued(now, s, kinds.Busy, d)
+	if left := c.allResting(now); left > 0 {
+		c.refuseLanes(now, &c.shared, kinds.Busy, left)
+	}
+	c.scheduleRestEnd(now)
+}
+
+// endRests lets servers whose rest is over have requests again.
+func (c *Core) endRests(now time.Time) {
+	if c.restEnd.IsZero() || now.Before(c.restEnd) {
+		return
+	}
+	c.refresh(now)
+	c.scheduleRestEnd(now)
+}
+
+// scheduleRestEnd sets when the next rest ends.
+func (c *Core) scheduleRestEnd(now time.Time) {
+	c.restEnd = time.Time{}
+	for _, s := range c.servers {
+		if s.resting(now) > 0 && (c.restEnd.IsZero() || s.restUntil.Before(c.restEnd)) {
+			c.restEnd = s.restUntil
+		}
+	}
+}
+
+// allResting returns how long all servers that may get requests want none, or zero.
+func (c *Core) allResting(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range c.servers {
+		if s.info.Drain || s.cap.closed(now) {
+			continue
+		}
+		left := s.resting(now)
+		if left == 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
+// refuseResting refuses a request for the time left of a rest.
+func (c *Core) refuseResting(t *Ticket, left time.Duration) Verdict {
+	c.stats.RefusedResting++
+	return c.refuse(t, kinds.Busy, min(left+time.Duration(c.rng.Float64()*restSpread*float64(left)), maxRetryAfter))
+}
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -26,7 +26,10 @@
 	RefusedCold uint64 `json:"refused_cold"`
 	Limited     int    `json:"limited"` // servers that limit their requests
 	// RefusedLimited counts the requests refused because of the limit of a server.
-	RefusedLimited uint64        `json:"refused_limited"`
+	RefusedLimited uint64 `json:"refused_limited"`
+	Resting        int    `json:"resting"` // servers that want no requests from this VM
+	// RefusedResting counts the requests refused because of that.
+	RefusedResting uint64        `json:"refused_resting"`
 	Overload       bool          `json:"overload"`
 	Budget         float64       `json:"budget"` // retries left in the budget
 	Servers        []ServerStats `json:"servers"`
@@ -70,6 +73,9 @@
 		if srv.permits.limited {
 			s.Limited++
 		}
+		if srv.resting(now) > 0 {
+			s.Resting++
+		}
 	}
 	return s
 }
@@ -95,11 +101,11 @@
 		if !s.reportedAt.IsZero() {
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
-		v.Cold, v.Limited = s.cap.capped, s.permits.limited
+		v.Cold, v.Limited, v.Resting = s.cap.capped, s.permits.limited, s.resting(now) > 0
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
 	return Snapshot{
-		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0,
+		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Resting: c.allResting(now) > 0,
 	}
 }
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -165,7 +165,7 @@
 	maxGrant           time.Duration // longest grant that servers accept; zero: no limit
 	flaw               flaw          // always flawNone outside tests
 	serversKnown       bool          // servers have been listed
-	allCapped          bool          // all servers that accept keys are capped, as of the last plan
+	allAvoided         bool          // all servers that accept keys are better given none, as of the last plan
 	idleServers        int           // accepting servers in excess of rows, as of the last plan
 	logs               []LogCmd      // log entries for the next update to return
 	// settledAt is when all servers that start together should be listed. Assigned earlier,
@@ -287,22 +287,28 @@
 	m.nextPlan = time.Time{}
 }
 
-// accepts reports whether the server may be given keys. A capped server may if all are.
+// accepts reports whether the server may be given keys. One that is better given none may if
+// there are no others.
 func (m *Model) accepts(now time.Time, b *backend) bool {
-	return b.accepts(now) && (!b.Capped || m.allCapped)
+	return b.accepts(now) && (!b.avoided() || m.allAvoided)
 }
 
-// updateAllCapped determines whether no server accepts keys but capped ones.
-func (m *Model) updateAllCapped(now time.Time) {
-	m.allCapped = true
+// updateAllAvoided determines whether no server accepts keys but those that are better given
+// none.
+func (m *Model) updateAllAvoided(now time.Time) {
+	m.allAvoided = true
 	for _, b := range m.backends {
-		if b.accepts(now) && !b.Capped {
-			m.allCapped = false
+		if b.accepts(now) && !b.avoided() {
+			m.allAvoided = false
 		}
 	}
 }
 
-// accepts reports whether the server may be given keys, capped or not.
+// avoided reports whether the server takes too few requests to be given keys if another one
+// can have them.
+func (b *backend) avoided() bool { return b.Capped || b.Resting }
+
+// accepts reports whether the server may be given keys, avoided or not.
 func (b *backend) accepts(now time.Time) bool {
 	return b.listed && !b.replaced && !b.Leaving && !b.Evacuated && !b.isLost(now)
 }
--- a/internal/owner/assign/plan.go
+++ b/internal/owner/assign/plan.go
@@ -50,7 +50,7 @@
 		return m.flushDraft(now)
 	}
 	m.nextPlan = now.Add(planInterval)
-	m.updateAllCapped(now)
+	m.updateAllAvoided(now)
 	d := &draft{table: m.table.Clone(), rows: append([]rowState(nil), m.rows...)}
 	if m.unassigned && m.version == 0 {
 		d.table.Rows = ranges.NewTable(len(m.backends)).Rows
--- a/internal/owner/assign/restart_test.go
+++ b/internal/owner/assign/restart_test.go
@@ -22,12 +22,25 @@
 	m, now := New(), time.Unix(1000, 0)
 	servers := []Server{{Name: "s1", Capped: true}, {Name: "s2"}}
 	m.setServers(now, servers)
-	m.updateAllCapped(now)
+	m.updateAllAvoided(now)
 	in := m.planInput(now, &draft{})
 	assert.Assert(t, !in.Servers[0].Accepting && in.Servers[1].Accepting)
 	servers[1].Leaving = true
 	m.setServers(now, servers)
-	m.updateAllCapped(now)
+	m.updateAllAvoided(now)
 	in = m.planInput(now, &draft{})
 	assert.Assert(t, in.Servers[0].Accepting && !in.Servers[1].Accepting)
 }
+
+// Guards against keys that stay with servers that turn requests away and ask for rest.
+func TestRestingServersGetKeysOnlyIfAllRest(t *testing.T) {
+	m, now := New(), time.Unix(1000, 0)
+	m.setServers(now, []Server{{Name: "s1", Resting: true}, {Name: "s2"}})
+	m.updateAllAvoided(now)
+	in := m.planInput(now, &draft{})
+	assert.Assert(t, !in.Servers[0].Accepting && in.Servers[1].Accepting)
+	m.setServers(now, []Server{{Name: "s1", Resting: true}, {Name: "s2", Resting: true}})
+	m.updateAllAvoided(now)
+	in = m.planInput(now, &draft{})
+	assert.Assert(t, in.Servers[0].Accepting && in.Servers[1].Accepting)
+}
