notice, host: a server that says in its answers that it leaves is drained

Callers saw nothing yet; the server was sent requests until it ended (DRAIN).

Cause: a leaving server was known from its entry alone, which may say so later or never. Now an answer that says so counts like the entry, from when this VM or another one heard it: no new requests, keys move, and after half of the drain time nothing at all.

--- a/internal/edge/host/cold.go
+++ b/internal/edge/host/cold.go
@@ -70,7 +70,7 @@
 	svc := t.services[s.Service]
 	_, evacuated := t.evacuated.Evacuated(s.Centre)
 	info := gate.ServerInfo{
-		Name: s.Name, Centre: s.Centre, Incarnation: s.Incarnation, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: s.Leaving || evacuated,
+		Name: s.Name, Centre: s.Centre, Incarnation: s.Incarnation, Slots: s.Slots, Conns: svc.Conns, Cold: s.Cold > 0, Drain: t.isLeaving(s) || evacuated,
 		Limited: t.notices.of(s.Process()).Limited,
 	}
 	if left := t.cappedFor(now, s); left > 0 {
--- a/internal/edge/host/drain.go
+++ b/internal/edge/host/drain.go
@@ -20,7 +20,7 @@
 	t.statesStart = slices.ContainsFunc(list, func(s feed.Server) bool { return s.Incarnation != 0 })
 	next := make(map[ident.Server]time.Time)
 	for _, s := range list {
-		if !s.Leaving {
+		if !t.isLeaving(s) {
 			continue
 		}
 		next[s.Name] = now
@@ -32,6 +32,11 @@
 	maps.DeleteFunc(t.dropped, func(s ident.Server, _ bool) bool { _, leaving := next[s]; return !leaving })
 }
 
+// isLeaving reports whether a server leaves, by its entry or its own answers.
+func (t *serverTracker) isLeaving(s feed.Server) bool {
+	return s.Leaving || t.notices.of(s.Process()).Leaving
+}
+
 // drained reports whether a server announced so long ago that it leaves that it must get
 // no more requests. By then its keys have other owners or their requests wait for one.
 // The platform counts a later request as sent to a server that is gone.
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -161,6 +161,7 @@
 		_, list[i].Evacuated = t.evacuated.Evacuated(list[i].Centre)
 		list[i].Capped = t.capped[list[i].Name]
 		list[i].Resting = t.resting[list[i].Process()]
+		list[i].Leaving = t.isLeaving(list[i])
 		list[i].Notice = t.notices.of(list[i].Process())
 	}
 	return list
--- a/internal/edge/host/notices.go
+++ b/internal/edge/host/notices.go
@@ -55,7 +55,7 @@
 	onChange := n.onChange
 	n.mu.Unlock()
 	for _, c := range changes {
-		n.log.Info("server's notice", "server", c.Process.Server, "born", c.Process.Incarnation, "limited", c.Notice.Limited, "rate", c.Notice.Rate, "from", from)
+		n.log.Info("server's notice", "server", c.Process.Server, "born", c.Process.Incarnation, "leaving", c.Notice.Leaving, "limited", c.Notice.Limited, "rate", c.Notice.Rate, "from", from)
 	}
 	if changed {
 		n.hub.Wake()
--- a/internal/load/notice/notice.go
+++ b/internal/load/notice/notice.go
@@ -15,12 +15,15 @@
 // Notice is what a server says about itself with an answer. The zero value says nothing,
 // which ends an earlier notice.
 type Notice struct {
+	Leaving bool    `json:"leaving,omitempty"` // it shuts down soon
 	Limited bool    `json:"limited,omitempty"` // it limits the requests that it takes from all VMs
 	Rate    float64 `json:"rate,omitempty"`    // to so many a second
 }
 
 // sameKind reports whether two notices differ in figures only.
-func (n Notice) sameKind(other Notice) bool { return n.Limited == other.Limited }
+func (n Notice) sameKind(other Notice) bool {
+	return n.Leaving == other.Leaving && n.Limited == other.Limited
+}
 
 // Report is a VM's word on the notice of a server.
 type Report struct {
