tunnel, host: a rest holds for the VM through which a request was sent

A VM without a path to a server sends its requests through another VM, which the server then asks for rest; that VM passed on the bytes and knew of nothing. Now it is told, gives up its idle tunnels to that server and opens none until the rest is over.

--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -243,6 +243,8 @@
 	held map[ranges.Span]time.Time
 	ran  int
 	work time.Duration // time that each request takes
+	rest time.Duration // it turns requests away and asks for so much rest; zero: it does not
+	came int           // requests that reached it
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -254,9 +256,18 @@
 		return
 	}
 	b.mu.Lock()
-	b.ran++
-	work := b.work
+	b.came++
+	work, rest := b.work, b.rest
+	if rest == 0 {
+		b.ran++
+	}
 	b.mu.Unlock()
+	if rest > 0 {
+		w.Header().Set(kinds.HeaderRan, string(kinds.RanNo))
+		w.Header().Set("Retry-After", strconv.Itoa(int(rest.Seconds())))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(work)
 	_, _ = io.WriteString(w, string(b.name))
 }
@@ -381,7 +392,7 @@
 		decode = d
 	}
 	names := relay.DefaultHeaders()
-	names.PassThrough = []string{relay.HeaderKey}
+	names.PassThrough, names.Rest = []string{relay.HeaderKey}, readRest
 	p := Platform{
 		Store: gw, StaleStore: staleGateway{gw}, Decode: decode, Orders: tc, Headers: names,
 		Servers: "servers/", Evacuations: "evacuations/", Rules: "config/main", OwnPrefix: "own/",
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -67,6 +67,7 @@
 	l.callers.Pipeline = p.Front.Pipeline()
 	peers := http.NewServeMux()
 	peers.Handle(tunnel.Path, p.Tunnels)
+	peers.Handle(poll.RestPath, poll.RestHandler(p.Rests.told))
 	peers.Handle(poll.PermitPath, poll.PermitHandler(p.Permits.take))
 	peers.Handle("/", p.Hub.Handler(func(req *poll.Request) {
 		p.Coordinator.onRequest(req)
--- a/internal/edge/host/paths.go
+++ b/internal/edge/host/paths.go
@@ -39,13 +39,18 @@
 type tunnelPaths struct {
 	*dial.Dialer
 	state *state.State
+	rests *rests
 }
 
 // Address returns the address of a listed server.
 func (p tunnelPaths) Address(s ident.Server) (netip.AddrPort, bool) { return p.state.Address(s) }
 
-func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, log *slog.Logger) *tunnel.Server {
-	t := tunnel.NewServer(tunnelPaths{d, s}, log)
+// Resting reports whether a server wants no requests from this VM now.
+func (p tunnelPaths) Resting(s ident.Server) bool { return p.rests.isResting(s) }
+
+func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, r *rests, log *slog.Logger) *tunnel.Server {
+	t := tunnel.NewServer(tunnelPaths{d, s, r}, log)
+	r.onRest = t.EndIdleTo
 	closeOnStop(lc, t)
 	return t
 }
--- a/internal/edge/tunnel/server.go
+++ b/internal/edge/tunnel/server.go
@@ -30,6 +30,8 @@
 	DialDirect(ctx context.Context, to netip.AddrPort, timeout time.Duration, prepare func(net.Conn) error) (net.Conn, error)
 	// Lost reports whether this VM's path to a server is lost.
 	Lost(to netip.AddrPort) bool
+	// Resting reports whether a server wants no requests from this VM now.
+	Resting(s ident.Server) bool
 }
 
 // Server opens tunnels for other VMs. Create one with NewServer.
@@ -60,18 +62,26 @@
 // idle or for the end of ctx.
 func (s *Server) Drain(ctx context.Context) {
 	s.draining.Store(true)
-	for s.endIdle() > 0 && group.Sleep(ctx, quietTime/4) {
+	for s.endIdle(func(*tunnel) bool { return true }) > 0 && group.Sleep(ctx, quietTime/4) {
 	}
 }
 
-// endIdle ends the idle tunnels and returns the number of the others.
-func (s *Server) endIdle() int {
+// EndIdleTo ends the idle tunnels for requests to a server, which wants none through this VM.
+func (s *Server) EndIdleTo(name ident.Server) {
+	s.endIdle(func(t *tunnel) bool { return t.server == name && !t.orders })
+}
+
+// endIdle ends the idle ones of the matching tunnels and returns the number of the others.
+func (s *Server) endIdle(match func(*tunnel) bool) int {
 	busy := 0
 	s.tunnels.Range(func(key, _ any) bool {
-		if t := key.(*tunnel); !t.isIdle(time.Now()) {
-			busy++
-		} else {
+		t := key.(*tunnel)
+		switch {
+		case !match(t):
+		case t.isIdle(time.Now()):
 			t.close()
+		default:
+			busy++
 		}
 		return true
 	})
@@ -83,7 +93,8 @@
 	name := ident.Server(r.Header.Get(headerServer))
 	orders, _ := strconv.ParseBool(r.Header.Get(headerOrders)) // anything else is no tunnel for orders
 	to, listed := s.paths.Address(name)
-	if r.Header.Get("Upgrade") != protocol || !listed || s.draining.Load() || s.paths.Lost(to) {
+	refused := s.draining.Load() || !orders && s.paths.Resting(name)
+	if r.Header.Get("Upgrade") != protocol || !listed || refused || s.paths.Lost(to) {
 		http.Error(w, "no path to the server", http.StatusServiceUnavailable)
 		return
 	}
@@ -110,7 +121,7 @@
 		s.log.Error("tunnel cannot be opened", "server", name, "err", err)
 		return
 	}
-	t := &tunnel{near: near, nearReader: buffered.Reader, far: far, orders: orders}
+	t := &tunnel{server: name, near: near, nearReader: buffered.Reader, far: far, orders: orders}
 	t.note(false)
 	s.group.Go(func(ctx context.Context) error {
 		defer s.open.Add(-1)
@@ -146,6 +157,7 @@
 
 // tunnel passes bytes between another VM and a server.
 type tunnel struct {
+	server     ident.Server
 	near       net.Conn // to the other VM
 	nearReader io.Reader
 	far        net.Conn // to the server
--- a/internal/edge/tunnel/tunnel_test.go
+++ b/internal/edge/tunnel/tunnel_test.go
@@ -26,6 +26,7 @@
 type testPaths struct {
 	accepted chan net.Conn
 	lost     atomic.Bool
+	resting  atomic.Bool
 }
 
 func (*testPaths) Address(s ident.Server) (netip.AddrPort, bool) {
@@ -34,6 +35,8 @@
 
 func (p *testPaths) Lost(netip.AddrPort) bool { return p.lost.Load() }
 
+func (p *testPaths) Resting(ident.Server) bool { return p.resting.Load() }
+
 func (p *testPaths) DialDirect(context.Context, netip.AddrPort, time.Duration, func(net.Conn) error) (net.Conn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -186,3 +189,31 @@
 	assert.NilError(t, g.Wait())
 	assert.Assert(t, !passedOn)
 }
+
+// Guards against a tunnel for requests to a server that wants none through this VM, and against the end of one that awaits an answer.
+func TestNoTunnelLeadsToAServerThatRests(t *testing.T) {
+	c, via, s, paths := startTunnels(t)
+	idle, err := c.Dial(t.Context(), via, "listed", false)
+	assert.NilError(t, err)
+	<-paths.accepted
+	time.Sleep(quietTime + 50*time.Millisecond)
+	busy, err := c.Dial(t.Context(), via, "listed", false)
+	assert.NilError(t, err)
+	far := <-paths.accepted
+	_, err = busy.Write([]byte("request"))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(far, make([]byte, 7))
+	assert.NilError(t, err)
+	paths.resting.Store(true)
+	s.EndIdleTo("listed")
+	_, err = idle.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "it ended")
+	_, err = io.WriteString(far, "answer")
+	assert.NilError(t, err)
+	_, err = io.ReadFull(busy, make([]byte, 6))
+	assert.NilError(t, err)
+	_, err = c.Dial(t.Context(), via, "listed", false)
+	assert.Assert(t, err != nil)
+	_, err = c.Dial(t.Context(), via, "listed", true)
+	assert.NilError(t, err, "orders are no requests")
+}
