relay, platform, poll: bytes without end are given up

A server in trouble may send bytes that are no answer, or an answer, without end. Heads, chunk sizes, extensions and trailers of answers were bounded; bodies that end with their connection, chunked bodies and announced lengths were not, so they took the link of a VM until the request's deadline. Now an answer ends as broken off at 256 MB.

TestBytesWithoutEndAreGivenUp, twelve forms: three ended by the deadline alone before.

--- a/internal/edge/poll/serve.go
+++ b/internal/edge/poll/serve.go
@@ -22,6 +22,8 @@
 	// maxMessageBytes bounds a message. The largest holds the complete list of some
 	// thousand servers, all key owners and, from a VM of an earlier version, the rules.
 	maxMessageBytes = 8 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 	// dialTimeout is for VMs in the same region.
 	dialTimeout = 300 * time.Millisecond
 	// answerTimeout is how much longer than PollTimeout a response may take to begin
@@ -113,7 +115,7 @@
 	dial := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c := &Client{}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+		DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 	}}
 	return c
 }
--- a/internal/edge/relay/copy.go
+++ b/internal/edge/relay/copy.go
@@ -93,15 +93,18 @@
 	if r.resp.ContentLength < 0 {
 		flush, _ = w.(http.Flusher)
 	}
-	return copyStream(w, r.resp.Body, *buf, flush)
+	return copyStream(w, r.resp.Body, *buf, flush, r.maxBody)
 }
 
-// copyStream copies until the end of the body. The kind of the error says whose side
-// failed.
-func copyStream(w io.Writer, r io.Reader, buf []byte, flush http.Flusher) (int64, error) {
+// copyStream copies until the end of the body, which must come within limit bytes. The kind
+// of the error says whose side failed.
+func copyStream(w io.Writer, r io.Reader, buf []byte, flush http.Flusher, limit int64) (int64, error) {
 	var total int64
 	for {
 		n, err := r.Read(buf)
+		if total+int64(n) > limit {
+			return total, newTruncated(errTooLong)
+		}
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return total, kinds.Wrap(kinds.Canceled, werr, "write answer")
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -52,6 +52,7 @@
 var (
 	errRefused      = errors.New("the server refused the request")
 	errWrongRequest = errors.New("the answer belongs to another request")
+	errTooLong      = errors.New("the answer exceeds the longest one that is passed on")
 	errNoEnd        = errors.New("the end of the answer could not be recognized")
 )
 
@@ -70,6 +71,9 @@
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
 	}
+	if resp.ContentLength > answer.maxBody {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errTooLong}
+	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	if unframed && method != http.MethodHead && !h.CloseDelimited {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errNoEnd}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -32,6 +32,7 @@
 	DefaultIdle      = 90 * time.Second
 	DefaultReuseIdle = 4 * time.Second
 	DefaultHeader    = 64 << 10
+	DefaultBody      = 256 << 20
 )
 
 // Config holds the settings of a relay. The zero value works.
@@ -43,6 +44,7 @@
 	// DefaultReuseIdle.
 	ReuseIdle time.Duration
 	Header    int64   // largest header of an answer, in bytes
+	Body      int64   // largest body of an answer, in bytes
 	Headers   Headers // header names; the zero value means DefaultHeaders
 	// Open opens connections; nil means TCP. Tests use connections in memory.
 	Open func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
@@ -101,6 +103,9 @@
 	if cfg.Header <= 0 {
 		cfg.Header = DefaultHeader
 	}
+	if cfg.Body <= 0 {
+		cfg.Body = DefaultBody
+	}
 	if cfg.Headers.Refused == nil {
 		cfg.Headers = DefaultHeaders()
 	}
@@ -249,6 +254,7 @@
 	headers   *Headers
 	server    ident.Server
 	buffered  []byte // the whole body, if Buffer read it to its end
+	maxBody   int64  // see Config.Body
 	cancel    context.CancelCauseFunc
 	FirstByte time.Duration // time from sending the request to the arrival of the header
 	// ConnOpened is when the connection was opened, on the boot clock, see package clock.
@@ -307,7 +313,7 @@
 		return nil, fail
 	}
 	u.readKeepAlive(resp.Header)
-	a.answer = Response{resp: resp, headers: &r.cfg.Headers, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
+	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
 	answer := &a.answer
 	if err := r.cfg.Headers.check(resp, in.Method, meta.ID, answer); err != nil {
 		answer.Close()
