--- /dev/null
+++ b/internal/edge/poll/call_test.go
@@ -0,0 +1,56 @@
+package poll
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/rest"
+)
+
+func serveCalls(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	web := httptest.NewServer(h)
+	t.Cleanup(web.Close)
+	at, err := netip.ParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	assert.NilError(t, err)
+	return at
+}
+
+// Guards against permits of a VM that does not lead, or for other asks, being used.
+func TestOnlyALeaderGrantsPermits(t *testing.T) {
+	var resp PermitResponse
+	at := serveCalls(t, PermitHandler(func(req *PermitRequest) PermitResponse {
+		assert.Equal(t, req.Asks[0].N, 2)
+		return resp
+	}))
+	ask := &PermitRequest{VM: "vm-1", Asks: []PermitAsk{{Server: "s1", N: 2}}}
+	c := NewClient()
+	for _, resp = range []PermitResponse{{Grants: []PermitGrant{{N: 2}}}, {IsLeader: true}} {
+		_, err := c.AskPermits(t.Context(), at, ask)
+		assert.Equal(t, kinds.Of(err), kinds.Unavailable)
+	}
+	resp = PermitResponse{IsLeader: true, Grants: []PermitGrant{{N: 1, Next: time.Second}}}
+	got, err := c.AskPermits(t.Context(), at, ask)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, resp)
+}
+
+// Guards against a message that cannot be read, or says nothing, being taken for a rest.
+func TestOnlyARestThatNamesItsServerIsTaken(t *testing.T) {
+	var told []rest.Report
+	at := serveCalls(t, RestHandler(func(r rest.Report) { told = append(told, r) }))
+	c := NewClient()
+	for _, bad := range []rest.Report{{Left: time.Second}, {Server: "s1"}, {Server: "s1", Left: -1}} {
+		assert.Equal(t, kinds.Of(c.TellRest(t.Context(), at, bad)), kinds.Unavailable)
+	}
+	assert.Equal(t, kinds.Of(c.call(t.Context(), at, RestPath, "text", nil)), kinds.Unavailable)
+	assert.NilError(t, c.TellRest(t.Context(), at, rest.Report{Server: "s1", Left: time.Second}))
+	assert.Equal(t, len(told), 1)
+}
