--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -69,9 +69,9 @@
 	Busy  int `cbor:"busy,omitempty" json:"busy,omitempty"`
 	Limit int `cbor:"most,omitempty" json:"most,omitempty"`
 	Queue int `cbor:"queue,omitempty" json:"queue,omitempty"`
-	// Resting says, for a refused request, that the owner of its key wants no requests from
+	// Shedding says, for a refused request, that the owner of its key wants no requests from
 	// this VM for a time.
-	Resting bool `cbor:"resting,omitempty" json:"resting,omitempty"`
+	Shedding bool `cbor:"shedding,omitempty" json:"shedding,omitempty"`
 	// Limited says, for a refused request, that the owner of its key limits its requests.
 	Limited bool          `cbor:"limited,omitempty" json:"limited,omitempty"`
 	Cold    bool          `cbor:"cold,omitempty" json:"cold,omitempty"`   // for a refused request: the owner of its key is cold and gets only few
@@ -133,7 +133,7 @@
 	l.number("queue", uint64(max(d.Queue, 0)))
 	l.flag("cold", d.Cold)
 	l.flag("limited", d.Limited)
-	l.flag("resting", d.Resting)
+	l.flag("shedding", d.Shedding)
 	l.number("count", d.Count)
 	l.text("keep", string(d.Keep))
 }
--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -34,9 +34,9 @@
 	// Capped is set by the VM while the server is cold and its service limits the requests
 	// that a cold server gets. It is not part of the entry.
 	Capped bool `json:"-"`
-	// Resting is set by the leader while the server wants no requests from several VMs. It is
+	// Shedding is set by the leader while the server wants no requests from several VMs. It is
 	// not part of the entry.
-	Resting bool `json:"-"`
+	Shedding bool `json:"-"`
 	// Notice is set by the VM to what the server says about itself with its answers. It is
 	// not part of the entry.
 	Notice notice.Notice `json:"-"`
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -252,7 +252,7 @@
 	}
 	s := x.svc.Gate.Inspect(x.decision.Server)
 	x.decision.Busy, x.decision.Limit, x.decision.Queue = s.Running, s.Limit, s.Waiting
-	x.decision.Cold, x.decision.Limited, x.decision.Resting = s.Cold, s.Limited, s.Resting
+	x.decision.Cold, x.decision.Limited, x.decision.Shedding = s.Cold, s.Limited, s.Shedding
 }
 
 // isSafeMethod reports whether a method is safe as defined by RFC 9110, section 9.2.1: it
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -100,10 +100,10 @@
 	// which a part could not be read.
 	OnLoadFault func(s ident.Server, fault string)
 
-	// OnRest, if set, is called when a server that turned a request away wants no further
+	// OnShed, if set, is called when a server that turned a request away wants no further
 	// requests from this VM for a time. The argument via is the address of the VM through
 	// which the request went; empty if it went directly.
-	OnRest func(p ident.Process, rest time.Duration, via string)
+	OnShed func(p ident.Process, d time.Duration, via string)
 	// OnNotice, if set, is called with what a server says about itself with an answer to a
 	// request, which was sent at a time of the boot clock.
 	OnNotice func(p ident.Process, n notice.Notice, sent time.Time)
--- a/internal/edge/front/signals.go
+++ b/internal/edge/front/signals.go
@@ -39,7 +39,7 @@
 	if !ok {
 		return
 	}
-	x.noteRest(p, head)
+	x.noteShedding(p, head)
 	if x.f.Headers.Notice == nil || x.f.OnNotice == nil {
 		return
 	}
@@ -50,19 +50,19 @@
 	}
 }
 
-// noteRest passes on that a server wants no further requests for a time.
-func (x *exchange) noteRest(p ident.Process, head answerHead) {
-	if x.f.Headers.Rest == nil {
+// noteShedding passes on that a server wants no further requests for a time.
+func (x *exchange) noteShedding(p ident.Process, head answerHead) {
+	if x.f.Headers.RetryAfter == nil {
 		return
 	}
-	rest, fault := x.f.Headers.Rest(head.status, head.header)
+	d, fault := x.f.Headers.RetryAfter(head.status, head.header)
 	x.noteFault(p, fault)
-	if rest <= 0 {
+	if d <= 0 {
 		return
 	}
-	x.svc.Gate.Rest(p.Server, rest)
-	if x.f.OnRest != nil {
-		x.f.OnRest(p, rest, head.via)
+	x.svc.Gate.Shed(p.Server, d)
+	if x.f.OnShed != nil {
+		x.f.OnShed(p, d, head.via)
 	}
 }
 
--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -237,14 +237,14 @@
 
 // backend is a backend server that serves the keys granted to it.
 type backend struct {
-	name ident.Server
-	web  *httptest.Server
-	mu   sync.Mutex
-	held map[ranges.Span]time.Time
-	ran  int
-	work time.Duration // time that each request takes
-	rest time.Duration // it turns requests away and asks for so much rest; zero: it does not
-	came int           // requests that reached it
+	name    ident.Server
+	web     *httptest.Server
+	mu      sync.Mutex
+	held    map[ranges.Span]time.Time
+	ran     int
+	work    time.Duration // time that each request takes
+	shedFor time.Duration // it turns requests away and wants none for so long; zero: it does not
+	came    int           // requests that reached it
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -257,14 +257,14 @@
 	}
 	b.mu.Lock()
 	b.came++
-	work, rest := b.work, b.rest
-	if rest == 0 {
+	work, shedFor := b.work, b.shedFor
+	if shedFor == 0 {
 		b.ran++
 	}
 	b.mu.Unlock()
-	if rest > 0 {
+	if shedFor > 0 {
 		w.Header().Set(kinds.HeaderRan, string(kinds.RanNo))
-		w.Header().Set("Retry-After", strconv.Itoa(int(rest.Seconds())))
+		w.Header().Set("Retry-After", strconv.Itoa(int(shedFor.Seconds())))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -392,7 +392,7 @@
 		decode = d
 	}
 	names := relay.DefaultHeaders()
-	names.PassThrough, names.Rest = []string{relay.HeaderKey}, readRest
+	names.PassThrough, names.RetryAfter = []string{relay.HeaderKey}, readRetryAfter
 	p := Platform{
 		Store: gw, StaleStore: staleGateway{gw}, Decode: decode, Orders: tc, Headers: names,
 		Servers: "servers/", Evacuations: "evacuations/", Rules: "config/main", OwnPrefix: "own/",
--- a/internal/edge/host/coordinator.go
+++ b/internal/edge/host/coordinator.go
@@ -217,7 +217,7 @@
 		var servers []assign.Server
 		for _, s := range list {
 			if s.Service == svc {
-				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Capped: s.Capped, Cold: s.Cold, Resting: s.Resting, Limited: s.Notice.Limited, Limit: s.Notice.Rate})
+				servers = append(servers, assign.Server{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation, Slots: s.Slots, Leaving: s.Leaving, Evacuated: s.Evacuated, Capped: s.Capped, Cold: s.Cold, Shedding: s.Shedding, Limited: s.Notice.Limited, Limit: s.Notice.Rate})
 			}
 		}
 		l.Send(assign.ServersMsg{Servers: servers})
--- a/internal/edge/host/crash_order_test.go
+++ b/internal/edge/host/crash_order_test.go
@@ -26,7 +26,7 @@
 	return &serverTracker{
 		plat: Platform{Decode: jsonDecoder{}, Servers: "servers/"}, state: state.New(nil), hub: poll.NewHub("vm-1", "1"), log: slog.New(slog.DiscardHandler),
 		services: map[ident.Service]feed.Service{}, loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{},
-		notices: &notices{}, rests: &rests{hub: poll.NewHub("vm-1", "1")},
+		notices: &notices{}, shedders: &shedders{hub: poll.NewHub("vm-1", "1")},
 	}
 }
 
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -151,16 +151,16 @@
 }
 
 // annotate returns the servers with those marked that are in an evacuated data centre or
-// capped, rest, or have given a notice. The caller holds mu.
+// capped, shed requests, or have given a notice. The caller holds mu.
 func (t *serverTracker) annotate(list []feed.Server) []feed.Server {
-	if len(t.capped) == 0 && len(t.evacuated.List().Centres) == 0 && !t.notices.any.Load() && len(t.resting) == 0 {
+	if len(t.capped) == 0 && len(t.evacuated.List().Centres) == 0 && !t.notices.any.Load() && len(t.shedding) == 0 {
 		return list
 	}
 	list = slices.Clone(list)
 	for i := range list {
 		_, list[i].Evacuated = t.evacuated.Evacuated(list[i].Centre)
 		list[i].Capped = t.capped[list[i].Name]
-		list[i].Resting = t.resting[list[i].Process()]
+		list[i].Shedding = t.shedding[list[i].Process()]
 		list[i].Leaving = t.isLeaving(list[i])
 		list[i].Notice = t.notices.of(list[i].Process())
 	}
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -154,8 +154,8 @@
 	scope.Gauge("gate_refused_cold").Update(float64(s.RefusedCold))
 	scope.Gauge("gate_limited").Update(float64(s.Limited))
 	scope.Gauge("gate_refused_limited").Update(float64(s.RefusedLimited))
-	scope.Gauge("gate_resting").Update(float64(s.Resting))
-	scope.Gauge("gate_refused_resting").Update(float64(s.RefusedResting))
+	scope.Gauge("gate_shedding").Update(float64(s.Shedding))
+	scope.Gauge("gate_refused_shedding").Update(float64(s.RefusedShedding))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for k, n := range s.Refused {
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -129,7 +129,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newRests, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
@@ -219,11 +219,11 @@
 // refusal, and a caller that sends slowly does not occupy a server's slot.
 const maxBufferedBody = 1 << 20
 
-func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, rests *rests, g *quarantine) *front.Front {
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine) *front.Front {
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g,
 		Limit:   config.Limit{Request: config.SpanOf(defaultRequestTimeout)},
-		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnRest: rests.hear,
+		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnShed: shedders.hear,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { f.Start(); return nil },
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -51,7 +51,7 @@
 	Quarantine  *quarantine
 	Lender      *coldLender
 	Notices     *notices
-	Rests       *rests
+	Shedders    *shedders
 	Permits     *permits
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
@@ -67,13 +67,13 @@
 	l.callers.Pipeline = p.Front.Pipeline()
 	peers := http.NewServeMux()
 	peers.Handle(tunnel.Path, p.Tunnels)
-	peers.Handle(poll.RestPath, poll.RestHandler(p.Rests.told))
+	peers.Handle(poll.SheddingPath, poll.SheddingHandler(p.Shedders.told))
 	peers.Handle(poll.PermitPath, poll.PermitHandler(p.Permits.take))
 	peers.Handle("/", p.Hub.Handler(func(req *poll.Request) {
 		p.Coordinator.onRequest(req)
 		if _, leads := p.Hub.Lease(); leads {
 			p.Notices.merge(req.Notices)
-			p.Rests.add(req.VM, req.Rests)
+			p.Shedders.add(req.VM, req.Shedding)
 		}
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
--- a/internal/edge/host/paths.go
+++ b/internal/edge/host/paths.go
@@ -38,19 +38,19 @@
 // tunnelPaths are the paths that this VM offers to others.
 type tunnelPaths struct {
 	*dial.Dialer
-	state *state.State
-	rests *rests
+	state    *state.State
+	shedders *shedders
 }
 
 // Address returns the address of a listed server.
 func (p tunnelPaths) Address(s ident.Server) (netip.AddrPort, bool) { return p.state.Address(s) }
 
-// Resting reports whether a server wants no requests from this VM now.
-func (p tunnelPaths) Resting(s ident.Server) bool { return p.rests.isResting(s) }
+// Shedding reports whether a server wants no requests from this VM now.
+func (p tunnelPaths) Shedding(s ident.Server) bool { return p.shedders.isShedding(s) }
 
-func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, r *rests, log *slog.Logger) *tunnel.Server {
+func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, r *shedders, log *slog.Logger) *tunnel.Server {
 	t := tunnel.NewServer(tunnelPaths{d, s, r}, log)
-	r.onRest = t.EndIdleTo
+	r.onShed = t.EndIdleTo
 	closeOnStop(lc, t)
 	return t
 }
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -47,7 +47,7 @@
 	Quarantine  *quarantine
 	Lender      *coldLender
 	Notices     *notices
-	Rests       *rests
+	Shedders    *shedders
 	Tunnels     *tunnel.Client
 	Log         *slog.Logger
 }
@@ -110,7 +110,7 @@
 	req.Cells, req.LatencySums = p.parts.Counts.drain()
 	req.Reports, req.CaseSeq = p.parts.Quarantine.reports(req.Lease.Incarnation), p.caseSeq
 	req.TrialAsks = p.parts.Quarantine.trialAsks()
-	req.Rests = p.parts.Rests.report()
+	req.Shedding = p.parts.Shedders.report()
 	req.Notices, req.NoticesRev = p.parts.Notices.report()
 	return req
 }
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -25,13 +25,13 @@
 
 // serverTracker tracks the backend servers and passes them to the gates.
 type serverTracker struct {
-	group   group.Group
-	plat    Platform
-	state   *state.State
-	hub     *poll.Hub
-	log     *slog.Logger
-	notices *notices
-	rests   *rests
+	group    group.Group
+	plat     Platform
+	state    *state.State
+	hub      *poll.Hub
+	log      *slog.Logger
+	notices  *notices
+	shedders *shedders
 
 	mu           sync.Mutex
 	members      member.Set[feed.Server]
@@ -61,11 +61,11 @@
 	coldOverrun  float64                      // see Bounds.ColdOverrun
 	coldSlack    float64                      // see Bounds.ColdSlack
 	noticesRev   uint64                       // of the notices that the key assignment knows
-	resting      map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
+	shedding     map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
 }
 
-func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *rests, log *slog.Logger) *serverTracker {
-	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, rests: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, log *slog.Logger) *serverTracker {
+	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, shedders: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
 	l.subscribe(t.noticesChanged)
 	w := &watcher{
@@ -194,9 +194,9 @@
 // updateDue applies what has changed with time alone. The caller holds mu.
 func (t *serverTracker) updateDue(now time.Time) {
 	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
-	rev, resting := t.notices.revision(), t.rests.resting()
-	if rev != t.noticesRev || !maps.Equal(resting, t.resting) || t.warmDue(now) {
-		t.noticesRev, t.resting = rev, resting
+	rev, shedding := t.notices.revision(), t.shedders.shedding()
+	if rev != t.noticesRev || !maps.Equal(shedding, t.shedding) || t.warmDue(now) {
+		t.noticesRev, t.shedding = rev, shedding
 		t.distribute(t.list())
 		return
 	}
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -18,7 +18,7 @@
 
 func newTestTracker() *serverTracker {
 	return &serverTracker{
-		notices: &notices{}, rests: &rests{hub: poll.NewHub("vm-1", "1")},
+		notices: &notices{}, shedders: &shedders{hub: poll.NewHub("vm-1", "1")},
 		state: state.New(nil), hub: poll.NewHub("vm-2", "a"), log: slog.New(slog.DiscardHandler),
 		services: map[ident.Service]feed.Service{}, dropped: map[ident.Server]bool{},
 	}
--- a/internal/edge/host/rests_test.go
+++ b/internal/edge/host/shedders_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// readRest reads the rest that a backend of a testCluster asks for.
-func readRest(status int, h http.Header) (time.Duration, string) {
+// readRetryAfter reads for how long a backend of a testCluster sheds requests.
+func readRetryAfter(status int, h http.Header) (time.Duration, string) {
 	s, err := strconv.Atoi(h.Get("Retry-After"))
 	if err != nil || status != http.StatusServiceUnavailable {
 		return 0, ""
@@ -19,10 +19,10 @@
 	return time.Duration(s) * time.Second, ""
 }
 
-func (b *backend) setRest(d time.Duration) {
+func (b *backend) setShedding(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.rest = d
+	b.shedFor = d
 }
 
 func (b *backend) arrivals() int {
@@ -32,7 +32,7 @@
 }
 
 // Guards against a VM that sends requests to a server that wants none from it, because another VM heard that through it.
-func TestARestHoldsForTheVMInBetween(t *testing.T) {
+func TestAVMInBetweenKnowsThatItsRequestsAreShed(t *testing.T) {
 	tc := newTestCluster(t, 2)
 	tc.paths = map[int]*vmPaths{}
 	tc.setRules("/lookup/")
@@ -46,7 +46,7 @@
 	}
 	tc.paths[1].cut(refused, netip.AddrPort{})
 	tc.waitFor(waitLimit, "served through the other VM", func() bool { return tc.served(1, 7) })
-	r1.setRest(3 * time.Second)
+	r1.setShedding(3 * time.Second)
 	tc.get(1, "/receipt/1", "")
 	asked := time.Now()
 	time.Sleep(500 * time.Millisecond)
@@ -57,6 +57,6 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	assert.Equal(t, r1.arrivals()-before, 0)
-	r1.setRest(0)
-	tc.waitFor(waitLimit, "served after the rest", func() bool { return tc.served(0, 7) && tc.served(1, 7) })
+	r1.setShedding(0)
+	tc.waitFor(waitLimit, "served again", func() bool { return tc.served(0, 7) && tc.served(1, 7) })
 }
--- a/internal/edge/poll/call_test.go
+++ b/internal/edge/poll/call_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
-	"hawthornfield.org/hawthornfield/internal/load/rest"
+	"hawthornfield.org/hawthornfield/internal/load/shed"
 )
 
 func serveCalls(t *testing.T, h http.Handler) netip.AddrPort {
@@ -42,15 +42,15 @@
 	assert.DeepEqual(t, got, resp)
 }
 
-// Guards against a message that cannot be read, or says nothing, being taken for a rest.
-func TestOnlyARestThatNamesItsServerIsTaken(t *testing.T) {
-	var told []rest.Report
-	at := serveCalls(t, RestHandler(func(r rest.Report) { told = append(told, r) }))
+// Guards against a message that cannot be read, or says nothing, being taken for a server that sheds requests.
+func TestOnlyAReportThatNamesItsServerIsTaken(t *testing.T) {
+	var told []shed.Report
+	at := serveCalls(t, SheddingHandler(func(r shed.Report) { told = append(told, r) }))
 	c := NewClient()
-	for _, bad := range []rest.Report{{Left: time.Second}, {Server: "s1"}, {Server: "s1", Left: -1}} {
-		assert.Equal(t, kinds.Of(c.TellRest(t.Context(), at, bad)), kinds.Unavailable)
+	for _, bad := range []shed.Report{{Left: time.Second}, {Server: "s1"}, {Server: "s1", Left: -1}} {
+		assert.Equal(t, kinds.Of(c.TellShedding(t.Context(), at, bad)), kinds.Unavailable)
 	}
-	assert.Equal(t, kinds.Of(c.call(t.Context(), at, RestPath, "text", nil)), kinds.Unavailable)
-	assert.NilError(t, c.TellRest(t.Context(), at, rest.Report{Server: "s1", Left: time.Second}))
+	assert.Equal(t, kinds.Of(c.call(t.Context(), at, SheddingPath, "text", nil)), kinds.Unavailable)
+	assert.NilError(t, c.TellShedding(t.Context(), at, shed.Report{Server: "s1", Left: time.Second}))
 	assert.Equal(t, len(told), 1)
 }
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -17,7 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/load/notice"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
-	"hawthornfield.org/hawthornfield/internal/load/rest"
+	"hawthornfield.org/hawthornfield/internal/load/shed"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/owner/assign"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
@@ -60,7 +60,7 @@
 	TrialAsks   LenientList[poison.TrialAsk]       `json:"trials,omitempty"`
 	Notices     LenientList[notice.Report]         `json:"notices,omitempty"`    // notices of servers that the leader may not know
 	NoticesRev  uint64                             `json:"noticesrev,omitempty"` // of the leader's notices that the sender knows
-	Rests       LenientList[rest.Report]           `json:"rests,omitempty"`      // servers that want no requests from the sender
+	Shedding    LenientList[shed.Report]           `json:"shedding,omitempty"`   // servers that want no requests from the sender
 	// TrialGrants is set by the handler on the leader, and sent in the response to this
 	// request only: the sender counts their time from when it sent the request.
 	TrialGrants []poison.TrialGrant `json:"-"`
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -44,10 +44,10 @@
 	// Notice reads what a server says about itself with an answer, and describes a part that
 	// cannot be read. A nil function reads nothing.
 	Notice func(h http.Header) (n notice.Notice, fault string)
-	// Rest reads for how long a server that turns a request away wants no further requests
+	// RetryAfter reads for how long a server that turns a request away wants no further requests
 	// from this VM, zero if it does not say so, and describes a time that cannot be read. A
 	// nil function reads none.
-	Rest func(status int, h http.Header) (rest time.Duration, fault string)
+	RetryAfter func(status int, h http.Header) (d time.Duration, fault string)
 	// CloseDelimited allows an answer whose end is the end of its connection. It is
 	// complete if the connection was closed in order, and incomplete if it was reset.
 	CloseDelimited bool
--- a/internal/edge/tunnel/server.go
+++ b/internal/edge/tunnel/server.go
@@ -30,8 +30,8 @@
 	DialDirect(ctx context.Context, to netip.AddrPort, timeout time.Duration, prepare func(net.Conn) error) (net.Conn, error)
 	// Lost reports whether this VM's path to a server is lost.
 	Lost(to netip.AddrPort) bool
-	// Resting reports whether a server wants no requests from this VM now.
-	Resting(s ident.Server) bool
+	// Shedding reports whether a server wants no requests from this VM now.
+	Shedding(s ident.Server) bool
 }
 
 // Server opens tunnels for other VMs. Create one with NewServer.
@@ -93,7 +93,7 @@
 	name := ident.Server(r.Header.Get(headerServer))
 	orders, _ := strconv.ParseBool(r.Header.Get(headerOrders)) // anything else is no tunnel for orders
 	to, listed := s.paths.Address(name)
-	refused := s.draining.Load() || !orders && s.paths.Resting(name)
+	refused := s.draining.Load() || !orders && s.paths.Shedding(name)
 	if r.Header.Get("Upgrade") != protocol || !listed || refused || s.paths.Lost(to) {
 		http.Error(w, "no path to the server", http.StatusServiceUnavailable)
 		return
--- a/internal/edge/tunnel/tunnel_test.go
+++ b/internal/edge/tunnel/tunnel_test.go
@@ -26,7 +26,7 @@
 type testPaths struct {
 	accepted chan net.Conn
 	lost     atomic.Bool
-	resting  atomic.Bool
+	shedding atomic.Bool
 }
 
 func (*testPaths) Address(s ident.Server) (netip.AddrPort, bool) {
@@ -35,7 +35,7 @@
 
 func (p *testPaths) Lost(netip.AddrPort) bool { return p.lost.Load() }
 
-func (p *testPaths) Resting(ident.Server) bool { return p.resting.Load() }
+func (p *testPaths) Shedding(ident.Server) bool { return p.shedding.Load() }
 
 func (p *testPaths) DialDirect(context.Context, netip.AddrPort, time.Duration, func(net.Conn) error) (net.Conn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -191,7 +191,7 @@
 }
 
 // Guards against a tunnel for requests to a server that wants none through this VM, and against the end of one that awaits an answer.
-func TestNoTunnelLeadsToAServerThatRests(t *testing.T) {
+func TestNoTunnelLeadsToAServerThatSheds(t *testing.T) {
 	c, via, s, paths := startTunnels(t)
 	idle, err := c.Dial(t.Context(), via, "listed", false)
 	assert.NilError(t, err)
@@ -204,7 +204,7 @@
 	assert.NilError(t, err)
 	_, err = io.ReadFull(far, make([]byte, 7))
 	assert.NilError(t, err)
-	paths.resting.Store(true)
+	paths.shedding.Store(true)
 	s.EndIdleTo("listed")
 	_, err = idle.Read(make([]byte, 1))
 	assert.Assert(t, err != nil, "it ended")
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -98,7 +98,7 @@
 	nextExpiry    time.Time // next deadline of a waiting request; may be too early
 	reestimateAt  time.Time // next time that queue waits are estimated again
 	healthCheckAt time.Time // next time that the servers' health is checked; zero if none is due
-	restEnd       time.Time // next time that a server's rest is over; zero if none rests
+	shedEnd       time.Time // next time that a server takes requests again; zero if none sheds any
 
 	lastEvent    time.Time // last call to detectPause
 	lastPause    vmPause   // the most recent pause
@@ -180,8 +180,8 @@
 // route passes a request to the queues of its key's owner, or to the shared ones.
 func (c *Core) route(now time.Time, t *Ticket) Verdict {
 	if t.Job.Server == "" && c.concurrency[sizes.Short] == 0 {
-		if left := c.allResting(now); left > 0 {
-			return c.refuseResting(t, left)
+		if left := c.allShedding(now); left > 0 {
+			return c.refuseShedding(t, left)
 		}
 		return c.refuse(t, kinds.NoServer, c.retryAfter(c.capDelay(now)))
 	}
@@ -204,8 +204,8 @@
 func (c *Core) enterLane(now time.Time, ls *lanePair, owner *server, t *Ticket) Verdict {
 	t.lanes = ls
 	l := &ls.bySize[t.sizeKind]
-	if owner != nil && owner.resting(now) > 0 {
-		return c.refuseResting(t, owner.resting(now))
+	if owner != nil && owner.shedding(now) > 0 {
+		return c.refuseShedding(t, owner.shedding(now))
 	}
 	t.callerFlow, t.keyFlow = c.flowOf(string(t.Job.Caller)), c.flowOf(string(t.Job.Key))
 	// A request's own failed attempt must not delay its retry.
@@ -370,7 +370,7 @@
 // Next returns when Tick has work to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
 	var next time.Time
-	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.restEnd} {
+	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.shedEnd} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/internal/load/gate/quota.go
+++ b/internal/load/gate/quota.go
@@ -133,7 +133,7 @@
 
 // wantQueued asks for permits for the requests that wait for a server.
 func (c *Core) wantQueued(now time.Time, s *server) {
-	if !s.permits.limited || s.resting(now) > 0 {
+	if !s.permits.limited || s.shedding(now) > 0 {
 		return
 	}
 	n := s.queued()
@@ -171,7 +171,7 @@
 	if c.limitedCount == 0 {
 		return
 	}
-	if s := c.servers[c.rng.IntN(len(c.servers))]; !s.info.Drain && s.resting(now) == 0 {
+	if s := c.servers[c.rng.IntN(len(c.servers))]; !s.info.Drain && s.shedding(now) == 0 {
 		s.permits.want(now, 1)
 	}
 }
@@ -184,7 +184,7 @@
 	}
 	shortest := time.Duration(0)
 	for _, s := range c.servers {
-		if s.info.Drain || s.cap.closed(now) || s.resting(now) > 0 {
+		if s.info.Drain || s.cap.closed(now) || s.shedding(now) > 0 {
 			continue
 		}
 		left := s.permits.denied(now)
@@ -230,7 +230,7 @@
 // sets of available servers say can be older: permits and loans end by themselves.
 func (c *Core) liveServer(now time.Time, i int) *server {
 	s := c.servers[i]
-	timed := s.permits.limited || s.cap.capped || !s.restUntil.IsZero()
+	timed := s.permits.limited || s.cap.capped || !s.shedUntil.IsZero()
 	if !timed || s.hasRoom(now) {
 		return s
 	}
--- a/internal/load/gate/retry.go
+++ b/internal/load/gate/retry.go
@@ -10,7 +10,7 @@
 // MayRetry reports whether a started request may be tried again after o, and charges
 // the retry to the budget.
 func (c *Core) MayRetry(now time.Time, t *Ticket, o Outcome) bool {
-	if t.Job.Server != "" && (t.srv.health.Failing() || t.srv.resting(now) > 0) {
+	if t.Job.Server != "" && (t.srv.health.Failing() || t.srv.shedding(now) > 0) {
 		return false // no other server can serve this key
 	}
 	if t.Job.Server != "" && o.Refused && !t.srv.reportedFreeSlot(t) {
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -64,7 +64,7 @@
 	lastStart    time.Time     // when a request was last sent there
 	avoidUntil   time.Time     // set when its address answered for another server
 	cap          startCap      // bounds the starts while the server is cold
-	restUntil    time.Time     // until then it wants no requests from this VM
+	shedUntil    time.Time     // until then it wants no requests from this VM
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 }
@@ -94,12 +94,12 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && s.resting(now) == 0 && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
 func (s *server) hasRoom(now time.Time) bool {
-	if s.removed || s.info.Drain || now.Before(s.avoidUntil) || s.resting(now) > 0 {
+	if s.removed || s.info.Drain || now.Before(s.avoidUntil) || s.shedding(now) > 0 {
 		return false
 	}
 	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
@@ -139,7 +139,7 @@
 		s.health.Abandoned()
 	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost:
 		s.health.Abandoned()
-	case o.Refused && s.resting(now) > 0: // it says when it is back, and nothing about the requests after that
+	case o.Refused && s.shedding(now) > 0: // it says when it is back, and nothing about the requests after that
 		s.health.Abandoned()
 	case o.Refused:
 		s.lastFailure = kinds.Busy
@@ -214,7 +214,7 @@
 		s.health.MarkCold(now)
 	}
 	if info.Incarnation != s.info.Incarnation {
-		s.restUntil, s.permits = time.Time{}, permitState{}
+		s.shedUntil, s.permits = time.Time{}, permitState{}
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
@@ -318,7 +318,7 @@
 }
 
 func (c *Core) addConcurrency(now time.Time, s *server, mixed bool) {
-	if s.info.Drain || s.cap.closed(now) || s.resting(now) > 0 {
+	if s.info.Drain || s.cap.closed(now) || s.shedding(now) > 0 {
 		return
 	}
 	most := s.health.MaxRunning(min(s.limit[s.limitKind].Max(), s.connPool.Max(now)))
--- a/internal/load/gate/rest.go
+++ b/internal/load/gate/shed.go
@@ -15,53 +15,53 @@
 // refused callers are told to return.
 const returnSpread = 0.25
 
-// resting returns how long the server wants no requests from this VM; zero if it takes them.
-func (s *server) resting(now time.Time) time.Duration { return max(s.restUntil.Sub(now), 0) }
+// shedding returns how long the server wants no requests from this VM; zero if it takes them.
+func (s *server) shedding(now time.Time) time.Duration { return max(s.shedUntil.Sub(now), 0) }
 
-// Rest records that a server wants no requests for a time. Of several such times the longest
+// Shed records that a server wants no requests for a time. Of several such times the longest
 // holds.
-func (c *Core) Rest(now time.Time, name ident.Server, d time.Duration) {
+func (c *Core) Shed(now time.Time, name ident.Server, d time.Duration) {
 	s := c.byName[name]
-	if s == nil || d <= s.resting(now) {
+	if s == nil || d <= s.shedding(now) {
 		return
 	}
-	s.restUntil = now.Add(d)
+	s.shedUntil = now.Add(d)
 	c.refresh(now)
-	c.stats.RefusedResting += uint64(s.queued())
+	c.stats.RefusedShedding += uint64(s.queued())
 	c.refuseUntil(now, s.ownLanes, d)
-	if left := c.allResting(now); left > 0 {
+	if left := c.allShedding(now); left > 0 {
 		c.refuseUntil(now, &c.shared, left)
 	}
-	c.scheduleRestEnd(now)
+	c.scheduleShedEnd(now)
 }
 
-// endRests lets servers whose rest is over have requests again.
-func (c *Core) endRests(now time.Time) {
-	if c.restEnd.IsZero() || now.Before(c.restEnd) {
+// endShedding lets servers that take requests again have some.
+func (c *Core) endShedding(now time.Time) {
+	if c.shedEnd.IsZero() || now.Before(c.shedEnd) {
 		return
 	}
 	c.refresh(now)
-	c.scheduleRestEnd(now)
+	c.scheduleShedEnd(now)
 }
 
-// scheduleRestEnd sets when the next rest ends.
-func (c *Core) scheduleRestEnd(now time.Time) {
-	c.restEnd = time.Time{}
+// scheduleShedEnd sets when the next server takes requests again.
+func (c *Core) scheduleShedEnd(now time.Time) {
+	c.shedEnd = time.Time{}
 	for _, s := range c.servers {
-		if s.resting(now) > 0 && (c.restEnd.IsZero() || s.restUntil.Before(c.restEnd)) {
-			c.restEnd = s.restUntil
+		if s.shedding(now) > 0 && (c.shedEnd.IsZero() || s.shedUntil.Before(c.shedEnd)) {
+			c.shedEnd = s.shedUntil
 		}
 	}
 }
 
-// allResting returns how long all servers that may get requests want none, or zero.
-func (c *Core) allResting(now time.Time) time.Duration {
+// allShedding returns how long all servers that may get requests want none, or zero.
+func (c *Core) allShedding(now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for _, s := range c.servers {
 		if s.info.Drain || s.cap.closed(now) {
 			continue
 		}
-		left := s.resting(now)
+		left := s.shedding(now)
 		if left == 0 {
 			return 0
 		}
@@ -72,9 +72,9 @@
 	return shortest
 }
 
-// refuseResting refuses a request for the time left of a rest.
-func (c *Core) refuseResting(t *Ticket, left time.Duration) Verdict {
-	c.stats.RefusedResting++
+// refuseShedding refuses a request whose server, or all servers, shed requests for a time.
+func (c *Core) refuseShedding(t *Ticket, left time.Duration) Verdict {
+	c.stats.RefusedShedding++
 	return c.refuse(t, kinds.Busy, c.retryNotBefore(left))
 }
 
--- a/internal/load/gate/rest_test.go
+++ b/internal/load/gate/shed_test.go
@@ -13,14 +13,14 @@
 func anyTicket() *Ticket { return &Ticket{Job: Job{Deadline: epoch.Add(time.Minute)}} }
 
 // Guards against requests for the keys of a server that wants none: new, queued or repeated.
-func TestAServerThatRestsGetsNoRequests(t *testing.T) {
+func TestAServerThatShedsGetsNoRequests(t *testing.T) {
 	c := NewCore(Config{Seed: 1})
 	c.SetServers(epoch, []ServerInfo{{Name: "a", Slots: 1, Conns: 1}})
 	one, two := keyedTicket("a"), keyedTicket("a")
 	two.Job.Key = "other"
 	assert.Equal(t, c.Offer(epoch, one), Start)
 	assert.Equal(t, c.Offer(epoch, two), Wait)
-	c.Rest(epoch, "a", 3*time.Second)
+	c.Shed(epoch, "a", 3*time.Second)
 	kind, after := two.Refusal()
 	assert.Equal(t, kind, kinds.Busy, "it was queued")
 	assert.Assert(t, after >= 3*time.Second, "%v", after)
@@ -32,30 +32,30 @@
 	assert.Equal(t, c.Offer(epoch.Add(3*time.Second), keyedTicket("a")), Start)
 }
 
-// Guards against a rest that takes a server out for longer than it asked, as a failure would.
-func TestARestIsNoFailure(t *testing.T) {
+// Guards against a server that is taken out for longer than it said, as a failure would take it.
+func TestSheddingIsNoFailure(t *testing.T) {
 	c := NewCore(Config{Seed: 1})
 	c.SetServers(epoch, []ServerInfo{{Name: "a", Slots: 1, Conns: 50}})
 	for at := epoch; at.Before(epoch.Add(time.Minute)); at = at.Add(2 * time.Second) {
 		one := anyTicket()
 		one.Job.Deadline = at.Add(time.Second)
 		assert.Equal(t, c.Offer(at, one), Start, "%v", at.Sub(epoch))
-		c.Rest(at, "a", 2*time.Second)
+		c.Shed(at, "a", 2*time.Second)
 		c.Done(at.Add(time.Millisecond), one, Outcome{Kind: kinds.Busy, Refused: true})
 		c.Tick(at.Add(2 * time.Second))
 	}
 }
 
-// Guards against requests that wait for servers that all rest, or are refused without a time.
-func TestRequestsAreRefusedAtOnceWhenAllServersRest(t *testing.T) {
+// Guards against requests that wait for servers that all shed requests, or are refused without a time.
+func TestRequestsAreRefusedAtOnceWhenAllServersShed(t *testing.T) {
 	c := limitedCore()
 	for _, name := range []ident.Server{"a", "b"} {
-		c.Rest(epoch, name, 2*time.Second)
+		c.Shed(epoch, name, 2*time.Second)
 	}
 	one := anyTicket()
 	assert.Equal(t, c.Offer(epoch, one), Start)
 	assert.Equal(t, one.Server(), ident.Server("c"))
-	c.Rest(epoch, "c", 4*time.Second)
+	c.Shed(epoch, "c", 4*time.Second)
 	two := anyTicket()
 	assert.Equal(t, c.Offer(epoch, two), Refuse)
 	_, after := two.Refusal()
@@ -66,12 +66,12 @@
 	assert.Equal(t, c.Offer(epoch.Add(2*time.Second), three), Start)
 }
 
-// Guards against a shorter rest that ends a longer one, and a rest that outlives its process.
-func TestTheLongestRestHoldsForItsProcess(t *testing.T) {
+// Guards against a shorter time that ends a longer one, and a time that outlives its process.
+func TestTheLongestTimeHoldsForItsProcess(t *testing.T) {
 	c := NewCore(Config{Seed: 1})
 	c.SetServers(epoch, []ServerInfo{{Name: "a", Slots: 4, Conns: 50, Incarnation: 1}})
-	c.Rest(epoch, "a", 5*time.Second)
-	c.Rest(epoch, "a", time.Second)
+	c.Shed(epoch, "a", 5*time.Second)
+	c.Shed(epoch, "a", time.Second)
 	assert.Equal(t, c.Offer(epoch.Add(4*time.Second), keyedTicket("a")), Refuse)
 	c.SetServers(epoch.Add(4*time.Second), []ServerInfo{{Name: "a", Slots: 4, Conns: 50, Incarnation: 2}})
 	assert.Equal(t, c.Offer(epoch.Add(4*time.Second), keyedTicket("a")), Start)
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -27,12 +27,12 @@
 	Limited     int    `json:"limited"` // servers that limit their requests
 	// RefusedLimited counts the requests refused because of the limit of a server.
 	RefusedLimited uint64 `json:"refused_limited"`
-	Resting        int    `json:"resting"` // servers that want no requests from this VM
-	// RefusedResting counts the requests refused because of that.
-	RefusedResting uint64        `json:"refused_resting"`
-	Overload       bool          `json:"overload"`
-	Budget         float64       `json:"budget"` // retries left in the budget
-	Servers        []ServerStats `json:"servers"`
+	Shedding       int    `json:"shedding"` // servers that want no requests from this VM
+	// RefusedShedding counts the requests refused because of that.
+	RefusedShedding uint64        `json:"refused_shedding"`
+	Overload        bool          `json:"overload"`
+	Budget          float64       `json:"budget"` // retries left in the budget
+	Servers         []ServerStats `json:"servers"`
 }
 
 // ServerStats holds the gauges of one backend server.
@@ -73,8 +73,8 @@
 		if srv.permits.limited {
 			s.Limited++
 		}
-		if srv.resting(now) > 0 {
-			s.Resting++
+		if srv.shedding(now) > 0 {
+			s.Shedding++
 		}
 	}
 	return s
@@ -101,11 +101,11 @@
 		if !s.reportedAt.IsZero() {
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
-		v.Cold, v.Limited, v.Resting = s.cap.capped, s.permits.limited, s.resting(now) > 0
+		v.Cold, v.Limited, v.Shedding = s.cap.capped, s.permits.limited, s.shedding(now) > 0
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
 	return Snapshot{
-		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Resting: c.allResting(now) > 0,
+		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Shedding: c.allShedding(now) > 0,
 	}
 }
--- a/internal/load/gate/tick.go
+++ b/internal/load/gate/tick.go
@@ -13,7 +13,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.detectPause(now)
 	c.expire(now)
-	c.endRests(now)
+	c.endShedding(now)
 	c.probeOwners(now)
 	c.reestimateWaits(now)
 	if c.healthCheckAt.IsZero() || now.Before(c.healthCheckAt) {
--- a/internal/load/rest/rest.go
+++ b/internal/load/shed/shed.go
@@ -1,11 +1,10 @@
-// Package rest tells which backend servers want no requests for a time from several entry
-// VMs.
+// Package shed tells which backend servers shed the requests of several entry VMs.
 //
-// A server that turns a request away may ask the VM that sent it for rest. That binds this VM
-// only, and says little: the server may have been full for a moment. If it has asked several
-// VMs, it serves hardly anyone, and the requests for its keys are refused at one VM after the
+// A server that turns a request away may name a time for which it wants none from the VM that
+// sent it. That binds this VM only, and says little: the server may have been full for a
+// moment. If it has told several VMs, it serves hardly anyone, and the requests for its keys are refused at one VM after the
 // other. Their keys are then better off with another server.
-package rest
+package shed
 
 import (
 	"time"
@@ -13,7 +12,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 )
 
-// minVMs is how many VMs a server must have asked for rest at the same time.
+// minVMs is how many VMs must not send a server requests at the same time.
 const minVMs = 2
 
 // Report is a VM's word that a server wants no requests from it.
@@ -23,12 +22,12 @@
 	Left        time.Duration `json:"left"`           // for how long
 }
 
-// Process returns the process that asked for rest.
+// Process returns the process that turned a request away.
 func (r Report) Process() ident.Process {
 	return ident.Process{Server: r.Server, Incarnation: r.Incarnation}
 }
 
-// Table holds on the leader which servers have asked which VMs for rest. The zero value
+// Table holds on the leader which servers want no requests from which VMs. The zero value
 // holds none.
 type Table struct {
 	byServer map[ident.Process]map[ident.VM]time.Time
@@ -48,9 +47,9 @@
 	}
 }
 
-// Resting returns the servers that want no requests from several of the VMs now; from one of
+// Shedding returns the servers that want no requests from several of the VMs now; from one of
 // them, if it is the only one.
-func (t *Table) Resting(now time.Time, vms int) map[ident.Process]bool {
+func (t *Table) Shedding(now time.Time, vms int) map[ident.Process]bool {
 	all := map[ident.Process]bool{}
 	for p, byVM := range t.byServer {
 		for vm, until := range byVM {
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -306,7 +306,7 @@
 
 // avoided reports whether the server takes too few requests to be given keys if another one
 // can have them.
-func (b *backend) avoided() bool { return b.Capped || b.Resting }
+func (b *backend) avoided() bool { return b.Capped || b.Shedding }
 
 // accepts reports whether the server may be given keys, avoided or not.
 func (b *backend) accepts(now time.Time) bool {
--- a/internal/owner/assign/msg.go
+++ b/internal/owner/assign/msg.go
@@ -30,7 +30,7 @@
 	Evacuated   bool          // its data centre is evacuated: its keys move to other servers
 	Capped      bool          // it is cold and tolerates few requests: its keys move to others
 	Cold        time.Duration // how long it takes to warm up after its start
-	Resting     bool          // it wants no requests from several VMs: its keys move to others
+	Shedding    bool          // it wants no requests from several VMs: its keys move to others
 	Limited     bool          // it limits the requests that it takes from all VMs
 	Limit       float64       // to so many a second
 }
--- a/internal/owner/assign/restart_test.go
+++ b/internal/owner/assign/restart_test.go
@@ -32,14 +32,14 @@
 	assert.Assert(t, in.Servers[0].Accepting && !in.Servers[1].Accepting)
 }
 
-// Guards against keys that stay with servers that turn requests away and ask for rest.
-func TestRestingServersGetKeysOnlyIfAllRest(t *testing.T) {
+// Guards against keys that stay with servers that shed requests.
+func TestSheddingServersGetKeysOnlyIfAllShed(t *testing.T) {
 	m, now := New(), time.Unix(1000, 0)
-	m.setServers(now, []Server{{Name: "s1", Resting: true}, {Name: "s2"}})
+	m.setServers(now, []Server{{Name: "s1", Shedding: true}, {Name: "s2"}})
 	m.updateAllAvoided(now)
 	in := m.planInput(now, &draft{})
 	assert.Assert(t, !in.Servers[0].Accepting && in.Servers[1].Accepting)
-	m.setServers(now, []Server{{Name: "s1", Resting: true}, {Name: "s2", Resting: true}})
+	m.setServers(now, []Server{{Name: "s1", Shedding: true}, {Name: "s2", Shedding: true}})
 	m.updateAllAvoided(now)
 	in = m.planInput(now, &draft{})
 	assert.Assert(t, in.Servers[0].Accepting && in.Servers[1].Accepting)
