host, quota: a leader whose term is over grants itself nothing

Found by reading: a VM that was the last leader and whose term is over, as in an outage of the store, asked itself for permits, got an answer without grants and ended with an index out of range as soon as a server stated a limit. TestALeaderWhoseTermIsOverHasNoPermits ends so without the check.

Token buckets of servers that nobody asks for are dropped after a minute; the method that was to do it was called by nobody.

--- a/internal/edge/host/permits.go
+++ b/internal/edge/host/permits.go
@@ -11,6 +11,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
@@ -103,13 +104,20 @@
 	}
 }
 
+// errTermOver means that this VM was the last leader and may grant nothing any more.
+var errTermOver = kinds.New(kinds.Unavailable, "this VM's term as leader is over")
+
 // ask asks the leader, which may be this VM.
 func (p *permits) ask(ctx context.Context, req *poll.PermitRequest) (poll.PermitResponse, error) {
 	lease, leads := p.hub.Lease()
-	if leads {
-		return p.take(req), nil
+	if !leads {
+		return p.client.AskPermits(ctx, lease.Addr, req)
+	}
+	resp := p.take(req)
+	if !resp.IsLeader {
+		return resp, errTermOver
 	}
-	return p.client.AskPermits(ctx, lease.Addr, req)
+	return resp, nil
 }
 
 // logUnanswered logs when questions for permits begin or cease to be unanswered.
--- a/internal/load/notice/notice.go
+++ b/internal/load/notice/notice.go
@@ -1,7 +1,7 @@
 // Package notice keeps what backend servers say about themselves with their answers: that
 // they limit the requests that they take from all entry VMs together, or that they leave.
 //
-// A VM hears it only with the answers that it gets, and a server that is in need gets few
+// A VM hears it only with the answers that it gets, and an overloaded server gets few
 // requests. So each VM reports what it has heard to the leader, which tells all VMs
 // ([Book]). Answers and reports overtake each other; the newest answer holds.
 package notice
--- a/internal/load/quota/dispenser.go
+++ b/internal/load/quota/dispenser.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -14,6 +15,8 @@
 	// minRate is the rate, in requests a second, at which a server with a lower limit is
 	// asked whether its limit has ended: it can say so only with an answer.
 	minRate = 0.2
+	// bucketMemory is how long the bucket of a server that nobody asks for is kept.
+	bucketMemory = time.Minute
 )
 
 // Dispenser grants permits on the leader. The zero value has granted none, as at the start
@@ -58,20 +61,12 @@
 	if d.buckets == nil {
 		d.buckets = map[ident.Process]*bucket{}
 	}
+	maps.DeleteFunc(d.buckets, func(_ ident.Process, b *bucket) bool { return now.Sub(b.at) >= bucketMemory })
 	b = &bucket{at: later(now, d.openAt)}
 	d.buckets[p] = b
 	return b
 }
 
-// Retain forgets the servers that are not listed any more.
-func (d *Dispenser) Retain(listed func(ident.Process) bool) {
-	for p := range d.buckets {
-		if !listed(p) {
-			delete(d.buckets, p)
-		}
-	}
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func later(a, b time.Time) time.Time {
--- a/internal/load/quota/doc.go
+++ b/internal/load/quota/doc.go
@@ -2,8 +2,8 @@
 // server that states a limit with its answers (package notice): so many requests a second,
 // from all VMs, for as long as it says so.
 //
-// The load: a server in need states 1.6 requests a second, and nine or five hundred VMs hold
-// requests for its keys. A share of the limit for each VM is far less than one request in
+// The load: an overloaded server takes 1.6 requests a second, and nine or five hundred VMs
+// hold requests for its keys. A share of the limit for each VM is far less than one request in
 // the time in which the server counts, so the VMs either starve the server or exceed its
 // limit together, and their number changes meanwhile.
 //
