front: callers refused by an owner that sheds requests hear for how long

A refusal with a free slot told them to return after 0.1 s, also if the server had named seconds (TestRetryAfterIsThatOfAnOwnerThatSheds). Found by reading, as is the order in which a poll takes its time and collects its reports: what a server said in between counted as reported.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -252,7 +252,7 @@
 	}
 	s := x.svc.Gate.Inspect(x.decision.Server)
 	x.decision.Busy, x.decision.Limit, x.decision.Queue = s.Running, s.Limit, s.Waiting
-	x.decision.Cold, x.decision.Limited, x.decision.Shedding = s.Cold, s.Limited, s.Shedding
+	x.decision.Cold, x.decision.Limited, x.decision.Shedding = s.Cold, s.Limited, s.Shedding > 0
 }
 
 // isSafeMethod reports whether a method is safe as defined by RFC 9110, section 9.2.1: it
@@ -277,6 +277,16 @@
 	return errors.As(err, &fail) && fail.Refused && x.loadReported && x.serverRunning+x.serverWaiting < x.svc.Gate.Inspect(x.decision.Server).Slots
 }
 
+// ownerSheds returns for how long the owner of the request's key, which refused the request,
+// wants none from this VM.
+func (x *exchange) ownerSheds(err error) time.Duration {
+	var fail *relay.Failure
+	if x.key == "" || !errors.As(err, &fail) || !fail.Refused {
+		return 0
+	}
+	return x.svc.Gate.Inspect(x.decision.Server).Shedding
+}
+
 // writeError writes the answer that the table of kinds defines for the error, and returns
 // its status.
 func (x *exchange) writeError(err error) int {
@@ -289,6 +299,9 @@
 	if x.hasFreeSlot(err) {
 		after = freeSlotRetryAfter
 	}
+	if left := x.ownerSheds(err); left > 0 {
+		after = left
+	}
 	if remaining := quarantineLeft(err); remaining > 0 {
 		after = remaining
 	}
--- a/internal/edge/front/refusal_test.go
+++ b/internal/edge/front/refusal_test.go
@@ -62,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against telling callers to return at once, because of a free slot, to a server that wants no requests for seconds.
+func TestRetryAfterIsThatOfAnOwnerThatSheds(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		requests := tb.refuseOnce(0)
+		tb.front.FormatRetryAfter = time.Duration.String
+		tb.front.Headers.RetryAfter = func(status int, _ http.Header) (time.Duration, string) {
+			if status != http.StatusServiceUnavailable {
+				return 0, ""
+			}
+			return 3 * time.Second, ""
+		}
+		r, _, err := tb.do(tb.request("GET", "/again/north", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, r.StatusCode, http.StatusTooManyRequests)
+		after, err := time.ParseDuration(r.Header.Get("Retry-After"))
+		assert.NilError(t, err)
+		assert.Assert(t, after > 2900*time.Millisecond && after <= 3*time.Second, "%v", after)
+		assert.Equal(t, *requests, 1)
+	})
+}
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -120,8 +120,8 @@
 	if lease.Incarnation == "" || lease.Holder == p.parts.Config.VM {
 		return false
 	}
+	asked := clock.Now() // before the reports are collected: what is heard later is not in them
 	req := p.leaderRequest()
-	asked := clock.Now()
 	resp, err := p.client.Poll(ctx, lease.Addr, req, p.onHeartbeat)
 	if err != nil || !resp.IsLeader {
 		p.parts.Counts.restore(req.Cells, req.LatencySums)
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -214,16 +214,17 @@
 // Snapshot is the state of a request's destination as the gate sees it: of its key's
 // owner, or of all servers together.
 type Snapshot struct {
-	Running  int           // requests of this VM running there
-	Limit    int           // most requests of this VM that may run there
-	Waiting  int           // requests of this VM queued for it
-	Load     int           // requests running and queued there as last reported by the server
-	LoadAge  time.Duration // age of that report; zero if there was none
-	Remote   bool          // it is in another data centre
-	Cold     bool          // it is cold and gets only few requests
-	Limited  bool          // it limits the requests that it takes from all VMs
-	Shedding bool          // it wants no requests from this VM for a time
-	Slots    int           // requests that it processes concurrently
+	Running int           // requests of this VM running there
+	Limit   int           // most requests of this VM that may run there
+	Waiting int           // requests of this VM queued for it
+	Load    int           // requests running and queued there as last reported by the server
+	LoadAge time.Duration // age of that report; zero if there was none
+	Remote  bool          // it is in another data centre
+	Cold    bool          // it is cold and gets only few requests
+	Limited bool          // it limits the requests that it takes from all VMs
+	// Shedding is how long it wants no requests from this VM; zero if it takes them.
+	Shedding time.Duration
+	Slots    int // requests that it processes concurrently
 }
 
 // Inspect returns the current state of the named server, or of all servers together if
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -101,11 +101,11 @@
 		if !s.reportedAt.IsZero() {
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
-		v.Cold, v.Limited, v.Shedding = s.cap.capped, s.permits.limited, s.shedding(now) > 0
+		v.Cold, v.Limited, v.Shedding = s.cap.capped, s.permits.limited, s.shedding(now)
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
 	return Snapshot{
-		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Shedding: c.allShedding(now) > 0,
+		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Shedding: c.allShedding(now),
 	}
 }
