--- a/internal/edge/poll/call_test.go
+++ b/internal/edge/poll/call_test.go
@@ -54,3 +54,20 @@
 	assert.NilError(t, c.TellShedding(t.Context(), at, shed.Report{Server: "s1", Left: time.Second}))
 	assert.Equal(t, len(told), 1)
 }
+
+// BenchmarkAskPermits measures a question for one permit with its answer, at both VMs.
+func BenchmarkAskPermits(b *testing.B) {
+	web := httptest.NewServer(PermitHandler(func(req *PermitRequest) PermitResponse {
+		return PermitResponse{IsLeader: true, Grants: make([]PermitGrant, len(req.Asks))}
+	}))
+	defer web.Close()
+	at := netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	c := NewClient()
+	ask := &PermitRequest{VM: "vm-1", Asks: []PermitAsk{{Server: "i-041889fa5b", Incarnation: 1796378999083, N: 1}}}
+	for b.Loop() {
+		if _, err := c.AskPermits(b.Context(), at, ask); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(c.Bytes())/float64(b.N), "B/op-wire")
+}
