--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -13,6 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/retain"
+	"hawthornfield.org/hawthornfield/internal/edge/httpd"
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -111,7 +112,7 @@
 	if errors.Is(err, errNotPipelined) {
 		return false, false
 	}
-	err = x.unknownIfRan(err)
+	err = x.unknownIfRan(x.closingIfStopped(err))
 	x.finish(err)
 	return true, err != nil && x.responseStarted
 }
@@ -126,6 +127,15 @@
 	return err
 }
 
+// closingIfStopped changes the error of a request that was given up because this VM stops,
+// which otherwise looks as if its caller had gone away.
+func (x *exchange) closingIfStopped(err error) error {
+	if kinds.Of(err) != kinds.Canceled || !errors.Is(context.Cause(x.r.Context()), httpd.ErrStopping) {
+		return err
+	}
+	return kinds.Wrap(kinds.Closing, err, "no answer before the end of this VM")
+}
+
 func (x *exchange) run() error {
 	if err := x.identify(); err != nil {
 		return err
--- a/internal/edge/host/stop_test.go
+++ b/internal/edge/host/stop_test.go
@@ -1,11 +1,14 @@
 package host
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/group"
 )
 
 // Guards against requests that are cut off in a rolling restart: new rules keep a stopping
@@ -41,3 +44,29 @@
 		assert.NilError(t, vm.Close())
 	}
 }
+
+// Guards against callers whose connection ends without an answer when a VM stops while a server is silent.
+func TestAStoppingVMAnswersRequestsOfSilentServers(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.cfgs[0].Bounds.Grace = 2 * time.Second
+	tc.store.write("config/main", rulesWithExtra(1))
+	b := tc.addServer("ledger", "r1")
+	h := tc.startVM(0)
+	tc.waitFor(waitLimit, "served", func() bool {
+		status, _ := tc.get(0, "/receipt/1", "")
+		return status == http.StatusOK
+	})
+	b.mu.Lock()
+	b.work = 3 * time.Second
+	b.mu.Unlock()
+	status := 0
+	var g group.Group
+	g.Go(func(context.Context) error {
+		status, _ = tc.get(0, "/receipt/2", "")
+		return nil
+	})
+	tc.waitFor(waitLimit, "in flight", func() bool { return h.listeners.parts.Front.InFlight() == 1 })
+	_ = h.Close() // may report that a request was still in flight
+	assert.NilError(t, g.Close())
+	assert.Equal(t, status, http.StatusBadGateway)
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"go.uber.org/fx/fxevent"
 
@@ -18,14 +19,23 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 )
 
+// ErrStopping is the cause with which the contexts of requests in flight are canceled when
+// the time for them is over, see [Listener.AnswerTime].
+var ErrStopping = kinds.New(kinds.Closing, "the listener stops and waits no longer")
+
 // Listener is one HTTP listener. Set Server before Start.
 type Listener struct {
 	Server *http.Server
 	// Pipeline, if set, reads ahead on the connections, see package pipe.
 	Pipeline *pipe.Reader
+	// AnswerTime is how long before Shutdown closes the connections the contexts of the
+	// requests in flight are canceled, so that their handlers can still answer. Without it,
+	// a caller whose backend server never answers sees its connection end without a word.
+	AnswerTime time.Duration
 
 	listener net.Listener
 	group    group.Group
+	giveUp   context.CancelCauseFunc // cancels the contexts of all requests
 }
 
 // Start listens at the address and serves until Shutdown or Close.
@@ -35,6 +45,9 @@
 		return kinds.Wrap(kinds.Unavailable, err, "listen on "+at.String())
 	}
 	l.listener = ln
+	base, giveUp := context.WithCancelCause(context.Background())
+	l.giveUp = giveUp
+	l.Server.BaseContext = func(net.Listener) context.Context { return base }
 	var in net.Listener = ln
 	if l.Pipeline != nil {
 		in = l.Pipeline.Listen(ln)
@@ -60,6 +73,10 @@
 // Shutdown stops accepting connections, waits for requests in flight until ctx is done,
 // and then closes the remaining connections.
 func (l *Listener) Shutdown(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok && l.AnswerTime > 0 && l.giveUp != nil {
+		timer := time.AfterFunc(time.Until(end)-l.AnswerTime, func() { l.giveUp(ErrStopping) })
+		defer timer.Stop()
+	}
 	if l.Pipeline != nil {
 		l.Pipeline.Drain(ctx)
 	}
@@ -76,6 +93,9 @@
 
 // wait waits for all goroutines of the listener.
 func (l *Listener) wait() error {
+	if l.giveUp != nil {
+		defer l.giveUp(nil)
+	}
 	if l.Pipeline != nil {
 		_ = l.Pipeline.Close() // its goroutines return no errors
 	}
