fleet, gate: the types that the parts for hard load share

Entries of what all VMs know of a server, held by the gate with their age, a switch per service, and the rule of a job. Nothing uses them yet; go test ./internal/load/... passes.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -101,7 +101,7 @@
 func (x *exchange) job(owner ident.Server) gate.Job {
 	return gate.Job{
 		Service: x.svc.Name, Caller: x.decision.Caller, Key: x.key, Slice: x.decision.Slice,
-		Class: gateClass(x.rule.Then.Class), Server: owner, Deadline: x.deadline, LatencyTarget: x.rule.Then.Aim, Size: x.jobSize(), Bytes: x.r.ContentLength,
+		Class: gateClass(x.rule.Then.Class), Rule: x.rule.Name, Server: owner, Deadline: x.deadline, LatencyTarget: x.rule.Then.Aim, Size: x.jobSize(), Bytes: x.r.ContentLength,
 		Idempotent: x.rule.Then.Idempotent,
 	}
 }
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -78,6 +78,8 @@
 	availableLocal pick.Set // servers of available in this VM's data centre
 	availableWarm  pick.Set // servers of available that were used recently; only local ones if Centre is set
 	limitedCount   int      // servers that limit their requests
+	silent         bool     // full servers answer nothing, see SetSilent
+	places         int      // requests that one server holds, running and waiting; zero if unknown
 	monitor        health.Monitor
 	healthScratch  []*health.Server  // argument of monitor.Evaluate, reused
 	score          func(int) float64 // of a server by index, as of scoreTime
--- a/internal/load/gate/job.go
+++ b/internal/load/gate/job.go
@@ -26,6 +26,7 @@
 	Slice   ident.Slice
 	Epoch   ident.Epoch // the epoch under which Server owns the key
 	HotKey  bool        // the key has an owner of its own, apart from its slice
+	Rule    string      // the rule that the request matched; requests of one rule are alike
 	Class   Class
 	// Server is the key's owner in a service divided by key. If empty, the gate chooses
 	// a server.
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -67,6 +67,7 @@
 	shedUntil    time.Time     // until then it wants no requests from this VM
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
+	fleet        fleetView     // what all VMs together know of it
 }
 
 // lanes returns the queues for the server's keys, created on first use.
