--- a/internal/rules/match/match.go
+++ b/internal/rules/match/match.go
@@ -87,6 +87,9 @@
 	Key   string `cbor:"key,omitempty" json:"key,omitempty"`
 	Class Class  `cbor:"class,omitempty" json:"class,omitempty"`
 	Size  Size   `cbor:"size,omitempty" json:"size,omitempty"`
+	// Large says that responses can be much longer than 16 KB, as for downloads. Such requests
+	// wait, before they ask for a server, until the VM has room for their responses.
+	Large bool `cbor:"large,omitempty" json:"large,omitempty"`
 	// Deadline limits the duration of the whole request, counted from its arrival.
 	Deadline time.Duration `cbor:"deadline,omitempty" json:"deadline,omitempty"`
 	// Aim is the time within which an answer has its full value to the caller; a later answer
--- a/internal/rules/match/match_test.go
+++ b/internal/rules/match/match_test.go
@@ -256,6 +256,7 @@
 		{Rule{Name: "a", Then: Then{Service: "lookup", Key: "path:x"}}, "then.key"},
 		{Rule{Name: "a", Then: Then{Service: "lookup", Key: "query"}}, "then.key"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deny: true}}, "then.deny"},
+		{Rule{Name: "a", Then: Then{Large: true, Deny: true}}, "then.deny"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deadline: time.Hour}}, "then.deadline"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Aim: -1}}, "then.aim"},
 		{Rule{Name: "a", Then: Then{Service: "lab", Deadline: 1, Aim: 2}}, "then.aim"},
--- a/internal/rules/match/parse.go
+++ b/internal/rules/match/parse.go
@@ -103,6 +103,7 @@
 	Key        string        `toml:"key,omitempty"`
 	Class      Class         `toml:"class,omitempty"`
 	Size       Size          `toml:"size,omitempty"`
+	Large      bool          `toml:"large,omitempty"`
 	Deadline   string        `toml:"deadline,omitempty"`
 	Aim        string        `toml:"aim,omitempty"`
 	Idempotent bool          `toml:"idempotent,omitempty"`
@@ -135,7 +136,7 @@
 		return v
 	}
 	return Rule{Name: d.Name, When: When(d.When), Then: Then{
-		Service: t.Service, Split: convertParts[Part](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
+		Service: t.Service, Split: convertParts[Part](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size, Large: t.Large,
 		Deadline: duration("then.deadline", t.Deadline), Aim: duration("then.aim", t.Aim), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: duration("then.hedge", t.Hedge), Queue: t.Queue, Wait: duration("then.wait", t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
@@ -145,7 +146,7 @@
 func newRuleDoc(r *Rule) ruleDoc {
 	t := r.Then
 	return ruleDoc{Name: r.Name, When: whenDoc(r.When), Then: thenDoc{
-		Service: t.Service, Split: convertParts[partDoc](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size,
+		Service: t.Service, Split: convertParts[partDoc](t.Split), Deny: t.Deny, Key: t.Key, Class: t.Class, Size: t.Size, Large: t.Large,
 		Deadline: durationText(t.Deadline), Aim: durationText(t.Aim), Idempotent: t.Idempotent, Retry: t.Retry,
 		Hedge: durationText(t.Hedge), Queue: t.Queue, Wait: durationText(t.Wait),
 		Durable: t.Durable, Once: t.Once, Keep: t.Keep,
--- a/internal/rules/match/parse_test.go
+++ b/internal/rules/match/parse_test.go
@@ -37,6 +37,7 @@
 then.service = "lookup"
 then.key = "path:id"
 then.class = "vip"
+then.large = true
 `
 
 func TestParseReadsAndRendersTheSameRules(t *testing.T) {
@@ -44,6 +45,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(f.Rules), 3)
 	assert.Equal(t, f.Rules[1].Then.Hedge.String(), "20ms")
+	assert.Assert(t, f.Rules[2].Then.Large && !f.Rules[1].Then.Large)
 	out, err := Render(f.Rules)
 	assert.NilError(t, err)
 	again, err := Parse(out)
--- a/internal/rules/match/set.go
+++ b/internal/rules/match/set.go
@@ -14,6 +14,7 @@
 type Set struct {
 	rules []Rule
 	index index
+	large bool // a rule has large responses
 }
 
 // Compile checks the rules and builds a Set. If a rule is invalid or can never match, it
@@ -27,7 +28,13 @@
 }
 
 // newSet indexes rules that were normalized and whose paths are compiled.
-func newSet(normalized []Rule) *Set { return &Set{rules: normalized, index: newIndex(normalized)} }
+func newSet(normalized []Rule) *Set {
+	large := slices.ContainsFunc(normalized, func(r Rule) bool { return r.Then.Large })
+	return &Set{rules: normalized, index: newIndex(normalized), large: large}
+}
+
+// HasLarge reports whether any rule has large responses.
+func (s *Set) HasLarge() bool { return s != nil && s.large }
 
 // normalizeRules copies the rules and brings header names, hosts and prefixes into the
 // form in which they are compared.
