pipe: the end of a pipelined answer is reported

An answer that was prepared before its turn stays in memory after the request has been handled. Whoever counts the bytes that a VM holds must learn when it was delivered, or dropped with its connection: Run.OnEnd and Run.Buffered.

go test ./internal/edge/pipe passes; the new test covers both ends.

--- a/internal/edge/pipe/pipe_test.go
+++ b/internal/edge/pipe/pipe_test.go
@@ -452,3 +452,42 @@
 		})
 	}
 }
+
+// Guards against response bytes that a VM still counts after a pipelined answer was
+// delivered, or after its connection was closed.
+func TestTheEndOfAPipelinedAnswerIsReported(t *testing.T) {
+	for name, closes := range map[string]bool{"delivered": false, "dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			first, ended := make(chan struct{}), make(chan int, 1)
+			s := newTestServer(t, true, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/0" {
+					<-first
+				}
+				_, _ = io.WriteString(w, "answer")
+				if run, ok := w.(*Run); ok {
+					buffered := run.Buffered()
+					run.OnEnd(func() { ended <- buffered })
+				}
+			})
+			c := s.dial()
+			_, err := io.WriteString(c, lookupText("0", "1"))
+			assert.NilError(t, err)
+			for s.started.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(20 * time.Millisecond)
+			assert.Equal(t, len(ended), 0, "before its turn")
+			if closes {
+				c.Close()
+				time.Sleep(20 * time.Millisecond)
+			}
+			close(first)
+			select {
+			case buffered := <-ended:
+				assert.Equal(t, buffered, len("answer"))
+			case <-time.After(stepTimeout):
+				t.Fatal("its end is not reported")
+			}
+		})
+	}
+}
--- a/internal/edge/pipe/readahead.go
+++ b/internal/edge/pipe/readahead.go
@@ -156,6 +156,9 @@
 func (c *Conn) cancelStarted() {
 	c.halted = true
 	c.reader.pending.Add(-int64(len(c.started)))
+	for _, run := range c.started {
+		run.end()
+	}
 	c.started = nil
 	if c.cancel != nil {
 		c.cancel()
--- a/internal/edge/pipe/run.go
+++ b/internal/edge/pipe/run.go
@@ -22,6 +22,8 @@
 	body          []byte
 	out           http.ResponseWriter // the caller's, set when the request's turn has come
 	headerWritten bool                // the status was written to out
+	ended         bool                // the answer was delivered or dropped
+	onEnd         func()              // called then; nil if there is nothing to do
 
 	turn   chan struct{} // closed when out is set
 	done   chan struct{} // closed when the answer is complete, or Serve declined the request
@@ -36,6 +38,38 @@
 	}
 }
 
+// OnEnd sets a function to call once the answer has been delivered to the caller, or dropped
+// because the connection was closed. It is called at once if that has happened already.
+func (r *Run) OnEnd(f func()) {
+	r.mu.Lock()
+	ended := r.ended
+	if !ended {
+		r.onEnd = f
+	}
+	r.mu.Unlock()
+	if ended {
+		f()
+	}
+}
+
+// end calls the function that OnEnd set.
+func (r *Run) end() {
+	r.mu.Lock()
+	f := r.onEnd
+	r.ended, r.onEnd = true, nil
+	r.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// Buffered returns how many bytes of the body wait for the request's turn.
+func (r *Run) Buffered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.body)
+}
+
 // serve produces the answer.
 func (r *Run) serve() {
 	defer close(r.done)
@@ -133,6 +167,7 @@
 // the caller's connection by panicking with http.ErrAbortHandler.
 func (r *Run) Deliver(w http.ResponseWriter) bool {
 	defer r.reader.pending.Add(-1)
+	defer r.end()
 	r.mu.Lock()
 	r.out = w
 	r.mu.Unlock()
