front: large responses are admitted by the bytes that they will have

Requests of rules with large responses reserve the expected bytes before they ask the gate for a server, wait in order, or are refused with 429 and a Retry-After. Bytes count from their reading until the write to the caller's connection has returned; those of pipelined answers until their turn. The decision has the wait, the bytes and the bound.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -64,6 +64,12 @@
 	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // size of the request and response bodies together
 	Attempts     int            `cbor:"tries,omitempty" json:"tries,omitempty"`
 	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"` // of a request during which a server failed; the same for each repetition
+	// For a request that waited or was refused because its response did not fit: how long it
+	// waited (Egress, not part of Wait), how many response bytes the VM held or had in flight
+	// then, and the bound.
+	Egress      time.Duration `cbor:"egress,omitempty" json:"egress,omitempty"`
+	EgressHeld  int64         `cbor:"held,omitempty" json:"held,omitempty"`
+	EgressBound int64         `cbor:"bound,omitempty" json:"bound,omitempty"`
 	// For a refused request: how many requests of this VM were running (Busy) and queued
 	// (Queue) at its target, and how many may run there (Limit).
 	Busy  int `cbor:"busy,omitempty" json:"busy,omitempty"`
@@ -84,7 +90,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 40
+const maxAttrs = 43
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -134,6 +140,9 @@
 	l.flag("cold", d.Cold)
 	l.flag("limited", d.Limited)
 	l.flag("shedding", d.Shedding)
+	l.span("egress", d.Egress)
+	l.number("held", uint64(max(d.EgressHeld, 0)))
+	l.number("bound", uint64(max(d.EgressBound, 0)))
 	l.number("count", d.Count)
 	l.text("keep", string(d.Keep))
 }
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -135,6 +135,10 @@
 // answerWriter returns a writer for an answer of the given length, -1 if unknown, and a
 // function to call after the last write.
 func (x *exchange) answerWriter(length int64) (http.ResponseWriter, func()) {
+	if x.hold != nil {
+		w := x.newCountingWriter(length)
+		return w, w.end
+	}
 	timeout := writeTimeoutFactor * x.f.limits().HeaderTimeout.Duration
 	if timeout <= 0 || length >= 0 && length <= noDeadlineLength {
 		return x.w, func() {}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -17,6 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 )
@@ -55,6 +56,8 @@
 	suspect bool // the Guard suspects the request of crashing servers
 	crashes int  // number of servers that crashed while running the request, as last reported by the Guard
 
+	hold *egress.Hold // counts the bytes of the response; nil if the budget is off
+
 	ticket       *dedup.Ticket // the claim on the request id, if the rule demands one
 	idFromCaller bool          // the caller chose the request id
 }
@@ -68,7 +71,7 @@
 	if f.closing.Load() && !conn.HasPending() {
 		w.Header().Set("Connection", "close")
 	}
-	if pipelined != nil && pipelined.Deliver(&statusWriter{w}) {
+	if pipelined != nil && f.deliver(pipelined, conn, &statusWriter{w}) {
 		return
 	}
 	x := f.newExchange(r, arrived)
@@ -108,6 +111,7 @@
 func (x *exchange) handle() (ok, broken bool) {
 	x.f.inFlight.Add(1)
 	defer x.f.inFlight.Add(-1)
+	defer x.releaseBytes()
 	err := x.run()
 	if errors.Is(err, errNotPipelined) {
 		return false, false
@@ -158,10 +162,17 @@
 	if err := x.checkSuspect(ctx); err != nil {
 		return err
 	}
-	if err := x.claimAndRecord(ctx); err != nil {
+	if err := x.acquireBytes(ctx); err != nil {
 		return err
 	}
-	return x.forward(ctx)
+	err := x.claimAndRecord(ctx)
+	if err == nil {
+		err = x.forward(ctx)
+	}
+	if err != nil && !x.responseStarted {
+		x.hold.Close() // before the caller is told, who may come back at once
+	}
+	return err
 }
 
 var (
@@ -303,7 +314,7 @@
 	k := kinds.Of(err)
 	a := k.Answer()
 	after := a.Retry
-	if hint := gate.RetryAfter(err); hint > 0 {
+	if hint := max(gate.RetryAfter(err), bytesRetryAfter(err)); hint > 0 {
 		after = hint
 	}
 	if x.hasFreeSlot(err) {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -25,6 +25,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
@@ -73,6 +74,7 @@
 	Durable DurableRecorder
 	Cancel  Canceler
 	Guard   Guard
+	Egress  *egress.Budget // of response bytes; nil means no bound
 
 	// Identify returns the caller of a request; nil means IdentifyHeader.
 	Identify func(*http.Request) ident.Caller
--- a/internal/edge/pipe/conn.go
+++ b/internal/edge/pipe/conn.go
@@ -27,6 +27,7 @@
 	changed      chan struct{} // closed at the next change of the state
 	handling     bool          // a handler is running
 	onDisconnect func()        // tells that handler that the caller went away
+	sendBuffer   int           // as set by LimitSendBuffer
 	probed       []byte        // bytes that net/http's probe read before Begin
 	readAhead                  // state of the reading ahead
 }
@@ -226,6 +227,21 @@
 	}
 }
 
+// LimitSendBuffer limits the bytes that the kernel accepts for the caller beyond those that
+// the caller has acknowledged; Linux may accept twice the number. Without a limit it accepts
+// several megabytes.
+func (c *Conn) LimitSendBuffer(bytes int) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tcp, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok && c.sendBuffer != bytes {
+		c.sendBuffer = bytes
+		_ = tcp.SetWriteBuffer(bytes) // fails only on a closed connection
+	}
+}
+
 // Done must be called when the handler has finished.
 func (c *Conn) Done() {
 	if c == nil {
