host, platform, daemon: settings of the response budget

Without both there is no bound; negative or unreadable values are an error at start. A line at start says what is in force, and gauges say what it does.

go test ./internal/core/config ./internal/edge/daemon passes, ./platform -run Setting too.

--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -109,6 +109,8 @@
 	Dial          Span  `toml:"dial"`                                // time limit for connecting to a backend server
 	Drain         Span  `toml:"drain"`                               // time limit for finishing requests in flight at shutdown
 	Queue         int   `toml:"queue" validate:"min=0,max=1000000"`  // queued requests per service
+	Link          int64 `toml:"link" validate:"min=0"`               // bytes per second that the link to the callers carries; zero if unknown
+	Memory        int64 `toml:"memory" validate:"min=0"`             // bytes of memory that this VM has; zero if unknown
 }
 
 // Certs holds this VM's certificate and key and the certificate authority that
--- a/internal/edge/daemon/listeners.go
+++ b/internal/edge/daemon/listeners.go
@@ -20,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/monit"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/plat/server"
 )
 
@@ -39,12 +40,14 @@
 	Monitor *monit.Monitor
 }
 
-func newFront(lc fx.Lifecycle, cfg config.Config, p frontParts) *front.Front {
+func newFront(lc fx.Lifecycle, cfg config.Config, p frontParts, log *slog.Logger) *front.Front {
+	budget := egress.New(cfg.Limit.Link, cfg.Limit.Memory)
+	log.Info("response budget", "link", cfg.Limit.Link, "memory", cfg.Limit.Memory, "on", budget.Bounded())
 	c := newCanceler(p.State, p.Control)
 	closeOnStop(lc, c)
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, Limit: cfg.Limit, State: p.State, Relay: p.Relay,
-		Record: p.Record, Meter: p.Meter, Claims: p.Claims, Durable: p.Journal, Cancel: c,
+		Record: p.Record, Meter: p.Meter, Claims: p.Claims, Durable: p.Journal, Cancel: c, Egress: budget,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -15,6 +15,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/edge/tunnel"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
 )
@@ -45,6 +46,7 @@
 	Quarantine  *quarantine
 	Dialer      *dial.Dialer
 	Tunnels     *tunnel.Server
+	Egress      *egress.Budget
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -67,6 +69,7 @@
 		g.set("quarantined", float64(quarantined))
 		g.set("decisions_left_out", float64(g.parts.Record.Lost()))
 		g.updatePaths()
+		g.updateEgress()
 		g.updateEvacuations(time.Now())
 	}
 	return nil
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -30,6 +30,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/rules/revs"
 )
@@ -47,6 +48,8 @@
 	History       time.Duration    // how far back a watch of the store can start
 	Bounds        Bounds
 	CPUs          float64       // processors that this VM may use, may be a fraction; zero if unknown
+	Link          int64         // bytes per second that the link to the callers carries; zero if unknown
+	Memory        int64         // bytes of memory that this VM has; zero if unknown
 	UnknownFields []string      // fields of the settings that were ignored
 	Notice        time.Duration // time that the load balancer needs to notice that a VM is leaving; zero means DefaultNotice
 }
@@ -129,7 +132,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newEgress, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
@@ -219,9 +222,9 @@
 // refusal, and a caller that sends slowly does not occupy a server's slot.
 const maxBufferedBody = 1 << 20
 
-func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine) *front.Front {
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine, e *egress.Budget) *front.Front {
 	f := &front.Front{
-		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g,
+		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g, Egress: e,
 		Limit:   config.Limit{Request: config.SpanOf(defaultRequestTimeout)},
 		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnShed: shedders.hear,
 	}
