--- a/internal/edge/perf/path.go
+++ b/internal/edge/perf/path.go
@@ -17,6 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/front"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
@@ -70,6 +71,21 @@
 	return p, nil
 }
 
+// CountResponses turns the budget for response bytes on, with bounds that no request meets.
+// With large, the requests are of a rule with large responses, which reserves bytes.
+func (p *Path) CountResponses(large bool) error {
+	const unreached = 1 << 40
+	list := ruleList(DefaultRules)
+	list[0].Then.Large, list[len(list)-1].Then.Large = true, large
+	set, err := match.Compile(list)
+	if err != nil {
+		return err
+	}
+	p.front.State.Rules.Apply(&revs.Snapshot{Record: &revs.Record{Rev: 2}, Set: set})
+	p.front.Egress = egress.New(unreached, unreached)
+	return nil
+}
+
 func assignAll(svc *state.Service) error {
 	tab, err := table.New("lookup", slices, "lookup-1")
 	if err != nil {
--- a/internal/edge/perf/perf_test.go
+++ b/internal/edge/perf/perf_test.go
@@ -50,3 +50,21 @@
 		}
 	}
 }
+
+// BenchmarkCountedPath is BenchmarkPath with the budget for response bytes.
+func BenchmarkCountedPath(b *testing.B) {
+	for name, large := range map[string]bool{"small": false, "large": true} {
+		b.Run(name, func(b *testing.B) {
+			p, err := NewPath()
+			assert.NilError(b, err)
+			defer p.Close()
+			assert.NilError(b, p.CountResponses(large))
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := p.Once(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
