--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -27,6 +27,11 @@
 	Silent      int           `json:"x,omitempty"` // attempts unanswered at their deadline, with evidence
 }
 
+// Process returns the process that the sample is of.
+func (s *Sample) Process() ident.Process {
+	return ident.Process{Server: s.Server, Incarnation: s.Incarnation}
+}
+
 // Entry is the fleet-wide view of one server. Ages are as of when the list was sent.
 type Entry struct {
 	Server      ident.Server
@@ -38,3 +43,8 @@
 	Offered     float64       // requests per second offered by all VMs
 	Work        time.Duration // mean service time there, which reflects the server's speed
 }
+
+// Process returns the process that the entry is of.
+func (e *Entry) Process() ident.Process {
+	return ident.Process{Server: e.Server, Incarnation: e.Incarnation}
+}
