gate: what the fleet knows of an earlier process is not used for the next

A server that starts again keeps its name, and the gate kept the entry of the process before until the next list. The entry is now dropped with the other state of that process.

--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -215,7 +215,7 @@
 		s.health.MarkCold(now)
 	}
 	if info.Incarnation != s.info.Incarnation {
-		s.shedUntil, s.permits = time.Time{}, permitState{}
+		s.shedUntil, s.permits, s.fleet = time.Time{}, permitState{}, fleetView{}
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
