--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -61,6 +61,7 @@
 	Notices     LenientList[notice.Report]         `json:"notices,omitempty"`    // notices of servers that the leader may not know
 	NoticesRev  uint64                             `json:"noticesrev,omitempty"` // of the leader's notices that the sender knows
 	Shedding    LenientList[shed.Report]           `json:"shedding,omitempty"`   // servers that want no requests from the sender
+	Samples     *FleetReport                       `json:"fleet,omitempty"`      // what the sender saw of the load of servers
 	// TrialGrants is set by the handler on the leader, and sent in the response to this
 	// request only: the sender counts their time from when it sent the request.
 	TrialGrants []poison.TrialGrant `json:"-"`
@@ -102,6 +103,7 @@
 	Evacuated *evac.List `json:"evac,omitempty"`
 	Cases     *Cases     `json:"cases,omitempty"`
 	Notices   *Notices   `json:"notices,omitempty"`
+	Fleet     *FleetList `json:"fleet,omitempty"` // what all VMs know of the load of servers
 	// TrialGrants are attempts that only the receiver may make.
 	TrialGrants LenientList[poison.TrialGrant] `json:"grants,omitempty"`
 	// Lent are cold servers that only the receiver may use.
@@ -151,6 +153,7 @@
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
 	noticeSource    NoticeSource
+	fleetSource     FleetSource
 }
 
 // history holds the owners of a service's keys and their recent changes.
--- a/internal/edge/poll/serve.go
+++ b/internal/edge/poll/serve.go
@@ -69,6 +69,7 @@
 // servePoll sends the response to a poll request.
 func (h *Hub) servePoll(c *gin.Context, req *Request) {
 	resp := h.waitResponse(c.Request.Context(), req)
+	h.addFleet(req, &resp)
 	body, err := json.Marshal(resp)
 	if err != nil {
 		c.Status(http.StatusInternalServerError)
@@ -78,6 +79,7 @@
 		hb.write(c.Writer.Header())
 	}
 	h.extendPeer(time.Now().Add(readTime(len(body))), req.VM)
+	c.Writer.Header()["Date"] = nil // nobody reads it, and it is a tenth of the response
 	c.Data(http.StatusOK, gin.MIMEJSON, body)
 }
 
@@ -135,7 +137,7 @@
 	if err != nil {
 		return result, kinds.Wrap(kinds.Internal, err, "create poll request")
 	}
-	req.Header.Set("Content-Type", gin.MIMEJSON)
+	req.Header["User-Agent"] = nil // nobody reads it
 	resp, err := flow.DoWithTimeouts(c.http, req, PollTimeout+answerTimeout, bodyIdleTimeout)
 	if err != nil {
 		return result, kinds.Wrap(kinds.Unavailable, err, "poll "+at.String())
