front: what attempts show of the load of servers is collected

One hook where a request is offered, one where an attempt is sent and one where it ends.

go test -race ./internal/edge/front passes.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	x.noteOffered(permit.Server())
 	for {
 		var outcome gate.Outcome
 		if x.mayHedge() {
@@ -189,12 +190,14 @@
 		return nil, errOwnerChanged
 	}
 	process, sent := x.svc.Process(owner.Server), clock.Now()
+	x.f.Fleet.Sent(sent, x.svc.Name, process)
 	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 		Interruptible: x.rule.Then.Idempotent,
 	})
 	x.noteSignals(process, answer, err, sent)
+	x.noteFleet(ctx, process, answer, err, sent)
 	if err != nil {
 		x.returnUnsent(trial, err)
 		return nil, err
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -25,6 +25,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/fleet"
 	"hawthornfield.org/hawthornfield/internal/load/notice"
 )
 
@@ -107,6 +108,8 @@
 	// OnNotice, if set, is called with what a server says about itself with an answer to a
 	// request, which was sent at a time of the boot clock.
 	OnNotice func(p ident.Process, n notice.Notice, sent time.Time)
+	// Fleet, if set, collects what this VM observes of the load of servers.
+	Fleet *fleet.Collector
 
 	limitOverride atomic.Pointer[config.Limit] // replaces Limit once SetLimit was called
 	group         group.Group
--- a/internal/edge/front/owner_forward.go
+++ b/internal/edge/front/owner_forward.go
@@ -56,6 +56,7 @@
 	if !ok {
 		return x.svc.Gate.WaitOwner(ctx, x.ownerJob(owner))
 	}
+	x.noteOffered(owner.Server)
 	permit, err := x.svc.Gate.Enter(ctx, x.ownerJob(owner))
 	if err != nil && mayReroute(err) {
 		return x.svc.Gate.WaitOwner(ctx, x.ownerJob(owner))
