host: VMs exchange the load of servers through the leader

Each VM reports its samples with its poll and gets the leader's list with the response; the list of a service goes to its gate only while its full servers count as silent. The age of a list counts from when the poll was sent, less how long the leader held it, so a slow link makes no list fresher than it is. Of a service that is off only evidence is sent. What is known of a service outlives its leader: VMs tell the next one. Samples state the latencies that the key assignment needs, so those are not stated a second time.

--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -245,6 +245,7 @@
 	work    time.Duration // time that each request takes
 	shedFor time.Duration // it turns requests away and wants none for so long; zero: it does not
 	came    int           // requests that reached it
+	silent  bool          // it answers nothing
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -257,11 +258,15 @@
 	}
 	b.mu.Lock()
 	b.came++
-	work, shedFor := b.work, b.shedFor
+	work, shedFor, silent := b.work, b.shedFor, b.silent
 	if shedFor == 0 {
 		b.ran++
 	}
 	b.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if shedFor > 0 {
 		w.Header().Set(kinds.HeaderRan, string(kinds.RanNo))
 		w.Header().Set("Retry-After", strconv.Itoa(int(shedFor.Seconds())))
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -45,6 +45,7 @@
 	Quarantine  *quarantine
 	Dialer      *dial.Dialer
 	Tunnels     *tunnel.Server
+	Fleet       *fleetLoad
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -68,6 +69,7 @@
 		g.set("decisions_left_out", float64(g.parts.Record.Lost()))
 		g.updatePaths()
 		g.updateEvacuations(time.Now())
+		g.updateFleet(clock.Now())
 	}
 	return nil
 }
@@ -143,6 +145,21 @@
 	}
 }
 
+// updateFleet sets the gauges for what is known of the load of all servers.
+func (g *gauges) updateFleet(now time.Time) {
+	s := g.parts.Fleet.stats(now)
+	g.set("fleet_entries", float64(s.entries))
+	g.set("fleet_entry_age_seconds", s.meanAge.Seconds())
+	g.set("fleet_samples_sent", float64(s.samplesSent))
+	for svc, silent := range s.silent {
+		v := 0.0
+		if silent {
+			v = 1
+		}
+		g.parts.Meter.Tagged(map[string]string{"service": string(svc)}).Gauge("full_servers_silent").Update(v)
+	}
+}
+
 // updateGate sets the gauges of one service's gate.
 func (g *gauges) updateGate(svc string, s gate.Stats) {
 	scope := g.parts.Meter.Tagged(map[string]string{"service": svc})
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -30,6 +30,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
+	"hawthornfield.org/hawthornfield/internal/load/fleet"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 	"hawthornfield.org/hawthornfield/internal/rules/revs"
 )
@@ -48,6 +49,7 @@
 	Bounds        Bounds
 	CPUs          float64       // processors that this VM may use, may be a fraction; zero if unknown
 	UnknownFields []string      // fields of the settings that were ignored
+	FullServers   fleet.Mode    // how full servers behave
 	Notice        time.Duration // time that the load balancer needs to notice that a VM is leaving; zero means DefaultNotice
 }
 
@@ -129,7 +131,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newFleetLoad, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
@@ -219,11 +221,11 @@
 // refusal, and a caller that sends slowly does not occupy a server's slot.
 const maxBufferedBody = 1 << 20
 
-func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine) *front.Front {
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine, fl *fleetLoad) *front.Front {
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g,
 		Limit:   config.Limit{Request: config.SpanOf(defaultRequestTimeout)},
-		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnShed: shedders.hear,
+		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnShed: shedders.hear, Fleet: &fl.collector,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { f.Start(); return nil },
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -54,6 +54,7 @@
 	Lender      *coldLender
 	Notices     *notices
 	Shedders    *shedders
+	Fleet       *fleetLoad
 	Permits     *permits
 	Tunnels     *tunnel.Server
 	Log         *slog.Logger
@@ -73,11 +74,12 @@
 	peers.Handle(poll.SheddingPath, poll.SheddingHandler(p.Shedders.told))
 	peers.Handle(poll.PermitPath, poll.PermitHandler(p.Permits.take))
 	peers.Handle("/", p.Hub.Handler(func(req *poll.Request) {
-		p.Coordinator.onRequest(req)
 		if _, leads := p.Hub.Lease(); leads {
 			p.Notices.merge(req.Notices)
 			p.Shedders.add(req.VM, req.Shedding)
+			p.Fleet.mergeReport(req) // before the coordinator, which gets the latencies
 		}
+		p.Coordinator.onRequest(req)
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
 		req.Lent = p.Lender.lend(req.VM)
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -48,6 +48,7 @@
 	Lender      *coldLender
 	Notices     *notices
 	Shedders    *shedders
+	Fleet       *fleetLoad
 	Tunnels     *tunnel.Client
 	Log         *slog.Logger
 }
@@ -122,10 +123,12 @@
 	}
 	asked := clock.Now() // before the reports are collected: what is heard later is not in them
 	req := p.leaderRequest()
+	samples := p.parts.Fleet.report(req)
 	resp, err := p.client.Poll(ctx, lease.Addr, req, p.onHeartbeat)
 	if err != nil || !resp.IsLeader {
 		p.parts.Counts.restore(req.Cells, req.LatencySums)
 		p.parts.Quarantine.restoreTrialAsks(req.TrialAsks)
+		p.parts.Fleet.collector.Restore(samples)
 		if !p.leaderLost && ctx.Err() == nil {
 			p.parts.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
@@ -151,6 +154,7 @@
 	p.setPeers(resp.VMs, lease.Addr)
 	p.applyLeaderState(resp)
 	p.parts.Notices.applyLeader(asked, resp.Notices, req.Notices)
+	p.parts.Fleet.applyLeader(asked, req, &resp, samples)
 	p.parts.Quarantine.applyGrants(asked, resp.TrialGrants)
 	p.parts.Servers.borrow(asked, resp.Lent)
 	p.parts.Quarantine.markReported(resp.Lease.Incarnation, req.Reports)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -312,6 +312,17 @@
 	}
 }
 
+// processes returns the listed processes of servers with their services.
+func (t *serverTracker) processes() map[ident.Process]ident.Service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := map[ident.Process]ident.Service{}
+	for _, s := range t.list() {
+		all[s.Process()] = s.Service
+	}
+	return all
+}
+
 // dividedServices returns the services that are divided by key.
 func (t *serverTracker) dividedServices() []ident.Service {
 	t.mu.Lock()
