--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -17,6 +17,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/daemon"
 	"hawthornfield.org/hawthornfield/internal/edge/host"
+	"hawthornfield.org/hawthornfield/internal/load/fleet"
 	"hawthornfield.org/hawthornfield/internal/plat/objcli"
 	"hawthornfield.org/hawthornfield/internal/rules/match"
 	"hawthornfield.org/hawthornfield/internal/rules/revs"
@@ -32,6 +33,7 @@
 type serveCmd struct {
 	app      *app
 	Settings string `short:"c" long:"settings" value-name:"FILE" description:"settings; without it those of the platform that started the process"`
+	Full     string `long:"full-servers" value-name:"HOW" choice:"auto" choice:"silent" choice:"answer" default:"auto" description:"on the platform, how a backend server whose slots and queue are taken behaves: it is silent, it answers, or as observed"`
 }
 
 // Execute runs the entry VM until the context is done.
@@ -45,6 +47,9 @@
 	if c.Settings == "" {
 		return kinds.New(kinds.BadRequest, "say which settings: -c FILE")
 	}
+	if c.Full == fleet.Silent.String() {
+		return kinds.New(kinds.BadRequest, "--full-servers=silent is not supported with -c: its VMs do not exchange the load of servers")
+	}
 	cfg, err := config.Load(c.Settings)
 	if err != nil {
 		return err
@@ -80,7 +85,7 @@
 // servePlatform runs an entry VM with the settings of the platform that started the
 // process, at path.
 func (c *serveCmd) servePlatform(path string) error {
-	cfg, err := platform.Load(path)
+	cfg, err := c.loadPlatform(path)
 	if err != nil {
 		return err
 	}
@@ -108,11 +113,22 @@
 	}
 }
 
+// loadPlatform reads the platform's settings and adds those of the command line.
+func (c *serveCmd) loadPlatform(path string) (host.Config, error) {
+	mode, err := fleet.ParseMode(c.Full)
+	if err != nil {
+		return host.Config{}, err
+	}
+	cfg, err := platform.Load(path)
+	cfg.FullServers = mode
+	return cfg, err
+}
+
 // reload reads the settings again after SIGHUP and logs whether they changed. No setting
 // can change while the process runs: the addresses are in use, and everything else comes
 // from the store.
 func (c *serveCmd) reload(path string, old host.Config, log *slog.Logger) {
-	cfg, err := platform.Load(path)
+	cfg, err := c.loadPlatform(path)
 	switch {
 	case err != nil:
 		log.Warn("settings not reloaded", "err", err)
--- a/internal/admin/cmds/serve_test.go
+++ b/internal/admin/cmds/serve_test.go
@@ -74,3 +74,13 @@
 	assert.Equal(t, cli.run("serve -c", cli.writeFile("vm.toml", hidden)), ExitInvalid)
 	assert.Assert(t, strings.Contains(cli.errs.String(), "can never match"), cli.errs.String())
 }
+
+// Guards against a misspelt way of full servers, or one that settings from a file cannot have, that is taken as another.
+func TestServeRefusesAWrongWayOfFullServers(t *testing.T) {
+	cli := newTestCLI(t)
+	settings := cli.writeFile("vm.toml", settingsTOML)
+	assert.Equal(t, cli.run("serve --full-servers=loud -c", settings), ExitUsage)
+	assert.Assert(t, strings.Contains(cli.errs.String(), "auto, silent or answer"), cli.errs.String())
+	assert.Equal(t, cli.run("serve --full-servers=silent -c", settings), ExitUsage)
+	assert.Assert(t, strings.Contains(cli.errs.String(), "--full-servers=silent"), cli.errs.String())
+}
