--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -47,6 +47,7 @@
 	Dialer      *dial.Dialer
 	Tunnels     *tunnel.Server
 	Egress      *egress.Budget
+	Fleet       *fleetLoad
 }
 
 func newGauges(lc fx.Lifecycle, p gaugeParts) *gauges {
@@ -71,6 +72,7 @@
 		g.updatePaths()
 		g.updateEgress()
 		g.updateEvacuations(time.Now())
+		g.updateFleet(clock.Now())
 	}
 	return nil
 }
@@ -146,6 +148,21 @@
 	}
 }
 
+// updateFleet sets the gauges for what is known of the load of all servers.
+func (g *gauges) updateFleet(now time.Time) {
+	s := g.parts.Fleet.stats(now)
+	g.set("fleet_entries", float64(s.entries))
+	g.set("fleet_entry_age_seconds", s.meanAge.Seconds())
+	g.set("fleet_samples_sent", float64(s.samplesSent))
+	for svc, silent := range s.silent {
+		v := 0.0
+		if silent {
+			v = 1
+		}
+		g.parts.Meter.Tagged(map[string]string{"service": string(svc)}).Gauge("full_servers_silent").Update(v)
+	}
+}
+
 // updateGate sets the gauges of one service's gate.
 func (g *gauges) updateGate(svc string, s gate.Stats) {
 	scope := g.parts.Meter.Tagged(map[string]string{"service": svc})
