gate: inputs, budget and slot of stalled attempts

Whoever sends a request asks Permit.Stall for what package stall needs and tells the verdict with Permit.Stalled. It either charges the retry and lets the attempt be ended, or frees the attempt's slot while it goes on; its connection still counts, or the next request would wait for one. A retry that is not made is refunded. A stalled attempt changes neither the health, the limit nor the latencies of its server. Facts about another process of the server are not used.

--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -98,6 +98,7 @@
 	retryBudget   retry.Budget
 	refusalRate   float64   // recent share of requests refused
 	nextExpiry    time.Time // next deadline of a waiting request; may be too early
+	work          meanWork
 	reestimateAt  time.Time // next time that queue waits are estimated again
 	healthCheckAt time.Time // next time that the servers' health is checked; zero if none is due
 	shedEnd       time.Time // next time that a server takes requests again; zero if none sheds any
@@ -263,11 +264,14 @@
 }
 
 func (c *Core) start(now time.Time, t *Ticket, s *server) {
-	t.state, t.srv, t.startedAt = stateStarted, s, now
+	t.state, t.srv, t.startedAt, t.incarnation = stateStarted, s, now, s.info.Incarnation
 	if t.sizeKind == sizes.Long && t.Job.Server != "" {
 		c.useToken(now, s)
 	}
 	c.startCount, c.startCountAt = c.recentStarts(now)+1, now
+	if c.silent {
+		t.sentLoad = s.loadNow(now)
+	}
 	s.start(now, t.sizeKind, c.expectedLatency(t.sizeKind))
 	c.keyPaces.noteStart(now, t.keyFlow)
 	c.running++
@@ -287,8 +291,13 @@
 	c.detectPause(now)
 	s := t.srv
 	t.state = stateIdle
-	c.running--
-	c.observe(now, t, o)
+	c.refundRetry(t)
+	if t.givenUp {
+		c.endGivenUp(now, t, o)
+	} else {
+		c.running--
+		c.observe(now, t, o)
+	}
 	c.endMove(now, t, o)
 	if s.removed {
 		return
--- a/internal/load/gate/core_test.go
+++ b/internal/load/gate/core_test.go
@@ -179,6 +179,20 @@
 	m.collect(t)
 }
 
+// Stalled finds that a running request will not be answered. It is ended later by Done, with
+// or without its slot.
+func (m *machine) Stalled(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("no request is running")
+	}
+	tk := rapid.SampledFrom(m.running).Draw(t, "which")
+	if m.core.Stalled(m.now, tk, rapid.Bool().Draw(t, "may repeat")) {
+		assert.Assert(t, tk.Job.Idempotent, "a request that may run once would be sent again")
+	}
+	assert.Assert(t, !m.core.Stalled(m.now, tk, true), "the second call must change nothing")
+	m.collect(t)
+}
+
 func (m *machine) Abandon(t *rapid.T) {
 	for tk := range m.waiting {
 		delete(m.waiting, tk)
@@ -249,6 +263,13 @@
 	st := m.core.Stats(m.now)
 	assert.Equal(t, st.Waiting+st.Held, len(m.waiting))
 	assert.Assert(t, st.Held <= m.core.cfg.MaxHeld, "more held than the bound")
+	withoutSlot := 0
+	for _, tk := range m.running {
+		if tk.givenUp {
+			withoutSlot++
+		}
+	}
+	assert.Equal(t, st.Running+withoutSlot, len(m.running))
 	for tk, n := range m.decided {
 		assert.Equal(t, n, 1, "decided twice")
 		assert.Assert(t, !m.waiting[tk])
@@ -273,7 +294,7 @@
 			"": m.Check, "servers": m.Servers, "share": m.Share, "offer": m.Offer, "offer2": m.Offer,
 			"offer3": m.Offer, "done": m.Done, "done2": m.Done, "abandon": m.Abandon, "crowd": m.HotBurst, "move": m.Move,
 			"misrouted": m.Misrouted, "misrouted2": m.Misrouted,
-			"report": m.Report, "time": m.Time,
+			"report": m.Report, "time": m.Time, "stalled": m.Stalled,
 		})
 		m.advance(t, m.now.Add(time.Second))
 		assert.Equal(t, len(m.waiting), 0, "a request still waits after all deadlines")
--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -16,6 +16,7 @@
 	t      *Ticket
 	gen    uint64
 	server ident.Server
+	silent bool // the service's full servers answered nothing when the permit was given
 }
 
 // Server returns the backend server to send the request to.
@@ -112,7 +113,7 @@
 		g.recycle(t)
 		return Permit{}, false
 	}
-	return Permit{g: g, t: t, gen: t.gen, server: t.Server()}, true
+	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), silent: g.core.silent}, true
 }
 
 // active reports whether the permit still holds a started request.
@@ -127,6 +128,9 @@
 	// PathLost says that the attempt was given up because this VM lost its path to the server,
 	// which is not to blame.
 	PathLost bool
+	// Stalled says that the server has passed over the request, which says nothing about its
+	// speed or health: it answers others.
+	Stalled bool
 }
 
 // Cancel returns the outcome of an attempt whose answer is no longer wanted.
--- a/internal/load/gate/retry.go
+++ b/internal/load/gate/retry.go
@@ -10,6 +10,9 @@
 // MayRetry reports whether a started request may be tried again after o, and charges
 // the retry to the budget.
 func (c *Core) MayRetry(now time.Time, t *Ticket, o Outcome) bool {
+	if t.retryReserved {
+		return c.useReservedRetry(t, o)
+	}
 	if t.Job.Server != "" && (t.srv.health.Failing() || t.srv.shedding(now) > 0) {
 		return false // no other server can serve this key
 	}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -68,6 +68,8 @@
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 	fleet        fleetView     // what all VMs together know of it
+	newestServed time.Time     // when the newest request was sent that it answered to this VM
+	givenUp      int           // stalled attempts that hold a connection but no slot, see Core.Stalled
 }
 
 // lanes returns the queues for the server's keys, created on first use.
@@ -82,7 +84,7 @@
 // maxRunning returns how many requests for keys that it owns this VM may run there now.
 // An ejected owner still gets one at a time: no other server can answer for its keys.
 func (s *server) maxRunning(now time.Time) int {
-	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
+	allowed := min(s.limit[s.limitKind].Max(), s.connsFree(now))
 	return max(s.health.MaxRunning(allowed), 1)
 }
 
@@ -95,7 +97,7 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connsFree(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
@@ -103,7 +105,7 @@
 	if s.removed || s.info.Drain || now.Before(s.avoidUntil) || s.shedding(now) > 0 {
 		return false
 	}
-	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
+	allowed := min(s.limit[s.limitKind].Max(), s.connsFree(now))
 	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0 && s.permits.allows(now)
 }
 
@@ -120,14 +122,19 @@
 	s.connPool.Acquire(now)
 }
 
-// observe updates the server's state with the outcome of an attempt.
-func (c *Core) observe(now time.Time, t *Ticket, o Outcome) {
-	s := t.srv
+// leave counts a request as gone from the server.
+func (s *server) leave(k sizes.Kind) {
 	s.running--
 	s.load.Running = s.running
-	if t.sizeKind == sizes.Long {
+	if k == sizes.Long {
 		s.runningLong--
 	}
+}
+
+// observe updates the server's state with the outcome of an attempt.
+func (c *Core) observe(now time.Time, t *Ticket, o Outcome) {
+	s := t.srv
+	s.leave(t.sizeKind)
 	s.connPool.Release(now)
 	took := o.Latency
 	if took <= 0 {
@@ -138,7 +145,7 @@
 	case o.Kind == kinds.Misrouted && t.Job.Server == "":
 		s.avoidUntil = now.Add(wrongServerAvoidTime)
 		s.health.Abandoned()
-	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost:
+	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost, o.Stalled:
 		s.health.Abandoned()
 	case o.Refused && s.shedding(now) > 0: // it says when it is back, and nothing about the requests after that
 		s.health.Abandoned()
@@ -173,6 +180,7 @@
 
 func (c *Core) observeAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
 	typical := c.typicalLatency(t.sizeKind).Seconds()
+	s.noteServed(t)
 	s.observeWork(t, took)
 	c.adjustPace(now, s, t)
 	c.answers[t.sizeKind]++
@@ -216,6 +224,7 @@
 	}
 	if info.Incarnation != s.info.Incarnation {
 		s.shedUntil, s.permits = time.Time{}, permitState{}
+		s.newestServed = time.Time{}
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -29,10 +29,15 @@
 	RefusedLimited uint64 `json:"refused_limited"`
 	Shedding       int    `json:"shedding"` // servers that want no requests from this VM
 	// RefusedShedding counts the requests refused because of that.
-	RefusedShedding uint64        `json:"refused_shedding"`
-	Overload        bool          `json:"overload"`
-	Budget          float64       `json:"budget"` // retries left in the budget
-	Servers         []ServerStats `json:"servers"`
+	RefusedShedding uint64 `json:"refused_shedding"`
+	// Stalled counts the attempts whose server passed them over, StalledRetried those of them
+	// that were retried, and StalledLeft those that went on without a slot.
+	Stalled        uint64        `json:"stalled"`
+	StalledRetried uint64        `json:"stalled_retried"`
+	StalledLeft    uint64        `json:"stalled_left"`
+	Overload       bool          `json:"overload"`
+	Budget         float64       `json:"budget"` // retries left in the budget
+	Servers        []ServerStats `json:"servers"`
 }
 
 // ServerStats holds the gauges of one backend server.
--- a/internal/load/gate/ticket.go
+++ b/internal/load/gate/ticket.go
@@ -40,6 +40,12 @@
 	keyFlow        fair.Flow
 	latencyUnknown bool       // admitted before typical latencies were known
 	moveQueue      *moveQueue // that it waits in; nil otherwise
+
+	incarnation   int64    // of the server when the last attempt was sent
+	sentLoad      sentLoad // load of the server when the last attempt was sent
+	stalled       bool     // Core.Stalled was called
+	givenUp       bool     // it holds a connection but no slot, because it is stalled
+	retryReserved bool     // the next attempt was charged by Core.Stalled
 }
 
 // Server returns the server on which the request was started.
--- a/internal/load/retry/retry.go
+++ b/internal/load/retry/retry.go
@@ -114,6 +114,9 @@
 	return true
 }
 
+// Refund returns a retry that was allowed and not made.
+func (b *Budget) Refund() { b.retries = min(b.retries+1, cmp.Or(b.burst, Burst)) }
+
 // AllowHedge reports whether a request may be hedged, and charges the hedge if so. The time
 // left is that until the deadline.
 func (b *Budget) AllowHedge(idempotent, overload bool, left time.Duration) bool {
