record, host: stalled attempts in the decision line and as gauges

A decision gets the number of attempts that their servers passed over (stalled) and for how long the last had been in flight then (silent); each service has the gauges gate_stalled, gate_stalled_retried and gate_stalled_left. A decision grows by 16 bytes. go test ./internal/audit/record passes.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -63,7 +63,9 @@
 	LoadAge      time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`       // age of Load
 	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // size of the request and response bodies together
 	Attempts     int            `cbor:"tries,omitempty" json:"tries,omitempty"`
-	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"` // of a request during which a server failed; the same for each repetition
+	Stalled      int            `cbor:"stalled,omitempty" json:"stalled,omitempty"` // attempts that their server passed over while it answered later requests
+	StalledAfter time.Duration  `cbor:"silent,omitempty" json:"silent,omitempty"`   // for how long the last of them had been in flight when that was found
+	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"`     // of a request during which a server failed; the same for each repetition
 	// For a refused request: how many requests of this VM were running (Busy) and queued
 	// (Queue) at its target, and how many may run there (Limit).
 	Busy  int `cbor:"busy,omitempty" json:"busy,omitempty"`
@@ -84,7 +86,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 40
+const maxAttrs = 42
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -127,6 +129,8 @@
 	l.span("age", d.LoadAge)
 	l.number("bytes", uint64(max(d.Bytes, 0)))
 	l.number("tries", uint64(max(d.Attempts, 0)))
+	l.number("stalled", uint64(max(d.Stalled, 0)))
+	l.span("silent", d.StalledAfter)
 	l.text("print", d.Fingerprint)
 	l.number("busy", uint64(max(d.Busy, 0)))
 	l.number("most", uint64(max(d.Limit, 0)))
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -156,6 +156,9 @@
 	scope.Gauge("gate_refused_limited").Update(float64(s.RefusedLimited))
 	scope.Gauge("gate_shedding").Update(float64(s.Shedding))
 	scope.Gauge("gate_refused_shedding").Update(float64(s.RefusedShedding))
+	scope.Gauge("gate_stalled").Update(float64(s.Stalled))
+	scope.Gauge("gate_stalled_retried").Update(float64(s.StalledRetried))
+	scope.Gauge("gate_stalled_left").Update(float64(s.StalledLeft))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for k, n := range s.Refused {
