front, relay: attempts at full servers are ended, or go on without a slot

An attempt at a full server waited for the whole timeout, since nothing answers it. While full servers are known to be silent, one timer per attempt asks package stall for the verdict, starting when the request is written. A stalled attempt that may be repeated, within the rule's retries and the budget, is ended, which closes its connection, and tried again. Any other goes on without a slot: its answer is delivered if it comes, otherwise the caller is told at the deadline that it may have run, with the reason. Nothing is stalled while the VM shuts down. Bodies that are streamed are not watched.

go test -race ./internal/edge/front ./internal/edge/relay passes.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -150,7 +150,9 @@
 			panic(v)
 		}
 	}()
-	answer, err := x.send(ctx, cancel, addr, owner)
+	watch := x.watchStall(permit, cancel)
+	answer, err := x.send(ctx, cancel, addr, owner, watch)
+	x.noteStall(watch)
 	if err != nil {
 		return x.handleFailure(to, err), x.canceledByMove(ctx, err)
 	}
@@ -171,7 +173,7 @@
 }
 
 func (x *exchange) send(
-	ctx context.Context, cancel context.CancelCauseFunc, to netip.AddrPort, owner table.Owner,
+	ctx context.Context, cancel context.CancelCauseFunc, to netip.AddrPort, owner table.Owner, watch *stallWatch,
 ) (*relay.Response, error) {
 	if err := x.identifyStream(ctx); err != nil {
 		return nil, err
@@ -192,9 +194,10 @@
 	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
-		Interruptible: x.rule.Then.Idempotent,
+		Interruptible: x.rule.Then.Idempotent, OnSend: watch.onSend(),
 	})
 	x.noteSignals(process, answer, err, sent)
+	answer, err = watch.end(answer, err)
 	if err != nil {
 		x.returnUnsent(trial, err)
 		return nil, err
@@ -263,13 +266,14 @@
 		x.cancelOnServer(to.Server)
 	}
 	switch {
+	case fail.Stalled: // the server answers other requests
 	case fail.Refused:
 		x.svc.RecordAttempt(to.Server, true)
 		x.reportLoad(to.Server, fail.Header)
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
 		x.svc.RecordAttempt(to.Server, false)
 	}
-	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused, PathLost: fail.PathLost}
+	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused, PathLost: fail.PathLost, Stalled: fail.Stalled}
 }
 
 func (x *exchange) cancelOnServer(s ident.Server) {
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -15,6 +15,7 @@
 	permit gate.Permit
 	to     destination
 	cancel context.CancelCauseFunc
+	watch  *stallWatch
 	answer *relay.Response
 	err    error
 }
@@ -42,6 +43,7 @@
 		select {
 		case t := <-done:
 			running--
+			x.noteStall(t.watch)
 			if t.err == nil || running == 0 {
 				x.releaseLosers(running, done)
 				return t
@@ -63,12 +65,12 @@
 func (x *exchange) startAttempt(ctx context.Context, permit gate.Permit, done chan<- *hedgeAttempt) {
 	x.decision.Attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &hedgeAttempt{permit: permit, to: x.destinationOf(permit.Server()), cancel: cancel}
+	t := &hedgeAttempt{permit: permit, to: x.destinationOf(permit.Server()), cancel: cancel, watch: x.watchStall(permit, cancel)}
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
 	x.f.group.Go(func(context.Context) error {
 		to, ok := x.svc.Addr(permit.Server())
 		if ok {
-			t.answer, t.err = x.send(ctx, cancel, to, table.Owner{Server: permit.Server()})
+			t.answer, t.err = x.send(ctx, cancel, to, table.Owner{Server: permit.Server()}, t.watch)
 		} else {
 			t.err = errNoAddr
 		}
--- a/internal/edge/perf/path.go
+++ b/internal/edge/perf/path.go
@@ -70,6 +70,10 @@
 	return p, nil
 }
 
+// SetSilent sets whether full servers are known to be silent, so that attempts are watched for
+// answers that will not arrive.
+func (p *Path) SetSilent(silent bool) { p.gate.SetSilent(silent) }
+
 func assignAll(svc *state.Service) error {
 	tab, err := table.New("lookup", slices, "lookup-1")
 	if err != nil {
--- a/internal/edge/perf/perf_test.go
+++ b/internal/edge/perf/perf_test.go
@@ -39,10 +39,16 @@
 // BenchmarkPath reports time and allocations of the request path alone:
 //
 //	go test -run none -bench Path -benchmem ./internal/edge/perf
-func BenchmarkPath(b *testing.B) {
+func BenchmarkPath(b *testing.B) { benchmarkPath(b, false) }
+
+// BenchmarkPathSilent is BenchmarkPath with full servers that are known to be silent.
+func BenchmarkPathSilent(b *testing.B) { benchmarkPath(b, true) }
+
+func benchmarkPath(b *testing.B, silent bool) {
 	p, err := NewPath()
 	assert.NilError(b, err)
 	defer p.Close()
+	p.SetSilent(silent)
 	b.ReportAllocs()
 	for b.Loop() {
 		if err := p.Once(); err != nil {
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -18,6 +18,10 @@
 		return &Failure{Kind: kinds.Unknown, Sent: true, PathLost: true, err: errPathLost}
 	case errors.Is(context.Cause(caller), errPathLost):
 		return &Failure{Kind: kinds.NoServer, PathLost: true, err: errPathLost}
+	case errors.Is(context.Cause(caller), ErrStalled) && sent:
+		return &Failure{Kind: kinds.Unknown, Sent: true, Stalled: true, err: err}
+	case errors.Is(context.Cause(caller), ErrStalled):
+		return &Failure{Kind: kinds.NoServer, err: err}
 	case errors.Is(caller.Err(), context.Canceled) && !errors.Is(context.Cause(caller), errNoPermit):
 		return &Failure{Kind: kinds.Canceled, Sent: sent, ConnClosed: broken, err: err}
 	case sent:
@@ -40,11 +44,29 @@
 	ConnOpened time.Time   // see Response; set if Refused
 	PathLost   bool        // given up because this VM lost its path to the server
 	Via        string      // see Response
-	err        error
+	// Stalled says that the server answered later requests, so that the answer to this one was
+	// not expected any more.
+	Stalled bool
+	err     error
+}
+
+// ErrStalled is the cause with which the caller of Send ends an attempt whose server answered
+// later requests. It has no kind: errors of one kind are equal.
+var ErrStalled = errors.New("the server answered later requests")
+
+// NewStalled returns the Failure of an attempt that was ended with ErrStalled just as its
+// answer began.
+func NewStalled() *Failure {
+	return &Failure{Kind: kinds.Unknown, Sent: true, Stalled: true, err: context.Canceled}
 }
 
 // Error returns the kind and the cause.
-func (f *Failure) Error() string { return f.Kind.String() + ": " + f.err.Error() }
+func (f *Failure) Error() string {
+	if f.Stalled {
+		return f.Kind.String() + ": " + ErrStalled.Error() + ": " + f.err.Error()
+	}
+	return f.Kind.String() + ": " + f.err.Error()
+}
 
 // Unwrap returns an error of the failure's kind.
 func (f *Failure) Unwrap() error { return kinds.Wrap(f.Kind, f.err, "relay") }
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -49,6 +49,7 @@
 type attempt struct {
 	cancel   context.CancelCauseFunc
 	upstream *upstream
+	onSend   func() // see Meta
 	trace    httptrace.ClientTrace
 	answer   Response
 
@@ -97,6 +98,9 @@
 		_ = c.Close()
 		return
 	}
+	if a.onSend != nil {
+		a.onSend()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.last != nil && a.last.revoke() {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -219,6 +219,9 @@
 	// Interruptible says that the request may run twice, so that its attempt may be given
 	// up when the path to the server is lost.
 	Interruptible bool
+	// OnSend, if set, is called just before the request is written to a connection. It is
+	// called again if that connection turns out to be closed and another one is used.
+	OnSend func()
 }
 
 // set sets the headers. Their values share one array: a separate slice for each was a
@@ -297,7 +300,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta,
 ) (*Response, error) {
 	u := r.upstream(to)
-	a := &attempt{cancel: cancel, upstream: u}
+	a := &attempt{cancel: cancel, upstream: u, onSend: meta.OnSend}
 	a.trace.GotConn = a.gotConn
 	if meta.Interruptible {
 		u.addAttempt(a)
