--- a/internal/edge/front/stall_test.go
+++ b/internal/edge/front/stall_test.go
@@ -84,6 +84,7 @@
 	*testbed
 	servers map[ident.Server]*mute
 	noFleet atomic.Bool
+	load    atomic.Int32 // of each server, according to the fleet
 }
 
 func runWithStallbed(t *testing.T, test func(t *testing.T, b *stallbed)) {
@@ -143,7 +144,7 @@
 	for _, svc := range b.state.Services() {
 		var list []fleet.Entry
 		for _, s := range svc.Servers {
-			list = append(list, fleet.Entry{Server: s.Name, LoadAge: 1, ServedAge: time.Millisecond, Work: 100 * time.Millisecond})
+			list = append(list, fleet.Entry{Server: s.Name, Load: int(b.load.Load()), LoadAge: 1, ServedAge: time.Millisecond, Work: 100 * time.Millisecond})
 		}
 		svc.Gate.ApplyFleet(time.Now(), list, 10)
 	}
@@ -264,6 +265,10 @@
 			b.noFleet.Store(true)
 			time.Sleep(2 * time.Second)
 		},
+		"the server has 8 requests": func(b *stallbed) {
+			b.load.Store(8)
+			time.Sleep(time.Second)
+		},
 		"full servers answer": func(b *stallbed) { b.gate("viewer").SetSilent(false) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -279,6 +284,29 @@
 	}
 }
 
+// Guards against a slot or a retry that is lost with a caller that leaves, before its attempt is
+// found stalled or after.
+func TestACallerLeavesAStalledRequest(t *testing.T) {
+	for after, left := range map[time.Duration]uint64{500 * time.Millisecond: 0, 2 * time.Second: 1} {
+		runWithStallbed(t, func(t *testing.T, b *stallbed) {
+			b.firstFull("/orders/1", 0)
+			ctx, cancel := context.WithTimeout(t.Context(), after)
+			defer cancel()
+			r := b.request("POST", "/orders/1", nil).WithContext(ctx)
+			r.Header.Set("Hawthorn-Id", "/orders/1")
+			_, _, err := b.do(r)
+			assert.ErrorContains(t, err, "deadline")
+			synctest.Wait()
+			assert.Equal(t, b.decisions.last().Kind, kinds.Canceled.String())
+			st := b.gate("viewer").Stats()
+			assert.Equal(t, st.StalledLeft, left)
+			assert.Equal(t, st.Running, 0)
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, b.gate("viewer").Stats().Stalled, left, "judged after it had ended")
+		})
+	}
+}
+
 // Guards against a request that is lost between two owners: it is found stalled just before or
 // after its key gets another owner, which answers it.
 func TestAStalledRequestFollowsItsKey(t *testing.T) {
--- a/internal/load/gate/stall.go
+++ b/internal/load/gate/stall.go
@@ -150,21 +150,35 @@
 	}
 }
 
-// fleetEntry returns the fleet's entry of the server's current process and since when its
-// ages count; ok is false if there is none.
-func (s *server) fleetEntry() (e fleet.Entry, at time.Time, ok bool) {
-	ok = !s.fleet.at.IsZero() && s.fleet.Incarnation == s.info.Incarnation
-	return s.fleet.Entry, s.fleet.at, ok
+// freshEntry returns the fleet's entry of the server's current process and its age, and false
+// if there is none that may be used.
+func (s *server) freshEntry(now time.Time) (e fleet.Entry, age time.Duration, ok bool) {
+	e, age, ok = s.fleet.fresh(now)
+	return e, age, ok && e.Incarnation == s.info.Incarnation
+}
+
+// newestAnswer returns when the newest request was sent that the server's current process is
+// known to have answered, to this VM or to another one. That stays true however old the
+// fleet's entry is.
+func (s *server) newestAnswer() time.Time {
+	e := s.fleet.Entry
+	if s.fleet.at.IsZero() || e.ServedAge <= 0 || e.Incarnation != s.info.Incarnation {
+		return s.newestServed
+	}
+	if at := s.fleet.at.Add(-e.ServedAge); at.After(s.newestServed) {
+		return at
+	}
+	return s.newestServed
 }
 
 // loadNow returns the newest load figure of the server: the fleet's if it is fresh, otherwise
 // what the server last reported to this VM.
 func (s *server) loadNow(now time.Time) sentLoad {
 	var l sentLoad
-	e, at, ok := s.fleetEntry()
+	e, age, ok := s.freshEntry(now)
 	switch {
-	case ok && e.LoadAge > 0 && now.Sub(at) <= maxFleetAge:
-		l.load, l.age, l.known = e.Load, e.LoadAge+now.Sub(at), true
+	case ok && e.LoadAge > 0:
+		l.load, l.age, l.known = e.Load, e.LoadAge+age, true
 	case !s.reportedAt.IsZero():
 		l.load, l.age, l.known = s.reportedLoad, now.Sub(s.reportedAt), true
 	}
@@ -187,18 +201,10 @@
 	if t.incarnation != srv.info.Incarnation {
 		return a, s
 	}
-	served := srv.newestServed
-	if e, at, ok := srv.fleetEntry(); ok {
-		s.Fresh = now.Sub(at) <= maxFleetAge
-		if s.Fresh {
-			s.Rate, s.Speed = e.Sent, c.speed(now, e)
-		}
-		// That a request was answered stays true however old the entry is.
-		if at = at.Add(-e.ServedAge); e.ServedAge > 0 && at.After(served) {
-			served = at
-		}
+	if e, _, ok := srv.freshEntry(now); ok {
+		s.Fresh, s.Rate, s.Speed = true, e.Sent, c.speed(now, e)
 	}
-	if !served.IsZero() {
+	if served := srv.newestAnswer(); !served.IsZero() {
 		s.ServedAge = max(now.Sub(served), 1)
 	}
 	return a, s
@@ -245,7 +251,7 @@
 	}
 	sum, n := time.Duration(0), 0
 	for _, s := range c.servers {
-		if e, at, ok := s.fleetEntry(); ok && e.Work > 0 && now.Sub(at) <= maxFleetAge {
+		if e, _, ok := s.freshEntry(now); ok && e.Work > 0 {
 			sum, n = sum+e.Work, n+1
 		}
 	}
