front: a refusal at the deadline is none by a full server

A server that never answers when it is full does refuse a request whose deadline passes in its queue (503, not executed), with a load at or above its slots. That counted as a refusal by a full server, and the first one of a burst would have turned the parts for silent servers off until a restart of all VMs. Found by reading. Only refusals in the first half of the time that the server was given count; a full server refuses at once. The new test fails without the change.

--- a/internal/edge/front/fleet.go
+++ b/internal/edge/front/fleet.go
@@ -21,8 +21,8 @@
 }
 
 // noteFleet records for the fleet's view how an attempt ended that was sent to a process at a
-// time of the boot clock.
-func (x *exchange) noteFleet(ctx context.Context, p ident.Process, answer *relay.Response, err error, sent time.Time) {
+// time of the boot clock, when the time left until its deadline was left.
+func (x *exchange) noteFleet(ctx context.Context, p ident.Process, answer *relay.Response, err error, sent time.Time, left time.Duration) {
 	if x.f.Fleet == nil {
 		return
 	}
@@ -36,7 +36,8 @@
 	switch {
 	case !errors.As(err, &fail):
 	case fail.Refused:
-		if l := x.loadOf(fail.Header); x.refusedAsFull(p, fail, l) {
+		l := x.loadOf(fail.Header)
+		if atOnce := time.Until(x.deadline) > left/2; atOnce && x.refusedAsFull(p, fail, l) {
 			x.f.Fleet.Refused(now, x.svc.Name, p, l)
 		}
 	case isUnanswered(ctx, fail):
@@ -62,8 +63,10 @@
 	return assign.EstimateWork(answer.FirstByte, l.Running, l.Waiting)
 }
 
-// refusedAsFull reports whether a server refused a request because it was full. A server
-// that leaves, limits its requests or is not ready refuses them at any load.
+// refusedAsFull reports whether a server that refused a request at once did so because it was
+// full. A server that leaves, limits its requests or is not ready refuses them at any load. A
+// server also refuses a request that it has queued until the deadline, which is why refusals
+// in the second half of the time that it was given do not count.
 func (x *exchange) refusedAsFull(p ident.Process, fail *relay.Failure, l fleet.Load) bool {
 	if fail.Status != http.StatusServiceUnavailable {
 		return false
--- a/internal/edge/front/fleet_test.go
+++ b/internal/edge/front/fleet_test.go
@@ -87,3 +87,14 @@
 		})
 	}
 }
+
+// Guards against a queued request that a server refuses at its deadline and that is taken for
+// a refusal by a full server, which turns the parts for silent servers off for good.
+func TestARefusalAtTheDeadlineIsNotOneByAFullServer(t *testing.T) {
+	runWithFleet(t, func(t *testing.T, tb *testbed, c *fleet.Collector) {
+		tb.refuseOnceAfter(6*time.Second, 2) // of 10 s
+		_, _, err := tb.do(tb.request(http.MethodGet, "/scales/7", nil))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, c.Observed()["lookup"], fleet.State{})
+	})
+}
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -191,7 +191,7 @@
 		x.returnUnsent(trial, errOwnerChanged)
 		return nil, errOwnerChanged
 	}
-	process, sent := x.svc.Process(owner.Server), clock.Now()
+	process, sent, left := x.svc.Process(owner.Server), clock.Now(), time.Until(x.deadline)
 	x.f.Fleet.Sent(sent, x.svc.Name, process)
 	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
@@ -199,7 +199,7 @@
 		Interruptible: x.rule.Then.Idempotent, OnSend: watch.onSend(),
 	})
 	x.noteSignals(process, answer, err, sent)
-	x.noteFleet(ctx, process, answer, err, sent)
+	x.noteFleet(ctx, process, answer, err, sent, left)
 	answer, err = watch.end(answer, err)
 	if err != nil {
 		x.returnUnsent(trial, err)
--- a/internal/edge/front/refusal_test.go
+++ b/internal/edge/front/refusal_test.go
@@ -15,11 +15,17 @@
 // refuseOnce replaces the owner l1 by a server that refuses the first request and reports
 // the given number of running requests with each answer.
 func (tb *testbed) refuseOnce(running int) (requests *int) {
+	return tb.refuseOnceAfter(0, running)
+}
+
+// refuseOnceAfter is like refuseOnce, with the refusal after a time.
+func (tb *testbed) refuseOnceAfter(wait time.Duration, running int) (requests *int) {
 	requests = new(int)
 	assert.NilError(tb.t, tb.origins["l1"].Close())
 	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
 		*requests++
 		if *requests == 1 {
+			time.Sleep(wait)
 			out.Header().Set(kinds.HeaderRan, string(kinds.RanNo))
 			out.WriteHeader(http.StatusServiceUnavailable)
 		}
