gate: servers are chosen by expected completion while full ones are silent

The next server in turn was chosen whatever it had to do, so requests reached full servers, which never answer, while others had free slots.

While SetSilent is set and the fleet knows the load of half of the servers or more, three servers are drawn at random, weighted by slots, and the one where the request is expected to be completed first is taken: requests there times the mean cost of the service, over slots and speed, plus the cost of this request over the speed, plus the network. The speed enters by its square root, as it has an error and all VMs have the same one. Another data centre must save a tenth of the latency target. Otherwise choices are as before, to the same random numbers.

--- a/internal/load/gate/choose.go
+++ b/internal/load/gate/choose.go
@@ -32,6 +32,10 @@
 	if s := c.byName[t.Job.avoid]; s != nil {
 		skip = s.idx
 	}
+	t.expect = Expectation{}
+	if c.silent && c.knowsFleet(now) {
+		return c.chooseCompletion(now, t, skip)
+	}
 	i := c.available.Choose(c.rng, skip, c.score)
 	if local := c.availableLocal.Choose(c.rng, skip, c.score); local >= 0 && local != skip && c.preferLocal(t, local, i) {
 		i = local
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -79,7 +79,8 @@
 	availableWarm  pick.Set // servers of available that were used recently; only local ones if Centre is set
 	limitedCount   int      // servers that limit their requests
 	silent         bool     // full servers answer nothing, see SetSilent
-	places         int      // requests that one server holds, running and waiting; zero if unknown
+	completion     completion
+	places         int // requests that one server holds, running and waiting; zero if unknown
 	monitor        health.Monitor
 	healthScratch  []*health.Server  // argument of monitor.Evaluate, reused
 	score          func(int) float64 // of a server by index, as of scoreTime
@@ -136,6 +137,7 @@
 	c.score = func(i int) float64 {
 		return c.servers[i].load.Score(c.scoreTime, c.avgLatency[sizes.Short])
 	}
+	c.completion.init(c)
 	c.shared.init(cfg.Queue)
 	return c
 }
--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -16,11 +16,16 @@
 	t      *Ticket
 	gen    uint64
 	server ident.Server
+	expect Expectation
 }
 
 // Server returns the backend server to send the request to.
 func (p Permit) Server() ident.Server { return p.server }
 
+// Expected returns the expected completion for which the server was chosen; zero if it was
+// chosen for another reason.
+func (p Permit) Expected() Expectation { return p.expect }
+
 // Done ends the attempt and passes its outcome to the gate. A second call does nothing.
 func (p Permit) Done(o Outcome) {
 	if p.g == nil {
@@ -112,7 +117,7 @@
 		g.recycle(t)
 		return Permit{}, false
 	}
-	return Permit{g: g, t: t, gen: t.gen, server: t.Server()}, true
+	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), expect: t.expect}, true
 }
 
 // active reports whether the permit still holds a started request.
@@ -123,6 +128,7 @@
 	Kind    kinds.Kind    // None if a complete answer arrived
 	Latency time.Duration // from sending to the first byte of the answer; zero means the time since the start
 	Refused bool          // the server refused the request and ran nothing
+	Work    time.Duration // estimated service time, the part of Latency without waiting on the server; zero if unknown
 	Bytes   int64         // transferred in both directions
 	// PathLost says that the attempt was given up because this VM lost its path to the server,
 	// which is not to blame.
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -68,6 +68,8 @@
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 	fleet        fleetView     // what all VMs together know of it
+	pace         serverPace    // how fast it works
+	sent         sentTimes     // when requests were sent there
 }
 
 // lanes returns the queues for the server's keys, created on first use.
@@ -110,6 +112,7 @@
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
 	s.running++
 	s.lastStart = now
+	s.sent.add(now)
 	s.cap.noteStart(now)
 	s.permits.use(now)
 	s.load.Running = s.running
@@ -149,7 +152,7 @@
 		}
 		c.observeRefusal(now, s, t, took)
 	case o.Kind == kinds.None:
-		c.observeAnswer(now, s, t, took)
+		c.observeAnswer(now, s, t, took, o)
 	default:
 		c.paceAtEvenShare(now, s, t)
 		s.lastFailure = kinds.NoServer
@@ -171,9 +174,10 @@
 	s.health.Done(now, took.Seconds()/c.typicalLatency(t.sizeKind).Seconds(), false)
 }
 
-func (c *Core) observeAnswer(now time.Time, s *server, t *Ticket, took time.Duration) {
+func (c *Core) observeAnswer(now time.Time, s *server, t *Ticket, took time.Duration, o Outcome) {
 	typical := c.typicalLatency(t.sizeKind).Seconds()
 	s.observeWork(t, took)
+	c.observeCost(now, s, t, o.Work, took)
 	c.adjustPace(now, s, t)
 	c.answers[t.sizeKind]++
 	c.classifier.Observe(t.Job.Size, uint8(t.Job.Class), took)
@@ -216,6 +220,7 @@
 	}
 	if info.Incarnation != s.info.Incarnation {
 		s.shedUntil, s.permits = time.Time{}, permitState{}
+		s.pace, s.sent = serverPace{}, sentTimes{}
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
@@ -225,6 +230,7 @@
 	c.setLimited(now, s, info.Limited)
 	s.idx = len(c.servers)
 	s.load.Slots = info.Slots
+	c.completion.maxSlots = max(c.completion.maxSlots, info.Slots)
 	s.connPool.SetShare(now, info.Conns, c.share.VMs)
 	c.byName[info.Name] = s
 	c.servers = append(c.servers, s)
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -6,6 +6,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/load/cost"
 	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
@@ -33,6 +34,8 @@
 	Overload        bool          `json:"overload"`
 	Budget          float64       `json:"budget"` // retries left in the budget
 	Servers         []ServerStats `json:"servers"`
+	// Costs are the estimated service times of the requests of each rule.
+	Costs []cost.RuleEstimate `json:"costs"`
 }
 
 // ServerStats holds the gauges of one backend server.
@@ -65,6 +68,7 @@
 	s.Ejected = c.monitor.Ejected()
 	s.Overload = c.Overload()
 	s.Budget = c.retryBudget.Remaining()
+	s.Costs = c.completion.costs.Rules()
 	for _, srv := range c.servers {
 		s.Servers = append(s.Servers, srv.stats(now))
 		if srv.cap.capped {
--- a/internal/load/gate/ticket.go
+++ b/internal/load/gate/ticket.go
@@ -31,6 +31,7 @@
 	sizeKind    sizes.Kind
 	srv         *server   // on which it was started; nil before that
 	startedAt   time.Time // when the last attempt was sent
+	expect      Expectation
 	refusalKind kinds.Kind
 	retryAfter  time.Duration
 
