front, record, host: service times to the gate, expectations to the log

The gate had only latencies, which include the wait on the server. The front passes the service time that it estimates from the load header with the outcome, and the decision's line gets expect, the expected time to the answer, and basis, the age of the report that it came from. Gauges cost_mean_seconds and cost_high_seconds by service and rule.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -61,6 +61,8 @@
 	Remote       bool           `cbor:"far,omitempty" json:"far,omitempty"`       // the server is in another data centre
 	Load         int            `cbor:"load,omitempty" json:"load,omitempty"`     // number of requests at the server that it last reported when it was chosen
 	LoadAge      time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`       // age of Load
+	Expected     time.Duration  `cbor:"expect,omitempty" json:"expect,omitempty"` // until the answer, as expected when the server was chosen by it
+	BasisAge     time.Duration  `cbor:"basis,omitempty" json:"basis,omitempty"`   // age of the report of the server's load that Expected is based on; zero if there was none
 	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // size of the request and response bodies together
 	Attempts     int            `cbor:"tries,omitempty" json:"tries,omitempty"`
 	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"` // of a request during which a server failed; the same for each repetition
@@ -125,6 +127,8 @@
 	l.flag("far", d.Remote)
 	l.number("load", uint64(max(d.Load, 0)))
 	l.span("age", d.LoadAge)
+	l.span("expect", d.Expected)
+	l.span("basis", d.BasisAge)
 	l.number("bytes", uint64(max(d.Bytes, 0)))
 	l.number("tries", uint64(max(d.Attempts, 0)))
 	l.text("print", d.Fingerprint)
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -138,6 +138,7 @@
 	x.decision.Server = permit.Server()
 	snapshot := x.svc.Gate.Inspect(permit.Server())
 	x.decision.Remote, x.decision.Load, x.decision.LoadAge = snapshot.Remote, snapshot.Load, snapshot.LoadAge
+	x.decision.Expected, x.decision.BasisAge = permit.Expected().Time, permit.Expected().BasisAge
 	to := x.destinationOf(permit.Server())
 	addr, ok := x.svc.Addr(permit.Server())
 	if !ok {
@@ -291,15 +292,19 @@
 func (x *exchange) copyAnswer(from destination, answer *relay.Response) (gate.Outcome, error) {
 	x.responseStarted = true
 	x.svc.RecordAttempt(from.Server, true)
+	work := time.Duration(0)
+	if x.loadReported {
+		work = assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting)
+	}
 	if x.f.OnAnswer != nil && x.loadReported {
-		x.f.OnAnswer(from.Server, assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting))
+		x.f.OnAnswer(from.Server, work)
 	}
 	x.decision.Status, x.decision.Via = answer.Status(), answer.Via
 	x.w.Header()[x.f.Headers.ID] = x.idHeader()
 	w, end := x.answerWriter(answer.Length())
 	n, err := answer.Copy(w)
 	end()
-	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.FirstByte, Bytes: n + max(x.r.ContentLength, 0)}
+	out := gate.Outcome{Kind: kinds.Of(err), Latency: answer.FirstByte, Work: work, Bytes: n + max(x.r.ContentLength, 0)}
 	x.decision.FirstByte, x.decision.Bytes = answer.FirstByte, out.Bytes
 	if err != nil {
 		x.reportBrokenAnswer(from, err)
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -158,6 +158,11 @@
 	scope.Gauge("gate_refused_shedding").Update(float64(s.RefusedShedding))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
+	for _, e := range s.Costs {
+		rule := g.parts.Meter.Tagged(map[string]string{"service": svc, "rule": e.Rule})
+		rule.Gauge("cost_mean_seconds").Update(e.Mean.Seconds())
+		rule.Gauge("cost_high_seconds").Update(e.High.Seconds())
+	}
 	for k, n := range s.Refused {
 		g.parts.Meter.Tagged(map[string]string{"service": svc, "kind": k.String()}).Gauge("gate_refused").Update(float64(n))
 	}
