--- a/internal/load/gate/completion.go
+++ b/internal/load/gate/completion.go
@@ -83,13 +83,13 @@
 	if c.cfg.Centre != "" && c.isRemote(best) {
 		local, localTook := c.availableLocal.ChooseFirst(c.rng, p.candidates, skip, most, p.weight, p.expected)
 		if local >= 0 && local != skip && !t.Job.paysToLeave(localTook, took) {
-			best, took = local, localTook
+			best = local
 		}
 	}
 	if best >= 0 {
 		s := c.servers[best]
-		took = c.expectedSeconds(s, c.speed(now, s))
-		t.expect = Expectation{time.Duration(took * float64(time.Second)), s.backlogAge(now)}
+		expected := c.expectedSeconds(s, c.speed(now, s))
+		t.expect = Expectation{time.Duration(expected * float64(time.Second)), s.backlogAge(now)}
 	}
 	return best
 }
