--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -17,11 +17,16 @@
 	gen    uint64
 	server ident.Server
 	silent bool // the service's full servers answered nothing when the permit was given
+	expect Expectation
 }
 
 // Server returns the backend server to send the request to.
 func (p Permit) Server() ident.Server { return p.server }
 
+// Expected returns the expected completion for which the server was chosen; zero if it was
+// chosen for another reason.
+func (p Permit) Expected() Expectation { return p.expect }
+
 // Done ends the attempt and passes its outcome to the gate. A second call does nothing.
 func (p Permit) Done(o Outcome) {
 	if p.g == nil {
@@ -113,7 +118,7 @@
 		g.recycle(t)
 		return Permit{}, false
 	}
-	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), silent: g.core.silent}, true
+	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), silent: g.core.silent, expect: t.expect}, true
 }
 
 // active reports whether the permit still holds a started request.
@@ -124,6 +129,7 @@
 	Kind    kinds.Kind    // None if a complete answer arrived
 	Latency time.Duration // from sending to the first byte of the answer; zero means the time since the start
 	Refused bool          // the server refused the request and ran nothing
+	Work    time.Duration // estimated service time, the part of Latency without waiting on the server; zero if unknown
 	Bytes   int64         // transferred in both directions
 	// PathLost says that the attempt was given up because this VM lost its path to the server,
 	// which is not to blame.
--- a/internal/load/gate/stall.go
+++ b/internal/load/gate/stall.go
@@ -202,7 +202,7 @@
 		return a, s
 	}
 	if e, _, ok := srv.freshEntry(now); ok {
-		s.Fresh, s.Rate, s.Speed = true, e.Sent, c.speed(now, e)
+		s.Fresh, s.Rate, s.Speed = true, e.Sent, c.speed(now, srv)
 	}
 	if served := srv.newestAnswer(); !served.IsZero() {
 		s.ServedAge = max(now.Sub(served), 1)
@@ -222,6 +222,9 @@
 // serviceTime returns the expected service time of a request at normal speed, and a high
 // value of it; zero if neither this VM nor the fleet knows enough answers.
 func (c *Core) serviceTime(now time.Time, t *Ticket) (mean, high time.Duration) {
+	if e := c.costOf(t); e.N >= minLatencySamples {
+		return e.Mean, max(e.High, minHighFactor*e.Mean)
+	}
 	if c.answers[t.sizeKind] < minLatencySamples {
 		mean = max(c.meanWork(now), time.Duration(c.avgLatency[t.sizeKind]*float64(time.Second)))
 		if c.meanWork(now) == 0 {
@@ -236,14 +239,6 @@
 	return mean, max(c.retryBudget.HedgeAfter(), minHighFactor*mean)
 }
 
-// speed returns the speed of a server relative to the mean of all, zero if unknown.
-func (c *Core) speed(now time.Time, e fleet.Entry) float64 {
-	if e.Work <= 0 {
-		return 0
-	}
-	return float64(c.meanWork(now)) / float64(e.Work)
-}
-
 // meanWork returns the mean service time at all servers, zero if unknown.
 func (c *Core) meanWork(now time.Time) time.Duration {
 	if !c.work.at.IsZero() && now.Sub(c.work.at) < meanWorkInterval {
