places: a fleet-wide in-flight limit for one server

A VM sends each of its servers a request every 3 to 20 s, so all VMs together overfill servers that none of them has crowded, and servers that do not answer when full hang those requests.

Adds the estimate of the requests at a server and the limit on it, and the gate's estimate of a server, which selection will read.

--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -9,6 +9,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/health"
 	"hawthornfield.org/hawthornfield/internal/load/limit"
 	"hawthornfield.org/hawthornfield/internal/load/pick"
+	"hawthornfield.org/hawthornfield/internal/load/places"
 	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
@@ -68,6 +69,7 @@
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 	fleet        fleetView     // what all VMs together know of it
+	places       places.Server // limits the requests of all VMs there, if full servers answer nothing
 }
 
 // lanes returns the queues for the server's keys, created on first use.
--- /dev/null
+++ b/internal/load/places/places.go
@@ -0,0 +1,282 @@
+// Package places limits how many requests all entry VMs together have in flight at one
+// backend server.
+//
+// The load pattern: a server has 2 to 4 slots and 8 to 16 queue places, and never answers a
+// request that finds neither free. Sixty VMs send to it, each of them one request every 3 to
+// 20 s, so no VM's own view shows that the server is filling up, and in a burst they overfill
+// it together while other servers have free slots.
+//
+// [Server] estimates how many requests are at a server now: the newest load report, this VM's
+// own requests since then, which are known exactly, and what the other VMs are expected to
+// have sent, less what the server has completed. While the estimate is below the places less
+// a reserve and the fleet's demand is below what the server completes, requests start freely.
+// Otherwise each VM starts requests at its share of the completion rate, raised or lowered so
+// that the load approaches a target. [Demand] notices a burst before the fleet's data shows
+// it, from the requests of this VM at all servers.
+package places
+
+import (
+	"math"
+	"time"
+)
+
+// Settings of the limit.
+const (
+	// MaxAge is the age from which a report and the fleet's rates are not used any more: a
+	// server with 4 slots completes some 30 requests a second, and so turns over all its
+	// places twice in that time.
+	MaxAge = time.Second
+	// MaxStarve is the longest interval between two starts of a VM that knows nothing of the
+	// server's load.
+	MaxStarve = 2 * time.Second
+	// unknownQueueFactor is the number of queue places per slot assumed if the places are
+	// not known; the known deployments have 2 to 4.
+	unknownQueueFactor = 2
+	// reserveFactor is the reserve in standard deviations of the number of requests that can
+	// have arrived since the report.
+	reserveFactor = 1.0
+	// usualAge is the age for which the target of a crowded server holds a reserve: lists
+	// come every 0.3 to 0.5 s, and the reports in them are some 0.1 s old.
+	usualAge = 500 * time.Millisecond
+	// contendedShare is the part of the completion rate from which the offered requests count
+	// as more than the server can take. VMs then hold queued requests, which would all be
+	// started on the same report of a free place.
+	contendedShare = 0.9
+	// correctionTime is the time in which the difference between load and target falls to
+	// 1/e while VMs take turns. Shorter than the reports' age, corrections would overshoot.
+	correctionTime = 400 * time.Millisecond
+	// minShareFactor is the least share of a VM, as a part of an even one: a VM whose first
+	// callers have just come has no measured share yet.
+	minShareFactor = 0.25
+	// defaultWork is the service time assumed until one is known.
+	defaultWork = 100 * time.Millisecond
+)
+
+// Server is the limit of one server. The zero value knows nothing and allows one request.
+// It is not safe for concurrent use, and times must not go back.
+type Server struct {
+	slots, places int
+	demand        *Demand
+	phase         float64 // credit with which this VM begins to take turns, 0 to 1
+
+	load       int       // requests there, by the newest report
+	reportedAt time.Time // when the server wrote it; zero if there was none
+	others     float64   // part of load that other VMs sent
+	phantom    int       // own requests in flight that the server does not hold
+
+	offered  float64       // requests per second that all VMs offer
+	share    float64       // this VM's part of them
+	work     time.Duration // mean service time
+	vms      int
+	sharedAt time.Time // when the rates held; zero if never
+
+	inFlight      int
+	starts, dones history
+
+	credit     float64   // turns that are due, as of creditAt
+	creditAt   time.Time // zero before the first turn was counted
+	turnsUntil time.Time // until then credit is kept when starts are free in between
+}
+
+// SetCapacity sets what the server holds; zero places are unknown. Places are learned from
+// load reports, and the highest one may be low until the server was full once. A server is
+// taken to queue at least one request for each slot.
+func (s *Server) SetCapacity(slots, places int) {
+	s.slots = max(slots, 1)
+	s.places = max(places, 2*s.slots)
+	if places <= 0 {
+		s.places = s.slots * (1 + unknownQueueFactor)
+	}
+}
+
+// SetPhase sets how much of its first turn at a crowded server this VM has already waited
+// for, 0 to 1. With the VMs spread evenly, their turns follow each other instead of coming
+// together.
+func (s *Server) SetPhase(phase float64) { s.phase = phase }
+
+// SetDemand sets the demand of the service, which all its servers share.
+func (s *Server) SetDemand(d *Demand) { s.demand = d }
+
+// Report handles a load report that is this old: this VM's own or the fleet's. Of two
+// reports the newer one holds, whichever comes first.
+func (s *Server) Report(now time.Time, load int, age time.Duration) {
+	at := now.Add(-age)
+	if !s.reportedAt.IsZero() && at.Before(s.reportedAt) {
+		return
+	}
+	s.accrue(now)
+	own := max(s.inFlight+s.dones.after(at)-s.starts.notBefore(at), 0)
+	s.load, s.reportedAt = load, at
+	s.others = float64(max(load-own, 0))
+	s.phantom = max(own-load, 0)
+}
+
+// SetShare sets the rates of all VMs at the server in requests per second, the mean service
+// time there, the rate that this VM offers, and the number of VMs. The time is when the rates
+// held.
+func (s *Server) SetShare(at time.Time, sent, offered float64, work time.Duration, own float64, vms int) {
+	s.accrue(at)
+	s.vms, s.sharedAt = max(vms, 1), at
+	s.offered = max(sent, offered, own)
+	if work > 0 {
+		s.work = work
+	}
+	even := 1 / float64(s.vms)
+	s.share = even
+	if s.offered > 0 {
+		s.share = min(max(own/s.offered, minShareFactor*even), 1)
+	}
+}
+
+// SetDefaults sets the number of VMs and the service time to assume without data of the
+// fleet.
+func (s *Server) SetDefaults(work time.Duration, vms int) {
+	s.vms = max(vms, 1)
+	if s.work == 0 || s.sharedAt.IsZero() && work > 0 {
+		s.work = work
+	}
+}
+
+// Start records that a request was sent.
+func (s *Server) Start(now time.Time) {
+	s.credit = max(s.credit-1, 0)
+	s.inFlight++
+	s.starts.add(now)
+}
+
+// Done records that a response was received, or that the connection was closed.
+func (s *Server) Done(now time.Time) {
+	s.inFlight = max(s.inFlight-1, 0)
+	s.phantom = min(s.phantom, s.inFlight)
+	s.dones.add(now)
+}
+
+// Estimate returns the expected number of requests of all VMs at the server, and the age of
+// the report that it comes from. With an age beyond [MaxAge], it is the number of this VM's
+// own requests.
+func (s *Server) Estimate(now time.Time) (n float64, age time.Duration) {
+	age = s.age(now)
+	if age > MaxAge {
+		return float64(s.inFlight), age
+	}
+	return s.expected(now, age), age
+}
+
+// age returns the age of the newest report.
+func (s *Server) age(now time.Time) time.Duration {
+	if s.reportedAt.IsZero() {
+		return math.MaxInt64
+	}
+	return max(now.Sub(s.reportedAt), 0)
+}
+
+// Delay returns zero if a request may start now, and otherwise the time until the next check.
+func (s *Server) Delay(now time.Time) time.Duration {
+	if s.free(now) {
+		return 0
+	}
+	return s.turn(now, true)
+}
+
+// DelayShared is like Delay for a request that other servers can take as well: a VM that
+// knows nothing of the fleet starts these at its even share, without a least rate, because
+// the least rates of all VMs at all servers can exceed what the servers complete.
+func (s *Server) DelayShared(now time.Time) time.Duration {
+	if s.free(now) {
+		return 0
+	}
+	return s.turn(now, false)
+}
+
+// free reports whether requests may start without taking turns.
+func (s *Server) free(now time.Time) bool {
+	age := s.age(now)
+	if age > MaxAge || s.contended(now) {
+		return false
+	}
+	if s.expected(now, age)+1 > s.limit(s.arrivals(now), age) {
+		return false
+	}
+	return true
+}
+
+// Interval returns the time between two turns of this VM.
+func (s *Server) Interval(now time.Time) time.Duration {
+	return interval(s.rate(now, true))
+}
+
+// contended reports whether the demand exceeds what the server completes.
+func (s *Server) contended(now time.Time) bool {
+	return s.demand.Exceeded(now) || s.ratesKnown(now) && s.offered > contendedShare*s.completions()
+}
+
+func (s *Server) ratesKnown(now time.Time) bool {
+	return !s.sharedAt.IsZero() && now.Sub(s.sharedAt) <= MaxAge
+}
+
+// completions returns the requests per second that the server completes while its slots are
+// taken.
+func (s *Server) completions() float64 {
+	work := s.work
+	if work <= 0 {
+		work = defaultWork
+	}
+	return float64(max(s.slots, 1)) / work.Seconds()
+}
+
+// arrivals returns the requests per second that other VMs send while they need not take
+// turns. Without rates, they are taken to send what the server completes at its load.
+func (s *Server) arrivals(now time.Time) float64 {
+	if !s.ratesKnown(now) {
+		return min(s.others/float64(max(s.slots, 1)), 1) * s.completions()
+	}
+	return s.offered * (1 - s.share)
+}
+
+// expected returns the expected number of requests at the server, by a report of this age.
+func (s *Server) expected(now time.Time, age time.Duration) float64 {
+	own := float64(max(s.inFlight-s.phantom, 0))
+	t := age.Seconds()
+	if s.contended(now) {
+		// The other VMs take turns as well, which moves the load to the target.
+		target := s.target() * (1 - s.evenOrShare(now))
+		return own + target + (s.others-target)*math.Exp(-t/correctionTime.Seconds())
+	}
+	in, out := s.arrivals(now), s.completions()
+	settled := in * float64(max(s.slots, 1)) / out
+	switch total := s.others + own; {
+	case in >= out || !s.ratesKnown(now):
+		return own + max(s.others+(in-out*min(total/float64(max(s.slots, 1)), 1)*s.others/max(total, 1))*t, 0)
+	case total > float64(s.slots):
+		return own + max(s.others+(in-out*s.others/total)*t, min(settled, s.others))
+	default:
+		return own + settled + (s.others-settled)*math.Exp(-t*out/float64(max(s.slots, 1)))
+	}
+}
+
+// limit returns the number of requests up to which requests start freely: the places less a
+// reserve for what can have arrived since a report of this age, and at least one place.
+func (s *Server) limit(arrivals float64, age time.Duration) float64 {
+	reserve := max(reserveFactor*math.Sqrt(arrivals*age.Seconds()), 1)
+	return max(float64(s.held())-reserve, 1)
+}
+
+// held returns the number of requests that the server holds.
+func (s *Server) held() int {
+	if s.places == 0 {
+		return max(s.slots, 1) * (1 + unknownQueueFactor)
+	}
+	return s.places
+}
+
+// target returns the load at which turns keep a crowded server.
+func (s *Server) target() float64 {
+	return max(s.limit(s.completions(), usualAge), float64(s.slots))
+}
+
+func (s *Server) evenOrShare(now time.Time) float64 {
+	if s.ratesKnown(now) {
+		return s.share
+	}
+	return 1 / float64(max(s.vms, 1))
+}
