places, gate: VMs share the places of servers that are silent when full

While SetSilent is set, a start needs a place by the estimate, or the VM's turn where the demand exceeds what the server completes. A burst is noticed from this VM's own requests, before the fleet's rates show it. With it unset nothing changes: the gate's tests pass as they were.

go test ./internal/load/places ./internal/load/gate passes.

--- a/internal/load/gate/admit.go
+++ b/internal/load/gate/admit.go
@@ -225,6 +225,9 @@
 		holdTime = max(holdTime, owner.load.Latency())
 	}
 	interval := time.Duration(float64(holdTime) / max(slots, 1))
+	if owner == nil {
+		interval = max(interval, c.turnInterval())
+	}
 	if owner != nil && k == sizes.Long && c.classifier.Mixed(now) {
 		interval = max(interval, c.longToken(owner).Period())
 	}
--- a/internal/load/gate/choose.go
+++ b/internal/load/gate/choose.go
@@ -95,6 +95,7 @@
 		c.availableLocal.Put(s.idx, room && s.info.Centre == c.cfg.Centre)
 	}
 	c.updateWarm(now, s, room)
+	c.scheduleTurn(now, s)
 }
 
 // chooseForLong returns the least busy server on which this VM has a free slot for a
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -80,6 +80,7 @@
 	limitedCount   int      // servers that limit their requests
 	silent         bool     // full servers answer nothing, see SetSilent
 	places         int      // requests that one server holds, running and waiting; zero if unknown
+	limits         placeLimits
 	monitor        health.Monitor
 	healthScratch  []*health.Server  // argument of monitor.Evaluate, reused
 	score          func(int) float64 // of a server by index, as of scoreTime
@@ -167,6 +168,7 @@
 	}
 	t.sizeKind = c.classifier.Kind(t.Job.Size, uint8(t.Job.Class))
 	c.classifier.Seen(now, t.sizeKind)
+	c.noteOffered(now, t)
 }
 
 func (c *Core) updateRetryBudget(t *Ticket) {
@@ -244,6 +246,11 @@
 		c.stats.RefusedLimited++
 		return c.refuse(t, kinds.Busy, c.retryNotBefore(delay))
 	}
+	if owner != nil {
+		if wait := owner.turnWait(now); c.comesTooLate(now, t, wait) && wait > 0 {
+			return c.refusePlaces(t, wait)
+		}
+	}
 	verdict := c.admit(now, l, owner, t, debt)
 	c.wantPermits(now, owner)
 	return verdict
@@ -320,11 +327,13 @@
 			break
 		}
 	}
+	c.scheduleTurn(now, s)
 	for c.shared.len() > 0 && s.hasRoom(now) {
 		if !c.startNext(now, &c.shared, s, c.mayStartLongShared(now, s)) {
 			return
 		}
 	}
+	c.scheduleTurn(now, s)
 }
 
 // startNext starts one queued request on the server. A request with too little time
@@ -372,7 +381,7 @@
 // Next returns when Tick has work to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
 	var next time.Time
-	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.shedEnd} {
+	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.shedEnd, c.nextTurn()} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/internal/load/gate/fleet.go
+++ b/internal/load/gate/fleet.go
@@ -42,6 +42,7 @@
 		}
 		s.fleet = fleetView{Entry: e, at: at}
 	}
+	c.applyPlaces(now, at, list)
 	c.refresh(now)
 }
 
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -225,6 +225,11 @@
 	// Shedding is how long it wants no requests from this VM; zero if it takes them.
 	Shedding time.Duration
 	Slots    int // requests that it processes concurrently
+	// Places is how many requests it holds, running and waiting, and Estimate how many of all
+	// VMs are there, by a report of EstimateAge. Zero unless full servers answer nothing.
+	Places      int
+	Estimate    float64
+	EstimateAge time.Duration
 }
 
 // Inspect returns the current state of the named server, or of all servers together if
--- a/internal/load/gate/quota.go
+++ b/internal/load/gate/quota.go
@@ -230,7 +230,7 @@
 // sets of available servers say can be older: permits and loans end by themselves.
 func (c *Core) liveServer(now time.Time, i int) *server {
 	s := c.servers[i]
-	timed := s.permits.limited || s.cap.capped || !s.shedUntil.IsZero()
+	timed := s.permits.limited || s.cap.capped || !s.shedUntil.IsZero() || s.placesOn
 	if !timed || s.hasRoom(now) {
 		return s
 	}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -69,7 +69,10 @@
 	permits      permitState   // bounds the starts while the server limits them
 	probes       probePacer    // limits the probes sent from move queues
 	fleet        fleetView     // what all VMs together know of it
-	places       places.Server // limits the requests of all VMs there, if full servers answer nothing
+	places       places.Server // estimates and limits the requests of all VMs there
+	placesOn     bool          // full servers answer nothing, so places limits the starts
+	turnAt       time.Time     // when places lets the next request start; zero if one may start now
+	offers       offerRate     // requests for its keys that came to this VM
 }
 
 // lanes returns the queues for the server's keys, created on first use.
@@ -84,8 +87,7 @@
 // maxRunning returns how many requests for keys that it owns this VM may run there now.
 // An ejected owner still gets one at a time: no other server can answer for its keys.
 func (s *server) maxRunning(now time.Time) int {
-	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
-	return max(s.health.MaxRunning(allowed), 1)
+	return max(s.health.MaxRunning(s.allowed(now)), 1)
 }
 
 // hasRoomKeyed reports whether another request for a key that it owns may start there.
@@ -97,7 +99,7 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connPool.Max(now) && s.cap.delay(now) == 0 && s.permits.allows(now) && !s.atLimit(now)
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
@@ -105,8 +107,7 @@
 	if s.removed || s.info.Drain || now.Before(s.avoidUntil) || s.shedding(now) > 0 {
 		return false
 	}
-	allowed := min(s.limit[s.limitKind].Max(), s.connPool.Max(now))
-	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return s.running < s.health.MaxRunning(s.allowed(now)) && s.cap.delay(now) == 0 && s.permits.allows(now) && !s.atSharedLimit(now)
 }
 
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
@@ -114,6 +115,7 @@
 	s.lastStart = now
 	s.cap.noteStart(now)
 	s.permits.use(now)
+	s.places.Start(now)
 	s.load.Running = s.running
 	if k == sizes.Long {
 		s.runningLong++
@@ -126,6 +128,7 @@
 func (c *Core) observe(now time.Time, t *Ticket, o Outcome) {
 	s := t.srv
 	s.running--
+	s.places.Done(now)
 	s.load.Running = s.running
 	if t.sizeKind == sizes.Long {
 		s.runningLong--
@@ -218,6 +221,7 @@
 	}
 	if info.Incarnation != s.info.Incarnation {
 		s.shedUntil, s.permits = time.Time{}, permitState{}
+		s.places.Restart()
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
@@ -276,6 +280,7 @@
 	c.detectPause(now)
 	if s := c.byName[name]; s != nil {
 		s.reportedLoad, s.reportedAt = load, now.Add(-age)
+		s.places.Report(now, load, age)
 		s.load.Report(now, load, age, c.typicalLatency(sizes.Short))
 		s.limit[s.limitKind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
@@ -298,6 +303,7 @@
 	c.availableLocal.Clear()
 	c.availableWarm.Clear()
 	c.concurrency = [sizes.KindCount]float64{}
+	c.refreshPlaces(now)
 	kind := sizes.Short
 	if c.classifier.Only(now, sizes.Long) {
 		kind = sizes.Long
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -29,10 +29,14 @@
 	RefusedLimited uint64 `json:"refused_limited"`
 	Shedding       int    `json:"shedding"` // servers that want no requests from this VM
 	// RefusedShedding counts the requests refused because of that.
-	RefusedShedding uint64        `json:"refused_shedding"`
-	Overload        bool          `json:"overload"`
-	Budget          float64       `json:"budget"` // retries left in the budget
-	Servers         []ServerStats `json:"servers"`
+	RefusedShedding uint64 `json:"refused_shedding"`
+	PlacesDelayed   int    `json:"places_delayed"` // servers at the limit of all VMs
+	// RefusedPlaces counts the requests refused because this VM's turn at the owner of their
+	// key came too late.
+	RefusedPlaces uint64        `json:"refused_places"`
+	Overload      bool          `json:"overload"`
+	Budget        float64       `json:"budget"` // retries left in the budget
+	Servers       []ServerStats `json:"servers"`
 }
 
 // ServerStats holds the gauges of one backend server.
@@ -76,6 +80,9 @@
 		if srv.shedding(now) > 0 {
 			s.Shedding++
 		}
+		if srv.crowded(now) {
+			s.PlacesDelayed++
+		}
 	}
 	return s
 }
@@ -102,10 +109,27 @@
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
 		v.Cold, v.Limited, v.Shedding = s.cap.capped, s.permits.limited, s.shedding(now)
+		v.addEstimate(now, s)
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
-	return Snapshot{
+	v := Snapshot{
 		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Shedding: c.allShedding(now),
 	}
+	for _, s := range c.servers {
+		v.addEstimate(now, s)
+	}
+	return v
+}
+
+// addEstimate adds the places of a server and the estimated requests there, with the age of
+// the oldest report. A server without a recent report adds its places only.
+func (v *Snapshot) addEstimate(now time.Time, s *server) {
+	if !s.placesOn {
+		return
+	}
+	v.Places += s.places.Held()
+	if n, age := s.estimate(now); s.places.Known(now) {
+		v.Estimate, v.EstimateAge = v.Estimate+n, max(v.EstimateAge, age)
+	}
 }
--- a/internal/load/gate/tick.go
+++ b/internal/load/gate/tick.go
@@ -16,6 +16,7 @@
 	c.endShedding(now)
 	c.probeOwners(now)
 	c.reestimateWaits(now)
+	c.takeTurns(now)
 	if c.healthCheckAt.IsZero() || now.Before(c.healthCheckAt) {
 		return
 	}
--- a/internal/load/places/demand.go
+++ b/internal/load/places/demand.go
@@ -1,6 +1,9 @@
 package places
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Demand compares the requests that come to this VM with its share of what all servers
 // complete. A burst fills the servers in 0.2 s, and the fleet's rates show it after 0.5 s; at
@@ -12,12 +15,19 @@
 	level float64 // what is left of the burst, as of at; negative while the demand exceeds it
 	at    time.Time
 	over  bool
+
+	base   float64 // rate of requests to this VM when the fleet stated its rates
+	fast   float64 // decaying count of requests, as of fastAt
+	fastAt time.Time
 }
 
 // endShare is the part of the burst that must be left for an excess to end. Without a
 // distance, the state would change with each request.
 const endShare = 0.5
 
+// surgeWindow is the time over which requests are counted to notice a burst.
+const surgeWindow = 300 * time.Millisecond
+
 // Set sets this VM's share of the completions per second and of the free places of all
 // servers.
 func (d *Demand) Set(now time.Time, rate, burst float64) {
@@ -29,9 +39,31 @@
 	d.level = min(d.level, burst)
 }
 
+// SetBase sets the rate of the requests that came to this VM when the fleet's rates held.
+func (d *Demand) SetBase(rate float64) { d.base = rate }
+
+// surge returns the factor by which the demand has grown since the fleet's rates held, by the
+// requests at this VM.
+func (d *Demand) surge(now time.Time) float64 {
+	if d == nil || d.base <= 0 {
+		return 1
+	}
+	n := d.fast * math.Exp(-now.Sub(d.fastAt).Seconds()/surgeWindow.Seconds())
+	usual := d.base * surgeWindow.Seconds()
+	switch {
+	case d.Exceeded(now), n-math.Sqrt(n) > usual:
+		return max(n/usual, 1)
+	case n+math.Sqrt(n) < usual:
+		return (n + math.Sqrt(n)/2) / usual
+	default:
+		return 1
+	}
+}
+
 // Add records a request that came to this VM.
 func (d *Demand) Add(now time.Time) {
 	d.refill(now)
+	d.fast, d.fastAt = d.fast*math.Exp(-now.Sub(d.fastAt).Seconds()/surgeWindow.Seconds())+1, now
 	d.level = max(d.level-1, -d.burst)
 	d.over = d.over || d.level < 0
 }
--- a/internal/load/places/places.go
+++ b/internal/load/places/places.go
@@ -35,6 +35,9 @@
 	// reserveFactor is the reserve in standard deviations of the number of requests that can
 	// have arrived since the report.
 	reserveFactor = 1.0
+	// keyedReserve multiplies the reserve of the target for servers that own keys: their turns
+	// do not follow answers, so their load varies more.
+	keyedReserve = 1.5
 	// usualAge is the age for which the target of a crowded server holds a reserve: lists
 	// come every 0.3 to 0.5 s, and the reports in them are some 0.1 s old.
 	usualAge = 500 * time.Millisecond
@@ -42,9 +45,6 @@
 	// as more than the server can take. VMs then hold queued requests, which would all be
 	// started on the same report of a free place.
 	contendedShare = 0.9
-	// correctionTime is the time in which the difference between load and target falls to
-	// 1/e while VMs take turns. Shorter than the reports' age, corrections would overshoot.
-	correctionTime = 400 * time.Millisecond
 	// minShareFactor is the least share of a VM, as a part of an even one: a VM whose first
 	// callers have just come has no measured share yet.
 	minShareFactor = 0.25
@@ -56,8 +56,8 @@
 // It is not safe for concurrent use, and times must not go back.
 type Server struct {
 	slots, places int
+	keyed         bool // it serves requests for keys that it owns
 	demand        *Demand
-	phase         float64 // credit with which this VM begins to take turns, 0 to 1
 
 	load       int       // requests there, by the newest report
 	reportedAt time.Time // when the server wrote it; zero if there was none
@@ -73,9 +73,7 @@
 	inFlight      int
 	starts, dones history
 
-	credit     float64   // turns that are due, as of creditAt
-	creditAt   time.Time // zero before the first turn was counted
-	turnsUntil time.Time // until then credit is kept when starts are free in between
+	turns turns
 }
 
 // SetCapacity sets what the server holds; zero places are unknown. Places are learned from
@@ -92,7 +90,11 @@
 // SetPhase sets how much of its first turn at a crowded server this VM has already waited
 // for, 0 to 1. With the VMs spread evenly, their turns follow each other instead of coming
 // together.
-func (s *Server) SetPhase(phase float64) { s.phase = phase }
+func (s *Server) SetPhase(phase float64) { s.turns.phase = phase }
+
+// SetKeyed sets whether the server gets requests for keys that it owns, which cannot go
+// elsewhere.
+func (s *Server) SetKeyed(keyed bool) { s.keyed = keyed }
 
 // SetDemand sets the demand of the service, which all its servers share.
 func (s *Server) SetDemand(d *Demand) { s.demand = d }
@@ -116,6 +118,9 @@
 // held.
 func (s *Server) SetShare(at time.Time, sent, offered float64, work time.Duration, own float64, vms int) {
 	s.accrue(at)
+	if !s.ratesKnown(at) {
+		s.turns.restart() // all VMs learn of the load at once, and may all hold a turn
+	}
 	s.vms, s.sharedAt = max(vms, 1), at
 	s.offered = max(sent, offered, own)
 	if work > 0 {
@@ -137,9 +142,25 @@
 	}
 }
 
+// Restart forgets what is known of the server's load, because another process answers for it.
+func (s *Server) Restart() {
+	s.reportedAt, s.sharedAt, s.others, s.phantom = time.Time{}, time.Time{}, 0, 0
+	s.turns = turns{phase: s.turns.phase}
+}
+
+// Offer records that a request for one of the server's keys came to this VM. While VMs take
+// turns, it earns a part of one.
+func (s *Server) Offer(now time.Time) {
+	if s.turns.at.IsZero() || !s.Known(now) || !s.ratesKnown(now) || s.offered <= 0 {
+		return
+	}
+	s.accrue(now)
+	s.turns.add(now, min(offeredShare*max(s.Completions()+s.missing()/correctionTime.Seconds(), 0)/(s.offered*s.demand.surge(now)), 1))
+}
+
 // Start records that a request was sent.
 func (s *Server) Start(now time.Time) {
-	s.credit = max(s.credit-1, 0)
+	s.turns.use(now)
 	s.inFlight++
 	s.starts.add(now)
 }
@@ -149,6 +170,7 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	s.phantom = min(s.phantom, s.inFlight)
 	s.dones.add(now)
+	s.earn(now)
 }
 
 // Estimate returns the expected number of requests of all VMs at the server, and the age of
@@ -170,7 +192,27 @@
 	return max(now.Sub(s.reportedAt), 0)
 }
 
-// Delay returns zero if a request may start now, and otherwise the time until the next check.
+// Known reports whether the load of the server is known.
+func (s *Server) Known(now time.Time) bool { return s.age(now) <= MaxAge }
+
+// Rate returns the turns of this VM per second: its share of the completions, and of what the
+// load is below the target.
+func (s *Server) Rate(now time.Time) float64 {
+	age := s.age(now)
+	if age > MaxAge {
+		return s.rate(now, s.keyed)
+	}
+	return s.evenOrShare(now) * max(s.Completions()+s.missing()/correctionTime.Seconds(), 0)
+}
+
+// Free returns how far the estimate is below the load at which turns keep the server.
+func (s *Server) Free(now time.Time) float64 {
+	n, _ := s.Estimate(now)
+	return max(s.target()-n, 0)
+}
+
+// Delay returns zero if a request for one of the server's keys may start now, and otherwise
+// the time until the next check.
 func (s *Server) Delay(now time.Time) time.Duration {
 	if s.free(now) {
 		return 0
@@ -197,26 +239,33 @@
 	if s.expected(now, age)+1 > s.limit(s.arrivals(now), age) {
 		return false
 	}
+	s.turns.end()
 	return true
 }
 
 // Interval returns the time between two turns of this VM.
 func (s *Server) Interval(now time.Time) time.Duration {
-	return interval(s.rate(now, true))
+	return interval(s.Rate(now))
 }
 
-// contended reports whether the demand exceeds what the server completes.
+// contended reports whether the demand exceeds what the server completes: by the requests at
+// this VM, or by the fleet's rates while the server's slots are taken. Then it lasts until the
+// demand falls, because the VMs hold queued requests for it and would all start them on the
+// same report of a free slot.
 func (s *Server) contended(now time.Time) bool {
-	return s.demand.Exceeded(now) || s.ratesKnown(now) && s.offered > contendedShare*s.completions()
+	if s.demand.Exceeded(now) {
+		return true
+	}
+	return s.ratesKnown(now) && (s.load >= s.slots || now.Before(s.turns.until)) && s.offered*s.demand.surge(now) > contendedShare*s.Completions()
 }
 
 func (s *Server) ratesKnown(now time.Time) bool {
 	return !s.sharedAt.IsZero() && now.Sub(s.sharedAt) <= MaxAge
 }
 
-// completions returns the requests per second that the server completes while its slots are
+// Completions returns the requests per second that the server completes while its slots are
 // taken.
-func (s *Server) completions() float64 {
+func (s *Server) Completions() float64 {
 	work := s.work
 	if work <= 0 {
 		work = defaultWork
@@ -228,9 +277,9 @@
 // turns. Without rates, they are taken to send what the server completes at its load.
 func (s *Server) arrivals(now time.Time) float64 {
 	if !s.ratesKnown(now) {
-		return min(s.others/float64(max(s.slots, 1)), 1) * s.completions()
+		return min(s.others/float64(max(s.slots, 1)), 1) * s.Completions()
 	}
-	return s.offered * (1 - s.share)
+	return s.offered * (1 - s.share) * s.demand.surge(now)
 }
 
 // expected returns the expected number of requests at the server, by a report of this age.
@@ -242,7 +291,7 @@
 		target := s.target() * (1 - s.evenOrShare(now))
 		return own + target + (s.others-target)*math.Exp(-t/correctionTime.Seconds())
 	}
-	in, out := s.arrivals(now), s.completions()
+	in, out := s.arrivals(now), s.Completions()
 	settled := in * float64(max(s.slots, 1)) / out
 	switch total := s.others + own; {
 	case in >= out || !s.ratesKnown(now):
@@ -258,20 +307,29 @@
 // reserve for what can have arrived since a report of this age, and at least one place.
 func (s *Server) limit(arrivals float64, age time.Duration) float64 {
 	reserve := max(reserveFactor*math.Sqrt(arrivals*age.Seconds()), 1)
-	return max(float64(s.held())-reserve, 1)
+	return max(float64(s.Held())-reserve, 1)
 }
 
-// held returns the number of requests that the server holds.
-func (s *Server) held() int {
+// Held returns the number of requests that the server holds.
+func (s *Server) Held() int {
 	if s.places == 0 {
 		return max(s.slots, 1) * (1 + unknownQueueFactor)
 	}
 	return s.places
 }
 
+// OwnPlaces returns this VM's share of the places, rounded up.
+func (s *Server) OwnPlaces(now time.Time) int {
+	return int(math.Ceil(float64(s.Held()) * s.evenOrShare(now)))
+}
+
 // target returns the load at which turns keep a crowded server.
 func (s *Server) target() float64 {
-	return max(s.limit(s.completions(), usualAge), float64(s.slots))
+	reserve := max(reserveFactor*math.Sqrt(s.Completions()*usualAge.Seconds()), 1)
+	if s.keyed {
+		reserve *= keyedReserve
+	}
+	return max(float64(s.Held())-reserve, float64(s.slots))
 }
 
 func (s *Server) evenOrShare(now time.Time) float64 {
