record, host: estimate and places of a refused request, gauges

Operators could not see that a request was refused because its owner was expected to be full, nor on how old a report that rested. Adds places, expect and expectage to the decision of a refusal, and the gauges gate_places_delayed and gate_refused_places. go test ./internal/audit/record ./internal/edge/front passes.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -69,6 +69,12 @@
 	Busy  int `cbor:"busy,omitempty" json:"busy,omitempty"`
 	Limit int `cbor:"most,omitempty" json:"most,omitempty"`
 	Queue int `cbor:"queue,omitempty" json:"queue,omitempty"`
+	// For a refused request to a service whose full servers answer nothing: how many requests
+	// its target holds (Places), and how many of all VMs were expected to be there (Estimate) by
+	// a report of an age; without a recent report only the first.
+	Places      int           `cbor:"places,omitempty" json:"places,omitempty"`
+	Estimate    float64       `cbor:"expect,omitempty" json:"expect,omitempty"`
+	EstimateAge time.Duration `cbor:"expectage,omitempty" json:"expectage,omitempty"`
 	// Shedding says, for a refused request, that the owner of its key wants no requests from
 	// this VM for a time.
 	Shedding bool `cbor:"shedding,omitempty" json:"shedding,omitempty"`
@@ -84,7 +90,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 40
+const maxAttrs = 43
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -131,6 +137,9 @@
 	l.number("busy", uint64(max(d.Busy, 0)))
 	l.number("most", uint64(max(d.Limit, 0)))
 	l.number("queue", uint64(max(d.Queue, 0)))
+	l.number("places", uint64(max(d.Places, 0)))
+	l.number("expect", uint64(max(d.Estimate, 0)+0.5))
+	l.span("expectage", d.EstimateAge)
 	l.flag("cold", d.Cold)
 	l.flag("limited", d.Limited)
 	l.flag("shedding", d.Shedding)
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -262,6 +262,7 @@
 	}
 	s := x.svc.Gate.Inspect(x.decision.Server)
 	x.decision.Busy, x.decision.Limit, x.decision.Queue = s.Running, s.Limit, s.Waiting
+	x.decision.Places, x.decision.Estimate, x.decision.EstimateAge = s.Places, s.Estimate, s.EstimateAge
 	x.decision.Cold, x.decision.Limited, x.decision.Shedding = s.Cold, s.Limited, s.Shedding > 0
 }
 
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -156,6 +156,8 @@
 	scope.Gauge("gate_refused_limited").Update(float64(s.RefusedLimited))
 	scope.Gauge("gate_shedding").Update(float64(s.Shedding))
 	scope.Gauge("gate_refused_shedding").Update(float64(s.RefusedShedding))
+	scope.Gauge("gate_places_delayed").Update(float64(s.PlacesDelayed))
+	scope.Gauge("gate_refused_places").Update(float64(s.RefusedPlaces))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for k, n := range s.Refused {
