--- a/internal/edge/front/stall_test.go
+++ b/internal/edge/front/stall_test.go
@@ -260,6 +260,7 @@
 				assert.NilError(b.t, err)
 				p.Done(gate.Cancel())
 			}
+			time.Sleep(time.Second) // as many at once are a burst, in which a VM waits for its turn
 		},
 		"no fleet data": func(b *stallbed) {
 			b.noFleet.Store(true)
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -179,6 +179,8 @@
 	scope.Gauge("gate_stalled").Update(float64(s.Stalled))
 	scope.Gauge("gate_stalled_retried").Update(float64(s.StalledRetried))
 	scope.Gauge("gate_stalled_left").Update(float64(s.StalledLeft))
+	scope.Gauge("gate_places_delayed").Update(float64(s.PlacesDelayed))
+	scope.Gauge("gate_refused_places").Update(float64(s.RefusedPlaces))
 	scope.Gauge("gate_retries").Update(float64(s.Retries))
 	scope.Gauge("gate_budget").Update(s.Budget)
 	for _, e := range s.Costs {
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -81,6 +81,7 @@
 	silent         bool     // full servers answer nothing, see SetSilent
 	completion     completion
 	places         int // requests that one server holds, running and waiting; zero if unknown
+	limits         placeLimits
 	monitor        health.Monitor
 	healthScratch  []*health.Server  // argument of monitor.Evaluate, reused
 	score          func(int) float64 // of a server by index, as of scoreTime
@@ -135,6 +136,7 @@
 		retryBudget: retry.New(),
 		stats:       Stats{Refused: map[kinds.Kind]uint64{}},
 	}
+	c.limits.phase = c.rng.Float64()
 	c.score = func(i int) float64 {
 		return c.servers[i].load.Score(c.scoreTime, c.avgLatency[sizes.Short])
 	}
@@ -170,6 +172,7 @@
 	}
 	t.sizeKind = c.classifier.Kind(t.Job.Size, uint8(t.Job.Class))
 	c.classifier.Seen(now, t.sizeKind)
+	c.noteOffered(now, t)
 }
 
 func (c *Core) updateRetryBudget(t *Ticket) {
@@ -247,6 +250,11 @@
 		c.stats.RefusedLimited++
 		return c.refuse(t, kinds.Busy, c.retryNotBefore(delay))
 	}
+	if owner != nil {
+		if wait := owner.turnWait(now); c.comesTooLate(now, t, wait) && wait > 0 {
+			return c.refusePlaces(t, wait)
+		}
+	}
 	verdict := c.admit(now, l, owner, t, debt)
 	c.wantPermits(now, owner)
 	return verdict
@@ -331,11 +339,13 @@
 			break
 		}
 	}
+	c.scheduleTurn(now, s)
 	for c.shared.len() > 0 && s.hasRoom(now) {
 		if !c.startNext(now, &c.shared, s, c.mayStartLongShared(now, s)) {
 			return
 		}
 	}
+	c.scheduleTurn(now, s)
 }
 
 // startNext starts one queued request on the server. A request with too little time
@@ -383,7 +393,7 @@
 // Next returns when Tick has work to do; zero means nothing is pending.
 func (c *Core) Next() time.Time {
 	var next time.Time
-	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.shedEnd} {
+	for _, at := range [...]time.Time{c.nextExpiry, c.healthCheckAt, c.probeAt, c.reestimateAt, c.shedEnd, c.nextTurn()} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -9,6 +9,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/health"
 	"hawthornfield.org/hawthornfield/internal/load/limit"
 	"hawthornfield.org/hawthornfield/internal/load/pick"
+	"hawthornfield.org/hawthornfield/internal/load/places"
 	"hawthornfield.org/hawthornfield/internal/load/sizes"
 )
 
@@ -72,6 +73,10 @@
 	givenUp      int           // stalled attempts that hold a connection but no slot, see Core.Stalled
 	pace         serverPace    // how fast it works
 	sent         sentTimes     // when requests were sent there
+	places       places.Server // estimates and limits the requests of all VMs there
+	placesOn     bool          // full servers answer nothing, so places limits the starts
+	turnAt       time.Time     // when places lets the next request start; zero if one may start now
+	offers       offerRate     // requests for its keys that came to this VM
 }
 
 // lanes returns the queues for the server's keys, created on first use.
@@ -86,8 +91,7 @@
 // maxRunning returns how many requests for keys that it owns this VM may run there now.
 // An ejected owner still gets one at a time: no other server can answer for its keys.
 func (s *server) maxRunning(now time.Time) int {
-	allowed := min(s.limit[s.limitKind].Max(), s.connsFree(now))
-	return max(s.health.MaxRunning(allowed), 1)
+	return max(s.health.MaxRunning(s.allowed(now)), 1)
 }
 
 // hasRoomKeyed reports whether another request for a key that it owns may start there.
@@ -99,7 +103,7 @@
 	if s.limitKind == sizes.Short {
 		running -= s.runningLong
 	}
-	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connsFree(now) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return !s.removed && s.shedding(now) == 0 && running < s.maxRunning(now) && s.running < s.connsFree(now) && s.cap.delay(now) == 0 && s.permits.allows(now) && !s.atLimit(now)
 }
 
 // hasRoom reports whether a request that may go to any server may start here.
@@ -107,8 +111,7 @@
 	if s.removed || s.info.Drain || now.Before(s.avoidUntil) || s.shedding(now) > 0 {
 		return false
 	}
-	allowed := min(s.limit[s.limitKind].Max(), s.connsFree(now))
-	return s.running < s.health.MaxRunning(allowed) && s.cap.delay(now) == 0 && s.permits.allows(now)
+	return s.running < s.health.MaxRunning(s.allowed(now)) && s.cap.delay(now) == 0 && s.permits.allows(now) && !s.atSharedLimit(now)
 }
 
 func (s *server) start(now time.Time, k sizes.Kind, expect time.Duration) {
@@ -117,6 +120,7 @@
 	s.sent.add(now)
 	s.cap.noteStart(now)
 	s.permits.use(now)
+	s.places.Start(now)
 	s.load.Running = s.running
 	if k == sizes.Long {
 		s.runningLong++
@@ -126,8 +130,9 @@
 }
 
 // leave counts a request as gone from the server.
-func (s *server) leave(k sizes.Kind) {
+func (s *server) leave(now time.Time, k sizes.Kind) {
 	s.running--
+	s.places.Done(now)
 	s.load.Running = s.running
 	if k == sizes.Long {
 		s.runningLong--
@@ -137,7 +142,7 @@
 // observe updates the server's state with the outcome of an attempt.
 func (c *Core) observe(now time.Time, t *Ticket, o Outcome) {
 	s := t.srv
-	s.leave(t.sizeKind)
+	s.leave(now, t.sizeKind)
 	s.connPool.Release(now)
 	took := o.Latency
 	if took <= 0 {
@@ -230,6 +235,7 @@
 		s.shedUntil, s.permits, s.fleet = time.Time{}, permitState{}, fleetView{}
 		s.newestServed = time.Time{}
 		s.pace, s.sent = serverPace{}, sentTimes{}
+		s.places.Restart()
 	}
 	s.cap.set(now, info)
 	if info.Capped && !s.info.Capped {
@@ -289,6 +295,7 @@
 	c.detectPause(now)
 	if s := c.byName[name]; s != nil {
 		s.reportedLoad, s.reportedAt = load, now.Add(-age)
+		s.places.Report(now, load, age)
 		s.load.Report(now, load, age, c.typicalLatency(sizes.Short))
 		s.limit[s.limitKind].Report(now, float64(load)/float64(max(s.info.Slots, 1)))
 	}
@@ -311,6 +318,7 @@
 	c.availableLocal.Clear()
 	c.availableWarm.Clear()
 	c.concurrency = [sizes.KindCount]float64{}
+	c.refreshPlaces(now)
 	kind := sizes.Short
 	if c.classifier.Only(now, sizes.Long) {
 		kind = sizes.Long
--- a/internal/load/gate/stall.go
+++ b/internal/load/gate/stall.go
@@ -98,7 +98,7 @@
 	s := t.srv
 	t.givenUp = true
 	c.running--
-	s.leave(t.sizeKind)
+	s.leave(now, t.sizeKind)
 	s.givenUp++
 	s.health.Abandoned()
 	if s.removed {
--- a/internal/load/gate/stats.go
+++ b/internal/load/gate/stats.go
@@ -33,12 +33,16 @@
 	RefusedShedding uint64 `json:"refused_shedding"`
 	// Stalled counts the attempts whose server passed them over, StalledRetried those of them
 	// that were retried, and StalledLeft those that went on without a slot.
-	Stalled        uint64        `json:"stalled"`
-	StalledRetried uint64        `json:"stalled_retried"`
-	StalledLeft    uint64        `json:"stalled_left"`
-	Overload       bool          `json:"overload"`
-	Budget         float64       `json:"budget"` // retries left in the budget
-	Servers        []ServerStats `json:"servers"`
+	Stalled        uint64 `json:"stalled"`
+	StalledRetried uint64 `json:"stalled_retried"`
+	StalledLeft    uint64 `json:"stalled_left"`
+	PlacesDelayed  int    `json:"places_delayed"` // servers at the limit of all VMs
+	// RefusedPlaces counts the requests refused because this VM's turn at the owner of their
+	// key came too late.
+	RefusedPlaces uint64        `json:"refused_places"`
+	Overload      bool          `json:"overload"`
+	Budget        float64       `json:"budget"` // retries left in the budget
+	Servers       []ServerStats `json:"servers"`
 	// Costs are the estimated service times of the requests of each rule.
 	Costs []cost.RuleEstimate `json:"costs"`
 }
@@ -85,6 +89,9 @@
 		if srv.shedding(now) > 0 {
 			s.Shedding++
 		}
+		if srv.crowded(now) {
+			s.PlacesDelayed++
+		}
 	}
 	return s
 }
@@ -111,10 +118,27 @@
 			v.Load, v.LoadAge = s.reportedLoad, now.Sub(s.reportedAt)
 		}
 		v.Cold, v.Limited, v.Shedding = s.cap.capped, s.permits.limited, s.shedding(now)
+		v.addEstimate(now, s)
 		v.Remote = c.cfg.Centre != "" && s.info.Centre != c.cfg.Centre
 		return v
 	}
-	return Snapshot{
+	v := Snapshot{
 		Running: c.running, Limit: int(c.concurrency[sizes.Short]), Waiting: c.shared.len(), Limited: c.sharedDenied(now) > 0, Shedding: c.allShedding(now),
 	}
+	for _, s := range c.servers {
+		v.addEstimate(now, s)
+	}
+	return v
+}
+
+// addEstimate adds the places of a server and the estimated requests there, with the age of
+// the oldest report. A server without a recent report adds its places only.
+func (v *Snapshot) addEstimate(now time.Time, s *server) {
+	if !s.placesOn {
+		return
+	}
+	v.Places += s.places.Held()
+	if n, age := s.estimate(now); s.places.Known(now) {
+		v.Estimate, v.EstimateAge = v.Estimate+n, max(v.EstimateAge, age)
+	}
 }
