places, gate: old rates give no share, and no least rate for shared requests

The least rate of a VM that knows nothing counted for requests that may go anywhere as well, and a share was taken from rates from before the burst.

--- a/internal/load/gate/places.go
+++ b/internal/load/gate/places.go
@@ -102,10 +102,12 @@
 	c.takeTurns(now)
 }
 
-// ownShare returns this VM's part of the service's demand.
-func (c *Core) ownShare() float64 {
+// ownShare returns this VM's part of the service's demand, an even one if the fleet's rates are
+// too old: in a burst, this VM's own rate has grown since, and it would take several times its
+// share.
+func (c *Core) ownShare(now time.Time) float64 {
 	even := 1 / float64(max(c.share.VMs, 1))
-	if c.limits.all <= 0 {
+	if c.limits.all <= 0 || now.Sub(c.limits.asOf) > places.MaxAge {
 		return even
 	}
 	return min(max(c.limits.own/c.limits.all, minShareFactor*even), 1)
@@ -114,7 +116,7 @@
 // applyPlaces passes what the fleet knows to the limits.
 func (c *Core) applyPlaces(now, at time.Time, list []fleet.Entry) {
 	c.averageOffered(now, at)
-	share := c.ownShare()
+	share := c.ownShare(now)
 	for _, e := range list {
 		s := c.byName[e.Server]
 		if s == nil || s.info.Incarnation != e.Incarnation {
@@ -169,7 +171,7 @@
 		}
 	}
 	c.limits.turns = turns
-	share := c.ownShare()
+	share := c.ownShare(now)
 	c.limits.demand.Set(now, share*rate, max(share*free, minBurst))
 }
 
--- a/internal/load/places/places.go
+++ b/internal/load/places/places.go
@@ -57,6 +57,7 @@
 type Server struct {
 	slots, places int
 	keyed         bool // it serves requests for keys that it owns
+	shared        bool // it serves none of these, so the least rate does not hold
 	demand        *Demand
 
 	load       int       // requests there, by the newest report
@@ -94,7 +95,7 @@
 
 // SetKeyed sets whether the server gets requests for keys that it owns, which cannot go
 // elsewhere.
-func (s *Server) SetKeyed(keyed bool) { s.keyed = keyed }
+func (s *Server) SetKeyed(keyed bool) { s.keyed, s.shared = keyed, !keyed }
 
 // SetDemand sets the demand of the service, which all its servers share.
 func (s *Server) SetDemand(d *Demand) { s.demand = d }
--- a/internal/load/places/turns.go
+++ b/internal/load/places/turns.go
@@ -150,7 +150,7 @@
 
 func (s *Server) accrue(now time.Time) {
 	if !s.turns.at.IsZero() {
-		s.turns.accrue(now, s.rate(now, true))
+		s.turns.accrue(now, s.rate(now, !s.shared))
 	}
 }
 
