--- a/internal/load/places/turns.go
+++ b/internal/load/places/turns.go
@@ -103,7 +103,8 @@
 	// successorGain is what each request that the load is below the target adds to that.
 	successorGain = 0.15
 	// offeredShare is the part of the turns for keys that requests earn when they come; the
-	// rest is earned by time. With turns by time alone, at 300 VMs with a request for an owner
+	// rest is earned by time. With turns by time and
+	// answers, at 300 VMs with a request for an owner
 	// each 4 s, turns waited for requests: 2,583 were served in a burst instead of 7,640.
 	offeredShare = 0.75
 	// answerAge is the age up to which a report is taken to have come with the answer that
