--- a/internal/load/places/places.go
+++ b/internal/load/places/places.go
@@ -245,14 +245,14 @@
 }
 
 // freeShared reports whether a request that other servers can take as well may start without
-// taking turns. Such requests go where the load is known to be low, so they need no turns while
-// the fleet's rates are high, unless a burst has just begun.
+// taking turns. Such requests go where the load is low, so they need no turns, not even without
+// data of the fleet, unless more requests come to this VM than its share.
 func (s *Server) freeShared(now time.Time) bool {
-	age := s.age(now)
-	if age > MaxAge || s.demand.Exceeded(now) {
+	if s.demand.Exceeded(now) {
 		return false
 	}
-	return s.expected(now, age)+1 <= s.limit(s.arrivals(now), age)
+	age := s.age(now)
+	return age > MaxAge || s.expected(now, age)+1 <= s.limit(s.arrivals(now), age)
 }
 
 // Interval returns the time between two turns of this VM.
