fleet: places are learned from reports of crowded servers, not from the highest

The leader now takes the 95th percentile of the loads of servers whose queue is at least as long as their slots.

--- a/internal/edge/host/fleet.go
+++ b/internal/edge/host/fleet.go
@@ -38,6 +38,7 @@
 
 	mu        sync.Mutex
 	processes map[ident.Process]ident.Service // listed servers, as of the last tick
+	slots     map[ident.Process]int           // of processes
 	index     poll.FleetIndex                 // of processes
 	modes     map[ident.Service]serviceMode
 	book      fleet.Book
@@ -46,6 +47,7 @@
 	// As the leader. All times of this struct are of the boot clock.
 	table    fleet.Table
 	evidence fleet.Evidence
+	places   map[ident.Service]*fleet.Places
 	names    poll.FleetNames
 	lists    map[uint64]packedList // lists made at madeAt, by the revision since which they hold changes
 	madeAt   time.Time
@@ -87,12 +89,13 @@
 
 // tick decides on the services and, on the leader, merges what this VM itself has seen.
 func (f *fleetLoad) tick() {
-	processes := f.servers.processes()
+	processes, slots := f.servers.processes()
 	_, leads := f.hub.Lease()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
 	f.setProcesses(processes)
+	f.slots = slots
 	f.book.Learn(f.collector.Observed())
 	f.book.Retain(f.isListed)
 	if leads {
@@ -160,6 +163,7 @@
 			continue
 		}
 		listed = append(listed, s)
+		f.learnPlaces(svc, s)
 		if s.Refused > 0 {
 			f.book.Learn(map[ident.Service]fleet.State{svc: {Full: fleet.FullAnswers}})
 		}
@@ -170,6 +174,23 @@
 	f.table.Merge(now, listed)
 }
 
+// learnPlaces learns from the load in a sample how many requests the servers of a service hold.
+func (f *fleetLoad) learnPlaces(svc ident.Service, s fleet.Sample) {
+	if s.LoadAge <= 0 {
+		return
+	}
+	if f.places == nil {
+		f.places = map[ident.Service]*fleet.Places{}
+	}
+	if f.places[svc] == nil {
+		f.places[svc] = &fleet.Places{}
+	}
+	f.places[svc].Add(s.Load, f.slots[s.Process()])
+	if n := f.places[svc].Value(); n > 0 {
+		f.book.Learn(map[ident.Service]fleet.State{svc: {Places: n}})
+	}
+}
+
 // mergeReport adds what another VM reports to this one, which leads. The latencies of the
 // servers with a number are not stated again in the request: it adds them there.
 func (f *fleetLoad) mergeReport(req *poll.Request) {
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -312,15 +312,15 @@
 	}
 }
 
-// processes returns the listed processes of servers with their services.
-func (t *serverTracker) processes() map[ident.Process]ident.Service {
+// processes returns the listed processes of servers with their services, and their slots.
+func (t *serverTracker) processes() (services map[ident.Process]ident.Service, slots map[ident.Process]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := map[ident.Process]ident.Service{}
+	services, slots = map[ident.Process]ident.Service{}, map[ident.Process]int{}
 	for _, s := range t.list() {
-		all[s.Process()] = s.Service
+		services[s.Process()], slots[s.Process()] = s.Service, s.Slots
 	}
-	return all
+	return services, slots
 }
 
 // dividedServices returns the services that are divided by key.
--- a/internal/load/fleet/book.go
+++ b/internal/load/fleet/book.go
@@ -10,7 +10,7 @@
 // State is what the fleet knows of a service as a whole.
 type State struct {
 	Full   Full `json:"f,omitempty"`
-	Places int  `json:"p,omitempty"` // highest load that a server has stated; zero if unknown
+	Places int  `json:"p,omitempty"` // requests that one server holds, see [Places]; zero if unknown
 }
 
 // merge returns the state with what another one adds.
--- a/internal/load/fleet/collector.go
+++ b/internal/load/fleet/collector.go
@@ -150,7 +150,6 @@
 	if l.Waiting > 0 {
 		o.crowdedAt = now
 	}
-	c.states[o.service] = c.states[o.service].merge(State{Places: o.Load})
 }
 
 func (o *observed) noteServed(now, sent time.Time) {
