gate: requests for keys are not limited at silent servers unless a gate asks for it

A queued request for a key whose turn was set on its arrival is now started at that turn: nothing scheduled it (TestAQueuedRequestStartsAtItsTurn).

--- a/internal/edge/front/testbed_test.go
+++ b/internal/edge/front/testbed_test.go
@@ -109,7 +109,7 @@
 		{Name: "viewer", Servers: []config.Server{{Name: "v1", Data: v1Addr}, {Name: "v2", Data: v2Addr}}},
 	})
 	for _, svc := range tb.state.Services() {
-		svc.Gate = gate.New(gate.Config{Service: svc.Name})
+		svc.Gate = gate.New(gate.Config{Service: svc.Name, SilentKeyed: true})
 		infos := []gate.ServerInfo{}
 		for _, s := range svc.Servers {
 			infos = append(infos, gate.ServerInfo{Name: s.Name, Slots: 2, Conns: 10})
--- a/internal/load/bench/gate.go
+++ b/internal/load/bench/gate.go
@@ -41,7 +41,7 @@
 	s := w.scenario.Service
 	p := &gatePolicy{w: w, inFlight: map[*gate.Ticket]*gateRequest{}, conns: newConnections(s)}
 	for i := range s.VMs {
-		c := gate.NewCore(gate.Config{Seed: seed<<8 + uint64(i) + 1})
+		c := gate.NewCore(gate.Config{Seed: seed<<8 + uint64(i) + 1, SilentKeyed: true})
 		var list []gate.ServerInfo
 		for j := range s.Servers {
 			list = append(list, gate.ServerInfo{
--- a/internal/load/gate/core.go
+++ b/internal/load/gate/core.go
@@ -33,6 +33,10 @@
 	// Centre is this VM's data centre. Servers there are preferred; empty means no
 	// preference.
 	Centre ident.Centre
+	// SilentKeyed lets what is done for services whose full servers answer nothing hold for
+	// requests for keys too, which can go nowhere else: the limit of all VMs at a server, and
+	// the end of stalled attempts. Without it, it holds for requests that any server can take.
+	SilentKeyed bool
 	// OnPermitsWanted, if set, is called when there are permits to ask for. It must not block
 	// and must not call the gate. Without it, servers that limit their requests get none.
 	OnPermitsWanted func()
@@ -254,6 +258,7 @@
 		if wait := owner.turnWait(now); c.comesTooLate(now, t, wait) && wait > 0 {
 			return c.refusePlaces(t, wait)
 		}
+		c.scheduleTurn(now, owner)
 	}
 	verdict := c.admit(now, l, owner, t, debt)
 	c.wantPermits(now, owner)
--- a/internal/load/gate/gate.go
+++ b/internal/load/gate/gate.go
@@ -134,7 +134,7 @@
 func (g *Gate) finish(t *Ticket, gen uint64) (Permit, error) {
 	defer g.mu.Unlock()
 	if t.state == stateStarted {
-		return Permit{g: g, t: t, gen: gen, server: t.Server(), silent: g.core.silent, expect: t.expect}, nil
+		return Permit{g: g, t: t, gen: gen, server: t.Server(), silent: g.core.watches(t), expect: t.expect}, nil
 	}
 	err := refusal(t.refusalKind, t.retryAfter)
 	g.recycle(t)
--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -16,7 +16,7 @@
 	t      *Ticket
 	gen    uint64
 	server ident.Server
-	silent bool // the service's full servers answered nothing when the permit was given
+	silent bool // the service's full servers answer nothing, and this attempt may have met one
 	expect Expectation
 }
 
@@ -118,7 +118,7 @@
 		g.recycle(t)
 		return Permit{}, false
 	}
-	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), silent: g.core.silent, expect: t.expect}, true
+	return Permit{g: g, t: t, gen: t.gen, server: t.Server(), silent: g.core.watches(t), expect: t.expect}, true
 }
 
 // active reports whether the permit still holds a started request.
--- a/internal/load/gate/places.go
+++ b/internal/load/gate/places.go
@@ -159,7 +159,7 @@
 	}
 	rate, free, turns := 0.0, 0.0, 0.0
 	for i, s := range c.servers {
-		s.placesOn = true
+		s.placesOn = c.cfg.SilentKeyed || c.ownerLookup == nil && s.ownLanes == nil
 		s.places.SetCapacity(s.info.Slots, c.places)
 		s.places.SetDefaults(s.workOr(c.typicalLatency(sizes.Short)), c.share.VMs)
 		s.places.SetKeyed(s.ownLanes != nil)
@@ -206,7 +206,14 @@
 
 // atSharedLimit is like atLimit, for a request that may go to any server.
 func (s *server) atSharedLimit(now time.Time) bool {
-	return s.placesOn && s.noteTurn(now, s.places.DelayShared(now))
+	if !s.placesOn {
+		return false
+	}
+	delay := s.places.DelayShared(now)
+	if s.ownLanes != nil {
+		return delay > 0 // the next turn is that of the requests for its keys
+	}
+	return s.noteTurn(now, delay)
 }
 
 // crowded reports whether a further request has to wait for a turn.
@@ -250,7 +257,8 @@
 	}
 	c.limits.turnAt = time.Time{}
 	for _, s := range c.servers {
-		if !s.turnAt.IsZero() && !now.Before(s.turnAt) {
+		// A queue without a turn was checked when the server had room again.
+		if due := !s.turnAt.IsZero() || s.queued() > 0; due && !now.Before(s.turnAt) {
 			c.updateAvailable(now, s)
 			c.dispatch(now, s)
 		}
--- a/internal/load/gate/places_test.go
+++ b/internal/load/gate/places_test.go
@@ -13,7 +13,7 @@
 
 // newSilentCore returns a core of one of 10 VMs with two servers of 4 slots and 8 queue places.
 func newSilentCore(silent bool) *Core {
-	c := NewCore(Config{Seed: 1})
+	c := NewCore(Config{Seed: 1, SilentKeyed: true})
 	c.SetShare(begin, 10, 0)
 	c.SetServers(begin, []ServerInfo{{Name: "a", Slots: 4, Conns: 100}, {Name: "b", Slots: 4, Conns: 100}})
 	c.SetSilent(begin, silent)
@@ -74,6 +74,7 @@
 // list wakes the gate.
 func TestAQueuedRequestStartsAtItsTurn(t *testing.T) {
 	c := newSilentCore(true)
+	c.limits.phase = 0.05 // of the first of 10 VMs
 	applyLoad(c, begin, 8, 100)
 	_, verdict := offerAt(c, begin, Job{Server: "a", Key: "k", Deadline: begin.Add(20 * time.Second)})
 	assert.Equal(t, verdict, Wait)
--- a/internal/load/gate/stall.go
+++ b/internal/load/gate/stall.go
@@ -59,6 +59,11 @@
 // It takes no lock.
 func (p Permit) MayStall() bool { return p.silent }
 
+// watches reports whether a started request is watched for an answer that will not come.
+func (c *Core) watches(t *Ticket) bool {
+	return c.silent && (c.cfg.SilentKeyed || t.Job.Server == "")
+}
+
 // Stalled records that the attempt is stalled and reports whether it may be ended now and
 // repeated with [Permit.Retry], whose retry it charges. If not, or if mayRepeat is false, the
 // attempt goes on without its slot, so that other requests can start; Done must still be
