--- a/internal/admin/cmds/serve.go
+++ b/internal/admin/cmds/serve.go
@@ -33,7 +33,8 @@
 type serveCmd struct {
 	app      *app
 	Settings string `short:"c" long:"settings" value-name:"FILE" description:"settings; without it those of the platform that started the process"`
-	Full     string `long:"full-servers" value-name:"HOW" choice:"auto" choice:"silent" choice:"answer" default:"auto" description:"on the platform, how a backend server whose slots and queue are taken behaves: it is silent, it answers, or as observed"`
+	Full     string `long:"full-servers" value-name:"HOW" choice:"auto" choice:"silent" choice:"answer" default:"answer" description:"on the platform, how a backend server whose slots and queue are taken behaves: it is silent, it answers, or as observed"`
+	Budget   bool   `long:"response-budget" description:"on the platform, admit requests with large responses by the bytes that the link and the memory of this VM have room for"`
 }
 
 // Execute runs the entry VM until the context is done.
@@ -115,13 +116,24 @@
 
 // loadPlatform reads the platform's settings and adds those of the command line.
 func (c *serveCmd) loadPlatform(path string) (host.Config, error) {
+	cfg, err := platform.Load(path)
+	if err != nil {
+		return cfg, err
+	}
+	return c.withFlags(cfg)
+}
+
+// withFlags returns the settings with those of the command line.
+func (c *serveCmd) withFlags(cfg host.Config) (host.Config, error) {
 	mode, err := fleet.ParseMode(c.Full)
 	if err != nil {
 		return host.Config{}, err
 	}
-	cfg, err := platform.Load(path)
 	cfg.FullServers = mode
-	return cfg, err
+	if !c.Budget {
+		cfg.Link, cfg.Memory = 0, 0
+	}
+	return cfg, nil
 }
 
 // reload reads the settings again after SIGHUP and logs whether they changed. No setting
--- a/internal/admin/cmds/serve_test.go
+++ b/internal/admin/cmds/serve_test.go
@@ -13,7 +13,9 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/edge/host"
 	"hawthornfield.org/hawthornfield/internal/fake/origin"
+	"hawthornfield.org/hawthornfield/internal/load/fleet"
 )
 
 // Starts an entry VM from a settings file, sends a request through it and shuts it down.
@@ -84,3 +86,14 @@
 	assert.Equal(t, cli.run("serve --full-servers=silent -c", settings), ExitUsage)
 	assert.Assert(t, strings.Contains(cli.errs.String(), "--full-servers=silent"), cli.errs.String())
 }
+
+// Guards against parts that are on without being asked for, which changes how earlier deployments are served.
+func TestNewPartsAreOffUnlessAskedFor(t *testing.T) {
+	settings := host.Config{Link: 1, Memory: 1}
+	off, err := (&serveCmd{Full: fleet.Answer.String()}).withFlags(settings)
+	assert.NilError(t, err)
+	assert.Assert(t, off.FullServers == fleet.Answer && off.Link == 0 && off.Memory == 0)
+	on, err := (&serveCmd{Full: fleet.Silent.String(), Budget: true}).withFlags(settings)
+	assert.NilError(t, err)
+	assert.Assert(t, on.FullServers == fleet.Silent && on.Link == 1 && on.Memory == 1)
+}
