--- a/internal/load/gate/places.go
+++ b/internal/load/gate/places.go
@@ -31,7 +31,7 @@
 const minSeen = 500 * time.Millisecond
 
 // minBurst is the least number of requests in a row that do not count as more than this VM's
-// share. At 300 VMs with 3 requests a second each, a bound of 1 was exceeded all the time.
+// share: a VM with few requests a second has two at once by chance.
 const minBurst = 3
 
 // minShareFactor is the least share of this VM, as a part of an even one: callers that have
@@ -133,7 +133,7 @@
 
 // averageOffered averages the demand of this VM and of all VMs in the same way: their quotient
 // is then this VM's share also while the demand changes. With averages over different times,
-// all VMs together took twice what the servers complete at the beginning of a burst.
+// all VMs together take more than the servers complete when a burst begins.
 func (c *Core) averageOffered(now, at time.Time) {
 	l, own, all := &c.limits, c.limits.offers.mean(now), 0.0
 	l.demand.SetBase(own)
--- a/internal/load/places/turns.go
+++ b/internal/load/places/turns.go
@@ -96,16 +96,14 @@
 	correctionTime = 800 * time.Millisecond
 	// successorShare is the part of a turn that an answer is worth to its VM, for requests
 	// that may go to any server. Answers come as places become free, so with most turns tied
-	// to them the load keeps still between two lists: of 20,000 requests in a burst at 60 VMs,
-	// 6 in 100 of those sent hung with a half, and 1 in 100 with 0.9. The rest goes by share,
-	// so that shares are kept over some ten answers.
+	// to them the load keeps still between two lists. The rest goes by share, so that shares
+	// are kept over some ten answers.
 	successorShare = 0.9
 	// successorGain is what each request that the load is below the target adds to that.
 	successorGain = 0.15
 	// offeredShare is the part of the turns for keys that requests earn when they come; the
-	// rest is earned by time. With turns by time and
-	// answers, at 300 VMs with a request for an owner
-	// each 4 s, turns waited for requests: 2,583 were served in a burst instead of 7,640.
+	// rest is earned by time. A VM with a request for an owner every few seconds would
+	// otherwise keep turns that other VMs need.
 	offeredShare = 0.75
 	// answerAge is the age up to which a report is taken to have come with the answer that
 	// has just ended.
