--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -298,6 +298,7 @@
 	gateways []*gateway
 	cfgs     []Config
 	paths    map[int]*vmPaths // paths of the VMs to backend servers; nil if they cannot be cut
+	lagging  bool             // calls that may return stale data return none newer than the VMs' start
 	// decoders replaces the decoder of single VMs, by index.
 	decoders map[int]feed.Decoder
 	log      *slog.Logger // log of the VMs
@@ -396,10 +397,14 @@
 	if d, ok := tc.decoders[i]; ok {
 		decode = d
 	}
+	var stale object.Store = staleGateway{gw}
+	if tc.lagging {
+		stale = laggingStore{gw}
+	}
 	names := relay.DefaultHeaders()
 	names.PassThrough, names.RetryAfter = []string{relay.HeaderKey}, readRetryAfter
 	p := Platform{
-		Store: gw, StaleStore: staleGateway{gw}, Decode: decode, Orders: tc, Headers: names,
+		Store: gw, StaleStore: stale, Decode: decode, Orders: tc, Headers: names,
 		Servers: "servers/", Evacuations: "evacuations/", Rules: "config/main", OwnPrefix: "own/",
 	}
 	if tc.paths != nil {
