host: VMs watch the linearizable store while the leader does not confirm its contact

Only the leader watches the store without lag; the others hear of changes from it and watch a copy that may be seconds old. A leader that lost the store was noticed after up to 2 s and replaced after 0.7 to 1.5 s more, and until then nobody knew of what was accepted: longer than the 2 s within which it must be in force everywhere.

The leader now tells with each answer for how long its last contact with the store vouches for it (the time by which a change accepted after it is due, less a margin). When that has run out and nobody leads who says more, each VM watches rules and servers in the linearizable store itself, and ends the watch of the copy and its pauses for that. Costs nothing while the leader is in contact, and one waiting call a second for each VM and kind otherwise. Weighed: a shorter time to the next leader (a store that is slow for a second would change leaders), and reading the linearizable store always (ten times the price).

Evacuations are not watched so: they are due after 5 s, and a VM that hears the leader makes no calls for them.

TestStaleStoreDoesNotMakeRulesFresh used a leader that confirms nothing. Such a VM now reads the linearizable store, which does make its rules the newest, so the leader of the test confirms its contact but no rules; what is checked is the same.

--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -90,6 +90,7 @@
 	g.set("leads", leads)
 	g.set("lead_left_seconds", remaining)
 	g.set("lead_epoch", float64(m.Lease().Epoch))
+	g.set("store_confirmed_seconds", max(g.parts.Hub.ConfirmedFor(now), 0).Seconds())
 	g.set("vms", float64(g.parts.Hub.VMs(time.Now())))
 	_, servers := g.parts.Hub.Revs()
 	g.set("servers_rev", float64(servers))
--- a/internal/edge/host/peer_rules_test.go
+++ b/internal/edge/host/peer_rules_test.go
@@ -111,15 +111,16 @@
 	}
 }
 
-// Guards against trust in a stale store. The leader runs an earlier version and confirms
-// no rules, and the store that this VM watches may lag by seconds, so its rules must not
-// count as the newest.
+// Guards against trust in a stale store. The leader confirms its contact with the store, so
+// this VM watches one that may lag by seconds, but it confirms no rules, so those of this VM
+// must not count as the newest.
 func TestStaleStoreDoesNotMakeRulesFresh(t *testing.T) {
 	tc := newTestCluster(t, 1)
 	tc.setRules("/lookup/")
 	tc.addServer("lookup", "l1")
 	leader := tc.startThrottledLeader(1_000_000)
 	leader.assignAllKeys("l1")
+	leader.SetConfirmed(clock.Now().Add(time.Hour))
 	h := tc.startVM(0)
 	tc.waitFor(waitLimit, "ready", tc.ready(0))
 	tc.waitFor(waitLimit, "rules are not confirmed as the newest", func() bool { return !h.listeners.parts.State.Rules.Fresh(clock.Now()) })
--- a/internal/edge/host/rules.go
+++ b/internal/edge/host/rules.go
@@ -56,11 +56,15 @@
 	w := &watcher{
 		prefix: kind + "/", hub: p.Hub, fresh: p.Platform.Store, stale: p.Platform.StaleStore, log: p.Log,
 		receivedFromPeer: func() bool { rules, _ := p.Hub.Revs(); return rules > 0 },
+		confirmed:        p.Hub.ConfirmedFor,
 		onCurrent: func(when time.Time, cursor object.Cursor) {
+			until := when.Add(freshFor(p.Config.Bounds.RulesApply))
+			if _, leads := p.Hub.Lease(); leads {
+				p.Hub.SetConfirmed(until)
+			}
 			if p.State.Rules.Newest() > p.State.Rules.Current().Rev {
 				return // this VM cannot read the newest revision and must not claim that its own is the newest
 			}
-			until := when.Add(freshFor(p.Config.Bounds.RulesApply))
 			p.State.Rules.SetFreshUntil(until)
 			p.Hub.SetRulesFresh(until, cursor)
 		},
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -71,6 +71,7 @@
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
+		confirmed:        hub.ConfirmedFor,
 		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 	}
 	runWhileStarted(lc, &t.group, w.run, t.expireLoop)
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -17,7 +17,9 @@
 // there, and lists again when the store no longer knows the cursor.
 //
 // The leader watches the linearizable store and informs the other VMs. These watch the
-// cheaper store, for the time in which the leader is cut off and nobody has noticed yet.
+// cheaper store, which may lag by seconds, and the linearizable one while the leader does
+// not confirm that it is in contact with the store: until another VM leads, nobody else
+// would tell them of a change in time.
 type watcher struct {
 	prefix           string
 	hub              *poll.Hub
@@ -37,7 +39,10 @@
 	onCurrent func(at time.Time, cursor object.Cursor)
 	// peersCover, if set, reports whether other VMs deliver everything that this watch
 	// would, and up to which cursor they have.
-	peersCover  func(now time.Time) (object.Cursor, bool)
+	peersCover func(now time.Time) (object.Cursor, bool)
+	// confirmed, if set, returns for how long, from a time of the boot clock, the leader
+	// confirms that this VM hears from it what the store holds.
+	confirmed   func(now time.Time) time.Duration
 	failures    int // failed calls in a row
 	lostCursors int // lists in a row whose cursor the store refused at once
 }
@@ -63,14 +68,36 @@
 )
 
 // preferredStore returns the linearizable store on the leader, which informs the other
-// VMs, and the cheaper one on the others.
+// VMs, and the cheaper one on the others while the leader confirms its contact.
 func (w *watcher) preferredStore() object.Store {
-	if _, leads := w.hub.Lease(); leads {
+	if _, leads := w.hub.Lease(); leads || !w.isConfirmed() {
 		return w.fresh
 	}
 	return w.stale
 }
 
+func (w *watcher) isConfirmed() bool { return w.confirmed == nil || w.confirmed(clock.Now()) > 0 }
+
+// whileConfirmed returns a context that ends when the leader no longer confirms its
+// contact, and a function that releases it.
+func (w *watcher) whileConfirmed(ctx context.Context) (context.Context, func()) {
+	if w.confirmed == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g group.Group
+	g.Go(func(stopped context.Context) error {
+		defer cancel()
+		for d := w.confirmed(clock.Now()); d > 0; d = w.confirmed(clock.Now()) {
+			if !group.Sleep(stopped, d) {
+				break
+			}
+		}
+		return nil
+	})
+	return ctx, func() { _ = g.Close() }
+}
+
 // firstStore returns the store for the first list. A stale list is harmful only to a VM
 // that knows nothing newer.
 func (w *watcher) firstStore(ctx context.Context) object.Store {
@@ -160,6 +187,10 @@
 		asked, began := clock.Now(), time.Now()
 		all, next, err := w.watch(ctx, store, at)
 		switch {
+		case errors.Is(err, errUnconfirmed):
+			w.log.Info("leader does not confirm its contact with the store; watching it here", "kind", w.prefix)
+			w.lostCursors = 0
+			continue
 		case errors.Is(err, errLeaderChanged):
 			w.lostCursors = 0
 			return // the other store is watched from now on, starting with a list
@@ -215,11 +246,17 @@
 	w.pause(ctx, leaderBatchDelay)
 }
 
-// pause sleeps, but wakes up when this VM becomes leader or stops being the leader: all
-// other VMs rely on what a new leader sees.
+// pause sleeps, but wakes up when this VM becomes leader or stops being the leader, since
+// all other VMs rely on what a new leader sees, and when the leader ceases to confirm its
+// contact.
 func (w *watcher) pause(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if w.isConfirmed() {
+		var release func()
+		ctx, release = w.whileConfirmed(ctx)
+		defer release()
+	}
 	defer context.AfterFunc(w.hub.LeaderContext(), cancel)()
 	group.Sleep(ctx, d)
 }
@@ -228,6 +265,10 @@
 // leader.
 var errLeaderChanged = errors.New("leadership changed")
 
+// errUnconfirmed ends a watch of the stale store because the leader no longer confirms its
+// contact with the store.
+var errUnconfirmed = errors.New("contact of the leader unconfirmed")
+
 // watch waits for a change, but no longer than until this VM becomes leader or stops
 // being the leader: a stale watch started before would otherwise run for seconds on the
 // VM that all others rely on.
@@ -236,11 +277,21 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(leaderCtx, cancel)()
+	if store != w.fresh {
+		var release func()
+		callCtx, release = w.whileConfirmed(callCtx)
+		defer release()
+	}
 	all, next, err := store.Watch(callCtx, w.prefix, at)
-	if err != nil && leaderCtx.Err() != nil && ctx.Err() == nil {
+	switch {
+	case err == nil || ctx.Err() != nil:
+		return all, next, err
+	case leaderCtx.Err() != nil:
 		return nil, 0, errLeaderChanged
+	case store != w.fresh && callCtx.Err() != nil:
+		return nil, 0, errUnconfirmed
 	}
-	return all, next, err
+	return nil, 0, err
 }
 
 // maxAnswerAge is how old the answer of a watch may be when it arrives from a slow store.
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -190,3 +190,40 @@
 		assert.Assert(t, known)
 	})
 }
+
+// Guards against VMs that hear of changes from nobody while the leader has lost the store
+// and has not been replaced, because their own watch is of a store that lags.
+func TestUnconfirmedVMWatchesTheLinearizableStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fresh, stale := &forgetfulStore{}, &forgetfulStore{}
+		hub := poll.NewHub("vm-2", "a")
+		hub.SetSynced(time.Now())
+		w := newWatcher(hub, fresh, stale)
+		until := time.Now().Add(2 * time.Second)
+		w.confirmed = func(time.Time) time.Duration { return time.Until(until) }
+		watchFor(t, w, 10*time.Second, func() {
+			time.Sleep(2*time.Second - time.Millisecond)
+			assert.Equal(t, fresh.watches, 0)
+			time.Sleep(2 * time.Millisecond)
+			assert.Equal(t, fresh.watches, 1)
+		})
+		assert.Equal(t, fresh.watches, 1)
+		assert.Equal(t, stale.watches, 1)
+	})
+}
+
+// Guards against a VM that sleeps out its pause between two stale lists, seconds long after
+// the store has dropped its history, when nobody else will tell it of changes.
+func TestUnconfirmedVMDoesNotSleepOutItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fresh, stale := &forgetfulStore{}, &forgetfulStore{until: time.Now().Add(time.Hour)}
+		hub := poll.NewHub("vm-2", "a")
+		hub.SetSynced(time.Now())
+		w := newWatcher(hub, fresh, stale)
+		until := time.Now().Add(5 * time.Second)
+		w.confirmed = func(time.Time) time.Duration { return time.Until(until) }
+		watchFor(t, w, 10*time.Millisecond, func() { time.Sleep(5 * time.Second) })
+		assert.Equal(t, fresh.lists, 1)
+		assert.Equal(t, fresh.watches, 1)
+	})
+}
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -89,13 +89,16 @@
 	StoreUpFor time.Duration `json:"steady,omitempty"`
 	// RulesFreshFor is how long, from the arrival of the request, the sender's rules may
 	// be treated as the newest in the store; zero if unknown.
-	RulesFreshFor time.Duration            `json:"sure,omitempty"`
-	RulesCursor   object.Cursor            `json:"seen,omitempty"` // cursor up to which the sender knows the rules
-	ClaimRank     int                      `json:"rank"`           // VMs that may take over before the receiver if the leader is lost
-	VMCount       int                      `json:"count"`          // number of VMs that poll the sender, the receiver included
-	VMs           []string                 `json:"vms"`            // addresses of some of them
-	Changes       map[ident.Service]Change `json:"changes,omitempty"`
-	RulesRev      uint64                   `json:"newest,omitempty"` // newest rules that can be fetched from the sender
+	RulesFreshFor time.Duration `json:"sure,omitempty"`
+	// ConfirmedFor is how long, from the arrival of the request, the receiver may rely on the
+	// sender to hear what the store holds; zero if unknown.
+	ConfirmedFor time.Duration            `json:"confirmed,omitempty"`
+	RulesCursor  object.Cursor            `json:"seen,omitempty"` // cursor up to which the sender knows the rules
+	ClaimRank    int                      `json:"rank"`           // VMs that may take over before the receiver if the leader is lost
+	VMCount      int                      `json:"count"`          // number of VMs that poll the sender, the receiver included
+	VMs          []string                 `json:"vms"`            // addresses of some of them
+	Changes      map[ident.Service]Change `json:"changes,omitempty"`
+	RulesRev     uint64                   `json:"newest,omitempty"` // newest rules that can be fetched from the sender
 	// Rules is set only by VMs of an earlier version, which send no RulesRev.
 	Rules   *RawRules   `json:"rules,omitempty"`
 	Servers *ServerList `json:"servers,omitempty"`
@@ -149,6 +152,7 @@
 	contact         storeContact
 	rulesFreshUntil time.Time // on the boot clock: until then the rules here are the newest
 	rulesCursor     object.Cursor
+	confirmedUntil  time.Time // on the boot clock: see SetConfirmed
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
@@ -363,6 +367,7 @@
 	}
 	resp.StoreUpFor = h.contact.upFor(now)
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
+	resp.ConfirmedFor = max(h.confirmedUntil.Sub(req.receivedAt), 0)
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
 	hasNews = h.addNotices(req, &resp) || hasNews
