host: a leader that lost the store learns of new rules from the VMs that poll it

Callers of that VM were served by old rules until another VM led, 3 s and more. Knowledge went from the leader down only: the VMs that poll it state the newest revision that they know with each request, and nobody read it there.

--- a/internal/edge/host/cut_leader_test.go
+++ b/internal/edge/host/cut_leader_test.go
@@ -60,7 +60,7 @@
 	tc.gateways[leader].setBlocked(true)
 	tc.setRules("/new/")
 	accepted := time.Now()
-	for _, i := range []int{(leader + 1) % 3, (leader + 2) % 3} {
+	for _, i := range []int{(leader + 1) % 3, (leader + 2) % 3, leader} {
 		tc.waitFor(waitLimit, "new rules at VM "+strconv.Itoa(i), func() bool {
 			status, _ := tc.get(i, "/new/7", "1")
 			return status == http.StatusOK
--- a/internal/edge/host/fetcher.go
+++ b/internal/edge/host/fetcher.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// noteRequest records the revision that a VM states in its poll request. A leader that cannot
+// reach the store learns in this way of rules that the others have read there.
+func (f *fetcher) noteRequest(req *poll.Request) {
+	if held, _ := f.parts.Hub.Revs(); req.RulesRev <= held {
+		return
+	}
+	if addr, err := netip.ParseAddrPort(req.Addr); err == nil {
+		f.noteRevision(req.RulesRev, addr)
+	}
+}
+
 // setPeers stores the addresses of the other VMs.
 func (f *fetcher) setPeers(peers []netip.AddrPort) {
 	f.mu.Lock()
--- a/internal/edge/host/listeners.go
+++ b/internal/edge/host/listeners.go
@@ -50,6 +50,7 @@
 	Gauges      *gauges
 	Servers     *serverTracker
 	Rules       *ruleManager
+	Fetcher     *fetcher
 	Quarantine  *quarantine
 	Lender      *coldLender
 	Notices     *notices
@@ -80,6 +81,7 @@
 			p.Fleet.mergeReport(req) // before the coordinator, which gets the latencies
 		}
 		p.Coordinator.onRequest(req)
+		p.Fetcher.noteRequest(req)
 		p.Quarantine.addReports(req.Reports)
 		req.TrialGrants = p.Quarantine.grantTrials(req.VM, req.TrialAsks)
 		req.Lent = p.Lender.lend(req.VM)
