owner, host: a return of the store takes no key from its owner and gives no fence twice (OWNER)

Two servers held the same keys for 6.6 s and fences were given twice (378 after 384): after a write without an answer the leader read the key table again, took the older copy for the agreed one, moved what had moved since once more, and drew fences from the copy's highest.

The lease and the key tables of an era are objects of their own, so that no VM writes by a number that another era gave out. A new era has no lease, which is the case of a removed one: its leader writes it again under a higher epoch, the copy's is read for its epoch only. A leader whose authority has not lapsed writes its own table again. Any other takes the copy: a row whose server was the same when this VM last heard, up to three seconds before the store was lost, is renewed under the fence that it has, which the server refuses if the keys were taken back since, and is not moved before the terms of earlier leaders have ended; all other rows wait until every grant has expired. The fences of an era begin at the era times 2^32. A leader that is cut off gets its time to regain the lease also when there is none.

--- a/internal/edge/host/assigner.go
+++ b/internal/edge/host/assigner.go
@@ -1,8 +1,10 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +33,7 @@
 	badLoggedAt time.Time
 }
 
-func (a *assigner) objectName() string { return a.coord.plat.OwnPrefix + "keys-" + string(a.svc) }
+func (a *assigner) objectName() string { return "keys-" + string(a.svc) }
 
 // Run executes a command of the key assignment.
 func (a *assigner) Run(ctx context.Context, cmd loop.Cmd, send func(loop.Msg)) {
@@ -65,22 +67,39 @@
 }
 
 func (a *assigner) readTable(ctx context.Context) assign.ReadResultMsg {
-	o, err := a.coord.plat.Store.Get(ctx, a.objectName())
-	msg := assign.ReadResultMsg{Version: o.Version, Kind: kinds.Of(err)}
+	o, era, err := a.coord.plat.getOwn(ctx, a.objectName())
+	msg := assign.ReadResultMsg{Version: o.Version, Kind: kinds.Of(err), Era: era}
+	if msg.Kind == kinds.NotFound && era > firstEra {
+		if o, err = a.newestCopy(ctx); err == nil {
+			msg.Kind, msg.Copy, msg.Served = kinds.None, true, a.coord.servedBefore(a.svc)
+		}
+	}
 	if err == nil {
 		if msg.Table, err = ranges.Decode(o.Value); err != nil {
 			msg.Kind = kinds.Of(err)
 		}
 		if n := msg.Table.LostRows(); n > 0 {
-			a.coord.log.Warn("key table has rows whose owner is unknown; their keys wait until every possible grant has expired", "service", a.svc, "rev", o.Version, "rows", n)
+			a.coord.log.Warn("key table has rows whose owner is unknown; their keys wait until every possible grant has expired", "service", a.svc, "rev", o.Version.Revision(), "rows", n)
+		}
+		if msg.Kind == kinds.None && msg.Table.Era != era && !msg.Copy {
+			msg.Copy, msg.Served = true, a.coord.servedBefore(a.svc)
 		}
 		if err != nil && a.shouldLogBadTable(o.Version) {
-			a.coord.log.Error("key table cannot be decoded", "service", a.svc, "rev", o.Version, "err", err)
+			a.coord.log.Error("key table cannot be decoded", "service", a.svc, "rev", o.Version.Revision(), "err", err)
 		}
 	}
 	return msg
 }
 
+// newestCopy returns the newest table of an earlier era that the store has.
+func (a *assigner) newestCopy(ctx context.Context) (object.Object, error) {
+	all := a.coord.plat.listOwn(ctx, a.objectName())
+	if len(all) == 0 {
+		return object.Object{}, kinds.New(kinds.NotFound, a.objectName())
+	}
+	return slices.MaxFunc(all, func(x, y object.Object) int { return cmp.Compare(x.Version, y.Version) }), nil
+}
+
 // badTableLogInterval is how often an unreadable table is logged if it does not change.
 const badTableLogInterval = 30 * time.Second
 
@@ -99,9 +118,9 @@
 	if err != nil {
 		return assign.WriteResultMsg{Kind: kinds.Of(err)}
 	}
-	version, err := a.coord.plat.Store.Put(ctx, a.objectName(), b, cmd.Old)
+	version, err := a.coord.plat.putOwn(ctx, a.objectName(), b, cmd.Old, cmd.Table.Era)
 	if err != nil {
-		a.coord.log.Warn("key table write failed", "service", a.svc, "old", cmd.Old, "err", err)
+		a.coord.log.Warn("key table write failed", "service", a.svc, "old", cmd.Old.Revision(), "era", cmd.Table.Era, "err", err)
 	}
 	return assign.WriteResultMsg{Version: version, Kind: kinds.Of(err)}
 }
--- a/internal/edge/host/coordinator.go
+++ b/internal/edge/host/coordinator.go
@@ -22,6 +22,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/owner/assign"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // tickInterval is how often the election and the assigners get a tick.
@@ -71,6 +72,9 @@
 	mu        sync.Mutex
 	assigners map[ident.Service]*loop.Loop
 	seq       uint64
+	era       object.Era // of the store, as last logged
+	failingAt time.Time  // when the first lease call since the last answer was sent; zero if the last was answered
+	lostAt    time.Time  // the same for the outage before the store last returned from a copy
 }
 
 func newCoordinator(lc fx.Lifecycle, cfg Config, plat Platform, hub *poll.Hub, servers *serverTracker, st *state.State, counts *loadCounts, d *dial.Dialer, log *slog.Logger) *coordinator {
@@ -123,6 +127,7 @@
 
 func (c *coordinator) tickLoop(ctx context.Context) error {
 	for group.Sleep(ctx, tickInterval) {
+		c.noteEra()
 		c.election.Send(elect.TickMsg{})
 		m := c.model()
 		if m.Role() != elect.Leader {
@@ -238,26 +243,48 @@
 
 func (c *coordinator) readLease(ctx context.Context) elect.ReadMsg {
 	msg := elect.ReadMsg{Asked: clock.Now()}
-	o, err := c.plat.Store.Get(ctx, c.plat.OwnPrefix+leaseObject)
-	msg.Kind, msg.Version = kinds.Of(err), o.Version
+	o, era, err := c.plat.getOwn(ctx, leaseObject)
+	msg.Kind, msg.Version, msg.Era = kinds.Of(err), o.Version, era
+	c.noteStoreCall(msg.Asked, msg.Kind)
 	if err == nil && json.Unmarshal(o.Value, &msg.Lease) != nil {
 		msg.Lease = elect.Lease{} // a partly decoded lease could name a leader that never existed
-		c.log.Error("lease cannot be decoded; it will be rewritten", "rev", o.Version)
+		c.log.Error("lease cannot be decoded; it will be rewritten", "rev", o.Version.Revision())
+	}
+	if msg.Lease.Era != era {
+		msg.MaxEpoch, msg.Lease = msg.Lease.Epoch, elect.Lease{}
+	}
+	if msg.Lease.Incarnation == "" && era > firstEra && (err == nil || msg.Kind == kinds.NotFound) {
+		msg.MaxEpoch = max(msg.MaxEpoch, c.earlierEpoch(ctx))
 	}
 	return msg
 }
 
+// earlierEpoch returns the highest epoch of the leases of earlier eras that the store still
+// has. It is at least one: there was a leader before, whether or not the copy has its lease.
+func (c *coordinator) earlierEpoch(ctx context.Context) uint64 {
+	epoch := uint64(1)
+	for _, o := range c.plat.listOwn(ctx, leaseObject) {
+		var l elect.Lease
+		if json.Unmarshal(o.Value, &l) == nil {
+			epoch = max(epoch, l.Epoch)
+		}
+	}
+	return epoch
+}
+
 func (c *coordinator) writeLease(ctx context.Context, cmd elect.WriteCmd) elect.WroteMsg {
+	cmd.Lease.Era = cmd.Era
 	msg := elect.WroteMsg{Asked: clock.Now(), Lease: cmd.Lease}
 	b, err := json.Marshal(cmd.Lease)
 	if err != nil {
 		msg.Kind = kinds.Internal
 		return msg
 	}
-	msg.Version, err = c.plat.Store.Put(ctx, c.plat.OwnPrefix+leaseObject, b, cmd.Old)
+	msg.Version, err = c.plat.putOwn(ctx, leaseObject, b, cmd.Old, cmd.Era)
 	msg.Kind = kinds.Of(err)
+	c.noteStoreCall(msg.Asked, msg.Kind)
 	if err != nil {
-		c.log.Warn("lease write failed", "epoch", cmd.Lease.Epoch, "old", cmd.Old, "err", err)
+		c.log.Warn("lease write failed", "epoch", cmd.Lease.Epoch, "old", cmd.Old.Revision(), "era", cmd.Era, "err", err)
 	}
 	return msg
 }
--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -18,6 +18,7 @@
 	"hawthornfield.org/hawthornfield/internal/load/egress"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/elect"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // gaugeInterval is how often the gauges are updated. It is shorter than usual scrape
@@ -90,10 +91,11 @@
 	g.set("leads", leads)
 	g.set("lead_left_seconds", remaining)
 	g.set("lead_epoch", float64(m.Lease().Epoch))
+	g.set("store_era", float64(g.parts.Coordinator.storeEra()))
 	g.set("store_confirmed_seconds", max(g.parts.Hub.ConfirmedFor(now), 0).Seconds())
 	g.set("vms", float64(g.parts.Hub.VMs(time.Now())))
 	_, servers := g.parts.Hub.Revs()
-	g.set("servers_rev", float64(servers))
+	g.set("servers_rev", float64(object.Version(servers).Revision()))
 }
 
 // updateRules sets the gauges for the revision in force, the newest known revision, how
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -115,6 +115,9 @@
 	prevExpiry time.Time // like expiry, for a previous owner that has not released the keys
 	// prevInherited says that an earlier leader may have granted the row to the previous owner.
 	prevInherited bool
+	oldTermEnd    time.Time    // until when earlier leaders may have given orders; zero: see Authority
+	keepFence     uint64       // see storeReturned: the owner is renewed under it while the row waits
+	keptAt        time.Time    // when the last such renewal that was accepted was sent
 	token         string       // returned by the previous owner when it released the keys
 	published     ident.Server // the server last published for this row
 }
@@ -145,10 +148,13 @@
 	auth               Authority
 	table              ranges.Table
 	version            object.Version
-	loaded             bool   // the table has been read
-	unassigned         bool   // no table is stored yet: the key space is split once servers are known
-	writtenEpoch       uint64 // last epoch under which this VM wrote the table, or may have written it
-	mustReread         bool   // the stored table may differ: read it before the next write
+	era                object.Era // of the store when the table was last read
+	oldTermEnd         time.Time  // Authority.OldTermEnd under the epoch before
+	lapsed             bool       // this VM's authority has lapsed since it last wrote the table
+	loaded             bool       // the table has been read
+	unassigned         bool       // no table is stored yet: the key space is split once servers are known
+	writtenEpoch       uint64     // last epoch under which this VM wrote the table, or may have written it
+	mustReread         bool       // the stored table may differ: read it before the next write
 	callPending        bool
 	pendingDraft       *draft
 	nextCall           time.Time
@@ -248,6 +254,7 @@
 // other VMs take the first view of an epoch as complete.
 func (m *Model) setAuthority(now time.Time, a Authority) {
 	if m.loaded && a.Epoch != m.auth.Epoch {
+		m.lapsed, m.oldTermEnd = m.lapsed || !now.Before(m.auth.Until), m.auth.OldTermEnd
 		m.dirtySince, m.publishedFull = now.Add(-flushDelay), false
 		m.nextCall = now
 	}
--- a/internal/owner/assign/faults_test.go
+++ b/internal/owner/assign/faults_test.go
@@ -95,16 +95,21 @@
 		}
 	}
 	sim.runUntil(sim.now.Add(25 * time.Second))
+	sim.logViolation()
+	return sim.violation
+}
+
+// logViolation logs the events of the row whose owner was violated.
+func (sim *simulation) logViolation() {
 	if sim.violation == "" {
-		return ""
+		return
 	}
 	row, _, _ := strings.Cut(strings.TrimPrefix(sim.violation, "row "), " ")
 	for _, line := range sim.trace {
 		if strings.Contains(line, " row "+row+" ") || strings.Contains(line, " all rows") {
-			t.Log(line)
+			sim.t.Log(line)
 		}
 	}
-	return sim.violation
 }
 
 // Guards against two servers that own the same keys at once, so that callers see a record on only
--- a/internal/owner/assign/flaw.go
+++ b/internal/owner/assign/flaw.go
@@ -15,4 +15,6 @@
 	flawSkipLostWait            // reassign keys with an unknown owner at once
 	flawIgnoreDelay             // ignore that orders through another VM may arrive later
 	flawActBeforeWrite          // act on a draft before it has been written to the store
+	flawTrustCopy               // take the table of an earlier era for the present one
+	flawKeepTop                 // give out the fences of an earlier era again
 )
--- a/internal/owner/assign/msg.go
+++ b/internal/owner/assign/msg.go
@@ -46,11 +46,19 @@
 		Cells   map[uint16]uint32 // requests by cell
 		Servers map[ident.Server]LatencySum
 	}
-	// ReadResultMsg is the result of a ReadCmd; Version zero means there is no table.
+	// ReadResultMsg is the result of a ReadCmd; Version zero means there is no table of the
+	// store's era.
 	ReadResultMsg struct {
 		Table   ranges.Table
 		Version object.Version
 		Kind    kinds.Kind
+		Era     object.Era
+		// Copy says that there is no table of the era, and that Table is of an earlier one, as
+		// of some seconds before the store returned.
+		Copy bool
+		// Served says which server served each key when the leader that has gone last told.
+		// It is empty if this VM did not hear from it up to the end.
+		Served []ranges.Assignment
 	}
 	// WriteResultMsg is the result of a WriteCmd.
 	WriteResultMsg struct {
@@ -96,7 +104,8 @@
 type (
 	// ReadCmd reads the table.
 	ReadCmd struct{}
-	// WriteCmd writes the table if its stored version is still Old.
+	// WriteCmd writes the table of Table.Era if its stored version is still Old. In another
+	// era of the store it is a conflict.
 	WriteCmd struct {
 		Table ranges.Table
 		Old   object.Version
--- a/internal/owner/assign/orders.go
+++ b/internal/owner/assign/orders.go
@@ -23,6 +23,9 @@
 		}
 		switch s.phase {
 		case releasing:
+			if b := m.backends[r.Owner]; b != nil && b.keepDue(now, s) && b.Incarnation == r.Incarnation {
+				grants[r.Owner] = append(grants[r.Owner], m.newKeepGrant(now, b, r, s))
+			}
 			if b := m.backends[r.PrevOwner]; b != nil && !r.Lost && !b.releasesPending && !now.Before(b.releaseAt) {
 				releases[r.PrevOwner] = append(releases[r.PrevOwner], Order{Span: r.Span, Fence: r.Fence, Release: true})
 			}
@@ -126,6 +129,7 @@
 // markReleased records that a row's previous owner no longer has it.
 func (m *Model) markReleased(r *ranges.Row, s *rowState, token string) {
 	s.phase, s.token, s.prevExpiry, s.prevInherited = granting, token, time.Time{}, false
+	s.keepFence, s.keptAt = 0, time.Time{}
 	if r.Owner == "" {
 		s.phase = vacant
 	}
@@ -244,6 +248,9 @@
 		// It may have been executed even without an answer: the next owner waits for its expiry.
 		m.extendExpiry(b, d)
 	}
+	if r, s := m.findKept(d.Order); r != nil && r.Owner == b.Name && incarnation == r.Incarnation {
+		return m.keepDone(b, r, s, d)
+	}
 	r, s := m.findRow(d.Order)
 	same := r != nil && r.Owner == b.Name && (s.phase == granting || s.phase == granted)
 	switch d.Kind {
@@ -255,6 +262,12 @@
 		if !same {
 			return nil // its keys have been reassigned meanwhile
 		}
+		if d.Kind == kinds.Fenced && m.era > 1 && d.Sent.Before(m.auth.OldTermEnd) {
+			// A leader of whom the store has lost everything may have moved the keys.
+			s.phase, s.prevInherited, s.oldTermEnd = releasing, true, time.Time{}
+			r.PrevOwner, r.Lost = "", true
+			return []loop.Cmd{LogCmd{Event: "grant refused", Server: b.Name, Rows: 1, Reason: "the keys may have been moved in the time that the store has lost"}}
+		}
 		s.phase = vacant // the next plan raises its fence
 		m.nextPlan = time.Time{}
 		return []loop.Cmd{LogCmd{Event: "grant refused", Server: b.Name, Rows: 1, Reason: d.Kind.String()}}
--- a/internal/owner/assign/plan.go
+++ b/internal/owner/assign/plan.go
@@ -290,7 +290,7 @@
 // or not granted yet. A row granted by an earlier leader counts as served while it is renewed.
 func (m *Model) currentServer(r *ranges.Row, s *rowState) ident.Server {
 	switch {
-	case s.phase == granted:
+	case s.phase == granted, s.phase == releasing && s.keepFence != 0:
 		return r.Owner
 	case s.phase == granting && (s.inherited || !s.expiry.IsZero()):
 		return r.Owner
--- a/internal/owner/assign/sim_test.go
+++ b/internal/owner/assign/sim_test.go
@@ -37,8 +37,9 @@
 	leaders   []*leader
 	maxEpoch  uint64 // highest epoch of any leader
 	violation string
-	trace     []string // events, printed when a test fails
-	flaw      flaw
+	returnState
+	trace []string // events, printed when a test fails
+	flaw  flaw
 }
 
 func (sim *simulation) tracef(format string, args ...any) {
@@ -86,7 +87,10 @@
 	unreachable map[ident.Server]bool
 	relayed     map[ident.Server]bool // its orders to these servers go through another VM
 	frozenUntil time.Time
-	unaware     bool // its epoch is raised once it reports that the table's epoch is not below its own
+	served      map[int]ident.Server // what it published last, by row
+	known       []ranges.Assignment  // what the leader before it had published then
+	era         object.Era           // in which it claimed the lease
+	unaware     bool                 // its epoch is raised once it reports that the table's epoch is not below its own
 }
 
 func newSim(t *rapid.T, f flaw) *simulation {
@@ -129,7 +133,7 @@
 	sim.maxEpoch++
 	epoch := sim.maxEpoch
 	l := &leader{sim: sim, model: New(WithMaxGrant(sim.maxGrant)), alive: true, unreachable: map[ident.Server]bool{}, relayed: map[ident.Server]bool{}}
-	l.model.flaw = sim.flaw
+	l.model.flaw, l.era, l.known = sim.flaw, sim.era, sim.knownServed()
 	l.auth = Authority{Epoch: epoch, Until: sim.now.Add(elect.Term), OldTermEnd: sim.now}
 	if epoch > 1 {
 		l.auth.OldTermEnd = sim.now.Add(elect.Term + elect.Margin)
@@ -174,6 +178,7 @@
 	}
 	sim := l.sim
 	if l.newest() && sim.storeOK && !l.isFrozen() {
+		l.claimInNewEra()
 		l.auth.Until = sim.now.Add(elect.Term)
 	}
 	l.auth.LongGrants = !sim.storeOK
@@ -212,13 +217,15 @@
 	sim := l.sim
 	switch cmd := cmd.(type) {
 	case ReadCmd:
-		sim.schedule(2*delay, func() { l.update(sim.readTable()) })
+		sim.schedule(2*delay, func() { l.update(l.withCopy(sim.readTable())) })
 	case WriteCmd:
 		sim.schedule(2*delay, func() { l.writeTable(cmd) })
 	case StaleEpochCmd:
 		sim.schedule(2*delay, func() { l.raiseEpoch(cmd.Epoch) })
 	case OrderCmd:
 		sim.schedule(delay, func() { l.sendOrders(cmd, nil) })
+	case PublishCmd:
+		l.publish(cmd)
 	}
 }
 
@@ -231,20 +238,20 @@
 		for i := range simRows {
 			t.Rows = append(t.Rows, ranges.Row{Span: ranges.Span{First: uint16(i * rowWidth), Last: uint16(i*rowWidth + rowWidth - 1)}})
 		}
-		return ReadResultMsg{Table: t, Version: 0}
+		return ReadResultMsg{Table: t, Version: 0, Era: sim.era}
 	}
 	t, err := ranges.Decode(sim.table)
 	if err != nil {
 		sim.t.Fatal(err)
 	}
-	return ReadResultMsg{Table: t, Version: sim.version}
+	return ReadResultMsg{Table: t, Version: sim.version, Era: sim.era}
 }
 
 // writeTable updates the table. Its answer may be lost, and it may be applied seconds later.
 func (l *leader) writeTable(cmd WriteCmd) {
 	sim := l.sim
 	apply := func() kinds.Kind {
-		if sim.version != cmd.Old {
+		if sim.version != cmd.Old || sim.era != cmd.Table.Era {
 			return kinds.Conflict
 		}
 		b, err := cmd.Table.Encode()
@@ -252,6 +259,7 @@
 			sim.t.Fatal(err)
 		}
 		sim.table, sim.version = b, sim.version+1
+		sim.addCopy()
 		for i, r := range cmd.Table.Rows {
 			sim.tracef("row %d agreed by %d as of %d: %s fence %d from %q", i, l.auth.Epoch, sim.version, r.Owner, r.Fence, r.PrevOwner)
 		}
--- a/internal/owner/assign/store.go
+++ b/internal/owner/assign/store.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	m.callPending, m.pendingDraft, m.dirtySince = true, d, time.Time{}
-	d.table.Epoch = m.auth.Epoch
+	d.table.Epoch, d.table.Era = m.auth.Epoch, m.era
 	if m.flaw == flawActBeforeWrite {
 		m.applyDraft(d)
 	}
@@ -45,6 +45,8 @@
 func (m *Model) readDone(now time.Time, msg ReadResultMsg) []loop.Cmd {
 	m.callPending = false
 	switch {
+	case msg.Copy && m.flaw != flawTrustCopy, msg.Kind == kinds.NotFound && m.loaded && msg.Era != m.era:
+		return m.storeReturned(now, msg)
 	case msg.Kind == kinds.NotFound:
 		msg.Table = ranges.NewTable(0)
 		m.unassigned = true
@@ -56,7 +58,8 @@
 		return nil
 	}
 	old, rows := m.table, m.rows
-	m.table, m.version = msg.Table.Clone(), msg.Version
+	m.table, m.version, m.era = msg.Table.Clone(), msg.Version, msg.Era
+	m.raiseTop()
 	m.rows = make([]rowState, len(m.table.Rows))
 	for i, r := range m.table.Rows {
 		j := old.Find(r.First)
@@ -132,11 +135,19 @@
 		return time.Time{}
 	}
 	if s.prevInherited && m.flaw != flawIgnoreOldTerm {
-		return later(s.prevExpiry, grantExpiry(m.auth.OldTermEnd, LongGrantTTL))
+		return later(s.prevExpiry, grantExpiry(m.oldTermEndOf(s), LongGrantTTL))
 	}
 	return s.prevExpiry
 }
 
+// oldTermEndOf returns until when earlier leaders may have given orders for a row.
+func (m *Model) oldTermEndOf(s *rowState) time.Time {
+	if s.oldTermEnd.IsZero() {
+		return m.auth.OldTermEnd
+	}
+	return s.oldTermEnd
+}
+
 // grantExpiry returns when a grant sent at the given time has certainly expired.
 func grantExpiry(sent time.Time, ttl time.Duration) time.Time {
 	return sent.Add(ttl + ttl*clockSlackPerMille/1000 + orderMargin)
@@ -150,7 +161,7 @@
 	case d == nil:
 		return nil
 	case msg.Kind == kinds.None:
-		m.version, m.writtenEpoch = msg.Version, d.table.Epoch
+		m.version, m.writtenEpoch, m.lapsed = msg.Version, d.table.Epoch, false
 		return m.applyDraft(d)
 	case msg.Kind == kinds.Conflict, msg.Kind == kinds.Ambiguous, msg.Kind == kinds.NotFound:
 		// Another leader wrote, or this VM's own write was applied and its answer lost.
--- a/internal/owner/elect/elect.go
+++ b/internal/owner/elect/elect.go
@@ -71,6 +71,7 @@
 	role    Role
 	lease   Lease
 	version object.Version
+	era     object.Era // of the store when the lease was last read
 	rank    int
 	hasRank bool      // a leader has assigned a rank
 	started time.Time // start of this process
@@ -80,6 +81,7 @@
 	leaderLost     bool           // the leader has stepped down, or cannot reach the store
 	leaderCutOff   bool           // the leader says that it cannot reach the store
 	seenVersion    object.Version // version of the lease read while the leader could not reach the store
+	seenEra        object.Era     // era of the store in which it was read
 	seenAt         time.Time      // when that version was first read
 	claimNotBefore time.Time      // no claim before this time
 	oldTermEnd     time.Time      // until when an earlier leader may give orders
@@ -135,6 +137,9 @@
 // that does not answer are not reassigned before then.
 func (m Model) OldTermEnd() time.Time { return m.oldTermEnd }
 
+// LeadingSince returns when this VM last became leader.
+func (m Model) LeadingSince() time.Time { return m.leadingSince }
+
 // Previous returns the lease before this one, and whether its holder may still give orders.
 func (m Model) Previous(now time.Time) (Lease, bool) {
 	return m.previous, m.role == Leader && m.previous.Incarnation != "" && now.Before(m.oldTermEnd)
--- a/internal/owner/elect/elect_test.go
+++ b/internal/owner/elect/elect_test.go
@@ -21,7 +21,10 @@
 	t            *rapid.T
 	now          time.Time
 	lease        Lease
-	version      object.Version // zero: there is no lease
+	version      object.Version // zero: there is no lease of the era
+	era          object.Era
+	copied       Lease // the lease of the era before, as of the copy from which the store returned
+	past         []Lease
 	writes       object.Version // versions are never used twice
 	tableEpoch   uint64         // epoch of the key table
 	tableWriter  string         // incarnation of the VM that wrote the key table
@@ -70,7 +73,10 @@
 	unreached := c.storeDown || v.storeCut
 	switch cmd := cmd.(type) {
 	case ReadCmd:
-		msg := ReadMsg{Asked: asked, Lease: c.lease, Version: c.version}
+		msg := ReadMsg{Asked: asked, Lease: c.lease, Version: c.version, Era: c.era}
+		if c.era > 1 && c.version == 0 {
+			msg.MaxEpoch = max(c.copied.Epoch, 1)
+		}
 		if c.version == 0 {
 			msg.Kind = kinds.NotFound
 		}
@@ -83,11 +89,12 @@
 		switch {
 		case unreached:
 			msg.Kind = kinds.Ambiguous
-		case cmd.Old != c.version:
+		case cmd.Old != c.version || cmd.Era != c.era:
 			msg.Kind = kinds.Conflict
 		default:
 			c.writes++
 			c.version, c.lease = c.writes, cmd.Lease
+			c.past = append(c.past, c.lease)
 			msg.Version = c.version
 			if c.loseAnswers {
 				msg = WroteMsg{Asked: asked, Lease: cmd.Lease, Kind: kinds.Ambiguous}
@@ -188,6 +195,65 @@
 	}
 }
 
+// returnStore lets the store return from a copy of some writes before.
+func (c *cluster) returnStore(lost int) {
+	c.era = max(c.era+1, 2)
+	c.copied = Lease{}
+	if n := len(c.past) - lost; n > 0 {
+		c.copied = c.past[n-1]
+	}
+	c.lease, c.version, c.storeDown = Lease{}, 0, false
+}
+
+// Guards against a new leader that takes the one before for ended, when the store has
+// returned from an older copy that may not have the lease of that one.
+func TestANewLeaderKnowsHowLongTheOldOneMayGoOnWhenTheStoreReturns(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 3)
+		c.era = 1
+		for range rapid.IntRange(2, 12).Draw(t, "faults") {
+			v := c.vms[rapid.IntRange(0, 2).Draw(t, "vm")]
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				v.storeCut = !v.storeCut
+			case 1:
+				v.leaderCut = !v.leaderCut
+			case 2:
+				v.frozen = !v.frozen
+			case 3:
+				v.start(c.newIncarnation())
+			case 4:
+				c.storeDown = !c.storeDown
+			case 5:
+				c.returnStore(rapid.IntRange(0, 10).Draw(t, "lost"))
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				c.advance(50 * time.Millisecond)
+				c.checkOldTerms()
+			}
+		}
+	})
+}
+
+// Guards against a leader that is replaced because the store has returned without its lease.
+func TestALeaderGoesOnWhenTheStoreReturns(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 3)
+		c.era = 1
+		c.advance(3 * time.Second)
+		holder, epoch := c.lease.Holder, c.lease.Epoch
+		for range 2 {
+			c.storeDown = true
+			c.advance(time.Duration(rapid.IntRange(0, 80).Draw(t, "away")) * 50 * time.Millisecond)
+			c.returnStore(rapid.IntRange(0, 10).Draw(t, "lost"))
+			c.advance(2 * time.Second)
+			assert.Equal(t, c.lease.Holder, holder)
+			assert.Assert(t, c.lease.Epoch > epoch)
+			epoch = c.lease.Epoch
+		}
+	})
+}
+
 // Guards against a new leader that reassigns keys which the old leader still renews.
 // VMs freeze, restart, lose the store or each other, the store loses answers, and the
 // lease itself is lost, so that a claimant may know of no earlier leader.
--- a/internal/owner/elect/msg.go
+++ b/internal/owner/elect/msg.go
@@ -14,9 +14,10 @@
 type Lease struct {
 	Epoch       uint64         `json:"epoch"` // rises with each change of leader
 	Holder      ident.VM       `json:"holder"`
-	Incarnation string         `json:"life"`  // unique to the holder's process
-	Addr        netip.AddrPort `json:"addr"`  // where the other VMs reach the holder
-	Renewals    uint64         `json:"beats"` // number of renewals
+	Incarnation string         `json:"life"`          // unique to the holder's process
+	Addr        netip.AddrPort `json:"addr"`          // where the other VMs reach the holder
+	Renewals    uint64         `json:"beats"`         // number of renewals
+	Era         object.Era     `json:"era,omitempty"` // of the store, as written
 }
 
 // Role is the part that a VM plays in the election.
@@ -48,11 +49,15 @@
 	// ClusterFormedMsg reports that another VM answered which has followed a leader before.
 	ClusterFormedMsg struct{}
 	// ReadMsg is the result of a ReadCmd sent at Asked; Version zero means there is no lease.
+	// The lease is that of the era; MaxEpoch is the highest epoch that leases of earlier eras
+	// may have had, as far as the store still has them.
 	ReadMsg struct {
-		Asked   time.Time
-		Lease   Lease
-		Version object.Version
-		Kind    kinds.Kind
+		Asked    time.Time
+		Lease    Lease
+		Version  object.Version
+		Kind     kinds.Kind
+		Era      object.Era
+		MaxEpoch uint64
 	}
 	// WroteMsg is the result of a WriteCmd sent at Asked.
 	WroteMsg struct {
@@ -77,10 +82,12 @@
 type (
 	// ReadCmd reads the lease.
 	ReadCmd struct{}
-	// WriteCmd writes the lease if its stored version is still Old.
+	// WriteCmd writes the lease of an era if its stored version is still Old. In another era
+	// of the store it is a conflict.
 	WriteCmd struct {
 		Lease Lease
 		Old   object.Version
+		Era   object.Era
 	}
 	// RoleChangeCmd reports a change of the leader or of this VM's role.
 	RoleChangeCmd struct {
--- a/internal/owner/elect/store.go
+++ b/internal/owner/elect/store.go
@@ -15,7 +15,7 @@
 
 func (m Model) writeLease(l Lease) (loop.Model, []loop.Cmd) {
 	m.callPending = true
-	return m, []loop.Cmd{WriteCmd{Lease: l, Old: m.version}}
+	return m, []loop.Cmd{WriteCmd{Lease: l, Old: m.version, Era: m.era}}
 }
 
 // readDone handles the result of reading the lease.
@@ -30,7 +30,7 @@
 		return m, nil
 	}
 	m.failedReads = 0
-	m.maxEpoch = max(m.maxEpoch, msg.Lease.Epoch)
+	m.maxEpoch, m.era = max(m.maxEpoch, msg.Lease.Epoch, msg.MaxEpoch), msg.Era
 	if m.role == Leader && msg.Lease.Incarnation == "" {
 		return m.restore(now, msg.Version), nil
 	}
@@ -66,8 +66,8 @@
 // leader that could not reach the store may regain it at the same moment as this VM.
 // It should then go on leading, because it knows which grants it gave.
 func (m *Model) leaseStale(now time.Time, v object.Version) bool {
-	if m.seenVersion != v {
-		m.seenVersion, m.seenAt = v, now
+	if m.seenVersion != v || m.seenEra != m.era || m.seenAt.IsZero() {
+		m.seenVersion, m.seenEra, m.seenAt = v, m.era, now
 	}
 	if now.Sub(m.seenAt) >= RegainWindow {
 		return true
@@ -84,8 +84,8 @@
 }
 
 // previousLease returns the lease before this VM's claim. If the stored lease was removed,
-// is unreadable, or was written by a VM that did not know of earlier leaders, the previous
-// leader is unknown: the result then has an epoch but no incarnation.
+// is unreadable, was written by a VM that did not know of earlier leaders, or was lost when the
+// store returned from an older copy, the previous leader is unknown: the result then has an epoch but no incarnation.
 func (m Model) previousLease() Lease {
 	if m.lease.Incarnation == "" || m.lease.Epoch < m.maxEpoch {
 		return Lease{Epoch: m.maxEpoch}
--- a/internal/owner/ranges/table.go
+++ b/internal/owner/ranges/table.go
@@ -14,6 +14,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // Limits of the key space and of tables.
@@ -68,8 +69,9 @@
 // Table is the agreed assignment of one service's keys. Rows are sorted and cover all keys.
 // Treat a table as read-only and edit a Clone.
 type Table struct {
-	Epoch uint64 // of the leader that wrote it
-	Top   uint64 // highest fence ever used; fences never decrease
+	Epoch uint64     // of the leader that wrote it
+	Era   object.Era // of the store in which it was written
+	Top   uint64     // highest fence ever used; fences never decrease
 	Rows  []Row
 }
 
@@ -86,6 +88,9 @@
 	return t
 }
 
+// RaiseTop makes sure that fences from now on are above floor.
+func (t *Table) RaiseTop(floor uint64) { t.Top = max(t.Top, floor) }
+
 // Clone returns a copy whose rows may be changed.
 func (t Table) Clone() Table {
 	t.Rows = slices.Clone(t.Rows)
@@ -146,6 +151,7 @@
 // previous owner]; owners are indexes into Servers, from 1, and 0 is none.
 type storedTable struct {
 	Epoch   uint64         `json:"epoch"`
+	Era     object.Era     `json:"era,omitempty"`
 	Top     uint64         `json:"top"`
 	Servers []ident.Server `json:"servers"`
 	Rows    [][5]int64     `json:"rows"`
@@ -153,7 +159,7 @@
 
 // Encode returns the stored form of the table.
 func (t Table) Encode() ([]byte, error) {
-	d := storedTable{Epoch: t.Epoch, Top: t.Top, Rows: make([][5]int64, len(t.Rows))}
+	d := storedTable{Epoch: t.Epoch, Era: t.Era, Top: t.Top, Rows: make([][5]int64, len(t.Rows))}
 	index := map[ident.Server]int64{}
 	indexOf := func(s ident.Server) int64 {
 		if s == "" {
@@ -191,7 +197,7 @@
 	if err := json.Unmarshal(b, &d); err != nil {
 		return Table{}, kinds.Wrap(kinds.Malformed, err, "decode table")
 	}
-	t := Table{Epoch: d.Epoch, Top: d.Top, Rows: make([]Row, len(d.Rows))}
+	t := Table{Epoch: d.Epoch, Era: d.Era, Top: d.Top, Rows: make([]Row, len(d.Rows))}
 	last := int64(KeySpace)
 	for i := len(d.Rows) - 1; i >= 0; i-- {
 		r := d.Rows[i]
