node, host: a return of the store brings no server and no evacuation back

A copy lists servers as they were: one that has left is there again, one that has announced its end has not, and an evacuation may be missing. Requests would go to all of them until the entries are written again.

What a server said of its end holds in the new era: an entry of the copy of one that was removed, or leaves, counts only once it is written again, or when it would have lapsed; what is missing is waited for as after an outage. A missing evacuation lasts five seconds more unless it is taken back. Entries that did not change keep the revision under which they are known, or the leader would send all of them to all VMs. Log lines name revisions without the era.

--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -60,7 +60,7 @@
 			t.loggedEvacs = map[string]bool{}
 		}
 		t.loggedEvacs[name] = true
-		t.log.Warn("evacuation has a fault and is ignored", "name", name, "rev", o.Version, "fault", err)
+		t.log.Warn("evacuation has a fault and is ignored", "name", name, "rev", o.Version.Revision(), "fault", err)
 	}
 	return "", false
 }
@@ -114,10 +114,10 @@
 			}
 		}
 		if _, evacuated := t.evacuated.Evacuated(c); evacuated {
-			t.log.Warn("data centre evacuated", "centre", c, "rev", l.Rev, "from", from, "servers", n, "grace", t.evacuationGrace())
+			t.log.Warn("data centre evacuated", "centre", c, "rev", object.Version(l.Rev).Revision(), "from", from, "servers", n, "grace", t.evacuationGrace())
 			continue
 		}
-		t.log.Info("evacuation of data centre ended", "centre", c, "rev", l.Rev, "from", from, "servers", n)
+		t.log.Info("evacuation of data centre ended", "centre", c, "rev", object.Version(l.Rev).Revision(), "from", from, "servers", n)
 	}
 	t.distribute(servers)
 }
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -6,6 +6,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/node/member"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // mergePeerList merges a server list from another VM, either complete or a delta.
@@ -46,7 +47,7 @@
 	defer t.mu.Unlock()
 	if t.mismatch && !now.Before(t.nextFullList) {
 		t.nextFullList = now.Add(fullListInterval)
-		t.log.Info("server list differs from the leader's; requesting the complete list", "rev", t.rev)
+		t.log.Info("server list differs from the leader's; requesting the complete list", "rev", object.Version(t.rev).Revision())
 		return 0
 	}
 	return t.rev
--- a/internal/edge/host/quarantine_object.go
+++ b/internal/edge/host/quarantine_object.go
@@ -57,7 +57,7 @@
 	q.version = o.Version
 	var stored storedCases
 	if err := json.Unmarshal(o.Value, &stored); err != nil {
-		q.log.Error("stored quarantine cannot be decoded; it will be rewritten", "rev", o.Version, "err", err)
+		q.log.Error("stored quarantine cannot be decoded; it will be rewritten", "rev", o.Version.Revision(), "err", err)
 		q.stored = "unreadable"
 		return nil, true
 	}
@@ -91,7 +91,7 @@
 	}
 	version, err := store.Put(ctx, q.name, b, q.version)
 	if err != nil {
-		q.log.Warn("quarantine write failed", "old", q.version, "err", err)
+		q.log.Warn("quarantine write failed", "old", q.version.Revision(), "err", err)
 		q.leader = ""
 		return
 	}
--- a/internal/edge/host/server_log.go
+++ b/internal/edge/host/server_log.go
@@ -3,6 +3,7 @@
 import (
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // logChanges logs which servers are new, have started again, are leaving or gone. The caller
@@ -29,6 +30,6 @@
 	}
 	t.lastLogged = now
 	if len(added)+len(restarted)+len(leaving)+len(gone) > 0 {
-		t.log.Info("servers", "rev", t.rev, "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
+		t.log.Info("servers", "rev", object.Version(t.rev).Revision(), "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
 	}
 }
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -114,7 +114,7 @@
 	now := time.Now()
 	t.vouchedAt = now
 	if t.members.StoreSeenByPeer(now, now.Add(-upFor)) {
-		t.log.Info("store answered the leader while this VM could not reach it", "rev", t.rev, "steady", upFor)
+		t.log.Info("store answered the leader while this VM could not reach it", "rev", object.Version(t.rev).Revision(), "steady", upFor)
 		t.publish(t.rev)
 	}
 }
@@ -125,7 +125,7 @@
 	var list []member.Entry[feed.Server]
 	for _, o := range all {
 		if e, ok := t.decode(o); ok {
-			list = append(list, e)
+			list = append(list, t.withKnownRev(e))
 		}
 	}
 	if t.members.ReplaceAll(time.Now(), uint64(cursor), list) {
@@ -152,6 +152,20 @@
 	}
 }
 
+// withKnownRev returns an entry under the revision that this VM knows for it, if only the
+// store's era differs. Otherwise all entries would count as changed after a return, and the
+// leader would send each of them to each VM. The caller holds mu.
+func (t *serverTracker) withKnownRev(e member.Entry[feed.Server]) member.Entry[feed.Server] {
+	old, ok := t.members.Has(e.Name)
+	known := old.Value
+	known.Rev = e.Rev
+	if !ok || object.Version(old.Rev).Era() >= object.Version(e.Rev).Era() || known != e.Value || t.members.Missing(e.Name) {
+		return e
+	}
+	e.Rev, e.Value.Rev = old.Rev, old.Rev
+	return e
+}
+
 // decode decodes a server's entry. It returns false for an entry that cannot be read.
 func (t *serverTracker) decode(o object.Object) (member.Entry[feed.Server], bool) {
 	name := strings.TrimPrefix(o.Name, t.plat.Servers)
@@ -166,7 +180,7 @@
 	}
 	if fault != "" && !t.loggedFaults[e.Name] {
 		t.loggedFaults[e.Name] = true
-		t.log.Warn("server entry has a fault", "server", name, "rev", e.Rev, "taken", err == nil, "fault", fault)
+		t.log.Warn("server entry has a fault", "server", name, "rev", object.Version(e.Rev).Revision(), "taken", err == nil, "fault", fault)
 	}
 	if err != nil {
 		return e, false
@@ -187,6 +201,9 @@
 		} else {
 			t.updateDue(now)
 		}
+		if changed := t.evacuated.Expire(now); len(changed) > 0 {
+			t.evacuationsChanged(changed, "store")
+		}
 		t.mu.Unlock()
 	}
 	return nil
--- a/internal/node/evac/evac.go
+++ b/internal/node/evac/evac.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // List is the complete list of evacuated data centres as of a store revision.
@@ -31,19 +32,24 @@
 	rev       uint64
 	evacuated bool
 	since     time.Time // when this VM learned of the current state
+	endsAt    time.Time // when it ends unless the store has it again by then; zero: it does not
 }
 
+// RewriteTime is how long an evacuation lasts that is missing after the store has returned
+// from an older copy. The operator writes again what was lost.
+const RewriteTime = 5 * time.Second
+
 // Apply replaces the set by a complete list. It returns the data centres whose state
 // changed, in order.
 func (s *Set) Apply(now time.Time, l List) []ident.Centre {
 	var changed []ident.Centre
 	for _, c := range l.Centres {
-		if s.put(now, c, l.Rev, true) {
+		if s.put(now, c, l.Rev, true, true) {
 			changed = append(changed, c)
 		}
 	}
 	for c := range s.records {
-		if !slices.Contains(l.Centres, c) && s.put(now, c, l.Rev, false) {
+		if !slices.Contains(l.Centres, c) && s.put(now, c, l.Rev, false, true) {
 			changed = append(changed, c)
 		}
 	}
@@ -56,10 +62,25 @@
 // changed.
 func (s *Set) Set(now time.Time, c ident.Centre, rev uint64, evacuated bool) bool {
 	s.rev = max(s.rev, rev)
-	return s.put(now, c, rev, evacuated)
+	return s.put(now, c, rev, evacuated, false)
+}
+
+// Expire ends the evacuations that the store has not had again in time. It returns the data
+// centres whose state changed, in order.
+func (s *Set) Expire(now time.Time) []ident.Centre {
+	var changed []ident.Centre
+	for c, r := range s.records {
+		// A revision that no VM has heard of: the others were told that it lasts.
+		if !r.endsAt.IsZero() && !now.Before(r.endsAt) && s.Set(now, c, s.rev+1, false) {
+			changed = append(changed, c)
+		}
+	}
+	slices.Sort(changed)
+	return changed
 }
 
-func (s *Set) put(now time.Time, c ident.Centre, rev uint64, evacuated bool) bool {
+// put records a state, from a complete list or from a change.
+func (s *Set) put(now time.Time, c ident.Centre, rev uint64, evacuated, byList bool) bool {
 	r := s.records[c]
 	if rev < r.rev {
 		return false
@@ -67,6 +88,15 @@
 	if s.records == nil {
 		s.records = map[ident.Centre]record{}
 	}
+	if r.evacuated && !evacuated && object.Version(rev).Era() > object.Version(r.rev).Era() {
+		r.rev, r.endsAt = rev, now.Add(RewriteTime)
+		s.records[c] = r
+		return false
+	}
+	if r.evacuated && !evacuated && now.Before(r.endsAt) && byList {
+		return false // still missing, and not taken back
+	}
+	r.endsAt = time.Time{}
 	changed := evacuated != r.evacuated
 	if changed {
 		r.evacuated, r.since = evacuated, now
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -42,12 +42,15 @@
 // Set is the set of known servers. The zero value is empty.
 type Set[T any] struct {
 	entries      map[ident.Server]*record[T]
-	latestRev    uint64                  // latest store revision seen
-	removedRevs  map[ident.Server]uint64 // revisions at which servers were removed
-	storeDown    bool                    // the store is unreachable
-	lastAnswer   time.Time               // when the store last answered
-	firstAnswer  time.Time               // when the store first answered
-	storeUpSince time.Time               // when the store first answered after the last outage
+	latestRev    uint64                    // latest store revision seen
+	removedRevs  map[ident.Server]uint64   // revisions at which servers were removed
+	storeDown    bool                      // the store is unreachable
+	lastAnswer   time.Time                 // when the store last answered
+	firstAnswer  time.Time                 // when the store first answered
+	storeUpSince time.Time                 // when the store first answered after the last outage
+	returnedAt   time.Time                 // when the store was first seen to have returned from an older copy
+	returnedRev  uint64                    // latest revision that was seen then
+	revoked      map[ident.Server]Entry[T] // entries that reappeared with the copy, see reappeared
 }
 
 // record is an entry and whether it is missing from the store.
@@ -133,7 +136,7 @@
 	if rev < s.latestRev {
 		return false // an old list would restore servers that have left since
 	}
-	s.latestRev = rev
+	s.noteRev(now, rev)
 	listed := make(map[ident.Server]bool, len(list))
 	changed := false
 	for _, e := range list {
@@ -145,6 +148,7 @@
 			changed = s.remove(now, name, rev) || changed
 		}
 	}
+	maps.DeleteFunc(s.revoked, func(name ident.Server, _ Entry[T]) bool { return !listed[name] })
 	return changed
 }
 
@@ -155,6 +159,7 @@
 	if rev < s.latestRev {
 		return false
 	}
+	s.noteRev(now, rev)
 	listed := make(map[ident.Server]bool, len(list))
 	changed := false
 	for _, e := range list {
@@ -176,6 +181,7 @@
 	if rev < s.latestRev {
 		return false
 	}
+	s.noteRev(now, rev)
 	changed := false
 	for _, e := range list {
 		changed = s.Put(e) || changed
@@ -200,7 +206,7 @@
 		s.entries = map[ident.Server]*record[T]{}
 	}
 	old := s.entries[e.Name]
-	if old != nil && old.Rev >= e.Rev && old.goneAt.IsZero() || e.Rev <= s.removedRevs[e.Name] {
+	if old != nil && old.Rev >= e.Rev && old.goneAt.IsZero() || e.Rev <= s.removedRevs[e.Name] || s.reappeared(old, e) {
 		return false
 	}
 	s.latestRev = max(s.latestRev, e.Rev)
@@ -211,6 +217,7 @@
 // Remove applies the removal of an entry at a revision. It reports whether the set changed.
 func (s *Set[T]) Remove(now time.Time, name ident.Server, rev uint64) bool {
 	s.StoreUp(now)
+	delete(s.revoked, name)
 	r := s.entries[name]
 	if r == nil || rev < r.Rev || !r.goneAt.IsZero() {
 		return false
@@ -263,7 +270,7 @@
 			dropped = true
 		}
 	}
-	return dropped
+	return s.restoreRevoked(now) || dropped
 }
 
 // All returns the entries of all servers, by name. It includes those whose removal is
