owner, host: rows that wait after a return keep their owner through the next one too

A row now says that its owner has the keys under its fence unless they were taken back (Kept, stored as one more index that earlier versions read as an unknown holder), so that this leader and the next go on renewing it; if the owner does not show by then that it has the keys, its fence is raised by agreement.

--- a/internal/edge/host/era.go
+++ b/internal/edge/host/era.go
@@ -9,6 +9,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/owner/elect"
 	"hawthornfield.org/hawthornfield/internal/owner/ranges"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -39,7 +40,7 @@
 	if era <= firstEra {
 		return p.OwnPrefix + base
 	}
-	return p.OwnPrefix + base + "." + strconv.FormatUint(uint64(era), 10)
+	return p.OwnPrefix + strconv.FormatUint(uint64(era), 10) + "." + base
 }
 
 // getOwn reads one of this system's own objects, and returns the era to which the result
@@ -76,28 +77,43 @@
 	}
 	var found []object.Object
 	for _, o := range all {
-		rest, ok := strings.CutPrefix(o.Name, p.OwnPrefix+base)
-		if ok && (rest == "" || rest[0] == '.') {
+		if p.baseName(o.Name) == base {
 			found = append(found, o)
 		}
 	}
 	return found
 }
 
+// baseName returns the name of one of this system's own objects without its era.
+func (p Platform) baseName(name string) string {
+	name = strings.TrimPrefix(name, p.OwnPrefix)
+	if era, base, ok := strings.Cut(name, "."); ok && strings.Trim(era, "0123456789") == "" {
+		return base
+	}
+	return name
+}
+
 // storeEra returns the latest era of the store that this VM knows, from the store or from
 // other VMs.
 func (c *coordinator) storeEra() object.Era {
 	_, servers := c.hub.Revs()
-	return max(c.plat.era(), object.Version(servers).Era())
+	return max(c.plat.era(), object.Version(servers).Era(), c.model().Era())
 }
 
 // noteEra logs that the store has returned from an older copy.
 func (c *coordinator) noteEra() {
 	era := c.storeEra()
+	if c.recordEra(era) {
+		c.election.Send(elect.EraMsg{Era: era})
+	}
+}
+
+// recordEra records the era if it is later than all before, and reports whether it is.
+func (c *coordinator) recordEra(era object.Era) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if era <= c.era {
-		return
+		return false
 	}
 	if c.era != 0 {
 		c.log.Warn("store returned from an older copy", "era", era, "before", c.era)
@@ -108,6 +124,7 @@
 	if c.lostAt = c.failingAt; c.lostAt.IsZero() {
 		c.lostAt = clock.Now()
 	}
+	return true
 }
 
 // noteStoreCall records whether the store answered a call that was sent at a time.
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -128,8 +128,11 @@
 			list = append(list, t.withKnownRev(e))
 		}
 	}
-	if t.members.ReplaceAll(time.Now(), uint64(cursor), list) {
+	switch {
+	case t.members.ReplaceAll(time.Now(), uint64(cursor), list):
 		t.publish(uint64(cursor))
+	case t.rev != 0 && object.Version(t.rev).Era() < cursor.Era():
+		t.advanceRev(uint64(cursor)) // or the other VMs would take what they list themselves for newer
 	}
 }
 
--- a/internal/owner/assign/orders.go
+++ b/internal/owner/assign/orders.go
@@ -18,8 +18,12 @@
 	for i := range m.rows {
 		r, s := &m.table.Rows[i], &m.rows[i]
 		if s.phase == releasing && !now.Before(m.prevOwnerExpiry(s)) && !m.grantsInFlight(r.PrevOwner) {
+			unverified := r.Kept
 			m.markReleased(r, s, "")
 			m.markDirty(now)
+			if unverified {
+				s.phase, m.nextPlan = vacant, time.Time{} // the next plan raises its fence
+			}
 		}
 		switch s.phase {
 		case releasing:
@@ -133,7 +137,7 @@
 	if r.Owner == "" {
 		s.phase = vacant
 	}
-	r.PrevOwner, r.Lost = "", false
+	r.PrevOwner, r.Lost, r.Kept = "", false, false
 }
 
 // ordersDone handles the results of orders.
@@ -265,7 +269,8 @@
 		if d.Kind == kinds.Fenced && m.era > 1 && d.Sent.Before(m.auth.OldTermEnd) {
 			// A leader of whom the store has lost everything may have moved the keys.
 			s.phase, s.prevInherited, s.oldTermEnd = releasing, true, time.Time{}
-			r.PrevOwner, r.Lost = "", true
+			r.PrevOwner, r.Lost, r.Kept = "", true, true
+			m.markDirty(d.Sent)
 			return []loop.Cmd{LogCmd{Event: "grant refused", Server: b.Name, Rows: 1, Reason: "the keys may have been moved in the time that the store has lost"}}
 		}
 		s.phase = vacant // the next plan raises its fence
--- a/internal/owner/assign/returned.go
+++ b/internal/owner/assign/returned.go
@@ -87,10 +87,13 @@
 		r, s := &m.table.Rows[i], &m.rows[i]
 		s.phase, s.prevInherited = releasing, true
 		s.prevExpiry = later(expiries[i], grantExpiry(now, LongGrantTTL))
-		if r.Owner != "" && r.PrevOwner == "" && !r.Lost && servesAll(served, r.Span, r.Owner) {
+		held := r.Owner != "" && r.PrevOwner == "" && r.Lost == r.Kept
+		r.PrevOwner, r.Lost, r.Kept = "", true, held && servesAll(served, r.Span, r.Owner)
+		if r.Kept {
 			s.keepFence = r.Fence
+			continue
 		}
-		r.PrevOwner, r.Lost, r.Fence = "", true, m.table.NextFence()
+		r.Fence = m.table.NextFence()
 	}
 }
 
@@ -139,7 +142,7 @@
 			m.markDirty(d.Sent)
 		}
 	case kinds.Fenced, kinds.Malformed:
-		s.keepFence, s.keptAt = 0, time.Time{}
+		s.keepFence, s.keptAt = 0, time.Time{} // Kept stays: the fence is raised once the row has waited
 		return []loop.Cmd{LogCmd{Event: "grant refused", Server: b.Name, Rows: 1, Reason: "the keys were moved in the time that the store has lost"}}
 	case kinds.Misrouted:
 		b.replaced, s.keepFence, s.keptAt = true, 0, time.Time{}
--- a/internal/owner/assign/store.go
+++ b/internal/owner/assign/store.go
@@ -48,7 +48,7 @@
 	case msg.Kind != kinds.Unavailable && msg.Era > m.auth.Era:
 		// The lease of that era may be another VM's. Until it is this one's, the table agreed
 		// before is renewed.
-		m.mustReread, m.nextCall = true, now.Add(retryDelay/4)
+		m.mustReread, m.nextCall = true, now.Add(retryDelay)
 		return nil
 	case msg.Copy && m.flaw != flawTrustCopy, msg.Kind == kinds.NotFound && m.loaded && msg.Era != m.era:
 		return m.storeReturned(now, msg)
@@ -104,6 +104,9 @@
 	}
 	s.phase, s.prevInherited = releasing, true
 	s.prevExpiry = later(s.prevExpiry, grantExpiry(now, LongGrantTTL))
+	if r.Kept {
+		s.keepFence = r.Fence
+	}
 	j := old.Find(r.First)
 	if j >= len(old.Rows) {
 		return
@@ -193,7 +196,7 @@
 		was := old.Rows[j]
 		if was.Owner == r.Owner && was.Fence == r.Fence && was.Incarnation == r.Incarnation {
 			d.rows[i] = rows[j]
-			d.table.Rows[i].PrevOwner, d.table.Rows[i].Lost = was.PrevOwner, was.Lost
+			d.table.Rows[i].PrevOwner, d.table.Rows[i].Lost, d.table.Rows[i].Kept = was.PrevOwner, was.Lost, was.Kept
 			continue
 		}
 		// The previous owner may have been renewed while the draft was being written.
--- a/internal/owner/elect/elect.go
+++ b/internal/owner/elect/elect.go
@@ -177,6 +177,10 @@
 		return m.observeEpoch(now, msg.Epoch), nil
 	case TermEndedMsg:
 		return m.termEnded(now, msg), nil
+	case EraMsg:
+		if m.role == Leader && msg.Era > m.era {
+			m.nextCall = now
+		}
 	case StepDownMsg:
 		return m.stepDown(now)
 	case LeaveMsg:
--- a/internal/owner/elect/msg.go
+++ b/internal/owner/elect/msg.go
@@ -72,6 +72,9 @@
 	// EpochMsg reports an epoch used by another leader. A leader at the same or a lower
 	// epoch rewrites its lease at a higher one.
 	EpochMsg struct{ Epoch uint64 }
+	// EraMsg reports that the store has returned from an older copy, which has no lease of
+	// its new era.
+	EraMsg struct{ Era object.Era }
 	// StepDownMsg reports that another VM is better suited to lead.
 	StepDownMsg struct{}
 	// LeaveMsg ends leadership for good because the process is stopping.
--- a/internal/owner/ranges/table.go
+++ b/internal/owner/ranges/table.go
@@ -64,6 +64,9 @@
 	// server that the table does not list. That server may hold them for up to the longest
 	// grant.
 	Lost bool
+	// Kept means that the row is Lost, but that Owner has the keys under Fence unless they were
+	// taken back from it in a time that the store has lost.
+	Kept bool
 }
 
 // Table is the agreed assignment of one service's keys. Rows are sorted and cover all keys.
@@ -173,7 +176,10 @@
 	}
 	for i, r := range t.Rows {
 		prev := indexOf(r.PrevOwner)
-		if r.Lost {
+		switch {
+		case r.Lost && r.Kept:
+			prev = keptOwner
+		case r.Lost:
 			prev = unknownOwner
 		}
 		d.Rows[i] = [5]int64{int64(r.First), indexOf(r.Owner), r.Incarnation, int64(r.Fence), prev}
@@ -182,8 +188,11 @@
 	return b, kinds.Wrap(kinds.Internal, err, "encode table")
 }
 
-// unknownOwner is the stored index of a previous owner that is unknown.
-const unknownOwner = -1
+// Stored indexes of a previous owner that is unknown. Earlier versions read both alike.
+const (
+	unknownOwner = -1 - iota
+	keptOwner    // see Row.Kept
+)
 
 // maxFence limits stored fences, so that they can still rise for long enough.
 const maxFence = 1 << 62
@@ -223,7 +232,7 @@
 	}
 	row.Owner, row.Incarnation = d.server(r[1]), r[2]
 	if !d.validIndex(r[4]) {
-		row.Lost = true
+		row.Lost, row.Kept = true, r[4] == keptOwner
 		return row
 	}
 	row.PrevOwner = d.server(r[4])
