host, owner: a store may begin with era zero or one, and a VM of an earlier version may lead

Found in reading. The store's first era is not stated. Beginning with zero, its first return led to era one, in which objects had plain names and fences no floor: what the change guards against was back for that return. Beginning with one, a VM of an earlier version whose lease names no era would have been replaced by each VM of this one that starts, and its table taken for a copy.

Objects are marked with their era, no mark meaning a writer that knows none. Names are plain in era zero, and in era one if the lease is there under its plain name and is of that era or of an earlier version. Fences begin at the era times 2^32 from era one on.

--- a/internal/edge/host/assigner.go
+++ b/internal/edge/host/assigner.go
@@ -67,9 +67,9 @@
 }
 
 func (a *assigner) readTable(ctx context.Context) assign.ReadResultMsg {
-	o, era, err := a.coord.plat.getOwn(ctx, a.objectName())
+	o, era, err := a.coord.own.get(ctx, a.objectName())
 	msg := assign.ReadResultMsg{Version: o.Version, Kind: kinds.Of(err), Era: era}
-	if msg.Kind == kinds.NotFound && era > firstEra {
+	if msg.Kind == kinds.NotFound && era > 0 {
 		if o, err = a.newestCopy(ctx); err == nil {
 			msg.Kind, msg.Copy, msg.Served = kinds.None, true, a.coord.servedBefore(a.svc)
 		}
@@ -81,7 +81,7 @@
 		if n := msg.Table.LostRows(); n > 0 {
 			a.coord.log.Warn("key table has rows whose owner is unknown; their keys wait until every possible grant has expired", "service", a.svc, "rev", o.Version.Revision(), "rows", n)
 		}
-		if msg.Kind == kinds.None && msg.Table.Era != era && !msg.Copy {
+		if msg.Kind == kinds.None && !msg.Table.Era.Is(era) && !msg.Copy {
 			msg.Copy, msg.Served = true, a.coord.servedBefore(a.svc)
 		}
 		if err != nil && a.shouldLogBadTable(o.Version) {
@@ -93,7 +93,7 @@
 
 // newestCopy returns the newest table of an earlier era that the store has.
 func (a *assigner) newestCopy(ctx context.Context) (object.Object, error) {
-	all := a.coord.plat.listOwn(ctx, a.objectName())
+	all := a.coord.own.list(ctx, a.objectName())
 	if len(all) == 0 {
 		return object.Object{}, kinds.New(kinds.NotFound, a.objectName())
 	}
@@ -118,9 +118,9 @@
 	if err != nil {
 		return assign.WriteResultMsg{Kind: kinds.Of(err)}
 	}
-	version, err := a.coord.plat.putOwn(ctx, a.objectName(), b, cmd.Old, cmd.Table.Era)
+	version, err := a.coord.own.put(ctx, a.objectName(), b, cmd.Old, cmd.Table.Era.Era())
 	if err != nil {
-		a.coord.log.Warn("key table write failed", "service", a.svc, "old", cmd.Old.Revision(), "era", cmd.Table.Era, "err", err)
+		a.coord.log.Warn("key table write failed", "service", a.svc, "old", cmd.Old.Revision(), "era", cmd.Table.Era.Era(), "err", err)
 	}
 	return assign.WriteResultMsg{Version: version, Kind: kinds.Of(err)}
 }
--- a/internal/edge/host/coordinator.go
+++ b/internal/edge/host/coordinator.go
@@ -59,6 +59,7 @@
 	group    group.Group
 	cfg      Config
 	plat     Platform
+	own      ownObjects
 	hub      *poll.Hub
 	servers  *serverTracker
 	state    *state.State
@@ -78,7 +79,7 @@
 }
 
 func newCoordinator(lc fx.Lifecycle, cfg Config, plat Platform, hub *poll.Hub, servers *serverTracker, st *state.State, counts *loadCounts, d *dial.Dialer, log *slog.Logger) *coordinator {
-	co := &coordinator{cfg: cfg, plat: plat, hub: hub, servers: servers, state: st, counts: counts, dialer: d, log: log, assigners: map[ident.Service]*loop.Loop{}}
+	co := &coordinator{cfg: cfg, plat: plat, own: ownObjects{plat: plat}, hub: hub, servers: servers, state: st, counts: counts, dialer: d, log: log, assigners: map[ident.Service]*loop.Loop{}}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			model := elect.New(clock.Now(), cfg.VM, hub.Incarnation(), cfg.Peers, elect.WithDelay(claimDelay(cfg.CPUs)))
@@ -244,27 +245,28 @@
 
 func (c *coordinator) readLease(ctx context.Context) elect.ReadMsg {
 	msg := elect.ReadMsg{Asked: clock.Now()}
-	o, era, err := c.plat.getOwn(ctx, leaseObject)
+	o, era, err := c.own.get(ctx, leaseObject)
 	msg.Kind, msg.Version, msg.Era = kinds.Of(err), o.Version, era
 	c.noteStoreCall(msg.Asked, msg.Kind)
 	if err == nil && json.Unmarshal(o.Value, &msg.Lease) != nil {
 		msg.Lease = elect.Lease{} // a partly decoded lease could name a leader that never existed
 		c.log.Error("lease cannot be decoded; it will be rewritten", "rev", o.Version.Revision())
 	}
-	if msg.Lease.Era != era {
+	if !msg.Lease.Era.Is(era) {
 		msg.MaxEpoch, msg.Lease = msg.Lease.Epoch, elect.Lease{}
 	}
-	if msg.Lease.Incarnation == "" && era > firstEra && (err == nil || msg.Kind == kinds.NotFound) {
-		msg.MaxEpoch = max(msg.MaxEpoch, c.earlierEpoch(ctx))
+	if msg.Lease.Incarnation == "" && era > 0 && (err == nil || msg.Kind == kinds.NotFound) {
+		msg.MaxEpoch = max(msg.MaxEpoch, c.earlierEpoch(ctx, era))
 	}
 	return msg
 }
 
 // earlierEpoch returns the highest epoch of the leases of earlier eras that the store still
-// has. It is at least one: there was a leader before, whether or not the copy has its lease.
-func (c *coordinator) earlierEpoch(ctx context.Context) uint64 {
-	epoch := uint64(1)
-	for _, o := range c.plat.listOwn(ctx, leaseObject) {
+// has. After a return it is at least one: there was a leader before, whether or not the copy
+// has its lease.
+func (c *coordinator) earlierEpoch(ctx context.Context, era object.Era) uint64 {
+	epoch := uint64(min(era, 2) - 1) // the first era is zero or one
+	for _, o := range c.own.list(ctx, leaseObject) {
 		var l elect.Lease
 		if json.Unmarshal(o.Value, &l) == nil {
 			epoch = max(epoch, l.Epoch)
@@ -274,14 +276,14 @@
 }
 
 func (c *coordinator) writeLease(ctx context.Context, cmd elect.WriteCmd) elect.WroteMsg {
-	cmd.Lease.Era = cmd.Era
+	cmd.Lease.Era = object.MarkOf(cmd.Era)
 	msg := elect.WroteMsg{Asked: clock.Now(), Lease: cmd.Lease}
 	b, err := json.Marshal(cmd.Lease)
 	if err != nil {
 		msg.Kind = kinds.Internal
 		return msg
 	}
-	msg.Version, err = c.plat.putOwn(ctx, leaseObject, b, cmd.Old, cmd.Era)
+	msg.Version, err = c.own.put(ctx, leaseObject, b, cmd.Old, cmd.Era)
 	msg.Kind = kinds.Of(err)
 	c.noteStoreCall(msg.Asked, msg.Kind)
 	if err != nil {
--- a/internal/edge/host/era.go
+++ b/internal/edge/host/era.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/clock"
@@ -15,9 +17,6 @@
 )
 
 const (
-	// firstEra is the last era whose own objects have plain names: in it the store has not
-	// returned from a copy that has any of them.
-	firstEra object.Era = 1
 	// maxEraReads bounds how often an object is read under the name of another era, because
 	// the answer told that the store has returned.
 	maxEraReads = 3
@@ -33,60 +32,104 @@
 	return p.Era()
 }
 
-// ownName returns the name of one of this system's own objects. Each era has objects of its
-// own, so that a VM which has not heard of the store's return cannot write over those of the
-// VMs that have: the store may have given out again the version that it knows.
-func (p Platform) ownName(base string, era object.Era) string {
-	if era <= firstEra {
-		return p.OwnPrefix + base
+// ownObjects reads and writes this system's own objects. Each era of the store has objects of
+// its own, so that a VM which has not heard of the store's return cannot write over those of
+// the VMs that have: the store may have given out again the version that it knows.
+type ownObjects struct {
+	plat Platform
+	mu   sync.Mutex
+	// plainInFirst says whether the first era's objects have plain names, nil if unknown.
+	plainInFirst *bool
+}
+
+// firstEra is the era in which VMs of an earlier version, which know of none, may be running.
+// The store tells it from its start, or after a first return.
+const firstEra object.Era = 1
+
+// name returns the name of an object in an era. Without eras it is plain. So it is in the first
+// era if the lease is there under its plain name, written in that era or by an earlier
+// version: with names of their own, two versions would have two leaders.
+func (o *ownObjects) name(ctx context.Context, base string, era object.Era) (string, error) {
+	plain := o.plat.OwnPrefix + base
+	switch era {
+	case 0:
+		return plain, nil
+	case firstEra:
+		if isPlain, err := o.isPlainInFirst(ctx); err != nil || isPlain {
+			return plain, err
+		}
 	}
-	return p.OwnPrefix + strconv.FormatUint(uint64(era), 10) + "." + base
+	return o.plat.OwnPrefix + strconv.FormatUint(uint64(era), 10) + "." + base, nil
+}
+
+func (o *ownObjects) isPlainInFirst(ctx context.Context) (bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.plainInFirst != nil {
+		return *o.plainInFirst, nil
+	}
+	stored, err := o.plat.Store.Get(ctx, o.plat.OwnPrefix+leaseObject)
+	if err != nil && kinds.Of(err) != kinds.NotFound {
+		return false, err
+	}
+	var l elect.Lease
+	isPlain := err == nil && (json.Unmarshal(stored.Value, &l) != nil || l.Era.Is(firstEra))
+	o.plainInFirst = &isPlain
+	return isPlain, nil
 }
 
-// getOwn reads one of this system's own objects, and returns the era to which the result
-// belongs.
-func (p Platform) getOwn(ctx context.Context, base string) (object.Object, object.Era, error) {
+// get reads an object, and returns the era to which the result belongs.
+func (o *ownObjects) get(ctx context.Context, base string) (object.Object, object.Era, error) {
 	for n := 1; ; n++ {
-		era := p.era()
-		o, err := p.Store.Get(ctx, p.ownName(base, era))
-		now := p.era()
-		if era == now || n == maxEraReads || p.ownName(base, era) == p.ownName(base, now) {
-			return o, now, err
+		era := o.plat.era()
+		name, err := o.name(ctx, base, era)
+		if err != nil {
+			return object.Object{}, era, err
+		}
+		found, err := o.plat.Store.Get(ctx, name)
+		if now := o.plat.era(); now == era || n == maxEraReads {
+			return found, now, err
 		}
 	}
 }
 
-// putOwn writes one of this system's own objects in an era. In another era it is a conflict.
-func (p Platform) putOwn(ctx context.Context, base string, value []byte, old object.Version, era object.Era) (object.Version, error) {
-	if era != p.era() {
-		return 0, kinds.New(kinds.Conflict, "the store has returned from an older copy")
+// put writes an object of an era. In another era of the store it is a conflict.
+func (o *ownObjects) put(ctx context.Context, base string, value []byte, old object.Version, era object.Era) (object.Version, error) {
+	name, err := o.name(ctx, base, era)
+	if err != nil {
+		return 0, err
 	}
-	v, err := p.Store.Put(ctx, p.ownName(base, era), value, old)
+	if era != o.plat.era() {
+		return 0, errReturned
+	}
+	v, err := o.plat.Store.Put(ctx, name, value, old)
 	if err == nil && v.Era() != era {
-		return 0, kinds.New(kinds.Conflict, "the store has returned from an older copy")
+		return 0, errReturned
 	}
 	return v, err
 }
 
-// listOwn returns all eras' objects with a base name. It returns none if the store does not
+var errReturned = kinds.New(kinds.Conflict, "the store has returned from an older copy")
+
+// list returns all eras' objects with a base name. It returns none if the store does not
 // answer.
-func (p Platform) listOwn(ctx context.Context, base string) []object.Object {
-	all, _, err := p.Store.List(ctx, p.OwnPrefix)
+func (o *ownObjects) list(ctx context.Context, base string) []object.Object {
+	all, _, err := o.plat.Store.List(ctx, o.plat.OwnPrefix)
 	if err != nil {
 		return nil
 	}
 	var found []object.Object
-	for _, o := range all {
-		if p.baseName(o.Name) == base {
-			found = append(found, o)
+	for _, it := range all {
+		if o.baseName(it.Name) == base {
+			found = append(found, it)
 		}
 	}
 	return found
 }
 
-// baseName returns the name of one of this system's own objects without its era.
-func (p Platform) baseName(name string) string {
-	name = strings.TrimPrefix(name, p.OwnPrefix)
+// baseName returns the name of an object without its era.
+func (o *ownObjects) baseName(name string) string {
+	name = strings.TrimPrefix(name, o.plat.OwnPrefix)
 	if era, base, ok := strings.Cut(name, "."); ok && strings.Trim(era, "0123456789") == "" {
 		return base
 	}
--- a/internal/edge/host/era_test.go
+++ b/internal/edge/host/era_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -43,17 +44,48 @@
 	assert.NilError(t, h.Close())
 }
 
-// Guards against leaders of two eras that write over each other.
+// namedStore is a store that has objects with given values, by name.
+type namedStore struct {
+	object.Store
+	values map[string]string
+}
+
+func (s namedStore) Get(_ context.Context, name string) (object.Object, error) {
+	v, ok := s.values[name]
+	if !ok {
+		return object.Object{}, kinds.New(kinds.NotFound, name)
+	}
+	return object.Object{Name: name, Value: []byte(v)}, nil
+}
+
+// Guards against leaders of two eras that write over each other, and against two leaders
+// while VMs of an earlier version, which know of no eras, are running.
 func TestOwnObjectsOfAnEraAreItsOwn(t *testing.T) {
-	era := object.Era(1)
-	p := Platform{OwnPrefix: "own/", Era: func() object.Era { return era }}
-	assert.Equal(t, p.ownName("lead", 0), "own/lead")
-	assert.Equal(t, p.ownName("lead", 1), "own/lead", "as earlier versions call it")
-	assert.Equal(t, p.ownName("lead", 2), "own/2.lead")
-	for _, name := range []string{"own/lead", "own/2.lead", "own/34.lead"} {
-		assert.Equal(t, p.baseName(name), "lead")
+	for _, c := range []struct {
+		lease string // under its plain name; empty: there is none
+		era   object.Era
+		want  string
+	}{
+		{"", 0, "own/lead"},
+		{`{"epoch":3,"life":"a"}`, 0, "own/lead"},
+		{`{"epoch":3,"life":"a"}`, 1, "own/lead"},           // of an earlier version
+		{`{"epoch":3,"life":"a","era":2}`, 1, "own/lead"},   // of this one, after it
+		{`{"epoch":3,"life":"a","era":1}`, 1, "own/1.lead"}, // of the era before
+		{"", 1, "own/1.lead"},
+		{`{"epoch":3,"life":"a"}`, 2, "own/2.lead"},
+		{`{"epoch":3,"life":"a","era":2}`, 34, "own/34.lead"},
+	} {
+		s := namedStore{values: map[string]string{}}
+		if c.lease != "" {
+			s.values["own/lead"] = c.lease
+		}
+		o := &ownObjects{plat: Platform{OwnPrefix: "own/", Era: func() object.Era { return c.era }, Store: s}}
+		name, err := o.name(t.Context(), "lead", c.era)
+		assert.NilError(t, err)
+		assert.Equal(t, name, c.want)
+		assert.Equal(t, o.baseName(name), "lead")
+		assert.Equal(t, o.baseName("own/keys-a.2"), "keys-a.2")
+		_, err = o.put(t.Context(), "lead", nil, 0, c.era+1)
+		assert.Equal(t, kinds.Of(err), kinds.Conflict)
 	}
-	assert.Equal(t, p.baseName("own/keys-a.2"), "keys-a.2")
-	_, err := p.putOwn(t.Context(), "lead", nil, 0, 2)
-	assert.Equal(t, kinds.Of(err), kinds.Conflict)
 }
--- a/internal/owner/assign/assign.go
+++ b/internal/owner/assign/assign.go
@@ -150,6 +150,7 @@
 	version            object.Version
 	era                object.Era // of the store when the table was last read
 	oldTermEnd         time.Time  // Authority.OldTermEnd under the epoch before
+	returned           bool       // the store has returned from an older copy under this VM
 	lapsed             bool       // this VM's authority has lapsed since it last wrote the table
 	loaded             bool       // the table has been read
 	unassigned         bool       // no table is stored yet: the key space is split once servers are known
--- a/internal/owner/assign/msg.go
+++ b/internal/owner/assign/msg.go
@@ -108,7 +108,7 @@
 type (
 	// ReadCmd reads the table.
 	ReadCmd struct{}
-	// WriteCmd writes the table of Table.Era if its stored version is still Old. In another
+	// WriteCmd writes the table of the era that it is marked with if its stored version is still Old. In another
 	// era of the store it is a conflict.
 	WriteCmd struct {
 		Table ranges.Table
--- a/internal/owner/assign/orders.go
+++ b/internal/owner/assign/orders.go
@@ -266,7 +266,7 @@
 		if !same {
 			return nil // its keys have been reassigned meanwhile
 		}
-		if d.Kind == kinds.Fenced && m.era > 1 && d.Sent.Before(m.auth.OldTermEnd) {
+		if d.Kind == kinds.Fenced && (m.returned || m.era > 1) && d.Sent.Before(m.auth.OldTermEnd) {
 			// A leader of whom the store has lost everything may have moved the keys.
 			s.phase, s.prevInherited, s.oldTermEnd = releasing, true, time.Time{}
 			r.PrevOwner, r.Lost, r.Kept = "", true, true
--- a/internal/owner/assign/returned.go
+++ b/internal/owner/assign/returned.go
@@ -13,10 +13,9 @@
 // above all of the eras before, also those that the store has lost.
 const fenceBits = 32
 
-// raiseTop makes sure that new fences are above those of earlier eras. The first era needs
-// no such floor.
+// raiseTop makes sure that new fences are above those of earlier eras.
 func (m *Model) raiseTop() {
-	if m.era > 1 && m.flaw != flawKeepTop {
+	if m.era > 0 && m.flaw != flawKeepTop {
 		m.table.RaiseTop(uint64(m.era) << fenceBits)
 	}
 }
@@ -26,7 +25,7 @@
 // with the table that it has. For any other there may have been moves that it does not know.
 func (m *Model) storeReturned(now time.Time, msg ReadResultMsg) []loop.Cmd {
 	current := !m.lapsed && now.Before(m.auth.Until) && m.era != 0 && m.auth.Sole
-	m.version, m.era, m.mustReread, m.pendingDraft = msg.Version, msg.Era, false, nil
+	m.version, m.era, m.mustReread, m.pendingDraft, m.returned = msg.Version, msg.Era, false, nil, true
 	m.dirtySince, m.nextCall = now.Add(-flushDelay), now
 	event := LogCmd{Event: "store returned from an older copy", Reason: "the table of this leader is written again"}
 	switch {
--- a/internal/owner/assign/sim_test.go
+++ b/internal/owner/assign/sim_test.go
@@ -251,7 +251,7 @@
 func (l *leader) writeTable(cmd WriteCmd) {
 	sim := l.sim
 	apply := func() kinds.Kind {
-		if sim.version != cmd.Old || sim.era != cmd.Table.Era {
+		if sim.version != cmd.Old || !cmd.Table.Era.Is(sim.era) {
 			return kinds.Conflict
 		}
 		b, err := cmd.Table.Encode()
--- a/internal/owner/assign/store.go
+++ b/internal/owner/assign/store.go
@@ -6,6 +6,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/loop"
 	"hawthornfield.org/hawthornfield/internal/owner/ranges"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
 // storeCalls reads the table once, and writes it when it should change.
@@ -26,7 +27,7 @@
 		return nil
 	}
 	m.callPending, m.pendingDraft, m.dirtySince = true, d, time.Time{}
-	d.table.Epoch, d.table.Era = m.auth.Epoch, m.era
+	d.table.Epoch, d.table.Era = m.auth.Epoch, object.MarkOf(m.era)
 	if m.flaw == flawActBeforeWrite {
 		m.applyDraft(d)
 	}
--- a/internal/owner/elect/elect.go
+++ b/internal/owner/elect/elect.go
@@ -138,7 +138,7 @@
 func (m Model) OldTermEnd() time.Time { return m.oldTermEnd }
 
 // Era returns the store's era in which the lease was written.
-func (m Model) Era() object.Era { return m.lease.Era }
+func (m Model) Era() object.Era { return m.lease.Era.Era() }
 
 // LeadingSince returns when this VM last became leader.
 func (m Model) LeadingSince() time.Time { return m.leadingSince }
--- a/internal/owner/elect/msg.go
+++ b/internal/owner/elect/msg.go
@@ -17,7 +17,7 @@
 	Incarnation string         `json:"life"`          // unique to the holder's process
 	Addr        netip.AddrPort `json:"addr"`          // where the other VMs reach the holder
 	Renewals    uint64         `json:"beats"`         // number of renewals
-	Era         object.Era     `json:"era,omitempty"` // of the store, as written
+	Era         object.EraMark `json:"era,omitempty"` // of the store, as written
 }
 
 // Role is the part that a VM plays in the election.
--- a/internal/owner/ranges/table.go
+++ b/internal/owner/ranges/table.go
@@ -72,9 +72,9 @@
 // Table is the agreed assignment of one service's keys. Rows are sorted and cover all keys.
 // Treat a table as read-only and edit a Clone.
 type Table struct {
-	Epoch uint64     // of the leader that wrote it
-	Era   object.Era // of the store in which it was written
-	Top   uint64     // highest fence ever used; fences never decrease
+	Epoch uint64         // of the leader that wrote it
+	Era   object.EraMark // of the store in which it was written
+	Top   uint64         // highest fence ever used; fences never decrease
 	Rows  []Row
 }
 
@@ -154,7 +154,7 @@
 // previous owner]; owners are indexes into Servers, from 1, and 0 is none.
 type storedTable struct {
 	Epoch   uint64         `json:"epoch"`
-	Era     object.Era     `json:"era,omitempty"`
+	Era     object.EraMark `json:"era,omitempty"`
 	Top     uint64         `json:"top"`
 	Servers []ident.Server `json:"servers"`
 	Rows    [][5]int64     `json:"rows"`
--- a/internal/plat/object/era.go
+++ b/internal/plat/object/era.go
@@ -31,3 +31,17 @@
 
 // Revision returns the cursor without its era.
 func (c Cursor) Revision() uint64 { return Version(c).Revision() }
+
+// EraMark is an era as stored within an object. The zero value says that the writer did not
+// know of eras.
+type EraMark uint64
+
+// MarkOf returns the mark of an era.
+func MarkOf(e Era) EraMark { return EraMark(e) + 1 }
+
+// Era returns the marked era, zero if there is none.
+func (m EraMark) Era() Era { return Era(max(m, 1) - 1) }
+
+// Is reports whether the object was written in an era. Writers that do not know of eras are
+// those of before the store's first return.
+func (m EraMark) Is(e Era) bool { return m == MarkOf(e) || m == 0 && e <= 1 }
