docs, owner: the first return of a store that began with era zero is like any other

The leader went on with its own table only if it had known an era above zero, left from a store that tells none; the first return of one that begins with zero delayed all moves for 6 s.

--- a/internal/edge/host/rules.go
+++ b/internal/edge/host/rules.go
@@ -174,7 +174,7 @@
 	m.apply(raw, from)
 }
 
-// apply does the same. The caller holds mu.
+// apply is applyRaw for a caller that holds mu.
 func (m *ruleManager) apply(raw poll.RawRules, from string) {
 	if raw.Rev <= uint64(m.current.Rev) {
 		return
--- a/internal/owner/assign/returned.go
+++ b/internal/owner/assign/returned.go
@@ -24,7 +24,7 @@
 // not lapsed since its last write, and beside which there can have been no other, goes on
 // with the table that it has. For any other there may have been moves that it does not know.
 func (m *Model) storeReturned(now time.Time, msg ReadResultMsg) []loop.Cmd {
-	current := !m.lapsed && now.Before(m.auth.Until) && m.era != 0 && m.auth.Sole
+	current := !m.lapsed && now.Before(m.auth.Until) && m.auth.Sole
 	m.version, m.era, m.mustReread, m.pendingDraft, m.returned = msg.Version, msg.Era, false, nil, true
 	m.dirtySince, m.nextCall = now.Add(-flushDelay), now
 	event := LogCmd{Event: "store returned from an older copy", Reason: "the table of this leader is written again"}
