--- a/review/rig/case_status.go
+++ b/review/rig/case_status.go
@@ -17,8 +17,10 @@
 type m = map[string]any
 
 func (r *rig) configure(routes, services m) {
-	r.store.put("config", "main", m{"version": 7, "routes": routes, "services": services,
-		"limits": m{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}, "baseVersion": 5})
+	r.store.put("config", "main", m{
+		"version": 7, "routes": routes, "services": services,
+		"limits": m{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}, "baseVersion": 5,
+	})
 }
 
 func plainService() m {
@@ -27,10 +29,16 @@
 
 // lookups starts four instances of one service, of which one is faulty, and its routes.
 func (r *rig) lookups(b *book, garble func(s *server, c net.Conn, q *http.Request) bool) []*server {
-	r.configure(m{"r-1": m{"host": "reg.example", "pathPrefix": "/orders/", "kind": "idempotent", "timeoutS": 1, "targetLatencyS": 0.5,
-		"priority": 2, "service": "registry", "maxAttempts": 2},
-		"r-2": m{"host": "reg.example", "pathPrefix": "/receipts/", "kind": "non_idempotent", "timeoutS": 1.2, "targetLatencyS": 0.6,
-			"priority": 1, "service": "registry", "maxAttempts": 2}},
+	r.configure(m{
+		"r-1": m{
+			"host": "reg.example", nPrefix: "/orders/", "kind": "idempotent", "timeoutS": 1, "targetLatencyS": 0.5,
+			"priority": 2, "service": "registry", "maxAttempts": 2,
+		},
+		"r-2": m{
+			"host": "reg.example", nPrefix: "/receipts/", "kind": "non_idempotent", "timeoutS": 1.2, "targetLatencyS": 0.6,
+			"priority": 1, "service": "registry", "maxAttempts": 2,
+		},
+	},
 		m{"registry": plainService()})
 	var all []*server
 	for i := range 4 {
@@ -63,9 +71,9 @@
 		garbled++
 		mu.Unlock()
 		code := 1 + rand.IntN(99)
-		r.record("instance %s answers %s with the status line 'HTTP/1.1 %03d'", s.id, q.Header.Get("X-Attempt-Id"), code)
-		body := "answer to " + q.Header.Get("X-Attempt-Id")
-		fmt.Fprintf(c, "HTTP/1.1 %03d OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", code, q.Header.Get("X-Attempt-Id"), s.seal(q), len(body), body)
+		r.record("instance %s answers %s with the status line 'HTTP/1.1 %03d'", s.id, q.Header.Get(nAttempt), code)
+		body := "answer to " + q.Header.Get(nAttempt)
+		fmt.Fprintf(c, "HTTP/1.1 %03d OK\r\n"+nAttempt+": %s\r\n"+nSeal+": %s\r\nContent-Length: %d\r\n\r\n%s", code, q.Header.Get(nAttempt), s.seal(q), len(body), body)
 		return true
 	})
 	r.startVMs()
@@ -150,7 +158,7 @@
 func (r *rig) isFaulty(id string) bool { return id == r.faulty }
 
 // caseNotFound: a faulty instance sends bytes that are no response, with the status 000, to receipts
-// that it has run.
+// that it has run and to lookups that failed. Lookups are sent three at once on a connection.
 func caseNotFound(r *rig, trouble bool) int {
 	b := newBook()
 	var begin time.Time
@@ -160,13 +168,18 @@
 		if !trouble || begin.IsZero() || time.Since(begin) < 4*time.Second || rand.Float64() > 0.02 {
 			return false
 		}
-		id := q.Header.Get("X-Attempt-Id")
+		id := q.Header.Get(nAttempt)
 		mu.Lock()
 		garbled[id] = true
 		mu.Unlock()
-		r.record("instance %s has run %s and answers with the status line 'HTTP/1.1 000 OK'", s.id, id)
+		if q.Method == http.MethodGet {
+			r.record("instance %s fails lookup %s and answers with the status line 'HTTP/1.1 000'", s.id, id)
+			fmt.Fprintf(c, "HTTP/1.1 000 Internal Server Error\r\n"+nAttempt+": %s\r\nContent-Length: 6\r\n\r\nfailed", id)
+			return true
+		}
+		r.record("instance %s has run receipt %s and answers with the status line 'HTTP/1.1 000 OK'", s.id, id)
 		body := "answer to " + id
-		fmt.Fprintf(c, "HTTP/1.1 000 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.seal(q), len(body), body)
+		fmt.Fprintf(c, "HTTP/1.1 000 OK\r\n"+nAttempt+": %s\r\n"+nSeal+": %s\r\nContent-Length: %d\r\n\r\n%s", id, s.seal(q), len(body), body)
 		return true
 	})
 	r.startVMs()
@@ -174,13 +187,17 @@
 	end := begin.Add(playTime)
 	var wg sync.WaitGroup
 	for _, v := range r.vms {
-		for range 8 {
+		for i := range 12 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
 				k := &client{rig: r, book: b, vm: v, host: "reg.example"}
 				for time.Now().Before(end) {
-					k.post("/receipts/b/2f", "a receipt")
+					if i < 4 {
+						k.get(3, "/orders/b/2f")
+					} else {
+						k.post("/receipts/b/2f", "a receipt")
+					}
 					time.Sleep(rand.N(100 * time.Millisecond))
 				}
 			}()
@@ -189,17 +206,21 @@
 	wg.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	mixed, answered := 0, 0
+	mixed, successes, answered := 0, 0, 0
 	for _, a := range b.all {
 		if a.status != 0 {
 			answered++
 		}
+		if a.status/100 == 2 && a.seal == "" {
+			successes++
+			r.record("the client of %s gets %d without a seal, body %q; it ran at %v", a.id, a.status, a.body, a.ranAt)
+		}
 		// The instances answer either 200, or with the wrong status line.
 		if a.seal != "" && a.status != http.StatusOK {
 			mixed++
 			r.record("the client of %s gets %d with the seal %s, body %q; the instance gave no such status; it ran at %v", a.id, a.status, a.seal, a.body, a.ranAt)
 		}
 	}
-	r.record("sent %d, answered %d, wrong status lines %d, failures with a seal and another status than the instance's (MIXED) %d", len(b.all), answered, len(garbled), mixed)
-	return mixed
+	r.record("sent %d, answered %d, wrong status lines %d, failures with a seal and another status than the instance's (MIXED) %d, successes without a seal (MIXED) %d", len(b.all), answered, len(garbled), mixed, successes)
+	return mixed + successes
 }
--- a/review/rig/case_term.go
+++ b/review/rig/case_term.go
@@ -76,8 +76,10 @@
 	b := newBook()
 	var mu sync.Mutex
 	uploads := map[string]*slowUpload{}
-	r.configure(m{"r-1": m{"host": "lab.example", "pathPrefix": "/samples/", "kind": "upload", "targetLatencyS": 1.2,
-		"priority": 1, "service": "lab", "maxAttempts": 2}}, m{"lab": plainService()})
+	r.configure(m{"r-1": m{
+		"host": "lab.example", nPrefix: "/samples/", "kind": "upload", "targetLatencyS": 1.2,
+		"priority": 1, "service": "lab", "maxAttempts": 2,
+	}}, m{"lab": plainService()})
 	for i := range 6 {
 		s := r.newServer(i, "lab")
 		s.work = func() time.Duration { return 200*time.Millisecond + rand.N(150*time.Millisecond) }
@@ -85,14 +87,14 @@
 			b.ran(s, q, body)
 			mu.Lock()
 			defer mu.Unlock()
-			if u := uploads[q.Header.Get("X-Attempt-Id")]; u != nil {
+			if u := uploads[q.Header.Get(nAttempt)]; u != nil {
 				u.runFrom = time.Now()
 			}
 		}
 		s.answer = func(s *server, c net.Conn, q *http.Request) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			if u := uploads[q.Header.Get("X-Attempt-Id")]; u != nil {
+			if u := uploads[q.Header.Get(nAttempt)]; u != nil {
 				u.runTo = time.Now()
 			}
 			return false
@@ -177,7 +179,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, err := fmt.Fprintf(c, "POST /samples/2f HTTP/1.1\r\nHost: lab.example\r\nX-Attempt-Id: %s\r\nX-Time-Remaining: %d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", u.id, slowDeadline.Milliseconds(), slowSize)
+		_, err := fmt.Fprintf(c, "POST /samples/2f HTTP/1.1\r\nHost: lab.example\r\n"+nAttempt+": %s\r\n"+nLeft+": %d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", u.id, slowDeadline.Milliseconds(), slowSize)
 		piece := make([]byte, slowSize/slowSteps)
 		for range slowSteps {
 			if err != nil {
@@ -194,7 +196,7 @@
 	status, seal := 0, ""
 	if err == nil {
 		if _, err = io.Copy(io.Discard, resp.Body); err == nil {
-			status, seal = resp.StatusCode, resp.Header.Get("X-Server-Seal")
+			status, seal = resp.StatusCode, resp.Header.Get(nSeal)
 		}
 	}
 	ended := time.Now()
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -41,11 +41,11 @@
 func (b *book) ran(s *server, q *http.Request, _ []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a := b.all[q.Header.Get("X-Attempt-Id")]; a != nil {
+	if a := b.all[q.Header.Get(nAttempt)]; a != nil {
 		a.ranAt = append(a.ranAt, s.id)
 		return
 	}
-	s.rig.record("instance %s runs an id that no client sent: %s", s.id, q.Header.Get("X-Attempt-Id"))
+	s.rig.record("instance %s runs an id that no client sent: %s", s.id, q.Header.Get(nAttempt))
 }
 
 // client keeps one connection to a VM and sends requests on it.
@@ -81,7 +81,7 @@
 }
 
 func head(method, host, path, id string, more string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Time-Remaining: 2000\r\n%s\r\n", method, path, host, id, more)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n"+nAttempt+": %s\r\n"+nLeft+": 2000\r\n%s\r\n", method, path, host, id, more)
 }
 
 // get sends n lookups at once on the connection and reads their answers.
@@ -125,7 +125,7 @@
 	}
 	k.answers++
 	k.book.mu.Lock()
-	a.status, a.seal, a.body = resp.StatusCode, resp.Header.Get("X-Server-Seal"), string(body)
+	a.status, a.seal, a.body = resp.StatusCode, resp.Header.Get(nSeal), string(body)
 	k.book.mu.Unlock()
 	if resp.Close {
 		k.drop()
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,22 +34,33 @@
 	early func(s *server, c net.Conn, in *bufio.Reader, q *http.Request) (handled, keep bool)
 	onRun func(s *server, q *http.Request, body []byte)
 
-	mu    sync.Mutex
-	fence [keySpace]uint64    // highest seen
-	until [keySpace]time.Time // held until
+	extra  float64 // share of its answers to orders that it sends once more where the next one is due
+	owners *owners
+	state  string
+
+	mu     sync.Mutex
+	fence  [keySpace]uint64    // highest seen
+	until  [keySpace]time.Time // held until
+	extras map[net.Conn]string // second answers that are still to be sent
+	ended  chan struct{}
 }
 
 func (r *rig) newServer(n int, service string) *server {
-	s := &server{rig: r, id: fmt.Sprintf("i-%s-%08x", service, rand.Uint32()), service: service, slots: 4,
-		work: func() time.Duration { return 60*time.Millisecond + rand.N(40*time.Millisecond) }}
+	s := &server{
+		rig: r, id: fmt.Sprintf("i-%s-%08x", service, rand.Uint32()), service: service, slots: 4,
+		state: "ready", ended: make(chan struct{}), extras: map[net.Conn]string{},
+		work: func() time.Duration { return 60*time.Millisecond + rand.N(40*time.Millisecond) },
+	}
 	s.addr = fmt.Sprintf("%s%d:8080", r.net, 100+n)
 	return s
 }
 
 func (s *server) entry() map[string]any {
 	s.sequence++
-	return map[string]any{"service": s.service, "address": s.addr, "zone": "a", "version": "v1", "slots": s.slots,
-		"state": "ready", "warmupLeftS": 0, "sequence": s.sequence}
+	return map[string]any{
+		"service": s.service, "address": s.addr, "zone": "a", "version": "v1", "slots": s.slots,
+		"state": s.state, nWarmup: 0, "sequence": s.sequence,
+	}
 }
 
 // run listens and renews the entry in the store.
@@ -65,14 +76,39 @@
 			go s.serve(c)
 		}
 	}()
-	s.rig.store.put("servers", s.id, s.entry())
+	s.beat()
 	go func() {
 		for range time.Tick(870 * time.Millisecond) {
-			s.rig.store.put("servers", s.id, s.entry())
+			select {
+			case <-s.ended:
+				_ = l.Close()
+				return
+			default:
+				s.beat()
+			}
 		}
 	}()
 }
 
+// beat renews the entry.
+func (s *server) beat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rig.store.put("servers", s.id, s.entry())
+}
+
+// leave drains and ends the instance.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.beat()
+	time.Sleep(5 * time.Second)
+	close(s.ended)
+	time.Sleep(time.Second)
+	s.rig.store.drop("servers", s.id)
+}
+
 func (s *server) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
@@ -92,32 +128,32 @@
 
 func (s *server) respond(c net.Conn, q *http.Request, status int, header, body string) {
 	id := ""
-	if v := q.Header.Get("X-Attempt-Id"); v != "" {
-		id = "X-Attempt-Id: " + v + "\r\n"
+	if v := q.Header.Get(nAttempt); v != "" {
+		id = nAttempt + ": " + v + "\r\n"
 	}
-	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s%sX-Instance-Load: %s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s",
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s%s"+nLoad+": %s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), id, header, s.load(), len(body), body)
 }
 
 // seal is the signature of an answer.
-func (s *server) seal(q *http.Request) string { return s.id + "." + q.Header.Get("X-Attempt-Id") }
+func (s *server) seal(q *http.Request) string { return s.id + "." + q.Header.Get(nAttempt) }
 
 func (s *server) handle(c net.Conn, in *bufio.Reader, q *http.Request) bool {
-	if want := q.Header.Get("X-Expected-Instance"); want != "" && want != s.id {
+	if want := q.Header.Get(nExpected); want != "" && want != s.id {
 		_, _ = io.Copy(io.Discard, q.Body)
-		s.respond(c, q, http.StatusMisdirectedRequest, "X-Not-Executed: 1\r\nX-Instance-Id: "+s.id+"\r\n", "")
+		s.respond(c, q, http.StatusMisdirectedRequest, nNotRun+": 1\r\n"+nInstance+": "+s.id+"\r\n", "")
 		return true
 	}
 	switch {
 	case q.Method == http.MethodGet && q.URL.Path == "/health":
-		s.respond(c, q, http.StatusOK, "X-Instance-Id: "+s.id+"\r\n", "")
+		s.respond(c, q, http.StatusOK, nInstance+": "+s.id+"\r\n", "")
 		return true
-	case q.Method == http.MethodPost && (q.URL.Path == "/grant" || q.URL.Path == "/release") && q.Header.Get("X-Attempt-Id") == "":
+	case q.Method == http.MethodPost && (q.URL.Path == "/grant" || q.URL.Path == "/release") && q.Header.Get(nAttempt) == "":
 		s.order(c, q)
 		return true
-	case q.Header.Get("X-Attempt-Id") == "":
+	case q.Header.Get(nAttempt) == "":
 		_, _ = io.Copy(io.Discard, q.Body)
-		s.respond(c, q, http.StatusBadRequest, "X-Not-Executed: 1\r\n", "")
+		s.respond(c, q, http.StatusBadRequest, nNotRun+": 1\r\n", "")
 		return true
 	}
 	if s.early != nil {
@@ -129,13 +165,17 @@
 	if err != nil {
 		return false
 	}
-	if s.sharded && !s.holds(q) {
-		s.respond(c, q, http.StatusMisdirectedRequest, "X-Not-Executed: 1\r\n", "")
-		return true
+	if s.sharded {
+		end, ok := s.owners.begin(s, q)
+		if !ok {
+			s.respond(c, q, http.StatusMisdirectedRequest, nNotRun+": 1\r\n", "")
+			return true
+		}
+		defer end()
 	}
 	if s.running.Add(1) > int64(s.slots)+16 {
 		s.running.Add(-1)
-		s.respond(c, q, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", "")
+		s.respond(c, q, http.StatusServiceUnavailable, nNotRun+": 1\r\n", "")
 		return true
 	}
 	if s.onRun != nil {
@@ -146,48 +186,50 @@
 	if s.answer != nil && s.answer(s, c, q) {
 		return true
 	}
-	s.respond(c, q, http.StatusOK, "X-Server-Seal: "+s.seal(q)+"\r\n", "answer to "+q.Header.Get("X-Attempt-Id"))
+	s.respond(c, q, http.StatusOK, nSeal+": "+s.seal(q)+"\r\n", "answer to "+q.Header.Get(nAttempt))
 	return true
 }
 
-func (s *server) holds(q *http.Request) bool {
-	key, err := strconv.ParseUint(q.Header.Get("X-Shard-Key"), 10, 16)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return err == nil && time.Now().Before(s.until[key])
-}
-
 // order obeys a grant or a release.
 func (s *server) order(c net.Conn, q *http.Request) {
 	var o struct {
-		From   int     `json:"from"`
-		Target int     `json:"target"`
-		Fence  uint64  `json:"fence"`
-		Hold   float64 `json:"holdS"`
+		From   int    `json:"from"`
+		Target int    `json:"target"`
+		Fence  uint64 `json:"fence"`
 	}
-	err := json.NewDecoder(q.Body).Decode(&o)
+	var times map[string]any
+	text, err := io.ReadAll(q.Body)
+	err = errors.Join(err, json.Unmarshal(text, &o), json.Unmarshal(text, &times))
+	hold, _ := times[nHold].(float64)
 	_, _ = io.Copy(io.Discard, q.Body)
-	if err != nil || !s.sharded || o.From < 0 || o.Target >= keySpace || o.From > o.Target {
-		s.respond(c, q, http.StatusBadRequest, "", "")
-		return
-	}
 	s.mu.Lock()
-	if q.URL.Path == "/grant" {
-		for k := o.From; k <= o.Target; k++ {
-			if s.fence[k] > o.Fence {
-				s.mu.Unlock()
-				s.respond(c, q, http.StatusConflict, "", "")
-				return
-			}
+	late := s.extras[c]
+	delete(s.extras, c)
+	s.mu.Unlock()
+	if late != "" {
+		if q.URL.Path == "/release" && s.owners.busy(s, o.From, o.Target) {
+			s.rig.record("instance %s sends its late answer where the answer to the release of keys %d to %d is due, on which it is at work", s.id, o.From, o.Target)
 		}
+		_, _ = io.WriteString(c, late)
 	}
-	for k := o.From; k <= o.Target; k++ {
-		s.fence[k] = max(s.fence[k], o.Fence)
-		s.until[k] = time.Time{}
-		if q.URL.Path == "/grant" {
-			s.until[k] = time.Now().Add(time.Duration(o.Hold * float64(time.Second)))
+	status, header := http.StatusOK, ""
+	switch {
+	case err != nil || !s.sharded || o.From < 0 || o.Target >= keySpace || o.From > o.Target:
+		status = http.StatusBadRequest
+	case q.URL.Path == "/grant":
+		if !s.owners.grant(s, o.From, o.Target, o.Fence, time.Duration(hold*float64(time.Second))) {
+			status = http.StatusConflict
 		}
+	default:
+		s.owners.release(s, o.From, o.Target, o.Fence)
+		header = nHandover + ": " + fmt.Sprintf("%016x", rand.Uint64()) + "\r\n"
+	}
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
+	_, _ = io.WriteString(c, answer)
+	if s.extra > 0 && rand.Float64() < s.extra {
+		s.mu.Lock()
+		s.extras[c] = answer
+		s.mu.Unlock()
+		s.owners.noteExtra(s, q.URL.Path)
 	}
-	s.mu.Unlock()
-	s.respond(c, q, http.StatusOK, "X-Handover: "+fmt.Sprintf("%016x", rand.Uint64())+"\r\n", "")
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -176,12 +176,12 @@
 	for _, name := range names[:min(len(names), page)] {
 		items = append(items, s.objects[kind+"/"+name])
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": len(names) > page, "storeRevision": s.rev})
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": len(names) > page, nStoreRev: s.rev})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	ms, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	ms, _ := strconv.Atoi(r.URL.Query().Get(nWait))
 	end := time.After(time.Duration(ms) * time.Millisecond)
 	for {
 		s.mu.Lock()
@@ -194,13 +194,13 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
+			reply(w, http.StatusOK, map[string]any{"events": events, nStoreRev: rev})
 			return
 		}
 		select {
 		case <-more:
 		case <-end:
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
+			reply(w, http.StatusOK, map[string]any{"events": events, nStoreRev: rev})
 			return
 		case <-r.Context().Done():
 			return
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -118,7 +118,7 @@
 ip = %q
 zone = "a"
 region = "r"
-internalPortRange = [%d,%d]
+`+nPorts+` = [%d,%d]
 seeds = [%s]
 bootstrap = true
 faultCounted = false
@@ -166,7 +166,7 @@
 	logs, err := os.OpenFile(filepath.Join(v.rig.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	cmd := exec.Command("target/hawthorn", "serve")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HAWTHORNFIELD_SETTINGS=" + v.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), nSettings + "=" + v.settings}
 	cmd.Stdout, cmd.Stderr = logs, logs
 	check(cmd.Start())
 	_ = logs.Close()
