--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -38,17 +38,19 @@
 	owners *owners
 	state  string
 
-	mu     sync.Mutex
-	fence  [keySpace]uint64    // highest seen
-	until  [keySpace]time.Time // held until
-	extras map[net.Conn]string // second answers that are still to be sent
-	ended  chan struct{}
+	mu       sync.Mutex
+	fence    [keySpace]uint64    // highest seen
+	until    [keySpace]time.Time // held until
+	extras   map[net.Conn]string // second answers that are still to be sent
+	open     map[net.Conn]bool
+	listener net.Listener
+	ended    chan struct{}
 }
 
 func (r *rig) newServer(n int, service string) *server {
 	s := &server{
 		rig: r, id: fmt.Sprintf("i-%s-%08x", service, rand.Uint32()), service: service, slots: 4,
-		state: "ready", ended: make(chan struct{}), extras: map[net.Conn]string{},
+		state: "ready", ended: make(chan struct{}), extras: map[net.Conn]string{}, open: map[net.Conn]bool{},
 		work: func() time.Duration { return 60*time.Millisecond + rand.N(40*time.Millisecond) },
 	}
 	s.addr = fmt.Sprintf("%s%d:8080", r.net, 100+n)
@@ -67,6 +69,7 @@
 func (s *server) run() {
 	l, err := net.Listen("tcp", s.addr)
 	check(err)
+	s.listener = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -109,8 +112,33 @@
 	s.rig.store.drop("servers", s.id)
 }
 
+// crash ends the instance at once. Its entry lapses after three heartbeats.
+func (s *server) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for c := range s.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.ended:
+		return
+	default:
+		close(s.ended)
+	}
+	time.AfterFunc(2610*time.Millisecond, func() { s.rig.store.drop("servers", s.id) })
+}
+
 func (s *server) serve(c net.Conn) {
-	defer c.Close()
+	s.mu.Lock()
+	s.open[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+		_ = c.Close()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
