--- a/review/rig/case_extra.go
+++ b/review/rig/case_extra.go
@@ -10,10 +10,10 @@
 
 func init() { cases["extra"] = caseExtra }
 
-// caseExtra: the instances of a divided service are replaced one after the other, and some of them
+// caseExtra: instances are added to a divided service and taken away from it, and some of them
 // send a second answer after some of their answers to orders, late.
 func caseExtra(r *rig, trouble bool) int {
-	const instances, busyKeys = 24, 24
+	const instances, busyKeys = 30, 30
 	b := newBook()
 	o := newOwners(r)
 	service := plainService()
@@ -44,7 +44,7 @@
 	end := time.Now().Add(92 * time.Second)
 	var wg sync.WaitGroup
 	for _, v := range r.vms {
-		for range 24 {
+		for range 30 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -56,15 +56,15 @@
 			}()
 		}
 	}
-	for time.Now().Before(end.Add(-6 * time.Second)) { // two at a time, the new ones first
-		all = append(all, start(), start())
-		time.Sleep(800 * time.Millisecond)
-		for _, oldest := range all[:2] {
+	for time.Now().Before(end.Add(-6 * time.Second)) { // four are added, and four drain and leave
+		all = append(all, start(), start(), start(), start())
+		time.Sleep(1100 * time.Millisecond)
+		for _, oldest := range all[:4] {
 			r.record("instance %s drains", oldest.id)
 			wg.Add(1)
 			go func() { defer wg.Done(); oldest.leave() }()
 		}
-		all = all[2:]
+		all = all[4:]
 	}
 	wg.Wait()
 	b.mu.Lock()
--- a/review/rig/case_status.go
+++ b/review/rig/case_status.go
@@ -64,7 +64,7 @@
 	garbled := 0
 	var begin time.Time
 	r.lookups(b, func(s *server, c net.Conn, q *http.Request) bool {
-		if !trouble || begin.IsZero() || time.Since(begin) < 4*time.Second || rand.Float64() > 0.02 {
+		if !trouble || begin.IsZero() || !window(time.Since(begin)-4*time.Second) || rand.Float64() > 0.02 {
 			return false
 		}
 		mu.Lock()
@@ -165,7 +165,7 @@
 	var mu sync.Mutex
 	garbled := map[string]bool{}
 	r.lookups(b, func(s *server, c net.Conn, q *http.Request) bool {
-		if !trouble || begin.IsZero() || time.Since(begin) < 4*time.Second || rand.Float64() > 0.02 {
+		if !trouble || begin.IsZero() || !window(time.Since(begin)-4*time.Second) || rand.Float64() > 0.02 {
 			return false
 		}
 		id := q.Header.Get(nAttempt)
--- a/review/rig/case_switch.go
+++ b/review/rig/case_switch.go
@@ -25,7 +25,7 @@
 	var begin time.Time
 	wrong := map[string]bool{}
 	r.lookups(b, func(s *server, c net.Conn, q *http.Request) bool {
-		if !trouble || begin.IsZero() || time.Since(begin) < 4*time.Second || rand.Float64() > 0.02 {
+		if !trouble || begin.IsZero() || !window(time.Since(begin)-4*time.Second) || rand.Float64() > 0.02 {
 			return false
 		}
 		id := q.Header.Get(nAttempt)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 var cases = map[string]func(r *rig, trouble bool) int{}
@@ -31,3 +32,14 @@
 	}
 	fmt.Println("the rule held")
 }
+
+// window says whether a disruption that may last for troubleFor at a time is on, a time after the
+// first.
+func window(since time.Duration) bool {
+	return since >= 0 && since%(troubleFor+troublePause) < troubleFor
+}
+
+const (
+	troubleFor   = 5500 * time.Millisecond
+	troublePause = 1500 * time.Millisecond
+)
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -254,7 +254,7 @@
 	}
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
 	_, _ = io.WriteString(c, answer)
-	if s.extra > 0 && rand.Float64() < s.extra {
+	if s.extra > 0 && window(time.Since(s.rig.start)) && rand.Float64() < s.extra {
 		s.mu.Lock()
 		s.extras[c] = answer
 		s.mu.Unlock()
