A status outside of 200 to 599 is no answer

Cause: net/http's client passes on any number of three characters, and the relay did not look at it. pipe.Run takes 0 for "no status yet", gin ignores it and keeps its own 404, and the body of a 101 is deaf to deadlines. Change: core/reply says what counts as an answer; the relay asks it first. Such a request may have run: sent again if it may run twice, otherwise 502.

--- /dev/null
+++ b/internal/edge/front/answer_test.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/edge/pipe"
+)
+
+// serveRaw replaces the backend server at an address with one that answers each request with
+// the given bytes.
+func (tb *testbed) serveRaw(at netip.AddrPort, answer func(r *http.Request) string) {
+	l := tb.net.Listen(at)
+	tb.group.Go(func(ctx context.Context) error {
+		defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			tb.group.Go(func(ctx context.Context) error {
+				defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+				answerRaw(c, answer)
+				return nil
+			})
+		}
+	})
+}
+
+func answerRaw(c net.Conn, answer func(r *http.Request) string) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if _, err := io.WriteString(c, answer(r)); err != nil {
+			return
+		}
+	}
+}
+
+// pipelinedAddr is the address of a listener whose connections are read ahead.
+var pipelinedAddr = netip.MustParseAddrPort("10.0.0.7:80")
+
+// dialPipelined connects to the entry VM over a connection that is read ahead.
+func (tb *testbed) dialPipelined() (net.Conn, func()) {
+	reader := tb.front.Pipeline()
+	l := tb.net.Listen(pipelinedAddr)
+	web := &http.Server{Handler: tb.front.Handler(), ConnContext: pipe.Context}
+	tb.group.Go(func(context.Context) error { _ = web.Serve(reader.Listen(l)); return nil })
+	c, err := tb.net.Dial(tb.t.Context(), pipelinedAddr)
+	assert.NilError(tb.t, err)
+	return c, func() {
+		_ = c.Close()
+		assert.NilError(tb.t, web.Close())
+		assert.NilError(tb.t, reader.Close())
+	}
+}
+
+// sendTogether sends a GET request for each path at once and returns the statuses of the
+// answers.
+func sendTogether(t *testing.T, c net.Conn, paths ...string) []int {
+	text := ""
+	for _, path := range paths {
+		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nHawthorn-Deadline: 5000\r\n\r\n", path)
+	}
+	_, err := io.WriteString(c, text)
+	assert.NilError(t, err)
+	in := bufio.NewReader(c)
+	var all []int
+	for range paths {
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		all = append(all, resp.StatusCode)
+	}
+	return all
+}
+
+// Guards against an answer without a valid status that becomes 200 or 404, or ends the process.
+func TestAnAnswerWithoutAValidStatusEndsAs502(t *testing.T) {
+	for _, status := range []int{0, 1, 39, 99, http.StatusSwitchingProtocols, 600, 999} {
+		t.Run(fmt.Sprintf("%03d", status), func(t *testing.T) {
+			runWithTestbed(t, func(t *testing.T, tb *testbed) {
+				garbled := func(r *http.Request) string {
+					time.Sleep(10 * time.Millisecond)
+					return fmt.Sprintf("HTTP/1.1 %03d OK\r\nHawthorn-Id: %s\r\nConnection: Upgrade\r\nContent-Length: 6\r\n\r\nfailed", status, r.Header.Get("Hawthorn-Id"))
+				}
+				for _, at := range []netip.AddrPort{v1Addr, v2Addr, u1Addr} {
+					tb.serveRaw(at, garbled)
+				}
+				c, end := tb.dialPipelined()
+				defer end()
+				got := sendTogether(t, c, "/views/1", "/views/2", "/views/3")
+				assert.DeepEqual(t, got, []int{http.StatusBadGateway, http.StatusBadGateway, http.StatusBadGateway})
+				resp, _, err := tb.do(tb.request("GET", "/lab/1", nil))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			})
+		})
+	}
+}
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -8,6 +8,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // newFailure returns the Failure of an attempt without an answer. broken says that the
@@ -85,6 +86,9 @@
 // reveals that, if the server sends it. An answer that ends with its connection looks the
 // same whether it is complete or cut off, so it must not be passed on as complete.
 func (h *Headers) check(resp *http.Response, method string, id ident.Request, answer *Response) error {
+	if err := reply.Check(resp); err != nil {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: err}
+	}
 	got := resp.Header.Get(h.ID)
 	foreign := got != string(id) && (got != "" || h.EchoesID)
 	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
