A panic while a request is served ends that request, not the process

Cause: net/http recovers from panics in its own goroutines only. Requests begun ahead and attempts of hedged requests run in others. On the ordinary path the caller's connection was closed without an answer. Evidence: a panic that has nothing to do with a status (TestAPanicEndsOneRequest) ended the process as well. Change: a request, and an attempt of a hedged one, is served behind a guard: the panic is logged with its stack, counted as kind internal and answered with 500. pipe passes a panic of Serve on to the goroutine of the connection. Before: TestAPanicEndsOneRequest and TestAPanicEndsItsConnectionOnly ended the process of the test.

--- a/internal/edge/daemon/listeners.go
+++ b/internal/edge/daemon/listeners.go
@@ -47,7 +47,7 @@
 	closeOnStop(lc, c)
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, Limit: cfg.Limit, State: p.State, Relay: p.Relay,
-		Record: p.Record, Meter: p.Meter, Claims: p.Claims, Durable: p.Journal, Cancel: c, Egress: budget,
+		Record: p.Record, Meter: p.Meter, Claims: p.Claims, Durable: p.Journal, Cancel: c, Egress: budget, Log: log,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/edge/front/answer_test.go
+++ b/internal/edge/front/answer_test.go
@@ -13,7 +13,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
+	"hawthornfield.org/hawthornfield/internal/edge/relay"
 )
 
 // serveRaw replaces the backend server at an address with one that answers each request with
@@ -113,3 +116,20 @@
 		})
 	}
 }
+
+// Guards against a panic while a request is served that ends the process, or the connection of a
+// caller who has received nothing.
+func TestAPanicEndsOneRequest(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		tb.front.OnLoadFault = func(ident.Server, string) { panic("fault") }
+		tb.front.Headers = relay.DefaultHeaders()
+		tb.front.Headers.Load = func(http.Header) (relay.LoadReport, bool) { return relay.LoadReport{Fault: "any"}, false }
+		c, end := tb.dialPipelined()
+		defer end()
+		internal := kinds.Internal.Answer().Status
+		assert.DeepEqual(t, sendTogether(t, c, "/views/1", "/views/2", "/scales/3", "/scales/4"), []int{internal, internal, internal, internal})
+		assert.Equal(t, tb.decisions.last().Kind, kinds.Internal.String())
+		tb.front.OnLoadFault = nil
+		assert.DeepEqual(t, sendTogether(t, c, "/views/1", "/scales/2"), []int{http.StatusOK, http.StatusOK})
+	})
+}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -112,7 +112,7 @@
 	x.f.inFlight.Add(1)
 	defer x.f.inFlight.Add(-1)
 	defer x.releaseBytes()
-	err := x.run()
+	err := x.recovered(x.run)
 	if errors.Is(err, errNotPipelined) {
 		return false, false
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -76,6 +77,7 @@
 	Cancel  Canceler
 	Guard   Guard
 	Egress  *egress.Budget // of response bytes; nil means no bound
+	Log     *slog.Logger   // of faults of this program; nil means none
 
 	// Identify returns the caller of a request; nil means IdentifyHeader.
 	Identify func(*http.Request) ident.Caller
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -68,12 +68,14 @@
 	t := &hedgeAttempt{permit: permit, to: x.destinationOf(permit.Server()), cancel: cancel, watch: x.watchStall(permit, cancel)}
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
 	x.f.group.Go(func(context.Context) error {
-		to, ok := x.svc.Addr(permit.Server())
-		if ok {
-			t.answer, t.err = x.send(ctx, cancel, to, table.Owner{Server: permit.Server()}, t.watch)
-		} else {
-			t.err = errNoAddr
-		}
+		t.err = x.recovered(func() (err error) {
+			to, ok := x.svc.Addr(permit.Server())
+			if !ok {
+				return errNoAddr
+			}
+			t.answer, err = x.send(ctx, cancel, to, table.Owner{Server: permit.Server()}, t.watch)
+			return err
+		})
 		done <- t
 		return nil
 	})
--- a/internal/edge/pipe/pipe_test.go
+++ b/internal/edge/pipe/pipe_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -258,6 +259,37 @@
 	assert.Assert(t, !bytes.Contains(rest, []byte("def")), "%s", rest)
 }
 
+// Guards against a request begun ahead whose panic ends the process.
+func TestAPanicEndsItsConnectionOnly(t *testing.T) {
+	begun := make(chan struct{})
+	s := newTestServer(t, true, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a" {
+			<-begun
+		}
+		fmt.Fprint(w, "ok")
+	})
+	s.httpServer.ErrorLog = log.New(io.Discard, "", 0)
+	serve := s.reader.Serve
+	s.reader.Serve = func(w http.ResponseWriter, r *http.Request, at time.Time) (ok, broken bool) {
+		if r.URL.Path == "/panic" {
+			close(begun)
+			panic("fault")
+		}
+		return serve(w, r, at)
+	}
+	c := s.dial()
+	_, err := io.WriteString(c, lookupText("a", "panic", "c"))
+	assert.NilError(t, err)
+	in := bufio.NewReader(c)
+	assert.DeepEqual(t, readAnswers(t, in, 1), []string{"ok"})
+	_, err = http.ReadResponse(in, nil)
+	assert.Assert(t, err != nil)
+	other := s.dial()
+	_, err = io.WriteString(other, lookupText("a", "b"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, readAnswers(t, bufio.NewReader(other), 2), []string{"ok", "ok"})
+}
+
 // A long answer is requested behind a slow one. It must not be buffered whole, and must
 // arrive whole in its turn.
 func TestALongAnswerWaitsForItsTurn(t *testing.T) {
--- a/internal/edge/pipe/run.go
+++ b/internal/edge/pipe/run.go
@@ -25,10 +25,11 @@
 	ended         bool                // the answer was delivered or dropped
 	onEnd         func()              // called then; nil if there is nothing to do
 
-	turn   chan struct{} // closed when out is set
-	done   chan struct{} // closed when the answer is complete, or Serve declined the request
-	served bool          // valid after done: false if the handler must serve the request
-	broken bool          // valid after done: the answer broke off
+	turn     chan struct{} // closed when out is set
+	done     chan struct{} // closed when the answer is complete, or Serve declined the request
+	served   bool          // valid after done: false if the handler must serve the request
+	broken   bool          // valid after done: the answer broke off
+	panicked any           // valid after done: what Serve panicked with
 }
 
 func newRun(reader *Reader, r *http.Request, at time.Time) *Run {
@@ -70,9 +71,11 @@
 	return len(r.body)
 }
 
-// serve produces the answer.
+// serve produces the answer. A panic is passed on to the goroutine of the connection, where
+// net/http logs it and closes that connection alone.
 func (r *Run) serve() {
 	defer close(r.done)
+	defer func() { r.panicked = recover() }()
 	r.served, r.broken = r.reader.Serve(r, r.req, r.arrivedAt)
 }
 
@@ -173,6 +176,9 @@
 	r.mu.Unlock()
 	close(r.turn)
 	<-r.done
+	if r.panicked != nil {
+		panic(r.panicked)
+	}
 	if !r.served {
 		return false
 	}
