relay: a streamed answer begins with its first bytes

What callers would see: the connection ends without a byte of an answer when a server breaks off after the header of a long, chunked or trailed answer. Cause: the header was written, and the answer counted as begun, before the first bytes of its body had come. Change: Buffer reads them first. A failure then is one of the attempt: another attempt if the request may run twice, otherwise 502. net/http held the header back until these bytes anyway. Before: TestAnAnswerThatBreaksOffBeforeItsFirstByteEndsAs502 saw EOF in each framing.

--- a/internal/edge/front/answer_test.go
+++ b/internal/edge/front/answer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 )
 
 // serveRaw replaces the backend server at an address with one that answers each request with
-// the given bytes.
+// the given bytes and closes the connection.
 func (tb *testbed) serveRaw(at netip.AddrPort, answer func(r *http.Request) string) {
 	l := tb.net.Listen(at)
 	tb.group.Go(func(ctx context.Context) error {
@@ -41,17 +42,12 @@
 
 func answerRaw(c net.Conn, answer func(r *http.Request) string) {
 	defer c.Close()
-	in := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if _, err := io.WriteString(c, answer(r)); err != nil {
-			return
-		}
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(c, answer(r)) // fails if the entry VM has closed the connection
 }
 
 // pipelinedAddr is the address of a listener whose connections are read ahead.
@@ -133,3 +129,21 @@
 		assert.DeepEqual(t, sendTogether(t, c, "/views/1", "/scales/2"), []int{http.StatusOK, http.StatusOK})
 	})
 }
+
+// Guards against a caller's connection that ends without a word although nothing was sent on it.
+func TestAnAnswerThatBreaksOffBeforeItsFirstByteEndsAs502(t *testing.T) {
+	for name, head := range map[string]string{
+		"long":    "Content-Length: 1000000",
+		"chunked": "Transfer-Encoding: chunked",
+		"trailer": "Transfer-Encoding: chunked\r\nTrailer: X-Sum",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithTestbed(t, func(t *testing.T, tb *testbed) {
+				tb.serveRaw(u1Addr, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n" })
+				resp, _, err := tb.do(tb.request("POST", "/lab/1", strings.NewReader("an image")))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			})
+		})
+	}
+}
--- a/internal/edge/relay/copy.go
+++ b/internal/edge/relay/copy.go
@@ -39,15 +39,21 @@
 	return n, nil
 }
 
-// Buffer reads the body into memory if it is at most limit bytes long. A longer body, one
-// with a trailer, and one of unknown length (unless CloseDelimited is set) are left to be
-// streamed. The error says that the server broke off before the caller has seen any of
-// the answer.
+// firstRead is how many bytes of a longer answer are read before any of it is passed on.
+const firstRead = 4 << 10
+
+// Buffer reads the body into memory if it is at most limit bytes long. Of a longer body, one
+// with a trailer, and one of unknown length (unless CloseDelimited is set) it reads the first
+// bytes and leaves the rest to be streamed. The error says that the server broke off before
+// the caller has seen any of the answer.
 func (r *Response) Buffer(limit int64) error {
-	streams := r.resp.ContentLength < 0 && !r.headers.CloseDelimited // it may be a stream of events
-	if r.resp.ContentLength > limit || streams || len(r.resp.Trailer) > 0 || r.resp.Body == http.NoBody {
+	if r.resp.Body == http.NoBody {
 		return nil
 	}
+	streams := r.resp.ContentLength < 0 && !r.headers.CloseDelimited // it may be a stream of events
+	if r.resp.ContentLength > limit || streams || len(r.resp.Trailer) > 0 {
+		return r.bufferFirst()
+	}
 	b, err := io.ReadAll(io.LimitReader(r.resp.Body, limit+1))
 	if err != nil {
 		return newTruncated(err)
@@ -60,6 +66,30 @@
 	return r.resp.Body.Close()
 }
 
+// bufferFirst reads the first bytes of the body.
+func (r *Response) bufferFirst() error {
+	b := make([]byte, firstRead)
+	n, err := r.resp.Body.Read(b)
+	for n == 0 && err == nil {
+		n, err = r.resp.Body.Read(b)
+	}
+	if n == 0 && !errors.Is(err, io.EOF) {
+		return newTruncated(err)
+	}
+	rest := io.Reader(r.resp.Body)
+	if err != nil {
+		rest = errorReader{err}
+	}
+	r.resp.Body = joinedBody{io.MultiReader(bytes.NewReader(b[:n]), rest), r.resp.Body}
+	return nil
+}
+
+// errorReader fails with the error that a body returned with its first bytes.
+type errorReader struct{ err error }
+
+// Read returns the error.
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
 // joinedBody reads the bytes that Buffer has read, and then the rest of the body.
 type joinedBody struct {
 	io.Reader
