An answer that fails in memory before its turn ends as 502

What callers would see: three lookups on a connection, the second one's answer breaks off while the first is still being worked on; the connection ends, and the third answer, whose request has run, is lost with it. Found by reading. Cause: an answer begun ahead counted as begun once its header was in memory. Change: pipe.Run.Reset drops what was not passed on; the error is answered in its place. Such a request counts as one that may have run, so that a stop of this VM does not turn it into a promise that it has not. Before: TestABegunAheadAnswerThatBreaksOffBeforeItsTurnEndsAs502 saw the connection end. Result: it passes, and the tests of front and pipe.

--- a/internal/edge/front/answer_test.go
+++ b/internal/edge/front/answer_test.go
@@ -147,3 +147,20 @@
 		})
 	}
 }
+
+// Guards against an answer that breaks off before its turn and takes the answers behind it along.
+func TestABegunAheadAnswerThatBreaksOffBeforeItsTurnEndsAs502(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		tb.serveRaw(l1Addr, func(r *http.Request) string {
+			if r.URL.Path == "/scales/cut" {
+				return "HTTP/1.1 200 OK\r\nX-Part: 1\r\nContent-Length: 1000000\r\n\r\na part"
+			}
+			time.Sleep(100 * time.Millisecond)
+			return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		})
+		c, end := tb.dialPipelined()
+		defer end()
+		got := sendTogether(t, c, "/scales/a", "/scales/cut", "/scales/b")
+		assert.DeepEqual(t, got, []int{http.StatusOK, http.StatusBadGateway, http.StatusOK})
+	})
+}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -42,7 +42,7 @@
 	svc             *state.Service
 	key             ident.Key
 	deadline        time.Time
-	responseStarted bool // the header of the answer has been written to the caller
+	responseStarted bool // the answer is being copied to the caller
 	mayHaveRun      bool // an attempt that got no answer may have run
 	// loadReported says that the server reported its load with its answer: serverRunning
 	// requests ran and serverWaiting requests waited there.
@@ -116,6 +116,9 @@
 	if errors.Is(err, errNotPipelined) {
 		return false, false
 	}
+	if err != nil && x.responseStarted && x.dropAnswer() {
+		x.responseStarted, x.mayHaveRun = false, true
+	}
 	err = x.unknownIfRan(x.closingIfStopped(err))
 	x.finish(err)
 	return true, err != nil && x.responseStarted
--- a/internal/edge/front/fault.go
+++ b/internal/edge/front/fault.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 )
 
 // recovered calls a function that serves the request, and returns a panic as an error of kind
@@ -23,3 +24,16 @@
 	}()
 	return serve()
 }
+
+// dropAnswer takes back an answer that has failed if nothing of it has been passed on to the
+// caller.
+func (x *exchange) dropAnswer() bool {
+	if run, ok := x.w.(*pipe.Run); ok {
+		return run.Reset()
+	}
+	if x.ginWriter.Written() {
+		return false
+	}
+	clear(x.w.Header())
+	return true
+}
--- a/internal/edge/pipe/run.go
+++ b/internal/edge/pipe/run.go
@@ -122,6 +122,19 @@
 	return r.out.Write(b)
 }
 
+// Reset drops the answer, so that another one can be written in its place. It returns false if
+// a part of it has been passed on to the caller.
+func (r *Run) Reset() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.headerWritten {
+		return false
+	}
+	clear(r.header)
+	r.status, r.body = 0, nil
+	return true
+}
+
 // Flush sends the buffered answer if the request's turn has come.
 func (r *Run) Flush() {
 	r.mu.Lock()
