front, pipe: a writer sends no status in place of one that is none

Cause, the second one: pipe.Run takes 0 for "no status yet" and sends 200 with the body; gin ignores a status not above 0 and keeps the 404 it had set. Change: both writers panic on what is no status of a final response, as net/http's own does; the guard of the request answers 500. Before: TestAWriterTakesNoStatusForAnother saw -1 taken. Result: it passes, and the tests of front and pipe.

--- a/internal/core/reply/reply.go
+++ b/internal/core/reply/reply.go
@@ -17,11 +17,14 @@
 // maxStatus is the largest status that RFC 9110 defines.
 const maxStatus = 599
 
-// Check returns nil if a response is an answer, and otherwise the reason why it is none.
-// No request asks for another protocol, so a 101 answers none.
-func Check(resp *http.Response) error {
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-		return fmt.Errorf("%w: %03d", ErrStatus, resp.StatusCode)
+// CheckStatus returns nil if a number is the status of a final response. No request asks for
+// another protocol, so a 101 answers none.
+func CheckStatus(code int) error {
+	if code < http.StatusOK || code > maxStatus {
+		return fmt.Errorf("%w: %03d", ErrStatus, code)
 	}
 	return nil
 }
+
+// Check returns nil if a response is an answer, and otherwise the reason why it is none.
+func Check(resp *http.Response) error { return CheckStatus(resp.StatusCode) }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -23,6 +23,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 	"hawthornfield.org/hawthornfield/internal/edge/pipe"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
@@ -193,8 +194,12 @@
 // text to an answer with status 404 and no body.
 type statusWriter struct{ gin.ResponseWriter }
 
-// WriteHeader sends the status and the headers.
+// WriteHeader sends the status and the headers. It panics if the status is none: gin would
+// keep the one that it has.
 func (w *statusWriter) WriteHeader(code int) {
+	if err := reply.CheckStatus(code); err != nil {
+		panic(err)
+	}
 	w.ResponseWriter.WriteHeader(code)
 	w.WriteHeaderNow()
 }
--- a/internal/edge/pipe/run.go
+++ b/internal/edge/pipe/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // Run is a request that was started before its turn, with its answer. As an
@@ -18,7 +20,7 @@
 
 	mu            sync.Mutex
 	header        http.Header
-	status        int
+	status        int // zero until it is set
 	body          []byte
 	out           http.ResponseWriter // the caller's, set when the request's turn has come
 	headerWritten bool                // the status was written to out
@@ -82,8 +84,11 @@
 // Header returns the answer's header.
 func (r *Run) Header() http.Header { return r.header }
 
-// WriteHeader sets the status.
+// WriteHeader sets the status. Like net/http it panics if that is none.
 func (r *Run) WriteHeader(code int) {
+	if err := reply.CheckStatus(code); err != nil {
+		panic(err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.status == 0 {
