reply: versions, lengths and names that RFC 9112 rules out are no answers

What callers would see: a success whose version is not the connection's, a 204 in place of a body, the sizes of chunks in a body, an answer that ends with its connection although it states a length. Change: reply.Check turns them down; such a request ends as 502 or is sent again. HTTP/1.0 with a length stays an answer.

--- a/internal/core/reply/reply.go
+++ b/internal/core/reply/reply.go
@@ -9,10 +9,23 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
-// ErrStatus says that a status is not one of a final response (RFC 9110, section 15).
-var ErrStatus = errors.New("the answer has no valid status")
+// Reasons why a response is no answer.
+var (
+	// ErrStatus says that a status is not one of a final response (RFC 9110, section 15).
+	ErrStatus = errors.New("the answer has no valid status")
+	// ErrVersion says that a message has another format than its connection (RFC 9112, section 2.3).
+	ErrVersion = errors.New("the answer has another version of HTTP")
+	// ErrLength says that a message has a body where its status allows none (RFC 9110, section 8.6).
+	ErrLength = errors.New("the answer has a body that its status does not allow")
+	// ErrFraming says that the end of a body cannot be known: net/http ignores the framing of an
+	// HTTP/1.0 message, which makes it faulty (RFC 9112, section 6.1).
+	ErrFraming = errors.New("the answer of HTTP/1.0 has no length")
+	// ErrField says that a header has no name that RFC 9112, section 5.1, allows.
+	ErrField = errors.New("the answer has a malformed header name")
+)
 
 // maxStatus is the largest status that RFC 9110 defines.
 const maxStatus = 599
@@ -26,5 +39,31 @@
 	return nil
 }
 
-// Check returns nil if a response is an answer, and otherwise the reason why it is none.
-func Check(resp *http.Response) error { return CheckStatus(resp.StatusCode) }
+// Check returns nil if a response over HTTP/1.x is an answer, and otherwise the reason why it
+// is none.
+func Check(resp *http.Response) error {
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: %s", ErrVersion, resp.Proto)
+	}
+	if resp.StatusCode == http.StatusNoContent && !isZeroLength(resp.Header["Content-Length"]) {
+		return ErrLength
+	}
+	if resp.ContentLength < 0 && resp.Body != http.NoBody && !resp.ProtoAtLeast(1, 1) {
+		return ErrFraming
+	}
+	for name := range resp.Header {
+		if strings.Contains(name, " ") { // net/http rejects all other malformed names
+			return fmt.Errorf("%w: %q", ErrField, name)
+		}
+	}
+	return nil
+}
+
+// isZeroLength reports whether there is no length, or one of zero, which some servers send with
+// an answer without a body.
+func isZeroLength(lengths []string) bool {
+	return len(lengths) == 0 || strings.Trim(lengths[0], "0") == ""
+}
