relay: a connection ends with a response that is no answer

What callers would see: 502 after 502, or lookups sent again, on a connection on which a server has sent an answer of length zero twice. Cause: closing the body of a response ends its connection only if there is one. net/http had put the connection back, and the next request met the answer to the one before. Change: the attempt closes the connection itself while its permit is still the one of that connection. An attempt that gets a closed one takes another before anything was written. Before: TestAConnectionEndsWithAResponseThatIsNoAnswer failed in two of four cases. Result: it passes, three runs of the relay's tests with the race detector too.

--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -85,7 +85,7 @@
 // request, would deliver one caller's answer to another; the request id in the answer
 // reveals that, if the server sends it. An answer that ends with its connection looks the
 // same whether it is complete or cut off, so it must not be passed on as complete.
-func (h *Headers) check(resp *http.Response, method string, id ident.Request, answer *Response) error {
+func (h *Headers) check(resp *http.Response, method string, id ident.Request, answer *Response) *Failure {
 	if err := reply.Check(resp); err != nil {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: err}
 	}
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -57,7 +57,8 @@
 	first permit
 	last  *permit
 	sent  bool
-	// opened is when the connection was opened that the attempt got last.
+	conn  *conn // the connection that the attempt got last
+	// opened is when that connection was opened.
 	opened time.Time
 	via    string // VM through which that connection goes
 }
@@ -90,7 +91,7 @@
 	if !ok {
 		return
 	}
-	if info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
+	if c.ended.Load() || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
 		// The server may be about to close the connection, and a request that crosses the
 		// close may have run. When it is closed on this side before anything is written,
 		// the transport takes another connection.
@@ -115,7 +116,19 @@
 		a.last = &permit{}
 	}
 	c.permit.Store(a.last)
-	a.opened, a.via = c.opened, c.via
+	a.conn, a.opened, a.via = c, c.opened, c.via
+}
+
+// endConn closes the connection of an attempt whose response was no answer: what follows on it
+// may be of any request. net/http has put the connection back if the response had no body, and
+// another attempt that has taken it meanwhile keeps it.
+func (a *attempt) endConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil && a.conn.permit.CompareAndSwap(a.last, nil) {
+		a.conn.ended.Store(true)
+		_ = a.conn.Close()
+	}
 }
 
 // stop prevents further writes of the attempt. It reports whether any byte of it may have
@@ -138,6 +151,7 @@
 	opened time.Time // on the boot clock
 	via    string    // address of the VM that it goes through, if any
 	once   sync.Once
+	ended  atomic.Bool // see attempt.endConn
 }
 
 // Write writes under the current permit.
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -322,19 +321,21 @@
 	u.readKeepAlive(resp.Header)
 	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
 	answer := &a.answer
-	if err := r.cfg.Headers.check(resp, in.Method, meta.ID, answer); err != nil {
+	if fail := r.cfg.Headers.check(resp, in.Method, meta.ID, answer); fail != nil {
+		if !fail.Refused {
+			a.endConn()
+			r.noteRejected(meta.Server, fail.err)
+		}
 		answer.Close()
-		r.noteRejected(meta.Server, err)
-		return nil, err
+		return nil, fail
 	}
 	return answer, nil
 }
 
-// noteRejected reports a response that is no answer to its request. A refusal is one.
-func (r *Relay) noteRejected(s ident.Server, err error) {
-	var fail *Failure
-	if r.cfg.OnRejected != nil && errors.As(err, &fail) && !fail.Refused {
-		r.cfg.OnRejected(s, fail.err)
+// noteRejected reports a response that is no answer to its request.
+func (r *Relay) noteRejected(s ident.Server, reason error) {
+	if r.cfg.OnRejected != nil {
+		r.cfg.OnRejected(s, reason)
 	}
 }
 
