--- a/internal/edge/poll/call_test.go
+++ b/internal/edge/poll/call_test.go
@@ -1,6 +1,8 @@
 package poll
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -11,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 	"hawthornfield.org/hawthornfield/internal/load/shed"
 )
 
@@ -71,3 +74,23 @@
 	}
 	b.ReportMetric(float64(c.Bytes())/float64(b.N), "B/op-wire")
 }
+
+// Guards against a call to another VM that takes a change of protocols for an answer.
+func TestACallTakesOnlyAnswers(t *testing.T) {
+	held := make(chan struct{})
+	at := serveCalls(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: any\r\n\r\n")
+		<-held
+	}))
+	defer close(held)
+	c := NewClient()
+	_, err := c.Poll(t.Context(), at, &Request{}, nil)
+	assert.Assert(t, errors.Is(err, reply.ErrStatus), "%v", err)
+	_, _, err = c.Rules(t.Context(), at, 1)
+	assert.Assert(t, errors.Is(err, reply.ErrStatus), "%v", err)
+}
--- a/internal/edge/poll/serve.go
+++ b/internal/edge/poll/serve.go
@@ -15,6 +15,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 const (
@@ -116,9 +117,9 @@
 func NewClient() *Client {
 	dial := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c := &Client{}
-	c.http = &http.Client{Transport: &http.Transport{
+	c.http = reply.NewClient(&http.Transport{
 		DialContext: c.Count(dial.DialContext), DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
-	}}
+	})
 	return c
 }
 
