Orders and writes follow no redirect

What callers would see: a key without an owner, as a grant counts as carried out that no server has got. Cause: http.Client follows redirects, and turns a POST into a GET; a 200 there was taken for the server's word. Change: reply.NewClient returns a redirect as the answer, which is not 200. Before: TestACallFollowsNoRedirect saw a redirected grant carried out. Result: it passes, and the tests of platform.

--- a/internal/core/reply/client.go
+++ b/internal/core/reply/client.go
@@ -8,11 +8,15 @@
 )
 
 // NewClient returns a client for calls over HTTP/1.1 that returns answers only, see [Check].
-// Any other response ends its connection and is an error, as if there had been none.
+// Any other response ends its connection and is an error, as if there had been none. A
+// redirect is returned and not followed: a write would become a read, or go to a process that
+// it is not meant for.
 func NewClient(transport *http.Transport) *http.Client {
-	return &http.Client{Transport: checkedTransport{transport}}
+	return &http.Client{Transport: checkedTransport{transport}, CheckRedirect: refuseRedirect}
 }
 
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // checkedTransport passes on answers only.
 type checkedTransport struct{ *http.Transport }
 
