relay: an idle timeout is taken from answers only

What callers would see: 502s, from connections used just as their server closes them, after an answer that is none or of another request has stated a time-out. Cause: Keep-Alive was read before the answer was checked, and without a bound. Change: it is read from answers and refusals, and is at most this side's own. Before: TestAnIdleTimeoutIsTakenFromAnswersOnly saw 7 s from such answers, and 2,562,047 h from a huge number. Result: it passes with the relay's tests.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -78,15 +78,17 @@
 // reach the server.
 const keepAliveFraction = 0.7
 
-// readKeepAlive reads the server's idle timeout from its Keep-Alive header.
-func (u *upstream) readKeepAlive(h http.Header) {
+// readKeepAlive reads the server's idle timeout from the Keep-Alive header of an answer. A
+// longer one than this side's counts as that.
+func (u *upstream) readKeepAlive(h http.Header, longest time.Duration) {
 	_, after, found := strings.Cut(h.Get("Keep-Alive"), "timeout=")
 	if !found {
 		return
 	}
 	number, _, _ := strings.Cut(after, ",")
 	if s, err := strconv.Atoi(strings.TrimSpace(number)); err == nil && s > 0 {
-		u.reuseIdle.Store(int64(float64(s) * keepAliveFraction * float64(time.Second)))
+		idle := time.Duration(min(float64(s), longest.Seconds()) * float64(time.Second))
+		u.reuseIdle.Store(int64(float64(idle) * keepAliveFraction))
 	}
 }
 
@@ -318,14 +320,17 @@
 		cancel(nil)
 		return nil, fail
 	}
-	u.readKeepAlive(resp.Header)
 	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
 	answer := &a.answer
-	if fail := r.cfg.Headers.check(resp, in.Method, meta.ID, answer); fail != nil {
-		if !fail.Refused {
-			a.endConn()
-			r.noteRejected(meta.Server, fail.err)
-		}
+	fail := r.cfg.Headers.check(resp, in.Method, meta.ID, answer)
+	if fail != nil && !fail.Refused {
+		a.endConn()
+		answer.Close()
+		r.noteRejected(meta.Server, fail.err)
+		return nil, fail
+	}
+	u.readKeepAlive(resp.Header, r.cfg.Idle)
+	if fail != nil {
 		answer.Close()
 		return nil, fail
 	}
