plat/call: a write without a usable status is ambiguous

What operators would see: a write of the object API, or an order of the product's own interface, counts as not done after the status 000, 101, 204 or 600. Cause: every status without a line of its own that is below 500 was taken for a request that cannot be read; 2xx and what is no status say no such thing. Change: core/reply decides on the status first; other 2xx are ambiguous. Before: TestAWriteWithoutAUsableStatusIsAmbiguous saw 000 taken for malformed. Result: it passes, and the tests of plat and tunnel.

--- a/internal/plat/call/call.go
+++ b/internal/plat/call/call.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // MaxAnswerBytes is the size limit of a response body. Lists of objects are the
@@ -108,6 +109,9 @@
 		return Answer{}, kinds.Wrap(kindWithoutAnswer(method, gotConn.Load()), err, method+" "+r.URL.Path)
 	}
 	defer resp.Body.Close()
+	if err := reply.CheckStatus(resp.StatusCode); err != nil {
+		return Answer{}, kinds.Wrap(kindWithoutAnswer(method, true), err, method+" "+r.URL.Path)
+	}
 	if resp.StatusCode == http.StatusNotModified && r.Header.Get(HeaderIfNoneMatch) != "" && method == http.MethodGet {
 		return Answer{Header: resp.Header, NotModified: true}, nil
 	}
@@ -151,8 +155,8 @@
 	return Answer{Header: resp.Header, Body: b}, nil
 }
 
-// kindOfStatus returns the kind of an HTTP status. A call with a 5xx status other
-// than 503 may have taken effect.
+// kindOfStatus returns the kind of an HTTP status. A call with another 2xx status than
+// 200, or a 5xx status other than 503, may have taken effect.
 func kindOfStatus(status int, method string) kinds.Kind {
 	switch status {
 	case http.StatusNotFound, http.StatusGone:
@@ -164,7 +168,7 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return kinds.Unavailable
 	}
-	if status >= http.StatusInternalServerError {
+	if status < http.StatusMultipleChoices || status >= http.StatusInternalServerError {
 		return kindWithoutAnswer(method, true)
 	}
 	return kinds.Malformed
--- a/internal/plat/call/call_test.go
+++ b/internal/plat/call/call_test.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -61,6 +62,24 @@
 	}
 }
 
+// Guards against a write that counts as not done after a status that says nothing.
+func TestAWriteWithoutAUsableStatusIsAmbiguous(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 201, 204, 600} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %03d Any\r\nConnection: Upgrade\r\nUpgrade: any\r\n\r\n", status)
+		}))
+		var c Client
+		assert.Equal(t, kinds.Of(c.Do(t.Context(), http.MethodPut, srv.URL, []byte("x"), nil)), kinds.Ambiguous, "%d", status)
+		assert.Equal(t, kinds.Of(c.Do(t.Context(), http.MethodGet, srv.URL, nil, nil)), kinds.Unavailable, "%d", status)
+		srv.Close()
+	}
+}
+
 // A status of a write that does not prove that nothing was done must not be taken
 // for a definite failure.
 func TestStatusKindsOfReadsAndWrites(t *testing.T) {
