tunnel: a change to another protocol opens no tunnel

What callers would see: 502s, from a connection that is no tunnel. Cause: any 101 was taken for the other VM's word, whatever protocol it named. Change: the answer must name the protocol that was asked for. Before: TestAnotherProtocolIsNoTunnel got a tunnel. Result: it passes, and the package's tests.

--- a/internal/edge/tunnel/client.go
+++ b/internal/edge/tunnel/client.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusSwitchingProtocols {
+	if resp.StatusCode != http.StatusSwitchingProtocols || resp.Header.Get("Upgrade") != protocol {
 		_ = resp.Body.Close()
 		return nil, errNoPath
 	}
--- a/internal/edge/tunnel/tunnel_test.go
+++ b/internal/edge/tunnel/tunnel_test.go
@@ -127,6 +127,19 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against a connection that speaks another protocol and is taken for a tunnel.
+func TestAnotherProtocolIsNoTunnel(t *testing.T) {
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "Upgrade")
+		w.Header().Set("Upgrade", "any")
+		w.WriteHeader(http.StatusSwitchingProtocols)
+	}))
+	defer web.Close()
+	via := netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	_, err := (&Client{}).Dial(t.Context(), via, "listed", false)
+	assert.ErrorIs(t, err, errNoPath)
+}
+
 // Guards against tunnels to addresses that are no server, or through a VM without a path.
 func TestATunnelIsRefusedWithoutAPath(t *testing.T) {
 	c, via, _, paths := startTunnels(t)
