poll: its tests reach the transport behind the check of answers

Cause: wraps the transport of the client between VMs; the tests that slow its connections down took it for a plain one and panicked. Change: reply.Transport is exported, and the tests take the one inside.

--- a/internal/core/reply/client.go
+++ b/internal/core/reply/client.go
@@ -12,16 +12,16 @@
 // redirect is returned and not followed: a write would become a read, or go to a process that
 // it is not meant for.
 func NewClient(transport *http.Transport) *http.Client {
-	return &http.Client{Transport: checkedTransport{transport}, CheckRedirect: refuseRedirect}
+	return &http.Client{Transport: Transport{transport}, CheckRedirect: refuseRedirect}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// checkedTransport passes on answers only.
-type checkedTransport struct{ *http.Transport }
+// Transport passes on answers only, see [NewClient].
+type Transport struct{ *http.Transport }
 
 // RoundTrip sends a request and checks the response.
-func (t checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
--- a/internal/edge/poll/rules_test.go
+++ b/internal/edge/poll/rules_test.go
@@ -20,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/flow"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 	"hawthornfield.org/hawthornfield/internal/fake/pipes"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -69,7 +70,7 @@
 // client creates a client whose responses arrive with pauses.
 func (tn *testNet) client(pause func() time.Duration) *Client {
 	c := NewClient()
-	tr := c.http.Transport.(*http.Transport)
+	tr := c.http.Transport.(reply.Transport).Transport
 	tr.DialContext = c.Count(func(ctx context.Context, network, at string) (net.Conn, error) {
 		conn, err := tn.net.DialText(ctx, network, at)
 		if err != nil || pause == nil {
