front: a decision says on what its promise of 'not run' rests

Of the hypotheses in docs/incidents/refused-and-run.md the log told the first from the others only by the absence of a refusal (kind none, code 503), and could not tell whether a server's refusal named its request or came on a connection that had carried other requests. Without that an engineer cannot say whose word an untrue 503 was.

Decisions have promise (unsent, refused, unnamed, passed) and, where a server refused, uses: the requests that its connection had carried before. The counter hawthorn_promises{service,basis} counts the same. Headers.PromisesNotRun says which statuses callers take for the promise; on the product's own interface none do.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -31,6 +31,17 @@
 	Skip   Action = "skip"   // Count decisions of a rule were left out of the journal under its policy Keep
 )
 
+// Promise says on what it rests that a caller was told that its request has not run.
+type Promise string
+
+// Reasons for a promise.
+const (
+	PromiseUnsent   Promise = "unsent"  // nothing of the request was sent to a server
+	PromiseRefused  Promise = "refused" // the server said so, and named the request
+	PromiseUnnamed  Promise = "unnamed" // the server said so without naming the request
+	PromisePassedOn Promise = "passed"  // the status is that of a server's answer
+)
+
 // Decision is one decision. Fields that do not apply stay zero. The names in
 // the log and in the journal are one word each and differ from some field names.
 type Decision struct {
@@ -48,9 +59,11 @@
 	Server       ident.Server   `cbor:"server,omitempty" json:"server,omitempty"`
 	PrevOwner    ident.Server   `cbor:"former,omitempty" json:"former,omitempty"` // previous owner, for Place
 	Epoch        ident.Epoch    `cbor:"epoch,omitempty" json:"epoch,omitempty"`
-	Kind         string         `cbor:"kind,omitempty" json:"kind,omitempty"`     // name of a kinds.Kind; the number may differ between versions
-	Ran          kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`       // what the caller was told about whether the request ran
-	Status       int            `cbor:"code,omitempty" json:"code,omitempty"`     // HTTP status that the caller got
+	Kind         string         `cbor:"kind,omitempty" json:"kind,omitempty"` // name of a kinds.Kind; the number may differ between versions
+	Ran          kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`   // what the caller was told about whether the request ran
+	Status       int            `cbor:"code,omitempty" json:"code,omitempty"` // HTTP status that the caller got
+	Promise      Promise        `cbor:"promise,omitempty" json:"promise,omitempty"`
+	ConnUses     int            `cbor:"uses,omitempty" json:"uses,omitempty"`     // for a request that its server refused: requests that the connection had carried before
 	Reason       string         `cbor:"why,omitempty" json:"why,omitempty"`       // a sentence
 	Took         time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`     // from arrival to answer
 	PipelineWait time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"` // part of Took spent waiting behind earlier requests on its connection
@@ -100,7 +113,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 48
+const maxAttrs = 50
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -127,6 +140,8 @@
 	l.text("kind", d.Kind)
 	l.text("ran", string(d.Ran))
 	l.number("code", uint64(max(d.Status, 0)))
+	l.text("promise", string(d.Promise))
+	l.number("uses", uint64(max(d.ConnUses, 0)))
 	l.text("why", d.Reason)
 	l.span("took", d.Took)
 }
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -252,6 +252,7 @@
 	if err != nil && !x.responseStarted {
 		x.decision.Status = x.writeError(err)
 	}
+	x.notePromise(err)
 	if x.rule != nil {
 		x.decision.Keep = x.rule.Then.Keep
 		x.decision.Skip = !x.decision.Keep.Retains(retain.Case{Key: x.key, Safe: isSafeMethod(x.r.Method), Succeeded: err == nil && x.decision.Status < http.StatusInternalServerError})
--- a/internal/edge/front/testbed_test.go
+++ b/internal/edge/front/testbed_test.go
@@ -226,3 +226,26 @@
 		test(t, tb)
 	})
 }
+
+// replaceServer replaces the server at an address by one that answers requests in its own way,
+// and whose callers take the statuses of the platform for promises.
+func (tb *testbed) replaceServer(at netip.AddrPort, answer func(w http.ResponseWriter, id string)) {
+	for _, svc := range tb.state.Services() {
+		for _, s := range svc.Servers {
+			if s.Data == at {
+				assert.NilError(tb.t, tb.origins[s.Name].Close())
+			}
+		}
+	}
+	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r.Header.Get(relay.HeaderID))
+	})}
+	l := tb.net.Listen(at)
+	tb.group.Go(func(ctx context.Context) error {
+		defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+		_ = s.Serve(l)
+		return nil
+	})
+	tb.front.Headers = relay.DefaultHeaders()
+	tb.front.Headers.PromisesNotRun = func(status int) bool { return status == http.StatusServiceUnavailable }
+}
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -30,7 +30,8 @@
 	closer   io.Closer
 	reporter promreporter.Reporter
 
-	answers sync.Map // answerKey -> *answerMetrics
+	answers  sync.Map // answerKey -> *answerMetrics
+	promises sync.Map // promiseKey -> tally.Counter
 }
 
 type answerKey struct {
@@ -38,6 +39,11 @@
 	kind    string
 }
 
+type promiseKey struct {
+	service ident.Service
+	basis   record.Promise
+}
+
 // answerMetrics holds the metrics of one service and kind. They are created once: looking
 // up a tagged scope for every request would cost more than the routing decision.
 type answerMetrics struct {
@@ -83,6 +89,19 @@
 	if d.Remote {
 		a.remoteBytes.Inc(d.Bytes)
 	}
+	if d.Promise != "" {
+		m.countPromise(promiseKey{d.Service, d.Promise})
+	}
+}
+
+// countPromise counts a request whose caller was told that it has not run.
+func (m *Meter) countPromise(key promiseKey) {
+	v, ok := m.promises.Load(key)
+	if !ok {
+		scope := m.Tagged(map[string]string{"service": string(key.service), "basis": string(key.basis)})
+		v, _ = m.promises.LoadOrStore(key, scope.Counter("promises"))
+	}
+	v.(tally.Counter).Inc(1)
 }
 
 func (m *Meter) newAnswerMetrics(k answerKey) *answerMetrics {
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -43,6 +43,8 @@
 	Status     int         // of the answer that refused the request
 	Header     http.Header // header of the answer that refused the request
 	ConnOpened time.Time   // see Response; set if Refused
+	ConnUses   int         // see Response; set if Refused
+	Named      bool        // the refusal repeats the request's id
 	PathLost   bool        // given up because this VM lost its path to the server
 	Via        string      // see Response
 	// Stalled says that the server answered later requests, so that the answer to this one was
@@ -92,7 +94,7 @@
 	got := resp.Header.Get(h.ID)
 	foreign := got != string(id) && (got != "" || h.EchoesID)
 	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
-		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, Via: answer.Via}
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, ConnUses: answer.ConnUses, Via: answer.Via, Named: got != ""}
 	}
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -38,6 +38,9 @@
 
 	// Refused reports whether an answer says that the server did not run the request.
 	Refused func(status int, h http.Header) bool
+	// PromisesNotRun reports whether a status by itself tells callers that their request has not
+	// run and never will. A nil function says that none does.
+	PromisesNotRun func(status int) bool
 	// Load reads the load that a server reports with an answer. It returns false if there is
 	// no report, or one of which nothing can be used.
 	Load func(h http.Header) (LoadReport, bool)
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -61,6 +61,7 @@
 	// opened is when that connection was opened.
 	opened time.Time
 	via    string // VM through which that connection goes
+	uses   int    // requests that the connection had carried before
 }
 
 // connVia returns the address of the VM through which the attempt went, if any.
@@ -70,6 +71,13 @@
 	return a.via
 }
 
+// connUses returns how many requests the attempt's connection had carried before.
+func (a *attempt) connUses() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.uses
+}
+
 // isDirect reports whether the attempt has a connection over this VM's own path.
 func (a *attempt) isDirect() bool {
 	a.mu.Lock()
@@ -116,7 +124,8 @@
 		a.last = &permit{}
 	}
 	c.permit.Store(a.last)
-	a.conn, a.opened, a.via = c, c.opened, c.via
+	a.conn, a.opened, a.via, a.uses = c, c.opened, c.via, c.uses
+	c.uses++
 }
 
 // endConn closes the connection of an attempt whose response was no answer: what follows on it
@@ -150,6 +159,7 @@
 	limit  *connLimit
 	opened time.Time // on the boot clock
 	via    string    // address of the VM that it goes through, if any
+	uses   int       // requests that were sent on it
 	once   sync.Once
 	ended  atomic.Bool // see attempt.endConn
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -268,6 +268,7 @@
 	// ConnOpened is when the connection was opened, on the boot clock, see package clock.
 	ConnOpened time.Time
 	Via        string // address of the VM through which the request went; empty if it went directly
+	ConnUses   int    // requests that the connection had carried before
 }
 
 // Status returns the HTTP status.
@@ -320,7 +321,7 @@
 		cancel(nil)
 		return nil, fail
 	}
-	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia()}
+	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia(), ConnUses: a.connUses()}
 	answer := &a.answer
 	fail := r.cfg.Headers.check(resp, in.Method, meta.ID, answer)
 	if fail != nil && !fail.Refused {
