front: a server's status alone is no promise that a request has not run

Cause: copyAnswer passes on any answer that names its request. For a caller four statuses are the promise 'not run, and never will'; of a server only its header is.

Change: an answer with such a status, to a request that must not run twice, is withheld, and its caller gets 502: that is all that is known. Requests that may run twice get the answer as before. mayRetry asks what is known of all attempts (mayHaveRun), not only of the error at hand: an error without a relay.Failure counted as 'not run' there. The server is told from a lost one: its health, load and the guard see the answer as before.

Ruled out: believing a 503 of a server that has refused in the proper form before; nothing says that its program or a part behind it does the same.

TestAStatusAloneIsNoPromise fails before with 503.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -88,6 +88,9 @@
 	if x.responseStarted || x.crashes > 1 || quarantineLeft(err) > 0 {
 		return false
 	}
+	if x.mayHaveRun && !x.rule.Then.Idempotent {
+		return false
+	}
 	if _, again := x.body.reader(); !again {
 		return false
 	}
@@ -297,8 +300,11 @@
 // copyAnswer copies the answer to the caller. A status of 500 or above counts as a
 // failure of the server, however quickly it came.
 func (x *exchange) copyAnswer(from destination, answer *relay.Response) (gate.Outcome, error) {
-	x.responseStarted = true
 	x.svc.RecordAttempt(from.Server, true)
+	if x.isUnprovenPromise(answer) {
+		return x.withholdAnswer(answer)
+	}
+	x.responseStarted = true
 	work := time.Duration(0)
 	if x.loadReported {
 		work = assign.EstimateWork(answer.FirstByte, x.serverRunning, x.serverWaiting)
--- a/internal/edge/front/promise.go
+++ b/internal/edge/front/promise.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
 
 	"hawthornfield.org/hawthornfield/internal/audit/record"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
+	"hawthornfield.org/hawthornfield/internal/load/gate"
 )
 
 // notePromise records in the decision on what it rests that the caller was told that the request
@@ -29,6 +32,25 @@
 	}
 }
 
+// isUnprovenPromise reports whether the caller would take an answer for the promise that a
+// request has not run, and would send it again although it must not run twice.
+func (x *exchange) isUnprovenPromise(answer *relay.Response) bool {
+	return !x.rule.Then.Idempotent && x.promisesNotRun(answer.Status())
+}
+
+// withholdAnswer drops an answer that would be taken for a promise. It returns the outcome of
+// the attempt, for the gate, and the error that the caller gets in its place.
+func (x *exchange) withholdAnswer(answer *relay.Response) (gate.Outcome, error) {
+	x.mayHaveRun = true
+	x.decision.FirstByte, x.decision.Via = answer.FirstByte, answer.Via
+	answer.Close()
+	out := gate.Outcome{Latency: answer.FirstByte}
+	if answer.Status() >= http.StatusInternalServerError {
+		out.Kind = kinds.Internal
+	}
+	return out, kinds.New(kinds.Unknown, fmt.Sprintf("the server answered %d and did not say that the request has not run", answer.Status()))
+}
+
 // promisesNotRun reports whether callers take a status for the promise that their request has
 // not run.
 func (x *exchange) promisesNotRun(status int) bool {
--- a/internal/edge/front/promise_test.go
+++ b/internal/edge/front/promise_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,6 +13,29 @@
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 )
 
+// Guards against callers who send a request again that has run, because its server ended it with a status that promises the opposite.
+func TestAStatusAloneIsNoPromise(t *testing.T) {
+	for path, want := range map[string]int{"/lab/1": http.StatusBadGateway, "/sparse/1": http.StatusBadGateway, "/scales/1": http.StatusServiceUnavailable} {
+		runWithTestbed(t, func(t *testing.T, tb *testbed) {
+			ran := 0
+			for _, at := range []netip.AddrPort{l1Addr, u1Addr} {
+				tb.replaceServer(at, func(w http.ResponseWriter, _ string) {
+					ran++
+					w.WriteHeader(http.StatusServiceUnavailable)
+				})
+			}
+			resp, _, err := tb.do(tb.request("POST", path, strings.NewReader("load")))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, want, path)
+			assert.Equal(t, ran, 1, path)
+			if d := tb.decisions.last(); want == http.StatusBadGateway {
+				assert.Equal(t, d.Promise, record.Promise(""))
+				assert.Equal(t, d.Ran, kinds.RanUnknown)
+			}
+		})
+	}
+}
+
 // Guards against a log that does not tell whose word a promise of "not run" was.
 func TestADecisionSaysOnWhatItsPromiseRests(t *testing.T) {
 	for want, answer := range map[record.Promise]func(w http.ResponseWriter, id string){
