relay: a refusal sent once more does not pass for the answer to the next attempt

What callers saw: 429 for a request that ran, 32 of 2,024 in 10 s where a server refuses one request in four and sends every third refusal once more; others ran twice, because the VM itself sent them a third time.

Cause: the id of a request is that of all its attempts. After a refusal the owner of a key is asked again if it reports a free slot, and net/http takes the connection that was used last. A second copy of the refusal, where the next answer is due, then names the right request and speaks of the wrong attempt. Evidence: 18 of 20 cases have promise=refused, two or three attempts and a connection that was in use before; the other two had run at the attempt before.

Change: a request's later attempts take no connection on which an earlier one was refused. Buffered bodies can be read again from their start (GetBody), so that the Transport may take another connection before anything was written, for requests with a body too; the permits stop it after that, as before.

TestARepeatedRefusalIsNotTakenForTheNextAttempts fails before with 'the server refused the request'. One connection more for a request that is refused and asked again at the same server.

--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -50,6 +50,7 @@
 	cancel   context.CancelCauseFunc
 	upstream *upstream
 	onSend   func() // see Meta
+	refusals *Refusals
 	trace    httptrace.ClientTrace
 	answer   Response
 
@@ -71,6 +72,13 @@
 	return a.via
 }
 
+// lastConn returns the connection that the attempt got last.
+func (a *attempt) lastConn() *conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn
+}
+
 // connUses returns how many requests the attempt's connection had carried before.
 func (a *attempt) connUses() int {
 	a.mu.Lock()
@@ -99,7 +107,7 @@
 	if !ok {
 		return
 	}
-	if c.ended.Load() || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
+	if c.ended.Load() || a.refusals.contains(c) || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
 		// The server may be about to close the connection, and a request that crosses the
 		// close may have run. When it is closed on this side before anything is written,
 		// the transport takes another connection.
--- /dev/null
+++ b/internal/edge/relay/refusals_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a refusal that is sent once more and passes for the answer to the next attempt of its request.
+func TestARepeatedRefusalIsNotTakenForTheNextAttempts(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nHawthorn-Id: r1\r\nHawthorn-Ran: no\r\nContent-Length: 0\r\n\r\n"
+	for name, late := range map[string]bool{"at once": false, "where the next answer is due": true} {
+		t.Run(name, func(t *testing.T) {
+			r, s := newTestRelay(t, func(w io.Writer, _ *http.Request, conn, n int) bool {
+				switch {
+				case conn == 1 && n == 1 && !late:
+					return writeString(w, refusal+refusal)
+				case conn == 1:
+					return writeString(w, refusal)
+				}
+				return writeString(w, okResponse)
+			})
+			var refusals Refusals
+			for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+				body := []byte("load")
+				in := httptest.NewRequest("POST", "/x", bytes.NewReader(body))
+				ctx, cancel := context.WithCancelCause(t.Context())
+				answer, err := r.Send(ctx, cancel, in, bytes.NewReader(body), serverAddr, &Meta{ID: "r1", Refusals: &refusals})
+				if want == http.StatusOK {
+					assert.NilError(t, err)
+					assert.Equal(t, answer.Status(), want)
+					assert.NilError(t, answer.Close())
+					continue
+				}
+				var fail *Failure
+				assert.Assert(t, errors.As(err, &fail) && fail.Refused, "%v", err)
+			}
+			assert.Equal(t, s.count("r1"), 2)
+		})
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -9,6 +9,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -227,6 +228,8 @@
 	// OnSend, if set, is called just before the request is written to a connection. It is
 	// called again if that connection turns out to be closed and another one is used.
 	OnSend func()
+	// Refusals are those of earlier attempts of the request. This attempt adds its own.
+	Refusals *Refusals
 }
 
 // set sets the headers. Their values share one array: a separate slice for each was a
@@ -306,7 +309,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta,
 ) (*Response, error) {
 	u := r.upstream(to)
-	a := &attempt{cancel: cancel, upstream: u, onSend: meta.OnSend}
+	a := &attempt{cancel: cancel, upstream: u, onSend: meta.OnSend, refusals: meta.Refusals}
 	a.trace.GotConn = a.gotConn
 	if meta.Interruptible {
 		u.addAttempt(a)
@@ -332,6 +335,7 @@
 	}
 	u.readKeepAlive(resp.Header, r.cfg.Idle)
 	if fail != nil {
+		meta.Refusals.add(a.lastConn())
 		answer.Close()
 		return nil, fail
 	}
@@ -357,6 +361,21 @@
 	out.Header = requestHeader(in.Header, &r.cfg.Headers, r.reserved, meta)
 	if body != nil && in.ContentLength != 0 {
 		out.Body, out.ContentLength, out.Trailer = io.NopCloser(body), in.ContentLength, in.Trailer
+		out.GetBody = rewinder(body)
 	}
 	return out
 }
+
+// rewinder returns a function that reads a buffered body from its start; nil for any other. The
+// Transport needs it to take another connection if one is closed before anything was written.
+func rewinder(body io.Reader) func() (io.ReadCloser, error) {
+	buffered, ok := body.(*bytes.Reader)
+	if !ok {
+		return nil
+	}
+	start := *buffered
+	return func() (io.ReadCloser, error) {
+		again := start
+		return io.NopCloser(&again), nil
+	}
+}
