relay: a success that says 'not run' is no refusal

Cause: on the platform the header alone made an answer a refusal, whatever its status; on the product's own interface the status had to be an error. An answer that says two things at once says neither.

Change: check turns such an answer down as one that is no answer: the request may have run, it is sent again only if it may run twice, and the connection ends.

TestASuccessIsNoRefusal fails before with 'the server refused the request'.

--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -79,6 +79,7 @@
 	errWrongRequest = errors.New("the answer belongs to another request")
 	errTooLong      = errors.New("the answer exceeds the longest one that is passed on")
 	errNoEnd        = errors.New("the end of the answer could not be recognized")
+	errContradicts  = errors.New("the answer is a success and says that the request has not run")
 )
 
 // check rejects an answer that must not reach the caller.
@@ -93,6 +94,9 @@
 	}
 	got := resp.Header.Get(h.ID)
 	foreign := got != string(id) && (got != "" || h.EchoesID)
+	if resp.StatusCode < http.StatusBadRequest && h.Refused(resp.StatusCode, resp.Header) {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errContradicts}
+	}
 	if h.Refused(resp.StatusCode, resp.Header) && (got == "" || !foreign) {
 		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, ConnUses: answer.ConnUses, Via: answer.Via, Named: got != ""}
 	}
--- a/internal/edge/relay/rejected_test.go
+++ b/internal/edge/relay/rejected_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,8 +11,22 @@
 	"gotest.tools/v3/assert"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
+// Guards against a request that has run and counts as refused, because its answer says two things at once.
+func TestASuccessIsNoRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusFound} {
+		r, _ := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool {
+			return writeString(w, fmt.Sprintf("HTTP/1.1 %d Any\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status))
+		})
+		r.cfg.Headers.Refused = func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+		_, err := sendRequest(t.Context(), r, httptest.NewRequest("POST", "/x", nil), "r1")
+		assert.Assert(t, errors.Is(err, errContradicts), "%d: %v", status, err)
+		assert.Equal(t, kinds.Of(err), kinds.Unknown)
+	}
+}
+
 // Guards against responses that are turned down, retried and seen by nobody.
 func TestRejectedAnswersAreReported(t *testing.T) {
 	answer := "HTTP/1.1 200 OK\r\nHawthorn-Id: another\r\nContent-Length: 0\r\n\r\n"
