relay: a connection ends with a refusal that names no request

Cause: an answer without the id cannot be attributed, and check made an exception for refusals: servers that are too busy may refuse before they have read a request. The second copy of such a refusal, where the next answer is due, then refuses whatever request is next on the connection. Evidence: all cases have promise=unnamed, 4 of 20 at the first attempt, on a connection in use before.

Change: such a refusal is still believed, and its connection is closed, so that no copy of it meets another request: nobody is told less. Refusing to believe it was ruled out: a server that never names what it refuses would have all its refusals told as 502, and these requests could not be sent again. What remains: a server that names its answers and sends a refusal without an id that it owes to nobody.

TestARepeatedRefusalWithoutAnIDRefusesNoOther fails before.

--- a/internal/edge/relay/refusals_test.go
+++ b/internal/edge/relay/refusals_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 // Guards against a refusal that is sent once more and passes for the answer to the next attempt of its request.
@@ -45,3 +47,20 @@
 		})
 	}
 }
+
+// Guards against a refusal without an id that is sent once more and passes for the answer to another request.
+func TestARepeatedRefusalWithoutAnIDRefusesNoOther(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nHawthorn-Ran: no\r\nContent-Length: 0\r\n\r\n"
+	r, s := newTestRelay(t, func(w io.Writer, in *http.Request, _, n int) bool {
+		if in.Header.Get(HeaderID) == "r1" || n > 1 {
+			return writeString(w, refusal)
+		}
+		return writeString(w, okResponse)
+	})
+	_, err := sendRequest(t.Context(), r, httptest.NewRequest("POST", "/x", nil), "r1")
+	assert.Equal(t, kinds.Of(err), kinds.Busy)
+	w, err := sendRequest(t.Context(), r, httptest.NewRequest("POST", "/x", nil), "r2")
+	assert.NilError(t, err)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, s.count("r2"), 1)
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -335,7 +335,9 @@
 	}
 	u.readKeepAlive(resp.Header, r.cfg.Idle)
 	if fail != nil {
-		meta.Refusals.add(a.lastConn())
+		if meta.Refusals.add(a.lastConn()); !fail.Named {
+			a.endConn() // a second copy of it would pass for the answer to any other request
+		}
 		answer.Close()
 		return nil, fail
 	}
