relay: a connection is handed on only once the answer on it was judged

Found beside REFUSED, by reading: net/http puts a connection back before it hands over an answer without a body, so another request may have the connection when the relay finds that the answer is none, or names no request. It kept it: what followed of the first answer, a second copy of it for instance, was then read as the answer to the other request.

Change: an attempt holds its connection until it has judged its answer; the next one waits for that, some microseconds, and takes another connection if it ended. endConn has no exception any more.

--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -54,11 +54,12 @@
 	trace    httptrace.ClientTrace
 	answer   Response
 
-	mu    sync.Mutex
-	first permit
-	last  *permit
-	sent  bool
-	conn  *conn // the connection that the attempt got last
+	mu      sync.Mutex
+	judging *conn // see conn.judge
+	first   permit
+	last    *permit
+	sent    bool
+	conn    *conn // the connection that the attempt got last
 	// opened is when that connection was opened.
 	opened time.Time
 	via    string // VM through which that connection goes
@@ -107,6 +108,7 @@
 	if !ok {
 		return
 	}
+	a.startJudging(c)
 	if c.ended.Load() || a.refusals.contains(c) || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
 		// The server may be about to close the connection, and a request that crosses the
 		// close may have run. When it is closed on this side before anything is written,
@@ -136,13 +138,29 @@
 	c.uses++
 }
 
-// endConn closes the connection of an attempt whose response was no answer: what follows on it
-// may be of any request. net/http has put the connection back if the response had no body, and
-// another attempt that has taken it meanwhile keeps it.
+// startJudging waits until the answer before on a connection was judged. net/http puts a
+// connection back before it hands over an answer without a body.
+func (a *attempt) startJudging(c *conn) {
+	a.endJudging()
+	c.judge.Lock()
+	a.judging = c
+}
+
+// endJudging lets the next attempt have the connection.
+func (a *attempt) endJudging() {
+	if a.judging != nil {
+		a.judging.judge.Unlock()
+		a.judging = nil
+	}
+}
+
+// endConn closes the connection of an attempt whose response does not tell whether further
+// responses to the same request will follow.
 func (a *attempt) endConn() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil && a.conn.permit.CompareAndSwap(a.last, nil) {
+	if a.conn != nil {
+		a.conn.permit.CompareAndSwap(a.last, nil)
 		a.conn.ended.Store(true)
 		_ = a.conn.Close()
 	}
@@ -170,6 +188,7 @@
 	uses   int       // requests that were sent on it
 	once   sync.Once
 	ended  atomic.Bool // see attempt.endConn
+	judge  sync.Mutex  // held by an attempt until it has judged its answer
 }
 
 // Write writes under the current permit.
--- a/internal/edge/relay/refusals_test.go
+++ b/internal/edge/relay/refusals_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
@@ -64,3 +68,28 @@
 	assert.Equal(t, w.Code, http.StatusOK)
 	assert.Equal(t, s.count("r2"), 1)
 }
+
+// Guards against a connection that another request gets before the answer on it was judged.
+func TestAConnectionIsHandedOnOnlyOnceItsAnswerWasJudged(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nHawthorn-Ran: no\r\nContent-Length: 0\r\n\r\n"
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool { return writeString(w, refusal) })
+		var g group.Group
+		var used atomic.Int32
+		for n := range 200 {
+			g.Go(func(ctx context.Context) error {
+				_, err := sendRequest(ctx, r, httptest.NewRequest("POST", "/x", nil), fmt.Sprint(n))
+				var fail *Failure
+				if errors.As(err, &fail) && fail.ConnUses > 0 {
+					used.Add(1)
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, g.Wait())
+		assert.Equal(t, used.Load(), int32(0))
+		synctest.Wait() // the Transport may still be opening a connection
+		assert.NilError(t, r.Close())
+		assert.NilError(t, s.group.Close())
+	})
+}
