relay: a connection remembers what was refused on it, whoever sends it again

Change: the connection keeps the ids that were refused on it, at most 64, after which it ends; attempts carry no list of their own.

Measured: TestARepeatedRefusalIsNotTakenForTheNextAttempts has two requests that share nothing but the id, and fails without the check; relay's tests pass with the race detector.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -44,7 +44,6 @@
 	deadline        time.Time
 	responseStarted bool // the answer is being copied to the caller
 	mayHaveRun      bool // an attempt that got no answer may have run
-	refusals        relay.Refusals
 	// loadReported says that the server reported its load with its answer: serverRunning
 	// requests ran and serverWaiting requests waited there.
 	loadReported                 bool
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -201,7 +201,6 @@
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
 		Interruptible: x.rule.Then.Idempotent, OnSend: watch.onSend(),
-		Refusals: &x.refusals,
 	})
 	x.noteSignals(process, answer, err, sent)
 	x.noteFleet(ctx, process, answer, err, sent, left)
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
@@ -47,10 +49,10 @@
 
 // attempt tracks one request over the connections that net/http tries.
 type attempt struct {
+	id       ident.Request
 	cancel   context.CancelCauseFunc
 	upstream *upstream
 	onSend   func() // see Meta
-	refusals *Refusals
 	trace    httptrace.ClientTrace
 	answer   Response
 
@@ -73,13 +75,6 @@
 	return a.via
 }
 
-// lastConn returns the connection that the attempt got last.
-func (a *attempt) lastConn() *conn {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.conn
-}
-
 // connUses returns how many requests the attempt's connection had carried before.
 func (a *attempt) connUses() int {
 	a.mu.Lock()
@@ -109,7 +104,7 @@
 		return
 	}
 	a.startJudging(c)
-	if c.ended.Load() || a.refusals.contains(c) || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
+	if c.ended.Load() || slices.Contains(c.refused, a.id) || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
 		// The server may be about to close the connection, and a request that crosses the
 		// close may have run. When it is closed on this side before anything is written,
 		// the transport takes another connection.
@@ -154,6 +149,23 @@
 	}
 }
 
+// noteRefusal records that the server has refused the attempt. Should it send the refusal once
+// more, no other attempt of the request may take it for the answer to itself; without an id, no
+// other request.
+func (a *attempt) noteRefusal(named bool) {
+	a.mu.Lock()
+	c := a.conn
+	a.mu.Unlock()
+	if c == nil {
+		return
+	}
+	if !named || len(c.refused) == maxRefused {
+		a.endConn()
+		return
+	}
+	c.refused = append(c.refused, a.id)
+}
+
 // endConn closes the connection of an attempt whose response does not tell whether further
 // responses to the same request will follow.
 func (a *attempt) endConn() {
@@ -177,6 +189,9 @@
 	return a.sent, a.sent && a.last.broken.Load()
 }
 
+// maxRefused is the largest number of requests that may be refused on a connection.
+const maxRefused = 64
+
 // conn is a connection to a backend server. It writes only under a permit, and counts
 // toward the server's connection limit until it is closed.
 type conn struct {
@@ -189,6 +204,8 @@
 	once   sync.Once
 	ended  atomic.Bool // see attempt.endConn
 	judge  sync.Mutex  // held by an attempt until it has judged its answer
+	// refused are the requests that the server has refused on the connection; judge protects it.
+	refused []ident.Request
 }
 
 // Write writes under the current permit.
--- a/internal/edge/relay/refusals_test.go
+++ b/internal/edge/relay/refusals_test.go
@@ -32,12 +32,11 @@
 				}
 				return writeString(w, okResponse)
 			})
-			var refusals Refusals
 			for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
 				body := []byte("load")
 				in := httptest.NewRequest("POST", "/x", bytes.NewReader(body))
 				ctx, cancel := context.WithCancelCause(t.Context())
-				answer, err := r.Send(ctx, cancel, in, bytes.NewReader(body), serverAddr, &Meta{ID: "r1", Refusals: &refusals})
+				answer, err := r.Send(ctx, cancel, in, bytes.NewReader(body), serverAddr, &Meta{ID: "r1"})
 				if want == http.StatusOK {
 					assert.NilError(t, err)
 					assert.Equal(t, answer.Status(), want)
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -228,8 +228,6 @@
 	// OnSend, if set, is called just before the request is written to a connection. It is
 	// called again if that connection turns out to be closed and another one is used.
 	OnSend func()
-	// Refusals are those of earlier attempts of the request. This attempt adds its own.
-	Refusals *Refusals
 }
 
 // set sets the headers. Their values share one array: a separate slice for each was a
@@ -309,7 +307,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta,
 ) (*Response, error) {
 	u := r.upstream(to)
-	a := &attempt{cancel: cancel, upstream: u, onSend: meta.OnSend, refusals: meta.Refusals}
+	a := &attempt{id: meta.ID, cancel: cancel, upstream: u, onSend: meta.OnSend}
 	a.trace.GotConn = a.gotConn
 	if meta.Interruptible {
 		u.addAttempt(a)
@@ -336,9 +334,7 @@
 	}
 	u.readKeepAlive(resp.Header, r.cfg.Idle)
 	if fail != nil {
-		if meta.Refusals.add(a.lastConn()); !fail.Named {
-			a.endConn() // a second copy of it would pass for the answer to any other request
-		}
+		a.noteRefusal(fail.Named)
 		answer.Close()
 		return nil, fail
 	}
