front: a refusal of the last attempt promises nothing for the attempts before it

Found on the paths of REFUSED: a request that may run twice is sent, its answer is lost, and the second attempt is refused. Its caller got 502, and with it 'Hawthorn-Ran: no'; the decision said ran=no, and a claim on the request's id would have been released as of a request that has not run.

Cause: unknownIfRan asks what is known of all attempts, finish looked at the last one's failure alone. Change: both ask mayHaveRun.

Measured: TestARefusalOfTheLastAttemptPromisesNothingForTheFirst fails before with 'no' for 'unknown'. On the platform, where no such header is sent, nothing changes for callers.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -243,7 +243,7 @@
 	x.decision.Ran = kinds.RanYes
 	if err != nil {
 		x.decision.Ran, x.decision.Reason = k.Answer().Ran, err.Error()
-		if didNotRun(err) {
+		if didNotRun(err) && !x.mayHaveRun {
 			x.decision.Ran = kinds.RanNo
 		}
 	}
--- a/internal/edge/front/promise_test.go
+++ b/internal/edge/front/promise_test.go
@@ -62,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against a second attempt's refusal that is told as the refusal of a request whose first attempt may have run.
+func TestARefusalOfTheLastAttemptPromisesNothingForTheFirst(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		assert.NilError(t, tb.origins["l1"].Close())
+		requests := 0
+		tb.serveRaw(l1Addr, func(*http.Request) string {
+			if requests++; requests == 1 {
+				return ""
+			}
+			return "HTTP/1.1 503 Full\r\nHawthorn-Ran: no\r\nContent-Length: 0\r\n\r\n"
+		})
+		resp, _, err := tb.do(tb.request("GET", "/again/north", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, requests, 2)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanUnknown))
+		assert.Equal(t, tb.decisions.last().Ran, kinds.RanUnknown)
+		assert.Equal(t, tb.decisions.last().Promise, record.Promise(""))
+	})
+}
