front: an answer that was dropped because its key moved is not forgotten

Found on the paths of REFUSED: a lookup is answered in the instant in which its attempt is given up for the next owner. If no owner then takes it, the caller got 503, and 'Hawthorn-Ran: no' on the product's own interface, for a request that had run.

Cause: answeredAfterMove returns an error without a relay.Failure, and only handleFailure of a Failure noted that the request may have run. Change: it notes so itself.

Measured: TestADroppedAnswerIsNotForgotten fails before with 503 for 502; the next owner is asked as before.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -250,6 +250,7 @@
 // answeredAfterMove returns the error for an answer that began just as its attempt was
 // canceled: its body would break off.
 func (x *exchange) answeredAfterMove() error {
+	x.mayHaveRun = true
 	if x.rule.Then.Idempotent {
 		return errOwnerChanged
 	}
--- a/internal/edge/front/promise_test.go
+++ b/internal/edge/front/promise_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -83,3 +84,19 @@
 		assert.Equal(t, tb.decisions.last().Promise, record.Promise(""))
 	})
 }
+
+// Guards against telling "not run" of a request whose answer was dropped because its key had moved.
+func TestADroppedAnswerIsNotForgotten(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		tb.replaceServer(l1Addr, func(http.ResponseWriter, string) {})
+		tb.front.Headers.Load = func(http.Header) (relay.LoadReport, bool) {
+			tb.setView("l2") // which has no lease
+			time.Sleep(2 * formerOwnerGrace)
+			return relay.LoadReport{}, false
+		}
+		resp, _, err := tb.do(tb.request("GET", "/scales/north", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanUnknown))
+	})
+}
