relay, platform: names of the refusals' checks that read without their story

Clean-up, no logic: an attempt checks its answer before its connection is handed on (conn.check, startChecking), as check() is called; the play in which a server says two things is contradictory.

--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -56,12 +56,12 @@
 	trace    httptrace.ClientTrace
 	answer   Response
 
-	mu      sync.Mutex
-	judging *conn // see conn.judge
-	first   permit
-	last    *permit
-	sent    bool
-	conn    *conn // the connection that the attempt got last
+	mu       sync.Mutex
+	checking *conn // see conn.check
+	first    permit
+	last     *permit
+	sent     bool
+	conn     *conn // the connection that the attempt got last
 	// opened is when that connection was opened.
 	opened time.Time
 	via    string // VM through which that connection goes
@@ -103,7 +103,7 @@
 	if !ok {
 		return
 	}
-	a.startJudging(c)
+	a.startChecking(c)
 	if c.ended.Load() || slices.Contains(c.refused, a.id) || info.Reused && info.IdleTime > a.upstream.maxReuseIdle() {
 		// The server may be about to close the connection, and a request that crosses the
 		// close may have run. When it is closed on this side before anything is written,
@@ -133,19 +133,19 @@
 	c.uses++
 }
 
-// startJudging waits until the answer before on a connection was judged. net/http puts a
+// startChecking waits until the answer before on a connection was checked. net/http puts a
 // connection back before it hands over an answer without a body.
-func (a *attempt) startJudging(c *conn) {
-	a.endJudging()
-	c.judge.Lock()
-	a.judging = c
+func (a *attempt) startChecking(c *conn) {
+	a.endChecking()
+	c.check.Lock()
+	a.checking = c
 }
 
-// endJudging lets the next attempt have the connection.
-func (a *attempt) endJudging() {
-	if a.judging != nil {
-		a.judging.judge.Unlock()
-		a.judging = nil
+// endChecking lets the next attempt have the connection.
+func (a *attempt) endChecking() {
+	if a.checking != nil {
+		a.checking.check.Unlock()
+		a.checking = nil
 	}
 }
 
@@ -203,8 +203,8 @@
 	uses   int       // requests that were sent on it
 	once   sync.Once
 	ended  atomic.Bool // see attempt.endConn
-	judge  sync.Mutex  // held by an attempt until it has judged its answer
-	// refused are the requests that the server has refused on the connection; judge protects it.
+	check  sync.Mutex  // held by an attempt until it has checked its answer
+	// refused are the requests that the server has refused on the connection; check protects it.
 	refused []ident.Request
 }
 
--- a/internal/edge/relay/refusals_test.go
+++ b/internal/edge/relay/refusals_test.go
@@ -68,8 +68,8 @@
 	assert.Equal(t, s.count("r2"), 1)
 }
 
-// Guards against a connection that another request gets before the answer on it was judged.
-func TestAConnectionIsHandedOnOnlyOnceItsAnswerWasJudged(t *testing.T) {
+// Guards against a connection that another request gets before the answer on it was checked.
+func TestAConnectionIsHandedOnOnlyOnceItsAnswerWasChecked(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Full\r\nHawthorn-Ran: no\r\nContent-Length: 0\r\n\r\n"
 	synctest.Test(t, func(t *testing.T) {
 		r, s := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool { return writeString(w, refusal) })
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -313,7 +313,7 @@
 		u.addAttempt(a)
 		defer u.removeAttempt(a)
 	}
-	defer a.endJudging()
+	defer a.endChecking()
 	start := time.Now()
 	resp, err := u.transport.RoundTrip(r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, u.host, meta)) //nolint:bodyclose // Response.Close does
 	if err != nil {
