front: an earlier refusal is part of what a promise rests on

Found reading the diff: a request that its server refused, and whose wait for the next owner then ended, was logged as promise=unsent. It had been sent, and the promise rested on that server's word.

Change: the decision has the weakest evidence of all attempts: unsent only if none was sent, refused, or unnamed if one refusal lacked the id. TestAnEarlierRefusalIsPartOfThePromise fails before with 'unsent'.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -37,8 +37,8 @@
 // Reasons for a promise.
 const (
 	PromiseUnsent   Promise = "unsent"  // nothing of the request was sent to a server
-	PromiseRefused  Promise = "refused" // the server said so, and named the request
-	PromiseUnnamed  Promise = "unnamed" // the server said so without naming the request
+	PromiseRefused  Promise = "refused" // each server that got it said so, and named the request
+	PromiseUnnamed  Promise = "unnamed" // the same, and one of them did not name the request
 	PromisePassedOn Promise = "passed"  // the status is that of a server's answer
 )
 
@@ -63,7 +63,7 @@
 	Ran          kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`   // what the caller was told about whether the request ran
 	Status       int            `cbor:"code,omitempty" json:"code,omitempty"` // HTTP status that the caller got
 	Promise      Promise        `cbor:"promise,omitempty" json:"promise,omitempty"`
-	ConnUses     int            `cbor:"uses,omitempty" json:"uses,omitempty"`     // for a request that its server refused: requests that the connection had carried before
+	ConnUses     int            `cbor:"uses,omitempty" json:"uses,omitempty"`     // of the last attempt that its server refused: requests that its connection had carried before
 	Reason       string         `cbor:"why,omitempty" json:"why,omitempty"`       // a sentence
 	Took         time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`     // from arrival to answer
 	PipelineWait time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"` // part of Took spent waiting behind earlier requests on its connection
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -42,8 +42,9 @@
 	svc             *state.Service
 	key             ident.Key
 	deadline        time.Time
-	responseStarted bool // the answer is being copied to the caller
-	mayHaveRun      bool // an attempt that got no answer may have run
+	responseStarted bool           // the answer is being copied to the caller
+	mayHaveRun      bool           // an attempt that got no answer may have run
+	refusal         record.Promise // of the attempts that servers refused; empty if there were none
 	// loadReported says that the server reported its load with its answer: serverRunning
 	// requests ran and serverWaiting requests waited there.
 	loadReported                 bool
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -276,6 +276,7 @@
 	switch {
 	case fail.Stalled: // the server answers other requests
 	case fail.Refused:
+		x.noteRefusal(fail)
 		x.svc.RecordAttempt(to.Server, true)
 		x.reportLoad(to.Server, fail.Header)
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
--- a/internal/edge/front/promise.go
+++ b/internal/edge/front/promise.go
@@ -1,7 +1,7 @@
 package front
 
 import (
-	"errors"
+	"cmp"
 	"fmt"
 	"net/http"
 
@@ -14,22 +14,24 @@
 // notePromise records in the decision on what it rests that the caller was told that the request
 // has not run. err is the error with which the request ended, if any.
 func (x *exchange) notePromise(err error) {
-	var fail *relay.Failure
-	refused := errors.As(err, &fail) && fail.Refused
-	if refused {
-		x.decision.ConnUses = fail.ConnUses
-	}
 	switch {
 	case err == nil && x.promisesNotRun(x.decision.Status):
 		x.decision.Promise = record.PromisePassedOn
 	case err == nil, x.responseStarted, x.decision.Ran != kinds.RanNo:
-	case refused && fail.Named:
-		x.decision.Promise = record.PromiseRefused
-	case refused:
-		x.decision.Promise = record.PromiseUnnamed
 	default:
-		x.decision.Promise = record.PromiseUnsent
+		x.decision.Promise = cmp.Or(x.refusal, record.PromiseUnsent)
+	}
+}
+
+// noteRefusal remembers that a server refused an attempt. A refusal that does not name the
+// request is the weakest evidence of all attempts.
+func (x *exchange) noteRefusal(fail *relay.Failure) {
+	x.decision.ConnUses = fail.ConnUses
+	if !fail.Named {
+		x.refusal = record.PromiseUnnamed
+		return
 	}
+	x.refusal = cmp.Or(x.refusal, record.PromiseRefused)
 }
 
 // isUnprovenPromise reports whether the caller would take an answer for the promise that a
--- a/internal/edge/front/promise_test.go
+++ b/internal/edge/front/promise_test.go
@@ -100,3 +100,18 @@
 		assert.Equal(t, resp.Header.Get(kinds.HeaderRan), string(kinds.RanUnknown))
 	})
 }
+
+// Guards against a log that says "unsent" of a request that was refused before its wait for the next owner ended.
+func TestAnEarlierRefusalIsPartOfThePromise(t *testing.T) {
+	runWithTestbed(t, func(t *testing.T, tb *testbed) {
+		tb.replaceServer(l1Addr, func(w http.ResponseWriter, id string) {
+			w.Header().Set(kinds.HeaderRan, string(kinds.RanNo))
+			w.Header().Set(relay.HeaderID, id)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		})
+		resp, _, err := tb.do(tb.request("GET", "/scales/north", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, tb.decisions.last().Promise, record.PromiseRefused)
+	})
+}
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -98,7 +98,7 @@
 	if resp.StatusCode < http.StatusBadRequest && h.Refused(resp.StatusCode, resp.Header) {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errContradicts}
 	}
-	if h.Refused(resp.StatusCode, resp.Header) && (!named || !foreign) {
+	if h.Refused(resp.StatusCode, resp.Header) && (!named || !foreign) { // without an id: see noteRefusal
 		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, ConnUses: answer.ConnUses, Via: answer.Via, Named: named}
 	}
 	if foreign {
