relay: an answer that came before anything was sent answers no request

A second copy of a refusal that was read already is handed to the next attempt on the connection, although that attempt may not write to it and another connection is due.

What callers saw: a refusal of an attempt that was never sent, so 429 at once where the request could still have been served. Not untrue, but no server's word.

Change: an answer counts only if the attempt had written something. Otherwise the attempt counts as unsent, and nothing of it can be sent any more (its permit is revoked in the same step), so it may be made again at another connection.

--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -80,6 +80,7 @@
 	errWrongRequest = errors.New("the answer belongs to another request")
 	errTooLong      = errors.New("the answer exceeds the longest one that is passed on")
 	errNoEnd        = errors.New("the end of the answer could not be recognized")
+	errUnsolicited  = errors.New("the answer came before anything was sent")
 	errContradicts  = errors.New("the answer is a success and says that the request has not run")
 )
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -25,6 +25,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 )
 
 // Defaults of Config.
@@ -325,6 +326,12 @@
 	}
 	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia(), ConnUses: a.connUses()}
 	answer := &a.answer
+	if sent, _ := a.stop(); !sent {
+		a.endConn()
+		answer.Close()
+		r.noteRejected(meta.Server, errUnsolicited)
+		return nil, &Failure{Kind: kinds.NoServer, err: errUnsolicited}
+	}
 	fail := r.cfg.Headers.check(resp, in.Method, meta.ID, answer)
 	if fail != nil && !fail.Refused {
 		a.endConn()
