host, front: how old the news was by which a request was sent

The hypotheses on DRAIN could not be told apart: no line said when a request was written, how long its server had been leaving by then, or how old the VM's list of servers was. Decisions have sentat, leaving and listage now, the line servers has from and listage; polls carry the age of the leader's list.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -74,20 +74,23 @@
 	Ran          kinds.Ran      `cbor:"ran,omitempty" json:"ran,omitempty"`   // what the caller was told about whether the request ran
 	Status       int            `cbor:"code,omitempty" json:"code,omitempty"` // HTTP status that the caller got
 	Promise      Promise        `cbor:"promise,omitempty" json:"promise,omitempty"`
-	ConnUses     int            `cbor:"uses,omitempty" json:"uses,omitempty"`     // of the last attempt that its server refused: requests that its connection had carried before
-	Reason       string         `cbor:"why,omitempty" json:"why,omitempty"`       // a sentence
-	Took         time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`     // from arrival to answer
-	PipelineWait time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"` // part of Took spent waiting behind earlier requests on its connection
-	Pipelined    bool           `cbor:"ahead,omitempty" json:"ahead,omitempty"`   // processed before the earlier requests on its connection were answered
-	Wait         time.Duration  `cbor:"wait,omitempty" json:"wait,omitempty"`     // part of Took spent queued on this VM for a free slot at a server
-	FirstByte    time.Duration  `cbor:"first,omitempty" json:"first,omitempty"`   // last attempt: from sending to the first byte of the answer, network and server time
-	Via          string         `cbor:"via,omitempty" json:"via,omitempty"`       // address of the VM through which the last attempt went
-	Remote       bool           `cbor:"far,omitempty" json:"far,omitempty"`       // the server is in another data centre
-	Load         int            `cbor:"load,omitempty" json:"load,omitempty"`     // number of requests at the server that it last reported when it was chosen
-	LoadAge      time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`       // age of Load
-	Expected     time.Duration  `cbor:"expect,omitempty" json:"expect,omitempty"` // until the answer, as expected when the server was chosen by it
-	BasisAge     time.Duration  `cbor:"basis,omitempty" json:"basis,omitempty"`   // age of the report of the server's load that Expected is based on; zero if there was none
-	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`   // size of the request and response bodies together
+	ConnUses     int            `cbor:"uses,omitempty" json:"uses,omitempty"`       // of the last attempt that its server refused: requests that its connection had carried before
+	Reason       string         `cbor:"why,omitempty" json:"why,omitempty"`         // a sentence
+	Took         time.Duration  `cbor:"took,omitempty" json:"took,omitempty"`       // from arrival to answer
+	PipelineWait time.Duration  `cbor:"unread,omitempty" json:"unread,omitempty"`   // part of Took spent waiting behind earlier requests on its connection
+	Pipelined    bool           `cbor:"ahead,omitempty" json:"ahead,omitempty"`     // processed before the earlier requests on its connection were answered
+	Wait         time.Duration  `cbor:"wait,omitempty" json:"wait,omitempty"`       // part of Took spent queued on this VM for a free slot at a server
+	FirstByte    time.Duration  `cbor:"first,omitempty" json:"first,omitempty"`     // last attempt: from sending to the first byte of the answer, network and server time
+	SentAfter    time.Duration  `cbor:"sentat,omitempty" json:"sentat,omitempty"`   // last attempt that was sent: from arrival until its first byte was written
+	Leaving      time.Duration  `cbor:"leaving,omitempty" json:"leaving,omitempty"` // for how long its server had been leaving then, as known on this VM now
+	ListAge      time.Duration  `cbor:"listage,omitempty" json:"listage,omitempty"` // how old the list of servers was then
+	Via          string         `cbor:"via,omitempty" json:"via,omitempty"`         // address of the VM through which the last attempt went
+	Remote       bool           `cbor:"far,omitempty" json:"far,omitempty"`         // the server is in another data centre
+	Load         int            `cbor:"load,omitempty" json:"load,omitempty"`       // number of requests at the server that it last reported when it was chosen
+	LoadAge      time.Duration  `cbor:"age,omitempty" json:"age,omitempty"`         // age of Load
+	Expected     time.Duration  `cbor:"expect,omitempty" json:"expect,omitempty"`   // until the answer, as expected when the server was chosen by it
+	BasisAge     time.Duration  `cbor:"basis,omitempty" json:"basis,omitempty"`     // age of the report of the server's load that Expected is based on; zero if there was none
+	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`     // size of the request and response bodies together
 	Attempts     int            `cbor:"tries,omitempty" json:"tries,omitempty"`
 	Stalled      int            `cbor:"stalled,omitempty" json:"stalled,omitempty"`   // attempts that their server passed over while it answered later requests
 	StalledAfter time.Duration  `cbor:"silent,omitempty" json:"silent,omitempty"`     // for how long the last of them had been in flight when that was found
@@ -127,7 +130,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 53
+const maxAttrs = 56
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -166,6 +169,9 @@
 	l.flag("ahead", d.Pipelined)
 	l.span("wait", d.Wait)
 	l.span("first", d.FirstByte)
+	l.span("sentat", d.SentAfter)
+	l.span("leaving", d.Leaving)
+	l.span("listage", d.ListAge)
 	l.text("via", d.Via)
 	l.flag("far", d.Remote)
 	l.number("load", uint64(max(d.Load, 0)))
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -157,6 +157,7 @@
 		}
 	}()
 	watch := x.watchStall(permit, cancel)
+	x.noteListAge()
 	answer, err := x.send(ctx, cancel, addr, owner, watch)
 	x.noteStall(watch)
 	if err != nil {
@@ -271,6 +272,7 @@
 		return gate.Outcome{Kind: kinds.Of(err)}
 	}
 	x.decision.Via = fail.Via
+	x.noteSent(to.Server, fail.SentAt)
 	x.reportFailure(to, fail)
 	if fail.Sent && !fail.Refused {
 		x.mayHaveRun = true
@@ -306,6 +308,7 @@
 // failure of the server, however quickly it came.
 func (x *exchange) copyAnswer(from destination, answer *relay.Response) (gate.Outcome, error) {
 	x.svc.RecordAttempt(from.Server, true)
+	x.noteSent(from.Server, answer.SentAt)
 	if x.isUnprovenPromise(answer) {
 		return x.withholdAnswer(answer)
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -113,6 +113,8 @@
 	// requests from this VM for a time. The argument via is the address of the VM through
 	// which the request went; empty if it went directly.
 	OnShed func(p ident.Process, d time.Duration, via string)
+	// ServersAge, if set, returns how old this VM's list of servers is, zero if unknown.
+	ServersAge func() time.Duration
 	// OnNotice, if set, is called with what a server says about itself with an answer to a
 	// request, which was sent at a time of the boot clock.
 	OnNotice func(p ident.Process, n notice.Notice, sent time.Time)
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -65,6 +65,7 @@
 // startAttempt starts an attempt in a goroutine.
 func (x *exchange) startAttempt(ctx context.Context, permit gate.Permit, done chan<- *hedgeAttempt) {
 	x.decision.Attempts++
+	x.noteListAge()
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &hedgeAttempt{permit: permit, to: x.destinationOf(permit.Server()), cancel: cancel, watch: x.watchStall(permit, cancel)}
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -8,6 +8,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
@@ -41,7 +42,8 @@
 			}
 			t.applyEvacuations(l, "store")
 		},
-		onChange: t.changeEvacuations,
+		onChange:  t.changeEvacuations,
+		onCurrent: func(at time.Time, _ object.Cursor) { t.hub.NoteAsOf(poll.Evacuations, at) },
 	}
 }
 
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -229,11 +229,12 @@
 // refusal, and a caller that sends slowly does not occupy a server's slot.
 const maxBufferedBody = 1 << 20
 
-func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine, e *egress.Budget, fl *fleetLoad, log *slog.Logger) *front.Front {
+func newFront(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, r *relay.Relay, w *record.Writer, m *meter.Meter, c *loadCounts, faults *loadFaults, notices *notices, shedders *shedders, g *quarantine, e *egress.Budget, fl *fleetLoad, hub *poll.Hub, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		VM: cfg.VM, Centre: cfg.Centre, State: s, Relay: r, Record: w, Meter: m, Guard: g, Egress: e, Log: log,
 		Limit:   config.Limit{Request: config.SpanOf(defaultRequestTimeout)},
 		Headers: p.Headers, BufferLimit: maxBufferedBody, MaxOwnerWait: maxOwnerWait, FormatRetryAfter: p.FormatRetryAfter, OnKeyRequest: c.countRequest, OnAnswer: c.countAnswer, OnLoadFault: faults.note, OnNotice: notices.hear, OnShed: shedders.hear, Fleet: &fl.collector,
+		ServersAge: func() time.Duration { return hub.Age(poll.Servers) },
 	}
 	f.Intake = cfg.Intake
 	f.Bodies.SetBound(cfg.Intake.Bodies)
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -21,6 +21,7 @@
 		list[i] = member.Entry[feed.Server]{Name: s.Name, Rev: s.Rev, Value: s, Leaving: s.Leaving}
 	}
 	now := time.Now()
+	t.source = sourcePeer
 	var changed bool
 	if l.Delta {
 		changed = t.members.MergePeerDelta(now, l.Rev, list, l.Gone)
--- a/internal/edge/host/server_log.go
+++ b/internal/edge/host/server_log.go
@@ -3,6 +3,7 @@
 import (
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -30,6 +31,6 @@
 	}
 	t.lastLogged = now
 	if len(added)+len(restarted)+len(leaving)+len(gone) > 0 {
-		t.log.Info("servers", "rev", object.Version(t.rev).Revision(), "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
+		t.log.Info("servers", "rev", object.Version(t.rev).Revision(), "from", t.source, "listage", t.hub.Age(poll.Servers), "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
 	}
 }
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -48,6 +48,7 @@
 	vouchedAt    time.Time                    // when the leader last said that the store answers it
 	statesStart  bool                         // some listed server states when it started
 	left         departures                   // processes that announced that they leave
+	source       string                       // of the last news, for the log
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
 	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
 	evacuated    evac.Set                     // data centres whose servers must get no requests
@@ -73,6 +74,8 @@
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
 		confirmed:        hub.ConfirmedFor,
 		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
+		onSource:  t.noteSource,
+		onCurrent: func(at time.Time, _ object.Cursor) { hub.NoteAsOf(poll.Servers, at) },
 	}
 	runWhileStarted(lc, &t.group, w.run, t.expireLoop)
 	if p.Evacuations != "" {
@@ -103,6 +106,22 @@
 	t.asOf = asOf
 }
 
+// Sources of news, for the log.
+const (
+	sourceStore = "store"
+	sourceCopy  = "copy" // the cheaper store, which may lag
+	sourcePeer  = "peer"
+)
+
+func (t *serverTracker) noteSource(fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.source = sourceCopy
+	if fresh {
+		t.source = sourceStore
+	}
+}
+
 // noteStoreSeenByLeader records for how long the store has answered the leader without
 // interruption.
 func (t *serverTracker) noteStoreSeenByLeader(upFor time.Duration) {
@@ -277,6 +296,7 @@
 			continue
 		}
 		svc.SetEndpoints(endpoints[name])
+		svc.SetLeaving(t.leavingSince)
 		svc.Gate.SetServers(infos[name])
 	}
 }
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -26,7 +26,8 @@
 	fresh            object.Store
 	stale            object.Store
 	log              *slog.Logger
-	receivedFromPeer func() bool // reports whether another VM has sent what is watched here
+	receivedFromPeer func() bool      // reports whether another VM has sent what is watched here
+	onSource         func(fresh bool) // called before onList and onChange; fresh: the answer is the linearizable store's
 	onList           func([]object.Object, object.Cursor)
 	onChange         func([]object.Change, object.Cursor)
 	onDown           func()
@@ -146,6 +147,7 @@
 		return 0, false
 	}
 	w.onSuccess()
+	w.noteSource(store)
 	w.onList(all, cursor)
 	w.noteApplied(asked)
 	w.noteCurrent(store, asked, cursor)
@@ -210,6 +212,7 @@
 		at = next
 		answered := clock.Now()
 		if len(all) > 0 {
+			w.noteSource(store)
 			w.onChange(all, at)
 		}
 		w.noteApplied(asked)
@@ -297,6 +300,12 @@
 // maxAnswerAge is how old the answer of a watch may be when it arrives from a slow store.
 const maxAnswerAge = 300 * time.Millisecond
 
+func (w *watcher) noteSource(store object.Store) {
+	if w.onSource != nil {
+		w.onSource(store == w.fresh)
+	}
+}
+
 func (w *watcher) noteApplied(asked time.Time) {
 	if w.onApplied != nil {
 		w.onApplied(asked)
--- /dev/null
+++ b/internal/edge/poll/asof.go
@@ -0,0 +1,61 @@
+package poll
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/core/clock"
+)
+
+// Topic is a list in the store of which VMs inform each other.
+type Topic string
+
+// Topics.
+const (
+	Servers     Topic = "servers"
+	Evacuations Topic = "evacuations"
+)
+
+// NoteAsOf records that this VM knows everything that the store held of a topic at a time of
+// the boot clock. An earlier time than the one recorded has no effect.
+func (h *Hub) NoteAsOf(t Topic, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.asOf[t]) {
+		h.asOf[t] = at
+	}
+}
+
+// AsOf returns the latest time of the boot clock of which this VM knows everything that the
+// store held of a topic, zero if it knows of none.
+func (h *Hub) AsOf(t Topic) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.asOf[t]
+}
+
+// Age returns how old this VM's knowledge of a topic is, zero if it has none.
+func (h *Hub) Age(t Topic) time.Duration {
+	at := h.AsOf(t)
+	if at.IsZero() {
+		return 0
+	}
+	return max(clock.Now().Sub(at), 1)
+}
+
+// addAges adds how old the sender's knowledge is. The caller holds mu.
+func (h *Hub) addAges(resp *Response) {
+	for t, at := range h.asOf {
+		if resp.Ages == nil {
+			resp.Ages = map[Topic]time.Duration{}
+		}
+		resp.Ages[t] = max(clock.Now().Sub(at), 0)
+	}
+}
+
+// NoteAges records what the response of a leader to a request that was sent at a time of the
+// boot clock tells of the age of its news, once they are applied.
+func (h *Hub) NoteAges(asked time.Time, resp Response) {
+	for t, age := range resp.Ages {
+		h.NoteAsOf(t, asked.Add(-age))
+	}
+}
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -93,6 +93,7 @@
 	// ConfirmedFor is how long, from the arrival of the request, the receiver may rely on the
 	// sender to hear what the store holds; zero if unknown.
 	ConfirmedFor time.Duration            `json:"confirmed,omitempty"`
+	Ages         map[Topic]time.Duration  `json:"ages,omitempty"` // how old the sender's knowledge of each topic is
 	RulesCursor  object.Cursor            `json:"seen,omitempty"` // cursor up to which the sender knows the rules
 	ClaimRank    int                      `json:"rank"`           // VMs that may take over before the receiver if the leader is lost
 	VMCount      int                      `json:"count"`          // number of VMs that poll the sender, the receiver included
@@ -150,9 +151,10 @@
 	contact         storeContact
 	rulesFreshUntil time.Time // on the boot clock: until then the rules here are the newest
 	rulesCursor     object.Cursor
-	confirmedUntil  time.Time // on the boot clock: see SetConfirmed
-	peerLostAt      time.Time // when a VM last stopped polling
-	heardAt         time.Time // on the boot clock: when a leader last answered this VM
+	confirmedUntil  time.Time           // on the boot clock: see SetConfirmed
+	asOf            map[Topic]time.Time // on the boot clock: see NoteAsOf
+	peerLostAt      time.Time           // when a VM last stopped polling
+	heardAt         time.Time           // on the boot clock: when a leader last answered this VM
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
@@ -170,6 +172,7 @@
 func NewHub(vm ident.VM, incarnation string) *Hub {
 	h := &Hub{
 		vm: vm, incarnation: incarnation, histories: map[ident.Service]*history{}, peers: map[ident.VM]peer{}, changed: make(chan struct{}),
+		asOf:  map[Topic]time.Time{},
 		rules: &rulesPayload{}, rulesSlots: semaphore.NewWeighted(maxRulesTransfers),
 	}
 	h.leaderCtx, h.cancelLeaderCtx = context.WithCancel(context.Background())
@@ -368,6 +371,7 @@
 	resp.StoreUpFor = h.contact.upFor(now)
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	resp.ConfirmedFor = max(h.confirmedUntil.Sub(req.receivedAt), 0)
+	h.addAges(&resp)
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
 	hasNews = h.addNotices(req, &resp) || hasNews
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -48,6 +48,7 @@
 	Named      bool        // the refusal repeats the request's id
 	PathLost   bool        // given up because this VM lost its path to the server
 	Via        string      // see Response
+	SentAt     time.Time   // see Response; zero if nothing was sent
 	// Stalled says that the server answered later requests, so that the answer to this one was
 	// not expected any more.
 	Stalled bool
@@ -100,7 +101,7 @@
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errContradicts}
 	}
 	if h.Refused(resp.StatusCode, resp.Header) && (!named || !foreign) { // without an id: see noteRefusal
-		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, ConnUses: answer.ConnUses, Via: answer.Via, Named: named}
+		return &Failure{Kind: refusedKind(resp.StatusCode), Sent: true, Refused: true, err: errRefused, Status: resp.StatusCode, Header: resp.Header, ConnOpened: answer.ConnOpened, ConnUses: answer.ConnUses, Via: answer.Via, SentAt: answer.SentAt, Named: named}
 	}
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -36,12 +36,26 @@
 	// broken says that the server ended the connection. After that net/http may open
 	// another one, and its own error tells only how that ended.
 	broken atomic.Bool
+	// usedAt is when the first byte was passed to the connection. It is set before the state
+	// is used, and must be read after that.
+	usedAt time.Time
 }
 
 func (p *permit) use() bool {
+	if p.state.Load() == unused {
+		p.usedAt = time.Now()
+	}
 	return p.state.CompareAndSwap(unused, used) || p.state.Load() == used
 }
 
+// sentAt returns when the first byte was passed to the connection, zero if none was.
+func (p *permit) sentAt() time.Time {
+	if p == nil || p.state.Load() != used {
+		return time.Time{}
+	}
+	return p.usedAt
+}
+
 // revoke revokes an unused permit and reports whether the permit had been used.
 func (p *permit) revoke() bool {
 	return !p.state.CompareAndSwap(unused, revoked) && p.state.Load() == used
@@ -84,6 +98,14 @@
 	return a.uses
 }
 
+// sentAt returns when the first byte was passed to the attempt's last connection, zero if none
+// was.
+func (a *attempt) sentAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last.sentAt()
+}
+
 // isDirect reports whether the attempt has a connection over this VM's own path.
 func (a *attempt) isDirect() bool {
 	a.mu.Lock()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -279,8 +279,9 @@
 	FirstByte time.Duration // time from sending the request to the arrival of the header
 	// ConnOpened is when the connection was opened, on the boot clock, see package clock.
 	ConnOpened time.Time
-	Via        string // address of the VM through which the request went; empty if it went directly
-	ConnUses   int    // requests that the connection had carried before
+	Via        string    // address of the VM through which the request went; empty if it went directly
+	ConnUses   int       // requests that the connection had carried before
+	SentAt     time.Time // when the first byte of the request was passed to the connection
 }
 
 // Status returns the HTTP status.
@@ -331,11 +332,11 @@
 	if err != nil {
 		sent, broken := a.stop()
 		fail := newFailure(ctx, err, sent, broken)
-		fail.Via = a.connVia()
+		fail.Via, fail.SentAt = a.connVia(), a.sentAt()
 		cancel(nil)
 		return nil, fail
 	}
-	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia(), ConnUses: a.connUses()}
+	a.answer = Response{resp: resp, headers: &r.cfg.Headers, maxBody: r.cfg.Body, server: meta.Server, cancel: cancel, FirstByte: time.Since(start), ConnOpened: a.connOpened(), Via: a.connVia(), ConnUses: a.connUses(), SentAt: a.sentAt()}
 	answer := &a.answer
 	if sent, _ := a.stop(); !sent {
 		a.endConn()
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -95,6 +96,7 @@
 
 	divided      atomic.Bool
 	endpoints    atomic.Pointer[map[ident.Server]Endpoint]
+	leaving      atomic.Pointer[map[ident.Server]time.Time]
 	unresponsive sync.Map // ident.Server -> struct{}
 	attempts     sync.Map // ident.Server -> *attempts
 }
@@ -161,6 +163,22 @@
 	s.endpoints.Store(&endpoints)
 }
 
+// SetLeaving sets since when servers have been leaving, of this service and others.
+func (s *Service) SetLeaving(since map[ident.Server]time.Time) { s.leaving.Store(&since) }
+
+// LeavingFor returns how long a server had been leaving at a time, zero if it was not.
+func (s *Service) LeavingFor(name ident.Server, at time.Time) time.Duration {
+	all := s.leaving.Load()
+	if all == nil {
+		return 0
+	}
+	since, leaving := (*all)[name]
+	if !leaving {
+		return 0
+	}
+	return max(at.Sub(since), 0)
+}
+
 // Unresponsive reports whether a backend server has not answered for some time.
 func (s *Service) Unresponsive(name ident.Server) bool {
 	_, unresponsive := s.unresponsive.Load(name)
