--- a/internal/edge/host/cluster_test.go
+++ b/internal/edge/host/cluster_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,8 +22,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/edge/dial"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/relay"
 	"hawthornfield.org/hawthornfield/internal/owner/ranges"
@@ -48,6 +51,28 @@
 	blocked   bool
 	rulesRead int            // revisions of the rules that this VM has read
 	calls     map[string]int // lists and watches by prefix
+	silent    []string       // prefixes whose lists and watches get no answer
+}
+
+// setSilent sets the prefixes whose lists and watches get no answer, those that wait included.
+func (g *gateway) setSilent(prefixes ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silent = prefixes
+}
+
+// checkAnswers returns an error after the time in which the platform's store client gives up,
+// if the store does not answer calls for the prefix.
+func (g *gateway) checkAnswers(ctx context.Context, prefix string) error {
+	const patience = 1300 * time.Millisecond
+	g.mu.Lock()
+	silent := slices.Contains(g.silent, prefix)
+	g.mu.Unlock()
+	if silent {
+		group.Sleep(ctx, patience)
+		return kinds.New(kinds.Unavailable, "silent")
+	}
+	return nil
 }
 
 // countCall counts a list or a watch.
@@ -159,9 +184,9 @@
 
 func (g *gateway) Delete(context.Context, string, object.Version) error { return nil }
 
-func (g *gateway) List(_ context.Context, prefix string) ([]object.Object, object.Cursor, error) {
+func (g *gateway) List(ctx context.Context, prefix string) ([]object.Object, object.Cursor, error) {
 	g.countCall(prefix)
-	if err := g.checkBlocked(); err != nil {
+	if err := errors.Join(g.checkBlocked(), g.checkAnswers(ctx, prefix)); err != nil {
 		return nil, 0, err
 	}
 	g.memStore.mu.Lock()
@@ -182,7 +207,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		if err := g.checkBlocked(); err != nil {
+		if err := errors.Join(g.checkBlocked(), g.checkAnswers(ctx, prefix)); err != nil {
 			return nil, 0, err
 		}
 		g.memStore.mu.Lock()
@@ -254,6 +279,10 @@
 	shedFor time.Duration // it turns requests away and wants none for so long; zero: it does not
 	came    int           // requests that reached it
 	silent  bool          // it answers nothing
+	// leftAt is when the server announced that it leaves, or its data centre was evacuated, and
+	// latest how long after that the last request came.
+	leftAt time.Time
+	latest time.Duration
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -266,6 +295,9 @@
 	}
 	b.mu.Lock()
 	b.came++
+	if !b.leftAt.IsZero() {
+		b.latest = time.Since(b.leftAt)
+	}
 	work, shedFor, silent := b.work, b.shedFor, b.silent
 	if shedFor == 0 {
 		b.ran++
@@ -306,6 +338,7 @@
 	gateways []*gateway
 	cfgs     []Config
 	paths    map[int]*vmPaths // paths of the VMs to backend servers; nil if they cannot be cut
+	open     dial.Open        // opens connections to backend servers; nil means TCP
 	lagging  bool             // calls that may return stale data return none newer than the VMs' start
 	// decoders replaces the decoder of single VMs, by index.
 	decoders map[int]feed.Decoder
@@ -415,6 +448,7 @@
 		Store: gw, StaleStore: stale, Decode: decode, Orders: tc, Headers: names,
 		Servers: "servers/", Evacuations: "evacuations/", Rules: "config/main", OwnPrefix: "own/",
 	}
+	p.Open = tc.open
 	if tc.paths != nil {
 		tc.setPaths(i, &p)
 	}
