host: each list of the store has its own evidence that the leader hears it

What callers saw: requests reached servers that had said they leave, and servers of an evacuated data centre, from VMs that could have asked the store.

A leader whose calls for servers or evacuations go unanswered while those for rules do not kept all VMs on a copy of the store that may lag by seconds, for as long as that lasted. Evacuations were not confirmed at all: a poll was enough.

Now polls carry how old the leader's knowledge of servers and of evacuations is. A VM relies on it for half of the bound, and then asks the store itself; the leader's watch of the servers answers often enough for that.

--- a/internal/edge/host/drain.go
+++ b/internal/edge/host/drain.go
@@ -9,6 +9,9 @@
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 )
 
+// defaultDrain is how long a leaving server may get requests, if the platform sets no bound.
+const defaultDrain = 2 * time.Second
+
 // drainShare is the fraction of the drain time in which a leaving server may get requests
 // for keys that it still owns. The rest covers the transit of the requests and the delay
 // until this VM learned that the server leaves.
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
@@ -26,13 +27,15 @@
 // evacuationWatcher follows the evacuations in the store. A VM that is up to date with the
 // leader makes no calls for it: evacuations are rare, and each call is paid for.
 func (t *serverTracker) evacuationWatcher() *watcher {
+	relies := reliesOnLeader(t.hub, poll.Evacuations, t.evacuation)
 	return &watcher{
 		prefix: t.plat.Evacuations, hub: t.hub, fresh: t.plat.Store, stale: t.plat.StaleStore, log: t.log,
 		receivedFromPeer: func() bool { return t.hub.EvacuatedRev() > 0 },
 		peersCover: func(now time.Time) (object.Cursor, bool) {
 			rev := t.hub.EvacuatedRev()
-			return object.Cursor(rev), rev > 0 && t.hub.Synced(now)
+			return object.Cursor(rev), rev > 0 && t.hub.Synced(now) && relies(clock.Now()) > 0
 		},
+		confirmed: relies,
 		onList: func(all []object.Object, cursor object.Cursor) {
 			l := evac.List{Rev: uint64(cursor)}
 			for _, o := range all {
--- a/internal/edge/host/leaving_test.go
+++ b/internal/edge/host/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -69,6 +70,7 @@
 		}
 	}
 	assert.NilError(tc.t, g.Wait())
+	http.DefaultClient.CloseIdleConnections() // a VM that stops waits for unused ones
 }
 
 // leave makes a server announce that it leaves.
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -150,7 +150,7 @@
 	// Must come before applyShared: it decides how a list with missing servers is interpreted.
 	p.parts.Servers.noteStoreSeenByLeader(resp.StoreUpFor)
 	p.applyShared(resp, lease.Addr)
-	p.parts.Hub.NoteAges(asked, resp)
+	p.parts.Hub.NoteAges(resp.MadeAt(asked), resp)
 	p.parts.Hub.SetConfirmed(asked.Add(max(resp.ConfirmedFor, resp.RulesFreshFor)))
 	p.updateRulesFresh(asked, resp)
 	p.parts.Servers.setVMCount(resp.VMCount + 1) // VMCount does not include the leader
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -66,14 +66,14 @@
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, log *slog.Logger) *serverTracker {
-	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, shedders: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cfg.Bounds.Drain, evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, shedders: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cmp.Or(cfg.Bounds.Drain, defaultDrain), evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
 	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
 	l.subscribe(t.noticesChanged)
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
-		confirmed:        hub.ConfirmedFor,
-		onList:           t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
+		confirmed:        reliesOnLeader(hub, poll.Servers, t.drain), leaderWait: leaderWait(t.drain),
+		onList: t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 		onSource:  t.noteSource,
 		onCurrent: func(at time.Time, _ object.Cursor) { hub.NoteAsOf(poll.Servers, at) },
 	}
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -43,7 +43,10 @@
 	peersCover func(now time.Time) (object.Cursor, bool)
 	// confirmed, if set, returns for how long, from a time of the boot clock, the leader
 	// confirms that this VM hears from it what the store holds.
-	confirmed   func(now time.Time) time.Duration
+	confirmed func(now time.Time) time.Duration
+	// leaderWait, if set, is the longest wait of a watch while this VM leads: each answer
+	// confirms to the other VMs what is known here.
+	leaderWait  time.Duration
 	failures    int // failed calls in a row
 	lostCursors int // lists in a row whose cursor the store refused at once
 }
@@ -280,10 +283,14 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(leaderCtx, cancel)()
-	if store != w.fresh {
+	_, leads := w.hub.Lease()
+	switch {
+	case store != w.fresh:
 		var release func()
 		callCtx, release = w.whileConfirmed(callCtx)
 		defer release()
+	case leads && w.leaderWait > 0:
+		callCtx = object.WithWait(callCtx, w.leaderWait)
 	}
 	all, next, err := store.Watch(callCtx, w.prefix, at)
 	switch {
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/load/notice"
 	"hawthornfield.org/hawthornfield/internal/load/poison"
@@ -94,6 +95,7 @@
 	// sender to hear what the store holds; zero if unknown.
 	ConfirmedFor time.Duration            `json:"confirmed,omitempty"`
 	Ages         map[Topic]time.Duration  `json:"ages,omitempty"` // how old the sender's knowledge of each topic is
+	Held         time.Duration            `json:"held,omitempty"` // from the arrival of the request until the response was made
 	RulesCursor  object.Cursor            `json:"seen,omitempty"` // cursor up to which the sender knows the rules
 	ClaimRank    int                      `json:"rank"`           // VMs that may take over before the receiver if the leader is lost
 	VMCount      int                      `json:"count"`          // number of VMs that poll the sender, the receiver included
@@ -363,7 +365,7 @@
 func (h *Hub) response(now time.Time, req *Request) (resp Response, hasNews bool, changed <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	resp = Response{VM: h.vm, Incarnation: h.incarnation, Lease: h.lease, IsLeader: h.isLeader, StoreDown: h.isLeader && h.storeDown, ClusterFormed: h.clusterFormed}
+	resp = Response{Held: clock.Now().Sub(req.receivedAt), VM: h.vm, Incarnation: h.incarnation, Lease: h.lease, IsLeader: h.isLeader, StoreDown: h.isLeader && h.storeDown, ClusterFormed: h.clusterFormed}
 	hasNews = h.addStored(req, &resp)
 	if !h.isLeader {
 		return resp, true, nil // only a leader lets requests wait
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -54,7 +54,7 @@
 	// and the cursor from which a watch continues without a gap.
 	List(ctx context.Context, prefix string) ([]Object, Cursor, error)
 	// Watch waits until an object under prefix changes after the cursor, or until
-	// the platform ends the wait, and returns the changes and the next cursor.
+	// the platform or [WithWait] ends the wait, and returns the changes and the next cursor.
 	// An error of kind NotFound means that the cursor is too old: call List again.
 	Watch(ctx context.Context, prefix string, after Cursor) ([]Change, Cursor, error)
 }
