relay, front: a server is asked for once more just before the first byte

What callers saw: requests reached servers that had said they leave, or whose address was another server's by then.

Cause: the choice of a server was final. Behind it lie a place among the connections, a dial over seven paths, the check of the answer before on the connection and, for some bodies, reading them; on a VM short of processor time each takes long. What was checked was checked before all that, and each 0.2 s.

Now the permit of the connection, which every request passes with its first byte, asks whether the server is listed at this address and may still get requests, by the clock and not by the last tick. If not, the attempt is withdrawn: nothing was sent, it is no try and costs no retry budget, and the request goes elsewhere or waits for the key's next owner.

TestARequestIsNotWrittenToAServerThatHasLeft failed in all three cases before. `withdrawn` and hawthorn_withdrawn count.

--- a/internal/audit/record/record.go
+++ b/internal/audit/record/record.go
@@ -92,12 +92,13 @@
 	BasisAge     time.Duration  `cbor:"basis,omitempty" json:"basis,omitempty"`     // age of the report of the server's load that Expected is based on; zero if there was none
 	Bytes        int64          `cbor:"bytes,omitempty" json:"bytes,omitempty"`     // size of the request and response bodies together
 	Attempts     int            `cbor:"tries,omitempty" json:"tries,omitempty"`
-	Stalled      int            `cbor:"stalled,omitempty" json:"stalled,omitempty"`   // attempts that their server passed over while it answered later requests
-	StalledAfter time.Duration  `cbor:"silent,omitempty" json:"silent,omitempty"`     // for how long the last of them had been in flight when that was found
-	GaveUp       GaveUp         `cbor:"gaveup,omitempty" json:"gaveup,omitempty"`     // of the last attempt that the VM gave up
-	GaveUpAfter  time.Duration  `cbor:"gaveat,omitempty" json:"gaveat,omitempty"`     // from arrival until then
-	Stopping     bool           `cbor:"stopping,omitempty" json:"stopping,omitempty"` // the VM was stopping when the request ended
-	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"`       // of a request during which a server failed; the same for each repetition
+	Withdrawn    int            `cbor:"withdrawn,omitempty" json:"withdrawn,omitempty"` // of Attempts, those that were not sent because their server must get no more requests
+	Stalled      int            `cbor:"stalled,omitempty" json:"stalled,omitempty"`     // attempts that their server passed over while it answered later requests
+	StalledAfter time.Duration  `cbor:"silent,omitempty" json:"silent,omitempty"`       // for how long the last of them had been in flight when that was found
+	GaveUp       GaveUp         `cbor:"gaveup,omitempty" json:"gaveup,omitempty"`       // of the last attempt that the VM gave up
+	GaveUpAfter  time.Duration  `cbor:"gaveat,omitempty" json:"gaveat,omitempty"`       // from arrival until then
+	Stopping     bool           `cbor:"stopping,omitempty" json:"stopping,omitempty"`   // the VM was stopping when the request ended
+	Fingerprint  string         `cbor:"print,omitempty" json:"print,omitempty"`         // of a request during which a server failed; the same for each repetition
 	// For a request that waited or was refused because its response did not fit: how long it
 	// waited (Egress, not part of Wait), how many response bytes the VM held or had in flight
 	// then, and the bound.
@@ -130,7 +131,7 @@
 func (d *Decision) LogValue() slog.Value { return slog.GroupValue(d.attrs()...) }
 
 // maxAttrs is the number of fields of a Decision.
-const maxAttrs = 56
+const maxAttrs = 57
 
 func (d *Decision) attrs() []slog.Attr {
 	l := make(attrList, 0, maxAttrs)
@@ -180,6 +181,7 @@
 	l.span("basis", d.BasisAge)
 	l.number("bytes", uint64(max(d.Bytes, 0)))
 	l.number("tries", uint64(max(d.Attempts, 0)))
+	l.number("withdrawn", uint64(max(d.Withdrawn, 0)))
 	l.number("stalled", uint64(max(d.Stalled, 0)))
 	l.span("silent", d.StalledAfter)
 	l.text("gaveup", string(d.GaveUp))
--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -43,7 +43,7 @@
 		} else {
 			outcome, err = x.sendToServer(ctx, permit)
 		}
-		if err == nil || !x.mayRetry(err) || x.decision.Attempts > x.maxRetries(err) {
+		if err == nil || !x.mayRetry(err) || x.countedAttempts() > x.maxRetries(err) {
 			permit.Done(outcome)
 			return err
 		}
@@ -65,6 +65,16 @@
 	return permit.Retry(ctx, o)
 }
 
+// maxWithdrawn bounds the withdrawn attempts that do not count, should servers be chosen again
+// that must not get requests.
+const maxWithdrawn = 8
+
+// countedAttempts returns the number of attempts without those that were withdrawn before they
+// were sent.
+func (x *exchange) countedAttempts() int {
+	return x.decision.Attempts - min(x.decision.Withdrawn, maxWithdrawn)
+}
+
 // maxRetries returns how often the request may be retried after the error. A request that
 // never left this VM may be tried on another server once whatever the rule says, because
 // it was never sent.
@@ -145,9 +155,9 @@
 	x.decision.Remote, x.decision.Load, x.decision.LoadAge = snapshot.Remote, snapshot.Load, snapshot.LoadAge
 	x.decision.Expected, x.decision.BasisAge = permit.Expected().Time, permit.Expected().BasisAge
 	to := x.destinationOf(permit.Server())
-	addr, ok := x.svc.Addr(permit.Server())
-	if !ok {
-		return gate.Outcome{Kind: kinds.NoServer}, errNoAddr
+	addr, err := x.addressOf(permit.Server())
+	if err != nil {
+		return x.handleFailure(to, err), err
 	}
 	// A panic between here and Done would otherwise leak the slot.
 	defer func() {
@@ -167,6 +177,18 @@
 	return x.copyAnswer(to, answer)
 }
 
+// addressOf returns the address of a server that may get requests now.
+func (x *exchange) addressOf(s ident.Server) (netip.AddrPort, error) {
+	addr, ok := x.svc.Addr(s)
+	if !ok {
+		return addr, relay.NewWithdrawn(errNoAddr)
+	}
+	if err := x.svc.MaySend(s, addr); err != nil {
+		return addr, relay.NewWithdrawn(err)
+	}
+	return addr, nil
+}
+
 // canceledByMove distinguishes an attempt that was canceled because its key moved from
 // one whose caller went away. Unless nothing was sent, the request may have run.
 func (x *exchange) canceledByMove(ctx context.Context, err error) error {
@@ -203,7 +225,7 @@
 	answer, err := x.relayRequest(ctx, cancel, body, to, &relay.Meta{
 		ID: x.decision.ID, Caller: x.decision.Caller, Service: x.svc.Name,
 		Key: x.key, Slice: owner.Slice, Epoch: owner.Epoch, Deadline: x.deadline, Server: owner.Server,
-		MayInterrupt: x.mayInterrupt(), OnSend: watch.onSend(),
+		Recipients: x.svc, MayInterrupt: x.mayInterrupt(), OnSend: watch.onSend(),
 	})
 	x.noteSignals(process, answer, err, sent)
 	x.noteFleet(ctx, process, answer, err, sent, left)
@@ -279,6 +301,8 @@
 		x.cancelOnServer(to.Server)
 	}
 	switch {
+	case fail.Withdrawn:
+		x.decision.Withdrawn++
 	case fail.Stalled: // the server answers other requests
 	case fail.Refused:
 		x.noteRefusal(fail)
@@ -287,7 +311,7 @@
 	case fail.Kind == kinds.NoServer, fail.Kind == kinds.Unknown:
 		x.svc.RecordAttempt(to.Server, false)
 	}
-	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused, PathLost: fail.PathLost, Stalled: fail.Stalled}
+	return gate.Outcome{Kind: fail.Kind, Refused: fail.Refused, PathLost: fail.PathLost, Stalled: fail.Stalled, Withdrawn: fail.Withdrawn}
 }
 
 func (x *exchange) cancelOnServer(s ident.Server) {
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -71,9 +71,9 @@
 	x.hedgeAttempts = append(x.hedgeAttempts, t)
 	x.f.group.Go(func(context.Context) error {
 		t.err = x.recovered(func() (err error) {
-			to, ok := x.svc.Addr(permit.Server())
-			if !ok {
-				return errNoAddr
+			to, err := x.addressOf(permit.Server())
+			if err != nil {
+				return err
 			}
 			t.answer, err = x.send(ctx, cancel, to, table.Owner{Server: permit.Server()}, t.watch)
 			return err
--- a/internal/edge/front/owner_forward.go
+++ b/internal/edge/front/owner_forward.go
@@ -34,7 +34,7 @@
 			start := time.Now()
 			permit, err = permit.WaitOwner(ctx, outcome)
 			x.addWait(start)
-		case x.decision.Attempts > x.rule.Then.Retry:
+		case x.countedAttempts() > x.rule.Then.Retry:
 			permit.Done(outcome)
 			return failed
 		default:
--- a/internal/edge/host/drain.go
+++ b/internal/edge/host/drain.go
@@ -45,7 +45,28 @@
 // The platform counts a later request as sent to a server that is gone.
 func (t *serverTracker) drained(now time.Time, s feed.Server) bool {
 	since, leaving := t.leavingSince[s.Name]
-	return leaving && now.Sub(since) >= time.Duration(drainShare*float64(t.drain))
+	return leaving && now.Sub(since) >= t.drainGrace()
+}
+
+// sendUntil returns when a server must get no more requests because it leaves or its data centre
+// is evacuated, zero if neither holds. The caller holds mu.
+func (t *serverTracker) sendUntil(s feed.Server) time.Time {
+	var until time.Time
+	if since, leaving := t.leavingSince[s.Name]; leaving {
+		until = since.Add(t.drainGrace())
+	}
+	if since, evacuated := t.evacuated.Evacuated(s.Centre); evacuated {
+		if due := since.Add(t.evacuationGrace()); until.IsZero() || due.Before(until) {
+			until = due
+		}
+	}
+	return until
+}
+
+// drainGrace returns how long after its announcement a leaving server may get requests for keys
+// that it still owns.
+func (t *serverTracker) drainGrace() time.Duration {
+	return time.Duration(drainShare * float64(t.drain))
 }
 
 // markDrained marks the servers that have become drained since the last call and reports
@@ -53,7 +74,7 @@
 func (t *serverTracker) markDrained(now time.Time) bool {
 	found := false
 	for name, since := range t.leavingSince {
-		if !t.dropped[name] && now.Sub(since) >= time.Duration(drainShare*float64(t.drain)) {
+		if !t.dropped[name] && now.Sub(since) >= t.drainGrace() {
 			t.dropped[name], found = true, true
 		}
 	}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -288,7 +288,7 @@
 		if endpoints[s.Service] == nil {
 			endpoints[s.Service] = map[ident.Server]state.Endpoint{}
 		}
-		endpoints[s.Service][s.Name] = state.Endpoint{Addr: s.Addr, Incarnation: s.Incarnation}
+		endpoints[s.Service][s.Name] = state.Endpoint{Addr: s.Addr, Incarnation: s.Incarnation, Until: t.sendUntil(s)}
 	}
 	for name := range t.services {
 		svc, ok := t.state.Service(name)
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -31,9 +31,10 @@
 	closer   io.Closer
 	reporter promreporter.Reporter
 
-	answers  sync.Map // answerKey -> *answerMetrics
-	promises sync.Map // promiseKey -> tally.Counter
-	gaveUps  sync.Map // gaveUpKey -> tally.Counter
+	answers   sync.Map // answerKey -> *answerMetrics
+	promises  sync.Map // promiseKey -> tally.Counter
+	gaveUps   sync.Map // gaveUpKey -> tally.Counter
+	withdrawn sync.Map // ident.Service -> tally.Counter
 }
 
 type answerKey struct {
@@ -100,11 +101,24 @@
 	if d.Promise != "" {
 		m.countPromise(promiseKey{d.Service, d.Promise})
 	}
+	if d.Withdrawn > 0 {
+		m.countWithdrawn(d.Service, int64(d.Withdrawn))
+	}
 	if d.GaveUp != "" {
 		m.countGaveUp(gaveUpKey{d.Service, d.GaveUp, d.Stopping})
 	}
 }
 
+// countWithdrawn counts attempts that were not sent because their server had left.
+func (m *Meter) countWithdrawn(svc ident.Service, n int64) {
+	v, ok := m.withdrawn.Load(svc)
+	if !ok {
+		scope := m.Tagged(map[string]string{"service": string(svc)})
+		v, _ = m.withdrawn.LoadOrStore(svc, scope.Counter("withdrawn"))
+	}
+	v.(tally.Counter).Inc(n)
+}
+
 // countGaveUp counts a request of which this VM gave an attempt up.
 func (m *Meter) countGaveUp(key gaveUpKey) {
 	v, ok := m.gaveUps.Load(key)
--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -15,7 +15,10 @@
 // newFailure returns the Failure of an attempt without an answer. broken says that the
 // server was seen to end the connection.
 func newFailure(caller context.Context, err error, sent, broken bool) *Failure {
+	var withdrawn *withdrawnError
 	switch {
+	case errors.As(context.Cause(caller), &withdrawn) && !sent:
+		return NewWithdrawn(withdrawn.error)
 	case errors.Is(context.Cause(caller), errPathLost) && sent:
 		return &Failure{Kind: kinds.Unknown, Sent: true, PathLost: true, err: errPathLost}
 	case errors.Is(context.Cause(caller), errPathLost):
@@ -46,6 +49,7 @@
 	ConnOpened time.Time   // see Response; set if Refused
 	ConnUses   int         // see Response; set if Refused
 	Named      bool        // the refusal repeats the request's id
+	Withdrawn  bool        // not sent, because its server must not get requests any more, see Recipients
 	PathLost   bool        // given up because this VM lost its path to the server
 	Via        string      // see Response
 	SentAt     time.Time   // see Response; zero if nothing was sent
@@ -65,6 +69,12 @@
 	return &Failure{Kind: kinds.Unknown, Sent: true, Stalled: true, err: context.Canceled}
 }
 
+// NewWithdrawn returns the Failure of an attempt that was given up before it was sent, because
+// its server must not get requests any more.
+func NewWithdrawn(reason error) *Failure {
+	return &Failure{Kind: kinds.NoServer, Withdrawn: true, err: reason}
+}
+
 // Error returns the kind and the cause.
 func (f *Failure) Error() string {
 	if f.Stalled {
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,18 +37,36 @@
 	// broken says that the server ended the connection. After that net/http may open
 	// another one, and its own error tells only how that ended.
 	broken atomic.Bool
+	// attempt is asked whether the server may still get the request.
+	attempt *attempt
 	// usedAt is when the first byte was passed to the connection. It is set before the state
 	// is used, and must be read after that.
 	usedAt time.Time
 }
 
-func (p *permit) use() bool {
+// use returns nil if data may be written. Just before the first byte it withdraws the attempt if
+// the server must not get it any more.
+func (p *permit) use() error {
 	if p.state.Load() == unused {
+		if err := p.attempt.maySend(); err != nil {
+			p.revoke()
+			p.attempt.cancel(&withdrawnError{err})
+			return err
+		}
 		p.usedAt = time.Now()
 	}
-	return p.state.CompareAndSwap(unused, used) || p.state.Load() == used
+	if p.state.CompareAndSwap(unused, used) || p.state.Load() == used {
+		return nil
+	}
+	return errNoPermit
 }
 
+// withdrawnError is the cause with which an attempt ends whose server must not get it.
+type withdrawnError struct{ error }
+
+// Unwrap returns the reason.
+func (e *withdrawnError) Unwrap() error { return e.error }
+
 // sentAt returns when the first byte was passed to the connection, zero if none was.
 func (p *permit) sentAt() time.Time {
 	if p == nil || p.state.Load() != used {
@@ -67,6 +86,10 @@
 	cancel   context.CancelCauseFunc
 	upstream *upstream
 	onSend   func() // see Meta
+	// recipients says whether the server at an address may get the attempt, see Meta.
+	recipients Recipients
+	server     ident.Server
+	to         netip.AddrPort
 	// mayInterrupt is set for an attempt that may be interrupted, see Meta.
 	mayInterrupt func() bool
 	trace        httptrace.ClientTrace
@@ -84,6 +107,14 @@
 	uses   int    // requests that the connection had carried before
 }
 
+// maySend returns an error if the server must not get the attempt.
+func (a *attempt) maySend() error {
+	if a.recipients == nil {
+		return nil
+	}
+	return a.recipients.MaySend(a.server, a.to)
+}
+
 // connVia returns the address of the VM through which the attempt went, if any.
 func (a *attempt) connVia() string {
 	a.mu.Lock()
@@ -153,6 +184,7 @@
 	} else {
 		a.last = &permit{}
 	}
+	a.last.attempt = a
 	c.permit.Store(a.last)
 	a.conn, a.opened, a.via, a.uses = c, c.opened, c.via, c.uses
 	c.uses++
@@ -249,9 +281,12 @@
 // Write writes under the current permit.
 func (c *conn) Write(b []byte) (int, error) {
 	p := c.permit.Load()
-	if p == nil || !p.use() {
+	if p == nil {
 		return 0, errNoPermit
 	}
+	if err := p.use(); err != nil {
+		return 0, err
+	}
 	return c.Conn.Write(b)
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -223,6 +223,13 @@
 	FinishRequest() bool
 }
 
+// Recipients says which backend servers may get requests.
+type Recipients interface {
+	// MaySend returns an error if no request must be sent to a server at an address any more.
+	// It must not block.
+	MaySend(s ident.Server, to netip.AddrPort) error
+}
+
 // Meta holds the values of the headers that the system adds to a request.
 type Meta struct {
 	ID       ident.Request
@@ -233,6 +240,9 @@
 	Epoch    ident.Epoch
 	Deadline time.Time
 	Server   ident.Server // the only one that may run the request
+	// Recipients, if set, is asked just before the first byte is written: a server may leave
+	// while the request waits for a connection.
+	Recipients Recipients
 	// MayInterrupt is asked whether the attempt may be given up when the path to the server is
 	// lost; nil means never.
 	MayInterrupt func() bool
@@ -319,7 +329,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, in *http.Request, body io.Reader, to netip.AddrPort, meta *Meta,
 ) (*Response, error) {
 	u := r.upstream(to)
-	a := &attempt{id: meta.ID, cancel: cancel, upstream: u, onSend: meta.OnSend}
+	a := &attempt{id: meta.ID, cancel: cancel, upstream: u, onSend: meta.OnSend, recipients: meta.Recipients, server: meta.Server, to: to}
 	a.trace.GotConn, a.trace.PutIdleConn = a.gotConn, a.putIdleConn
 	if meta.MayInterrupt != nil {
 		a.mayInterrupt = meta.MayInterrupt
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -16,6 +16,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/config"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
 	"hawthornfield.org/hawthornfield/internal/owner/table"
 	"hawthornfield.org/hawthornfield/internal/rules/revs"
@@ -105,8 +106,14 @@
 type Endpoint struct {
 	Addr        netip.AddrPort
 	Incarnation int64 // see ident.Process
+	// Until is when the server must get no more requests, zero if it may go on.
+	Until time.Time
 }
 
+// ErrServerLeft says that a server must get no more requests: it is not listed any more, has
+// left, or another server has its address.
+var ErrServerLeft = kinds.New(kinds.NoServer, "the server has left")
+
 // attempts counts the attempts at one server since the last TakeAttempts.
 type attempts struct{ answered, unanswered atomic.Int64 }
 
@@ -136,6 +143,15 @@
 	return e.Addr, ok
 }
 
+// MaySend returns ErrServerLeft if a server at an address must get no more requests.
+func (s *Service) MaySend(name ident.Server, to netip.AddrPort) error {
+	e, ok := (*s.endpoints.Load())[name]
+	if !ok || e.Addr != to || !e.Until.IsZero() && !time.Now().Before(e.Until) {
+		return ErrServerLeft
+	}
+	return nil
+}
+
 // Process returns the process of a backend server that is known to accept requests.
 func (s *Service) Process(name ident.Server) ident.Process {
 	return ident.Process{Server: name, Incarnation: (*s.endpoints.Load())[name].Incarnation}
--- a/internal/load/gate/permit.go
+++ b/internal/load/gate/permit.go
@@ -134,6 +134,8 @@
 	// PathLost says that the attempt was given up because this VM lost its path to the server,
 	// which is not to blame.
 	PathLost bool
+	// Withdrawn says that nothing was sent, because the server must get no more requests.
+	Withdrawn bool
 	// Stalled says that the server has passed over the request, which says nothing about its
 	// speed or health: it answers others.
 	Stalled bool
--- a/internal/load/gate/retry.go
+++ b/internal/load/gate/retry.go
@@ -10,6 +10,9 @@
 // MayRetry reports whether a started request may be tried again after o, and charges
 // the retry to the budget.
 func (c *Core) MayRetry(now time.Time, t *Ticket, o Outcome) bool {
+	if o.Withdrawn {
+		return true // the next attempt is the first that is sent
+	}
 	if t.retryReserved {
 		return c.useReservedRetry(t, o)
 	}
--- a/internal/load/gate/servers.go
+++ b/internal/load/gate/servers.go
@@ -153,7 +153,7 @@
 	case o.Kind == kinds.Misrouted && t.Job.Server == "":
 		s.avoidUntil = now.Add(wrongServerAvoidTime)
 		s.health.Abandoned()
-	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost, o.Stalled:
+	case o.Kind == kinds.Canceled, o.Kind == kinds.Misrouted, o.PathLost, o.Stalled, o.Withdrawn:
 		s.health.Abandoned()
 	case o.Refused && s.shedding(now) > 0: // it says when it is back, and nothing about the requests after that
 		s.health.Abandoned()
