host: the drain time of a server counts from its announcement

What callers saw: requests for keys reached a server for as long after their VM had heard that it leaves as they may come after it had said so.

Cause: each VM's clock began when it heard, whatever the way: a copy of the store, a list after a gap, a leader that had known for a second, a start.

Now news have an age. The leader tells for how long it has known; what comes from a copy or a list may have happened since the VM last knew all, and what a starting VM finds may be older than any bound. Other VMs' knowledge and servers' own notices are counted on alike.

With the age taken out, six of the seven new cases fail; all pass with it.

--- /dev/null
+++ b/internal/edge/host/announcement_test.go
@@ -0,0 +1,75 @@
+package host
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/clock"
+	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// Guards against requests to a server that leaves for as long after the announcement was heard as they may come after it was made.
+func TestTheDrainTimeCountsFromTheAnnouncement(t *testing.T) {
+	const drain = 2 * time.Second
+	leaving := []object.Change{{Object: entryOf("s1", 12, bornAt(1)+`,"Leaving":true`)}}
+	told := poll.ServerList{Rev: 12, Delta: true, List: []feed.Server{{Name: "s1", Rev: 12, Incarnation: 1, Leaving: true}}, Leaving: map[ident.Server]time.Duration{"s1": 300 * time.Millisecond}}
+	for name, test := range map[string]struct {
+		hear func(*serverTracker)
+		ago  time.Duration // the announcement counts as made so long ago
+	}{
+		"its own watch": {func(tr *serverTracker) {
+			tr.noteSource(true, time.Second)
+			tr.applyChanges(leaving, 12)
+		}, 0},
+		"its own watch, which began after it": {func(tr *serverTracker) {
+			tr.noteSource(true, 0)
+			tr.applyChanges(leaving, 12)
+		}, 500 * time.Millisecond},
+		"a copy of the store": {func(tr *serverTracker) {
+			tr.noteSource(false, time.Second)
+			tr.applyChanges(leaving, 12)
+		}, 500 * time.Millisecond},
+		"a list": {func(tr *serverTracker) {
+			tr.noteSource(true, 0)
+			tr.replaceAll([]object.Object{leaving[0].Object}, 12)
+		}, 500 * time.Millisecond},
+		"the leader": {func(tr *serverTracker) { tr.mergePeerList(told, 200*time.Millisecond) }, 500 * time.Millisecond},
+		"a copy, then the leader": {func(tr *serverTracker) {
+			tr.noteSource(true, time.Second)
+			tr.applyChanges(leaving, 12)
+			tr.mergePeerList(poll.ServerList{Rev: 13, Delta: true, List: told.List, Leaving: told.Leaving}, 200*time.Millisecond)
+		}, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := newOrderTracker()
+				tr.drain = drain
+				tr.applyChanges([]object.Change{{Object: entryOf("s1", 10, bornAt(1))}}, 10)
+				tr.hub.NoteAsOf(poll.Servers, clock.Now().Add(-500*time.Millisecond))
+				test.hear(tr)
+				tr.mu.Lock()
+				defer tr.mu.Unlock()
+				grace := tr.drainGrace() - test.ago
+				left := time.Until(tr.sendUntil(feed.Server{Name: "s1"}))
+				assert.Assert(t, left <= grace && left > grace-100*time.Millisecond, "%v left of %v", left, tr.drainGrace())
+			})
+		})
+	}
+}
+
+// Guards against a new drain time for servers that had said that they leave before a VM started.
+func TestAVMThatStartsGivesNoDrainTimeToServersThatLeave(t *testing.T) {
+	tr := newOrderTracker()
+	tr.drain = 2 * time.Second
+	tr.noteSource(true, 0)
+	tr.replaceAll([]object.Object{entryOf("s1", 12, bornAt(1)+`,"Leaving":true`)}, 12)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	assert.Assert(t, tr.drained(time.Now(), feed.Server{Name: "s1"}))
+}
--- a/internal/edge/host/drain.go
+++ b/internal/edge/host/drain.go
@@ -7,17 +7,48 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
 )
 
 // defaultDrain is how long a leaving server may get requests, if the platform sets no bound.
 const defaultDrain = 2 * time.Second
 
-// drainShare is the fraction of the drain time in which a leaving server may get requests
-// for keys that it still owns. The rest covers the transit of the requests and the delay
-// until this VM learned that the server leaves.
+// drainShare is the fraction of the drain time, from the announcement, in which a leaving server
+// may get requests for keys that it still owns. The rest covers the transit of the requests, and
+// the time that an announcement takes to the first VM.
 const drainShare = 0.55
 
-// trackLeaving records when each server was first seen to leave. The caller holds mu.
+// minWatchWait is how long a watch must have waited for its answer to tell of a change that
+// happened just then, and not before it began.
+const minWatchWait = 100 * time.Millisecond
+
+// news says how long ago what a VM has just heard can have happened. The time in which a leaving
+// server may get requests runs from its announcement, however late a VM hears of it.
+type news struct {
+	age        time.Duration                  // of all that is not told
+	leaving    map[ident.Server]time.Duration // for how long another VM has known that servers leave
+	leavingAge time.Duration                  // how long ago it said so
+}
+
+// ageOf returns how long ago a server has announced that it leaves.
+func (n news) ageOf(s ident.Server) time.Duration {
+	if told, ok := n.leaving[s]; ok {
+		return told + n.leavingAge
+	}
+	return n.age
+}
+
+// unknownNews returns the news that may have happened at any time since this VM knew the whole
+// list. The caller holds mu.
+func (t *serverTracker) unknownNews() news {
+	age := t.hub.Age(poll.Servers)
+	if age == 0 || age > t.drain {
+		age = t.drain
+	}
+	return news{age: age}
+}
+
+// trackLeaving records since when each server leaves. The caller holds mu.
 func (t *serverTracker) trackLeaving(now time.Time, list []feed.Server) {
 	t.left.update(now, list)
 	t.statesStart = slices.ContainsFunc(list, func(s feed.Server) bool { return s.Incarnation != 0 })
@@ -26,15 +57,39 @@
 		if !t.isLeaving(s) {
 			continue
 		}
-		next[s.Name] = now
-		if since, known := t.leavingSince[s.Name]; known {
-			next[s.Name] = since
+		since, known := t.leavingSince[s.Name]
+		if !known {
+			since = now.Add(-t.leavingAge(s))
 		}
+		next[s.Name] = since
 	}
 	t.leavingSince = next
 	maps.DeleteFunc(t.dropped, func(s ident.Server, _ bool) bool { _, leaving := next[s]; return !leaving })
 }
 
+// leavingAge returns how long ago a server said that it leaves, of which this VM has just heard.
+// The caller holds mu.
+func (t *serverTracker) leavingAge(s feed.Server) time.Duration {
+	if !s.Leaving {
+		r, _ := t.notices.reportOf(s.Process())
+		return r.Age
+	}
+	return t.news.ageOf(s.Name)
+}
+
+// advanceLeaving applies what another VM tells of servers that are known to leave here, if they
+// have done so for longer. The caller holds mu.
+func (t *serverTracker) advanceLeaving(now time.Time) {
+	next := maps.Clone(t.leavingSince)
+	for name := range t.news.leaving {
+		told := now.Add(-t.news.ageOf(name))
+		if since, known := next[name]; known && told.Before(since) {
+			next[name] = told
+		}
+	}
+	t.leavingSince = next
+}
+
 // isLeaving reports whether a server leaves, by its entry or its own answers.
 func (t *serverTracker) isLeaving(s feed.Server) bool {
 	return s.Leaving || t.notices.of(s.Process()).Leaving
--- a/internal/edge/host/evidence_test.go
+++ b/internal/edge/host/evidence_test.go
@@ -125,7 +125,7 @@
 		for rev := uint64(2); rev < 12; rev++ {
 			time.Sleep(time.Second)
 			tr.noteStoreSeenByLeader(time.Minute)
-			tr.mergePeerList(poll.ServerList{Rev: rev, List: []feed.Server{{Name: "s2", Rev: 2}}})
+			tr.mergePeerList(poll.ServerList{Rev: rev, List: []feed.Server{{Name: "s2", Rev: 2}}}, 0)
 			q.accuseUnanswered()
 		}
 		assert.Equal(t, q.table.Crashes(unansweredPrint), 1)
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -9,8 +9,9 @@
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
-// mergePeerList merges a server list from another VM, either complete or a delta.
-func (t *serverTracker) mergePeerList(l poll.ServerList) {
+// mergePeerList merges a server list from another VM, either complete or a delta, that was made
+// at most the given time ago.
+func (t *serverTracker) mergePeerList(l poll.ServerList, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if l.Rev < t.rev || l.Rev == t.rev && (l.Delta || !t.mismatch) {
@@ -21,13 +22,15 @@
 		list[i] = member.Entry[feed.Server]{Name: s.Name, Rev: s.Rev, Value: s, Leaving: s.Leaving}
 	}
 	now := time.Now()
-	t.source = sourcePeer
+	t.source, t.news = sourcePeer, t.unknownNews()
+	t.news.leaving, t.news.leavingAge = l.Leaving, age
 	var changed bool
 	if l.Delta {
 		changed = t.members.MergePeerDelta(now, l.Rev, list, l.Gone)
 	} else {
 		changed = t.members.MergePeer(now, l.Rev, list)
 	}
+	t.advanceLeaving(now)
 	if changed {
 		t.publish(l.Rev)
 	} else {
@@ -59,5 +62,5 @@
 // a loop that costs processor time and traffic between data centres. The caller holds mu.
 func (t *serverTracker) advanceRev(rev uint64) {
 	t.rev = rev
-	t.hub.SetServers(poll.ServerList{Rev: rev, List: t.list()})
+	t.hub.SetServers(poll.ServerList{Rev: rev, List: t.list(), Since: t.leavingSince})
 }
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -133,7 +133,7 @@
 			p.parts.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
 		p.leaderLost = true
-		p.applyShared(resp, lease.Addr)
+		p.applyShared(asked, resp, lease.Addr)
 		if err == nil && p.checkTermEnded(resp, lease) {
 			p.parts.Coordinator.election.Send(elect.SteppedDownMsg{Epoch: lease.Epoch})
 		}
@@ -149,7 +149,7 @@
 	p.parts.Coordinator.election.Send(elect.RankMsg{N: resp.ClaimRank})
 	// Must come before applyShared: it decides how a list with missing servers is interpreted.
 	p.parts.Servers.noteStoreSeenByLeader(resp.StoreUpFor)
-	p.applyShared(resp, lease.Addr)
+	p.applyShared(asked, resp, lease.Addr)
 	p.parts.Hub.NoteAges(resp.MadeAt(asked), resp)
 	p.parts.Hub.SetConfirmed(asked.Add(max(resp.ConfirmedFor, resp.RulesFreshFor)))
 	p.updateRulesFresh(asked, resp)
@@ -197,8 +197,9 @@
 	}
 }
 
-// applyShared applies the parts of a response that any VM may send.
-func (p *poller) applyShared(resp poll.Response, from netip.AddrPort) {
+// applyShared applies the parts of a response that any VM may send, to a request that was sent at
+// a time of the boot clock.
+func (p *poller) applyShared(asked time.Time, resp poll.Response, from netip.AddrPort) {
 	if resp.ClusterFormed {
 		p.parts.Coordinator.election.Send(elect.ClusterFormedMsg{})
 	}
@@ -212,7 +213,7 @@
 		p.parts.Servers.applyEvacuations(*resp.Evacuated, "peer")
 	}
 	if resp.Servers != nil {
-		p.parts.Servers.mergePeerList(*resp.Servers)
+		p.parts.Servers.mergePeerList(*resp.Servers, clock.Now().Sub(resp.MadeAt(asked)))
 	}
 }
 
@@ -285,8 +286,8 @@
 	}
 	p.next++
 	addr := p.peers[p.next%len(p.peers)]
-	req := p.baseRequest()
+	req, asked := p.baseRequest(), clock.Now()
 	if resp, err := p.client.Poll(ctx, addr, req, nil); err == nil {
-		p.applyShared(resp, addr)
+		p.applyShared(asked, resp, addr)
 	}
 }
--- a/internal/edge/host/server_log.go
+++ b/internal/edge/host/server_log.go
@@ -31,6 +31,6 @@
 	}
 	t.lastLogged = now
 	if len(added)+len(restarted)+len(leaving)+len(gone) > 0 {
-		t.log.Info("servers", "rev", object.Version(t.rev).Revision(), "from", t.source, "listage", t.hub.Age(poll.Servers), "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
+		t.log.Info("servers", "rev", object.Version(t.rev).Revision(), "from", t.source, "listage", t.hub.Age(poll.Servers), "late", t.news.age, "count", len(list), "came", added, "restarted", restarted, "leave", leaving, "gone", gone)
 	}
 }
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -49,6 +49,7 @@
 	statesStart  bool                         // some listed server states when it started
 	left         departures                   // processes that announced that they leave
 	source       string                       // of the last news, for the log
+	news         news                         // when the last news happened
 	lastLogged   map[ident.Server]feed.Server // servers at the last log line
 	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
 	evacuated    evac.Set                     // data centres whose servers must get no requests
@@ -113,12 +114,16 @@
 	sourcePeer  = "peer"
 )
 
-func (t *serverTracker) noteSource(fresh bool) {
+func (t *serverTracker) noteSource(fresh bool, waited time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.source = sourceCopy
-	if fresh {
-		t.source = sourceStore
+	t.source, t.news = sourceCopy, t.unknownNews()
+	if !fresh {
+		return
+	}
+	t.source = sourceStore
+	if waited >= minWatchWait {
+		t.news = news{} // the change ended the wait
 	}
 }
 
@@ -250,9 +255,10 @@
 func (t *serverTracker) publish(rev uint64) {
 	t.rev = max(t.rev, rev)
 	list := t.list()
+	t.trackLeaving(time.Now(), list)
 	t.logChanges(list)
 	t.notices.retain(list)
-	t.hub.SetServers(poll.ServerList{Rev: t.rev, List: list})
+	t.hub.SetServers(poll.ServerList{Rev: t.rev, List: list, Since: t.leavingSince})
 	t.distribute(list)
 }
 
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -30,10 +30,10 @@
 func TestServerListWithoutChangesAdvancesRevision(t *testing.T) {
 	tr := newTestTracker()
 	list := []feed.Server{{Name: "lookup-1", Service: "lookup", Rev: 3}}
-	tr.mergePeerList(poll.ServerList{Rev: 5, List: list})
+	tr.mergePeerList(poll.ServerList{Rev: 5, List: list}, 0)
 	_, rev := tr.hub.Revs()
 	assert.Equal(t, rev, uint64(5))
-	tr.mergePeerList(poll.ServerList{Rev: 9, List: list})
+	tr.mergePeerList(poll.ServerList{Rev: 9, List: list}, 0)
 	_, rev = tr.hub.Revs()
 	assert.Equal(t, rev, uint64(9))
 }
@@ -45,13 +45,13 @@
 	tr := newTestTracker()
 	first := feed.Server{Name: "lookup-1", Service: "lookup", Rev: 3}
 	second := feed.Server{Name: "lookup-2", Service: "lookup", Rev: 6}
-	tr.mergePeerList(poll.ServerList{Rev: 5, List: []feed.Server{first, {Name: "lookup-0", Service: "lookup", Rev: 2}}})
+	tr.mergePeerList(poll.ServerList{Rev: 5, List: []feed.Server{first, {Name: "lookup-0", Service: "lookup", Rev: 2}}}, 0)
 	now := time.Now()
 	assert.Equal(t, tr.knownRev(now), uint64(5))
-	tr.mergePeerList(poll.ServerList{Rev: 6, Delta: true, List: []feed.Server{second}, Sum: poll.SumOf([]feed.Server{first, second})})
+	tr.mergePeerList(poll.ServerList{Rev: 6, Delta: true, List: []feed.Server{second}, Sum: poll.SumOf([]feed.Server{first, second})}, 0)
 	assert.Equal(t, tr.knownRev(now), uint64(0))
 	assert.Equal(t, tr.knownRev(now), uint64(6), "the complete list is not requested again at once")
-	tr.mergePeerList(poll.ServerList{Rev: 6, List: []feed.Server{first, second}})
+	tr.mergePeerList(poll.ServerList{Rev: 6, List: []feed.Server{first, second}}, 0)
 	assert.Assert(t, slices.Equal(tr.list(), []feed.Server{first, second}))
 	assert.Equal(t, tr.knownRev(now.Add(fullListInterval)), uint64(6))
 }
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -26,12 +26,14 @@
 	fresh            object.Store
 	stale            object.Store
 	log              *slog.Logger
-	receivedFromPeer func() bool      // reports whether another VM has sent what is watched here
-	onSource         func(fresh bool) // called before onList and onChange; fresh: the answer is the linearizable store's
-	onList           func([]object.Object, object.Cursor)
-	onChange         func([]object.Change, object.Cursor)
-	onDown           func()
-	onUp             func() // the store answered, with or without changes
+	receivedFromPeer func() bool // reports whether another VM has sent what is watched here
+	// onSource is called before onList and onChange, with whether the linearizable store has
+	// answered, and how long its answer to a watch waited for a change, zero for a list.
+	onSource func(fresh bool, waited time.Duration)
+	onList   func([]object.Object, object.Cursor)
+	onChange func([]object.Change, object.Cursor)
+	onDown   func()
+	onUp     func() // the store answered, with or without changes
 	// onApplied is called when the answer to a call of this time, on the boot clock, has been
 	// passed to onList or onChange.
 	onApplied func(asked time.Time)
@@ -150,7 +152,7 @@
 		return 0, false
 	}
 	w.onSuccess()
-	w.noteSource(store)
+	w.noteSource(store, 0)
 	w.onList(all, cursor)
 	w.noteApplied(asked)
 	w.noteCurrent(store, asked, cursor)
@@ -215,7 +217,7 @@
 		at = next
 		answered := clock.Now()
 		if len(all) > 0 {
-			w.noteSource(store)
+			w.noteSource(store, time.Since(began))
 			w.onChange(all, at)
 		}
 		w.noteApplied(asked)
@@ -307,9 +309,9 @@
 // maxAnswerAge is how old the answer of a watch may be when it arrives from a slow store.
 const maxAnswerAge = 300 * time.Millisecond
 
-func (w *watcher) noteSource(store object.Store) {
+func (w *watcher) noteSource(store object.Store, waited time.Duration) {
 	if w.onSource != nil {
-		w.onSource(store == w.fresh)
+		w.onSource(store == w.fresh, waited)
 	}
 }
 
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -390,6 +390,7 @@
 	resp.RulesRev = h.rules.Rev
 	if h.servers.current.Rev > req.ServersRev {
 		l := h.servers.since(req.ServersRev)
+		l.noteLeaving(time.Now(), h.servers.current.Since)
 		resp.Servers = &l
 	}
 	if h.evacuated.Rev > req.EvacRev {
--- a/internal/edge/poll/servers.go
+++ b/internal/edge/poll/servers.go
@@ -1,6 +1,8 @@
 package poll
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
@@ -14,6 +16,10 @@
 	Delta bool           `json:"part,omitempty"` // List and Gone hold only what changed
 	List  []feed.Server  `json:"list"`
 	Gone  []ident.Server `json:"gone,omitempty"`
+	// Leaving is how long the sender has known that servers of List leave.
+	Leaving map[ident.Server]time.Duration `json:"leaving,omitempty"`
+	// Since is since when all servers that leave do so, as known on this VM. It is not sent.
+	Since map[ident.Server]time.Time `json:"-"`
 	// Sum is the checksum of all servers, see SumOf. A VM that gets another sum after
 	// applying a delta has missed a change.
 	Sum uint64 `json:"sum,omitempty"`
@@ -77,6 +83,21 @@
 	h.current = next
 }
 
+// noteLeaving adds for how long the servers of the list have been leaving.
+func (l *ServerList) noteLeaving(now time.Time, since map[ident.Server]time.Time) {
+	l.Leaving = nil
+	for _, s := range l.List {
+		at, leaving := since[s.Name]
+		if !leaving {
+			continue
+		}
+		if l.Leaving == nil {
+			l.Leaving = map[ident.Server]time.Duration{}
+		}
+		l.Leaving[s.Name] = max(now.Sub(at), 0)
+	}
+}
+
 // since returns what changed after a revision, or the complete list if that is not known.
 func (h *serverHistory) since(rev uint64) ServerList {
 	if rev < h.completeFrom {
