host: the time of an evacuation counts from its acceptance, too

The same cause as with servers that leave: each VM's clock began when it heard of the evacuation. With half of the 5 s for hearing, which nobody kept, and half for the keys that servers there still own, a VM that heard 2.5 s late went on sending for 5 s. Evacuations carry their age between VMs now, and one that was found in a list may be as old as what was known before.

TestTheTimeOfAnEvacuationCountsFromItsAcceptance fails for the list and for the leader with the age taken out.

--- a/internal/edge/host/announcement_test.go
+++ b/internal/edge/host/announcement_test.go
@@ -11,6 +11,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -73,3 +74,38 @@
 	defer tr.mu.Unlock()
 	assert.Assert(t, tr.drained(time.Now(), feed.Server{Name: "s1"}))
 }
+
+// Guards against requests to an evacuated data centre for as long after a VM has heard of the evacuation as they may come after it was accepted.
+func TestTheTimeOfAnEvacuationCountsFromItsAcceptance(t *testing.T) {
+	for name, test := range map[string]struct {
+		hear func(*serverTracker)
+		ago  time.Duration
+	}{
+		"its own watch": {func(tr *serverTracker) {
+			w := tr.evacuationWatcher()
+			w.onSource(true, time.Second)
+			w.onChange([]object.Change{{Object: object.Object{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}}, 5)
+		}, 0},
+		"a list": {func(tr *serverTracker) {
+			w := tr.evacuationWatcher()
+			w.onSource(true, 0)
+			w.onList([]object.Object{{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}, 5)
+		}, 500 * time.Millisecond},
+		"the leader": {func(tr *serverTracker) {
+			l := evac.List{Rev: 5, Centres: []ident.Centre{"north"}, Known: map[ident.Centre]time.Duration{"north": 300 * time.Millisecond}}
+			tr.applyEvacuations(l, "peer", 200*time.Millisecond)
+		}, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := newOrderTracker()
+			tr.plat.Evacuations, tr.evacuation = "evacuations/", 5*time.Second
+			tr.hub.NoteAsOf(poll.Evacuations, clock.Now().Add(-500*time.Millisecond))
+			test.hear(tr)
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			grace := tr.evacuationGrace() - test.ago
+			left := time.Until(tr.sendUntil(feed.Server{Centre: "north"}))
+			assert.Assert(t, left <= grace && left > grace-200*time.Millisecond, "%v left of %v", left, tr.evacuationGrace())
+		})
+	}
+}
--- a/internal/edge/host/cold_test.go
+++ b/internal/edge/host/cold_test.go
@@ -59,9 +59,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		tr := newColdTracker()
 		tr.replaceAll([]object.Object{entryOf("s1", 3, `,"Service":"ledger","Centre":"north"`), entryOf("s2", 3, `,"Service":"ledger"`)}, 4)
-		tr.applyEvacuations(evac.List{Rev: 5, Centres: []ident.Centre{"north"}}, "store")
+		tr.applyEvacuations(evac.List{Rev: 5, Centres: []ident.Centre{"north"}}, "store", 0)
 		assert.Equal(t, len(tr.cappedNames()), 0)
-		tr.applyEvacuations(evac.List{Rev: 6}, "store")
+		tr.applyEvacuations(evac.List{Rev: 6}, "store", 0)
 		assert.DeepEqual(t, tr.cappedNames(), []ident.Server{"s1"})
 		tr.waitDue(returnedColdTime)
 		assert.Equal(t, len(tr.cappedNames()), 0)
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -19,8 +19,7 @@
 	// the platform sets no bound.
 	defaultEvacuation = 5 * time.Second
 	// evacuationShare is the fraction of that time in which they may get requests for keys
-	// that they still own. The rest covers the transit of the requests and the delay until
-	// this VM learned of the evacuation.
+	// that they still own, from when it was accepted. The rest covers the transit of the requests.
 	evacuationShare = 0.5
 )
 
@@ -36,6 +35,7 @@
 			return object.Cursor(rev), rev > 0 && t.hub.Synced(now) && relies(clock.Now()) > 0
 		},
 		confirmed: relies,
+		onSource:  t.noteEvacuationSource,
 		onList: func(all []object.Object, cursor object.Cursor) {
 			l := evac.List{Rev: uint64(cursor)}
 			for _, o := range all {
@@ -43,7 +43,7 @@
 					l.Centres = append(l.Centres, c)
 				}
 			}
-			t.applyEvacuations(l, "store")
+			t.applyEvacuations(l, "store", 0)
 		},
 		onChange:  t.changeEvacuations,
 		onCurrent: func(at time.Time, _ object.Cursor) { t.hub.NoteAsOf(poll.Evacuations, at) },
@@ -88,24 +88,56 @@
 	for _, c := range slices.Sorted(maps.Keys(evacuated)) {
 		if t.evacuated.Set(now, c, uint64(cursor), evacuated[c]) {
 			changed = append(changed, c)
+			t.evacuated.Began(c, now.Add(-t.evacuationAge))
 		}
 	}
 	t.evacuationsChanged(changed, "store")
 }
 
+// noteEvacuationSource records how long ago the evacuations that are about to be applied can
+// have been accepted, see [news].
+func (t *serverTracker) noteEvacuationSource(fresh bool, waited time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuationAge = t.unknownEvacuationAge()
+	if fresh && waited >= minWatchWait {
+		t.evacuationAge = 0
+	}
+}
+
+// unknownEvacuationAge returns how long ago an evacuation may have been accepted of which this
+// VM has just heard. The caller holds mu.
+func (t *serverTracker) unknownEvacuationAge() time.Duration {
+	age := t.hub.Age(poll.Evacuations)
+	if age == 0 || age > t.evacuation {
+		return t.evacuation
+	}
+	return age
+}
+
 // applyEvacuations applies a complete list of evacuated data centres. The argument from
-// says where it comes from, for the log.
-func (t *serverTracker) applyEvacuations(l evac.List, from string) {
+// says where it comes from, for the log; one of another VM was made at most the given time ago.
+func (t *serverTracker) applyEvacuations(l evac.List, from string, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.evacuationsChanged(t.evacuated.Apply(now, l), from)
+	changed := t.evacuated.Apply(now, l)
+	if l.Known == nil {
+		for _, c := range changed {
+			t.evacuated.Began(c, now.Add(-t.unknownEvacuationAge()))
+		}
+	}
+	for c, known := range l.Known {
+		t.evacuated.Began(c, now.Add(-known-age))
+	}
+	t.evacuationsChanged(changed, from)
 }
 
 // evacuationsChanged logs which data centres have been evacuated or taken back, and passes
 // it on. The caller holds mu.
 func (t *serverTracker) evacuationsChanged(changed []ident.Centre, from string) {
 	l := t.evacuated.List()
+	l.Since = t.evacuated.Since()
 	t.hub.SetEvacuated(l)
 	if len(changed) == 0 {
 		return
--- a/internal/edge/host/evacuation_test.go
+++ b/internal/edge/host/evacuation_test.go
@@ -98,9 +98,9 @@
 func TestAnEvacuationCountsFromWhenItIsFirstHeardOf(t *testing.T) {
 	tr := newTestTracker()
 	tr.evacuation = time.Second
-	tr.applyEvacuations(evac.List{Rev: 4, Centres: []ident.Centre{"north"}}, "peer")
+	tr.applyEvacuations(evac.List{Rev: 4, Centres: []ident.Centre{"north"}}, "peer", 0)
 	since, _ := tr.evacuated.Evacuated("north")
-	tr.applyEvacuations(evac.List{Rev: 6, Centres: []ident.Centre{"north"}}, "store")
+	tr.applyEvacuations(evac.List{Rev: 6, Centres: []ident.Centre{"north"}}, "store", 0)
 	again, ok := tr.evacuated.Evacuated("north")
 	assert.Assert(t, ok && again.Equal(since))
 	tr.mu.Lock()
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -210,7 +210,7 @@
 		p.parts.Fetcher.noteRevision(resp.RulesRev, from)
 	}
 	if resp.Evacuated != nil {
-		p.parts.Servers.applyEvacuations(*resp.Evacuated, "peer")
+		p.parts.Servers.applyEvacuations(*resp.Evacuated, "peer", clock.Now().Sub(resp.MadeAt(asked)))
 	}
 	if resp.Servers != nil {
 		p.parts.Servers.mergePeerList(*resp.Servers, clock.Now().Sub(resp.MadeAt(asked)))
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -394,7 +394,7 @@
 		resp.Servers = &l
 	}
 	if h.evacuated.Rev > req.EvacRev {
-		l := h.evacuated
+		l := h.evacuated.WithKnown(time.Now())
 		resp.Evacuated = &l
 	}
 	return resp.RulesRev > req.RulesRev || resp.Servers != nil || resp.Evacuated != nil
--- a/internal/node/evac/evac.go
+++ b/internal/node/evac/evac.go
@@ -19,6 +19,19 @@
 type List struct {
 	Rev     uint64         `json:"rev"`
 	Centres []ident.Centre `json:"centres,omitempty"`
+	// Known is for how long the sender has known of each evacuation.
+	Known map[ident.Centre]time.Duration `json:"known,omitempty"`
+	// Since is since when each is known on this VM. It is not sent.
+	Since map[ident.Centre]time.Time `json:"-"`
+}
+
+// WithKnown returns the list with Known as of a time.
+func (l List) WithKnown(now time.Time) List {
+	l.Known = make(map[ident.Centre]time.Duration, len(l.Since))
+	for c, since := range l.Since {
+		l.Known[c] = max(now.Sub(since), 0)
+	}
+	return l
 }
 
 // Set is the set of evacuated data centres that a VM knows. The zero value knows of none.
@@ -31,7 +44,7 @@
 type record struct {
 	rev       uint64
 	evacuated bool
-	since     time.Time // when this VM learned of the current state
+	since     time.Time // when the current state began, as far as this VM knows
 	endsAt    time.Time // when it ends unless the store has it again by then; zero: it does not
 }
 
@@ -106,7 +119,26 @@
 	return changed
 }
 
-// Evacuated reports whether a data centre is evacuated, and since when this VM knows it.
+// Began records that a data centre that is evacuated has been so since a time, or longer.
+func (s *Set) Began(c ident.Centre, at time.Time) {
+	if r := s.records[c]; r.evacuated && at.Before(r.since) {
+		r.since = at
+		s.records[c] = r
+	}
+}
+
+// Since returns since when the evacuated data centres have been so, as far as this VM knows.
+func (s *Set) Since() map[ident.Centre]time.Time {
+	all := map[ident.Centre]time.Time{}
+	for c, r := range s.records {
+		if r.evacuated {
+			all[c] = r.since
+		}
+	}
+	return all
+}
+
+// Evacuated reports whether a data centre is evacuated, and since when, as far as this VM knows.
 func (s *Set) Evacuated(c ident.Centre) (since time.Time, ok bool) {
 	r := s.records[c]
 	return r.since, r.evacuated
