host: a leader that does not hear the store asks the VMs that do

The leader informs all others of the servers and had nobody to ask itself: it sent requests to a server that leaves for as long as its own calls for servers went unanswered. It polls another VM now once its list is older than others rely on, as a VM does that has lost the leader.

Seen before: with requests through the leader as well, TestALeavingServerGetsNoRequestsWhileTheLeaderDoesNotHearOfIt has the last one 3.2 s after the announcement for 2 s in both cases, and TestAnEvacuatedServer... 4.0 s for 3 s (the ends of the tests); all in time now.

--- a/internal/edge/host/leaving_test.go
+++ b/internal/edge/host/leaving_test.go
@@ -53,16 +53,15 @@
 	return tc, leaving
 }
 
-// sendReceipts sends receipts through all VMs but the leader for a time.
+// sendReceipts sends receipts through all VMs for a time.
 func (tc *testCluster) sendReceipts(d time.Duration) {
 	const callersPerVM = 4
-	leader := tc.leaderIndex()
 	end := time.Now().Add(d)
 	var g group.Group
 	for i := range tc.vms {
 		for range callersPerVM {
 			g.Go(func(context.Context) error {
-				for i != leader && time.Now().Before(end) {
+				for time.Now().Before(end) {
 					tc.get(i, "/receipt/1", "")
 				}
 				return nil
@@ -92,7 +91,7 @@
 	return b.latest
 }
 
-// Guards against requests to a server that leaves from VMs that rely on a leader that does not hear of it.
+// Guards against requests to a server that leaves from a leader that does not hear of it, and VMs that rely on it.
 func TestALeavingServerGetsNoRequestsWhileTheLeaderDoesNotHearOfIt(t *testing.T) {
 	for name, silent := range map[string][]string{
 		"the store does not answer its calls for servers": {"servers/"},
@@ -109,7 +108,7 @@
 	}
 }
 
-// Guards against requests to an evacuated data centre from VMs that rely on a leader that does not hear of it.
+// Guards against requests to an evacuated data centre from a leader that does not hear of it, and VMs that rely on it.
 func TestAnEvacuatedServerGetsNoRequestsWhileTheLeaderDoesNotHearOfIt(t *testing.T) {
 	tc, evacuated := startLaggingCluster(t)
 	tc.gateways[tc.leaderIndex()].setSilent("evacuations/")
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -80,6 +80,7 @@
 			p.setTunnelPeers(p.parseAddrs(p.parts.Hub.PeerAddrs(time.Now())))
 			p.parts.Lender.lendToSelf()
 			p.pollPreviousLeader(ctx)
+			p.pollPeerIfBehind(ctx)
 			group.Sleep(ctx, leaderPause)
 		case !p.pollLeader(ctx, lease):
 			p.pollPeer(ctx)
@@ -278,6 +279,14 @@
 	}
 }
 
+// pollPeerIfBehind asks another VM for newer servers and evacuations while this VM, which leads,
+// does not hear them from the store: the others ask the store themselves by then.
+func (p *poller) pollPeerIfBehind(ctx context.Context) {
+	if p.parts.Servers.isBehind() {
+		p.pollPeer(ctx)
+	}
+}
+
 // pollPeer polls another VM for the current lease, newer servers and its newest rules
 // revision.
 func (p *poller) pollPeer(ctx context.Context) {
--- a/internal/edge/host/reliance.go
+++ b/internal/edge/host/reliance.go
@@ -30,6 +30,12 @@
 	return max(reliance(bound)-confirmationDelay, minLeaderWait)
 }
 
+// isBehind reports whether this VM has not heard all servers and evacuations of the store for
+// longer than others rely on it.
+func (t *serverTracker) isBehind() bool {
+	return t.hub.Age(poll.Servers) > reliance(t.drain) || t.hub.Age(poll.Evacuations) > reliance(t.evacuation)
+}
+
 // reliesOnLeader returns the function that says how long, from a time of the boot clock, this
 // VM may rely on the leader for a topic.
 func reliesOnLeader(hub *poll.Hub, t poll.Topic, bound time.Duration) func(now time.Time) time.Duration {
