host: tunnels to a server end once it may get no more requests

The near end of a tunnel decides what is sent through it, and may know less than the VM in between, which went on passing requests to a server that it would have sent none itself. It asks the near ends to end such tunnels now, as it does for servers that shed.

--- a/internal/edge/host/announcement_test.go
+++ b/internal/edge/host/announcement_test.go
@@ -109,3 +109,21 @@
 		})
 	}
 }
+
+// Guards against requests of other VMs that reach a server through this one after it has left.
+func TestTunnelsToAServerThatHasLeftEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newOrderTracker()
+		tr.drain = 2 * time.Second
+		var left []ident.Server
+		tr.onLeft = func(s ident.Server) { left = append(left, s) }
+		tr.applyChanges([]object.Change{{Object: entryOf("s1", 10, bornAt(1))}, {Object: entryOf("s2", 10, bornAt(1))}}, 10)
+		tr.applyChanges([]object.Change{{Object: entryOf("s1", 12, bornAt(1)+`,"Leaving":true`)}, entryGone("s2")}, 12)
+		assert.DeepEqual(t, left, []ident.Server{"s2"})
+		time.Sleep(tr.drainGrace())
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		tr.updateDue(time.Now())
+		assert.DeepEqual(t, left, []ident.Server{"s2", "s1"})
+	})
+}
--- a/internal/edge/host/paths.go
+++ b/internal/edge/host/paths.go
@@ -48,9 +48,9 @@
 // Shedding reports whether a server wants no requests from this VM now.
 func (p tunnelPaths) Shedding(s ident.Server) bool { return p.shedders.isShedding(s) }
 
-func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, r *shedders, log *slog.Logger) *tunnel.Server {
+func newTunnelServer(lc fx.Lifecycle, d *dial.Dialer, s *state.State, servers *serverTracker, r *shedders, log *slog.Logger) *tunnel.Server {
 	t := tunnel.NewServer(tunnelPaths{d, s, r}, log)
-	r.onShed = t.EndIdleTo
+	r.onShed, servers.onLeft = t.EndIdleTo, t.EndIdleTo
 	closeOnStop(lc, t)
 	return t
 }
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -38,6 +38,8 @@
 	services      map[ident.Service]feed.Service
 	vmCount       int
 	onChange      func([]feed.Server)
+	onLeft        func(ident.Server)    // called when a server may get no more requests; nil until the VM is wired
+	offered       map[ident.Server]bool // servers that may get requests
 	rev           uint64
 	mismatch      bool                         // the checksum after the last delta did not match that of the leader
 	nextFullList  time.Time                    // when the complete list may be requested again
@@ -306,6 +308,24 @@
 		svc.SetLeaving(t.leavingSince)
 		svc.Gate.SetServers(infos[name])
 	}
+	t.noteOffered(infos)
+}
+
+// noteOffered tells of the servers that may get no more requests: other VMs may still send them
+// some through this one. The caller holds mu.
+func (t *serverTracker) noteOffered(infos map[ident.Service][]gate.ServerInfo) {
+	next := map[ident.Server]bool{}
+	for _, all := range infos {
+		for _, s := range all {
+			next[s.Name] = true
+		}
+	}
+	for name := range t.offered {
+		if !next[name] && t.onLeft != nil {
+			t.onLeft(name)
+		}
+	}
+	t.offered = next
 }
 
 // setServices applies the services of the rules in force.
