host: an answer counts as old as its question

What callers saw: requests reached servers that had said they leave, from VMs that relied on a leader that claimed to know all.

Cause: the age of an answer of the store was counted from when it was read, less 0.3 s for a slow store.

An answer proves what the store held when it was asked for, and no more. The leader's watches ask more often, so that this is enough for the others; news count as old as the whole list was before them, whatever brought them.

TestAnAnswerThatIsReadLateIsNotTakenForNew failed before: claims 0.5 s too new after 0.8 s of delay.

--- a/internal/edge/host/announcement_test.go
+++ b/internal/edge/host/announcement_test.go
@@ -25,27 +25,23 @@
 		ago  time.Duration // the announcement counts as made so long ago
 	}{
 		"its own watch": {func(tr *serverTracker) {
-			tr.noteSource(true, time.Second)
-			tr.applyChanges(leaving, 12)
-		}, 0},
-		"its own watch, which began after it": {func(tr *serverTracker) {
-			tr.noteSource(true, 0)
+			tr.noteSource(true)
 			tr.applyChanges(leaving, 12)
 		}, 500 * time.Millisecond},
 		"a copy of the store": {func(tr *serverTracker) {
-			tr.noteSource(false, time.Second)
+			tr.noteSource(false)
 			tr.applyChanges(leaving, 12)
 		}, 500 * time.Millisecond},
 		"a list": {func(tr *serverTracker) {
-			tr.noteSource(true, 0)
+			tr.noteSource(true)
 			tr.replaceAll([]object.Object{leaving[0].Object}, 12)
 		}, 500 * time.Millisecond},
 		"the leader": {func(tr *serverTracker) { tr.mergePeerList(told, 200*time.Millisecond) }, 500 * time.Millisecond},
-		"a copy, then the leader": {func(tr *serverTracker) {
-			tr.noteSource(true, time.Second)
+		"its own watch, then the leader": {func(tr *serverTracker) {
+			tr.noteSource(true)
 			tr.applyChanges(leaving, 12)
-			tr.mergePeerList(poll.ServerList{Rev: 13, Delta: true, List: told.List, Leaving: told.Leaving}, 200*time.Millisecond)
-		}, 500 * time.Millisecond},
+			tr.mergePeerList(poll.ServerList{Rev: 13, Delta: true, List: told.List, Leaving: told.Leaving}, 400*time.Millisecond)
+		}, 700 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -68,7 +64,7 @@
 func TestAVMThatStartsGivesNoDrainTimeToServersThatLeave(t *testing.T) {
 	tr := newOrderTracker()
 	tr.drain = 2 * time.Second
-	tr.noteSource(true, 0)
+	tr.noteSource(true)
 	tr.replaceAll([]object.Object{entryOf("s1", 12, bornAt(1)+`,"Leaving":true`)}, 12)
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -82,14 +78,10 @@
 		ago  time.Duration
 	}{
 		"its own watch": {func(tr *serverTracker) {
-			w := tr.evacuationWatcher()
-			w.onSource(true, time.Second)
-			w.onChange([]object.Change{{Object: object.Object{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}}, 5)
-		}, 0},
+			tr.evacuationWatcher().onChange([]object.Change{{Object: object.Object{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}}, 5)
+		}, 500 * time.Millisecond},
 		"a list": {func(tr *serverTracker) {
-			w := tr.evacuationWatcher()
-			w.onSource(true, 0)
-			w.onList([]object.Object{{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}, 5)
+			tr.evacuationWatcher().onList([]object.Object{{Name: "evacuations/north", Version: 5, Value: []byte("{}")}}, 5)
 		}, 500 * time.Millisecond},
 		"the leader": {func(tr *serverTracker) {
 			l := evac.List{Rev: 5, Centres: []ident.Centre{"north"}, Known: map[ident.Centre]time.Duration{"north": 300 * time.Millisecond}}
--- a/internal/edge/host/drain.go
+++ b/internal/edge/host/drain.go
@@ -18,10 +18,6 @@
 // the time that an announcement takes to the first VM.
 const drainShare = 0.55
 
-// minWatchWait is how long a watch must have waited for its answer to tell of a change that
-// happened just then, and not before it began.
-const minWatchWait = 100 * time.Millisecond
-
 // news says how long ago what a VM has just heard can have happened. The time in which a leaving
 // server may get requests runs from its announcement, however late a VM hears of it.
 type news struct {
--- a/internal/edge/host/evacuation.go
+++ b/internal/edge/host/evacuation.go
@@ -35,7 +35,7 @@
 			return object.Cursor(rev), rev > 0 && t.hub.Synced(now) && relies(clock.Now()) > 0
 		},
 		confirmed: relies,
-		onSource:  t.noteEvacuationSource,
+		freshWait: freshWait(reliance(t.evacuation)),
 		onList: func(all []object.Object, cursor object.Cursor) {
 			l := evac.List{Rev: uint64(cursor)}
 			for _, o := range all {
@@ -88,23 +88,12 @@
 	for _, c := range slices.Sorted(maps.Keys(evacuated)) {
 		if t.evacuated.Set(now, c, uint64(cursor), evacuated[c]) {
 			changed = append(changed, c)
-			t.evacuated.Began(c, now.Add(-t.evacuationAge))
+			t.evacuated.Began(c, now.Add(-t.unknownEvacuationAge()))
 		}
 	}
 	t.evacuationsChanged(changed, "store")
 }
 
-// noteEvacuationSource records how long ago the evacuations that are about to be applied can
-// have been accepted, see [news].
-func (t *serverTracker) noteEvacuationSource(fresh bool, waited time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.evacuationAge = t.unknownEvacuationAge()
-	if fresh && waited >= minWatchWait {
-		t.evacuationAge = 0
-	}
-}
-
 // unknownEvacuationAge returns how long ago an evacuation may have been accepted of which this
 // VM has just heard. The caller holds mu.
 func (t *serverTracker) unknownEvacuationAge() time.Duration {
--- /dev/null
+++ b/internal/edge/host/late_answer_test.go
@@ -0,0 +1,51 @@
+package host
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hawthornfield.org/hawthornfield/internal/core/clock"
+	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+// lateStore is a store whose answers are read long after they were made, as on a VM that is short
+// of processor time.
+type lateStore struct {
+	object.Store
+	madeAt time.Time // when the last answer was made, on the boot clock
+}
+
+func (s *lateStore) List(context.Context, string) ([]object.Object, object.Cursor, error) {
+	s.madeAt = clock.Now()
+	return nil, 1, nil
+}
+
+func (s *lateStore) Watch(ctx context.Context, _ string, at object.Cursor) ([]object.Change, object.Cursor, error) {
+	const wait, late = 50 * time.Millisecond, 800 * time.Millisecond
+	group.Sleep(ctx, wait)
+	s.madeAt = clock.Now()
+	group.Sleep(ctx, late)
+	return nil, at, ctx.Err()
+}
+
+// Guards against a VM that takes an answer for new because it has read it late, and lets others rely on it.
+func TestAnAnswerThatIsReadLateIsNotTakenForNew(t *testing.T) {
+	store := &lateStore{}
+	w := newWatcher(poll.NewHub("vm-1", "a"), store, store)
+	ctx, cancel := context.WithCancel(t.Context())
+	claims := 0
+	w.onCurrent = func(at time.Time, _ object.Cursor) {
+		claims++
+		assert.Check(t, !at.After(store.madeAt), "claim %d is %v too new", claims, at.Sub(store.madeAt))
+		if claims == 3 {
+			cancel()
+		}
+	}
+	assert.NilError(t, w.run(ctx))
+	assert.Equal(t, claims, 3)
+}
--- a/internal/edge/host/reliance.go
+++ b/internal/edge/host/reliance.go
@@ -12,10 +12,10 @@
 	// the rest covers that call, and the way of the last requests.
 	relianceShare = 0.5
 	// confirmationDelay is how long an answer of the store to the leader takes to confirm to
-	// the other VMs what they know: the age that a slow answer may have, and a poll.
-	confirmationDelay = maxAnswerAge + poll.PollTimeout + 100*time.Millisecond
-	// minLeaderWait keeps the leader's watch from asking without a pause.
-	minLeaderWait = 200 * time.Millisecond
+	// the other VMs what they know.
+	confirmationDelay = poll.PollTimeout + 100*time.Millisecond
+	// minFreshWait keeps a watch from asking without a pause.
+	minFreshWait = 200 * time.Millisecond
 )
 
 // reliance returns how long a VM relies on the leader for news that must take effect within a
@@ -24,10 +24,10 @@
 	return time.Duration(relianceShare * float64(bound))
 }
 
-// leaderWait returns the longest wait of the leader's watch with which the other VMs hear
-// often enough that it still answers.
-func leaderWait(bound time.Duration) time.Duration {
-	return max(reliance(bound)-confirmationDelay, minLeaderWait)
+// freshWait returns the longest wait of a watch whose answers are relied on for a time. What is
+// known is as old as the watch before the one that still waits.
+func freshWait(reliance time.Duration) time.Duration {
+	return max((reliance-confirmationDelay)/2, minFreshWait)
 }
 
 // isBehind reports whether this VM has not heard all servers and evacuations of the store for
--- a/internal/edge/host/reliance_test.go
+++ b/internal/edge/host/reliance_test.go
@@ -17,7 +17,7 @@
 	)
 	for _, bound := range []time.Duration{defaultDrain, 2500 * time.Millisecond, 3 * time.Second, defaultEvacuation} {
 		assert.Assert(t, reliance(bound)+ownRead+transit <= bound, "%v", bound)
-		oldest := maxAnswerAge + leaderWait(bound) + poll.PollTimeout // what another VM knows, before it hears again
+		oldest := 2*freshWait(reliance(bound)) + poll.PollTimeout // what another VM knows, before it hears again
 		assert.Assert(t, oldest < reliance(bound), "%v: %v old", bound, oldest)
 	}
 }
--- a/internal/edge/host/rules.go
+++ b/internal/edge/host/rules.go
@@ -58,6 +58,7 @@
 		prefix: kind + "/", hub: p.Hub, fresh: p.Platform.Store, stale: p.Platform.StaleStore, log: p.Log,
 		receivedFromPeer: func() bool { rules, _ := p.Hub.Revs(); return rules > 0 },
 		confirmed:        p.Hub.ConfirmedFor,
+		freshWait:        freshWait(freshFor(p.Config.Bounds.RulesApply)),
 		onCurrent: func(when time.Time, cursor object.Cursor) {
 			until := when.Add(freshFor(p.Config.Bounds.RulesApply))
 			if _, leads := p.Hub.Lease(); leads {
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -33,40 +33,39 @@
 	notices  *notices
 	shedders *shedders
 
-	mu            sync.Mutex
-	members       member.Set[feed.Server]
-	services      map[ident.Service]feed.Service
-	vmCount       int
-	onChange      func([]feed.Server)
-	onLeft        func(ident.Server)    // called when a server may get no more requests; nil until the VM is wired
-	offered       map[ident.Server]bool // servers that may get requests
-	rev           uint64
-	mismatch      bool                         // the checksum after the last delta did not match that of the leader
-	nextFullList  time.Time                    // when the complete list may be requested again
-	drain         time.Duration                // how long after its announcement a leaving server may get requests
-	leavingSince  map[ident.Server]time.Time   // when each leaving server was first seen to leave
-	dropped       map[ident.Server]bool        // leaving servers that no longer get requests
-	asOf          time.Time                    // the list is at least as new, on the boot clock
-	vouchedAt     time.Time                    // when the leader last said that the store answers it
-	statesStart   bool                         // some listed server states when it started
-	left          departures                   // processes that announced that they leave
-	source        string                       // of the last news, for the log
-	news          news                         // when the last news happened
-	lastLogged    map[ident.Server]feed.Server // servers at the last log line
-	loggedFaults  map[ident.Server]bool        // servers whose invalid entry has been logged
-	evacuated     evac.Set                     // data centres whose servers must get no requests
-	evacuationAge time.Duration                // how long ago the evacuations that were last applied can have been accepted
-	evacuation    time.Duration                // how long after an evacuation was accepted its servers may get requests
-	loggedEvacs   map[string]bool              // malformed evacuations that have been logged
-	droppedEvacs  map[ident.Centre]bool        // evacuated data centres whose servers no longer get requests
-	coldEntries   map[ident.Server]coldEntry   // servers that are cold by their entries
-	capped        map[ident.Server]bool        // cold servers that may get only few requests
-	warmAt        time.Time                    // when the first of them is expected to be warm
-	borrowed      []ident.Server               // cold servers that the leader last lent to this VM
-	coldOverrun   float64                      // see Bounds.ColdOverrun
-	coldSlack     float64                      // see Bounds.ColdSlack
-	noticesRev    uint64                       // of the notices that the key assignment knows
-	shedding      map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
+	mu           sync.Mutex
+	members      member.Set[feed.Server]
+	services     map[ident.Service]feed.Service
+	vmCount      int
+	onChange     func([]feed.Server)
+	onLeft       func(ident.Server)    // called when a server may get no more requests; nil until the VM is wired
+	offered      map[ident.Server]bool // servers that may get requests
+	rev          uint64
+	mismatch     bool                         // the checksum after the last delta did not match that of the leader
+	nextFullList time.Time                    // when the complete list may be requested again
+	drain        time.Duration                // how long after its announcement a leaving server may get requests
+	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
+	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
+	asOf         time.Time                    // the list is at least as new, on the boot clock
+	vouchedAt    time.Time                    // when the leader last said that the store answers it
+	statesStart  bool                         // some listed server states when it started
+	left         departures                   // processes that announced that they leave
+	source       string                       // of the last news, for the log
+	news         news                         // when the last news happened
+	lastLogged   map[ident.Server]feed.Server // servers at the last log line
+	loggedFaults map[ident.Server]bool        // servers whose invalid entry has been logged
+	evacuated    evac.Set                     // data centres whose servers must get no requests
+	evacuation   time.Duration                // how long after an evacuation was accepted its servers may get requests
+	loggedEvacs  map[string]bool              // malformed evacuations that have been logged
+	droppedEvacs map[ident.Centre]bool        // evacuated data centres whose servers no longer get requests
+	coldEntries  map[ident.Server]coldEntry   // servers that are cold by their entries
+	capped       map[ident.Server]bool        // cold servers that may get only few requests
+	warmAt       time.Time                    // when the first of them is expected to be warm
+	borrowed     []ident.Server               // cold servers that the leader last lent to this VM
+	coldOverrun  float64                      // see Bounds.ColdOverrun
+	coldSlack    float64                      // see Bounds.ColdSlack
+	noticesRev   uint64                       // of the notices that the key assignment knows
+	shedding     map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, log *slog.Logger) *serverTracker {
@@ -76,7 +75,7 @@
 	w := &watcher{
 		prefix: p.Servers, hub: hub, fresh: p.Store, stale: p.StaleStore, log: log,
 		receivedFromPeer: func() bool { _, servers := hub.Revs(); return servers > 0 },
-		confirmed:        reliesOnLeader(hub, poll.Servers, t.drain), leaderWait: leaderWait(t.drain),
+		confirmed:        reliesOnLeader(hub, poll.Servers, t.drain), freshWait: freshWait(reliance(t.drain)),
 		onList: t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 		onSource:  t.noteSource,
 		onCurrent: func(at time.Time, _ object.Cursor) { hub.NoteAsOf(poll.Servers, at) },
@@ -117,16 +116,12 @@
 	sourcePeer  = "peer"
 )
 
-func (t *serverTracker) noteSource(fresh bool, waited time.Duration) {
+func (t *serverTracker) noteSource(fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.source, t.news = sourceCopy, t.unknownNews()
-	if !fresh {
-		return
-	}
-	t.source = sourceStore
-	if waited >= minWatchWait {
-		t.news = news{} // the change ended the wait
+	if fresh {
+		t.source = sourceStore
 	}
 }
 
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -26,14 +26,12 @@
 	fresh            object.Store
 	stale            object.Store
 	log              *slog.Logger
-	receivedFromPeer func() bool // reports whether another VM has sent what is watched here
-	// onSource is called before onList and onChange, with whether the linearizable store has
-	// answered, and how long its answer to a watch waited for a change, zero for a list.
-	onSource func(fresh bool, waited time.Duration)
-	onList   func([]object.Object, object.Cursor)
-	onChange func([]object.Change, object.Cursor)
-	onDown   func()
-	onUp     func() // the store answered, with or without changes
+	receivedFromPeer func() bool      // reports whether another VM has sent what is watched here
+	onSource         func(fresh bool) // called before onList and onChange; fresh: the linearizable store has answered
+	onList           func([]object.Object, object.Cursor)
+	onChange         func([]object.Change, object.Cursor)
+	onDown           func()
+	onUp             func() // the store answered, with or without changes
 	// onApplied is called when the answer to a call of this time, on the boot clock, has been
 	// passed to onList or onChange.
 	onApplied func(asked time.Time)
@@ -46,9 +44,9 @@
 	// confirmed, if set, returns for how long, from a time of the boot clock, the leader
 	// confirms that this VM hears from it what the store holds.
 	confirmed func(now time.Time) time.Duration
-	// leaderWait, if set, is the longest wait of a watch while this VM leads: each answer
-	// confirms to the other VMs what is known here.
-	leaderWait  time.Duration
+	// freshWait, if set, is the longest wait of a watch of the linearizable store: each answer
+	// says up to which time this VM knows all.
+	freshWait   time.Duration
 	failures    int // failed calls in a row
 	lostCursors int // lists in a row whose cursor the store refused at once
 }
@@ -152,7 +150,7 @@
 		return 0, false
 	}
 	w.onSuccess()
-	w.noteSource(store, 0)
+	w.noteSource(store)
 	w.onList(all, cursor)
 	w.noteApplied(asked)
 	w.noteCurrent(store, asked, cursor)
@@ -191,7 +189,7 @@
 	for ctx.Err() == nil {
 		at = w.waitWhileCovered(ctx, at)
 		store := w.preferredStore()
-		asked, began := clock.Now(), time.Now()
+		asked := clock.Now()
 		all, next, err := w.watch(ctx, store, at)
 		switch {
 		case errors.Is(err, errUnconfirmed):
@@ -215,16 +213,13 @@
 		w.onSuccess()
 		w.lostCursors = 0
 		at = next
-		answered := clock.Now()
 		if len(all) > 0 {
-			w.noteSource(store, time.Since(began))
+			w.noteSource(store)
 			w.onChange(all, at)
 		}
 		w.noteApplied(asked)
-		// An answer that waited here while this VM was suspended is older than it seems.
-		if suspended := answered.Sub(asked) - time.Since(began); suspended < maxAnswerAge {
-			w.noteCurrent(store, answered.Add(-maxAnswerAge), at)
-		}
+		// The answer may have waited here for processor time since it was made.
+		w.noteCurrent(store, asked, at)
 		if len(all) > 0 {
 			w.waitForBatch(ctx)
 		}
@@ -285,14 +280,12 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(leaderCtx, cancel)()
-	_, leads := w.hub.Lease()
-	switch {
-	case store != w.fresh:
+	if store != w.fresh {
 		var release func()
 		callCtx, release = w.whileConfirmed(callCtx)
 		defer release()
-	case leads && w.leaderWait > 0:
-		callCtx = object.WithWait(callCtx, w.leaderWait)
+	} else {
+		callCtx = object.WithWait(callCtx, w.freshWait)
 	}
 	all, next, err := store.Watch(callCtx, w.prefix, at)
 	switch {
@@ -306,12 +299,9 @@
 	return nil, 0, err
 }
 
-// maxAnswerAge is how old the answer of a watch may be when it arrives from a slow store.
-const maxAnswerAge = 300 * time.Millisecond
-
-func (w *watcher) noteSource(store object.Store, waited time.Duration) {
+func (w *watcher) noteSource(store object.Store) {
 	if w.onSource != nil {
-		w.onSource(store == w.fresh, waited)
+		w.onSource(store == w.fresh)
 	}
 }
 
