vouch: a VM that reads the news late sends nothing by an old list

What callers saw: requests reached a server that had said it leaves up to 2.88 s before, 2.5 s being allowed, from a VM that the store served well.

No clock of the news helps a VM that does not know them, and asking again before the first byte asks a list that is old.

Such a VM can know that it is late: its own timers are, and it has not heard of the servers for the bound less the way of a request. It then refuses at once with a Retry-After, and nothing has run; VMs beside it have time. While the store does not answer its calls the list is used as before, and an old list on a VM that is not late, too.

TestARequestIsRefusedWhileTheListOfServersIsTooOld, and properties of the decision.

--- a/internal/edge/front/forward.go
+++ b/internal/edge/front/forward.go
@@ -109,6 +109,9 @@
 	if !errors.As(err, &fail) {
 		return true
 	}
+	if fail.Withdrawn && !x.svc.IsListNew() {
+		return false // no other server is better known
+	}
 	return !fail.Sent || fail.Refused || x.rule.Then.Idempotent
 }
 
--- a/internal/edge/front/leaving_test.go
+++ b/internal/edge/front/leaving_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -85,3 +86,27 @@
 		})
 	}
 }
+
+// Guards against requests that a VM sends by a list of servers that it knows to be too old, and against callers who wait for it.
+func TestARequestIsRefusedWhileTheListOfServersIsTooOld(t *testing.T) {
+	for path, service := range map[string]ident.Service{"/lab/7": "upload", "/views/7": "viewer", "/scales/7": "lookup"} {
+		t.Run(path, func(t *testing.T) {
+			runWithTestbed(t, func(t *testing.T, tb *testbed) {
+				svc, _ := tb.state.Service(service)
+				isNew := func() bool { return false }
+				svc.SetVouch(&isNew)
+				start := time.Now()
+				resp, _, err := tb.do(tb.request("POST", path, nil))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 503)
+				assert.Assert(t, resp.Header.Get("Retry-After") != "")
+				assert.Equal(t, resp.Header.Get("Hawthorn-Ran"), "no")
+				assert.Equal(t, time.Since(start), time.Duration(0))
+				svc.SetVouch(nil)
+				resp, _, err = tb.do(tb.request("POST", path, nil))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 200)
+			})
+		})
+	}
+}
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -139,7 +139,7 @@
 		fx.WithLogger(func() fxevent.Logger { return httpd.ErrorLogger{Log: h.log} }),
 		fx.Supply(h.cfg, h.plat, h.baseLog, h.log),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(h.stopTimeout()),
-		fx.Provide(newLoadCounts, newMeter, newRecord, newEgress, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newAnswerFaults, newNotices, newShedders, newFront, newHub, newServerTracker, newFleetLoad, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
+		fx.Provide(newLoadCounts, newMeter, newRecord, newEgress, newState, newPeerTunnels, newTunnelServer, newDialer, newRelay, newLoadFaults, newAnswerFaults, newNotices, newPulse, newShedders, newFront, newHub, newServerTracker, newFleetLoad, newColdLender, newPermits, newQuarantine, newRuleManager, newCoordinator, newFetcher, newPoller, newGauges, newListeners),
 		fx.Invoke(func(l *listeners) { h.listeners = l }),
 	)
 	if err := h.app.Err(); err != nil {
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -18,6 +19,7 @@
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
+	"hawthornfield.org/hawthornfield/internal/load/vouch"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -25,13 +27,16 @@
 
 // serverTracker tracks the backend servers and passes them to the gates.
 type serverTracker struct {
-	group    group.Group
-	plat     Platform
-	state    *state.State
-	hub      *poll.Hub
-	log      *slog.Logger
-	notices  *notices
-	shedders *shedders
+	group     group.Group
+	plat      Platform
+	state     *state.State
+	hub       *poll.Hub
+	log       *slog.Logger
+	notices   *notices
+	pulse     *pulse
+	failing   atomic.Bool // the store does not answer calls for servers
+	isListNew func() bool
+	shedders  *shedders
 
 	mu           sync.Mutex
 	members      member.Set[feed.Server]
@@ -68,8 +73,9 @@
 	shedding     map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
 }
 
-func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, log *slog.Logger) *serverTracker {
+func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, pulse *pulse, log *slog.Logger) *serverTracker {
 	t := &serverTracker{plat: p, state: s, hub: hub, notices: l, shedders: r, log: log, services: map[ident.Service]feed.Service{}, vmCount: 1, drain: cmp.Or(cfg.Bounds.Drain, defaultDrain), evacuation: cmp.Or(cfg.Bounds.Evacuation, defaultEvacuation), loggedFaults: map[ident.Server]bool{}, dropped: map[ident.Server]bool{}}
+	t.pulse, t.isListNew = pulse, t.vouches
 	t.coldOverrun, t.coldSlack = coldBounds(cfg.Bounds)
 	l.subscribe(t.noticesChanged)
 	w := &watcher{
@@ -88,6 +94,7 @@
 }
 
 func (t *serverTracker) storeDown() {
+	t.failing.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreDown()
@@ -95,6 +102,7 @@
 
 // storeUp records that the store answered.
 func (t *serverTracker) storeUp() {
+	t.failing.Store(false)
 	now := time.Now()
 	t.hub.SetStoreContact(now)
 	t.mu.Lock()
@@ -102,6 +110,13 @@
 	t.members.StoreUp(now)
 }
 
+// vouches reports whether requests may be sent by this VM's list.
+func (t *serverTracker) vouches() bool {
+	return vouch.MaySend(vouch.List{
+		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.failing.Load(),
+	})
+}
+
 // noteListed records that the list is the store's of a time of the boot clock, or newer.
 func (t *serverTracker) noteListed(asOf time.Time) {
 	t.mu.Lock()
@@ -301,6 +316,7 @@
 		}
 		svc.SetEndpoints(endpoints[name])
 		svc.SetLeaving(t.leavingSince)
+		svc.SetVouch(&t.isListNew)
 		svc.Gate.SetServers(infos[name])
 	}
 	t.noteOffered(infos)
--- a/internal/edge/poll/asof.go
+++ b/internal/edge/poll/asof.go
@@ -1,6 +1,7 @@
 package poll
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hawthornfield.org/hawthornfield/internal/core/clock"
@@ -15,22 +16,32 @@
 	Evacuations Topic = "evacuations"
 )
 
+// asOfTimes holds up to which time of the boot clock each topic is known, in nanoseconds.
+type asOfTimes map[Topic]*atomic.Int64
+
+func newAsOfTimes() asOfTimes { return asOfTimes{Servers: {}, Evacuations: {}} }
+
 // NoteAsOf records that this VM knows everything that the store held of a topic at a time of
 // the boot clock. An earlier time than the one recorded has no effect.
 func (h *Hub) NoteAsOf(t Topic, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if at.After(h.asOf[t]) {
-		h.asOf[t] = at
+	known, ok := h.asOf[t]
+	if !ok {
+		return // a later version has more
+	}
+	for old := known.Load(); at.UnixNano() > old; old = known.Load() {
+		if known.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
 	}
 }
 
 // AsOf returns the latest time of the boot clock of which this VM knows everything that the
 // store held of a topic, zero if it knows of none.
 func (h *Hub) AsOf(t Topic) time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.asOf[t]
+	if known := h.asOf[t].Load(); known != 0 {
+		return time.Unix(0, known)
+	}
+	return time.Time{}
 }
 
 // Age returns how old this VM's knowledge of a topic is, zero if it has none.
@@ -42,13 +53,15 @@
 	return max(clock.Now().Sub(at), 1)
 }
 
-// addAges adds how old the sender's knowledge is. The caller holds mu.
+// addAges adds how old the sender's knowledge is.
 func (h *Hub) addAges(resp *Response) {
-	for t, at := range h.asOf {
-		if resp.Ages == nil {
-			resp.Ages = map[Topic]time.Duration{}
+	for t := range h.asOf {
+		if age := h.Age(t); age > 0 {
+			if resp.Ages == nil {
+				resp.Ages = map[Topic]time.Duration{}
+			}
+			resp.Ages[t] = age
 		}
-		resp.Ages[t] = max(clock.Now().Sub(at), 0)
 	}
 }
 
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -153,10 +153,10 @@
 	contact         storeContact
 	rulesFreshUntil time.Time // on the boot clock: until then the rules here are the newest
 	rulesCursor     object.Cursor
-	confirmedUntil  time.Time           // on the boot clock: see SetConfirmed
-	asOf            map[Topic]time.Time // on the boot clock: see NoteAsOf
-	peerLostAt      time.Time           // when a VM last stopped polling
-	heardAt         time.Time           // on the boot clock: when a leader last answered this VM
+	confirmedUntil  time.Time // on the boot clock: see SetConfirmed
+	asOf            asOfTimes
+	peerLostAt      time.Time // when a VM last stopped polling
+	heardAt         time.Time // on the boot clock: when a leader last answered this VM
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
@@ -174,7 +174,7 @@
 func NewHub(vm ident.VM, incarnation string) *Hub {
 	h := &Hub{
 		vm: vm, incarnation: incarnation, histories: map[ident.Service]*history{}, peers: map[ident.VM]peer{}, changed: make(chan struct{}),
-		asOf:  map[Topic]time.Time{},
+		asOf:  newAsOfTimes(),
 		rules: &rulesPayload{}, rulesSlots: semaphore.NewWeighted(maxRulesTransfers),
 	}
 	h.leaderCtx, h.cancelLeaderCtx = context.WithCancel(context.Background())
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -98,6 +98,7 @@
 	divided      atomic.Bool
 	endpoints    atomic.Pointer[map[ident.Server]Endpoint]
 	leaving      atomic.Pointer[map[ident.Server]time.Time]
+	vouch        atomic.Pointer[func() bool]
 	unresponsive sync.Map // ident.Server -> struct{}
 	attempts     sync.Map // ident.Server -> *attempts
 }
@@ -143,12 +144,29 @@
 	return e.Addr, ok
 }
 
-// MaySend returns ErrServerLeft if a server at an address must get no more requests.
+// ErrListTooOld says that a server may have left: this VM's list of servers is too old.
+var ErrListTooOld = kinds.New(kinds.NoServer, "the list of servers is too old")
+
+// SetVouch sets the function that reports whether the list of servers is new enough to send
+// requests by it. It must not block.
+func (s *Service) SetVouch(isNew *func() bool) { s.vouch.Store(isNew) }
+
+// IsListNew reports whether the list of servers is new enough to send requests by it.
+func (s *Service) IsListNew() bool {
+	isNew := s.vouch.Load()
+	return isNew == nil || (*isNew)()
+}
+
+// MaySend returns ErrServerLeft if a server at an address must get no more requests, and
+// ErrListTooOld if that is not known.
 func (s *Service) MaySend(name ident.Server, to netip.AddrPort) error {
 	e, ok := (*s.endpoints.Load())[name]
 	if !ok || e.Addr != to || !e.Until.IsZero() && !time.Now().Before(e.Until) {
 		return ErrServerLeft
 	}
+	if !s.IsListNew() {
+		return ErrListTooOld
+	}
 	return nil
 }
 
