--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -35,7 +35,7 @@
 	notices   *notices
 	pulse     *pulse
 	failing   atomic.Bool // the store does not answer calls for servers
-	isListNew func() bool
+	isListNew func() bool // vouches, as the services get it
 	shedders  *shedders
 
 	mu           sync.Mutex
@@ -131,6 +131,8 @@
 	sourcePeer  = "peer"
 )
 
+// noteSource records where the news come from that are about to be applied, and how old they may
+// be.
 func (t *serverTracker) noteSource(fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -322,8 +324,8 @@
 	t.noteOffered(infos)
 }
 
-// noteOffered tells of the servers that may get no more requests: other VMs may still send them
-// some through this one. The caller holds mu.
+// noteOffered calls onLeft for the servers that may get no more requests since the last call:
+// other VMs may still send them some through this one. The caller holds mu.
 func (t *serverTracker) noteOffered(infos map[ident.Service][]gate.ServerInfo) {
 	next := map[ident.Server]bool{}
 	for _, all := range infos {
