front: a test read the decision on another request

Cause: the test took the last decision recorded for that of the refused request. The request that frees the slot ends in the same instant and may be recorded later.

The test now looks up the decisions by the id of the answer, and requires exactly one; the former text lookup of the stall tests uses the same.

--- a/internal/edge/front/guard_test.go
+++ b/internal/edge/front/guard_test.go
@@ -191,11 +191,11 @@
 			})
 		}
 		time.Sleep(100 * time.Millisecond)
-		status := make(chan int, 1)
+		refused := make(chan *http.Response, 1)
 		calls.Go(func(context.Context) error {
 			resp, _, err := tb.do(tb.request("POST", "/lab/a", strings.NewReader("sample")))
 			if err == nil {
-				status <- resp.StatusCode
+				refused <- resp
 			}
 			return err
 		})
@@ -203,10 +203,12 @@
 		for _, s := range []ident.Server{"u2", "u3"} {
 			g.crashElsewhere(s)
 		}
-		assert.Equal(t, <-status, http.StatusServiceUnavailable)
-		last := tb.decisions.last()
-		assert.Equal(t, last.Kind, kinds.Quarantined.String())
-		assert.Assert(t, last.Wait > 0)
+		resp := <-refused
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		d := tb.decisions.by(resp.Header.Get(tb.front.Headers.ID)) // another may be recorded after it in the same instant
+		assert.Equal(t, len(d), 1)
+		assert.Equal(t, d[0].Kind, kinds.Quarantined.String())
+		assert.Assert(t, d[0].Wait > 0)
 		assert.NilError(t, calls.Close())
 	})
 }
--- a/internal/edge/front/stall_test.go
+++ b/internal/edge/front/stall_test.go
@@ -124,19 +124,6 @@
 	})
 }
 
-// of returns the decisions about a request.
-func (l *decisionLog) of(id string) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var found []string
-	for _, d := range l.list {
-		if string(d.ID) == id {
-			found = append(found, d.LogValue().String())
-		}
-	}
-	return found
-}
-
 func (b *stallbed) tellFleet() {
 	if b.noFleet.Load() {
 		return
@@ -379,7 +366,7 @@
 					most += moves // to the next owner, which the rule does not count
 				}
 				if n := b.arrivalsOf(path); n > most {
-					faults = append(faults, fmt.Sprintf("%s was sent %d times: %v", path, n, b.decisions.of(path)))
+					faults = append(faults, fmt.Sprintf("%s was sent %d times: %+v", path, n, b.decisions.by(path)))
 				}
 			}
 			for _, svc := range b.state.Services() {
--- a/internal/edge/front/testbed_test.go
+++ b/internal/edge/front/testbed_test.go
@@ -100,6 +100,19 @@
 	return l.list[len(l.list)-1]
 }
 
+// by returns the decisions about the request with an id.
+func (l *decisionLog) by(id string) []record.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []record.Decision
+	for _, d := range l.list {
+		if string(d.ID) == id {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
 // newTestbed starts the entry VM and its backend servers.
 func newTestbed(t *testing.T) *testbed {
 	tb := &testbed{t: t, origins: map[ident.Server]*origin.Origin{}}
