--- a/internal/edge/host/leaving_test.go
+++ b/internal/edge/host/leaving_test.go
@@ -119,3 +119,20 @@
 	tc.sendReceipts(testEvacuation + time.Second)
 	assert.Assert(t, evacuated.lastAfterLeaving() <= testEvacuation, "a request came %v after the evacuation", evacuated.lastAfterLeaving())
 }
+
+// Guards against requests to a server without an entry from a leader that takes its own failed calls for an outage of the store.
+func TestAServerWithoutEntryGetsNoRequestsAfterOnlyTheLeaderLostTheStore(t *testing.T) {
+	tc, gone := startLaggingCluster(t)
+	bound, leader := tc.cfgs[0].Bounds.Drain, tc.leaderIndex()
+	lost := &tc.vms[leader].listeners.parts.Servers.failing
+	tc.gateways[leader].setSilent("servers/")
+	tc.waitFor(waitLimit, "the leader's calls fail", lost.Load)
+	tc.gateways[leader].setSilent()
+	tc.waitFor(waitLimit, "the leader hears the store", func() bool { return !lost.Load() })
+	gone.mu.Lock()
+	gone.leftAt = time.Now()
+	gone.mu.Unlock()
+	tc.store.remove("servers/" + string(gone.name))
+	tc.sendReceipts(bound + time.Second)
+	assert.Assert(t, gone.lastAfterLeaving() <= bound, "a request came %v after the entry was removed", gone.lastAfterLeaving())
+}
