member, host: failed calls of one kind are no outage of the store

What callers saw: after a leader's calls for servers alone had failed for 1.5 s, requests went to a server whose entry was removed until 3.2 s after the removal, 2 s are allowed.

Cause: a VM concluded from its failed calls for servers that the store had been away, and kept entries that it no longer listed for 2.2 s more. Only a follower was told otherwise, by the leader. The same belief let a late VM send by an old list (load/vouch).

Any linearizable answer to this VM, to a call for rules, evacuations or the lease, now proves that the store was up: kept entries go at once, and an old list has no excuse.

TestFailedCallsExcuseAnOldListOnlyWhereTheStoreAnswersNone fails with the check taken out.

--- a/internal/edge/host/era.go
+++ b/internal/edge/host/era.go
@@ -172,13 +172,15 @@
 
 // noteStoreCall records whether the store answered a call that was sent at a time.
 func (c *coordinator) noteStoreCall(asked time.Time, kind kinds.Kind) {
-	if kind != kinds.Unavailable && kind != kinds.Ambiguous {
+	answered := kind != kinds.Unavailable && kind != kinds.Ambiguous
+	if answered {
+		c.hub.SetStoreContact(time.Now())
 		c.noteEra() // before the outage counts as over
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case kind != kinds.Unavailable && kind != kinds.Ambiguous:
+	case answered:
 		c.failingAt = time.Time{}
 	case c.failingAt.IsZero():
 		c.failingAt = asked
--- a/internal/edge/host/late_answer_test.go
+++ b/internal/edge/host/late_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -10,6 +11,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -49,3 +51,21 @@
 	assert.NilError(t, w.run(ctx))
 	assert.Equal(t, claims, 3)
 }
+
+// Guards against a late VM that takes its own failed calls for servers for an outage of the store, and sends by an old list.
+func TestFailedCallsExcuseAnOldListOnlyWhereTheStoreAnswersNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, _ := newProcessTracker()
+		tr.drain, tr.pulse = 2*time.Second, &pulse{}
+		tr.pulse.lateness.Store(int64(300 * time.Millisecond))
+		tr.hub.NoteAsOf(poll.Servers, clock.Now().Add(-tr.drain))
+		tr.storeDown()
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			tr.hub.SetStoreContact(time.Now()) // an answer to a call for rules
+		}
+		assert.Assert(t, !tr.vouches())
+		time.Sleep(member.OutageGrace)
+		assert.Assert(t, tr.vouches())
+	})
+}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -108,15 +108,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreUp(now)
+	t.noteStoreSeen(now, t.hub.StoreUpFor(now))
 }
 
 // vouches reports whether requests may be sent by this VM's list.
 func (t *serverTracker) vouches() bool {
 	return vouch.MaySend(vouch.List{
-		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.failing.Load(),
+		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.isStoreLost(),
 	})
 }
 
+// isStoreLost reports whether the store answers neither calls for servers nor others.
+func (t *serverTracker) isStoreLost() bool {
+	return t.failing.Load() && t.hub.StoreUpFor(time.Now()) == 0
+}
+
 // noteListed records that the list is the store's of a time of the boot clock, or newer.
 func (t *serverTracker) noteListed(asOf time.Time) {
 	t.mu.Lock()
@@ -152,8 +158,14 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	t.vouchedAt = now
-	if t.members.StoreSeenByPeer(now, now.Add(-upFor)) {
-		t.log.Info("store answered the leader while this VM could not reach it", "rev", object.Version(t.rev).Revision(), "steady", upFor)
+	t.noteStoreSeen(now, upFor)
+}
+
+// noteStoreSeen records for how long the store has answered some VM, or other calls of this one,
+// without interruption. The caller holds mu.
+func (t *serverTracker) noteStoreSeen(now time.Time, upFor time.Duration) {
+	if upFor > 0 && t.members.StoreSeen(now, now.Add(-upFor)) {
+		t.log.Info("store answered while this VM's calls for servers failed", "rev", object.Version(t.rev).Revision(), "steady", upFor)
 		t.publish(t.rev)
 	}
 }
--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -313,7 +313,11 @@
 
 // noteCurrent reports that this VM knows everything that the store held at a time.
 func (w *watcher) noteCurrent(store object.Store, at time.Time, cursor object.Cursor) {
-	if w.onCurrent != nil && store == w.fresh {
+	if store != w.fresh {
+		return
+	}
+	w.hub.SetStoreContact(time.Now())
+	if w.onCurrent != nil {
 		w.onCurrent(at, cursor)
 	}
 }
--- a/internal/edge/poll/store_contact.go
+++ b/internal/edge/poll/store_contact.go
@@ -6,10 +6,10 @@
 	"hawthornfield.org/hawthornfield/internal/node/member"
 )
 
-// storeContact tracks for how long the store has answered this VM without interruption.
-// Other VMs use it as proof that the store was up while they could not reach it. It must
-// not cover an outage that this VM has not noticed yet, so it ends at the last answer and
-// not at the current time.
+// storeContact tracks for how long the store has answered this VM without interruption,
+// whatever was asked. It is proof that the store was up while other VMs could not reach it,
+// or while calls of one kind failed on this VM. It must not cover an outage that this VM has
+// not noticed yet, so it ends at the last answer and not at the current time.
 type storeContact struct{ since, last time.Time }
 
 // answered records that the store answered.
@@ -35,3 +35,11 @@
 	defer h.mu.Unlock()
 	h.contact.answered(now)
 }
+
+// StoreUpFor returns for how long the store has answered this VM without interruption, zero if
+// it does not.
+func (h *Hub) StoreUpFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.contact.upFor(now)
+}
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -73,14 +73,14 @@
 	s.storeDown, s.lastAnswer = false, now
 }
 
-// StoreSeenByPeer records that another VM has reached the store without a break since the
-// given time. It reports whether servers were removed because of it.
+// StoreSeen records that the store has answered another VM, or other calls of this one, without
+// a break since the given time. It reports whether servers were removed because of it.
 //
-// A VM that alone could not reach the store for some seconds cannot tell this from an
-// outage. Without its peer it would send requests to a server that left meanwhile until
-// RelistTime after its own return, 0.2 s longer than the platform allows. Live servers are
-// listed again within RelistTime of the first answer of the store to any VM.
-func (s *Set[T]) StoreSeenByPeer(now, since time.Time) bool {
+// A VM whose calls for servers alone failed for some seconds cannot tell this from an
+// outage. It would send requests to a server that left meanwhile until RelistTime after its
+// own return, 0.2 s longer than the platform allows. Live servers are listed again within
+// RelistTime of the first answer of the store to any call.
+func (s *Set[T]) StoreSeen(now, since time.Time) bool {
 	if !since.Before(s.storeUpSince) {
 		return false
 	}
