poll: every VM tells how new its list is

A leader that does not hear the store asks other VMs for servers, but only a leader's answers said how new they were. Its list was new and counted as ever older: a late leader refused requests that it could serve (load/vouch), and VMs that asked it had no use of its answers. Now every answer tells it.

TestALeaderThatAsksOtherVMsKnowsHowNewItsListIs, calls for servers silent for twice the bound: before, the list counted as older than the bound of 2 s after 3.8 s of the test; 3 of 3 pass now.

--- a/internal/edge/host/leaving_test.go
+++ b/internal/edge/host/leaving_test.go
@@ -13,6 +13,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/edge/dial"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
 )
 
 // linkDelay is how long requests take to the servers in these tests: packets may wait for up to
@@ -136,3 +137,14 @@
 	tc.sendReceipts(bound + time.Second)
 	assert.Assert(t, gone.lastAfterLeaving() <= bound, "a request came %v after the entry was removed", gone.lastAfterLeaving())
 }
+
+// Guards against a leader that hears of servers from other VMs alone, takes its list for old and refuses requests.
+func TestALeaderThatAsksOtherVMsKnowsHowNewItsListIs(t *testing.T) {
+	tc, _ := startLaggingCluster(t)
+	bound, leader := tc.cfgs[0].Bounds.Drain, tc.leaderIndex()
+	hub := tc.vms[leader].listeners.parts.Hub
+	tc.gateways[leader].setSilent("servers/")
+	for end := time.Now().Add(2 * bound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, hub.Age(poll.Servers) < bound)
+	}
+}
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -151,7 +151,6 @@
 	// Must come before applyShared: it decides how a list with missing servers is interpreted.
 	p.parts.Servers.noteStoreSeenByLeader(resp.StoreUpFor)
 	p.applyShared(asked, resp, lease.Addr)
-	p.parts.Hub.NoteAges(resp.MadeAt(asked), resp)
 	p.parts.Hub.SetConfirmed(asked.Add(max(resp.ConfirmedFor, resp.RulesFreshFor)))
 	p.updateRulesFresh(asked, resp)
 	p.parts.Servers.setVMCount(resp.VMCount + 1) // VMCount does not include the leader
@@ -216,6 +215,7 @@
 	if resp.Servers != nil {
 		p.parts.Servers.mergePeerList(*resp.Servers, clock.Now().Sub(resp.MadeAt(asked)))
 	}
+	p.parts.Hub.NoteAges(resp.MadeAt(asked), resp)
 }
 
 // updateRulesFresh records how long the leader's rules count as the newest. The time is
--- a/internal/edge/poll/asof.go
+++ b/internal/edge/poll/asof.go
@@ -69,7 +69,7 @@
 // of the boot clock can have been made.
 func (r *Response) MadeAt(asked time.Time) time.Time { return asked.Add(max(r.Held, 0)) }
 
-// NoteAges records how old the news of a leader are that were made at a time of the boot clock,
+// NoteAges records how old the news of another VM are that were made at a time of the boot clock,
 // once they are applied.
 func (h *Hub) NoteAges(madeAt time.Time, resp Response) {
 	for t, age := range resp.Ages {
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -367,13 +367,13 @@
 	defer h.mu.Unlock()
 	resp = Response{Held: clock.Now().Sub(req.receivedAt), VM: h.vm, Incarnation: h.incarnation, Lease: h.lease, IsLeader: h.isLeader, StoreDown: h.isLeader && h.storeDown, ClusterFormed: h.clusterFormed}
 	hasNews = h.addStored(req, &resp)
+	h.addAges(&resp)
 	if !h.isLeader {
 		return resp, true, nil // only a leader lets requests wait
 	}
 	resp.StoreUpFor = h.contact.upFor(now)
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	resp.ConfirmedFor = max(h.confirmedUntil.Sub(req.receivedAt), 0)
-	h.addAges(&resp)
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
 	hasNews = h.addNotices(req, &resp) || hasNews
