host: a leader that keeps a removal back lets nobody rely on its list

The leader said that its list was as new as its last answer of the store, but did not tell the removal that it kept back; the others relied on it and asked only the copy that lags. And when the removal applied, it was published under the revision of the last change, which the others had: nobody was ever told.

The age that a VM tells of its list now counts from before the first removal that it keeps back, so the others ask the store after half of the bound; removals that become due are published under the cursor up to which the VM knows the store.

TestALeaderThatKeepsARemovalBackLetsNobodyRelyOnItsList fails with either mend taken out.

--- a/internal/edge/host/announcement_test.go
+++ b/internal/edge/host/announcement_test.go
@@ -1,6 +1,10 @@
 package host
 
 import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +16,8 @@
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
+	"hawthornfield.org/hawthornfield/internal/node/member"
+	"hawthornfield.org/hawthornfield/internal/owner/elect"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
@@ -119,3 +125,36 @@
 		assert.DeepEqual(t, left, []ident.Server{"s2", "s1"})
 	})
 }
+
+// pollHub returns what a hub answers another VM.
+func pollHub(t *testing.T, hub *poll.Hub, req poll.Request) (resp poll.Response) {
+	body, err := json.Marshal(req)
+	assert.NilError(t, err)
+	w := httptest.NewRecorder()
+	hub.Handler(func(*poll.Request) {}).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/news", bytes.NewReader(body)))
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &resp))
+	return resp
+}
+
+// Guards against requests from VMs to whom the leader does not tell that an entry is gone, and says that its list is new.
+func TestALeaderThatKeepsARemovalBackLetsNobodyRelyOnItsList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const known = 500 * time.Millisecond // age of the last answer before the removal
+		tr, _ := newProcessTracker()
+		tr.drain = 2 * time.Second
+		tr.hub.SetLease(elect.Lease{Epoch: 1, Holder: "vm-1", Incarnation: "1"}, true)
+		tr.hub.NoteAsOf(poll.Servers, clock.Now().Add(-known))
+		tr.storeDown()
+		time.Sleep(member.OutageGrace)
+		tr.storeUp()
+		tr.applyChanges([]object.Change{{Object: object.Object{Name: "servers/s1"}, At: 2}}, 2)
+		tr.noteCurrent(clock.Now(), 3)
+		assert.Assert(t, pollHub(t, tr.hub, poll.Request{VM: "vm-2", ServersRev: 1}).Ages[poll.Servers] >= known)
+		time.Sleep(member.RelistTime)
+		tr.expire(time.Now())
+		told := pollHub(t, tr.hub, poll.Request{VM: "vm-2", ServersRev: 1})
+		assert.Assert(t, told.Servers != nil, "the removal is not told")
+		assert.DeepEqual(t, told.Servers.Gone, []ident.Server{"s1"})
+		assert.Assert(t, told.Ages[poll.Servers] < known)
+	})
+}
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -14,6 +14,7 @@
 func (t *serverTracker) mergePeerList(l poll.ServerList, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.noteMissing()
 	if l.Rev < t.rev || l.Rev == t.rev && (l.Delta || !t.mismatch) {
 		return
 	}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/fx"
 
+	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
@@ -52,6 +53,8 @@
 	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
 	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
 	asOf         time.Time                    // the list is at least as new, on the boot clock
+	cursor       object.Cursor                // up to which this VM knows the store's changes
+	missingSince time.Time                    // when all servers were last known to be listed, on the boot clock; zero if they are
 	vouchedAt    time.Time                    // when the leader last said that the store answers it
 	statesStart  bool                         // some listed server states when it started
 	left         departures                   // processes that announced that they leave
@@ -84,7 +87,7 @@
 		confirmed:        reliesOnLeader(hub, poll.Servers, t.drain), freshWait: freshWait(reliance(t.drain)),
 		onList: t.replaceAll, onChange: t.applyChanges, onDown: t.storeDown, onUp: t.storeUp, onApplied: t.noteListed,
 		onSource:  t.noteSource,
-		onCurrent: func(at time.Time, _ object.Cursor) { hub.NoteAsOf(poll.Servers, at) },
+		onCurrent: t.noteCurrent,
 	}
 	runWhileStarted(lc, &t.group, w.run, t.expireLoop)
 	if p.Evacuations != "" {
@@ -130,6 +133,27 @@
 	t.asOf = asOf
 }
 
+// noteCurrent records that this VM knows everything that the store held at a time of the boot
+// clock, up to a cursor.
+func (t *serverTracker) noteCurrent(at time.Time, cursor object.Cursor) {
+	t.mu.Lock()
+	t.cursor = max(t.cursor, cursor)
+	t.mu.Unlock()
+	t.hub.NoteAsOf(poll.Servers, at)
+}
+
+// noteMissing says to the other VMs how old this VM's list is while it has servers that the store
+// no longer lists: they are not told of the removals yet. The caller holds mu.
+func (t *serverTracker) noteMissing() {
+	switch missing := t.members.HasMissing(); {
+	case !missing:
+		t.missingSince = time.Time{}
+	case t.missingSince.IsZero():
+		t.missingSince = clock.Now().Add(-t.unknownNews().age)
+	}
+	t.hub.SetIncompleteSince(poll.Servers, t.missingSince)
+}
+
 // Sources of news, for the log.
 const (
 	sourceStore = "store"
@@ -166,13 +190,14 @@
 func (t *serverTracker) noteStoreSeen(now time.Time, upFor time.Duration) {
 	if upFor > 0 && t.members.StoreSeen(now, now.Add(-upFor)) {
 		t.log.Info("store answered while this VM's calls for servers failed", "rev", object.Version(t.rev).Revision(), "steady", upFor)
-		t.publish(t.rev)
+		t.publishDue()
 	}
 }
 
 func (t *serverTracker) replaceAll(all []object.Object, cursor object.Cursor) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.noteMissing()
 	var list []member.Entry[feed.Server]
 	for _, o := range all {
 		if e, ok := t.decode(o); ok {
@@ -190,6 +215,7 @@
 func (t *serverTracker) applyChanges(all []object.Change, cursor object.Cursor) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.noteMissing()
 	now := time.Now()
 	t.members.StoreUp(now)
 	changed := false
@@ -248,21 +274,32 @@
 func (t *serverTracker) expireLoop(ctx context.Context) error {
 	const interval = 200 * time.Millisecond
 	for group.Sleep(ctx, interval) {
-		t.mu.Lock()
-		now := time.Now()
-		if t.members.Expire(now) {
-			t.publish(t.rev)
-		} else {
-			t.updateDue(now)
-		}
-		if changed := t.evacuated.Expire(now); len(changed) > 0 {
-			t.evacuationsChanged(changed, "store")
-		}
-		t.mu.Unlock()
+		t.expire(time.Now())
 	}
 	return nil
 }
 
+// expire applies what is due at a time.
+func (t *serverTracker) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.members.Expire(now) {
+		t.publishDue()
+	} else {
+		t.updateDue(now)
+	}
+	if changed := t.evacuated.Expire(now); len(changed) > 0 {
+		t.evacuationsChanged(changed, "store")
+	}
+}
+
+// publishDue publishes removals of an earlier answer of the store that have become due. Their
+// revisions are known to other VMs, which would not be told of them. The caller holds mu.
+func (t *serverTracker) publishDue() {
+	t.publish(uint64(t.cursor))
+	t.noteMissing()
+}
+
 // updateDue applies what has changed with time alone. The caller holds mu.
 func (t *serverTracker) updateDue(now time.Time) {
 	drained, evacuated := t.markDrained(now), t.markEvacuated(now)
--- a/internal/edge/poll/asof.go
+++ b/internal/edge/poll/asof.go
@@ -53,10 +53,31 @@
 	return max(clock.Now().Sub(at), 1)
 }
 
-// addAges adds how old the sender's knowledge is.
+// SetIncompleteSince sets since when, on the boot clock, this VM has known changes of a topic that
+// it does not tell yet; zero if there are none.
+func (h *Hub) SetIncompleteSince(t Topic, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.incompleteSince == nil {
+		h.incompleteSince = map[Topic]time.Time{}
+	}
+	h.incompleteSince[t] = at
+}
+
+// toldAge returns how old what this VM tells of a topic is, zero if it tells nothing. The caller
+// holds mu.
+func (h *Hub) toldAge(t Topic) time.Duration {
+	age := h.Age(t)
+	if since := h.incompleteSince[t]; age > 0 && !since.IsZero() {
+		age = max(age, clock.Now().Sub(since))
+	}
+	return age
+}
+
+// addAges adds how old what is told is. The caller holds mu.
 func (h *Hub) addAges(resp *Response) {
 	for t := range h.asOf {
-		if age := h.Age(t); age > 0 {
+		if age := h.toldAge(t); age > 0 {
 			if resp.Ages == nil {
 				resp.Ages = map[Topic]time.Duration{}
 			}
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -155,8 +155,9 @@
 	rulesCursor     object.Cursor
 	confirmedUntil  time.Time // on the boot clock: see SetConfirmed
 	asOf            asOfTimes
-	peerLostAt      time.Time // when a VM last stopped polling
-	heardAt         time.Time // on the boot clock: when a leader last answered this VM
+	incompleteSince map[Topic]time.Time // see SetIncompleteSince
+	peerLostAt      time.Time           // when a VM last stopped polling
+	heardAt         time.Time           // on the boot clock: when a leader last answered this VM
 	leaderCtx       context.Context
 	cancelLeaderCtx context.CancelFunc
 	caseSource      CaseSource
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -129,6 +129,16 @@
 	return r != nil && !r.goneAt.IsZero()
 }
 
+// HasMissing reports whether there are servers that the store no longer lists.
+func (s *Set[T]) HasMissing() bool {
+	for _, r := range s.entries {
+		if !r.goneAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // ReplaceAll applies the complete list of the store at a revision. It reports whether the
 // set changed.
 func (s *Set[T]) ReplaceAll(now time.Time, rev uint64, list []Entry[T]) bool {
