host: a VM that has missed a change among the servers does not rely on the leader

A VM whose list differs from the leader's after a change, by the checksum, asks for the whole list once in five seconds. Until then it took the leader's word on how new the list is for its own list, asked the store nothing, and could send to a server of whose leaving it was not told.

TestAVMThatMissedAChangeDoesNotRelyOnTheLeader fails with the check taken out.

--- a/internal/edge/host/late_answer_test.go
+++ b/internal/edge/host/late_answer_test.go
@@ -10,6 +10,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
+	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -69,3 +70,17 @@
 		assert.Assert(t, tr.vouches())
 	})
 }
+
+// Guards against a VM that has missed a change among the servers and relies on a leader that knows it.
+func TestAVMThatMissedAChangeDoesNotRelyOnTheLeader(t *testing.T) {
+	tr, _ := newProcessTracker()
+	hear := func(rev, sum uint64) {
+		tr.mergePeerList(poll.ServerList{Rev: rev, Delta: true, List: []feed.Server{{Name: "s2", Rev: rev}}, Sum: sum}, 0)
+		tr.noteAges(clock.Now(), map[poll.Topic]time.Duration{poll.Servers: 1, poll.Evacuations: 1})
+	}
+	hear(2, 0)
+	assert.Assert(t, tr.hub.AsOf(poll.Servers).IsZero())
+	assert.Assert(t, !tr.hub.AsOf(poll.Evacuations).IsZero())
+	hear(3, poll.SumOf(append(tr.list()[:1], feed.Server{Name: "s2", Rev: 3})))
+	assert.Assert(t, !tr.hub.AsOf(poll.Servers).IsZero())
+}
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -40,6 +40,19 @@
 	t.mismatch = l.Delta && l.Rev == t.rev && l.Sum != poll.SumOf(t.list())
 }
 
+// noteAges records how new the lists of another VM are that were made at a time of the boot clock,
+// once they are applied. A VM that has missed a change among the servers does not know them all.
+func (t *serverTracker) noteAges(madeAt time.Time, ages map[poll.Topic]time.Duration) {
+	t.mu.Lock()
+	mismatch := t.mismatch
+	t.mu.Unlock()
+	for topic, age := range ages {
+		if topic != poll.Servers || !mismatch {
+			t.hub.NoteAsOf(topic, madeAt.Add(-age))
+		}
+	}
+}
+
 // fullListInterval is the least time between two requests for the complete server list. A
 // VM may differ from the leader for a legitimate reason, for example while it waits for a
 // server to be listed again.
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -215,7 +215,7 @@
 	if resp.Servers != nil {
 		p.parts.Servers.mergePeerList(*resp.Servers, clock.Now().Sub(resp.MadeAt(asked)))
 	}
-	p.parts.Hub.NoteAges(resp.MadeAt(asked), resp)
+	p.parts.Servers.noteAges(resp.MadeAt(asked), resp.Ages)
 }
 
 // updateRulesFresh records how long the leader's rules count as the newest. The time is
--- a/internal/edge/poll/asof.go
+++ b/internal/edge/poll/asof.go
@@ -89,11 +89,3 @@
 // MadeAt returns the earliest time at which the response to a request that was sent at a time
 // of the boot clock can have been made.
 func (r *Response) MadeAt(asked time.Time) time.Time { return asked.Add(max(r.Held, 0)) }
-
-// NoteAges records how old the news of another VM are that were made at a time of the boot clock,
-// once they are applied.
-func (h *Hub) NoteAges(madeAt time.Time, resp Response) {
-	for t, age := range resp.Ages {
-		h.NoteAsOf(t, madeAt.Add(-age))
-	}
-}
