--- /dev/null
+++ b/internal/edge/host/server_contact.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"time"
+
+	"hawthornfield.org/hawthornfield/internal/edge/poll"
+	"hawthornfield.org/hawthornfield/internal/load/vouch"
+	"hawthornfield.org/hawthornfield/internal/plat/object"
+)
+
+func (t *serverTracker) storeDown() {
+	t.failing.Store(true)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members.StoreDown()
+}
+
+// storeUp records that the store answered.
+func (t *serverTracker) storeUp() {
+	t.failing.Store(false)
+	now := time.Now()
+	t.hub.SetStoreContact(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members.StoreUp(now)
+	t.noteStoreSeen(now, t.hub.StoreUpFor(now))
+}
+
+// vouches reports whether requests may be sent by this VM's list.
+func (t *serverTracker) vouches() bool {
+	return vouch.MaySend(vouch.List{
+		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.isStoreLost(),
+	})
+}
+
+// isStoreLost reports whether the store answers neither calls for servers nor others.
+func (t *serverTracker) isStoreLost() bool {
+	return t.failing.Load() && t.hub.StoreUpFor(time.Now()) == 0
+}
+
+// noteStoreSeenByLeader records for how long the store has answered the leader without
+// interruption.
+func (t *serverTracker) noteStoreSeenByLeader(upFor time.Duration) {
+	if upFor <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.vouchedAt = now
+	t.noteStoreSeen(now, upFor)
+}
+
+// noteStoreSeen records for how long the store has answered some VM, or other calls of this one,
+// without interruption. The caller holds mu.
+func (t *serverTracker) noteStoreSeen(now time.Time, upFor time.Duration) {
+	if upFor > 0 && t.members.StoreSeen(now, now.Add(-upFor)) {
+		t.log.Info("store answered while this VM's calls for servers failed", "rev", object.Version(t.rev).Revision(), "steady", upFor)
+		t.publishDue()
+	}
+}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -13,14 +13,12 @@
 
 	"go.uber.org/fx"
 
-	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/edge/feed"
 	"hawthornfield.org/hawthornfield/internal/edge/poll"
 	"hawthornfield.org/hawthornfield/internal/edge/state"
 	"hawthornfield.org/hawthornfield/internal/load/gate"
-	"hawthornfield.org/hawthornfield/internal/load/vouch"
 	"hawthornfield.org/hawthornfield/internal/node/evac"
 	"hawthornfield.org/hawthornfield/internal/node/member"
 	"hawthornfield.org/hawthornfield/internal/plat/object"
@@ -96,104 +94,6 @@
 	return t
 }
 
-func (t *serverTracker) storeDown() {
-	t.failing.Store(true)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.members.StoreDown()
-}
-
-// storeUp records that the store answered.
-func (t *serverTracker) storeUp() {
-	t.failing.Store(false)
-	now := time.Now()
-	t.hub.SetStoreContact(now)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.members.StoreUp(now)
-	t.noteStoreSeen(now, t.hub.StoreUpFor(now))
-}
-
-// vouches reports whether requests may be sent by this VM's list.
-func (t *serverTracker) vouches() bool {
-	return vouch.MaySend(vouch.List{
-		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.isStoreLost(),
-	})
-}
-
-// isStoreLost reports whether the store answers neither calls for servers nor others.
-func (t *serverTracker) isStoreLost() bool {
-	return t.failing.Load() && t.hub.StoreUpFor(time.Now()) == 0
-}
-
-// noteListed records that the list is the store's of a time of the boot clock, or newer.
-func (t *serverTracker) noteListed(asOf time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.asOf = asOf
-}
-
-// noteCurrent records that this VM knows everything that the store held at a time of the boot
-// clock, up to a cursor.
-func (t *serverTracker) noteCurrent(at time.Time, cursor object.Cursor) {
-	t.mu.Lock()
-	t.cursor = max(t.cursor, cursor)
-	t.mu.Unlock()
-	t.hub.NoteAsOf(poll.Servers, at)
-}
-
-// noteMissing says to the other VMs how old this VM's list is while it has servers that the store
-// no longer lists: they are not told of the removals yet. The caller holds mu.
-func (t *serverTracker) noteMissing() {
-	switch missing := t.members.HasMissing(); {
-	case !missing:
-		t.missingSince = time.Time{}
-	case t.missingSince.IsZero():
-		t.missingSince = clock.Now().Add(-t.unknownNews().age)
-	}
-	t.hub.SetIncompleteSince(poll.Servers, t.missingSince)
-}
-
-// Sources of news, for the log.
-const (
-	sourceStore = "store"
-	sourceCopy  = "copy" // the cheaper store, which may lag
-	sourcePeer  = "peer"
-)
-
-// noteSource records where the news come from that are about to be applied, and how old they may
-// be.
-func (t *serverTracker) noteSource(fresh bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.source, t.news = sourceCopy, t.unknownNews()
-	if fresh {
-		t.source = sourceStore
-	}
-}
-
-// noteStoreSeenByLeader records for how long the store has answered the leader without
-// interruption.
-func (t *serverTracker) noteStoreSeenByLeader(upFor time.Duration) {
-	if upFor <= 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	t.vouchedAt = now
-	t.noteStoreSeen(now, upFor)
-}
-
-// noteStoreSeen records for how long the store has answered some VM, or other calls of this one,
-// without interruption. The caller holds mu.
-func (t *serverTracker) noteStoreSeen(now time.Time, upFor time.Duration) {
-	if upFor > 0 && t.members.StoreSeen(now, now.Add(-upFor)) {
-		t.log.Info("store answered while this VM's calls for servers failed", "rev", object.Version(t.rev).Revision(), "steady", upFor)
-		t.publishDue()
-	}
-}
-
 func (t *serverTracker) replaceAll(all []object.Object, cursor object.Cursor) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
