host: a delay of the VM's timers counts for its whole time

A VM that is late refuses to send by an old list. Its lateness was the longest delay of the last two seconds, but once the longest was over, the next delay counted alone: a VM with delays of 0.6 s and then 0.3 s took itself for prompt 2 s after the first, 0.5 s after the second.

Two spans of two seconds now hold the longest delays.

--- a/internal/edge/host/pulse.go
+++ b/internal/edge/host/pulse.go
@@ -13,7 +13,7 @@
 const (
 	// pulseInterval is how often the delay of this VM's own timers is measured.
 	pulseInterval = 50 * time.Millisecond
-	// pulseMemory is for how long the longest delay counts.
+	// pulseMemory is for how long a delay counts at least.
 	pulseMemory = 2 * time.Second
 )
 
@@ -34,14 +34,25 @@
 func (p *pulse) Lateness() time.Duration { return time.Duration(p.lateness.Load()) }
 
 func (p *pulse) run(ctx context.Context) error {
-	var longest time.Duration
-	var seen time.Time
+	var delays recentDelays
 	for began := time.Now(); group.Sleep(ctx, pulseInterval); began = time.Now() {
 		now := time.Now()
-		if late := now.Sub(began) - pulseInterval; late >= longest || now.Sub(seen) >= pulseMemory {
-			longest, seen = late, now
-			p.lateness.Store(int64(late))
-		}
+		p.lateness.Store(int64(delays.add(now, now.Sub(began)-pulseInterval)))
 	}
 	return nil
 }
+
+// recentDelays holds the longest delay of the present span of pulseMemory, and of the one before.
+type recentDelays struct {
+	since           time.Time
+	present, before time.Duration
+}
+
+// add adds a delay and returns the longest recent one.
+func (d *recentDelays) add(now time.Time, late time.Duration) time.Duration {
+	if now.Sub(d.since) >= pulseMemory {
+		d.since, d.present, d.before = now, 0, d.present
+	}
+	d.present = max(d.present, late)
+	return max(d.present, d.before)
+}
