vouch: an old list is this VM's fault if the store has answered other calls since

Cause: a VM knew its own lateness by its timers alone. A link on which answers wait, or calls that time out, passed for a store that does not answer.

Any answer of the store to another call proves now that the list could be newer: if the list was older than 0.65 of the bound by then, it is old because of this VM, whatever its timers say and whether or not its calls for servers failed. Nothing changes while the list is new, and in an outage of the store no call is answered.

--- a/internal/edge/host/server_contact.go
+++ b/internal/edge/host/server_contact.go
@@ -28,14 +28,16 @@
 
 // vouches reports whether requests may be sent by this VM's list.
 func (t *serverTracker) vouches() bool {
-	return vouch.MaySend(vouch.List{
-		Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness(), Failing: t.isStoreLost(),
-	})
-}
-
-// isStoreLost reports whether the store answers neither calls for servers nor others.
-func (t *serverTracker) isStoreLost() bool {
-	return t.failing.Load() && t.hub.StoreUpFor(time.Now()) == 0
+	l := vouch.List{Age: t.hub.Age(poll.Servers), Bound: t.drain, Lateness: t.pulse.Lateness()}
+	if l.IsNew() {
+		return true
+	}
+	since, answered := t.hub.SinceStoreAnswer(time.Now())
+	if answered {
+		l.Behind = l.Age - since
+	}
+	l.Failing = t.failing.Load() && !answered
+	return l.MaySend()
 }
 
 // noteStoreSeenByLeader records for how long the store has answered the leader without
--- a/internal/edge/poll/store_contact.go
+++ b/internal/edge/poll/store_contact.go
@@ -36,6 +36,15 @@
 	h.contact.answered(now)
 }
 
+// SinceStoreAnswer returns how long ago the store last answered this VM, whatever was asked, and
+// false if that is so long ago that there may be an outage.
+func (h *Hub) SinceStoreAnswer(now time.Time) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	since := now.Sub(h.contact.last)
+	return since, since < member.OutageGrace
+}
+
 // StoreUpFor returns for how long the store has answered this VM without interruption, zero if
 // it does not.
 func (h *Hub) StoreUpFor(now time.Time) time.Duration {
--- a/internal/load/vouch/vouch.go
+++ b/internal/load/vouch/vouch.go
@@ -1,8 +1,8 @@
 // Package vouch decides whether a VM may send requests by the list of servers that it has.
 //
-// The load pattern: in a burst, a VM that is short of processor time reads the store's news
-// seconds after they came. It goes on choosing servers by a list that is older than a leaving
-// server may get requests, while VMs beside it know better and have time.
+// The load pattern: in a burst, a VM that is short of processor time, or of its link, reads the
+// store's news seconds after they came. It goes on choosing servers by a list that is older than
+// a leaving server may get requests, while VMs beside it know better and have time.
 package vouch
 
 import "time"
@@ -13,6 +13,9 @@
 	// minLateness is the delay of this VM's own timers from which its list counts as late
 	// because of this VM, and not because nothing answers.
 	minLateness = 100 * time.Millisecond
+	// behindShare is the fraction of the bound by which the list may be older than the store's
+	// last answer to another call. VMs ask for a newer list after half of the bound.
+	behindShare = 0.65
 )
 
 // List is what a VM knows of its list of servers.
@@ -20,12 +23,26 @@
 	Age      time.Duration // since when something may be missing, zero if unknown
 	Bound    time.Duration // how long after its announcement a leaving server may get requests
 	Lateness time.Duration // by how much this VM's timers were late recently
-	// Failing says that the store does not answer this VM's calls: no list is newer, and all
-	// servers may go on.
+	// Behind is how much older the list is than the store's last answer to another call, zero if
+	// there was none recently.
+	Behind time.Duration
+	// Failing says that the store answers no calls of this VM: no list is newer, and all servers
+	// may go on.
 	Failing bool
 }
 
+// IsNew reports whether a request that is sent now reaches its server within the bound, whatever
+// the list lacks.
+func (l List) IsNew() bool { return l.Age <= l.Bound-transit }
+
 // MaySend reports whether requests may be sent to the servers of the list.
-func MaySend(l List) bool {
-	return l.Failing || l.Lateness < minLateness || l.Age <= l.Bound-transit
+func (l List) MaySend() bool { return l.IsNew() || !l.isThisVMLate() }
+
+// isThisVMLate reports whether the list is old because this VM is late, and not because the store
+// does not answer.
+func (l List) isThisVMLate() bool {
+	if l.Behind > time.Duration(behindShare*float64(l.Bound)) {
+		return true
+	}
+	return l.Lateness >= minLateness && !l.Failing
 }
