vouch: calls for servers that fail for good keep no VM from serving

Failed calls count as this VM's lateness only where its timers are late too, and only until the list is four bounds old: by then they have been repeated several times. A list that is behind other answers counts only while no call for servers has failed.

--- a/internal/edge/host/server_contact.go
+++ b/internal/edge/host/server_contact.go
@@ -33,10 +33,7 @@
 		return true
 	}
 	since, answered := t.hub.SinceStoreAnswer(time.Now())
-	if answered {
-		l.Behind = l.Age - since
-	}
-	l.Failing = t.failing.Load() && !answered
+	l.Failed, l.Answered, l.Behind = t.failing.Load(), answered, l.Age-since
 	return l.MaySend()
 }
 
--- a/internal/load/vouch/vouch.go
+++ b/internal/load/vouch/vouch.go
@@ -16,6 +16,9 @@
 	// behindShare is the fraction of the bound by which the list may be older than the store's
 	// last answer to another call. VMs ask for a newer list after half of the bound.
 	behindShare = 0.65
+	// maxLate is the age, in bounds, from which failed calls are not explained by this VM's
+	// lateness: they have been repeated several times.
+	maxLate = 4
 )
 
 // List is what a VM knows of its list of servers.
@@ -23,12 +26,9 @@
 	Age      time.Duration // since when something may be missing, zero if unknown
 	Bound    time.Duration // how long after its announcement a leaving server may get requests
 	Lateness time.Duration // by how much this VM's timers were late recently
-	// Behind is how much older the list is than the store's last answer to another call, zero if
-	// there was none recently.
-	Behind time.Duration
-	// Failing says that the store answers no calls of this VM: no list is newer, and all servers
-	// may go on.
-	Failing bool
+	Failed   bool          // the last call for servers failed
+	Answered bool          // the store has answered a call of this VM recently
+	Behind   time.Duration // if Answered: how much older the list is than that answer
 }
 
 // IsNew reports whether a request that is sent now reaches its server within the bound, whatever
@@ -39,10 +39,12 @@
 func (l List) MaySend() bool { return l.IsNew() || !l.isThisVMLate() }
 
 // isThisVMLate reports whether the list is old because this VM is late, and not because the store
-// does not answer.
+// does not answer. A store that answers all calls but those for servers must not keep all VMs from
+// serving.
 func (l List) isThisVMLate() bool {
-	if l.Behind > time.Duration(behindShare*float64(l.Bound)) {
-		return true
+	late := l.Lateness >= minLateness
+	if l.Failed {
+		return late && l.Answered && l.Age < maxLate*l.Bound
 	}
-	return l.Lateness >= minLateness && !l.Failing
+	return late || l.Answered && l.Behind > time.Duration(behindShare*float64(l.Bound))
 }
