member, poll: any VM's word that the store answered ends the wait for lapsed entries

The VM had led and was late; when its calls for servers were answered again, it took the time before for an outage of the store and kept the servers that the list lacked, until the leader, late as well, told it otherwise 1.0 s later.

Cause: only a leader told for how long the store had answered it, and what was told before the return was forgotten with it.

Every VM tells it now, from linearizable calls alone: a copy may answer while the store does not.

--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -55,7 +55,7 @@
 
 func newPoller(lc fx.Lifecycle, parts pollerParts) *poller {
 	p := &poller{parts: parts, client: poll.NewClient(), seqs: map[ident.Service]uint64{}, peers: parts.Config.Seeds}
-	runWhileStarted(lc, &p.group, p.run)
+	runWhileStarted(lc, &p.group, p.run, p.askAboutOutages)
 	return p
 }
 
@@ -297,6 +297,7 @@
 	addr := p.peers[p.next%len(p.peers)]
 	req, asked := p.baseRequest(), clock.Now()
 	if resp, err := p.client.Poll(ctx, addr, req, nil); err == nil {
+		p.parts.Servers.noteStoreSeenByPeer(resp.StoreUpFor) // before applyShared, as of a leader
 		p.applyShared(asked, resp, addr)
 	}
 }
--- a/internal/edge/host/server_contact.go
+++ b/internal/edge/host/server_contact.go
@@ -19,7 +19,6 @@
 func (t *serverTracker) storeUp() {
 	t.failing.Store(false)
 	now := time.Now()
-	t.hub.SetStoreContact(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.StoreUp(now)
@@ -50,6 +49,20 @@
 	t.noteStoreSeen(now, upFor)
 }
 
+// noteStoreSeenByPeer records for how long the store has answered another VM.
+func (t *serverTracker) noteStoreSeenByPeer(upFor time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteStoreSeen(time.Now(), upFor)
+}
+
+// keepsMissing reports whether this VM keeps servers that the store no longer lists.
+func (t *serverTracker) keepsMissing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.missingSince.IsZero()
+}
+
 // noteStoreSeen records for how long the store has answered some VM, or other calls of this one,
 // without interruption. The caller holds mu.
 func (t *serverTracker) noteStoreSeen(now time.Time, upFor time.Duration) {
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -283,10 +283,10 @@
 	resp = Response{Held: clock.Now().Sub(req.receivedAt), VM: h.vm, Incarnation: h.incarnation, Lease: h.lease, IsLeader: h.isLeader, StoreDown: h.isLeader && h.storeDown, ClusterFormed: h.clusterFormed}
 	hasNews = h.addStored(req, &resp)
 	h.addAges(&resp)
+	resp.StoreUpFor = h.contact.upFor(now)
 	if !h.isLeader {
 		return resp, true, nil // only a leader lets requests wait
 	}
-	resp.StoreUpFor = h.contact.upFor(now)
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
 	resp.ConfirmedFor = max(h.confirmedUntil.Sub(req.receivedAt), 0)
 	hasNews = h.addChanges(req, &resp) || hasNews
--- a/internal/edge/poll/message.go
+++ b/internal/edge/poll/message.go
@@ -56,7 +56,7 @@
 	StoreDown   bool        `json:"away"`  // the sender leads and cannot reach the store
 	// ClusterFormed means that the sender has led or has received a leader's news.
 	ClusterFormed bool `json:"settled,omitempty"`
-	// StoreUpFor is how long the store has answered the leader without interruption; zero
+	// StoreUpFor is how long the store has answered the sender without interruption; zero
 	// if unknown.
 	StoreUpFor time.Duration `json:"steady,omitempty"`
 	// RulesFreshFor is how long, from the arrival of the request, the sender's rules may
--- a/internal/edge/poll/store_contact.go
+++ b/internal/edge/poll/store_contact.go
@@ -6,8 +6,8 @@
 	"hawthornfield.org/hawthornfield/internal/node/member"
 )
 
-// storeContact tracks for how long the store has answered this VM without interruption,
-// whatever was asked. It is proof that the store was up while other VMs could not reach it,
+// storeContact tracks for how long the store has answered this VM's linearizable calls without
+// interruption, whatever was asked. It is proof that the store was up while other VMs could not reach it,
 // or while calls of one kind failed on this VM. It must not cover an outage that this VM has
 // not noticed yet, so it ends at the last answer and not at the current time.
 type storeContact struct{ since, last time.Time }
@@ -29,7 +29,8 @@
 	return c.last.Sub(c.since)
 }
 
-// SetStoreContact records that the store answered this VM.
+// SetStoreContact records that the store answered a linearizable call of this VM. A copy may
+// answer while the store does not.
 func (h *Hub) SetStoreContact(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -27,6 +27,9 @@
 	// requests to a server that has just left for longer than the 2 s that the platform
 	// allows.
 	OutageGrace = 1500 * time.Millisecond
+	// seenTime is how long it counts that the store has answered others: they may have had their
+	// last answer OutageGrace before, and no entry can have expired by then.
+	seenTime = 500 * time.Millisecond
 )
 
 // Entry is the entry of one server. Rev is the store revision that wrote it.
@@ -48,6 +51,8 @@
 	lastAnswer   time.Time                 // when the store last answered
 	firstAnswer  time.Time                 // when the store first answered
 	storeUpSince time.Time                 // when the store first answered after the last outage
+	seenSince    time.Time                 // since when the store has answered others, see StoreSeen
+	seenAt       time.Time                 // when that was last heard
 	returnedAt   time.Time                 // when the store was first seen to have returned from an older copy
 	returnedRev  uint64                    // latest revision that was seen then
 	revoked      map[ident.Server]Entry[T] // entries that reappeared with the copy, see reappeared
@@ -66,6 +71,9 @@
 func (s *Set[T]) StoreUp(now time.Time) {
 	if s.storeDown && now.Sub(s.lastAnswer) >= OutageGrace {
 		s.storeUpSince = now
+		if now.Sub(s.seenAt) < seenTime && s.seenSince.Before(now) {
+			s.storeUpSince = s.seenSince
+		}
 	}
 	if s.firstAnswer.IsZero() {
 		s.firstAnswer = now
@@ -81,6 +89,10 @@
 // own return, 0.2 s longer than the platform allows. Live servers are listed again within
 // RelistTime of the first answer of the store to any call.
 func (s *Set[T]) StoreSeen(now, since time.Time) bool {
+	if now.Sub(s.seenAt) >= OutageGrace || since.Before(s.seenSince) {
+		s.seenSince = since
+	}
+	s.seenAt = now
 	if !since.Before(s.storeUpSince) {
 		return false
 	}
--- a/internal/node/member/member_test.go
+++ b/internal/node/member/member_test.go
@@ -187,3 +187,24 @@
 	assert.Assert(t, s.Remove(start.Add(OutageGrace), "a", 12))
 	assert.Equal(t, len(s.All()), 0)
 }
+
+// Guards against the same delay on a VM that is told that the store answers others before it reaches the store itself.
+func TestPeerContactBeforeTheReturnEndsTheWait(t *testing.T) {
+	returned := start.Add(7 * time.Second)
+	for name, test := range map[string]struct {
+		heard   time.Duration // how long before the return
+		removed bool          // at once
+	}{
+		"just before":     {100 * time.Millisecond, true},
+		"too long before": {seenTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Set[string]
+			s.ReplaceAll(start, 10, []Entry[string]{entry("a", 3, false)})
+			s.StoreDown()
+			s.StoreSeen(returned.Add(-test.heard), start)
+			s.StoreUp(returned)
+			assert.Equal(t, s.Remove(returned, "a", 12), test.removed)
+		})
+	}
+}
