host, poll: comments on kept removals and on calls for servers

Read as a newcomer: what storeDown and storeUp record, what noteMissing does for other VMs, and from when an incomplete list counts.

--- a/internal/edge/host/server_contact.go
+++ b/internal/edge/host/server_contact.go
@@ -8,6 +8,7 @@
 	"hawthornfield.org/hawthornfield/internal/plat/object"
 )
 
+// storeDown records that a call for servers failed.
 func (t *serverTracker) storeDown() {
 	t.failing.Store(true)
 	t.mu.Lock()
@@ -15,7 +16,7 @@
 	t.members.StoreDown()
 }
 
-// storeUp records that the store answered.
+// storeUp records that the store answered a call for servers.
 func (t *serverTracker) storeUp() {
 	t.failing.Store(false)
 	now := time.Now()
--- a/internal/edge/host/server_news.go
+++ b/internal/edge/host/server_news.go
@@ -24,8 +24,8 @@
 	t.hub.NoteAsOf(poll.Servers, at)
 }
 
-// noteMissing says to the other VMs how old this VM's list is while it has servers that the store
-// no longer lists: they are not told of the removals yet. The caller holds mu.
+// noteMissing marks this VM's list as incomplete for other VMs while it keeps servers that the
+// store no longer lists: those removals are not told yet. The caller holds mu.
 func (t *serverTracker) noteMissing() {
 	switch missing := t.members.HasMissing(); {
 	case !missing:
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -52,7 +52,7 @@
 	dropped      map[ident.Server]bool        // leaving servers that no longer get requests
 	asOf         time.Time                    // the list is at least as new, on the boot clock
 	cursor       object.Cursor                // up to which this VM knows the store's changes
-	missingSince time.Time                    // when all servers were last known to be listed, on the boot clock; zero if they are
+	missingSince time.Time                    // while servers are kept that the store no longer lists: when it was last known to list all, on the boot clock
 	vouchedAt    time.Time                    // when the leader last said that the store answers it
 	statesStart  bool                         // some listed server states when it started
 	left         departures                   // processes that announced that they leave
--- a/internal/edge/poll/asof.go
+++ b/internal/edge/poll/asof.go
@@ -53,8 +53,8 @@
 	return max(clock.Now().Sub(at), 1)
 }
 
-// SetIncompleteSince sets since when, on the boot clock, this VM has known changes of a topic that
-// it does not tell yet; zero if there are none.
+// SetIncompleteSince sets from which time of the boot clock on the list of a topic that other VMs
+// get may lack changes that this VM knows; zero if it lacks none.
 func (h *Hub) SetIncompleteSince(t Topic, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
