--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -71,6 +71,8 @@
 		code = explore()
 	case "term":
 		code = exploreTerm()
+	case "forgotten":
+		code = forgotten(troubleOn())
 	case "behind":
 		code = behind(troubleOn())
 	case "garble":
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -21,7 +21,7 @@
 	events  []event
 	changed chan struct{}
 	dropped uint64 // history up to this revision is gone
-	late    sync.WaitGroup
+	away    bool   // the store is down for the instances too
 }
 
 type meta struct {
@@ -49,11 +49,26 @@
 	return &Store{rev: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
 }
 
+// setAway says whether the store is down for the instances.
+func (s *Store) setAway(away bool) { s.mu.Lock(); s.away = away; s.mu.Unlock() }
+
+// lapse removes all entries of instances, as their silence does while the store is down.
+func (s *Store) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.objects["servers"] {
+		s.del("servers", name)
+	}
+}
+
 // put writes an object as the operator or an instance does.
 func (s *Store) put(kind, name string, spec any) {
 	b, _ := json.Marshal(spec)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away && kind == "servers" {
+		return
+	}
 	s.set(kind, name, b)
 }
 
