--- a/review/standins-2/behind.go
+++ b/review/standins-2/behind.go
@@ -62,7 +62,8 @@
 	route := func(prefix, kind, service string, timeout, aim float64) map[string]any {
 		return map[string]any{"host": "a.example", "pathPrefix": prefix, "kind": kind, "service": service, "timeoutS": timeout, "targetLatencyS": aim, "priority": 2, "maxAttempts": 2}
 	}
-	s.st.put("config", "main", map[string]any{"version": 4,
+	s.st.put("config", "main", map[string]any{
+		"version":  4,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
 		"routes":   map[string]any{"stems": route("/stems/", "download", "audio-vault", 5, 1.5), "orders": route("/orders/", "idempotent", "order-registry", 2, 0.4)},
 		"services": map[string]any{"audio-vault": plain, "order-registry": plain},
--- a/review/standins-2/explore.go
+++ b/review/standins-2/explore.go
@@ -53,7 +53,8 @@
 	if l.added {
 		routes["new"] = route("/new/", "idempotent", "scaleview", 2, 0.5, 2, 2)
 	}
-	l.s.st.put("config", "main", map[string]any{"version": l.version, "limits": limits, "routes": routes,
+	l.s.st.put("config", "main", map[string]any{
+		"version": l.version, "limits": limits, "routes": routes,
 		"services": map[string]any{"scaleview": svc(true), "tallyhouse": svc(l.two), "tarelab": svc(false)},
 	})
 }
