--- a/review/standins-2/behind.go
+++ b/review/standins-2/behind.go
@@ -60,7 +60,7 @@
 	}
 	plain := map[string]any{"healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false}
 	route := func(prefix, kind, service string, timeout, aim float64) map[string]any {
-		return map[string]any{"host": "a.example", "pathPrefix": prefix, "kind": kind, "service": service, "timeoutS": timeout, "targetLatencyS": aim, "priority": 2, "maxAttempts": 2}
+		return map[string]any{"host": "a.example", names["prefix"]: prefix, "kind": kind, "service": service, "timeoutS": timeout, "targetLatencyS": aim, "priority": 2, "maxAttempts": 2}
 	}
 	s.st.put("config", "main", map[string]any{
 		"version":  4,
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -57,9 +57,9 @@
 
 func (a *attempt) head() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Time-Remaining: %d\r\n", a.method, a.uri, a.host, a.id, a.left.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", a.method, a.uri, a.host, names["attempt"], a.id, names["left"], a.left.Milliseconds())
 	if a.key >= 0 {
-		fmt.Fprintf(&b, "X-Shard-Key: %d\r\n", a.key)
+		fmt.Fprintf(&b, "%s: %d\r\n", names["key"], a.key)
 	}
 	switch {
 	case a.chunked:
@@ -140,7 +140,7 @@
 		s, _ := strconv.ParseFloat(ra, 64)
 		a.retry = time.Duration(s * float64(time.Second))
 	}
-	seal := resp.Header.Get("X-Server-Seal")
+	seal := resp.Header.Get(names["seal"])
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	if resp.StatusCode < 300 {
--- a/review/standins-2/explore.go
+++ b/review/standins-2/explore.go
@@ -26,7 +26,7 @@
 func (l *lab) loadRoute(r map[string]any) map[string]any {
 	if l.two && l.version%2 == 0 {
 		delete(r, "service")
-		r["trafficSplit"] = []any{map[string]any{"service": "tarelab", "weight": 60}, map[string]any{"service": "scaleview", "weight": 40}}
+		r[names["split"]] = []any{map[string]any{"service": "tarelab", "weight": 60}, map[string]any{"service": "scaleview", "weight": 40}}
 	}
 	return r
 }
@@ -35,7 +35,7 @@
 	l.version += 1 + l.rng.IntN(4)
 	limits := map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}
 	route := func(prefix, kind, service string, timeout, aim float64, prio, most int) map[string]any {
-		return map[string]any{"host": "a.example", "pathPrefix": prefix, "kind": kind, "service": service, "timeoutS": timeout, "targetLatencyS": aim, "priority": prio, "maxAttempts": most}
+		return map[string]any{"host": "a.example", names["prefix"]: prefix, "kind": kind, "service": service, "timeoutS": timeout, "targetLatencyS": aim, "priority": prio, "maxAttempts": most}
 	}
 	svc := func(sharded bool) map[string]any {
 		m := map[string]any{"healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false}
@@ -155,6 +155,10 @@
 	seed, _ := strconv.ParseUint(os.Args[2], 10, 64)
 	secs, _ := strconv.Atoi(os.Args[3])
 	l := newLab(4, seed)
+	copies := os.Getenv("COPIES") != ""
+	if copies {
+		go l.s.st.keepCopies(l.stop)
+	}
 	l.usualTraffic()
 	time.Sleep(2 * time.Second)
 	end := time.Now().Add(time.Duration(secs) * time.Second)
@@ -197,7 +201,11 @@
 		d := dur(0.3, 5)
 		d2 := dur(0.05, 3)
 		mode := []string{"busy", "silent", "reset"}[l.rng.IntN(3)]
-		switch l.rng.IntN(14) {
+		kinds := 14
+		if copies {
+			kinds = 18
+		}
+		switch l.rng.IntN(kinds) {
 		case 0:
 			vmDo(func(v *VM) { v.kill(); time.Sleep(d2); v.start(); time.Sleep(time.Second) })
 		case 1, 2:
@@ -256,6 +264,21 @@
 			l.putConfig()
 		case 12:
 			l.s.st.forget()
+		case 14, 15, 16, 17:
+			do(func() {
+				for _, v := range l.s.vms {
+					v.link.set(mode)
+				}
+				l.s.st.setAway(true)
+				time.Sleep(d2)
+				logf("store returns from a copy")
+				l.s.st.returnFromCopy(d2 + d)
+				l.s.st.setAway(false)
+				for _, v := range l.s.vms {
+					v.link.set("")
+				}
+				l.putConfig()
+			})
 		case 13:
 			inDo(func(in *Instance) { // cut off from the store
 				in.store.remove("servers", in.id)
--- a/review/standins-2/garble.go
+++ b/review/standins-2/garble.go
@@ -34,7 +34,7 @@
 			return false
 		}
 		head := func(extra string) string {
-			return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nKeep-Alive: timeout=10\r\n%s\r\n", status, id, h.Get("X-Server-Seal"), extra)
+			return fmt.Sprintf("HTTP/1.1 %d OK\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=10\r\n%s\r\n", status, names["attempt"], id, names["seal"], h.Get(names["seal"]), extra)
 		}
 		whole := head("Content-Length: "+strconv.Itoa(len(out))+"\r\n") + string(out)
 		tcp, _ := c.(*net.TCPConn)
@@ -86,7 +86,7 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
 			serveOn(c, rw.Reader)
 		case 12:
-			fmt.Fprintf(c, "HTTP/1.1 %d Odd\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", []int{0, 99, 101, 102, 199, 600, 999, 1000, 42}[n%9], id)
+			fmt.Fprintf(c, "HTTP/1.1 %d Odd\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", []int{0, 99, 101, 102, 199, 600, 999, 1000, 42}[n%9], names["attempt"], id)
 			_ = c.Close()
 		case 13:
 			fmt.Fprintf(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n%s", whole)
--- a/review/standins-2/instance.go
+++ b/review/standins-2/instance.go
@@ -125,7 +125,7 @@
 }
 
 func (in *Instance) entry(state string) map[string]any {
-	return map[string]any{"service": in.service, "address": in.addr, "zone": in.zone, "version": "v1", "slots": in.slots, "state": state, "warmupLeftS": 0, "born": in.born}
+	return map[string]any{"service": in.service, "address": in.addr, "zone": in.zone, "version": "v1", "slots": in.slots, "state": state, names["warmup"]: 0, "born": in.born}
 }
 
 func (in *Instance) register(state string) { in.store.put("servers", in.id, in.entry(state)) }
@@ -180,24 +180,24 @@
 	q := in.queued
 	fl.mu.Unlock()
 	run := len(in.free)
-	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", run, max(q-run, 0), in.slots))
+	w.Header().Set(names["load"], fmt.Sprintf("%d,%d,%d", run, max(q-run, 0), in.slots))
 }
 
 func (in *Instance) reject(w http.ResponseWriter, status int) {
-	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set(names["notRun"], "1")
 	w.WriteHeader(status)
 }
 
 func (in *Instance) serve(life int, w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
-	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != in.id {
-		w.Header().Set("X-Instance-Id", in.id)
+	if want := r.Header.Get(names["expected"]); want != "" && want != in.id {
+		w.Header().Set(names["instance"], in.id)
 		w.WriteHeader(421)
 		return
 	}
 	switch {
 	case r.URL.Path == "/health":
-		w.Header().Set("X-Instance-Id", in.id)
+		w.Header().Set(names["instance"], in.id)
 		w.WriteHeader(200)
 		return
 	case r.Method == "POST" && r.URL.Path == "/grant":
@@ -207,12 +207,12 @@
 		in.release(life, w, r)
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(names["attempt"])
 	if id == "" {
 		in.reject(w, 400)
 		return
 	}
-	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set(names["attempt"], id)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if in.hook != nil && in.hook(w, r) {
 		return
@@ -222,7 +222,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	left := time.Duration(10) * time.Second
-	if ms, err := strconv.ParseFloat(r.Header.Get("X-Time-Remaining"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(r.Header.Get(names["left"]), 64); err == nil {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
 	deadline := time.Now().Add(left)
@@ -247,7 +247,7 @@
 	defer func() { <-in.free }()
 	key := -1
 	if in.sharded {
-		key, err = strconv.Atoi(r.Header.Get("X-Shard-Key"))
+		key, err = strconv.Atoi(r.Header.Get(names["key"]))
 		if err != nil {
 			in.reject(w, 400)
 			return
@@ -289,7 +289,7 @@
 		status = 504
 	}
 	out := []byte(answerBody(id, in.id, r.URL.RawQuery))
-	w.Header().Set("X-Server-Seal", sealOf(id, in.id, status))
+	w.Header().Set(names["seal"], sealOf(id, in.id, status))
 	if in.garble != nil && in.garble(w, r, id, status, out) {
 		return
 	}
@@ -359,21 +359,29 @@
 	return in.granted[key] < time.Now().UnixNano()
 }
 
+// orderBody is the body of an order for keys.
 type orderBody struct {
-	From  int     `json:"from"`
-	To    int     `json:"target"`
-	Fence uint64  `json:"fence"`
-	Hold  float64 `json:"holdS"`
-	Token string  `json:"handover"`
+	From, To int
+	Fence    uint64
+	Hold     float64
+}
+
+func readOrder(r *http.Request) (o orderBody, ok bool) {
+	var fields map[string]any
+	if json.NewDecoder(r.Body).Decode(&fields) != nil {
+		return o, false
+	}
+	number := func(name string) float64 { n, _ := fields[name].(float64); return n }
+	return orderBody{From: int(number("from")), To: int(number("target")), Fence: uint64(number("fence")), Hold: number(names["hold"])}, true
 }
 
 func (in *Instance) grant(life int, w http.ResponseWriter, r *http.Request) {
-	var o orderBody
 	if !in.sharded {
 		in.reject(w, 400)
 		return
 	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Hold <= 0 || o.Hold > 10 || o.To < o.From {
+	o, ok := readOrder(r)
+	if !ok || o.Hold <= 0 || o.Hold > 10 || o.To < o.From {
 		w.WriteHeader(400)
 		return
 	}
@@ -420,12 +428,12 @@
 }
 
 func (in *Instance) release(life int, w http.ResponseWriter, r *http.Request) {
-	var o orderBody
 	if !in.sharded {
 		in.reject(w, 400)
 		return
 	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
+	o, ok := readOrder(r)
+	if !ok {
 		w.WriteHeader(400)
 		return
 	}
@@ -452,7 +460,7 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	logf("release %d-%d fence %d done by %s life %d", o.From, o.To, o.Fence, in.id, life)
-	w.Header().Set("X-Handover", fmt.Sprintf("%s-%d-%d", in.id, life, time.Now().UnixNano()))
+	w.Header().Set(names["handover"], fmt.Sprintf("%s-%d-%d", in.id, life, time.Now().UnixNano()))
 	w.WriteHeader(200)
 }
 
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,6 +24,73 @@
 	changed chan struct{}
 	dropped uint64 // history up to this revision is gone
 	away    bool   // the store is down for the instances too
+	era     uint64 // told in all answers once the store has returned from a copy or may
+	tellEra bool
+	copies  []storeCopy
+}
+
+// storeCopy is the content of the store at some time.
+type storeCopy struct {
+	at      time.Time
+	rev     uint64
+	objects map[string]map[string]*object
+	events  []event
+	dropped uint64
+}
+
+// keepCopies keeps copies of the last seconds, until stop is closed.
+func (s *Store) keepCopies(stop chan struct{}) {
+	s.mu.Lock()
+	s.tellEra = true
+	s.mu.Unlock()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(250 * time.Millisecond):
+		}
+		s.mu.Lock()
+		c := storeCopy{at: time.Now(), rev: s.rev, objects: map[string]map[string]*object{}, events: slices.Clone(s.events), dropped: s.dropped}
+		for kind, all := range s.objects {
+			c.objects[kind] = maps.Clone(all)
+		}
+		s.copies = append(s.copies, c)
+		if len(s.copies) > 40 {
+			s.copies = s.copies[1:]
+		}
+		s.mu.Unlock()
+	}
+}
+
+// returnFromCopy goes on from the content of some time ago, in the next era.
+func (s *Store) returnFromCopy(ago time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.copies) - 1; i >= 0; i-- {
+		c := s.copies[i]
+		if time.Since(c.at) < ago {
+			continue
+		}
+		s.rev, s.events, s.dropped = c.rev, slices.Clone(c.events), c.dropped
+		s.objects = map[string]map[string]*object{}
+		for kind, all := range c.objects {
+			s.objects[kind] = maps.Clone(all)
+		}
+		s.copies = s.copies[:i+1]
+		break
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// tell adds the header that names the era.
+func (s *Store) tell(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tellEra {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era+1, 10))
+	}
 }
 
 type meta struct {
@@ -160,6 +229,7 @@
 	time.Sleep(4*time.Millisecond + delay)
 	switch mode {
 	case "busy":
+		l.store.tell(w)
 		w.WriteHeader(503)
 		return
 	case "silent":
@@ -190,14 +260,15 @@
 			l.lastCond = time.Now()
 			l.mu.Unlock()
 		}
-		reply(w, status, o)
+		l.reply(w, status, o)
 		return
 	}
 	l.read(w, r)
 }
 
-func reply(w http.ResponseWriter, status int, v any) {
+func (l *link) reply(w http.ResponseWriter, status int, v any) {
 	b, _ := json.Marshal(v)
+	l.store.tell(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(b)
@@ -247,34 +318,34 @@
 		o := s.objects[kind][name]
 		s.mu.Unlock()
 		if o == nil {
-			reply(w, 404, map[string]any{})
+			l.reply(w, 404, map[string]any{})
 			return
 		}
-		reply(w, 200, o)
+		l.reply(w, 200, o)
 		return
 	}
 	if !q.Has("watch") {
-		var names []string
+		var listed []string
 		for n := range s.objects[kind] {
 			if n > q.Get("after") {
-				names = append(names, n)
+				listed = append(listed, n)
 			}
 		}
-		sort.Strings(names)
-		more := len(names) > 500
-		names = names[:min(len(names), 500)]
+		sort.Strings(listed)
+		more := len(listed) > 500
+		listed = listed[:min(len(listed), 500)]
 		items := []*object{}
-		for _, n := range names {
+		for _, n := range listed {
 			items = append(items, s.objects[kind][n])
 		}
 		rev := s.rev
 		s.mu.Unlock()
-		reply(w, 200, map[string]any{"items": items, "hasMore": more, "storeRevision": rev})
+		l.reply(w, 200, map[string]any{"items": items, "hasMore": more, names["revision"]: rev})
 		return
 	}
 	s.mu.Unlock()
 	after, _ := strconv.ParseUint(q.Get("watch"), 10, 64)
-	ms, _ := strconv.Atoi(q.Get("waitMs"))
+	ms, _ := strconv.Atoi(q.Get(names["wait"]))
 	end := time.NewTimer(time.Duration(min(ms, 30000)) * time.Millisecond)
 	defer end.Stop()
 	tick := time.NewTicker(50 * time.Millisecond)
@@ -291,9 +362,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.mu.Lock()
-		if after < s.dropped {
+		if after < s.dropped || after > s.rev {
 			s.mu.Unlock()
-			reply(w, 410, map[string]any{})
+			l.reply(w, 410, map[string]any{})
 			return
 		}
 		found := []event{}
@@ -305,14 +376,14 @@
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
 		if len(found) > 0 {
-			reply(w, 200, map[string]any{"events": found, "storeRevision": rev})
+			l.reply(w, 200, map[string]any{"events": found, names["revision"]: rev})
 			return
 		}
 		select {
 		case <-changed:
 		case <-tick.C:
 		case <-end.C:
-			reply(w, 200, map[string]any{"events": found, "storeRevision": rev})
+			l.reply(w, 200, map[string]any{"events": found, names["revision"]: rev})
 			return
 		case <-r.Context().Done():
 			return
--- a/review/standins-2/vm.go
+++ b/review/standins-2/vm.go
@@ -98,48 +98,7 @@
 
 func (v *VM) settings() string {
 	s := v.site
-	return fmt.Sprintf(`node = %q
-role = "entry"
-machineClass = "edge"
-serves = ["edge"]
-ip = %q
-zone = "here"
-region = "region"
-internalPortRange = [%d,%d]
-seeds = []
-bootstrap = %v
-faultCounted = false
-discovery = "platform"
-entry = "vip"
-heartbeatS = 0.87
-contracts = ["base","drain","config","cost","retry","recover","own","platform"]
-bounds = [%s]
-grants = "call"
-[zones]
-here = "region"
-[listen]
-front = "%s:%d"
-ready = "%s:%d"
-[limits]
-cpuShare = 0.32
-cores = 1
-memoryMb = %d
-maxFds = 4100
-linkMbps = 1000.0
-diskMb = 0
-[faultTolerance]
-machines = 1
-zones = 0
-regions = 0
-[platform]
-address = %q
-form = "objects"
-writesPerS = 400
-readsPerS = 2000
-historyS = 20
-valueBytes = 1048576
-ttlMinS = 1
-`, v.name, v.ip, peersPort, peersPort+15, v.starts == 0, s.bounds, v.ip, s.front, v.ip, readyPort, s.memory, v.link.addr)
+	return fmt.Sprintf(settingsText, v.name, v.ip, peersPort, peersPort+15, v.starts == 0, s.bounds, v.ip, s.front, v.ip, readyPort, s.memory, v.link.addr)
 }
 
 // start starts the process.
@@ -161,7 +120,7 @@
 	v.logs = append(v.logs, logPath)
 	cmd := exec.Command(filepath.Join(v.site.root, v.site.program[0]), v.site.program[1:]...)
 	cmd.Dir = v.site.root
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.site.dir, "HAWTHORNFIELD_SETTINGS=" + path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.site.dir, names["settings"] + "=" + path}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		fatal("%v", err)
