host: entries that a VM takes for removed are logged and counted

The logs did not say whether the list that a VM had read lacked the servers, or named them and was not believed.

`entries of servers rejected as removed` names both revisions and the source of the news, once for each set of servers; `hawthorn_servers_known` and `hawthorn_servers_rejected` count them.

--- a/internal/edge/host/gauges.go
+++ b/internal/edge/host/gauges.go
@@ -103,6 +103,9 @@
 	g.set("vms", float64(g.parts.Hub.VMs(time.Now())))
 	_, servers := g.parts.Hub.Revs()
 	g.set("servers_rev", float64(object.Version(servers).Revision()))
+	known, rejected := g.parts.Servers.counts()
+	g.set("servers_known", float64(known))
+	g.set("servers_rejected", float64(rejected))
 }
 
 // updateRules sets the gauges for the revision in force, the newest known revision, how
--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -31,6 +31,7 @@
 	} else {
 		changed = t.members.MergePeer(now, l.Rev, list)
 	}
+	t.noteRejected(list, l.Rev)
 	t.advanceLeaving(now)
 	if changed {
 		t.publish(l.Rev)
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -72,6 +72,7 @@
 	coldSlack    float64                      // see Bounds.ColdSlack
 	noticesRev   uint64                       // of the notices that the key assignment knows
 	shedding     map[ident.Process]bool       // servers that want no requests from several VMs, on the leader
+	rejected     []ident.Server               // listed by the last news, and taken for removed here
 }
 
 func newServerTracker(lc fx.Lifecycle, cfg Config, p Platform, s *state.State, hub *poll.Hub, l *notices, r *shedders, pulse *pulse, log *slog.Logger) *serverTracker {
@@ -104,8 +105,10 @@
 			list = append(list, t.withKnownRev(e))
 		}
 	}
+	changed := t.members.ReplaceAll(time.Now(), uint64(cursor), list)
+	t.noteRejected(list, uint64(cursor))
 	switch {
-	case t.members.ReplaceAll(time.Now(), uint64(cursor), list):
+	case changed:
 		t.publish(uint64(cursor))
 	case t.rev != 0 && object.Version(t.rev).Era() < cursor.Era():
 		t.advanceRev(uint64(cursor)) // or the other VMs would take what they list themselves for newer
@@ -119,6 +122,7 @@
 	now := time.Now()
 	t.members.StoreUp(now)
 	changed := false
+	var written []member.Entry[feed.Server]
 	for _, c := range all {
 		e, ok := t.decode(c.Object)
 		if c.Version == 0 || !ok {
@@ -126,7 +130,9 @@
 			continue
 		}
 		changed = t.members.Put(e) || changed
+		written = append(written, e)
 	}
+	t.noteRejected(written, uint64(cursor))
 	if changed {
 		t.publish(uint64(cursor))
 	}
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -141,6 +141,24 @@
 	return r != nil && !r.goneAt.IsZero()
 }
 
+// Rejection is an entry of a list that the set does not take, since versions up to RemovedRev are
+// known as removed.
+type Rejection struct {
+	Name            ident.Server
+	Rev, RemovedRev uint64
+}
+
+// Rejected returns the entries of a list whose servers are not in the set.
+func (s *Set[T]) Rejected(list []Entry[T]) []Rejection {
+	var all []Rejection
+	for _, e := range list {
+		if s.entries[e.Name] == nil {
+			all = append(all, Rejection{Name: e.Name, Rev: e.Rev, RemovedRev: s.removedRevs[e.Name]})
+		}
+	}
+	return all
+}
+
 // HasMissing reports whether there are servers that the store no longer lists.
 func (s *Set[T]) HasMissing() bool {
 	for _, r := range s.entries {
