host: a removal counts as of its own revision, not of its answer's

Cause: all changes of an answer to a watch were applied with the revision of the whole answer. An entry that lapsed and was written again within it was older than its own removal, and rejected, then and in every later list.

The object of a removal tells its revision; the store's client passes it on, and no version up to it exists any more, while later ones may. If the store tells none, the removal ends the known entry, since changes come in order.

--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -126,7 +126,7 @@
 	for _, c := range all {
 		e, ok := t.decode(c.Object)
 		if c.Version == 0 || !ok {
-			changed = t.members.Remove(now, e.Name, uint64(cursor)) || changed
+			changed = t.members.Remove(now, e.Name, t.removedRev(c)) || changed
 			continue
 		}
 		changed = t.members.Put(e) || changed
@@ -138,6 +138,16 @@
 	}
 }
 
+// removedRev returns the revision up to which a change removes its server's entry. A removal
+// that tells none follows the entry that is known. The caller holds mu.
+func (t *serverTracker) removedRev(c object.Change) uint64 {
+	if rev := max(uint64(c.Version), uint64(c.At)); rev != 0 {
+		return rev
+	}
+	known, _ := t.members.Has(ident.Server(strings.TrimPrefix(c.Name, t.plat.Servers)))
+	return known.Rev
+}
+
 // withKnownRev returns an entry under the revision that this VM knows for it, if only the
 // store's era differs. Otherwise all entries would count as changed after a return, and the
 // leader would send each of them to each VM. The caller holds mu.
--- a/internal/edge/host/servers_test.go
+++ b/internal/edge/host/servers_test.go
@@ -74,3 +74,27 @@
 		}
 	})
 }
+
+// Guards against losing a server for good whose entry lapsed and was written again within one answer of the store.
+func TestAServerThatIsWrittenAgainInTheAnswerThatRemovesItIsKept(t *testing.T) {
+	tr := newOrderTracker()
+	tr.replaceAll([]object.Object{entryOf("s1", 3, "")}, 4)
+	gone := entryGone("s1")
+	gone.At = 5
+	again := object.Change{Object: entryOf("s1", 6, ""), At: 6}
+	tr.applyChanges([]object.Change{gone, again}, 9)
+	assert.Equal(t, len(tr.list()), 1)
+	tr.replaceAll([]object.Object{again.Object}, 10)
+	assert.Equal(t, len(tr.list()), 1)
+	assert.Equal(t, len(tr.rejected), 0)
+}
+
+// Guards against a removal that is not applied since the store does not tell its revision.
+func TestARemovalWithoutARevisionRemovesTheKnownEntry(t *testing.T) {
+	tr := newOrderTracker()
+	tr.replaceAll([]object.Object{entryOf("s1", 3, "")}, 4)
+	tr.applyChanges([]object.Change{entryGone("s1")}, 9)
+	assert.Equal(t, len(tr.list()), 0)
+	tr.applyChanges([]object.Change{{Object: entryOf("s1", 8, "")}}, 9)
+	assert.Equal(t, len(tr.list()), 1)
+}
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -31,7 +31,9 @@
 	Value   []byte  `json:"value,omitempty"`
 }
 
-// Change is one event of a watch. A deleted object has Version zero.
+// Change is one event of a watch. A deleted object has Version zero. No version of the object up
+// to At but its own exists any more, while later ones may: the answer that holds a deletion may
+// also hold the object that was written after it. At is zero if the store does not tell.
 type Change struct {
 	Object
 	At Cursor `json:"at"`
