member: a removal that another VM's list showed gives way to later lists

Cause: a server that another VM's list lacked was remembered as removed at the revision of its own entry, and refused from then on in every list that named it: in the next leader's and in the complete list of the store. Evidence: a new leader rejects 30 of 30 entries of the store's list at 134, written 116, removed 116.

The set remembers who told a removal. The newest complete list of the store outranks all; a later list of a VM outranks what only an earlier list of a VM showed; what the store has told stays removed. An answer of changes now makes all earlier lists old, not only one with a removal of a known server. In the tests the map of removals has another name, the checks are the same.

--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -132,6 +132,7 @@
 		changed = t.members.Put(e) || changed
 		written = append(written, e)
 	}
+	t.members.Applied(uint64(cursor))
 	t.noteRejected(written, uint64(cursor))
 	if changed {
 		t.publish(uint64(cursor))
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -46,7 +46,7 @@
 type Set[T any] struct {
 	entries      map[ident.Server]*record[T]
 	latestRev    uint64                    // latest store revision seen
-	removedRevs  map[ident.Server]uint64   // revisions at which servers were removed
+	removed      map[ident.Server]removal  // servers that were removed
 	storeDown    bool                      // the store is unreachable
 	lastAnswer   time.Time                 // when the store last answered
 	firstAnswer  time.Time                 // when the store first answered
@@ -64,6 +64,17 @@
 	goneAt time.Time // when the missing entry will be removed; zero while it is listed
 }
 
+// removal is what is known of the end of an entry.
+type removal struct {
+	rev uint64 // no version up to it exists any more
+	// peerRev is the revision of the list of another VM that lacked the entry, zero if the store
+	// told its removal. That VM may have been wrong.
+	peerRev uint64
+}
+
+// excludes reports whether an entry of a revision is one that was removed.
+func (r removal) excludes(rev uint64) bool { return rev <= r.rev }
+
 // StoreDown records that the store does not answer.
 func (s *Set[T]) StoreDown() { s.storeDown = true }
 
@@ -153,7 +164,7 @@
 	var all []Rejection
 	for _, e := range list {
 		if s.entries[e.Name] == nil {
-			all = append(all, Rejection{Name: e.Name, Rev: e.Rev, RemovedRev: s.removedRevs[e.Name]})
+			all = append(all, Rejection{Name: e.Name, Rev: e.Rev, RemovedRev: s.removed[e.Name].rev})
 		}
 	}
 	return all
@@ -170,7 +181,7 @@
 }
 
 // ReplaceAll applies the complete list of the store at a revision. It reports whether the
-// set changed.
+// set changed. What the list names is there, whatever was heard of its removal before.
 func (s *Set[T]) ReplaceAll(now time.Time, rev uint64, list []Entry[T]) bool {
 	s.StoreUp(now)
 	if rev < s.latestRev {
@@ -181,11 +192,11 @@
 	changed := false
 	for _, e := range list {
 		listed[e.Name] = true
-		changed = s.Put(e) || changed
+		changed = s.put(e) || changed
 	}
 	for name, r := range s.entries {
 		if !listed[name] && r.goneAt.IsZero() {
-			changed = s.remove(now, name, rev) || changed
+			changed = s.remove(now, name, removal{rev: rev}) || changed
 		}
 	}
 	maps.DeleteFunc(s.revoked, func(name ident.Server, _ Entry[T]) bool { return !listed[name] })
@@ -204,7 +215,7 @@
 	changed := false
 	for _, e := range list {
 		listed[e.Name] = true
-		changed = s.Put(e) || changed
+		changed = s.putFromPeer(e, rev) || changed
 	}
 	for name, r := range s.entries {
 		if !listed[name] {
@@ -224,7 +235,7 @@
 	s.noteRev(now, rev)
 	changed := false
 	for _, e := range list {
-		changed = s.Put(e) || changed
+		changed = s.putFromPeer(e, rev) || changed
 	}
 	for _, name := range gone {
 		if r := s.entries[name]; r != nil {
@@ -237,24 +248,39 @@
 // markMissingAtPeer removes an entry that another VM does not list at a revision, unless
 // the entry is newer.
 func (s *Set[T]) markMissingAtPeer(now time.Time, r *record[T], rev uint64) bool {
-	return r.Rev <= rev && r.goneAt.IsZero() && s.remove(now, r.Name, r.Rev)
+	return r.Rev <= rev && r.goneAt.IsZero() && s.remove(now, r.Name, removal{rev: r.Rev, peerRev: rev})
+}
+
+// Put applies a change of the store that added or rewrote an entry. It reports whether the set
+// changed.
+func (s *Set[T]) Put(e Entry[T]) bool { return !s.removed[e.Name].excludes(e.Rev) && s.put(e) }
+
+// putFromPeer applies an entry of the list of another VM at a revision. A removal that the store
+// told is not taken back by it, one that only an earlier list of a VM showed is.
+func (s *Set[T]) putFromPeer(e Entry[T], rev uint64) bool {
+	if r := s.removed[e.Name]; r.excludes(e.Rev) && (r.peerRev == 0 || rev < r.peerRev) {
+		return false
+	}
+	return s.put(e)
 }
 
-// Put applies an entry that is new or was rewritten. It reports whether the set changed.
-func (s *Set[T]) Put(e Entry[T]) bool {
+// put applies an entry that is known to exist.
+func (s *Set[T]) put(e Entry[T]) bool {
 	if s.entries == nil {
 		s.entries = map[ident.Server]*record[T]{}
 	}
 	old := s.entries[e.Name]
-	if old != nil && old.Rev >= e.Rev && old.goneAt.IsZero() || e.Rev <= s.removedRevs[e.Name] || s.reappeared(old, e) {
+	if old != nil && old.Rev >= e.Rev && old.goneAt.IsZero() || s.reappeared(old, e) {
 		return false
 	}
 	s.latestRev = max(s.latestRev, e.Rev)
 	s.entries[e.Name] = &record[T]{Entry: e}
+	delete(s.removed, e.Name)
 	return true
 }
 
-// Remove applies the removal of an entry at a revision. It reports whether the set changed.
+// Remove applies a change of the store that removed an entry: no version up to a revision exists
+// any more. It reports whether the set changed.
 func (s *Set[T]) Remove(now time.Time, name ident.Server, rev uint64) bool {
 	s.StoreUp(now)
 	delete(s.revoked, name)
@@ -263,7 +289,19 @@
 		return false
 	}
 	s.latestRev = max(s.latestRev, rev)
-	return s.remove(now, name, rev)
+	return s.remove(now, name, removal{rev: rev})
+}
+
+// Applied records that the changes of the store up to a revision have been applied. Lists of
+// before are old.
+func (s *Set[T]) Applied(rev uint64) { s.latestRev = max(s.latestRev, rev) }
+
+// or returns the removal that says more: of the later revision, or by the store.
+func (r removal) or(o removal) removal {
+	if o.rev > r.rev || o.rev == r.rev && o.peerRev == 0 {
+		return o
+	}
+	return r
 }
 
 // maxRemoved bounds the number of removed servers that are remembered. A forgotten one
@@ -272,31 +310,40 @@
 
 // remove removes an entry and reports whether it did. Shortly after an outage the removal
 // is delayed, unless the server announced that it leaves.
-func (s *Set[T]) remove(now time.Time, name ident.Server, rev uint64) bool {
+func (s *Set[T]) remove(now time.Time, name ident.Server, why removal) bool {
 	r := s.entries[name]
 	if s.storeJustReturned(now) && !r.Leaving {
 		r.goneAt = s.storeUpSince.Add(RelistTime)
 		return false
 	}
-	if s.removedRevs == nil {
-		s.removedRevs = map[ident.Server]uint64{}
+	s.noteRemoval(name, why)
+	delete(s.entries, name)
+	return true
+}
+
+// noteRemoval remembers a removal.
+func (s *Set[T]) noteRemoval(name ident.Server, why removal) {
+	if s.removed == nil {
+		s.removed = map[ident.Server]removal{}
 	}
-	if len(s.removedRevs) >= maxRemoved {
+	if len(s.removed) >= maxRemoved {
 		s.pruneRemoved()
 	}
-	s.removedRevs[name] = rev
-	delete(s.entries, name)
-	return true
+	s.removed[name] = s.removed[name].or(why)
 }
 
 // pruneRemoved forgets the older half of the removed servers. The newer half is kept,
 // because a list that is a second old would otherwise restore a server that has just left.
 func (s *Set[T]) pruneRemoved() {
-	revs := slices.Sorted(maps.Values(s.removedRevs))
+	revs := make([]uint64, 0, len(s.removed))
+	for _, r := range s.removed {
+		revs = append(revs, r.rev)
+	}
+	slices.Sort(revs)
 	median := revs[len(revs)/2]
-	maps.DeleteFunc(s.removedRevs, func(_ ident.Server, rev uint64) bool { return rev < median })
-	if len(s.removedRevs) >= maxRemoved { // most were removed at the same revision
-		maps.DeleteFunc(s.removedRevs, func(_ ident.Server, rev uint64) bool { return rev <= median })
+	maps.DeleteFunc(s.removed, func(_ ident.Server, r removal) bool { return r.rev < median })
+	if len(s.removed) >= maxRemoved { // most were removed at the same revision
+		maps.DeleteFunc(s.removed, func(_ ident.Server, r removal) bool { return r.rev <= median })
 	}
 }
 
--- a/internal/node/member/member_test.go
+++ b/internal/node/member/member_test.go
@@ -54,7 +54,7 @@
 		}
 		rev += 2
 	}
-	assert.Assert(t, len(s.removedRevs) <= maxRemoved)
+	assert.Assert(t, len(s.removed) <= maxRemoved)
 }
 
 // Guards against unbounded memory when one list removes thousands of servers at one
@@ -68,7 +68,7 @@
 	s.ReplaceAll(start, 10, list)
 	assert.Assert(t, s.ReplaceAll(start, 11, nil))
 	assert.Equal(t, len(s.All()), 0)
-	assert.Assert(t, len(s.removedRevs) <= maxRemoved)
+	assert.Assert(t, len(s.removed) <= maxRemoved)
 }
 
 // Guards against refusing all requests after an outage of the store that is longer than
--- a/internal/node/member/returned.go
+++ b/internal/node/member/returned.go
@@ -38,8 +38,8 @@
 		delete(s.revoked, e.Name)
 		return false
 	}
-	removed, known := s.removedRevs[e.Name]
-	left := known && eraOf(removed) < eraOf(e.Rev)
+	removed, known := s.removed[e.Name]
+	left := known && eraOf(removed.rev) < eraOf(e.Rev)
 	leaving := old != nil && old.Leaving && !e.Leaving && eraOf(old.Rev) < eraOf(e.Rev)
 	if !left && !leaving {
 		return false
@@ -61,7 +61,7 @@
 		if old := s.entries[e.Name]; old != nil && old.Leaving {
 			continue // a server that leaves does not change its mind
 		}
-		changed = s.Put(e) || changed
+		changed = s.put(e) || changed
 	}
 	return changed
 }
