member: a removal is remembered where it takes no effect at once

Cause: no removal was remembered for a server that is kept back after an outage, when that wait ended, and for one that was not known yet. Another VM's list that still had the server restored it, and the store's removal had passed.

A server that is kept back carries its removal, which is remembered when the wait is over; so is the removal of an unknown server.

--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -61,7 +61,8 @@
 // record is an entry and whether it is missing from the store.
 type record[T any] struct {
 	Entry[T]
-	goneAt time.Time // when the missing entry will be removed; zero while it is listed
+	goneAt  time.Time // when the missing entry will be removed; zero while it is listed
+	removal removal   // of the missing entry
 }
 
 // removal is what is known of the end of an entry.
@@ -75,6 +76,14 @@
 // excludes reports whether an entry of a revision is one that was removed.
 func (r removal) excludes(rev uint64) bool { return rev <= r.rev }
 
+// removalOf returns the removal of a server that is removed or missing.
+func (s *Set[T]) removalOf(name ident.Server) removal {
+	if r := s.entries[name]; r != nil {
+		return r.removal
+	}
+	return s.removed[name]
+}
+
 // StoreDown records that the store does not answer.
 func (s *Set[T]) StoreDown() { s.storeDown = true }
 
@@ -253,12 +262,12 @@
 
 // Put applies a change of the store that added or rewrote an entry. It reports whether the set
 // changed.
-func (s *Set[T]) Put(e Entry[T]) bool { return !s.removed[e.Name].excludes(e.Rev) && s.put(e) }
+func (s *Set[T]) Put(e Entry[T]) bool { return !s.removalOf(e.Name).excludes(e.Rev) && s.put(e) }
 
 // putFromPeer applies an entry of the list of another VM at a revision. A removal that the store
 // told is not taken back by it, one that only an earlier list of a VM showed is.
 func (s *Set[T]) putFromPeer(e Entry[T], rev uint64) bool {
-	if r := s.removed[e.Name]; r.excludes(e.Rev) && (r.peerRev == 0 || rev < r.peerRev) {
+	if r := s.removalOf(e.Name); r.excludes(e.Rev) && (r.peerRev == 0 || rev < r.peerRev) {
 		return false
 	}
 	return s.put(e)
@@ -285,10 +294,18 @@
 	s.StoreUp(now)
 	delete(s.revoked, name)
 	r := s.entries[name]
-	if r == nil || rev < r.Rev || !r.goneAt.IsZero() {
+	switch {
+	case r == nil:
+		s.noteRemoval(name, removal{rev: rev})
+		return false
+	case rev < r.Rev:
 		return false
 	}
 	s.latestRev = max(s.latestRev, rev)
+	if !r.goneAt.IsZero() {
+		r.removal = r.removal.or(removal{rev: rev})
+		return false
+	}
 	return s.remove(now, name, removal{rev: rev})
 }
 
@@ -313,7 +330,7 @@
 func (s *Set[T]) remove(now time.Time, name ident.Server, why removal) bool {
 	r := s.entries[name]
 	if s.storeJustReturned(now) && !r.Leaving {
-		r.goneAt = s.storeUpSince.Add(RelistTime)
+		r.goneAt, r.removal = s.storeUpSince.Add(RelistTime), why
 		return false
 	}
 	s.noteRemoval(name, why)
@@ -321,8 +338,11 @@
 	return true
 }
 
-// noteRemoval remembers a removal.
+// noteRemoval remembers a removal, unless its revision is not known.
 func (s *Set[T]) noteRemoval(name ident.Server, why removal) {
+	if why.rev == 0 {
+		return
+	}
 	if s.removed == nil {
 		s.removed = map[ident.Server]removal{}
 	}
@@ -353,6 +373,7 @@
 	dropped := false
 	for name, r := range s.entries {
 		if !r.goneAt.IsZero() && !now.Before(r.goneAt) {
+			s.noteRemoval(name, r.removal)
 			delete(s.entries, name)
 			dropped = true
 		}
