host: a difference to the leader's servers that lasts is ended

Cause: the revision stood for the list. Lists of one revision were taken for equal, but servers that are kept back after an outage are dropped with time alone, and a list that lacks some has a revision as well.

The leader tells a digest of its servers with each response. The hub also tells a list that differs at the same revision.

--- a/internal/edge/host/peer_servers.go
+++ b/internal/edge/host/peer_servers.go
@@ -15,7 +15,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.noteMissing()
-	if l.Rev < t.rev || l.Rev == t.rev && (l.Delta || !t.mismatch) {
+	adopted := t.difference.asked && !l.Delta
+	if !adopted && (l.Rev < t.rev || l.Rev == t.rev && (l.Delta || !t.mismatch)) {
 		return
 	}
 	list := make([]member.Entry[feed.Server], len(l.List))
@@ -26,9 +27,13 @@
 	t.source, t.news = sourcePeer, t.unknownNews()
 	t.news.leaving, t.news.leavingAge = l.Leaving, age
 	var changed bool
-	if l.Delta {
+	switch {
+	case adopted:
+		changed = t.members.AdoptPeer(now, l.Rev, list)
+		t.difference = difference{}
+	case l.Delta:
 		changed = t.members.MergePeerDelta(now, l.Rev, list, l.Gone)
-	} else {
+	default:
 		changed = t.members.MergePeer(now, l.Rev, list)
 	}
 	t.noteRejected(list, l.Rev)
@@ -36,7 +41,7 @@
 	if changed {
 		t.publish(l.Rev)
 	} else {
-		t.advanceRev(l.Rev)
+		t.advanceRev(max(l.Rev, t.rev))
 	}
 	t.mismatch = l.Delta && l.Rev == t.rev && l.Sum != poll.SumOf(t.list())
 }
@@ -64,9 +69,10 @@
 func (t *serverTracker) knownRev(now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mismatch && !now.Before(t.nextFullList) {
-		t.nextFullList = now.Add(fullListInterval)
-		t.log.Info("server list differs from the leader's; requesting the complete list", "rev", object.Version(t.rev).Revision())
+	lasting := t.difference.lasts(now)
+	if (t.mismatch || lasting) && !now.Before(t.nextFullList) {
+		t.nextFullList, t.difference.asked = now.Add(fullListInterval), lasting
+		t.log.Info("server list differs from the leader's; requesting the complete list", "rev", object.Version(t.rev).Revision(), "lasting", lasting, "count", len(t.list()))
 		return 0
 	}
 	return t.rev
--- a/internal/edge/host/poller.go
+++ b/internal/edge/host/poller.go
@@ -134,6 +134,7 @@
 			p.parts.Log.Warn("leader lost", "holder", lease.Holder, "epoch", lease.Epoch, "err", err)
 		}
 		p.leaderLost = true
+		p.parts.Servers.leaderLost()
 		p.applyShared(asked, resp, lease.Addr)
 		if err == nil && p.checkTermEnded(resp, lease) {
 			p.parts.Coordinator.election.Send(elect.SteppedDownMsg{Epoch: lease.Epoch})
@@ -151,6 +152,7 @@
 	// Must come before applyShared: it decides how a list with missing servers is interpreted.
 	p.parts.Servers.noteStoreSeenByLeader(resp.StoreUpFor)
 	p.applyShared(asked, resp, lease.Addr)
+	p.parts.Servers.compareWithLeader(time.Now(), resp.ServersDigest, resp.Ages[poll.Servers])
 	p.parts.Hub.SetConfirmed(asked.Add(max(resp.ConfirmedFor, resp.RulesFreshFor)))
 	p.updateRulesFresh(asked, resp)
 	p.parts.Servers.setVMCount(resp.VMCount + 1) // VMCount does not include the leader
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -46,6 +46,7 @@
 	offered      map[ident.Server]bool // servers that may get requests
 	rev          uint64
 	mismatch     bool                         // the checksum after the last delta did not match that of the leader
+	difference   difference                   // between the servers known here and those of the leader
 	nextFullList time.Time                    // when the complete list may be requested again
 	drain        time.Duration                // how long after its announcement a leaving server may get requests
 	leavingSince map[ident.Server]time.Time   // when each leaving server was first seen to leave
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -220,11 +220,13 @@
 	return h.rulesCtx
 }
 
-// SetServers stores a server list if it is newer, and reports whether it is.
+// SetServers stores a server list if it is newer, or holds other servers at the same revision:
+// those that are kept back after an outage are dropped with time alone. It reports whether it
+// has stored the list.
 func (h *Hub) SetServers(l ServerList) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l.Rev <= h.servers.current.Rev {
+	if current := h.servers.current; l.Rev < current.Rev || l.Rev == current.Rev && SumOf(l.List) == current.Sum {
 		return false
 	}
 	h.servers.set(l)
@@ -232,6 +234,13 @@
 	return true
 }
 
+// ServersDigest returns the digest of the servers known here.
+func (h *Hub) ServersDigest() uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.servers.current.Digest
+}
+
 // SetEvacuated stores the evacuated data centres if they are known as of a newer revision.
 func (h *Hub) SetEvacuated(l evac.List) {
 	h.mu.Lock()
@@ -288,6 +297,7 @@
 		return resp, true, nil // only a leader lets requests wait
 	}
 	resp.RulesFreshFor, resp.RulesCursor = max(h.rulesFreshUntil.Sub(req.receivedAt), 0), h.rulesCursor
+	resp.ServersDigest = h.servers.current.Digest
 	resp.ConfirmedFor = max(h.confirmedUntil.Sub(req.receivedAt), 0)
 	hasNews = h.addChanges(req, &resp) || hasNews
 	hasNews = h.addCases(req, &resp) || hasNews
--- a/internal/edge/poll/message.go
+++ b/internal/edge/poll/message.go
@@ -74,6 +74,8 @@
 	Changes      map[ident.Service]Change `json:"changes,omitempty"`
 	RulesRev     uint64                   `json:"latest,omitempty"` // newest rules that can be fetched from the sender
 	Servers      *ServerList              `json:"servers,omitempty"`
+	// ServersDigest is that of the servers that the sender, which leads, knows; zero if unknown.
+	ServersDigest uint32 `json:"digest,omitempty"`
 	// Evacuated is set if it is newer than what the receiver knows.
 	Evacuated *evac.List `json:"evac,omitempty"`
 	Cases     *Cases     `json:"cases,omitempty"`
--- a/internal/edge/poll/servers.go
+++ b/internal/edge/poll/servers.go
@@ -1,6 +1,7 @@
 package poll
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,8 @@
 	// Sum is the checksum of all servers, see SumOf. A VM that gets another sum after
 	// applying a delta has missed a change.
 	Sum uint64 `json:"sum,omitempty"`
+	// Digest is that of all servers, see DigestOf. It is not part of a list that is sent.
+	Digest uint32 `json:"-"`
 }
 
 // SumOf returns a checksum of names and revisions that does not depend on their order.
@@ -36,6 +39,16 @@
 	return sum
 }
 
+// DigestOf returns a short checksum of which processes are listed, never zero. The same servers
+// have the same digest whatever the revisions of their entries.
+func DigestOf(list []feed.Server) uint32 {
+	var sum uint64
+	for _, s := range list {
+		sum += xxhash.Sum64String(fmt.Sprint(s.Name, s.Addr, s.Incarnation, s.Leaving))
+	}
+	return uint32(sum^sum>>32) | 1
+}
+
 // maxKeptGone is how many removed servers are remembered. It is more than leave during
 // the longest absence after which a VM still gets a delta.
 const maxKeptGone = 512
@@ -79,7 +92,7 @@
 		h.completeFrom = h.gone[over-1].at
 		h.gone = append(h.gone[:0], h.gone[over:]...)
 	}
-	next.Sum = SumOf(next.List)
+	next.Sum, next.Digest = SumOf(next.List), DigestOf(next.List)
 	h.current = next
 }
 
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -226,12 +226,7 @@
 		listed[e.Name] = true
 		changed = s.putFromPeer(e, rev) || changed
 	}
-	for name, r := range s.entries {
-		if !listed[name] {
-			changed = s.markMissingAtPeer(now, r, rev) || changed
-		}
-	}
-	return changed
+	return s.dropUnlisted(now, rev, listed) || changed
 }
 
 // MergePeerDelta applies the changes in the list of another VM up to a revision: entries
@@ -254,6 +249,32 @@
 	return changed
 }
 
+// AdoptPeer applies the complete list of another VM that is known to be current although this
+// set may have heard of later revisions. Like the store's own, it outranks what was heard of
+// removals. It reports whether the set changed.
+func (s *Set[T]) AdoptPeer(now time.Time, rev uint64, list []Entry[T]) bool {
+	rev = max(rev, s.latestRev)
+	s.noteRev(now, rev)
+	listed := make(map[ident.Server]bool, len(list))
+	changed := false
+	for _, e := range list {
+		listed[e.Name] = true
+		changed = s.put(e) || changed
+	}
+	return s.dropUnlisted(now, rev, listed) || changed
+}
+
+// dropUnlisted removes the entries that the list of another VM at a revision lacks.
+func (s *Set[T]) dropUnlisted(now time.Time, rev uint64, listed map[ident.Server]bool) bool {
+	changed := false
+	for name, r := range s.entries {
+		if !listed[name] {
+			changed = s.markMissingAtPeer(now, r, rev) || changed
+		}
+	}
+	return changed
+}
+
 // markMissingAtPeer removes an entry that another VM does not list at a revision, unless
 // the entry is newer.
 func (s *Set[T]) markMissingAtPeer(now time.Time, r *record[T], rev uint64) bool {
