host: a new leader reads the store's complete lists, whatever its watch is doing

Cause: only a watch that was waiting for the store when its VM became leader ended in a list. In the pause after a change or a failed call it went on from its cursor, on top of what other VMs had told.

The watch ends when its VM has become leader since it began. The test fails before: one list for two.

--- a/internal/edge/host/watch.go
+++ b/internal/edge/host/watch.go
@@ -183,11 +183,17 @@
 	return at
 }
 
-// follow watches until the store no longer knows the cursor.
+// follow watches until the store no longer knows the cursor, or this VM becomes leader: what it
+// knows may be what other VMs told, while they will rely on what it reads.
 func (w *watcher) follow(ctx context.Context, at object.Cursor) {
 	w.lostCursors++
+	_, led := w.hub.Lease()
 	for ctx.Err() == nil {
 		at = w.waitWhileCovered(ctx, at)
+		if _, leads := w.hub.Lease(); leads && !led {
+			w.lostCursors = 0
+			return
+		}
 		store := w.preferredStore()
 		asked := clock.Now()
 		all, next, err := w.watch(ctx, store, at)
--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -226,3 +226,31 @@
 		assert.Equal(t, fresh.watches, 1)
 	})
 }
+
+// changingStore has one change, which the first watch returns, and counts lists.
+type changingStore struct {
+	forgetfulStore
+}
+
+func (s *changingStore) Watch(ctx context.Context, _ string, at object.Cursor) ([]object.Change, object.Cursor, error) {
+	if s.watches++; s.watches == 1 {
+		return []object.Change{{At: at + 1}}, at + 1, nil
+	}
+	<-ctx.Done()
+	return nil, at, kinds.Wrap(kinds.Unavailable, ctx.Err(), "watch")
+}
+
+// Guards against a new leader that all others rely on, and that never reads the store's complete list itself.
+func TestAVMThatBecomesLeaderBetweenTwoWatchesLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &changingStore{}
+		hub := poll.NewHub("vm-2", "a")
+		w := newWatcher(hub, store, store)
+		watchFor(t, w, 2*time.Second, func() {
+			time.Sleep(firstListWait + leaderBatchDelay/2)
+			assert.Equal(t, store.watches, 1)
+			hub.SetLease(elect.Lease{Epoch: 1, Holder: "vm-2", Incarnation: "a"}, true)
+		})
+		assert.Equal(t, store.lists, 2)
+	})
+}
