--- a/internal/edge/host/difference.go
+++ b/internal/edge/host/difference.go
@@ -32,6 +32,9 @@
 	own := cmp.Or(t.hub.ServersDigest(), poll.DigestOf(nil))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if leader == own {
+		t.rejected = nil
+	}
 	switch {
 	case leader == 0 || leader == own || age == 0 || age > t.drain || t.members.HasMissing():
 		t.difference = difference{}
--- a/internal/edge/host/servers.go
+++ b/internal/edge/host/servers.go
@@ -128,6 +128,7 @@
 		e, ok := t.decode(c.Object)
 		if c.Version == 0 || !ok {
 			changed = t.members.Remove(now, e.Name, t.removedRev(c)) || changed
+			written = slices.DeleteFunc(written, func(w member.Entry[feed.Server]) bool { return w.Name == e.Name })
 			continue
 		}
 		changed = t.members.Put(e) || changed
--- a/internal/edge/poll/hub.go
+++ b/internal/edge/poll/hub.go
@@ -313,9 +313,7 @@
 // poll again at once. This and the following methods require the caller to hold mu.
 func (h *Hub) addStored(req *Request, resp *Response) bool {
 	resp.RulesRev = h.rules.Rev
-	if h.servers.current.Rev > req.ServersRev {
-		l := h.servers.since(req.ServersRev)
-		l.noteLeaving(time.Now(), h.servers.current.Since)
+	if l, ok := h.serversSince(req.ServersRev); ok {
 		resp.Servers = &l
 	}
 	if h.evacuated.Rev > req.EvacRev {
--- a/internal/edge/poll/servers.go
+++ b/internal/edge/poll/servers.go
@@ -129,3 +129,21 @@
 	}
 	return delta
 }
+
+// ServersSince returns what changed among the servers after a revision that another VM knows, and
+// whether there is anything to tell.
+func (h *Hub) ServersSince(rev uint64) (ServerList, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.serversSince(rev)
+}
+
+// serversSince is ServersSince for a caller that holds mu.
+func (h *Hub) serversSince(rev uint64) (ServerList, bool) {
+	if h.servers.current.Rev <= rev {
+		return ServerList{}, false
+	}
+	l := h.servers.since(rev)
+	l.noteLeaving(time.Now(), h.servers.current.Since)
+	return l, true
+}
