host: a VM that knows no server while the leader does is not ready

Cause: readiness asked for rules and, once, for key owners, but not for servers.

A VM that knows none while its leader, in touch with the store, knows some says that it is not ready, and why. Where all know none they stay ready, as before: the platform would use them all in any case. The test fails without the comparison with the leader, which did not exist before.

--- a/internal/edge/host/difference.go
+++ b/internal/edge/host/difference.go
@@ -49,3 +49,10 @@
 	defer t.mu.Unlock()
 	t.difference = difference{}
 }
+
+// lacksAll reports whether this VM knows no server, and the leader does.
+func (t *serverTracker) lacksAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.difference.since.IsZero() && t.difference.own == poll.DigestOf(nil)
+}
--- a/internal/edge/host/difference_test.go
+++ b/internal/edge/host/difference_test.go
@@ -71,3 +71,18 @@
 		assert.Assert(t, tr.hub.ServersDigest() != before)
 	})
 }
+
+// Guards against a VM that says it is ready, and refuses every request since it knows no server while the leader does.
+func TestAVMWithoutServersIsUnreadyWhileTheLeaderHasSome(t *testing.T) {
+	tr := newTestTracker()
+	tr.drain = 2 * time.Second
+	some := poll.DigestOf([]feed.Server{{Name: "s1"}})
+	assert.Assert(t, !tr.lacksAll())
+	tr.compareWithLeader(time.Now(), poll.DigestOf(nil), time.Second)
+	assert.Assert(t, !tr.lacksAll(), "there are none")
+	tr.compareWithLeader(time.Now(), some, time.Second)
+	assert.Assert(t, tr.lacksAll())
+	tr.mergePeerList(poll.ServerList{Rev: 5, List: []feed.Server{{Name: "s1", Service: "lookup", Rev: 3}}}, 0)
+	tr.compareWithLeader(time.Now(), some, time.Second)
+	assert.Assert(t, !tr.lacksAll())
+}
--- a/internal/edge/host/host.go
+++ b/internal/edge/host/host.go
@@ -266,6 +266,9 @@
 	if l.parts.State.Rules.State() != revs.Serve {
 		return kinds.New(kinds.Unavailable, "no rules yet")
 	}
+	if l.parts.Servers.lacksAll() {
+		return kinds.New(kinds.Unavailable, "no servers known, the leader knows some")
+	}
 	if l.wasReady.Load() {
 		return nil
 	}
