reply: an answer without a length is whole only after its whole request

Cause: a socket has one pending error. The goroutine that writes the request takes the reset, and the one that reads the answer finds the end of the stream, as if the server had closed in order.

reply.Outgoing follows what is written of a request, and reply.Body ends an answer without a length only if the whole request was written and no write has failed.

TestAnAnswerThatEndsWithItsConnectionAfterTheRequestIsWhole guards the other side.

--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -119,8 +119,7 @@
 	if resp.ContentLength > answer.maxBody {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errTooLong}
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if unframed && method != http.MethodHead && !h.CloseDelimited {
+	if reply.EndsWithConnection(resp) && method != http.MethodHead && !h.CloseDelimited {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errNoEnd}
 	}
 	return nil
--- a/internal/edge/relay/permit.go
+++ b/internal/edge/relay/permit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // errNoPermit is returned by a connection on which net/http tries to write a request that
@@ -85,7 +87,8 @@
 	id       ident.Request
 	cancel   context.CancelCauseFunc
 	upstream *upstream
-	onSend   func() // see Meta
+	request  *http.Request // as it is sent
+	onSend   func()        // see Meta
 	// recipients says whether the server at an address may get the attempt, see Meta.
 	recipients Recipients
 	server     ident.Server
@@ -186,16 +189,22 @@
 	}
 	a.last.attempt = a
 	c.permit.Store(a.last)
+	c.out.Begin(a.request)
 	a.conn, a.opened, a.via, a.uses = c, c.opened, c.via, c.uses
 	c.uses++
 }
 
+// lastConn returns the connection that the attempt got last.
+func (a *attempt) lastConn() *conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn
+}
+
 // putIdleConn ends a connection that drains. net/http calls it when the answer is complete; by
 // then the next attempt may have the connection, which does not end under it.
 func (a *attempt) putIdleConn(error) {
-	a.mu.Lock()
-	c := a.conn
-	a.mu.Unlock()
+	c := a.lastConn()
 	if c != nil && c.draining != nil && c.draining.FinishRequest() {
 		_ = c.Close()
 	}
@@ -221,9 +230,7 @@
 // more, no other attempt of the request may take it for the answer to itself; without an id, no
 // other request.
 func (a *attempt) noteRefusal(named bool) {
-	a.mu.Lock()
-	c := a.conn
-	a.mu.Unlock()
+	c := a.lastConn()
 	if c == nil {
 		return
 	}
@@ -269,6 +276,7 @@
 	opened time.Time // on the boot clock
 	via    string    // address of the VM that it goes through, if any
 	uses   int       // requests that were sent on it
+	out    reply.Outgoing
 	// draining is set if the other end may ask for the end of the connection.
 	draining drainingConn
 	once     sync.Once
@@ -287,7 +295,7 @@
 	if err := p.use(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	return c.out.WriteTo(c.Conn, b)
 }
 
 // Read reads and records in the current permit that the server ended the connection.
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -26,6 +26,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // Defaults of Config.
@@ -284,7 +285,8 @@
 	}
 	defer a.endChecking()
 	start := time.Now()
-	resp, err := u.transport.RoundTrip(r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, u.host, meta)) //nolint:bodyclose // Response.Close does
+	a.request = r.outgoing(httptrace.WithClientTrace(ctx, &a.trace), in, body, u.host, meta)
+	resp, err := u.transport.RoundTrip(a.request) //nolint:bodyclose // Response.Close does
 	if err != nil {
 		sent, broken := a.stop()
 		fail := newFailure(ctx, err, sent, broken)
@@ -313,6 +315,9 @@
 		answer.Close()
 		return nil, fail
 	}
+	if c := a.lastConn(); c != nil {
+		resp.Body = reply.Body(resp, &c.out)
+	}
 	return answer, nil
 }
 
