reply: the fields of a trailer are checked as those of the header

Cause: a trailer arrives after the answer was checked, and nothing looked at it; net/http's client passes on names with blanks.

Trailers about the connection or the framing, or with the system's own names, are dropped.

Both tests fail before: no error for `X Sum`, and five trailers for one.

--- a/internal/core/reply/reply.go
+++ b/internal/core/reply/reply.go
@@ -23,8 +23,9 @@
 	// ErrFraming says that the end of a body cannot be known: net/http ignores the framing of an
 	// HTTP/1.0 message, which makes it faulty (RFC 9112, section 6.1).
 	ErrFraming = errors.New("the answer of HTTP/1.0 has no length")
-	// ErrField says that a header has no name that RFC 9112, section 5.1, allows.
-	ErrField = errors.New("the answer has a malformed header name")
+	// ErrField says that a field of the header or the trailer has a name or a value that RFC 9110,
+	// section 5, does not allow.
+	ErrField = errors.New("the answer has a malformed field")
 )
 
 // maxStatus is the largest status that RFC 9110 defines.
@@ -54,12 +55,7 @@
 	if resp.ContentLength < 0 && resp.Body != http.NoBody && !resp.ProtoAtLeast(1, 1) {
 		return ErrFraming
 	}
-	for name := range resp.Header {
-		if strings.Contains(name, " ") { // net/http rejects all other malformed names
-			return fmt.Errorf("%w: %q", ErrField, name)
-		}
-	}
-	return nil
+	return CheckFields(resp.Header)
 }
 
 // isZeroLength reports whether there is no length, or one of zero, which some servers send with
--- a/internal/edge/relay/copy.go
+++ b/internal/edge/relay/copy.go
@@ -96,9 +96,14 @@
 	io.Closer
 }
 
-// copyTrailer sets the trailers that the server sent. Names that were not announced need
+// copyTrailer sets the trailers that the server sent, but those that are about the connection,
+// the framing, or only the system's to set. Names that were not announced need
 // http.TrailerPrefix to be sent at all.
 func (r *Response) copyTrailer(h http.Header, announced int) {
+	stripHop(r.resp.Trailer)
+	for _, name := range []string{"Content-Length", r.headers.Ran, r.headers.ID} {
+		delete(r.resp.Trailer, name)
+	}
 	prefix := ""
 	if len(r.resp.Trailer) != announced {
 		prefix = http.TrailerPrefix
--- a/internal/edge/relay/part_test.go
+++ b/internal/edge/relay/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 const partOfAnswer = "HTTP/1.1 200 OK\r\n\r\na part"
@@ -175,3 +177,27 @@
 		}
 	}
 }
+
+// Guards against a line behind a body that is no field and reaches a caller, or breaks its connection's framing.
+func TestAMalformedTrailerIsNoPartOfAnAnswer(t *testing.T) {
+	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)) }
+	for name, body := range map[string]string{"short": chunk(2), "long": chunk(100 << 10)} {
+		for _, announced := range []string{"", "Trailer: X-Sum\r\n"} {
+			r, _ := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool {
+				return writeString(w, "HTTP/1.1 200 OK\r\n"+announced+"Transfer-Encoding: chunked\r\n\r\n"+body+"0\r\nX Sum: 5\r\n\r\n")
+			})
+			_, err := sendBuffered(t.Context(), r, httptest.NewRequest("GET", "/x", nil), nil)
+			assert.ErrorIs(t, err, reply.ErrField, "%s, announced %q", name, announced)
+		}
+	}
+}
+
+// Guards against fields behind a body that only a connection or the system itself may set.
+func TestATrailerSetsNoFieldOfTheSystem(t *testing.T) {
+	r, _ := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool {
+		return writeString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nHawthorn-Ran: no\r\nHawthorn-Id: r2\r\nConnection: close\r\nContent-Length: 7\r\nX-Sum: 5\r\n\r\n")
+	})
+	w, err := sendBuffered(t.Context(), r, httptest.NewRequest("GET", "/x", nil), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, w.Result().Trailer, http.Header{"X-Sum": {"5"}})
+}
