tunnel: the end of an answer within its request counts as a reset

Cause: the far end has the same two goroutines on one socket, so the one that passes the request on takes the reset, and the other told the end in order. And what is written to the tunnel need not have reached the server.

The far end follows its writes (reply.Writes): if one has failed, it tells a reset; else it tells with the end how many bytes it had passed on, and the near end takes fewer than it sent for a reset. A header says that the near end knows the new frame; older ones get what they know.

TestAnEndBeforeTheWholeRequestArrivesAsAReset fails before (the end of the stream).

--- a/internal/edge/relay/part_test.go
+++ b/internal/edge/relay/part_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/kinds"
 	"hawthornfield.org/hawthornfield/internal/core/reply"
+	"hawthornfield.org/hawthornfield/internal/edge/tunnel"
 )
 
 const partOfAnswer = "HTTP/1.1 200 OK\r\n\r\na part"
@@ -88,6 +90,20 @@
 	}
 }
 
+func newTunnelRelay(t *testing.T, at netip.AddrPort) *Relay {
+	between := tunnel.NewServer(openPath{at}, slog.New(slog.DiscardHandler))
+	web := httptest.NewServer(between)
+	t.Cleanup(web.Close)
+	t.Cleanup(func() { _ = between.Close() })
+	via := netip.MustParseAddrPort(web.Listener.Addr().String())
+	r := New(Config{Open: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		return (&tunnel.Client{}).Dial(ctx, via, "listed", false)
+	}})
+	r.cfg.Headers.CloseDelimited = true
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
 // zeros is a body without end.
 type zeros struct{}
 
@@ -117,7 +133,7 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// newDirectRelay returns a relay whose connections lead to a server.
+// newDirectRelay and newTunnelRelay return relays whose connections lead to a server.
 func newDirectRelay(t *testing.T, at netip.AddrPort) *Relay {
 	r := New(Config{Open: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 		return openPath{at}.DialDirect(ctx, at, 0, nil)
@@ -134,16 +150,18 @@
 		"closed":       func(*net.TCPConn) {},
 		"closed, read": func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.CopyN(io.Discard, c, 64<<10) },
 	}
-	paths := map[string]func(*testing.T, netip.AddrPort) *Relay{"direct": newDirectRelay}
-	const size = 64 << 20 // more than the buffers of both sockets hold
+	paths := map[string]func(*testing.T, netip.AddrPort) *Relay{"direct": newDirectRelay, "tunnel": newTunnelRelay}
+	const buffers = 64 << 20 // more than the buffers of all sockets hold
+	sizes := map[string][]int64{"reset": {1 << 20, buffers}, "closed": {buffers}, "closed, read": {buffers}}
 	for endName, end := range ends {
 		for path, newRelay := range paths {
 			t.Run(endName+"/"+path, func(t *testing.T) {
 				r := newRelay(t, uploadServer(t, end))
 				for i := range 200 {
+					size := sizes[endName][i%len(sizes[endName])]
 					body := io.LimitReader(zeros{}, size)
 					w, err := sendBuffered(t.Context(), r, newUpload(body, size), body)
-					assert.Assert(t, err != nil, "upload %d: %v", i, w)
+					assert.Assert(t, err != nil, "upload %d of %d bytes: %v", i, size, w)
 				}
 			})
 		}
@@ -152,7 +170,7 @@
 
 // Guards against turning down the answers without a length that are whole.
 func TestAnAnswerThatEndsWithItsConnectionAfterTheRequestIsWhole(t *testing.T) {
-	for path, newRelay := range map[string]func(*testing.T, netip.AddrPort) *Relay{"direct": newDirectRelay} {
+	for path, newRelay := range map[string]func(*testing.T, netip.AddrPort) *Relay{"direct": newDirectRelay, "tunnel": newTunnelRelay} {
 		web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 			_, _ = io.Copy(io.Discard, in.Body)
 			c, _, err := http.NewResponseController(w).Hijack()
--- a/internal/edge/tunnel/client.go
+++ b/internal/edge/tunnel/client.go
@@ -108,6 +108,7 @@
 	req.Header.Set(headerServer, string(server))
 	req.Header.Set(headerOrders, strconv.FormatBool(orders))
 	req.Header.Set(headerDrain, strconv.FormatBool(!orders))
+	req.Header.Set(headerCount, strconv.FormatBool(true))
 	if err := req.Write(tcp); err != nil {
 		return nil, err
 	}
--- a/internal/edge/tunnel/frame.go
+++ b/internal/edge/tunnel/frame.go
@@ -11,13 +11,17 @@
 	"syscall"
 )
 
-// What a server sends travels in frames: the length as two bytes, then the data. Three
+// What a server sends travels in frames: the length as two bytes, then the data. Four
 // lengths have a meaning of their own. Without the frames, the end of the VM in between
 // would look like the end of an answer.
 const (
-	frameEnd    = 0      // the server ended the connection in order
-	frameReset  = 0xFFFF // the server reset the connection
-	frameDrain  = 0xFFFE // the near end shall end the tunnel once no request is in flight
+	frameEnd   = 0      // the server ended the connection in order
+	frameReset = 0xFFFF // the server reset the connection
+	frameDrain = 0xFFFE // the near end shall end the tunnel once no request is in flight
+	// frameEndAt is frameEnd with the number of bytes that were passed on to the server until
+	// then, in eight bytes. An answer without a length that comes before the whole request was
+	// passed on may be a part.
+	frameEndAt  = 0xFFFD
 	frameHeader = 2
 	maxFrame    = 16 << 10
 )
@@ -25,6 +29,7 @@
 // frameWriter writes what a server sends as frames.
 type frameWriter struct {
 	w   io.Writer
+	end func() []byte // returns the last frame after the end of the stream
 	buf [frameHeader + maxFrame]byte
 }
 
@@ -43,20 +48,22 @@
 			continue
 		}
 		drain := errors.Is(err, os.ErrDeadlineExceeded)
-		control := uint16(frameReset)
+		control := controlFrame(frameReset)
 		switch {
 		case drain:
-			control = frameDrain
+			control = controlFrame(frameDrain)
 		case err == io.EOF: //nolint:errorlint // io.Reader returns io.EOF itself
-			control = frameEnd
+			control = f.end()
 		}
-		binary.BigEndian.PutUint16(f.buf[:], control)
-		if _, werr := f.w.Write(f.buf[:frameHeader]); werr != nil || !drain {
+		if _, werr := f.w.Write(control); werr != nil || !drain {
 			return werr
 		}
 	}
 }
 
+// controlFrame returns a frame without data.
+func controlFrame(kind uint16) []byte { return binary.BigEndian.AppendUint16(nil, kind) }
+
 // conn is the near end of a tunnel.
 type conn struct {
 	net.Conn
@@ -66,8 +73,9 @@
 	end  error // set once the server ended the connection, or the tunnel drained
 
 	mu       sync.Mutex
-	requests int  // in flight
-	draining bool // the tunnel ends once no request is in flight
+	sent     uint64 // bytes that were, or are being, written
+	requests int    // in flight
+	draining bool   // the tunnel ends once no request is in flight
 }
 
 // Via returns the address of the VM that the tunnel goes through.
@@ -106,7 +114,7 @@
 // connection is closed.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.requests = max(c.requests, 1)
+	c.requests, c.sent = max(c.requests, 1), c.sent+uint64(len(b))
 	c.mu.Unlock()
 	return c.Conn.Write(b)
 }
@@ -128,6 +136,22 @@
 	return n, broken(err)
 }
 
+// endAt reads how much was passed on to the server before it ended the connection. If that is
+// not all, what it sent counts as reset.
+func (c *conn) endAt() error {
+	var count [8]byte
+	if _, err := io.ReadFull(c.r, count[:]); err != nil {
+		return broken(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = io.EOF
+	if binary.BigEndian.Uint64(count[:]) < c.sent {
+		c.end = syscall.ECONNRESET
+	}
+	return c.end
+}
+
 func (c *conn) nextFrame() error {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(c.r, header[:]); err != nil {
@@ -138,6 +162,8 @@
 		c.end = io.EOF
 	case frameReset:
 		c.end = syscall.ECONNRESET
+	case frameEndAt:
+		return c.endAt()
 	case frameDrain:
 		if c.drain() {
 			// After io.EOF, net/http would fail a POST that is about to be written, rather than
--- a/internal/edge/tunnel/server.go
+++ b/internal/edge/tunnel/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"log/slog"
@@ -19,6 +20,7 @@
 	"hawthornfield.org/hawthornfield/internal/core/clock"
 	"hawthornfield.org/hawthornfield/internal/core/group"
 	"hawthornfield.org/hawthornfield/internal/core/ident"
+	"hawthornfield.org/hawthornfield/internal/core/reply"
 )
 
 // Paths are the paths of this VM to backend servers.
@@ -128,7 +130,8 @@
 		return
 	}
 	drains, _ := strconv.ParseBool(r.Header.Get(headerDrain)) // not sent by older VMs
-	t := &tunnel{server: name, near: near, nearReader: buffered.Reader, far: far, orders: orders, drains: drains, opened: time.Now()}
+	counts, _ := strconv.ParseBool(r.Header.Get(headerCount)) // likewise
+	t := &tunnel{server: name, near: near, nearReader: buffered.Reader, far: far, orders: orders, drains: drains, counts: counts, opened: time.Now()}
 	t.note(false)
 	s.group.Go(func(ctx context.Context) error {
 		defer s.open.Add(-1)
@@ -170,6 +173,8 @@
 	far        net.Conn // to the server
 	orders     bool
 	drains     bool // the near end ends the tunnel when it is asked to
+	counts     bool // the near end is told how much was passed on when the server ended the connection
+	passedOn   reply.Writes
 	opened     time.Time
 	asked      atomic.Bool
 	pulse      time.Time // when a tunnel for orders was last known to run, on the boot clock
@@ -239,7 +244,7 @@
 	var g group.Group
 	g.Go(func(context.Context) error {
 		defer t.close()
-		return (&frameWriter{w: t.near}).copyFrom(farReader{t})
+		return (&frameWriter{w: t.near, end: t.endFrame}).copyFrom(farReader{t})
 	})
 	err := t.copyToServer()
 	if !errors.Is(err, errPaused) {
@@ -250,6 +255,19 @@
 	return err
 }
 
+// endFrame returns the frame that tells how the server ended the connection, after the end of
+// the stream. That is its end in order only if no write failed meanwhile.
+func (t *tunnel) endFrame() []byte {
+	passedOn, err := t.passedOn.AtEnd()
+	switch {
+	case err != nil:
+		return controlFrame(frameReset)
+	case !t.counts:
+		return controlFrame(frameEnd)
+	}
+	return binary.BigEndian.AppendUint64(controlFrame(frameEndAt), uint64(passedOn))
+}
+
 // copyToServer passes on what the other VM sends.
 func (t *tunnel) copyToServer() error {
 	buf := make([]byte, maxFrame)
@@ -269,7 +287,7 @@
 		if n > 0 {
 			idleSince = time.Now()
 			t.note(true)
-			if _, werr := t.far.Write(buf[:n]); werr != nil {
+			if _, werr := t.passedOn.WriteTo(t.far, buf[:n]); werr != nil {
 				return werr
 			}
 		}
--- a/internal/edge/tunnel/tunnel.go
+++ b/internal/edge/tunnel/tunnel.go
@@ -45,6 +45,7 @@
 	headerServer = "Hawthorn-Server"
 	headerOrders = "Hawthorn-Orders"
 	headerDrain  = "Hawthorn-Drain" // the near end understands frameDrain
+	headerCount  = "Hawthorn-Count" // the near end understands frameEndAt
 )
 
 // ErrBroken is the error of a tunnel that ended for a reason other than the server.
--- a/internal/edge/tunnel/tunnel_test.go
+++ b/internal/edge/tunnel/tunnel_test.go
@@ -381,3 +381,27 @@
 	_ = near.Close()
 	assert.NilError(t, g.Wait())
 }
+
+// Guards against a part of an answer that looks whole because the VM in between had not passed on the whole request.
+func TestAnEndBeforeTheWholeRequestArrivesAsAReset(t *testing.T) {
+	c, via, _, paths := startTunnels(t)
+	near, err := c.Dial(t.Context(), via, "listed", false)
+	assert.NilError(t, err)
+	far := (<-paths.accepted).(*net.TCPConn)
+	var g group.Group
+	g.Go(func(context.Context) error {
+		_, err := near.Write(make([]byte, 64<<20)) // more than all buffers on the way hold
+		assert.Check(t, err != nil)
+		return nil
+	})
+	_, err = io.ReadFull(far, make([]byte, 1<<10))
+	assert.NilError(t, err)
+	_, err = io.WriteString(far, "a part")
+	assert.NilError(t, err)
+	assert.NilError(t, far.CloseWrite())
+	part, err := io.ReadAll(near)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Equal(t, string(part), "a part")
+	assert.NilError(t, near.Close())
+	assert.NilError(t, g.Close())
+}
