poll, call: a message is taken once its body has come to its end

Cause: a JSON decoder stops at the end of its first value, and the calls checked the status alone.

Messages between VMs are read to the end and decoded then; calls of the own interface check answers with reply.Check and reply.CheckFields, and reject those without a length. Both tests fail before.

--- a/internal/edge/poll/call.go
+++ b/internal/edge/poll/call.go
@@ -47,10 +47,20 @@
 	if out == nil {
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxCallBytes)).Decode(out)
+	err = decodeWhole(resp.Body, maxCallBytes, out)
 	return kinds.Wrap(kinds.Unavailable, err, "decode response of "+at.String()+path)
 }
 
+// decodeWhole decodes a body that holds one message of at most limit bytes, and nothing else. The
+// response is an answer only if its body comes to an end.
+func decodeWhole(body io.Reader, limit int64, out any) error {
+	b, err := io.ReadAll(io.LimitReader(body, limit))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, out)
+}
+
 // callHandler answers calls to a path with what answer returns, or with 400 if it returns
 // false or the message cannot be read.
 func callHandler[In, Out any](path string, answer func(In) (Out, bool)) http.Handler {
--- a/internal/edge/poll/call_test.go
+++ b/internal/edge/poll/call_test.go
@@ -94,3 +94,22 @@
 	_, _, err = c.Rules(t.Context(), at, 1)
 	assert.Assert(t, errors.Is(err, reply.ErrStatus), "%v", err)
 }
+
+// Guards against a part of a message between VMs that is taken for all of it because what has come is valid JSON.
+func TestAPartOfAMessageIsNoMessage(t *testing.T) {
+	for name, rest := range map[string]string{"cut off": "", "malformed trailer": "0\r\nX Sum: 5\r\n\r\n", "two messages": "2\r\n{}\r\n0\r\n\r\n"} {
+		at := serveCalls(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n{\"vm\":\"vm-1\"}\r\n"+rest)
+		}))
+		c := NewClient()
+		_, err := c.Poll(t.Context(), at, &Request{}, nil)
+		assert.Equal(t, kinds.Of(err), kinds.Unavailable, "%s", name)
+		_, err = c.AskPermits(t.Context(), at, &PermitRequest{})
+		assert.Equal(t, kinds.Of(err), kinds.Unavailable, "%s", name)
+	}
+}
--- a/internal/edge/poll/serve.go
+++ b/internal/edge/poll/serve.go
@@ -148,11 +148,11 @@
 		return result, kinds.New(kinds.Unavailable, "poll "+at.String()+": "+resp.Status)
 	}
 	result.ReceivedAt = time.Now()
-	body := io.LimitReader(resp.Body, maxMessageBytes)
+	body := io.Reader(resp.Body)
 	if hb, ok := readHeartbeat(resp.Header); ok && onHeartbeat != nil {
 		body = &heartbeatReader{Reader: body, heartbeat: hb, onHeartbeat: onHeartbeat}
 	}
-	if err := json.NewDecoder(body).Decode(&result); err != nil {
+	if err := decodeWhole(body, maxMessageBytes, &result); err != nil {
 		return result, kinds.Wrap(kinds.Unavailable, err, "decode poll response of "+at.String())
 	}
 	return result, nil
--- a/internal/plat/call/call.go
+++ b/internal/plat/call/call.go
@@ -49,7 +49,10 @@
 	MaxResponseHeaderBytes: MaxHeaderBytes,
 }}
 
-var errTooLong = errors.New("the response is longer than 64 MiB")
+var (
+	errTooLong = errors.New("the response is longer than 64 MiB")
+	errNoEnd   = errors.New("the response has no length")
+)
 
 // plainReader hides the other methods of a reader, such as Seek, so that net/http
 // cannot send the body a second time.
@@ -109,7 +112,7 @@
 		return Answer{}, kinds.Wrap(kindWithoutAnswer(method, gotConn.Load()), err, method+" "+r.URL.Path)
 	}
 	defer resp.Body.Close()
-	if err := reply.CheckStatus(resp.StatusCode); err != nil {
+	if err := check(resp); err != nil {
 		return Answer{}, kinds.Wrap(kindWithoutAnswer(method, true), err, method+" "+r.URL.Path)
 	}
 	if resp.StatusCode == http.StatusNotModified && r.Header.Get(HeaderIfNoneMatch) != "" && method == http.MethodGet {
@@ -118,6 +121,21 @@
 	return readAnswer(resp, method)
 }
 
+// check returns nil if a response is an answer whose end can be known. One of HTTP/2 has framing
+// of its own.
+func check(resp *http.Response) error {
+	if resp.ProtoMajor == 2 {
+		return reply.CheckStatus(resp.StatusCode)
+	}
+	if err := reply.Check(resp); err != nil {
+		return err
+	}
+	if reply.EndsWithConnection(resp) {
+		return errNoEnd
+	}
+	return nil
+}
+
 // refuseRedirect makes the client return a redirect as the response. Following it
 // would turn a write into a read, whose status 200 would look as if the write was
 // done.
@@ -149,6 +167,9 @@
 	if err == nil && len(b) > MaxAnswerBytes {
 		err = errTooLong
 	}
+	if err == nil {
+		err = reply.CheckFields(resp.Trailer)
+	}
 	if err != nil {
 		return Answer{}, kinds.Wrap(kindWithoutAnswer(method, true), err, "read response")
 	}
--- a/internal/plat/call/call_test.go
+++ b/internal/plat/call/call_test.go
@@ -93,3 +93,25 @@
 		}
 	}
 }
+
+// Guards against a message without a known end, or with malformed fields, that is taken for an answer to a call.
+func TestACallTakesOnlyWholeAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no length":         "HTTP/1.1 200 OK\r\n\r\n{}",
+		"malformed header":  "HTTP/1.1 200 OK\r\nX Sum: 5\r\nContent-Length: 2\r\n\r\n{}",
+		"malformed trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Sum: 5\r\n\r\n",
+		"another version":   "HTTP/7.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, answer)
+				_ = c.Close()
+			}
+		}))
+		var c Client
+		assert.Equal(t, kinds.Of(c.Do(t.Context(), http.MethodPut, srv.URL, []byte("x"), nil)), kinds.Ambiguous, name)
+		assert.Equal(t, kinds.Of(c.Do(t.Context(), http.MethodGet, srv.URL, nil, nil)), kinds.Unavailable, name)
+		srv.Close()
+	}
+}
