relay: a success without the server's seal is no answer

Cause: the relay asked an answer for the request's id only. On the platform a 2xx counts only with the seal and the whole body.

relay.Headers.Seal names the header of each success; a 2xx without it ends as 502, or the request is sent again if it may run twice. Failures need none: servers refuse without one.

The test fails before: 200 and 204 without a seal pass.

--- a/internal/edge/relay/failure.go
+++ b/internal/edge/relay/failure.go
@@ -92,6 +92,7 @@
 	errTooLong      = errors.New("the answer exceeds the longest one that is passed on")
 	errNoEnd        = errors.New("the end of the answer could not be recognized")
 	errUnsolicited  = errors.New("the answer came before anything was sent")
+	errUnsealed     = errors.New("the answer is a success without the server's seal")
 	errContradicts  = errors.New("the answer is a success and says that the request has not run")
 )
 
@@ -116,6 +117,9 @@
 	if foreign {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errWrongRequest}
 	}
+	if h.Seal != "" && resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get(h.Seal) == "" {
+		return &Failure{Kind: kinds.Unknown, Sent: true, err: errUnsealed}
+	}
 	if resp.ContentLength > answer.maxBody {
 		return &Failure{Kind: kinds.Unknown, Sent: true, err: errTooLong}
 	}
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -34,6 +34,7 @@
 	Fence    string // epoch of the ownership under which the owner was found
 	Deadline string // time left until the deadline, in milliseconds
 	Server   string // the only server that may run the request
+	Seal     string // of each success of a server; one without it is no answer
 	Ran      string // whether the request ran, in the system's own answers
 
 	// Refused reports whether an answer says that the server did not run the request.
--- a/internal/edge/relay/rejected_test.go
+++ b/internal/edge/relay/rejected_test.go
@@ -52,3 +52,18 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, len(reasons), 1, "a refusal is an answer")
 }
+
+// Guards against a success that no server has signed.
+func TestASuccessWithoutASealIsNoAnswer(t *testing.T) {
+	for head, want := range map[string]error{
+		"200 OK": errUnsealed, "204 No Content": errUnsealed, "200 OK\r\nX-Seal:": errUnsealed,
+		"200 OK\r\nX-Seal: s1.r1": nil, "404 Not Found": nil, "500 Failed": nil,
+	} {
+		r, _ := newTestRelay(t, func(w io.Writer, _ *http.Request, _, _ int) bool {
+			return writeString(w, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		r.cfg.Headers.Seal = "X-Seal"
+		_, err := sendRequest(t.Context(), r, httptest.NewRequest("GET", "/x", nil), "r1")
+		assert.Assert(t, errors.Is(err, want), "%s: %v", head, err)
+	}
+}
