--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -65,25 +65,6 @@
 	removal removal   // of the missing entry
 }
 
-// removal is what is known of the end of an entry.
-type removal struct {
-	rev uint64 // no version up to it exists any more
-	// peerRev is the revision of the list of another VM that lacked the entry, zero if the store
-	// told its removal. That VM may have been wrong.
-	peerRev uint64
-}
-
-// excludes reports whether an entry of a revision is one that was removed.
-func (r removal) excludes(rev uint64) bool { return rev <= r.rev }
-
-// removalOf returns the removal of a server that is removed or missing.
-func (s *Set[T]) removalOf(name ident.Server) removal {
-	if r := s.entries[name]; r != nil {
-		return r.removal
-	}
-	return s.removed[name]
-}
-
 // StoreDown records that the store does not answer.
 func (s *Set[T]) StoreDown() { s.storeDown = true }
 
@@ -161,24 +142,6 @@
 	return r != nil && !r.goneAt.IsZero()
 }
 
-// Rejection is an entry of a list that the set does not take, since versions up to RemovedRev are
-// known as removed.
-type Rejection struct {
-	Name            ident.Server
-	Rev, RemovedRev uint64
-}
-
-// Rejected returns the entries of a list whose servers are not in the set.
-func (s *Set[T]) Rejected(list []Entry[T]) []Rejection {
-	var all []Rejection
-	for _, e := range list {
-		if s.entries[e.Name] == nil {
-			all = append(all, Rejection{Name: e.Name, Rev: e.Rev, RemovedRev: s.removed[e.Name].rev})
-		}
-	}
-	return all
-}
-
 // HasMissing reports whether there are servers that the store no longer lists.
 func (s *Set[T]) HasMissing() bool {
 	for _, r := range s.entries {
@@ -212,88 +175,10 @@
 	return changed
 }
 
-// MergePeer applies the complete list of another VM at a revision. It reports whether the
-// set changed. That VM may have removed an entry that the store still lists, or lists
-// again, so its list does not exclude later entries of the same name.
-func (s *Set[T]) MergePeer(now time.Time, rev uint64, list []Entry[T]) bool {
-	if rev < s.latestRev {
-		return false
-	}
-	s.noteRev(now, rev)
-	listed := make(map[ident.Server]bool, len(list))
-	changed := false
-	for _, e := range list {
-		listed[e.Name] = true
-		changed = s.putFromPeer(e, rev) || changed
-	}
-	return s.dropUnlisted(now, rev, listed) || changed
-}
-
-// MergePeerDelta applies the changes in the list of another VM up to a revision: entries
-// that are new or were rewritten, and names of servers that are gone. It reports whether
-// the set changed.
-func (s *Set[T]) MergePeerDelta(now time.Time, rev uint64, list []Entry[T], gone []ident.Server) bool {
-	if rev < s.latestRev {
-		return false
-	}
-	s.noteRev(now, rev)
-	changed := false
-	for _, e := range list {
-		changed = s.putFromPeer(e, rev) || changed
-	}
-	for _, name := range gone {
-		if r := s.entries[name]; r != nil {
-			changed = s.markMissingAtPeer(now, r, rev) || changed
-		}
-	}
-	return changed
-}
-
-// AdoptPeer applies the complete list of another VM that is known to be current although this
-// set may have heard of later revisions. Like the store's own, it outranks what was heard of
-// removals. It reports whether the set changed.
-func (s *Set[T]) AdoptPeer(now time.Time, rev uint64, list []Entry[T]) bool {
-	rev = max(rev, s.latestRev)
-	s.noteRev(now, rev)
-	listed := make(map[ident.Server]bool, len(list))
-	changed := false
-	for _, e := range list {
-		listed[e.Name] = true
-		changed = s.put(e) || changed
-	}
-	return s.dropUnlisted(now, rev, listed) || changed
-}
-
-// dropUnlisted removes the entries that the list of another VM at a revision lacks.
-func (s *Set[T]) dropUnlisted(now time.Time, rev uint64, listed map[ident.Server]bool) bool {
-	changed := false
-	for name, r := range s.entries {
-		if !listed[name] {
-			changed = s.markMissingAtPeer(now, r, rev) || changed
-		}
-	}
-	return changed
-}
-
-// markMissingAtPeer removes an entry that another VM does not list at a revision, unless
-// the entry is newer.
-func (s *Set[T]) markMissingAtPeer(now time.Time, r *record[T], rev uint64) bool {
-	return r.Rev <= rev && r.goneAt.IsZero() && s.remove(now, r.Name, removal{rev: r.Rev, peerRev: rev})
-}
-
 // Put applies a change of the store that added or rewrote an entry. It reports whether the set
 // changed.
 func (s *Set[T]) Put(e Entry[T]) bool { return !s.removalOf(e.Name).excludes(e.Rev) && s.put(e) }
 
-// putFromPeer applies an entry of the list of another VM at a revision. A removal that the store
-// told is not taken back by it, one that only an earlier list of a VM showed is.
-func (s *Set[T]) putFromPeer(e Entry[T], rev uint64) bool {
-	if r := s.removalOf(e.Name); r.excludes(e.Rev) && (r.peerRev == 0 || rev < r.peerRev) {
-		return false
-	}
-	return s.put(e)
-}
-
 // put applies an entry that is known to exist.
 func (s *Set[T]) put(e Entry[T]) bool {
 	if s.entries == nil {
@@ -334,18 +219,6 @@
 // before are old.
 func (s *Set[T]) Applied(rev uint64) { s.latestRev = max(s.latestRev, rev) }
 
-// or returns the removal that says more: of the later revision, or by the store.
-func (r removal) or(o removal) removal {
-	if o.rev > r.rev || o.rev == r.rev && o.peerRev == 0 {
-		return o
-	}
-	return r
-}
-
-// maxRemoved bounds the number of removed servers that are remembered. A forgotten one
-// could be restored only by a list that is thousands of removals old.
-const maxRemoved = 4096
-
 // remove removes an entry and reports whether it did. Shortly after an outage the removal
 // is delayed, unless the server announced that it leaves.
 func (s *Set[T]) remove(now time.Time, name ident.Server, why removal) bool {
@@ -359,35 +232,6 @@
 	return true
 }
 
-// noteRemoval remembers a removal, unless its revision is not known.
-func (s *Set[T]) noteRemoval(name ident.Server, why removal) {
-	if why.rev == 0 {
-		return
-	}
-	if s.removed == nil {
-		s.removed = map[ident.Server]removal{}
-	}
-	if len(s.removed) >= maxRemoved {
-		s.pruneRemoved()
-	}
-	s.removed[name] = s.removed[name].or(why)
-}
-
-// pruneRemoved forgets the older half of the removed servers. The newer half is kept,
-// because a list that is a second old would otherwise restore a server that has just left.
-func (s *Set[T]) pruneRemoved() {
-	revs := make([]uint64, 0, len(s.removed))
-	for _, r := range s.removed {
-		revs = append(revs, r.rev)
-	}
-	slices.Sort(revs)
-	median := revs[len(revs)/2]
-	maps.DeleteFunc(s.removed, func(_ ident.Server, r removal) bool { return r.rev < median })
-	if len(s.removed) >= maxRemoved { // most were removed at the same revision
-		maps.DeleteFunc(s.removed, func(_ ident.Server, r removal) bool { return r.rev <= median })
-	}
-}
-
 // Expire removes the entries whose delay after an outage is over, and reports whether there
 // were any.
 func (s *Set[T]) Expire(now time.Time) bool {
