--- a/internal/edge/host/watch_test.go
+++ b/internal/edge/host/watch_test.go
@@ -248,6 +248,7 @@
 		w := newWatcher(hub, store, store)
 		watchFor(t, w, 2*time.Second, func() {
 			time.Sleep(firstListWait + leaderBatchDelay/2)
+			synctest.Wait()
 			assert.Equal(t, store.watches, 1)
 			hub.SetLease(elect.Lease{Epoch: 1, Holder: "vm-2", Incarnation: "a"}, true)
 		})
